--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments in virtual time and capacity slopes.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! `cicadawick`: the operators' client.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `cicadawick`.
+
+fn main() {}
--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,56 @@
+//! Versioned documents, which never go back to a lower revision.
+
+use std::sync::Arc;
+
+use model::{FastMap, Name};
+
+/// What an offered revision was to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DocumentOffer {
+    /// Higher than the one held; the store took it.
+    Newer,
+    Same,
+    /// Lower than the one held; the store kept its own.
+    Older,
+}
+
+/// The documents that a node holds.
+///
+/// ```
+/// use config::{DocumentOffer, DocumentStore};
+/// let mut store = DocumentStore::default();
+/// assert_eq!(store.offer(&"config".into(), 2, b"two"), DocumentOffer::Newer);
+/// assert_eq!(store.offer(&"config".into(), 1, b"one"), DocumentOffer::Older);
+/// assert_eq!(store.get("config").map(|(revision, _)| revision), Some(2));
+/// ```
+#[derive(Debug, Default)]
+pub struct DocumentStore {
+    documents: FastMap<Name, (u64, Arc<[u8]>)>,
+}
+
+impl DocumentStore {
+    /// Takes a document if its revision is higher than the one held.
+    pub fn offer(&mut self, document: &Name, revision: u64, bytes: &[u8]) -> DocumentOffer {
+        match self.documents.get(document) {
+            Some((held, _)) if *held == revision => DocumentOffer::Same,
+            Some((held, _)) if *held > revision => DocumentOffer::Older,
+            _ => {
+                self.documents.insert(document.clone(), (revision, bytes.into()));
+                DocumentOffer::Newer
+            }
+        }
+    }
+
+    /// Returns the revision and bytes of a document.
+    pub fn get(&self, document: &str) -> Option<(u64, Arc<[u8]>)> {
+        self.documents.get(document).map(|(revision, bytes)| (*revision, bytes.clone()))
+    }
+
+    /// Returns the revision of each document, by name.
+    pub fn revisions(&self) -> Vec<(Name, u64)> {
+        let mut revisions: Vec<(Name, u64)> =
+            self.documents.iter().map(|(name, (revision, _))| (name.clone(), *revision)).collect();
+        revisions.sort();
+        revisions
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! `cicadawickd`: the shell that feeds a node from sockets and timers.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `cicadawickd`.
+
+fn main() {}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,25 @@
+//! The vocabulary that all other crates share.
+//!
+//! Names, labels and selectors say whose work something is; ranks, deadlines and ages say how it is
+//! served; terms and positions say what a database holds. Time is [`Micros`] on the node's own
+//! monotonic clock, so state machines run the same in a daemon and in virtual time.
+
+mod fleet;
+mod label;
+mod map;
+mod name;
+mod position;
+mod rank;
+mod settings;
+mod time;
+
+pub use fleet::{
+    CallerLabels, ClusterConfig, DatabaseConfig, FleetConfig, RankConfig, SelectorConfig,
+};
+pub use label::{LabelError, LabelSelector, LabelSet, MatchOperator, MatchRule};
+pub use map::{FastMap, FastSet};
+pub use name::Name;
+pub use position::{LogPosition, SessionFloor, Term};
+pub use rank::{Rank, RankMap};
+pub use settings::{NodeSettings, SocketAddress};
+pub use time::Micros;
--- /dev/null
+++ b/crates/pg/src/lib.rs
@@ -0,0 +1,1 @@
+//! PostgreSQL v3 framing and message building over the codec of `pgwire`.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,10 @@
+//! From a caller's request to a database: what the statement is, which selector decides, which state
+//! the session must see, and which database may serve it.
+
+mod classify;
+mod policy;
+mod token;
+
+pub use classify::{SessionCommand, StatementClass, classify};
+pub use policy::{DatabaseHint, RouteChoice, SelectorTable, WorkPolicy, choose_database};
+pub use token::{SessionToken, TokenError, TokenKey, TokenKeys};
--- /dev/null
+++ b/crates/rpc/src/lib.rs
@@ -0,0 +1,1 @@
+//! capnp-rpc over non-blocking streams polled from the stakker loop.
