--- /dev/null
+++ b/crates/fake/src/fakedb/server.rs
@@ -0,0 +1,906 @@
+//! Serves one connection: framing, the simple and the extended query protocol, slots and locks.
+
+use std::collections::HashMap;
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicI32, Ordering};
+use std::sync::{Arc, Condvar, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use sqlparser::ast::Statement;
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
+
+use super::engine::{self, Control, ExecError, Field, Outcome, ResultRows};
+use super::store::{ConnectionEntry, DatabaseState, LockKey, Transaction};
+use super::value::{ColumnType, Value};
+use super::{Database, GroupCore, SqlError};
+
+const PROTOCOL_MAJOR: i32 = 3;
+const CANCEL_REQUEST: i32 = 80_877_102;
+const SSL_REQUEST: i32 = 80_877_103;
+const GSS_REQUEST: i32 = 80_877_104;
+
+/// Answers are written out beyond this size, so a large result is not held in memory.
+const FLUSH_BYTES: usize = 64 * 1024;
+
+/// Largest message accepted, so that a broken length cannot exhaust memory.
+const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+
+/// Longest wait for a row lock.
+const LOCK_TIMEOUT: Duration = Duration::from_secs(10);
+
+static NEXT_PROCESS: AtomicI32 = AtomicI32::new(1000);
+
+/// Why a message was not carried out.
+enum Failure {
+    Sql(SqlError),
+    /// The connection ended: the caller left or the database was killed.
+    Ended,
+}
+
+impl From<SqlError> for Failure {
+    fn from(error: SqlError) -> Self {
+        Failure::Sql(error)
+    }
+}
+
+impl From<std::io::Error> for Failure {
+    fn from(_: std::io::Error) -> Self {
+        Failure::Ended
+    }
+}
+
+struct PreparedStatement {
+    statement: Option<Arc<Statement>>,
+    sql: Arc<str>,
+    params: Vec<ColumnType>,
+    fields: Option<Vec<Field>>,
+}
+
+struct Portal {
+    statement: Option<Arc<Statement>>,
+    sql: Arc<str>,
+    params: Vec<Value>,
+    fields: Option<Vec<Field>>,
+    formats: Vec<i16>,
+    /// Rows left after an execution with a row limit, and the count sent so far.
+    rest: Option<(ResultRows, usize)>,
+}
+
+/// A statement's slot; dropping it admits the next statement.
+struct SlotGuard<'a> {
+    database: &'a Database,
+    run: u64,
+}
+
+impl Drop for SlotGuard<'_> {
+    fn drop(&mut self) {
+        let mut state = self.database.lock();
+        if state.run == self.run {
+            state.counters.slots_busy = state.counters.slots_busy.saturating_sub(1);
+        }
+        drop(state);
+        self.database.slots_changed.notify_all();
+    }
+}
+
+struct Connection<'a> {
+    core: &'a GroupCore,
+    at: usize,
+    database: &'a Database,
+    stream: Arc<TcpStream>,
+    out: Vec<u8>,
+    run: u64,
+    process: i32,
+    cancel: Arc<AtomicBool>,
+    transaction: Option<Transaction>,
+    statements: HashMap<String, PreparedStatement>,
+    portals: HashMap<String, Portal>,
+    /// After an error in the extended protocol, messages up to Sync are skipped.
+    skipping: bool,
+}
+
+/// Serves a connection until it ends.
+pub(crate) fn serve(core: &GroupCore, at: usize, database: &Database, stream: TcpStream) {
+    drop(stream.set_nodelay(true));
+    let stream = Arc::new(stream);
+    let mut reader = BufReader::with_capacity(16 * 1024, &*stream);
+    let Some((process, run, cancel)) = open(database, &stream, &mut reader) else {
+        drop(stream.shutdown(Shutdown::Both));
+        return;
+    };
+    let mut connection = Connection {
+        core,
+        at,
+        database,
+        stream: stream.clone(),
+        out: Vec::with_capacity(4096),
+        run,
+        process,
+        cancel,
+        transaction: None,
+        statements: HashMap::new(),
+        portals: HashMap::new(),
+        skipping: false,
+    };
+    while let Ok((kind, body)) = read_message(&mut reader) {
+        if kind == b'X' || connection.handle(kind, &body).is_err() {
+            break;
+        }
+    }
+    connection.rollback();
+    {
+        let mut state = database.lock();
+        if state.run == run && state.connections.remove(&process).is_some() {
+            state.counters.connections -= 1;
+        }
+    }
+    drop(stream.shutdown(Shutdown::Both));
+}
+
+fn read_message(reader: &mut impl Read) -> std::io::Result<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    reader.read_exact(&mut head)?;
+    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+    if !(4..=MAX_MESSAGE_BYTES).contains(&length) {
+        return Err(std::io::ErrorKind::InvalidData.into());
+    }
+    let mut body = vec![0; length - 4];
+    reader.read_exact(&mut body)?;
+    Ok((head[0], body))
+}
+
+/// Does the start-up; returns the connection's number, the database's run and its cancel flag.
+fn open(
+    database: &Database,
+    stream: &Arc<TcpStream>,
+    reader: &mut impl Read,
+) -> Option<(i32, u64, Arc<AtomicBool>)> {
+    let run = database.lock().run;
+    loop {
+        let mut head = [0; 8];
+        reader.read_exact(&mut head).ok()?;
+        let length = i32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        let code = i32::from_be_bytes([head[4], head[5], head[6], head[7]]);
+        if !(8..=MAX_MESSAGE_BYTES).contains(&length) {
+            return None;
+        }
+        let mut body = vec![0; length - 8];
+        reader.read_exact(&mut body).ok()?;
+        pass_gate(database, run).ok()?;
+        match code {
+            SSL_REQUEST | GSS_REQUEST => (&**stream).write_all(b"N").ok()?,
+            CANCEL_REQUEST => {
+                cancel(database, &body);
+                return None;
+            }
+            _ if code >> 16 == PROTOCOL_MAJOR => break,
+            _ => return None,
+        }
+    }
+    let process = NEXT_PROCESS.fetch_add(1, Ordering::Relaxed);
+    let secret = process.wrapping_mul(0x5bd1_e995);
+    let cancel = Arc::new(AtomicBool::new(false));
+    let (admitted, open_time) = {
+        let mut state = database.lock();
+        if state.run != run {
+            return None;
+        }
+        let admitted = state.counters.connections < state.connection_limit;
+        if admitted {
+            let entry = ConnectionEntry { secret, stream: stream.clone(), cancel: cancel.clone() };
+            state.connections.insert(process, entry);
+            state.counters.connections += 1;
+            let now = state.counters.connections;
+            state.counters.connections_highest = state.counters.connections_highest.max(now);
+        } else {
+            state.counters.connections_refused += 1;
+        }
+        (admitted, state.open_time)
+    };
+    let mut out = Vec::new();
+    if !admitted {
+        let error = SqlError::new("53300", "sorry, too many clients already");
+        put_error(&mut out, "FATAL", &error);
+        drop((&**stream).write_all(&out));
+        return None;
+    }
+    std::thread::sleep(open_time);
+    put(&mut out, b'R', |out| out.extend_from_slice(&0i32.to_be_bytes()));
+    for (name, value) in [
+        ("server_version", "16.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("TimeZone", "UTC"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ] {
+        put(&mut out, b'S', |out| {
+            put_text(out, name);
+            put_text(out, value);
+        });
+    }
+    put(&mut out, b'K', |out| {
+        out.extend_from_slice(&process.to_be_bytes());
+        out.extend_from_slice(&secret.to_be_bytes());
+    });
+    put(&mut out, b'Z', |out| out.push(b'I'));
+    let opened = pass_gate(database, run).is_ok() && (&**stream).write_all(&out).is_ok();
+    if !opened {
+        let mut state = database.lock();
+        if state.run == run && state.connections.remove(&process).is_some() {
+            state.counters.connections -= 1;
+        }
+        return None;
+    }
+    Some((process, run, cancel))
+}
+
+fn cancel(database: &Database, body: &[u8]) {
+    let number = |at: usize| {
+        let bytes = body.get(at..at + 4).and_then(|bytes| bytes.try_into().ok());
+        bytes.map(i32::from_be_bytes)
+    };
+    let (Some(process), Some(secret)) = (number(0), number(4)) else { return };
+    if let Some(connection) = database.lock().connections.get(&process)
+        && connection.secret == secret
+    {
+        connection.cancel.store(true, Ordering::SeqCst);
+    }
+    database.wake_all();
+}
+
+/// Waits while the database is frozen.
+fn pass_gate(database: &Database, run: u64) -> Result<(), Failure> {
+    let mut state = database.lock();
+    while state.frozen && state.run == run {
+        state = wait(&database.gate_changed, state);
+    }
+    if state.run == run { Ok(()) } else { Err(Failure::Ended) }
+}
+
+fn wait<'a>(
+    changed: &Condvar,
+    state: MutexGuard<'a, DatabaseState>,
+) -> MutexGuard<'a, DatabaseState> {
+    changed.wait(state).unwrap_or_else(PoisonError::into_inner)
+}
+
+fn put(out: &mut Vec<u8>, kind: u8, write: impl FnOnce(&mut Vec<u8>)) {
+    out.push(kind);
+    let at = out.len();
+    out.extend_from_slice(&[0; 4]);
+    write(out);
+    let length = (out.len() - at) as u32;
+    out[at..at + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+fn put_text(out: &mut Vec<u8>, text: &str) {
+    out.extend_from_slice(text.as_bytes());
+    out.push(0);
+}
+
+fn put_error(out: &mut Vec<u8>, severity: &str, error: &SqlError) {
+    put(out, b'E', |out| {
+        for (field, text) in
+            [(b'S', severity), (b'V', severity), (b'C', error.code), (b'M', &error.message)]
+        {
+            out.push(field);
+            put_text(out, text);
+        }
+        out.push(0);
+    });
+}
+
+fn put_fields(out: &mut Vec<u8>, fields: &[Field], formats: &[i16]) {
+    put(out, b'T', |out| {
+        out.extend_from_slice(&(fields.len() as i16).to_be_bytes());
+        for (at, field) in fields.iter().enumerate() {
+            put_text(out, &field.name);
+            out.extend_from_slice(&[0; 6]);
+            out.extend_from_slice(&field.kind.oid().to_be_bytes());
+            out.extend_from_slice(&field.kind.size().to_be_bytes());
+            out.extend_from_slice(&(-1i32).to_be_bytes());
+            out.extend_from_slice(&format_of(formats, at).to_be_bytes());
+        }
+    });
+}
+
+fn format_of(formats: &[i16], at: usize) -> i16 {
+    match formats {
+        [] => 0,
+        [all] => *all,
+        _ => formats.get(at).copied().unwrap_or_default(),
+    }
+}
+
+/// Reads fields of a message body.
+struct BodyReader<'a>(&'a [u8]);
+
+impl<'a> BodyReader<'a> {
+    fn bytes(&mut self, count: usize) -> Result<&'a [u8], Failure> {
+        if self.0.len() < count {
+            return Err(SqlError::new("08P01", "message is too short").into());
+        }
+        let (bytes, rest) = self.0.split_at(count);
+        self.0 = rest;
+        Ok(bytes)
+    }
+
+    fn int16(&mut self) -> Result<i16, Failure> {
+        let bytes = self.bytes(2)?;
+        Ok(i16::from_be_bytes([bytes[0], bytes[1]]))
+    }
+
+    fn int32(&mut self) -> Result<i32, Failure> {
+        let bytes = self.bytes(4)?;
+        Ok(i32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]))
+    }
+
+    fn count(&mut self) -> Result<usize, Failure> {
+        Ok(self.int16()?.max(0) as usize)
+    }
+
+    fn text(&mut self) -> Result<&'a str, Failure> {
+        let end = self.0.iter().position(|byte| *byte == 0).unwrap_or(self.0.len());
+        let bytes = self.bytes(end)?;
+        self.0 = self.0.get(1..).unwrap_or_default();
+        std::str::from_utf8(bytes)
+            .map_err(|_| SqlError::new("22021", "invalid byte sequence for encoding UTF8").into())
+    }
+}
+
+fn parse(sql: &str) -> Result<Vec<Statement>, SqlError> {
+    Parser::parse_sql(&PostgreSqlDialect {}, sql)
+        .map_err(|error| SqlError::new("42601", error.to_string()))
+}
+
+/// Finds the service time that a `/*service_ms=N*/` comment asks for.
+fn commented_service_time(sql: &str) -> Option<Duration> {
+    let (_, rest) = sql.split_once("/*service_ms=")?;
+    let (millis, _) = rest.split_once("*/")?;
+    Some(Duration::from_secs_f64(millis.trim().parse::<f64>().ok()?.clamp(0.0, 3.6e6) / 1e3))
+}
+
+impl<'a> Connection<'a> {
+    /// Carries out one message; an error ends the connection.
+    fn handle(&mut self, kind: u8, body: &[u8]) -> Result<(), Failure> {
+        pass_gate(self.database, self.run)?;
+        if self.skipping && kind != b'S' {
+            return Ok(());
+        }
+        let result = match kind {
+            b'Q' => return self.simple_query(body),
+            b'S' => return self.sync(),
+            b'H' => return self.flush(),
+            b'P' => self.parse(body),
+            b'B' => self.bind(body),
+            b'D' => self.describe(body),
+            b'E' => self.execute(body),
+            b'C' => self.close(body),
+            // Copy data after a failed COPY is ignored, as PostgreSQL does.
+            b'd' | b'c' | b'f' => Ok(()),
+            _ => Err(SqlError::new("0A000", "message type is not supported by fakedb").into()),
+        };
+        match result {
+            Err(Failure::Sql(error)) => {
+                self.fail(&error);
+                self.skipping = true;
+                Ok(())
+            }
+            other => other,
+        }
+    }
+
+    fn flush(&mut self) -> Result<(), Failure> {
+        pass_gate(self.database, self.run)?;
+        (&*self.stream).write_all(&self.out)?;
+        self.out.clear();
+        Ok(())
+    }
+
+    fn ready(&mut self) -> Result<(), Failure> {
+        let status = match &self.transaction {
+            Some(transaction) if transaction.failed => b'E',
+            Some(_) => b'T',
+            None => b'I',
+        };
+        put(&mut self.out, b'Z', |out| out.push(status));
+        self.flush()
+    }
+
+    /// Reports an error and rolls back what it ends.
+    fn fail(&mut self, error: &SqlError) {
+        put_error(&mut self.out, "ERROR", error);
+        if self.transaction.as_ref().is_some_and(|transaction| transaction.explicit) {
+            let mut state = self.database.lock();
+            if let Some(transaction) = &mut self.transaction {
+                state.release(transaction);
+                transaction.failed = true;
+                transaction.changes.clear();
+                transaction.rows.clear();
+                transaction.locks.clear();
+            }
+            drop(state);
+            self.database.locks_changed.notify_all();
+        } else {
+            self.rollback();
+        }
+    }
+
+    fn rollback(&mut self) {
+        if let Some(transaction) = self.transaction.take() {
+            let mut state = self.database.lock();
+            if state.run == self.run {
+                state.release(&transaction);
+            }
+            drop(state);
+            self.database.locks_changed.notify_all();
+        }
+    }
+
+    /// Commits the open transaction; returns the command tag.
+    fn commit(&mut self) -> Result<&'static str, Failure> {
+        let Some(transaction) = self.transaction.take() else { return Ok("COMMIT") };
+        if transaction.failed {
+            return Ok("ROLLBACK");
+        }
+        let result = {
+            let mut state = self.database.lock();
+            while state.frozen && state.run == self.run {
+                state = wait(&self.database.gate_changed, state);
+            }
+            if state.run != self.run {
+                return Err(Failure::Ended);
+            }
+            state.commit(&transaction)
+        };
+        self.database.locks_changed.notify_all();
+        if result? {
+            self.database.group.notify();
+        }
+        Ok("COMMIT")
+    }
+
+    fn simple_query(&mut self, body: &[u8]) -> Result<(), Failure> {
+        let result = BodyReader(body).text().and_then(|sql| self.run_script(sql));
+        match result {
+            Err(Failure::Sql(error)) => self.fail(&error),
+            other => other?,
+        }
+        self.ready()
+    }
+
+    /// Runs the statements of a simple query; together they are one implicit transaction.
+    fn run_script(&mut self, sql: &str) -> Result<(), Failure> {
+        let statements = parse(sql)?;
+        if statements.is_empty() {
+            put(&mut self.out, b'I', |_| {});
+        }
+        let count = statements.len();
+        for (at, statement) in statements.iter().enumerate() {
+            let (outcome, slot) = self.run_statement(statement, sql, &[])?;
+            // The commit comes before the completion, so that a completion is never taken back.
+            let is_implicit =
+                self.transaction.as_ref().is_some_and(|transaction| !transaction.explicit);
+            if at + 1 == count && is_implicit {
+                self.commit()?;
+            }
+            self.put_outcome(outcome)?;
+            drop(slot);
+        }
+        Ok(())
+    }
+
+    fn put_outcome(&mut self, outcome: Outcome) -> Result<(), Failure> {
+        let (tag, rows) = match outcome {
+            Outcome::Rows(fields, rows) => (None, Some((fields, rows))),
+            Outcome::Changed(tag, rows) => (Some(tag), rows),
+            Outcome::Done(tag) => (Some(tag.to_string()), None),
+            Outcome::Sleep(_) | Outcome::Followed(_) => return Ok(()),
+        };
+        let mut count = 0;
+        if let Some((fields, rows)) = rows {
+            put_fields(&mut self.out, &fields, &[]);
+            for row in rows {
+                self.put_row(&fields, &[], &row)?;
+                count += 1;
+            }
+        }
+        self.put_complete(&tag.unwrap_or_else(|| format!("SELECT {count}")));
+        Ok(())
+    }
+
+    fn put_row(&mut self, fields: &[Field], formats: &[i16], row: &[Value]) -> Result<(), Failure> {
+        put(&mut self.out, b'D', |out| {
+            out.extend_from_slice(&(row.len() as i16).to_be_bytes());
+            for (at, (value, field)) in row.iter().zip(fields).enumerate() {
+                field.kind.encode(value, format_of(formats, at) == 1, out);
+            }
+        });
+        if self.out.len() > FLUSH_BYTES { self.flush() } else { Ok(()) }
+    }
+
+    fn put_complete(&mut self, tag: &str) {
+        put(&mut self.out, b'C', |out| put_text(out, tag));
+    }
+
+    /// Waits in arrival order for a slot.
+    fn take_slot(&self) -> Result<SlotGuard<'a>, Failure> {
+        let mut state = self.database.lock();
+        let ticket = state.next_ticket;
+        state.next_ticket += 1;
+        state.slot_queue.push_back(ticket);
+        loop {
+            if state.run != self.run {
+                return Err(Failure::Ended);
+            }
+            if self.cancel.load(Ordering::SeqCst) {
+                state.slot_queue.retain(|other| *other != ticket);
+                drop(state);
+                self.database.slots_changed.notify_all();
+                return Err(self.cancelled());
+            }
+            let is_next = state.slot_queue.front() == Some(&ticket);
+            if is_next && !state.frozen && state.counters.slots_busy < state.slot_limit {
+                state.slot_queue.pop_front();
+                state.counters.slots_busy += 1;
+                let busy = state.counters.slots_busy;
+                state.counters.slots_highest = state.counters.slots_highest.max(busy);
+                state.counters.waiting = state.slot_queue.len() as u32;
+                let more = !state.slot_queue.is_empty();
+                drop(state);
+                if more {
+                    self.database.slots_changed.notify_all();
+                }
+                return Ok(SlotGuard { database: self.database, run: self.run });
+            }
+            state.counters.waiting = state.slot_queue.len() as u32;
+            let waiting = state.counters.waiting;
+            state.counters.waiting_highest = state.counters.waiting_highest.max(waiting);
+            state = wait(&self.database.slots_changed, state);
+        }
+    }
+
+    fn cancelled(&self) -> Failure {
+        self.database.lock().counters.cancelled += 1;
+        SqlError::new("57014", "canceling statement due to user request").into()
+    }
+
+    /// Holds the slot for a time that a cancel request or a kill ends.
+    fn hold(&self, time: Duration) -> Result<(), Failure> {
+        let end = Instant::now() + time;
+        let mut state = self.database.lock();
+        loop {
+            if state.run != self.run {
+                return Err(Failure::Ended);
+            }
+            if self.cancel.load(Ordering::SeqCst) {
+                drop(state);
+                return Err(self.cancelled());
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(());
+            }
+            let waited = self.database.gate_changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Waits until a lock is no longer held by `holder`.
+    fn wait_for_lock(&mut self, key: &LockKey, holder: u64) -> Result<(), Failure> {
+        let Some(transaction) = &self.transaction else { return Ok(()) };
+        let waiter = transaction.id;
+        let end = Instant::now() + LOCK_TIMEOUT;
+        let mut state = self.database.lock();
+        if state.is_deadlock(waiter, holder) {
+            return Err(SqlError::new("40P01", "deadlock detected").into());
+        }
+        state.waits.insert(waiter, holder);
+        let result = loop {
+            if state.run != self.run {
+                return Err(Failure::Ended);
+            }
+            if state.locks.get(key) != Some(&holder) {
+                break Ok(());
+            }
+            if self.cancel.load(Ordering::SeqCst) {
+                break Err(());
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break Err(());
+            }
+            let waited = self.database.locks_changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        };
+        state.waits.remove(&waiter);
+        drop(state);
+        match result {
+            Ok(()) => Ok(()),
+            Err(()) if self.cancel.load(Ordering::SeqCst) => Err(self.cancelled()),
+            Err(()) => Err(SqlError::new("55P03", "lock wait timed out").into()),
+        }
+    }
+
+    /// Runs one statement. The slot is returned too, because sending the rows belongs to it.
+    fn run_statement(
+        &mut self,
+        statement: &Statement,
+        sql: &str,
+        params: &[Value],
+    ) -> Result<(Outcome, Option<SlotGuard<'a>>), Failure> {
+        self.cancel.store(false, Ordering::SeqCst);
+        let control = engine::control_of(statement);
+        let is_failed = self.transaction.as_ref().is_some_and(|transaction| transaction.failed);
+        if is_failed && !matches!(control, Some(Control::Commit | Control::Rollback)) {
+            let message = "current transaction is aborted, commands ignored until end of \
+                           transaction block";
+            return Err(SqlError::new("25P02", message).into());
+        }
+        let takes_slot = !engine::is_administration(sql);
+        let mut slot = if takes_slot { Some(self.take_slot()?) } else { None };
+        let service_time = {
+            let mut state = self.database.lock();
+            state.counters.statements += 1;
+            commented_service_time(sql).unwrap_or(state.service_time)
+        };
+        if takes_slot && control.is_none() && !service_time.is_zero() {
+            self.hold(service_time)?;
+        }
+        if let Some(control) = control {
+            return Ok((Outcome::Done(self.run_control(control)?), slot));
+        }
+        loop {
+            let result = {
+                let mut state = self.database.lock();
+                while state.frozen && state.run == self.run {
+                    state = wait(&self.database.gate_changed, state);
+                }
+                if state.run != self.run {
+                    return Err(Failure::Ended);
+                }
+                let transaction = self.transaction.get_or_insert_with(|| state.begin(false));
+                engine::execute(&mut state, transaction, statement, params, self.process)
+            };
+            match result {
+                Err(ExecError::Blocked(key, holder)) => {
+                    slot = None;
+                    self.wait_for_lock(&key, holder)?;
+                    slot = if takes_slot { Some(self.take_slot()?) } else { slot };
+                }
+                Err(ExecError::Failed(error)) => return Err(error.into()),
+                Ok(Outcome::Sleep(seconds)) => {
+                    self.hold(Duration::from_secs_f64(seconds.clamp(0.0, 3600.0)))?;
+                    let fields = vec![Field { name: "pg_sleep".into(), kind: ColumnType::Void }];
+                    let rows = vec![vec![Value::text("")]].into_iter();
+                    return Ok((Outcome::Rows(fields, ResultRows::List(rows)), slot));
+                }
+                Ok(Outcome::Followed(fields)) => {
+                    // Discards at once what the leader does not have, if the link is up.
+                    self.core.replicate_once(self.at);
+                    self.database.wake_all();
+                    self.database.group.notify();
+                    let rows = vec![vec![Value::text("t")]].into_iter();
+                    return Ok((Outcome::Rows(fields, ResultRows::List(rows)), slot));
+                }
+                Ok(outcome) => {
+                    if !takes_slot {
+                        // A fence or promotion may have released locks and opened a term.
+                        self.database.locks_changed.notify_all();
+                        self.database.group.notify();
+                    }
+                    return Ok((outcome, slot));
+                }
+            }
+        }
+    }
+
+    fn run_control(&mut self, control: Control) -> Result<&'static str, Failure> {
+        match control {
+            Control::Begin { read_only } => {
+                let mut state = self.database.lock();
+                let transaction = self.transaction.get_or_insert_with(|| state.begin(true));
+                transaction.explicit = true;
+                transaction.read_only |= read_only;
+                Ok("BEGIN")
+            }
+            Control::Commit => self.commit(),
+            Control::Rollback => {
+                self.rollback();
+                Ok("ROLLBACK")
+            }
+        }
+    }
+
+    fn sync(&mut self) -> Result<(), Failure> {
+        self.skipping = false;
+        if self.transaction.as_ref().is_some_and(|transaction| !transaction.explicit) {
+            match self.commit() {
+                Err(Failure::Sql(error)) => self.fail(&error),
+                other => drop(other?),
+            }
+        }
+        if self.transaction.is_none() {
+            self.portals.clear();
+        }
+        self.ready()
+    }
+
+    fn parse(&mut self, body: &[u8]) -> Result<(), Failure> {
+        let mut body = BodyReader(body);
+        let name = body.text()?.to_string();
+        let sql = body.text()?;
+        let mut statements = parse(sql)?;
+        if statements.len() > 1 {
+            let message = "cannot insert multiple commands into a prepared statement";
+            return Err(SqlError::new("42601", message).into());
+        }
+        let statement = statements.pop().map(Arc::new);
+        let (mut params, fields) = match &statement {
+            Some(statement) => {
+                let mut state = self.database.lock();
+                match &self.transaction {
+                    Some(transaction) => engine::describe(&state, transaction, statement)?,
+                    None => {
+                        let transaction = state.begin(false);
+                        engine::describe(&state, &transaction, statement)?
+                    }
+                }
+            }
+            None => (Vec::new(), None),
+        };
+        for at in 0..body.count()? {
+            let kind = ColumnType::from_oid(body.int32()? as u32);
+            if at >= params.len() {
+                params.resize(at + 1, ColumnType::Text);
+            }
+            params[at] = kind.unwrap_or(params[at]);
+        }
+        self.statements
+            .insert(name, PreparedStatement { statement, sql: sql.into(), params, fields });
+        put(&mut self.out, b'1', |_| {});
+        Ok(())
+    }
+
+    fn bind(&mut self, body: &[u8]) -> Result<(), Failure> {
+        let mut body = BodyReader(body);
+        let portal = body.text()?.to_string();
+        let name = body.text()?;
+        let prepared = self.statements.get(name).ok_or_else(|| {
+            SqlError::new("26000", format!("prepared statement \"{name}\" does not exist"))
+        })?;
+        let mut formats = Vec::new();
+        for _ in 0..body.count()? {
+            formats.push(body.int16()?);
+        }
+        let count = body.count()?;
+        if count != prepared.params.len() {
+            let message =
+                format!("bind supplies {count} parameters, not {}", prepared.params.len());
+            return Err(SqlError::new("08P01", message).into());
+        }
+        let mut params = Vec::with_capacity(count);
+        for (at, kind) in prepared.params.iter().enumerate() {
+            params.push(match body.int32()? {
+                length if length < 0 => Value::Null,
+                length => {
+                    kind.decode(body.bytes(length as usize)?, format_of(&formats, at) == 1)?
+                }
+            });
+        }
+        let mut result_formats = Vec::new();
+        for _ in 0..body.count()? {
+            result_formats.push(body.int16()?);
+        }
+        let portal_state = Portal {
+            statement: prepared.statement.clone(),
+            sql: prepared.sql.clone(),
+            params,
+            fields: prepared.fields.clone(),
+            formats: result_formats,
+            rest: None,
+        };
+        self.portals.insert(portal, portal_state);
+        put(&mut self.out, b'2', |_| {});
+        Ok(())
+    }
+
+    fn describe(&mut self, body: &[u8]) -> Result<(), Failure> {
+        let mut body = BodyReader(body);
+        let kind = body.bytes(1)?[0];
+        let name = body.text()?;
+        let missing = || SqlError::new("26000", format!("\"{name}\" does not exist"));
+        let (fields, formats) = if kind == b'S' {
+            let prepared = self.statements.get(name).ok_or_else(missing)?;
+            put(&mut self.out, b't', |out| {
+                out.extend_from_slice(&(prepared.params.len() as i16).to_be_bytes());
+                for kind in &prepared.params {
+                    out.extend_from_slice(&kind.oid().to_be_bytes());
+                }
+            });
+            (prepared.fields.as_ref(), [].as_slice())
+        } else {
+            let portal = self.portals.get(name).ok_or_else(missing)?;
+            (portal.fields.as_ref(), portal.formats.as_slice())
+        };
+        match fields {
+            Some(fields) => put_fields(&mut self.out, fields, formats),
+            None => put(&mut self.out, b'n', |_| {}),
+        }
+        Ok(())
+    }
+
+    fn execute(&mut self, body: &[u8]) -> Result<(), Failure> {
+        let mut body = BodyReader(body);
+        let name = body.text()?.to_string();
+        let limit = body.int32()?;
+        let limit = if limit <= 0 { usize::MAX } else { limit as usize };
+        let mut portal = self
+            .portals
+            .remove(&name)
+            .ok_or_else(|| SqlError::new("34000", format!("portal \"{name}\" does not exist")))?;
+        let Some(statement) = portal.statement.clone() else {
+            put(&mut self.out, b'I', |_| {});
+            return Ok(());
+        };
+        let mut tag = None;
+        let mut slot = None;
+        let (rows, mut sent) = match portal.rest.take() {
+            Some(rest) => (Some(rest.0), rest.1),
+            None => {
+                let (outcome, taken) =
+                    self.run_statement(&statement, &portal.sql, &portal.params)?;
+                slot = taken;
+                let rows = match outcome {
+                    Outcome::Rows(_, rows) => Some(rows),
+                    Outcome::Changed(text, rows) => {
+                        tag = Some(text);
+                        rows.map(|(_, rows)| rows)
+                    }
+                    Outcome::Done(text) => {
+                        tag = Some(text.to_string());
+                        None
+                    }
+                    Outcome::Sleep(_) | Outcome::Followed(_) => None,
+                };
+                (rows, 0)
+            }
+        };
+        let fields = portal.fields.clone().unwrap_or_default();
+        if let Some(mut rows) = rows {
+            let mut left = limit;
+            while left > 0 {
+                let Some(row) = rows.next() else { break };
+                self.put_row(&fields, &portal.formats, &row)?;
+                sent += 1;
+                left -= 1;
+            }
+            if left == 0 && tag.is_none() {
+                portal.rest = Some((rows, sent));
+                self.portals.insert(name, portal);
+                put(&mut self.out, b's', |_| {});
+                return Ok(());
+            }
+        }
+        drop(slot);
+        self.put_complete(&tag.unwrap_or_else(|| format!("SELECT {sent}")));
+        Ok(())
+    }
+
+    fn close(&mut self, body: &[u8]) -> Result<(), Failure> {
+        let mut body = BodyReader(body);
+        let kind = body.bytes(1)?[0];
+        let name = body.text()?;
+        if kind == b'S' {
+            self.statements.remove(name);
+        } else {
+            self.portals.remove(name);
+        }
+        put(&mut self.out, b'3', |_| {});
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fake/src/http.rs
@@ -0,0 +1,97 @@
+//! The control ports' HTTP/JSON server.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use anyhow::{Context, anyhow};
+use serde_json::{Value, json};
+use tiny_http::{Header, Request, Response, Server};
+
+/// A request to a control port.
+pub(crate) struct ControlRequest {
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) body: String,
+}
+
+/// Starts an HTTP server on the loopback interface; port 0 lets the kernel choose.
+pub(crate) fn listen(port: u16) -> anyhow::Result<(Arc<Server>, SocketAddr)> {
+    let server = Server::http((Ipv4Addr::LOCALHOST, port))
+        .map_err(|error| anyhow!("failed to listen on port {port}: {error}"))?;
+    let address = server.server_addr().to_ip().context("the server has no IP address")?;
+    Ok((Arc::new(server), address))
+}
+
+/// Builds an answer in JSON.
+pub(crate) fn json_response(status: u16, value: &Value) -> Response<std::io::Cursor<Vec<u8>>> {
+    let response = Response::from_string(value.to_string()).with_status_code(status);
+    match Header::from_bytes("Content-Type", "application/json") {
+        Ok(header) => response.with_header(header),
+        Err(()) => response,
+    }
+}
+
+/// Reads what a control handler needs of a request.
+pub(crate) fn read_control(request: &mut Request) -> std::io::Result<ControlRequest> {
+    let mut body = String::new();
+    request.as_reader().read_to_string(&mut body)?;
+    let path = request.url().split('?').next().unwrap_or_default().to_string();
+    Ok(ControlRequest { method: request.method().to_string(), path, body })
+}
+
+/// Answers a control request.
+pub(crate) fn answer_control(
+    mut request: Request,
+    handler: impl FnOnce(&ControlRequest) -> anyhow::Result<Value>,
+) {
+    let result = read_control(&mut request).map_err(anyhow::Error::from);
+    let response = match result.and_then(|control| handler(&control)) {
+        Ok(value) => json_response(200, &value),
+        Err(error) => json_response(400, &json!({ "error": format!("{error:#}") })),
+    };
+    // A caller that left does not want the answer.
+    drop(request.respond(response));
+}
+
+/// A control port with one thread; dropping it stops the server.
+pub(crate) struct ControlServer {
+    server: Arc<Server>,
+    address: SocketAddr,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl std::fmt::Debug for ControlServer {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "ControlServer({})", self.address)
+    }
+}
+
+impl ControlServer {
+    pub(crate) fn start(
+        port: u16,
+        handler: impl Fn(&ControlRequest) -> anyhow::Result<Value> + Send + 'static,
+    ) -> anyhow::Result<Self> {
+        let (server, address) = listen(port)?;
+        let worker = server.clone();
+        let thread = std::thread::spawn(move || {
+            for request in worker.incoming_requests() {
+                answer_control(request, &handler);
+            }
+        });
+        Ok(ControlServer { server, address, thread: Some(thread) })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for ControlServer {
+    fn drop(&mut self) {
+        self.server.unblock();
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/loadgen.rs
@@ -0,0 +1,764 @@
+//! Callers that send mixes of work and check what they were told.
+//!
+//! Each connection is a thread with a blocking client, so a run has at most a few thousand of them.
+//! With a rate, latency counts from the moment when a request was due, so a stalled server is not
+//! hidden by callers that wait for it. Checks use a second connection straight to the database:
+//!
+//! - tokens: each acknowledged token is in the table exactly once, and one that was refused is not;
+//! - sessions: a read after an acknowledged write of the same session shows it;
+//! - age: while the run lasts, the checker changes one row again and again. A read of that row may
+//!   miss only changes that were acknowledged less than the accepted age before it was sent.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, bail};
+use hdrhistogram::Histogram;
+use postgres::{Client, NoTls, SimpleQueryMessage};
+use serde::{Deserialize, Serialize};
+
+/// Time between two attempts to connect.
+const RECONNECT_DELAY: Duration = Duration::from_millis(20);
+
+/// Time between two changes of the row that the age check reads.
+const MARK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Meter whose balance is the mark of the age check.
+const MARK_METER: u64 = 0;
+
+/// Highest latency that is told apart, in microseconds.
+const MAX_LATENCY_MICROS: u64 = 600_000_000;
+
+/// SQLSTATE under which failures without one are counted.
+const NO_SQLSTATE: &str = "connection";
+
+/// Kind of work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LoadKind {
+    /// Inserts a token with a request key.
+    Token,
+    /// Reads a balance.
+    Balance,
+    /// Inserts a batch of readings.
+    Reading,
+    /// Writes a row of the own session or reads it back, in turn.
+    Session,
+}
+
+impl LoadKind {
+    fn name(self) -> &'static str {
+        match self {
+            LoadKind::Token => "token",
+            LoadKind::Balance => "balance",
+            LoadKind::Reading => "reading",
+            LoadKind::Session => "session",
+        }
+    }
+}
+
+impl FromStr for LoadKind {
+    type Err = anyhow::Error;
+
+    fn from_str(text: &str) -> anyhow::Result<Self> {
+        Ok(match text {
+            "token" => LoadKind::Token,
+            "balance" => LoadKind::Balance,
+            "reading" => LoadKind::Reading,
+            "session" => LoadKind::Session,
+            _ => bail!("unknown kind {text:?}: expected token, balance, reading or session"),
+        })
+    }
+}
+
+/// Shares of kinds, as in `token=1,balance=8`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadMix(pub Vec<(LoadKind, u32)>);
+
+impl FromStr for LoadMix {
+    type Err = anyhow::Error;
+
+    /// ```
+    /// let mix: fake::loadgen::LoadMix = "token=1,balance=8".parse()?;
+    /// assert_eq!(mix.0.len(), 2);
+    /// # Ok::<(), anyhow::Error>(())
+    /// ```
+    fn from_str(text: &str) -> anyhow::Result<Self> {
+        let mut shares = Vec::new();
+        for part in text.split(',') {
+            let (kind, share) = part.split_once('=').unwrap_or((part, "1"));
+            let share = share.trim().parse().with_context(|| format!("invalid share {part:?}"))?;
+            shares.push((kind.trim().parse()?, share));
+        }
+        if shares.iter().all(|(_, share)| *share == 0) {
+            bail!("the mix {text:?} has no share above 0");
+        }
+        Ok(LoadMix(shares))
+    }
+}
+
+/// How to load a server.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    pub address: SocketAddr,
+    pub database: String,
+    pub user: String,
+    /// Sent as `-c cicadawick.labels=LABELS`.
+    pub labels: Option<String>,
+    pub connections: usize,
+    pub mix: LoadMix,
+    /// Requests a second over all connections; `None` sends the next after each answer.
+    pub rate: Option<f64>,
+    pub duration: Duration,
+    /// Ends the run after this many requests.
+    pub count: Option<u64>,
+    /// Rows of a readings batch.
+    pub batch: usize,
+    pub meters: u64,
+    /// Added to each statement as a `service_ms` comment for fakedb.
+    pub service_ms: Option<f64>,
+    /// Accepted data age of balance reads; `None` skips the age check.
+    pub max_age: Option<Duration>,
+    /// Address of a primary database for creating tables and for checks.
+    pub check_address: Option<SocketAddr>,
+    pub seed: u64,
+}
+
+impl LoadOptions {
+    /// Returns options for a closed loop of one connection with all kinds for one second.
+    pub fn new(address: SocketAddr, database: &str) -> Self {
+        LoadOptions {
+            address,
+            database: database.to_string(),
+            user: "loadgen".to_string(),
+            labels: None,
+            connections: 1,
+            mix: LoadMix(vec![
+                (LoadKind::Token, 1),
+                (LoadKind::Balance, 8),
+                (LoadKind::Reading, 1),
+            ]),
+            rate: None,
+            duration: Duration::from_secs(1),
+            count: None,
+            batch: 10,
+            meters: 100,
+            service_ms: None,
+            max_age: None,
+            check_address: None,
+            seed: 1,
+        }
+    }
+}
+
+/// Figures of one kind. Latencies are of successful requests, in microseconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct KindReport {
+    pub count: u64,
+    /// Failures by SQLSTATE; `connection` without one.
+    pub errors: BTreeMap<String, u64>,
+    pub per_second: f64,
+    pub p50_us: u64,
+    pub p99_us: u64,
+    pub p999_us: u64,
+    pub max_us: u64,
+}
+
+/// Results of the checks.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CheckReport {
+    pub tokens_acknowledged: u64,
+    /// Acknowledged, but not in the table.
+    pub tokens_missing: u64,
+    /// In the table more than once.
+    pub tokens_duplicated: u64,
+    /// Answered with an error that says that the request did not run.
+    pub tokens_refused: u64,
+    /// Refused, but in the table.
+    pub tokens_refused_present: u64,
+    pub tokens_unknown: u64,
+    /// Without a known outcome, and in the table.
+    pub tokens_unknown_present: u64,
+    pub session_reads: u64,
+    /// Reads that missed an acknowledged write of their session.
+    pub session_violations: u64,
+    pub age_reads: u64,
+    /// Reads that were older than accepted.
+    pub age_violations: u64,
+}
+
+impl CheckReport {
+    /// Tells whether no check failed.
+    pub fn is_clean(&self) -> bool {
+        self.tokens_missing == 0
+            && self.tokens_duplicated == 0
+            && self.tokens_refused_present == 0
+            && self.session_violations == 0
+            && self.age_violations == 0
+    }
+}
+
+/// Outcome of a run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    pub seconds: f64,
+    pub connections: usize,
+    /// Connections that could not be opened, by SQLSTATE.
+    pub connect_errors: BTreeMap<String, u64>,
+    pub kinds: BTreeMap<LoadKind, KindReport>,
+    /// `None` without a check address.
+    pub checks: Option<CheckReport>,
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "{:<8} {:>9} {:>7} {:>10} {:>9} {:>9} {:>9} {:>9}",
+            "kind", "count", "errors", "per s", "p50 us", "p99 us", "p99.9 us", "max us"
+        )?;
+        for (kind, report) in &self.kinds {
+            writeln!(
+                formatter,
+                "{:<8} {:>9} {:>7} {:>10.1} {:>9} {:>9} {:>9} {:>9}",
+                kind.name(),
+                report.count,
+                report.errors.values().sum::<u64>(),
+                report.per_second,
+                report.p50_us,
+                report.p99_us,
+                report.p999_us,
+                report.max_us
+            )?;
+            for (code, count) in &report.errors {
+                writeln!(formatter, "  error {code}: {count}")?;
+            }
+        }
+        for (code, count) in &self.connect_errors {
+            writeln!(formatter, "connect error {code}: {count}")?;
+        }
+        if let Some(checks) = &self.checks {
+            writeln!(
+                formatter,
+                "tokens: {} acknowledged, {} missing, {} duplicated, {} refused ({} present), \
+                 {} unknown ({} present)",
+                checks.tokens_acknowledged,
+                checks.tokens_missing,
+                checks.tokens_duplicated,
+                checks.tokens_refused,
+                checks.tokens_refused_present,
+                checks.tokens_unknown,
+                checks.tokens_unknown_present
+            )?;
+            writeln!(
+                formatter,
+                "session reads: {}, {} violations; age reads: {}, {} violations",
+                checks.session_reads,
+                checks.session_violations,
+                checks.age_reads,
+                checks.age_violations
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// What became of a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TokenOutcome {
+    Acknowledged,
+    Refused,
+    Unknown,
+}
+
+struct KindFigures {
+    latency: Histogram<u64>,
+    count: u64,
+    errors: BTreeMap<String, u64>,
+}
+
+#[derive(Default)]
+struct Figures {
+    kinds: BTreeMap<LoadKind, KindFigures>,
+    connect_errors: BTreeMap<String, u64>,
+    tokens: Vec<(String, TokenOutcome)>,
+    checks: CheckReport,
+}
+
+impl Figures {
+    fn note(&mut self, kind: LoadKind, latency: Duration, error: Option<String>) {
+        let figures = self.kinds.entry(kind).or_insert_with(|| KindFigures {
+            latency: new_histogram(),
+            count: 0,
+            errors: BTreeMap::new(),
+        });
+        figures.count += 1;
+        match error {
+            Some(code) => *figures.errors.entry(code).or_default() += 1,
+            None => figures.latency.saturating_record(latency.as_micros() as u64),
+        }
+    }
+
+    fn merge(&mut self, other: Figures) {
+        for (kind, figures) in other.kinds {
+            match self.kinds.get_mut(&kind) {
+                None => drop(self.kinds.insert(kind, figures)),
+                Some(own) => {
+                    own.count += figures.count;
+                    // Both have the same bounds, so adding cannot fail.
+                    let _ = own.latency.add(&figures.latency);
+                    add_counts(&mut own.errors, figures.errors);
+                }
+            }
+        }
+        add_counts(&mut self.connect_errors, other.connect_errors);
+        self.tokens.extend(other.tokens);
+        self.checks.session_reads += other.checks.session_reads;
+        self.checks.session_violations += other.checks.session_violations;
+        self.checks.age_reads += other.checks.age_reads;
+        self.checks.age_violations += other.checks.age_violations;
+    }
+}
+
+fn add_counts(own: &mut BTreeMap<String, u64>, other: BTreeMap<String, u64>) {
+    for (code, count) in other {
+        *own.entry(code).or_default() += count;
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MAX_LATENCY_MICROS, 3).unwrap_or_else(|_| {
+        unreachable!("constant bounds of a histogram are valid");
+    })
+}
+
+/// Acknowledged values of the row that the age check reads, with the time of acknowledgement.
+#[derive(Default)]
+struct MarkLog(Mutex<Vec<(Instant, u64)>>);
+
+impl MarkLog {
+    fn lock(&self) -> MutexGuard<'_, Vec<(Instant, u64)>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the last value that was acknowledged by `time`.
+    fn value_at(&self, time: Instant) -> u64 {
+        let marks = self.lock();
+        let count = marks.partition_point(|(acknowledged, _)| *acknowledged <= time);
+        count.checked_sub(1).map_or(0, |at| marks[at].1)
+    }
+}
+
+/// What the threads of a run share.
+struct RunState {
+    options: LoadOptions,
+    /// Starts the request keys of this run.
+    run_name: String,
+    sent: AtomicU64,
+    stop: AtomicBool,
+    start: Instant,
+    marks: MarkLog,
+}
+
+impl RunState {
+    fn is_over(&self) -> bool {
+        self.stop.load(Ordering::Relaxed) || self.start.elapsed() >= self.options.duration
+    }
+
+    /// Takes one request of the count; false if none is left.
+    fn take_request(&self) -> bool {
+        let sent = self.sent.fetch_add(1, Ordering::Relaxed);
+        let has_more = self.options.count.is_none_or(|count| sent < count);
+        if !has_more {
+            self.stop.store(true, Ordering::Relaxed);
+        }
+        has_more
+    }
+}
+
+fn connect(address: SocketAddr, options: &LoadOptions) -> Result<Client, postgres::Error> {
+    let mut config = postgres::Config::new();
+    config
+        .host(&address.ip().to_string())
+        .port(address.port())
+        .user(&options.user)
+        .dbname(&options.database)
+        .connect_timeout(Duration::from_secs(5));
+    if let Some(labels) = &options.labels {
+        config.options(&format!("-c cicadawick.labels={}", labels.replace(' ', "")));
+    }
+    config.connect(NoTls)
+}
+
+fn error_code(error: &postgres::Error) -> String {
+    error.code().map_or(NO_SQLSTATE, |code| code.code()).to_string()
+}
+
+/// Runs a load and returns its report.
+///
+/// # Errors
+///
+/// Fails if the tables cannot be created or the checks cannot be read. Failed requests are part of
+/// the report.
+///
+/// ```
+/// use fake::fakedb::{DatabaseGroup, GroupOptions};
+/// use fake::loadgen::{LoadOptions, run};
+/// let group = DatabaseGroup::start(GroupOptions::new("db", 1))?;
+/// let mut options = LoadOptions::new(group.addresses()[0], "db");
+/// options.count = Some(10);
+/// options.check_address = Some(group.addresses()[0]);
+/// let report = run(&options)?;
+/// assert!(report.checks.is_some_and(|checks| checks.is_clean()));
+/// # Ok::<(), anyhow::Error>(())
+/// ```
+pub fn run(options: &LoadOptions) -> anyhow::Result<LoadReport> {
+    let setup_address = options.check_address.unwrap_or(options.address);
+    let mut setup = connect(setup_address, options)
+        .with_context(|| format!("failed to connect to {setup_address} to create tables"))?;
+    create_tables(&mut setup, options).context("failed to create tables")?;
+    let micros = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
+    let state = Arc::new(RunState {
+        options: options.clone(),
+        run_name: format!("run{}-{micros:x}", options.seed),
+        sent: AtomicU64::new(0),
+        stop: AtomicBool::new(false),
+        start: Instant::now(),
+        marks: MarkLog::default(),
+    });
+    let marking = (options.check_address.is_some() && options.max_age.is_some()).then(|| {
+        let state = state.clone();
+        std::thread::spawn(move || write_marks(&state, setup_address))
+    });
+    let mut workers = Vec::new();
+    for number in 0..options.connections {
+        let state = state.clone();
+        let builder = std::thread::Builder::new().stack_size(512 * 1024);
+        workers.push(builder.spawn(move || work(&state, number as u64))?);
+    }
+    let mut figures = Figures::default();
+    for worker in workers {
+        match worker.join() {
+            Ok(own) => figures.merge(own),
+            Err(_) => bail!("a load thread panicked"),
+        }
+    }
+    let seconds = state.start.elapsed().as_secs_f64();
+    state.stop.store(true, Ordering::Relaxed);
+    if let Some(marking) = marking {
+        drop(marking.join());
+    }
+    let checks = match options.check_address {
+        Some(address) => Some(check_tokens(&state, address, &figures)?),
+        None => None,
+    };
+    let kinds = figures.kinds.into_iter().map(|(kind, figures)| {
+        let report = KindReport {
+            count: figures.count,
+            per_second: figures.latency.len() as f64 / seconds,
+            errors: figures.errors,
+            p50_us: figures.latency.value_at_quantile(0.5),
+            p99_us: figures.latency.value_at_quantile(0.99),
+            p999_us: figures.latency.value_at_quantile(0.999),
+            max_us: figures.latency.max(),
+        };
+        (kind, report)
+    });
+    Ok(LoadReport {
+        seconds,
+        connections: options.connections,
+        connect_errors: figures.connect_errors,
+        kinds: kinds.collect(),
+        checks,
+    })
+}
+
+fn create_tables(client: &mut Client, options: &LoadOptions) -> Result<(), postgres::Error> {
+    for sql in [
+        "CREATE TABLE IF NOT EXISTS tokens (request_key text, meter bigint, amount bigint)",
+        "CREATE TABLE IF NOT EXISTS balances (meter bigint PRIMARY KEY, amount bigint)",
+        "CREATE TABLE IF NOT EXISTS readings (meter bigint, taken bigint, value bigint)",
+        "CREATE TABLE IF NOT EXISTS sessions (id bigint PRIMARY KEY, mark bigint)",
+    ] {
+        client.simple_query(sql)?;
+    }
+    // The mark starts again at 0, so that an earlier run's higher value does not hide old data.
+    client.simple_query(&format!("DELETE FROM balances WHERE meter = {MARK_METER}"))?;
+    client.simple_query("DELETE FROM sessions")?;
+    let meters: Vec<u64> = (MARK_METER..=options.meters).collect();
+    for chunk in meters.chunks(500) {
+        let rows: Vec<String> = chunk.iter().map(|meter| format!("({meter}, 0)")).collect();
+        client.simple_query(&format!(
+            "INSERT INTO balances (meter, amount) VALUES {} ON CONFLICT DO NOTHING",
+            rows.join(", ")
+        ))?;
+    }
+    let sessions: Vec<String> = (0..options.connections).map(|id| format!("({id}, 0)")).collect();
+    for chunk in sessions.chunks(500) {
+        let rows = chunk.join(", ");
+        client.simple_query(&format!("INSERT INTO sessions (id, mark) VALUES {rows}"))?;
+    }
+    Ok(())
+}
+
+/// Changes the row of the age check until the run ends. A failed change ends its connection; its
+/// value may or may not be visible, which the check allows, because it is not in the log.
+fn write_marks(state: &RunState, address: SocketAddr) {
+    let mut client: Option<Client> = None;
+    let mut mark = 0;
+    while !state.is_over() {
+        if let Some(open) = &mut client {
+            mark += 1;
+            let sql = format!("UPDATE balances SET amount = {mark} WHERE meter = {MARK_METER}");
+            match open.simple_query(&sql) {
+                Ok(_) => state.marks.lock().push((Instant::now(), mark)),
+                Err(_) => client = None,
+            }
+        } else {
+            client = connect(address, &state.options).ok();
+        }
+        std::thread::sleep(MARK_INTERVAL);
+    }
+}
+
+/// One connection's work.
+struct Worker<'a> {
+    state: &'a RunState,
+    number: u64,
+    random: u64,
+    client: Option<Client>,
+    figures: Figures,
+    sequence: u64,
+    /// Highest mark of the own session that was acknowledged.
+    session_mark: u64,
+    session_written: bool,
+}
+
+fn work(state: &RunState, number: u64) -> Figures {
+    let mut worker = Worker {
+        state,
+        number,
+        random: state.options.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number),
+        client: None,
+        figures: Figures::default(),
+        sequence: 0,
+        session_mark: 0,
+        session_written: false,
+    };
+    let connections = state.options.connections.max(1) as f64;
+    let interval = state.options.rate.map(|rate| Duration::from_secs_f64(connections / rate));
+    let mut due = match (interval, state.options.rate) {
+        (Some(_), Some(rate)) => state.start + Duration::from_secs_f64(number as f64 / rate),
+        _ => state.start,
+    };
+    worker.connect();
+    while !state.is_over() {
+        match interval {
+            Some(interval) => {
+                std::thread::sleep(due.saturating_duration_since(Instant::now()));
+                if state.is_over() || !state.take_request() {
+                    break;
+                }
+                worker.request(due);
+                due += interval;
+            }
+            None => {
+                if !state.take_request() {
+                    break;
+                }
+                worker.request(Instant::now());
+            }
+        }
+    }
+    worker.figures
+}
+
+impl Worker<'_> {
+    fn next_random(&mut self, below: u64) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.random;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (mixed ^ (mixed >> 31)) % below.max(1)
+    }
+
+    /// Opens a connection, with pauses between attempts, while the run lasts.
+    fn connect(&mut self) {
+        while self.client.is_none() && !self.state.is_over() {
+            match connect(self.state.options.address, &self.state.options) {
+                Ok(client) => self.client = Some(client),
+                Err(error) => {
+                    *self.figures.connect_errors.entry(error_code(&error)).or_default() += 1;
+                    std::thread::sleep(RECONNECT_DELAY);
+                }
+            }
+        }
+    }
+
+    fn pick_kind(&mut self) -> LoadKind {
+        let mix = &self.state.options.mix.0;
+        let total: u64 = mix.iter().map(|(_, share)| u64::from(*share)).sum();
+        let mut at = self.next_random(total);
+        for (kind, share) in mix {
+            if at < u64::from(*share) {
+                return *kind;
+            }
+            at -= u64::from(*share);
+        }
+        LoadKind::Balance
+    }
+
+    /// Sends a request that was due at `due`.
+    fn request(&mut self, due: Instant) {
+        let kind = self.pick_kind();
+        self.sequence += 1;
+        let key = format!("{}-{}-{}", self.state.run_name, self.number, self.sequence);
+        let is_session_read = kind == LoadKind::Session && self.session_written;
+        let meters = self.state.options.meters;
+        let meter = match kind {
+            LoadKind::Balance if self.state.options.max_age.is_some() => {
+                // A part of the balance reads checks the age.
+                if self.next_random(4) == 0 { MARK_METER } else { 1 + self.next_random(meters) }
+            }
+            _ => 1 + self.next_random(meters),
+        };
+        let mut sql = self.statement(kind, &key, meter, is_session_read);
+        if let Some(service_ms) = self.state.options.service_ms {
+            sql = format!("/*service_ms={service_ms}*/ {sql}");
+        }
+        self.connect();
+        let Some(client) = &mut self.client else { return };
+        let sent = Instant::now();
+        let result = client.simple_query(&sql);
+        let latency = due.elapsed();
+        let error = result.as_ref().err().map(error_code);
+        if let Some(client) = &self.client
+            && client.is_closed()
+        {
+            self.client = None;
+        }
+        if kind == LoadKind::Token {
+            self.figures.tokens.push((key, token_outcome(error.as_deref())));
+        }
+        self.figures.note(kind, latency, error);
+        let Ok(messages) = result else { return };
+        let value = first_number(&messages);
+        match kind {
+            LoadKind::Balance if meter == MARK_METER => self.check_age(sent, value),
+            LoadKind::Session if is_session_read => {
+                self.figures.checks.session_reads += 1;
+                let is_violated = value.unwrap_or_default() < self.session_mark;
+                self.figures.checks.session_violations += u64::from(is_violated);
+                self.session_written = false;
+            }
+            LoadKind::Session => {
+                self.session_mark = self.sequence;
+                self.session_written = true;
+            }
+            _ => {}
+        }
+    }
+
+    fn statement(
+        &mut self,
+        kind: LoadKind,
+        key: &str,
+        meter: u64,
+        is_session_read: bool,
+    ) -> String {
+        match kind {
+            LoadKind::Token => format!(
+                "/*request_key='{key}'*/ INSERT INTO tokens (request_key, meter, amount) \
+                 VALUES ('{key}', {meter}, {})",
+                1 + self.next_random(100)
+            ),
+            LoadKind::Balance => format!("SELECT amount FROM balances WHERE meter = {meter}"),
+            LoadKind::Reading => {
+                let rows: Vec<String> = (0..self.state.options.batch.max(1))
+                    .map(|at| format!("({meter}, {at}, {})", self.next_random(10_000)))
+                    .collect();
+                format!("INSERT INTO readings (meter, taken, value) VALUES {}", rows.join(", "))
+            }
+            LoadKind::Session if is_session_read => {
+                format!("SELECT mark FROM sessions WHERE id = {}", self.number)
+            }
+            LoadKind::Session => {
+                format!("UPDATE sessions SET mark = {} WHERE id = {}", self.sequence, self.number)
+            }
+        }
+    }
+
+    fn check_age(&mut self, sent: Instant, value: Option<u64>) {
+        let Some(max_age) = self.state.options.max_age else { return };
+        let Some(oldest) = sent.checked_sub(max_age) else { return };
+        self.figures.checks.age_reads += 1;
+        let expected = self.state.marks.value_at(oldest);
+        let is_violated = value.unwrap_or_default() < expected;
+        self.figures.checks.age_violations += u64::from(is_violated);
+    }
+}
+
+/// Class 08 and 57 leave the outcome open, as a lost connection does; every other error says that
+/// nothing was committed.
+fn token_outcome(code: Option<&str>) -> TokenOutcome {
+    match code {
+        None => TokenOutcome::Acknowledged,
+        Some(code) if code == NO_SQLSTATE || code.starts_with("08") || code.starts_with("57") => {
+            TokenOutcome::Unknown
+        }
+        Some(_) => TokenOutcome::Refused,
+    }
+}
+
+fn first_number(messages: &[SimpleQueryMessage]) -> Option<u64> {
+    messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0)?.parse().ok(),
+        _ => None,
+    })
+}
+
+fn check_tokens(
+    state: &RunState,
+    address: SocketAddr,
+    figures: &Figures,
+) -> anyhow::Result<CheckReport> {
+    let mut client = connect(address, &state.options)
+        .with_context(|| format!("failed to connect to {address} for the checks"))?;
+    let messages = client
+        .simple_query("SELECT request_key FROM tokens")
+        .context("failed to read the tokens for the checks")?;
+    let mut present: HashMap<&str, u64> = HashMap::new();
+    for message in &messages {
+        if let SimpleQueryMessage::Row(row) = message
+            && let Some(key) = row.get(0)
+            && key.starts_with(&state.run_name)
+        {
+            *present.entry(key).or_default() += 1;
+        }
+    }
+    let mut checks = figures.checks.clone();
+    checks.tokens_duplicated = present.values().filter(|count| **count > 1).count() as u64;
+    for (key, outcome) in &figures.tokens {
+        let is_present = present.contains_key(key.as_str());
+        match outcome {
+            TokenOutcome::Acknowledged => {
+                checks.tokens_acknowledged += 1;
+                checks.tokens_missing += u64::from(!is_present);
+            }
+            TokenOutcome::Refused => {
+                checks.tokens_refused += 1;
+                checks.tokens_refused_present += u64::from(is_present);
+            }
+            TokenOutcome::Unknown => {
+                checks.tokens_unknown += 1;
+                checks.tokens_unknown_present += u64::from(is_present);
+            }
+        }
+    }
+    Ok(checks)
+}
