--- a/crates/fake/src/fakedb/engine.rs
+++ b/crates/fake/src/fakedb/engine.rs
@@ -171,12 +171,14 @@
             let last = parts.last().ok_or_else(|| unsupported(expr))?;
             column_value(&ident_name(last), scope)?
         }
-        Expr::Cast { expr, data_type, .. } => {
-            ColumnType::from_sql(&data_type.to_string()).convert(eval(expr, scope)?)?
+        Expr::Cast { expr, data_type, .. } => cast(&data_type.to_string(), eval(expr, scope)?)?,
+        Expr::Interval(interval) => {
+            let unit = interval.leading_field.as_ref().map(ToString::to_string).unwrap_or_default();
+            let text = eval(&interval.value, scope)?.to_text().unwrap_or_default();
+            interval_seconds(&format!("{text} {unit}"))?
         }
         Expr::TypedString(typed) => {
-            let kind = ColumnType::from_sql(&typed.data_type.to_string());
-            kind.convert(eval_literal(&typed.value.value, scope.params)?)?
+            cast(&typed.data_type.to_string(), eval_literal(&typed.value.value, scope.params)?)?
         }
         Expr::UnaryOp { op, expr: inner } => match (op, eval(inner, scope)?) {
             (UnaryOperator::Minus, Value::Int(value)) => Value::Int(-value),
@@ -209,6 +211,38 @@
     })
 }
 
+fn cast(type_name: &str, value: Value) -> Result<Value, SqlError> {
+    match value.to_text() {
+        Some(text) if type_name.to_ascii_lowercase().starts_with("interval") => {
+            interval_seconds(&text)
+        }
+        _ => ColumnType::from_sql(type_name).convert(value),
+    }
+}
+
+/// An interval is held as its number of seconds.
+fn interval_seconds(text: &str) -> Result<Value, SqlError> {
+    let invalid = || SqlError::new("22007", format!("invalid interval \"{text}\""));
+    let words: Vec<&str> = text.split_whitespace().collect();
+    let mut seconds = 0.0;
+    for pair in words.chunks(2) {
+        let [number, unit] = pair else { return Err(invalid()) };
+        let number: f64 = number.parse().map_err(|_| invalid())?;
+        let unit = unit.to_ascii_lowercase();
+        seconds += number
+            * match unit.trim_end_matches('s') {
+                "millisecond" => 1e-3,
+                "second" | "sec" => 1.0,
+                "minute" | "min" => 60.0,
+                "hour" => 3600.0,
+                "day" => 86_400.0,
+                "week" => 604_800.0,
+                _ => return Err(invalid()),
+            };
+    }
+    Ok(Value::Float(seconds))
+}
+
 fn eval_literal(literal: &Literal, params: &[Value]) -> Result<Value, SqlError> {
     Ok(match literal {
         Literal::Null => Value::Null,
@@ -289,6 +323,15 @@
     if left.is_null() || right.is_null() {
         return Ok(Value::Null);
     }
+    match (left, op, right) {
+        (Value::Time(time), BinaryOperator::Plus, Value::Float(seconds)) => {
+            return Ok(Value::Time(time + (seconds * 1e6) as i64));
+        }
+        (Value::Time(time), BinaryOperator::Minus, Value::Float(seconds)) => {
+            return Ok(Value::Time(time - (seconds * 1e6) as i64));
+        }
+        _ => {}
+    }
     let overflow = || SqlError::new("22003", "bigint out of range");
     if let (Value::Int(left), Value::Int(right)) = (left, right) {
         let result = match op {
@@ -399,6 +442,7 @@
             | BinaryOperator::Multiply
             | BinaryOperator::Divide
             | BinaryOperator::Modulo => match (infer(left, def), infer(right, def)) {
+                (ColumnType::Time, _) | (_, ColumnType::Time) => ColumnType::Time,
                 (ColumnType::Text, kind) | (kind, ColumnType::Text) => kind,
                 (ColumnType::Float, _) | (_, ColumnType::Float) => ColumnType::Float,
                 (ColumnType::Int8, _) | (_, ColumnType::Int8) => ColumnType::Int8,
@@ -1216,6 +1260,7 @@
         Statement::Update(update) => execute_update(state, transaction, update, params),
         Statement::Delete(delete) => execute_delete(state, transaction, delete, params),
         Statement::CreateTable(create) => execute_create(state, transaction, create),
+        Statement::CreateIndex(index) if index.unique => Err(unsupported("CREATE UNIQUE INDEX"))?,
         Statement::CreateIndex(_) => Ok(Outcome::Done("CREATE INDEX")),
         Statement::Drop { names, if_exists, .. } => {
             check_writable(state, transaction, "DROP TABLE")?;
@@ -1235,6 +1280,7 @@
         Statement::Set(_) => Ok(Outcome::Done("SET")),
         Statement::Reset(_) => Ok(Outcome::Done("RESET")),
         Statement::Discard { .. } => Ok(Outcome::Done("DISCARD ALL")),
+        Statement::Deallocate { .. } => Ok(Outcome::Done("DEALLOCATE")),
         Statement::ShowVariable { .. } => {
             let fields = describe(state, transaction, statement)?.1.unwrap_or_default();
             let value = match fields.first().map(|field| field.name.as_str()) {
--- a/crates/fake/tests/fakedb_terms.rs
+++ b/crates/fake/tests/fakedb_terms.rs
@@ -58,6 +58,13 @@
     wait_until("both applied", || {
         ["db-2", "db-3"].iter().all(|name| count(&group, name).as_deref() == Some("1"))
     });
+    group.cut("db-2").unwrap();
+    primary.batch_execute("INSERT INTO t VALUES (2, 2)").unwrap();
+    let next = group.report("db-1").unwrap().received;
+    wait_until("db-3 received", || group.report("db-3").unwrap().received == next);
+    assert_eq!(group.report("db-2").unwrap().received, end.received);
+    group.join("db-2").unwrap();
+    wait_until("db-2 caught up", || group.report("db-2").unwrap().applied == next);
 }
 
 /// Guards against a group that hides a divergent old primary: it must accept commits of its old term
--- a/crates/fake/tests/platform_and_links.rs
+++ b/crates/fake/tests/platform_and_links.rs
@@ -278,8 +278,8 @@
     stream.read_exact(&mut buffer[..1]).unwrap();
 }
 
-/// Guards against checks that pass without looking: a clean run is clean, a session whose reads go
-/// to a lagging replica violates its session, and a lost answer is an unknown outcome.
+/// Guards against checks that fail on a correct server: a clean run is clean, and a lost answer is
+/// an unknown outcome.
 #[test]
 fn load_checks() {
     let mut options = GroupOptions::new("db", 2);
@@ -324,6 +324,40 @@
     assert_eq!(checks.tokens_acknowledged + checks.tokens_unknown, 20, "{limiter}");
 }
 
+/// Guards against checks that pass without looking: somebody else removes and repeats tokens and
+/// takes back the sessions' writes during the run.
+#[test]
+fn load_checks_see_faults() {
+    let mut options = GroupOptions::new("db", 1);
+    options.open_time = Duration::ZERO;
+    let group = DatabaseGroup::start(options).unwrap();
+    let address = group.addresses()[0];
+    let mut load = LoadOptions::new(address, "db");
+    load.mix = LoadMix(vec![(LoadKind::Token, 1), (LoadKind::Session, 1)]);
+    load.connections = 4;
+    load.duration = Duration::from_millis(500);
+    load.check_address = Some(address);
+    let report = std::thread::scope(|scope| {
+        let running = scope.spawn(|| run(&load).unwrap());
+        wait_until("the load runs", || group.table("tokens").is_ok_and(|t| t.rows.len() > 10));
+        let mut client = connect(address);
+        while !running.is_finished() {
+            client.batch_execute("UPDATE sessions SET mark = 0").unwrap();
+            let key = first(&mut client, "SELECT request_key FROM tokens LIMIT 1").unwrap();
+            let delete = format!("DELETE FROM tokens WHERE request_key = '{key}'");
+            client.batch_execute(&delete).unwrap();
+            let key = first(&mut client, "SELECT max(request_key) FROM tokens").unwrap();
+            let repeat = format!("INSERT INTO tokens VALUES ('{key}', 1, 1)");
+            client.batch_execute(&repeat).unwrap();
+        }
+        running.join().unwrap()
+    });
+    let checks = report.checks.clone().unwrap();
+    assert!(!checks.is_clean(), "{report}");
+    assert!(checks.session_violations > 0, "{report}");
+    assert!(checks.tokens_missing > 0 && checks.tokens_duplicated > 0, "{report}");
+}
+
 /// Guards against an age check that does not see old data.
 #[test]
 fn age_check_sees_old_data() {
