Compare loads with a baseline address and test concurrent transfers

An added latency is only meaningful as a ratio to the database itself on the same machine, so loadgen can load a baseline address first and print ratios. The new test runs concurrent transfers and checks that no reader of the primary or the replica sees half of one.

--- a/crates/fake/src/bin/loadgen.rs
+++ b/crates/fake/src/bin/loadgen.rs
@@ -37,6 +37,8 @@
         optional --max-age-ms ms: f64
         /// Address of a primary database for creating tables and for checks.
         optional --check address: SocketAddr
+        /// Address of a primary database that gets the same load first, for latency ratios.
+        optional --baseline address: SocketAddr
         /// Seed of the random choices (default: 1).
         optional --seed seed: u64
         /// Prints only JSON.
@@ -56,6 +58,7 @@
     options.service_ms = flags.service_ms;
     options.max_age = flags.max_age_ms.map(millis);
     options.check_address = flags.check;
+    options.baseline_address = flags.baseline;
     options.seed = flags.seed.unwrap_or(options.seed);
     let report = run(&options)?;
     println!("{}", serde_json::to_string(&report)?);
--- a/crates/fake/src/loadgen.rs
+++ b/crates/fake/src/loadgen.rs
@@ -126,6 +126,9 @@
     pub max_age: Option<Duration>,
     /// Address of a primary database for creating tables and for checks.
     pub check_address: Option<SocketAddr>,
+    /// Address of a primary database that gets the same load first, without checks, so that the
+    /// latency added on the way to `address` can be stated as a ratio.
+    pub baseline_address: Option<SocketAddr>,
     pub seed: u64,
 }
 
@@ -151,6 +154,7 @@
             service_ms: None,
             max_age: None,
             check_address: None,
+            baseline_address: None,
             seed: 1,
         }
     }
@@ -211,6 +215,8 @@
     /// Connections that could not be opened, by SQLSTATE.
     pub connect_errors: BTreeMap<String, u64>,
     pub kinds: BTreeMap<LoadKind, KindReport>,
+    /// Figures of the same load on the baseline address.
+    pub baseline: Option<BTreeMap<LoadKind, KindReport>>,
     /// `None` without a check address.
     pub checks: Option<CheckReport>,
 }
@@ -242,6 +248,20 @@
         for (code, count) in &self.connect_errors {
             writeln!(formatter, "connect error {code}: {count}")?;
         }
+        for (kind, base) in self.baseline.iter().flatten() {
+            let ratio = |own: u64, base: u64| own as f64 / base.max(1) as f64;
+            if let Some(own) = self.kinds.get(kind) {
+                writeln!(
+                    formatter,
+                    "{:<8} baseline p50 {} us, p99 {} us; ratio p50 {:.2}, p99 {:.2}",
+                    kind.name(),
+                    base.p50_us,
+                    base.p99_us,
+                    ratio(own.p50_us, base.p50_us),
+                    ratio(own.p99_us, base.p99_us)
+                )?;
+            }
+        }
         if let Some(checks) = &self.checks {
             writeln!(
                 formatter,
@@ -418,6 +438,18 @@
 /// # Ok::<(), anyhow::Error>(())
 /// ```
 pub fn run(options: &LoadOptions) -> anyhow::Result<LoadReport> {
+    let baseline = match options.baseline_address {
+        Some(address) => {
+            let options = LoadOptions {
+                address,
+                check_address: None,
+                baseline_address: None,
+                ..options.clone()
+            };
+            Some(run(&options).context("failed to load the baseline address")?.kinds)
+        }
+        None => None,
+    };
     let setup_address = options.check_address.unwrap_or(options.address);
     let mut setup = connect(setup_address, options)
         .with_context(|| format!("failed to connect to {setup_address} to create tables"))?;
@@ -474,6 +506,7 @@
         connections: options.connections,
         connect_errors: figures.connect_errors,
         kinds: kinds.collect(),
+        baseline,
         checks,
     })
 }
--- a/crates/fake/tests/fakedb_sql.rs
+++ b/crates/fake/tests/fakedb_sql.rs
@@ -145,6 +145,52 @@
     assert_eq!(first(&mut connect(address), "SELECT v FROM t WHERE id = 3").unwrap(), "5");
 }
 
+/// Guards against transactions that see or overwrite half of another one: concurrent transfers keep
+/// the sum, which readers see unchanged at all times.
+#[test]
+fn transfers_keep_the_sum() {
+    let group = start(2);
+    let address = group.addresses()[0];
+    let mut client = connect(address);
+    client.batch_execute("CREATE TABLE t (id int PRIMARY KEY, v int)").unwrap();
+    client.batch_execute("INSERT INTO t VALUES (0, 100), (1, 100), (2, 100), (3, 100)").unwrap();
+    let writers: Vec<_> = (0..4i32)
+        .map(|number| {
+            std::thread::spawn(move || {
+                let mut client = connect(address);
+                let mut committed = 0;
+                for round in 0..100i32 {
+                    let (from, to) = ((number + round) % 4, (number * 3 + round * 7 + 1) % 4);
+                    let script = format!(
+                        "BEGIN; UPDATE t SET v = v - 1 WHERE id = {from}; \
+                         UPDATE t SET v = v + 1 WHERE id = {to}; {}",
+                        if round % 5 == 0 { "ROLLBACK" } else { "COMMIT" }
+                    );
+                    match client.batch_execute(&script) {
+                        Ok(()) => committed += 1,
+                        Err(error) => {
+                            assert_eq!(code(&error), "40P01");
+                            client.batch_execute("ROLLBACK").unwrap();
+                        }
+                    }
+                }
+                committed
+            })
+        })
+        .collect();
+    let mut replica = connect(group.addresses()[1]);
+    wait_until("the replica has the rows", || {
+        first(&mut replica, "SELECT sum(v) FROM t").is_ok_and(|sum| sum == "400")
+    });
+    while !writers.iter().all(|writer| writer.is_finished()) {
+        assert_eq!(first(&mut client, "SELECT sum(v) FROM t").unwrap(), "400");
+        assert_eq!(first(&mut replica, "SELECT sum(v) FROM t").unwrap(), "400");
+    }
+    let committed: u32 = writers.into_iter().map(|writer| writer.join().unwrap()).sum();
+    assert!(committed > 0);
+    assert_eq!(first(&mut client, "SELECT sum(v) FROM t").unwrap(), "400");
+}
+
 /// Guards against transactions that wait for each other for ever.
 #[test]
 fn deadlock_is_reported() {
--- a/crates/fake/tests/platform_and_links.rs
+++ b/crates/fake/tests/platform_and_links.rs
@@ -307,6 +307,16 @@
     let tokens = group.table("tokens").unwrap().rows.len() as u64;
     assert_eq!(tokens, checks.tokens_acknowledged);
 
+    // The delay of the link shows as a ratio to the database itself.
+    proxy.set_delay("db", Duration::from_millis(5), Duration::ZERO).unwrap();
+    load.baseline_address = Some(group.addresses()[0]);
+    let report = run(&load).unwrap();
+    let (own, base) = (&report.kinds[&LoadKind::Token], &report.baseline.clone().unwrap());
+    assert!(own.p50_us >= 5000 && own.p50_us > base[&LoadKind::Token].p50_us, "{report}");
+    proxy.set_delay("db", Duration::ZERO, Duration::ZERO).unwrap();
+    load.baseline_address = None;
+    let tokens = group.table("tokens").unwrap().rows.len() as u64;
+
     // Answers are lost after the database did the work.
     load.mix = LoadMix(vec![(LoadKind::Token, 1)]);
     load.connections = 1;
