--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,7 +4,10 @@
 mod classify;
 mod policy;
 mod token;
+mod token_stream;
 
 pub use classify::{SessionCommand, StatementClass, classify};
-pub use policy::{DatabaseHint, RouteChoice, SelectorTable, WorkPolicy, choose_database};
+pub use policy::{
+    DatabaseHint, RouteChoice, SelectorTable, WorkPolicy, choose_database, replica_obstacle,
+};
 pub use token::{SessionToken, TokenError, TokenKey, TokenKeys};
--- a/crates/route/src/token.rs
+++ b/crates/route/src/token.rs
@@ -1,8 +1,16 @@
 //! Signed session tokens.
+//!
+//! A token is the URL-safe base64 text of: version byte, key id, count of floors, the floors (length
+//! and bytes of the cluster's name, term, position), and an HMAC-SHA256 over all of it. It does not
+//! expire: a floor that a cluster has long passed is met at once.
 
 use std::collections::BTreeMap;
 
-use model::{Name, SessionFloor};
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use hmac::{Hmac, KeyInit, Mac};
+use model::{LogPosition, Name, SessionFloor, Term};
+use sha2::Sha256;
 
 /// A secret that tokens are signed with.
 #[derive(Clone, PartialEq, Eq)]
@@ -32,18 +40,102 @@
     BadSignature,
 }
 
+const VERSION: u8 = 1;
+const HEADER_BYTES: usize = 6;
+const SIGNATURE_BYTES: usize = 32;
+
+/// Keeps tokens of other uses of the same keys apart.
+const DOMAIN: &[u8] = b"cicadawick session token";
+
+/// A session is bound to one cluster, so a token holds more than one floor only if the caller carries
+/// it between clusters. 32 floors with names of 63 bytes stay below [`MAX_TOKEN_BYTES`].
+const MAX_FLOORS: usize = 32;
+
+/// Longest accepted token, in characters.
+const MAX_TOKEN_BYTES: usize = 4_096;
+
+/// Longest cluster name in bytes.
+const MAX_NAME_BYTES: usize = 63;
+
 impl SessionToken {
-    /// Signs the token; `None` if there is no key.
-    pub fn sign(&self, _keys: &TokenKeys) -> Option<String> {
-        None
+    /// Signs the token with the last key; `None` if there is no key. The token holds the floors of at
+    /// most 32 clusters with names of at most 63 bytes, the first by name.
+    ///
+    /// ```
+    /// use route::{SessionToken, TokenKey, TokenKeys};
+    /// let keys = TokenKeys(vec![TokenKey { id: 1, secret: [7; 32] }]);
+    /// let text = SessionToken::default().sign(&keys).unwrap();
+    /// assert_eq!(SessionToken::verify(&text, &keys), Ok(SessionToken::default()));
+    /// ```
+    pub fn sign(&self, keys: &TokenKeys) -> Option<String> {
+        let key = keys.0.last()?;
+        let floors: Vec<_> = self
+            .floors
+            .iter()
+            .filter(|(name, _)| name.len() <= MAX_NAME_BYTES)
+            .take(MAX_FLOORS)
+            .collect();
+        let mut bytes = vec![VERSION];
+        bytes.extend_from_slice(&key.id.to_be_bytes());
+        bytes.push(floors.len() as u8);
+        for (name, floor) in floors {
+            bytes.push(name.len() as u8);
+            bytes.extend_from_slice(name.as_bytes());
+            bytes.extend_from_slice(&floor.term.0.to_be_bytes());
+            bytes.extend_from_slice(&floor.position.0.to_be_bytes());
+        }
+        let signature = key.code(&bytes).finalize().into_bytes();
+        bytes.extend_from_slice(&signature);
+        Some(URL_SAFE_NO_PAD.encode(bytes))
     }
 
-    /// Checks and reads a token.
+    /// Checks and reads a token. The comparison of signatures takes constant time.
     ///
     /// # Errors
     ///
     /// Returns why the token must be treated as absent.
-    pub fn verify(_text: &str, _keys: &TokenKeys) -> Result<SessionToken, TokenError> {
-        Err(TokenError::Malformed)
+    pub fn verify(text: &str, keys: &TokenKeys) -> Result<SessionToken, TokenError> {
+        if text.len() > MAX_TOKEN_BYTES {
+            return Err(TokenError::Malformed);
+        }
+        let bytes = URL_SAFE_NO_PAD.decode(text).map_err(|_| TokenError::Malformed)?;
+        if bytes.len() < HEADER_BYTES + SIGNATURE_BYTES || bytes[0] != VERSION {
+            return Err(TokenError::Malformed);
+        }
+        let (body, signature) = bytes.split_at(bytes.len() - SIGNATURE_BYTES);
+        let id = u32::from_be_bytes([body[1], body[2], body[3], body[4]]);
+        let key = keys.0.iter().find(|key| key.id == id).ok_or(TokenError::UnknownKey)?;
+        key.code(body).verify_slice(signature).map_err(|_| TokenError::BadSignature)?;
+        read_floors(body[5], &body[HEADER_BYTES..]).ok_or(TokenError::Malformed)
+    }
+}
+
+impl TokenKey {
+    fn code(&self, bytes: &[u8]) -> Hmac<Sha256> {
+        // HMAC pads keys below its block size of 64 bytes with zeros.
+        let mut block = [0; 64];
+        block[..self.secret.len()].copy_from_slice(&self.secret);
+        let mut code = Hmac::<Sha256>::new(&block.into());
+        code.update(DOMAIN);
+        code.update(bytes);
+        code
+    }
+}
+
+fn read_floors(count: u8, mut bytes: &[u8]) -> Option<SessionToken> {
+    let mut token = SessionToken::default();
+    for _ in 0..count {
+        let (length, rest) = bytes.split_first()?;
+        let (name, rest) = rest.split_at_checked(usize::from(*length))?;
+        let (term, rest) = rest.split_first_chunk::<8>()?;
+        let (position, rest) = rest.split_first_chunk::<8>()?;
+        let name = std::str::from_utf8(name).ok()?;
+        let floor = SessionFloor {
+            term: Term(u64::from_be_bytes(*term)),
+            position: LogPosition(u64::from_be_bytes(*position)),
+        };
+        token.floors.insert(name.into(), floor);
+        bytes = rest;
     }
+    bytes.is_empty().then_some(token)
 }
