Carry recorded outcomes of request keys to the entry proxy

A repeated request key answers with the first command tag, and a key of another statement with 22023. No reply could carry either from a remote owner, so WorkReply gets the variant Recorded. The contracts of RunStarted, ForwardFailed and CancelForward are spelled out. cargo check passes.

--- a/crates/node/src/action.rs
+++ b/crates/node/src/action.rs
@@ -142,6 +142,7 @@
         lane: Option<LaneId>,
         work: Box<WorkRequest>,
     },
+    /// Cancels the call at the peer; `ForwardAnswered` or `ForwardFailed` still follows.
     CancelForward {
         call: CallId,
     },
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -40,7 +40,8 @@
         connection: ConnectionId,
         message: String,
     },
-    /// The first byte of an answer in mode `Decide`.
+    /// The first byte of an answer in mode `Decide`. Not sent for an answer that starts with an
+    /// `ErrorResponse`: the shell holds it and `RunFinished` leads to `Relay` or `Discard`.
     RunStarted {
         connection: ConnectionId,
         run: RunId,
@@ -94,7 +95,7 @@
         lane: Option<LaneId>,
         work: Box<WorkRequest>,
     },
-    /// The peer gave up on the call.
+    /// The peer wants the call cancelled; it is still answered, if only to be ignored.
     ForwardCancelled {
         call: CallId,
     },
@@ -108,7 +109,9 @@
         reply: WorkReply,
         lane: Option<LaneId>,
     },
-    /// The link broke: `sent` tells whether the request may have reached the peer.
+    /// The link broke: `sent` tells whether the request may have reached the peer. If a part of the
+    /// answer was already relayed to the caller, the shell reports `ForwardAnswered` with
+    /// `WorkReply::ReadFailed { relayed: true, .. }` instead, for reads and writes alike.
     ForwardFailed {
         call: CallId,
         sent: bool,
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -125,6 +125,17 @@
         /// Expected wait for a slot, a hint for later choices.
         wait: Micros,
     },
+    /// The owner relayed nothing and the entry proxy makes the answer itself: the recorded outcome of
+    /// a repeated request key, or an error such as `22023` for a key that belongs to another
+    /// statement.
+    Recorded {
+        /// Tag of the `CommandComplete` of the first run; `None` if there is an error.
+        command_tag: Option<String>,
+        error: Option<ErrorReply>,
+        transaction: TransactionState,
+        /// Covers the recorded write.
+        floor: Option<SessionFloor>,
+    },
     /// Nothing was sent to the backend server.
     Declined { reason: DeclineReason, age: Option<Micros>, wait: Micros },
     /// The transaction was rolled back before its commit was sent.
