--- a/crates/model/tests/label.rs
+++ b/crates/model/tests/label.rs
@@ -1,6 +1,8 @@
 //! Label selectors: a selector must mean the same after any rewriting of white space, and text from
 //! operators must never panic the parser.
 
+#![allow(clippy::unwrap_used)]
+
 use model::{LabelSelector, LabelSet};
 use proptest::prelude::*;
 
