Write the watch and the supervisor of a cluster

The crate failover had signatures only. ClusterWatch now runs report rounds, acknowledges plain and durable commits, proves data ages and session floors and raises suspicion; Supervisor orders promotions. Positions are compared only for databases on the primary's log, because a lagging database may hold a lost suffix of an older term.

--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -6,8 +6,10 @@
 mod supervisor;
 mod watch;
 
-pub use supervisor::{LeaderRecord, RecordState, Supervisor, SupervisorAction, SupervisorEvent};
+pub use supervisor::{
+    LeaderRecord, RecordState, Supervisor, SupervisorAction, SupervisorEvent, SupervisorFaults,
+};
 pub use watch::{
-    ClusterWatch, CommitId, DatabaseReport, DatabaseRole, FloorState, LeaderView, WatchAction,
-    WatchConfig, WatchEvent,
+    ClusterWatch, CommitId, DatabaseReport, DatabaseRole, FloorState, LeaderView, TermStart,
+    WatchAction, WatchConfig, WatchEvent, WatchFaults,
 };
--- a/crates/failover/src/supervisor.rs
+++ b/crates/failover/src/supervisor.rs
@@ -1,8 +1,66 @@
 //! One cluster's promotion, step by step.
+//!
+//! # Steps and why each is safe
+//!
+//! Safety rests on two rules alone. **Fence majority:** a database is promoted in term T only after a
+//! majority accepted the fence of T from this supervisor. A database accepts a fence only above its own
+//! term, so it accepts T from one supervisor; two majorities share a database; so at most one supervisor
+//! passes this step in T. **One order:** that supervisor orders the promotion of one database only in
+//! T. If the answer is lost it may repeat the same order, never give another one in T. So T has at most
+//! one leader. Every other step only saves time and may fail or be skipped.
+//!
+//! | step | invariant | on failure |
+//! | --- | --- | --- |
+//! | `waiting` | Nothing was sent. Supervisor k waits k x 3 s. | Suspicion cleared: idle. |
+//! | `views` | Nothing was changed. A confirmed round younger than 1 s stops the promotion, so a bad link of one owner replaces nobody. | No answer counts as no objection. |
+//! | `record-read`, `record-write` | The target term is above every term seen. The record only orders supervisors. | Platform silent for 1.5 s: continue. Conflict: read again. Another supervisor's record at or above the target: wait one step. Own record at the target: the write was applied and its answer lost, continue. |
+//! | `other` | Another supervisor holds the record; it has one step of 3 s. | Still suspected after that: take over with a higher term. This also resumes a promotion left half done. |
+//! | `fencing` | Each accepted fence stops the old primary's log at one more database. | A refusal shows the higher term; without a majority in 0.5 s: back off, then a higher term. |
+//! | `promoting` | A majority is fenced, so no commit of a lower term is acknowledged any more. The fenced database with the highest (log term, received) holds every durable commit: its majority shares a database with the fence majority. | Repeat the same order; then a higher term with a new fence majority. |
+//! | `backoff` | Random, so that two supervisors do not meet again. | |
+//!
+//! From `fencing` on, a cleared suspicion does not stop the promotion: the term of some databases has
+//! already been raised, and a fence majority without a leader would be an outage. Before it, it does.
+//!
+//! A fence answer counts if it was accepted and its report shows the target term. A refusal at the
+//! target term does not count, even if an earlier answer of ours may have been lost, because another
+//! supervisor may own that fence.
+//!
+//! While idle, the supervisor writes the record of its last promotion as soon as the platform answers,
+//! and orders databases that lag behind a confirmed term to follow its leader.
 
 use model::{LogPosition, Micros, Name, Term};
 
-use crate::watch::{DatabaseReport, LeaderView};
+use crate::watch::{DatabaseReport, DatabaseRole, LeaderView};
+
+/// Wait for each place among the supervisors, and for another supervisor's promotion.
+const STEP_WAIT: Micros = Micros::from_secs(3);
+/// Longest wait for the other owners' views.
+const VIEW_TIMEOUT: Micros = Micros::from_millis(300);
+/// A view with a confirmed round younger than this stops the promotion.
+const VIEW_FRESH: Micros = Micros::from_secs(1);
+/// Pause after a view stopped the promotion.
+const VIEW_PAUSE: Micros = Micros::from_millis(500);
+/// Longest wait for the platform in one attempt.
+const RECORD_TIMEOUT: Micros = Micros::from_millis(1_500);
+/// For this long after the platform was silent, an attempt does not wait for it.
+const PLATFORM_PAUSE: Micros = Micros::from_secs(10);
+/// Longest wait for a fence majority.
+const FENCE_TIMEOUT: Micros = Micros::from_millis(500);
+/// Wait for the remaining databases after a majority is fenced. One of them may hold a longer log,
+/// which saves commits that were not durable.
+const FENCE_GRACE: Micros = Micros::from_millis(50);
+/// Longest wait for the promoted database.
+const PROMOTE_TIMEOUT: Micros = Micros::from_millis(500);
+/// After which the promotion order is repeated.
+const PROMOTE_REPEAT: Micros = Micros::from_millis(150);
+/// Random backoff before another term: between the first and the sum of both.
+const BACKOFF_LEAST: Micros = Micros::from_millis(100);
+const BACKOFF_SPREAD: Micros = Micros::from_millis(500);
+/// Pause between two tries to write the record of a finished promotion.
+const RECORD_RETRY: Micros = Micros::from_secs(3);
+/// Least time between two follow orders to one database.
+const FOLLOW_INTERVAL: Micros = Micros::from_secs(1);
 
 /// Phase that a leader record describes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,6 +99,10 @@
     DatabaseFailed { database: Name },
     /// The database leads from `start`.
     Promoted { database: Name, start: LogPosition },
+    /// The watch confirmed a leader.
+    LeaderConfirmed { term: Term, leader: Name },
+    /// A database reported to the watch; pass on every [`crate::WatchEvent::ReportArrived`].
+    ReportSeen { database: Name, report: DatabaseReport },
     /// Time passed.
     Timer,
 }
@@ -56,41 +118,607 @@
     Follow { database: Name, term: Term, leader: Name },
 }
 
+/// Rules that a test breaks on purpose, to show that the model finds the fault.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SupervisorFaults {
+    /// Promotes after one fence instead of a majority.
+    pub no_fence_majority: bool,
+    /// Promotes the first database that answered instead of the one with the highest log.
+    pub any_candidate: bool,
+}
+
+/// Where the supervisor is in a promotion.
+#[derive(Clone, Debug, PartialEq)]
+enum PromotionStep {
+    Idle,
+    Waiting { until: Micros },
+    Views { until: Micros },
+    RecordRead { until: Micros },
+    RecordWrite { until: Micros },
+    Other { until: Micros },
+    Fencing { until: Micros, accepted: Vec<(Name, DatabaseReport)>, answered: Vec<Name> },
+    Promoting { until: Micros, repeat_at: Micros, database: Name, others: Vec<Name> },
+    Backoff { until: Micros },
+}
+
+/// Write of the record of a finished promotion.
+#[derive(Clone, Debug, PartialEq)]
+struct RecordTask {
+    record: LeaderRecord,
+    /// When to read next, also if the platform never answers.
+    due: Micros,
+    /// The answer to a read is awaited.
+    reading: bool,
+}
+
+/// What is known of a database that should follow.
+#[derive(Clone, Debug)]
+struct FollowState {
+    database: Name,
+    report: DatabaseReport,
+    /// When its received position last changed.
+    moved_at: Micros,
+    ordered_at: Option<Micros>,
+}
+
 /// Orders promotions of one cluster.
+///
+/// ```
+/// use failover::{Supervisor, SupervisorAction, SupervisorEvent};
+/// use model::{Micros, Name, Term};
+///
+/// let databases = ["a", "b", "c"].map(Name::from).to_vec();
+/// let mut supervisor = Supervisor::new("node-1".into(), databases, 1);
+/// let mut actions = Vec::new();
+/// let event = SupervisorEvent::PrimarySuspected { term: Term(4), order: 0 };
+/// supervisor.handle(Micros(1), event, &mut actions);
+/// assert_eq!(actions, [SupervisorAction::AskViews]);
+/// assert_eq!(supervisor.step(), "views");
+/// ```
 #[derive(Debug)]
 pub struct Supervisor {
     node: Name,
     databases: Vec<Name>,
+    faults: SupervisorFaults,
+    random: u64,
+    step: PromotionStep,
+    /// Term of the promotion in progress.
+    target: Term,
+    /// Highest term seen in any message.
+    highest: Term,
+    suspected: bool,
+    /// A new promotion is not begun before this time.
+    paused_until: Micros,
+    platform_silent_until: Micros,
+    /// End of the time for the platform in the current attempt.
+    record_until: Micros,
+    /// Databases whose view arrived in the current attempt.
+    views: Vec<Name>,
+    record_task: Option<RecordTask>,
+    leader: Option<(Term, Name)>,
+    followers: Vec<FollowState>,
 }
 
 impl Supervisor {
     /// Creates an idle supervisor; `seed` drives the random backoff.
-    pub fn new(node: Name, databases: Vec<Name>, _seed: u64) -> Self {
-        Supervisor { node, databases }
+    pub fn new(node: Name, databases: Vec<Name>, seed: u64) -> Self {
+        Supervisor {
+            node,
+            databases,
+            faults: SupervisorFaults::default(),
+            random: seed,
+            step: PromotionStep::Idle,
+            target: Term(0),
+            highest: Term(0),
+            suspected: false,
+            paused_until: Micros::ZERO,
+            platform_silent_until: Micros::ZERO,
+            record_until: Micros::ZERO,
+            views: Vec::new(),
+            record_task: None,
+            leader: None,
+            followers: Vec::new(),
+        }
+    }
+
+    /// Breaks rules, for tests of the model.
+    #[doc(hidden)]
+    pub fn set_faults(&mut self, faults: SupervisorFaults) {
+        self.faults = faults;
     }
 
-    /// Takes over a changed list of databases.
+    /// Takes over a changed list of databases. A promotion in progress is given up, because its
+    /// majority was counted in the old list; the next suspicion starts another.
     pub fn set_databases(&mut self, databases: Vec<Name>) {
+        if self.databases == databases {
+            return;
+        }
         self.databases = databases;
+        self.step = PromotionStep::Idle;
+        self.followers.retain(|follower| self.databases.contains(&follower.database));
     }
 
-    /// Handles an event.
+    /// Handles an event. `now` must not decrease between calls.
+    ///
+    /// Answers of the platform and of databases need not carry the step they belong to: an answer that
+    /// does not fit the current step is ignored.
     pub fn handle(
         &mut self,
-        _now: Micros,
-        _event: SupervisorEvent,
-        _actions: &mut Vec<SupervisorAction>,
+        now: Micros,
+        event: SupervisorEvent,
+        actions: &mut Vec<SupervisorAction>,
     ) {
-        let _ = &self.node;
+        match event {
+            SupervisorEvent::PrimarySuspected { term, order } => {
+                self.see_term(term);
+                self.suspected = true;
+                if self.step == PromotionStep::Idle && now >= self.paused_until {
+                    let until = now + Micros(STEP_WAIT.0 * u64::from(order));
+                    self.step = PromotionStep::Waiting { until };
+                } else if let PromotionStep::Waiting { until } = &mut self.step {
+                    // The place may have become a better one since.
+                    *until = (*until).min(now + Micros(STEP_WAIT.0 * u64::from(order)));
+                }
+            }
+            SupervisorEvent::SuspicionCleared => {
+                self.suspected = false;
+                if !self.has_fenced() {
+                    self.step = PromotionStep::Idle;
+                }
+            }
+            SupervisorEvent::ViewArrived { from, view } => {
+                self.take_view(now, from, view, actions);
+            }
+            SupervisorEvent::RecordRead { record, index } => {
+                self.take_record(now, record, index, actions);
+            }
+            SupervisorEvent::RecordWritten { applied } => self.take_write(now, applied, actions),
+            SupervisorEvent::PlatformFailed => self.take_platform_failure(now, actions),
+            SupervisorEvent::Fenced { database, accepted, report } => {
+                self.take_fence(now, database, accepted, report, actions);
+            }
+            SupervisorEvent::DatabaseFailed { database } => {
+                self.take_failure(now, database, actions);
+            }
+            SupervisorEvent::Promoted { database, start } => {
+                self.take_promotion(now, &database, start, actions);
+            }
+            SupervisorEvent::LeaderConfirmed { term, leader } => {
+                self.see_term(term);
+                if self.leader.as_ref().is_none_or(|(known, _)| *known < term) {
+                    self.leader = Some((term, leader));
+                }
+                // Another supervisor completed a promotion at or above this one's term.
+                if self.has_fenced() && term >= self.target {
+                    self.step = PromotionStep::Idle;
+                }
+            }
+            SupervisorEvent::ReportSeen { database, report } => {
+                self.take_report(now, database, report, actions);
+            }
+            SupervisorEvent::Timer => {}
+        }
+        self.advance(now, actions);
     }
 
     /// Returns when the next [`SupervisorEvent::Timer`] is due.
     pub fn next_timer(&self) -> Option<Micros> {
-        None
+        let step = match &self.step {
+            PromotionStep::Idle => None,
+            PromotionStep::Waiting { until }
+            | PromotionStep::Views { until }
+            | PromotionStep::RecordRead { until }
+            | PromotionStep::RecordWrite { until }
+            | PromotionStep::Other { until }
+            | PromotionStep::Fencing { until, .. }
+            | PromotionStep::Backoff { until } => Some(*until),
+            PromotionStep::Promoting { until, repeat_at, .. } => Some((*until).min(*repeat_at)),
+        };
+        let record = match (&self.step, &self.record_task) {
+            (PromotionStep::Idle, Some(task)) => Some(task.due),
+            _ => None,
+        };
+        step.into_iter().chain(record).min()
     }
 
     /// Returns the current step's name, for the state dump.
     pub fn step(&self) -> &'static str {
-        "idle"
+        match self.step {
+            PromotionStep::Idle => "idle",
+            PromotionStep::Waiting { .. } => "waiting",
+            PromotionStep::Views { .. } => "views",
+            PromotionStep::RecordRead { .. } => "record-read",
+            PromotionStep::RecordWrite { .. } => "record-write",
+            PromotionStep::Other { .. } => "other",
+            PromotionStep::Fencing { .. } => "fencing",
+            PromotionStep::Promoting { .. } => "promoting",
+            PromotionStep::Backoff { .. } => "backoff",
+        }
+    }
+
+    /// Returns the term of the promotion in progress or of the last one.
+    pub fn target(&self) -> Term {
+        self.target
+    }
+
+    fn see_term(&mut self, term: Term) {
+        self.highest = self.highest.max(term);
+    }
+
+    fn has_fenced(&self) -> bool {
+        matches!(self.step, PromotionStep::Fencing { .. } | PromotionStep::Promoting { .. })
+    }
+
+    fn majority(&self) -> usize {
+        if self.faults.no_fence_majority { 1 } else { self.databases.len() / 2 + 1 }
+    }
+
+    /// SplitMix64.
+    fn next_random(&mut self) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.random;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    fn back_off(&mut self, now: Micros) {
+        let spread = Micros(self.next_random() % BACKOFF_SPREAD.0);
+        self.step = PromotionStep::Backoff { until: now + BACKOFF_LEAST + spread };
+    }
+
+    /// Runs the steps whose time has come.
+    fn advance(&mut self, now: Micros, actions: &mut Vec<SupervisorAction>) {
+        match &mut self.step {
+            PromotionStep::Idle => self.advance_record_task(now, actions),
+            PromotionStep::Waiting { until } if now >= *until => {
+                self.views.clear();
+                self.step = PromotionStep::Views { until: now + VIEW_TIMEOUT };
+                actions.push(SupervisorAction::AskViews);
+            }
+            PromotionStep::Views { until } if now >= *until => self.begin_record(now, actions),
+            PromotionStep::RecordRead { until } | PromotionStep::RecordWrite { until }
+                if now >= *until =>
+            {
+                self.platform_silent_until = now + PLATFORM_PAUSE;
+                self.begin_fence(now, actions);
+            }
+            // The other owners are asked again: the other supervisor may have succeeded.
+            PromotionStep::Other { until } | PromotionStep::Backoff { until } if now >= *until => {
+                if self.suspected {
+                    self.views.clear();
+                    self.step = PromotionStep::Views { until: now + VIEW_TIMEOUT };
+                    actions.push(SupervisorAction::AskViews);
+                } else {
+                    self.step = PromotionStep::Idle;
+                }
+            }
+            PromotionStep::Fencing { until, accepted, .. } if now >= *until => {
+                if accepted.len() >= self.majority() {
+                    self.begin_promotion(now, actions);
+                } else {
+                    self.back_off(now);
+                }
+            }
+            PromotionStep::Promoting { until, .. } if now >= *until => self.back_off(now),
+            PromotionStep::Promoting { repeat_at, database, .. } if now >= *repeat_at => {
+                *repeat_at = now + PROMOTE_REPEAT;
+                let database = database.clone();
+                actions.push(SupervisorAction::Promote { database, term: self.target });
+            }
+            _ => {}
+        }
+    }
+
+    fn take_view(
+        &mut self,
+        now: Micros,
+        from: Name,
+        view: Option<LeaderView>,
+        actions: &mut Vec<SupervisorAction>,
+    ) {
+        let PromotionStep::Views { .. } = self.step else { return };
+        if let Some(view) = view {
+            self.see_term(view.term);
+            if view.confirmed_ago.is_some_and(|ago| ago < VIEW_FRESH) {
+                self.step = PromotionStep::Idle;
+                self.paused_until = now + VIEW_PAUSE;
+                return;
+            }
+        }
+        if !self.views.contains(&from) {
+            self.views.push(from);
+        }
+        if self.views.len() + 1 >= self.databases.len() {
+            self.begin_record(now, actions);
+        }
+    }
+
+    fn begin_record(&mut self, now: Micros, actions: &mut Vec<SupervisorAction>) {
+        self.record_task = None;
+        self.target = self.highest.next();
+        if now < self.platform_silent_until {
+            self.begin_fence(now, actions);
+            return;
+        }
+        self.record_until = now + RECORD_TIMEOUT;
+        self.step = PromotionStep::RecordRead { until: self.record_until };
+        actions.push(SupervisorAction::ReadRecord);
+    }
+
+    fn take_record(
+        &mut self,
+        now: Micros,
+        record: Option<LeaderRecord>,
+        index: u64,
+        actions: &mut Vec<SupervisorAction>,
+    ) {
+        if let PromotionStep::RecordRead { until } = self.step {
+            if let Some(record) = record {
+                let own = matches!(&record.state, RecordState::Electing { by } if *by == self.node);
+                if own && record.term == self.target {
+                    // The write was applied and its answer lost.
+                    self.begin_fence(now, actions);
+                    return;
+                }
+                // A record that was not known when the promotion began belongs to another supervisor.
+                let news = record.term >= self.target;
+                self.see_term(record.term);
+                if news && !own {
+                    self.step = PromotionStep::Other { until: now + STEP_WAIT };
+                    return;
+                }
+            }
+            self.target = self.highest.next();
+            self.step = PromotionStep::RecordWrite { until };
+            let state = RecordState::Electing { by: self.node.clone() };
+            let record = LeaderRecord { term: self.target, state };
+            actions.push(SupervisorAction::WriteRecord { expected_index: index, record });
+        } else if let Some(task) = &mut self.record_task
+            && std::mem::take(&mut task.reading)
+        {
+            let settled =
+                record.is_some_and(|found| found.term > task.record.term || found == task.record);
+            if settled {
+                self.record_task = None;
+            } else {
+                let record = task.record.clone();
+                actions.push(SupervisorAction::WriteRecord { expected_index: index, record });
+            }
+        }
+    }
+
+    fn take_write(&mut self, now: Micros, applied: bool, actions: &mut Vec<SupervisorAction>) {
+        if let PromotionStep::RecordWrite { until } = self.step {
+            if applied {
+                self.begin_fence(now, actions);
+            } else {
+                self.step = PromotionStep::RecordRead { until };
+                actions.push(SupervisorAction::ReadRecord);
+            }
+        } else if applied {
+            // Without an answer, or on a conflict, the task reads again when it is due.
+            self.record_task = None;
+        }
+    }
+
+    fn take_platform_failure(&mut self, now: Micros, actions: &mut Vec<SupervisorAction>) {
+        match self.step {
+            PromotionStep::RecordRead { .. } => {
+                self.platform_silent_until = now + PLATFORM_PAUSE;
+                self.begin_fence(now, actions);
+            }
+            PromotionStep::RecordWrite { until } => {
+                // The write may have been applied; a read tells, in the time that is left.
+                self.step = PromotionStep::RecordRead { until };
+                actions.push(SupervisorAction::ReadRecord);
+            }
+            _ => {}
+        }
+    }
+
+    fn begin_fence(&mut self, now: Micros, actions: &mut Vec<SupervisorAction>) {
+        self.target = self.target.max(self.highest.next());
+        self.see_term(self.target);
+        self.step = PromotionStep::Fencing {
+            until: now + FENCE_TIMEOUT,
+            accepted: Vec::new(),
+            answered: Vec::new(),
+        };
+        for database in &self.databases {
+            actions.push(SupervisorAction::Fence {
+                database: database.clone(),
+                term: self.target,
+                by: self.node.clone(),
+            });
+        }
+    }
+
+    fn take_fence(
+        &mut self,
+        now: Micros,
+        database: Name,
+        accept: bool,
+        report: DatabaseReport,
+        actions: &mut Vec<SupervisorAction>,
+    ) {
+        self.see_term(report.term);
+        let (majority, count, target) = (self.majority(), self.databases.len(), self.target);
+        let PromotionStep::Fencing { until, accepted, answered } = &mut self.step else { return };
+        if report.term > target {
+            if report.role == DatabaseRole::Primary {
+                // A newer term has its leader; the watch will confirm it.
+                self.step = PromotionStep::Idle;
+                self.paused_until = now + VIEW_PAUSE;
+            } else {
+                self.back_off(now);
+            }
+            return;
+        }
+        if !self.databases.contains(&database) {
+            return;
+        }
+        if !answered.contains(&database) {
+            answered.push(database.clone());
+        }
+        if accept && report.term == target && !accepted.iter().any(|(name, _)| *name == database) {
+            accepted.push((database, report));
+            if accepted.len() == majority {
+                *until = (*until).min(now + FENCE_GRACE);
+            }
+        }
+        let (accepted, answered) = (accepted.len(), answered.len());
+        self.finish_fence(now, accepted, answered, majority, count, actions);
+    }
+
+    /// Goes on once every database has answered.
+    fn finish_fence(
+        &mut self,
+        now: Micros,
+        accepted: usize,
+        answered: usize,
+        majority: usize,
+        count: usize,
+        actions: &mut Vec<SupervisorAction>,
+    ) {
+        if accepted >= majority && (answered == count || self.faults.no_fence_majority) {
+            self.begin_promotion(now, actions);
+        } else if answered == count {
+            self.back_off(now);
+        }
+    }
+
+    fn begin_promotion(&mut self, now: Micros, actions: &mut Vec<SupervisorAction>) {
+        let PromotionStep::Fencing { accepted, .. } = &self.step else { return };
+        let best = if self.faults.any_candidate {
+            accepted.last()
+        } else {
+            accepted.iter().max_by_key(|(_, report)| (report.log_term, report.received))
+        };
+        let Some((database, _)) = best.cloned() else { return };
+        let others = self.databases.iter().filter(|name| **name != database).cloned().collect();
+        self.step = PromotionStep::Promoting {
+            until: now + PROMOTE_TIMEOUT,
+            repeat_at: now + PROMOTE_REPEAT,
+            database: database.clone(),
+            others,
+        };
+        actions.push(SupervisorAction::Promote { database, term: self.target });
+    }
+
+    fn take_failure(&mut self, now: Micros, database: Name, actions: &mut Vec<SupervisorAction>) {
+        let (majority, count) = (self.majority(), self.databases.len());
+        let PromotionStep::Fencing { accepted, answered, .. } = &mut self.step else { return };
+        if self.databases.contains(&database) && !answered.contains(&database) {
+            answered.push(database);
+            let (accepted, answered) = (accepted.len(), answered.len());
+            self.finish_fence(now, accepted, answered, majority, count, actions);
+        }
+    }
+
+    fn take_promotion(
+        &mut self,
+        now: Micros,
+        promoted: &Name,
+        start: LogPosition,
+        actions: &mut Vec<SupervisorAction>,
+    ) {
+        let PromotionStep::Promoting { database, others, .. } = &self.step else { return };
+        if database != promoted {
+            return;
+        }
+        let leader = database.clone();
+        for other in others {
+            actions.push(SupervisorAction::Follow {
+                database: other.clone(),
+                term: self.target,
+                leader: leader.clone(),
+            });
+        }
+        let state = RecordState::Leading { leader, start };
+        let record = LeaderRecord { term: self.target, state };
+        self.record_task = Some(RecordTask { record, due: now, reading: false });
+        self.paused_until = now + VIEW_PAUSE;
+        self.step = PromotionStep::Idle;
+    }
+
+    /// Reads the record, so that the leading record can be written at its index.
+    fn advance_record_task(&mut self, now: Micros, actions: &mut Vec<SupervisorAction>) {
+        if let Some(task) = &mut self.record_task
+            && now >= task.due
+        {
+            task.due = now + RECORD_RETRY;
+            task.reading = true;
+            actions.push(SupervisorAction::ReadRecord);
+        }
+    }
+
+    /// Orders a database to follow the confirmed leader if its report shows that it does not.
+    fn take_report(
+        &mut self,
+        now: Micros,
+        database: Name,
+        report: DatabaseReport,
+        actions: &mut Vec<SupervisorAction>,
+    ) {
+        self.see_term(report.term);
+        if let PromotionStep::Promoting { .. } = self.step
+            && report.term > self.target
+        {
+            // Another supervisor fenced a higher term; the order would be refused.
+            self.back_off(now);
+        }
+        let index = self.followers.iter().position(|follower| follower.database == database);
+        let follower = match index {
+            Some(index) => {
+                let follower = &mut self.followers[index];
+                if follower.report.received != report.received {
+                    follower.moved_at = now;
+                }
+                follower.report = report;
+                follower
+            }
+            None => {
+                if !self.databases.contains(&database) {
+                    return;
+                }
+                self.followers.push(FollowState {
+                    database: database.clone(),
+                    report,
+                    moved_at: now,
+                    ordered_at: None,
+                });
+                let last = self.followers.len() - 1;
+                &mut self.followers[last]
+            }
+        };
+        let ordered_at = follower.ordered_at;
+        let still = now.saturating_sub(follower.moved_at) >= FOLLOW_INTERVAL;
+        let Some((term, leader)) = self.leader.clone() else { return };
+        if leader == database || report.term > term || self.step != PromotionStep::Idle {
+            return;
+        }
+        let head = self
+            .followers
+            .iter()
+            .find(|follower| follower.database == leader && follower.report.term == term);
+        // Behind without progress: the follow order was lost. Longer than the leader's log: it holds
+        // entries that it should have discarded.
+        let stuck = head.is_some_and(|head| {
+            let behind =
+                report.log_term < head.report.log_term || report.received < head.report.received;
+            (behind && still)
+                || (report.received > head.report.received && report.log_term < term && still)
+        });
+        let due = ordered_at.is_none_or(|at| now >= at + FOLLOW_INTERVAL);
+        if (report.term < term || stuck) && due {
+            for follower in &mut self.followers {
+                if follower.database == database {
+                    follower.ordered_at = Some(now);
+                }
+            }
+            actions.push(SupervisorAction::Follow { database, term, leader });
+        }
     }
 }
--- a/crates/failover/src/watch.rs
+++ b/crates/failover/src/watch.rs
@@ -1,4 +1,53 @@
 //! Rounds of reports from the databases of one cluster.
+//!
+//! # Contract of the databases
+//!
+//! The term of a database never decreases. A fence or a follow order raises it; a fenced database
+//! reports [`DatabaseRole::Replica`] until it is promoted. A database of term T accepts log only from
+//! the primary of T, after it has discarded the entries that this primary does not have. A primary of
+//! T is promoted only after a majority accepted the fence of T from the same supervisor, at most one
+//! for each term. Inside one term the received and the applied position do not decrease.
+//!
+//! # Invariants
+//!
+//! **Confirmed round.** Every report of round R is a sample taken after R began, because the request
+//! is sent after the begin; this also holds for a database that joins R late. If a majority, the
+//! primary of T among it, reports T, then no majority had accepted a term above T when R began: such a
+//! majority shares a database with the reporting one, and that database's term would be above T. So a
+//! commit of term T whose answer arrived before R began was made while the primary of T was in office.
+//!
+//! **Acknowledgement.** A commit waits for the first confirmed round whose number is above the last
+//! round begun when the commit finished. A round that was already open does not count, since its
+//! samples may be older than the commit. If a newer term is confirmed first, the outcome is unknown:
+//! the commit may or may not be part of the new term's log.
+//!
+//! **Durable acknowledgement.** The first confirmed round after the commit shows the primary at a
+//! position N at or past the commit. A later (or the same) confirmed round of the same term in which a
+//! majority of databases *on the primary's log* received N proves that the commit survives: any later
+//! fence majority contains one of them, the fence keeps it from discarding the entry, and the fenced
+//! database with the highest (log term, received) is promoted, so its log contains N. N stays the same
+//! over later rounds, so steady writing does not postpone the acknowledgement.
+//!
+//! **On the primary's log.** Positions alone do not compare logs: a database may hold entries of a lost
+//! suffix of an older term. All entries of one term come from one primary, so a database whose last
+//! entry has term T holds a prefix of the log of T's primary. Before T's first entry arrives, its log is
+//! a prefix if its last entry has the same term as the last entry before the start of T and its
+//! received position is not past the start.
+//!
+//! **Data age.** A confirmed round that began at t with the primary at L proves that everything
+//! committed before t is at or below L. A database on the primary's log with an applied position at or
+//! past L holds it. Dropping a sample makes the provable age only larger.
+//!
+//! **Session floors.** Position p of term F is part of the log of T if p is at or below the start of
+//! each term whose entries lie between F and T in the log of T's primary. That needs the term of the
+//! last entry before each start (`previous`). It is known when the primary was seen before its first
+//! write, when the same database reported entries of term T - 1 earlier, or from
+//! [`ClusterWatch::learn_term`]. Without it the floor counts as lost: the replacement floor is the start
+//! of the current term, which still covers the write if it survived, so only the notice can be wrong.
+//! "Met" describes the database when it was sampled; as with the data age, the caller checks again when
+//! the response starts.
+
+use std::collections::{BTreeMap, VecDeque};
 
 use model::{LogPosition, Micros, Name, SessionFloor, Term};
 
@@ -102,55 +151,661 @@
     pub confirmed_ago: Option<Micros>,
 }
 
+/// Longest data age for which samples are kept.
+const SAMPLE_SPAN: Micros = Micros::from_secs(60);
+/// Samples kept for each cluster; the thinning below needs about 210.
+const SAMPLE_LIMIT: usize = 256;
+/// Samples closer than this, or than 1/32 of their age, are thinned.
+const SAMPLE_GAP: Micros = Micros::from_millis(8);
+/// Terms whose start is remembered. With two changes a day this covers a month.
+const TERM_LIMIT: usize = 64;
+/// Pause between rounds when no commit is new, so a lagging replica is not polled at line speed.
+const RETRY_INTERVAL: Micros = Micros::from_millis(5);
+/// Pause before a database whose report failed is asked again, so that a refused connection is not
+/// retried with every commit.
+const FAILURE_PAUSE: Micros = Micros::from_millis(100);
+
+/// Where a term began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TermStart {
+    /// Position at which the term's first entry is written.
+    pub start: LogPosition,
+    /// Term of the last entry before `start`, if known.
+    pub previous: Option<Term>,
+}
+
+/// Rules that a test breaks on purpose, to show that the model finds the fault.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WatchFaults {
+    /// Acknowledges a commit on a round that began before the commit finished.
+    pub early_round: bool,
+    /// Confirms a round with the primary's report alone.
+    pub no_majority: bool,
+    /// Takes the primary's word for a durable acknowledgement.
+    pub no_receipt: bool,
+    /// Compares positions without regard to terms.
+    pub ignore_lineage: bool,
+}
+
+/// One round: requests sent at or after `began`, and their answers.
+#[derive(Debug)]
+struct ReportRound {
+    number: u64,
+    began: Micros,
+    reports: Vec<(Name, DatabaseReport)>,
+    confirmed: bool,
+}
+
+/// Primary position that a confirmed round showed.
+#[derive(Clone, Copy, Debug)]
+struct PositionSample {
+    began: Micros,
+    position: LogPosition,
+}
+
+/// State of the report connection of one database.
+#[derive(Debug)]
+struct DatabaseState {
+    name: Name,
+    /// Round of the request in flight and when it was sent.
+    asked: Option<(u64, Micros)>,
+    /// Not asked before this time.
+    retry_at: Micros,
+    /// Round number, begin and content of the latest report.
+    latest: Option<(u64, Micros, DatabaseReport)>,
+    /// Highest log term reported before the current one.
+    earlier_log_term: Option<Term>,
+}
+
+impl DatabaseState {
+    fn new(name: Name) -> Self {
+        DatabaseState {
+            name,
+            asked: None,
+            retry_at: Micros::ZERO,
+            latest: None,
+            earlier_log_term: None,
+        }
+    }
+
+    fn is_free(&self, now: Micros) -> bool {
+        self.asked.is_none() && now >= self.retry_at
+    }
+}
+
+/// A commit that waits for its acknowledgement.
+#[derive(Debug)]
+struct PendingCommit {
+    commit: CommitId,
+    term: Term,
+    durable: bool,
+    finished: Micros,
+    /// First round that counts.
+    first_round: u64,
+    /// Position that covers the commit, from the first confirmed round that counts.
+    covered_by: Option<LogPosition>,
+}
+
 /// Evidence about one cluster.
+///
+/// ```
+/// use failover::*;
+/// use model::{LogPosition, Micros, Name, Term};
+///
+/// let names = ["a", "b", "c"].map(Name::from).to_vec();
+/// let mut watch = ClusterWatch::new(WatchConfig::default(), names);
+/// let mut actions = Vec::new();
+/// watch.handle(Micros(1), WatchEvent::Timer, &mut actions);
+/// assert_eq!(actions.len(), 3); // One request to each database.
+/// actions.clear();
+/// for (name, role) in [("a", DatabaseRole::Primary), ("b", DatabaseRole::Replica)] {
+///     let report = DatabaseReport {
+///         term: Term(1),
+///         role,
+///         log_term: Term(1),
+///         received: LogPosition(10),
+///         applied: LogPosition(10),
+///         term_start: LogPosition(0),
+///     };
+///     let event = WatchEvent::ReportArrived { database: name.into(), round: 1, report };
+///     watch.handle(Micros(500), event, &mut actions);
+/// }
+/// assert!(actions.contains(&WatchAction::LeaderChanged { term: Term(1), leader: "a".into() }));
+/// assert_eq!(watch.provable_age(Micros(1_001), "b"), Some(Micros(1_000)));
+/// ```
 #[derive(Debug)]
 pub struct ClusterWatch {
     config: WatchConfig,
-    databases: Vec<Name>,
+    faults: WatchFaults,
+    databases: Vec<DatabaseState>,
+    /// Rounds that are the current one or have a request in flight; at most databases + 1.
+    rounds: VecDeque<ReportRound>,
+    /// Number of the last round that began.
+    last_round: u64,
+    /// Highest confirmed term.
+    term: Term,
+    leader: Option<Name>,
+    /// Begin and position of the newest confirmed round of `term`.
+    confirmed: Option<(Micros, LogPosition)>,
+    /// Samples of `term`, oldest first, with increasing times and positions.
+    samples: VecDeque<PositionSample>,
+    terms: BTreeMap<Term, TermStart>,
+    /// Highest term that any database reported.
+    highest: Term,
+    commits: Vec<PendingCommit>,
+    /// When the primary last gave a sign of life, or the first event arrived.
+    alive_at: Option<Micros>,
+    suspected: bool,
 }
 
 impl ClusterWatch {
     /// Creates a watch that knows nothing yet.
+    ///
+    /// Two lists that are in use at the same time must differ by at most one database, so that any
+    /// majority of one shares a database with any majority of the other.
     pub fn new(config: WatchConfig, databases: Vec<Name>) -> Self {
-        ClusterWatch { config, databases }
+        ClusterWatch {
+            config,
+            faults: WatchFaults::default(),
+            databases: databases.into_iter().map(DatabaseState::new).collect(),
+            rounds: VecDeque::new(),
+            last_round: 0,
+            term: Term(0),
+            leader: None,
+            confirmed: None,
+            samples: VecDeque::new(),
+            terms: BTreeMap::new(),
+            highest: Term(0),
+            commits: Vec::new(),
+            alive_at: None,
+            suspected: false,
+        }
+    }
+
+    /// Breaks rules, for tests of the model.
+    #[doc(hidden)]
+    pub fn set_faults(&mut self, faults: WatchFaults) {
+        self.faults = faults;
     }
 
-    /// Takes over a changed list of databases.
+    /// Takes over a changed list of databases. Open rounds are abandoned, because their majority was
+    /// counted in the old list; commits wait for the next round.
     pub fn set_databases(&mut self, databases: Vec<Name>) {
-        self.databases = databases;
+        if self.databases.iter().map(|state| &state.name).eq(databases.iter()) {
+            return;
+        }
+        let mut old = std::mem::take(&mut self.databases);
+        for name in databases {
+            let kept = old.iter().position(|state| state.name == name);
+            let mut state = match kept {
+                Some(index) => old.swap_remove(index),
+                None => DatabaseState::new(name),
+            };
+            state.asked = None;
+            self.databases.push(state);
+        }
+        self.rounds.clear();
     }
 
-    /// Handles an event.
-    pub fn handle(&mut self, _now: Micros, _event: WatchEvent, _actions: &mut Vec<WatchAction>) {}
+    /// Records where a term began, from a source other than reports. `previous` is the term of the
+    /// last log entry before `start`. Wrong values make floors wrong; use durable records only.
+    pub fn learn_term(&mut self, term: Term, start: TermStart) {
+        let known = self.terms.entry(term).or_insert(start);
+        if known.previous.is_none() && known.start == start.start {
+            known.previous = start.previous;
+        }
+        while self.terms.len() > TERM_LIMIT {
+            self.terms.pop_first();
+        }
+    }
+
+    /// Handles an event. `now` must not decrease between calls.
+    ///
+    /// [`WatchEvent::CommitFinished`] carries the term that the watch showed when the statement was
+    /// *sent*; the term at the time of the response would let a commit of a replaced primary pass when
+    /// the same database was promoted again in between.
+    pub fn handle(&mut self, now: Micros, event: WatchEvent, actions: &mut Vec<WatchAction>) {
+        self.alive_at.get_or_insert(now);
+        let mut timer = false;
+        match event {
+            WatchEvent::ReportArrived { database, round, report } => {
+                self.take_report(now, &database, round, report, actions);
+            }
+            WatchEvent::ReportFailed { database, round } => {
+                let state = self.databases.iter_mut().find(|state| state.name == database);
+                if let Some(state) = state
+                    && state.asked.is_some_and(|(asked, _)| asked == round)
+                {
+                    state.asked = None;
+                    state.retry_at = now + FAILURE_PAUSE;
+                }
+            }
+            WatchEvent::CommitFinished { commit, term, durable } => {
+                let early = u64::from(!self.faults.early_round);
+                if term < self.term {
+                    actions.push(WatchAction::OutcomeUnknown { commit });
+                } else {
+                    self.commits.push(PendingCommit {
+                        commit,
+                        term,
+                        durable,
+                        finished: now,
+                        first_round: self.last_round + early,
+                        covered_by: None,
+                    });
+                }
+            }
+            WatchEvent::Timer => timer = true,
+        }
+        self.expire(now, actions);
+        self.begin_round(now, actions);
+        self.check_suspicion(now, timer, actions);
+    }
 
     /// Returns when the next [`WatchEvent::Timer`] is due.
     pub fn next_timer(&self) -> Option<Micros> {
-        let _ = self.config;
-        None
+        let Some(alive_at) = self.alive_at else {
+            return Some(Micros::ZERO);
+        };
+        let mut next = Micros::MAX;
+        if !self.suspected {
+            next = next.min(alive_at + self.config.suspect_after);
+        }
+        for state in &self.databases {
+            match state.asked {
+                Some((_, sent)) => next = next.min(sent + self.config.report_timeout),
+                None => next = next.min(self.idle_due().max(state.retry_at)),
+            }
+        }
+        if let Some(commit) = self.commits.first() {
+            next = next.min(commit.finished + self.config.acknowledge_timeout);
+        }
+        if let Some(due) = self.commit_due()
+            && let Some(retry_at) = self.commit_ready_at()
+        {
+            next = next.min(due.max(retry_at));
+        }
+        (next != Micros::MAX).then_some(next)
     }
 
     /// Returns the current view.
-    pub fn view(&self, _now: Micros) -> LeaderView {
-        LeaderView { term: Term(0), leader: None, confirmed_ago: None }
+    pub fn view(&self, now: Micros) -> LeaderView {
+        LeaderView {
+            term: self.term,
+            leader: self.leader.clone(),
+            confirmed_ago: self.confirmed.map(|(began, _)| now.saturating_sub(began)),
+        }
     }
 
     /// Returns the last report of a database and when its round began.
-    pub fn report(&self, _database: &str) -> Option<(Micros, DatabaseReport)> {
-        None
+    pub fn report(&self, database: &str) -> Option<(Micros, DatabaseReport)> {
+        let state = self.databases.iter().find(|state| &*state.name == database)?;
+        state.latest.map(|(_, began, report)| (began, report))
     }
 
-    /// Returns the data age that can be proved for a database, if any.
-    pub fn provable_age(&self, _now: Micros, _database: &str) -> Option<Micros> {
-        None
+    /// Returns the data age that can be proved for a database, if any. At most 60 s and a little more.
+    pub fn provable_age(&self, now: Micros, database: &str) -> Option<Micros> {
+        let (_, report) = self.report(database)?;
+        if !self.is_on_log(&report) {
+            return None;
+        }
+        let covered = self.samples.partition_point(|sample| sample.position <= report.applied);
+        let sample = self.samples.get(covered.checked_sub(1)?)?;
+        Some(now.saturating_sub(sample.began))
     }
 
     /// Compares a database with a session floor.
-    pub fn floor_state(&self, _database: &str, _floor: SessionFloor) -> FloorState {
-        FloorState::NotYet
+    pub fn floor_state(&self, database: &str, floor: SessionFloor) -> FloorState {
+        if floor.term > self.term || self.leader.is_none() {
+            return FloorState::NotYet;
+        }
+        if !self.is_floor_valid(floor) {
+            let start = self.terms.get(&self.term).map_or(LogPosition(0), |start| start.start);
+            return FloorState::Lost { instead: SessionFloor { term: self.term, position: start } };
+        }
+        match self.report(database) {
+            Some((_, report)) if self.is_on_log(&report) && report.applied >= floor.position => {
+                FloorState::Met
+            }
+            _ => FloorState::NotYet,
+        }
     }
 
     /// Returns the position of the last confirmed round that began at or after `since`.
-    pub fn confirmed_floor(&self, _since: Micros) -> Option<SessionFloor> {
-        None
+    pub fn confirmed_floor(&self, since: Micros) -> Option<SessionFloor> {
+        let (began, position) = self.confirmed?;
+        (began >= since).then_some(SessionFloor { term: self.term, position })
+    }
+
+    /// Returns the number of samples kept for age proofs, for the state dump.
+    pub fn sample_count(&self) -> usize {
+        self.samples.len()
+    }
+
+    fn majority(&self) -> usize {
+        self.databases.len() / 2 + 1
+    }
+
+    /// Whether the reported log is a prefix of the log of the primary of `self.term`.
+    fn is_on_log(&self, report: &DatabaseReport) -> bool {
+        if self.faults.ignore_lineage {
+            return true;
+        }
+        if report.term != self.term {
+            return false;
+        }
+        if report.log_term == self.term {
+            return true;
+        }
+        match self.terms.get(&self.term) {
+            Some(start) => {
+                start.previous == Some(report.log_term) && report.received <= start.start
+            }
+            None => false,
+        }
+    }
+
+    /// Whether the position of the floor is part of the log of `self.term`.
+    fn is_floor_valid(&self, floor: SessionFloor) -> bool {
+        if self.faults.ignore_lineage {
+            return true;
+        }
+        let mut term = self.term;
+        let mut limit = LogPosition(u64::MAX);
+        while term > floor.term {
+            let Some(start) = self.terms.get(&term) else { return false };
+            let Some(previous) = start.previous else { return false };
+            limit = limit.min(start.start);
+            term = previous;
+        }
+        // A floor of a term that the walk passed over has no entry in this log.
+        term == floor.term && floor.position <= limit
+    }
+
+    fn take_report(
+        &mut self,
+        now: Micros,
+        database: &str,
+        number: u64,
+        report: DatabaseReport,
+        actions: &mut Vec<WatchAction>,
+    ) {
+        let Some(state) = self.databases.iter_mut().find(|state| &*state.name == database) else {
+            return;
+        };
+        let awaited = state.asked.is_some_and(|(asked, _)| asked == number);
+        if awaited {
+            state.asked = None;
+        }
+        // A report of a round that is no longer open proves nothing that later reports do not.
+        let Some(round) = self.rounds.iter_mut().find(|round| round.number == number) else {
+            return;
+        };
+        if round.reports.iter().any(|(name, _)| &**name == database) {
+            return;
+        }
+        let name = state.name.clone();
+        round.reports.push((name.clone(), report));
+        if state.latest.is_none_or(|(newest, _, _)| newest < number) {
+            if let Some((_, _, old)) = state.latest
+                && old.log_term != report.log_term
+            {
+                state.earlier_log_term = Some(old.log_term);
+            }
+            state.latest = Some((number, round.began, report));
+        }
+        self.highest = self.highest.max(report.term);
+        if report.role == DatabaseRole::Primary && report.term >= self.highest {
+            self.alive_at = Some(now);
+        }
+        self.evaluate_round(now, number, actions);
+        // A database that was busy with an older round joins the current one. Its sample is taken
+        // after that round began, so it counts.
+        if awaited
+            && number < self.last_round
+            && let Some(current) = self.rounds.back()
+            && current.number == self.last_round
+            && !current.reports.iter().any(|(reported, _)| *reported == name)
+            && let Some(state) = self.databases.iter_mut().find(|state| state.name == name)
+        {
+            state.asked = Some((self.last_round, now));
+            actions.push(WatchAction::AskReport { database: name, round: self.last_round });
+        }
+    }
+
+    /// Draws the conclusions from the reports of a round.
+    fn evaluate_round(&mut self, now: Micros, number: u64, actions: &mut Vec<WatchAction>) {
+        let majority = if self.faults.no_majority { 1 } else { self.majority() };
+        let Some(index) = self.rounds.iter().position(|round| round.number == number) else {
+            return;
+        };
+        let round = &self.rounds[index];
+        let began = round.began;
+        let primary = round.reports.iter().find(|(_, report)| {
+            report.role == DatabaseRole::Primary
+                && report.term >= self.term
+                && round.reports.iter().filter(|(_, other)| other.term == report.term).count()
+                    >= majority
+        });
+        let Some((leader, primary)) = primary.cloned() else { return };
+        let position = primary.received.max(primary.applied);
+        if !round.confirmed {
+            self.rounds[index].confirmed = true;
+            self.alive_at = Some(now);
+            self.open_term(&leader, &primary, actions);
+            self.add_sample(now, PositionSample { began, position });
+        }
+        self.settle_commits(index, position, actions);
+    }
+
+    /// Takes over a term that a round confirmed.
+    fn open_term(
+        &mut self,
+        leader: &Name,
+        primary: &DatabaseReport,
+        actions: &mut Vec<WatchAction>,
+    ) {
+        let term = primary.term;
+        if term > self.term || self.leader.is_none() {
+            self.term = term;
+            self.leader = Some(leader.clone());
+            self.confirmed = None;
+            self.samples.clear();
+            actions.push(WatchAction::LeaderChanged { term, leader: leader.clone() });
+            self.commits.retain(|pending| {
+                let keep = pending.term >= term;
+                if !keep {
+                    actions.push(WatchAction::OutcomeUnknown { commit: pending.commit });
+                }
+                keep
+            });
+        }
+        // Before the first write of the term the last entry tells what came before. Later, entries of
+        // the term just before, seen at this database, tell the same: only a primary of a newer term
+        // could have made it discard them, and that is itself.
+        let previous = if primary.log_term < term {
+            Some(primary.log_term)
+        } else {
+            let state = self.databases.iter().find(|state| state.name == *leader);
+            state.and_then(|state| state.earlier_log_term).filter(|earlier| earlier.next() == term)
+        };
+        self.learn_term(term, TermStart { start: primary.term_start, previous });
+    }
+
+    /// Acknowledges the commits that the round covers.
+    fn settle_commits(
+        &mut self,
+        index: usize,
+        position: LogPosition,
+        actions: &mut Vec<WatchAction>,
+    ) {
+        if self.commits.is_empty() {
+            return;
+        }
+        let round = &self.rounds[index];
+        let majority = self.majority();
+        let mut received: Vec<LogPosition> = round
+            .reports
+            .iter()
+            .filter(|(_, report)| self.is_on_log(report))
+            .map(|(_, report)| report.received)
+            .collect();
+        received.sort_unstable_by(|left, right| right.cmp(left));
+        let stored = match received.get(majority - 1) {
+            _ if self.faults.no_receipt => LogPosition(u64::MAX),
+            Some(stored) => *stored,
+            None => LogPosition(0),
+        };
+        let stored_known = self.faults.no_receipt || received.len() >= majority;
+        let (term, number) = (self.term, round.number);
+        self.commits.retain_mut(|pending| {
+            if pending.term != term || pending.first_round > number {
+                return true;
+            }
+            let needed = *pending.covered_by.get_or_insert(position);
+            if pending.durable && !(stored_known && stored >= needed) {
+                return true;
+            }
+            let floor = SessionFloor { term, position: needed };
+            actions.push(WatchAction::Acknowledge { commit: pending.commit, floor });
+            false
+        });
+    }
+
+    fn add_sample(&mut self, now: Micros, sample: PositionSample) {
+        if self.confirmed.is_some_and(|(newest, _)| newest >= sample.began) {
+            return;
+        }
+        self.confirmed = Some((sample.began, sample.position));
+        // A newer sample at the same or a lower position proves more than the older one.
+        while self.samples.back().is_some_and(|last| last.position >= sample.position) {
+            self.samples.pop_back();
+        }
+        self.samples.push_back(sample);
+        if self.samples.len() >= SAMPLE_LIMIT {
+            self.thin_samples(now);
+        }
+    }
+
+    /// Thins samples with growing age, so that the age stated is too high by at most 1/32 or 8 ms.
+    fn thin_samples(&mut self, now: Micros) {
+        let mut kept: VecDeque<PositionSample> = VecDeque::with_capacity(SAMPLE_LIMIT);
+        let oldest = now.saturating_sub(SAMPLE_SPAN);
+        for sample in self.samples.iter().rev() {
+            let age = now.saturating_sub(sample.began);
+            let gap = SAMPLE_GAP.max(Micros(age.0 / 32));
+            let close = kept.front().is_some_and(|newer| newer.began - sample.began < gap);
+            if sample.began >= oldest && !close {
+                kept.push_front(*sample);
+            }
+        }
+        while kept.len() >= SAMPLE_LIMIT {
+            kept.pop_front();
+        }
+        self.samples = kept;
+    }
+
+    /// Gives up on requests and commits that took too long.
+    fn expire(&mut self, now: Micros, actions: &mut Vec<WatchAction>) {
+        for state in &mut self.databases {
+            if let Some((_, sent)) = state.asked
+                && now >= sent + self.config.report_timeout
+            {
+                state.asked = None;
+            }
+        }
+        let timeout = self.config.acknowledge_timeout;
+        let expired = self.commits.partition_point(|pending| now >= pending.finished + timeout);
+        for pending in self.commits.drain(..expired) {
+            actions.push(WatchAction::OutcomeUnknown { commit: pending.commit });
+        }
+        let (databases, current) = (&self.databases, self.last_round);
+        self.rounds.retain(|round| {
+            round.number == current
+                || databases
+                    .iter()
+                    .any(|state| state.asked.is_some_and(|(asked, _)| asked == round.number))
+        });
+    }
+
+    /// When the next round is due without a commit.
+    fn idle_due(&self) -> Micros {
+        self.rounds.back().map_or(Micros::ZERO, |round| round.began + self.config.idle_interval)
+    }
+
+    /// When the next round is due because commits wait; none while the current round can still
+    /// answer them or no commit waits.
+    fn commit_due(&self) -> Option<Micros> {
+        if self.commits.is_empty() {
+            return None;
+        }
+        let Some(round) = self.rounds.back() else {
+            return Some(Micros::ZERO);
+        };
+        let in_flight = self
+            .databases
+            .iter()
+            .any(|state| state.asked.is_some_and(|(asked, _)| asked == round.number));
+        if in_flight && !round.confirmed {
+            return None;
+        }
+        let new = self.commits.last().is_some_and(|pending| pending.first_round > round.number);
+        Some(if new { round.began } else { round.began + RETRY_INTERVAL })
+    }
+
+    /// When the primary, or any database if the primary is unknown, can be asked; none while a
+    /// request is in flight.
+    fn commit_ready_at(&self) -> Option<Micros> {
+        self.databases
+            .iter()
+            .filter(|state| self.leader.as_ref().is_none_or(|leader| *leader == state.name))
+            .filter(|state| state.asked.is_none())
+            .map(|state| state.retry_at)
+            .min()
+    }
+
+    /// Begins a round if one is due and a database is free to be asked.
+    fn begin_round(&mut self, now: Micros, actions: &mut Vec<WatchAction>) {
+        let idle = now >= self.idle_due();
+        let commit = self.commit_due().is_some_and(|due| now >= due)
+            && self.commit_ready_at().is_some_and(|ready| now >= ready);
+        if !(idle || commit) || !self.databases.iter().any(|state| state.is_free(now)) {
+            return;
+        }
+        self.last_round += 1;
+        let number = self.last_round;
+        self.rounds.push_back(ReportRound {
+            number,
+            began: now,
+            reports: Vec::new(),
+            confirmed: false,
+        });
+        for state in &mut self.databases {
+            if state.is_free(now) {
+                state.asked = Some((number, now));
+                let database = state.name.clone();
+                actions.push(WatchAction::AskReport { database, round: number });
+            }
+        }
+        let (databases, current) = (&self.databases, self.last_round);
+        self.rounds.retain(|round| {
+            round.number == current
+                || databases
+                    .iter()
+                    .any(|state| state.asked.is_some_and(|(asked, _)| asked == round.number))
+        });
+    }
+
+    fn check_suspicion(&mut self, now: Micros, timer: bool, actions: &mut Vec<WatchAction>) {
+        let alive_at = self.alive_at.unwrap_or(now);
+        let suspected = now >= alive_at + self.config.suspect_after;
+        if suspected && (timer || !self.suspected) {
+            actions.push(WatchAction::PrimarySuspected { term: self.highest });
+        }
+        if self.suspected && !suspected {
+            actions.push(WatchAction::SuspicionCleared);
+        }
+        self.suspected = suspected;
     }
 }
