--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -9,5 +9,5 @@
 mod queue;
 
 pub use budget::RetryBudget;
-pub use pool::{ConnectionId, ConnectionPool, PoolAction, PoolConfig};
+pub use pool::{ConnectionId, ConnectionPool, PoolAction, PoolConfig, PoolStats};
 pub use queue::{QueueConfig, QueueStats, RefusalReason, SlotGrant, SlotQueue, WorkId, WorkTicket};
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -1,6 +1,54 @@
 //! Queue of one database.
+//!
+//! # Order of grants
+//!
+//! 1. A rank whose *credit* is positive, highest credit first. Credit grows with floor_percent of the
+//!    slot time that all ranks use and shrinks with the slot time of the rank itself. A rank without
+//!    waiting work cannot save credit, and a rank that used free slots does not owe more than its
+//!    longest recent statement, so over any window in which a rank waits it receives its floor, less one
+//!    statement and what is running.
+//! 2. The most urgent rank that has work. Shares that nobody uses go here.
+//!
+//! Inside a rank, statements of open transactions go first, since they hold locks and a connection.
+//! Then the caller with the least slot time goes first. A caller that was away starts at the level of
+//! those being served, so it can neither save time up nor shed what it used.
+//!
+//! A statement is charged its estimate when it is granted and the difference when it finishes, so
+//! several grants in a row see each other.
+//!
+//! # Long statements
+//!
+//! Statements below rank urgent whose estimate is above 250 ms use at most slots - 1 slots together (at
+//! least 1), so an urgent statement never waits for a long one to finish unless the database has one
+//! slot. Short statements of any rank use all slots.
+//!
+//! # Deadlines
+//!
+//! The service time of a selector is estimated by a smoothed mean and deviation. A request is refused
+//! when the time left is shorter than expected wait plus mean plus two deviations, so no slot time goes
+//! to an answer that comes too late. The expected wait leans low: a request that is admitted in
+//! error is refused later, while one refused in error could have been served.
+//!
+//! # Cost
+//!
+//! Each operation takes O(log n) in the number of callers and waiting requests.
 
-use model::{Micros, Name, RankConfig, RankMap};
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::{FastMap, Micros, Name, Rank, RankConfig, RankMap};
+
+/// Estimate above which a statement counts as long.
+const LONG_STATEMENT: Micros = Micros::from_millis(250);
+/// Estimate for a selector without a finished statement.
+const FIRST_ESTIMATE: Micros = Micros::from_millis(5);
+/// Selectors with an estimate of their own; further ones share the first estimate.
+const ESTIMATE_LIMIT: usize = 1_024;
+/// Idle callers whose slot time is remembered for each rank.
+const IDLE_CALLER_LIMIT: usize = 4_096;
+/// Least debt that a rank may run up, so that very short statements do not turn the floor into turns.
+const LEAST_DEBT: Micros = Micros::from_millis(10);
+/// Time constant of the smoothed share of slot time that a rank uses.
+const SHARE_SMOOTHING: Micros = Micros::from_millis(500);
 
 /// Identifies one request at its pool owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -18,7 +66,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkTicket {
     pub work: WorkId,
-    pub rank: model::Rank,
+    pub rank: Rank,
     /// The caller that the fair share is counted for.
     pub caller: Name,
     /// Point in time by which the answer must be complete.
@@ -44,7 +92,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SlotGrant {
     pub work: WorkId,
-    pub rank: model::Rank,
+    pub rank: Rank,
     /// Time between [`SlotQueue::enqueue`] and the grant.
     pub waited: Micros,
 }
@@ -60,16 +108,383 @@
     pub slot_time: RankMap<Micros>,
 }
 
+/// Smoothed service time of a selector.
+#[derive(Clone, Copy, Debug)]
+struct ServiceEstimate {
+    mean: u64,
+    deviation: u64,
+}
+
+impl ServiceEstimate {
+    const FIRST: ServiceEstimate = ServiceEstimate { mean: FIRST_ESTIMATE.0, deviation: 0 };
+
+    /// The weights are those of TCP's round-trip estimate.
+    fn observe(&mut self, micros: u64) {
+        let difference = micros.abs_diff(self.mean);
+        self.deviation = self.deviation - self.deviation / 4 + difference / 4;
+        self.mean = self.mean - self.mean / 8 + micros / 8;
+    }
+
+    fn with_margin(&self) -> Micros {
+        Micros(self.mean.saturating_add(self.deviation.saturating_mul(2)))
+    }
+
+    /// Lets an estimate that refuses every request on its own recover after an outlier.
+    fn decay(&mut self) {
+        self.mean -= self.mean / 16;
+        self.deviation -= self.deviation / 16;
+    }
+}
+
+/// Sub-queue of a caller: open transactions before new work, short apart from long statements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WorkLane {
+    TransactionShort,
+    TransactionLong,
+    NewShort,
+    NewLong,
+}
+
+impl WorkLane {
+    const ALL: [WorkLane; 4] = [
+        WorkLane::TransactionShort,
+        WorkLane::TransactionLong,
+        WorkLane::NewShort,
+        WorkLane::NewLong,
+    ];
+
+    fn of(in_transaction: bool, long: bool) -> WorkLane {
+        match (in_transaction, long) {
+            (true, false) => WorkLane::TransactionShort,
+            (true, true) => WorkLane::TransactionLong,
+            (false, false) => WorkLane::NewShort,
+            (false, true) => WorkLane::NewLong,
+        }
+    }
+
+    fn is_long(self) -> bool {
+        matches!(self, WorkLane::TransactionLong | WorkLane::NewLong)
+    }
+
+    fn is_new(self) -> bool {
+        matches!(self, WorkLane::NewShort | WorkLane::NewLong)
+    }
+}
+
+/// A request that waits.
+#[derive(Debug)]
+struct WaitingWork {
+    rank: Rank,
+    caller: usize,
+    selector: Name,
+    sequence: u64,
+    lane: WorkLane,
+    arrived: Micros,
+    /// Mean service time that the rank's backlog was charged with.
+    charged: u64,
+    /// Last moment at which the request can start and meet its deadline.
+    start_by: Micros,
+}
+
+/// A statement that holds a slot.
+#[derive(Debug)]
+struct RunningWork {
+    rank: Rank,
+    caller: usize,
+    selector: Name,
+    started: Micros,
+    charged: u64,
+    long: bool,
+}
+
+/// One caller of one rank.
+#[derive(Debug)]
+struct CallerState {
+    name: Name,
+    /// Slot time used, in the rank's virtual time.
+    used: u64,
+    /// Order among callers with the same slot time.
+    activated: u64,
+    lanes: [BTreeMap<u64, WorkId>; 4],
+    /// Sum of the charges of waiting work.
+    backlog: u64,
+    running: u32,
+}
+
+impl CallerState {
+    fn is_waiting(&self) -> bool {
+        self.lanes.iter().any(|lane| !lane.is_empty())
+    }
+
+    fn new_count(&self) -> usize {
+        self.lanes[WorkLane::NewShort as usize].len() + self.lanes[WorkLane::NewLong as usize].len()
+    }
+}
+
+/// One rank: its callers in the order of their slot time, for each lane.
+#[derive(Debug, Default)]
+struct RankQueue {
+    callers: Vec<Option<CallerState>>,
+    free: Vec<usize>,
+    index: FastMap<Name, usize>,
+    /// Callers with work in the lane, by (slot time, order, index).
+    order: [BTreeSet<(u64, u64, usize)>; 4],
+    /// Callers without work whose slot time is ahead of the rest.
+    idle: BTreeSet<(u64, usize)>,
+    /// Callers by number of waiting requests outside transactions.
+    queued: BTreeSet<(usize, usize)>,
+    /// Slot time of the callers being served.
+    level: u64,
+    waiting: u32,
+    /// Waiting requests outside transactions; the limit applies to these.
+    waiting_new: u32,
+    waiting_callers: u32,
+    backlog: u64,
+
+    running: u32,
+    /// Sum of the charges and of the start times of running statements.
+    charged: u64,
+    started: u64,
+    /// Slot time owed to the rank, in hundredths of a microsecond.
+    credit: i64,
+    /// Longest recent statement, in microseconds.
+    longest: u64,
+    /// Smoothed share of the slots in use, from 0 to 1.
+    share: f64,
+    slot_time: u64,
+    granted: u64,
+    refused: u64,
+}
+
+impl RankQueue {
+    fn caller(&mut self, index: usize) -> &mut CallerState {
+        self.callers[index].as_mut().expect("an index in use refers to a caller")
+    }
+
+    /// Finds a caller or adds it at the level of those being served.
+    fn enter(&mut self, name: &Name) -> usize {
+        if let Some(index) = self.index.get(name) {
+            return *index;
+        }
+        let state = CallerState {
+            name: name.clone(),
+            used: self.level,
+            activated: 0,
+            lanes: Default::default(),
+            backlog: 0,
+            running: 0,
+        };
+        let index = match self.free.pop() {
+            Some(index) => {
+                self.callers[index] = Some(state);
+                index
+            }
+            None => {
+                self.callers.push(Some(state));
+                self.callers.len() - 1
+            }
+        };
+        self.index.insert(name.clone(), index);
+        index
+    }
+
+    fn remove(&mut self, index: usize) {
+        if let Some(state) = self.callers[index].take() {
+            self.index.remove(&state.name);
+            self.free.push(index);
+        }
+    }
+
+    fn insert(&mut self, work: WorkId, waiting: &WaitingWork) {
+        let level = self.level;
+        let state = self.caller(waiting.caller);
+        let idle = !state.is_waiting();
+        let key = (state.used, waiting.caller);
+        let count = state.new_count();
+        if idle {
+            state.used = state.used.max(level);
+            state.activated = waiting.sequence;
+        }
+        let lane = &mut state.lanes[waiting.lane as usize];
+        let first = lane.is_empty();
+        lane.insert(waiting.sequence, work);
+        state.backlog += waiting.charged;
+        let entry = (state.used, state.activated, waiting.caller);
+        if idle {
+            self.idle.remove(&key);
+            self.waiting_callers += 1;
+        }
+        if first {
+            self.order[waiting.lane as usize].insert(entry);
+        }
+        if waiting.lane.is_new() {
+            self.queued.remove(&(count, waiting.caller));
+            self.queued.insert((count + 1, waiting.caller));
+            self.waiting_new += 1;
+        }
+        self.waiting += 1;
+        self.backlog += waiting.charged;
+    }
+
+    fn take(&mut self, waiting: &WaitingWork) {
+        let state = self.caller(waiting.caller);
+        let count = state.new_count();
+        let entry = (state.used, state.activated, waiting.caller);
+        let lane = &mut state.lanes[waiting.lane as usize];
+        lane.remove(&waiting.sequence);
+        let emptied = lane.is_empty();
+        state.backlog -= waiting.charged;
+        let idle = !state.is_waiting();
+        if emptied {
+            self.order[waiting.lane as usize].remove(&entry);
+        }
+        if waiting.lane.is_new() {
+            self.queued.remove(&(count, waiting.caller));
+            if count > 1 {
+                self.queued.insert((count - 1, waiting.caller));
+            }
+            self.waiting_new -= 1;
+        }
+        if idle {
+            self.waiting_callers -= 1;
+            self.idle.insert((entry.0, waiting.caller));
+        }
+        self.waiting -= 1;
+        self.backlog -= waiting.charged;
+    }
+
+    /// Changes the slot time of a caller and its place in the order.
+    fn charge(&mut self, index: usize, more: u64, less: u64) {
+        let state = self.caller(index);
+        let old = state.used;
+        state.used = old.saturating_add(more).saturating_sub(less);
+        let (used, activated) = (state.used, state.activated);
+        let lanes = state.lanes.each_ref().map(|lane| !lane.is_empty());
+        for (order, filled) in self.order.iter_mut().zip(lanes) {
+            if filled {
+                order.remove(&(old, activated, index));
+                order.insert((used, activated, index));
+            }
+        }
+        if self.idle.remove(&(old, index)) {
+            self.idle.insert((used, index));
+        }
+    }
+
+    /// Forgets idle callers that have no more slot time than the callers being served, and the ones
+    /// with the least if there are too many.
+    fn forget_idle(&mut self) {
+        let empty = self.waiting == 0 && self.running == 0;
+        let mut spared = None;
+        while let Some(&(used, index)) = match spared {
+            None => self.idle.first(),
+            Some(key) => {
+                self.idle.range((std::ops::Bound::Excluded(key), std::ops::Bound::Unbounded)).next()
+            }
+        } {
+            if used > self.level && !empty && self.idle.len() <= IDLE_CALLER_LIMIT {
+                break;
+            }
+            if self.caller(index).running > 0 {
+                // At most one for each slot.
+                spared = Some((used, index));
+                continue;
+            }
+            self.idle.remove(&(used, index));
+            self.remove(index);
+        }
+        if empty {
+            self.level = 0;
+        }
+    }
+
+    /// The lane and caller to serve next. Transactions first, then the least slot time.
+    fn next(&self, long_allowed: bool) -> Option<(WorkLane, usize)> {
+        WorkLane::ALL.chunks(2).find_map(|pair| {
+            pair.iter()
+                .filter(|lane| long_allowed || !lane.is_long())
+                .filter_map(|lane| Some((*self.order[*lane as usize].first()?, *lane)))
+                .min_by_key(|((used, activated, _), _)| (*used, *activated))
+                .map(|((_, _, index), lane)| (lane, index))
+        })
+    }
+
+    /// Charges of running statements that have not been used up yet.
+    fn outstanding(&self, now: Micros) -> u64 {
+        let elapsed = u64::from(self.running).saturating_mul(now.0).saturating_sub(self.started);
+        self.charged.saturating_sub(elapsed)
+    }
+
+    /// Credit after the running statements, in hundredths of a microsecond.
+    fn effective_credit(&self, now: Micros) -> i64 {
+        self.credit.saturating_sub(hundredths(self.outstanding(now)))
+    }
+}
+
+fn hundredths(micros: u64) -> i64 {
+    i64::try_from(micros.saturating_mul(100)).unwrap_or(i64::MAX)
+}
+
 /// The queue of one database.
+///
+/// Requests that are refused while they wait, also to make room for another caller, are returned by
+/// [`SlotQueue::expire`]; call it whenever [`SlotQueue::next_expiry`] is due, after
+/// [`SlotQueue::enqueue`] and after the last [`SlotQueue::grant`].
+///
+/// ```
+/// use admit::*;
+/// use model::{Micros, Rank, RankConfig, RankMap};
+///
+/// let rank = RankConfig { floor_percent: 10, queue_limit: 100 };
+/// let mut queue = SlotQueue::new(QueueConfig { slots: 1, ranks: RankMap([rank; 3]) });
+/// for (work, rank) in [(1, Rank::Batch), (2, Rank::Urgent)] {
+///     let ticket = WorkTicket {
+///         work: WorkId(work),
+///         rank,
+///         caller: "till-7".into(),
+///         deadline: Micros::from_secs(1),
+///         selector: "all".into(),
+///         in_transaction: false,
+///     };
+///     queue.enqueue(Micros(0), ticket).unwrap();
+/// }
+/// assert_eq!(queue.grant(Micros(0)).unwrap().work, WorkId(2));
+/// assert_eq!(queue.grant(Micros(0)), None);
+/// queue.finish(Micros(3_000), WorkId(2));
+/// assert_eq!(queue.grant(Micros(3_000)).unwrap().work, WorkId(1));
+/// ```
 #[derive(Debug)]
 pub struct SlotQueue {
     config: QueueConfig,
+    ranks: RankMap<RankQueue>,
+    waiting: FastMap<WorkId, WaitingWork>,
+    running: FastMap<WorkId, RunningWork>,
+    /// Statements that count against the bound for long ones.
+    running_long: u32,
+    /// Waiting work by the last moment at which it can start.
+    expiries: BTreeSet<(Micros, WorkId)>,
+    /// Refused work that [`SlotQueue::expire`] has yet to return.
+    refused: Vec<(WorkId, RefusalReason)>,
+    estimates: FastMap<Name, ServiceEstimate>,
+    sequence: u64,
+    accounted: Micros,
 }
 
 impl SlotQueue {
     /// Creates an empty queue.
     pub fn new(config: QueueConfig) -> Self {
-        SlotQueue { config }
+        SlotQueue {
+            config,
+            ranks: RankMap::default(),
+            waiting: FastMap::default(),
+            running: FastMap::default(),
+            running_long: 0,
+            expiries: BTreeSet::new(),
+            refused: Vec::new(),
+            estimates: FastMap::default(),
+            sequence: 0,
+            accounted: Micros::ZERO,
+        }
     }
 
     /// Takes over new limits; work that runs or waits stays.
@@ -77,45 +492,306 @@
         self.config = config;
     }
 
-    /// Adds a request.
+    /// Adds a request. When the queue of its rank is full, the newest request of the caller with the
+    /// most waiting requests is refused, which may be another one than this.
+    ///
+    /// A request identifier that is already in the queue must not be used again.
     ///
     /// # Errors
     ///
-    /// Refuses at once when the queue is full or the deadline cannot be met.
-    pub fn enqueue(&mut self, _now: Micros, _ticket: WorkTicket) -> Result<(), RefusalReason> {
+    /// Refuses at once when the queue is full or the deadline cannot be met. A request of an open
+    /// transaction is not refused for a full queue.
+    pub fn enqueue(&mut self, now: Micros, ticket: WorkTicket) -> Result<(), RefusalReason> {
+        self.account(now);
+        let rank = ticket.rank;
+        let estimate = self.estimate(&ticket.selector);
+        let service = estimate.with_margin();
+        let left = ticket.deadline.saturating_sub(now);
+        let queue = &self.ranks[rank];
+        let own = match queue.index.get(&ticket.caller) {
+            Some(index) => queue.callers[*index].as_ref().map_or(0, |state| state.backlog),
+            None => 0,
+        };
+        // Callers take turns, so a caller waits for at most as much of each other's work as of its own.
+        let turns = u64::from(queue.waiting_callers) + 1;
+        let ahead = queue.backlog.min(own.saturating_add(estimate.mean).saturating_mul(turns));
+        let wait =
+            if ticket.in_transaction { Micros::ZERO } else { self.wait_behind(now, rank, ahead) };
+        let expected = wait + service;
+        if expected > left {
+            if service > left
+                && left > Micros::ZERO
+                && let Some(estimate) = self.estimates.get_mut(&ticket.selector)
+            {
+                estimate.decay();
+            }
+            self.ranks[rank].refused += 1;
+            return Err(if left == Micros::ZERO {
+                RefusalReason::DeadlinePassed
+            } else {
+                RefusalReason::DeadlineUnreachable { expected }
+            });
+        }
+        let limit = self.config.ranks[rank].queue_limit;
+        if !ticket.in_transaction && self.ranks[rank].waiting_new >= limit {
+            self.make_room(rank, &ticket.caller, limit)?;
+        }
+        self.sequence += 1;
+        let long = rank != Rank::Urgent && Micros(estimate.mean) > LONG_STATEMENT;
+        let waiting = WaitingWork {
+            rank,
+            caller: self.ranks[rank].enter(&ticket.caller),
+            selector: ticket.selector,
+            sequence: self.sequence,
+            lane: WorkLane::of(ticket.in_transaction, long),
+            arrived: now,
+            charged: estimate.mean,
+            start_by: ticket.deadline.saturating_sub(service),
+        };
+        self.ranks[rank].insert(ticket.work, &waiting);
+        self.expiries.insert((waiting.start_by, ticket.work));
+        self.waiting.insert(ticket.work, waiting);
         Ok(())
     }
 
     /// Removes a request that still waits; returns whether it did.
-    pub fn cancel(&mut self, _work: WorkId) -> bool {
-        false
+    pub fn cancel(&mut self, work: WorkId) -> bool {
+        match self.remove_waiting(work) {
+            Some(waiting) => {
+                self.ranks[waiting.rank].forget_idle();
+                true
+            }
+            None => false,
+        }
     }
 
     /// Grants the next slot, if one is free and work waits. Call until it returns `None`.
-    pub fn grant(&mut self, _now: Micros) -> Option<SlotGrant> {
+    pub fn grant(&mut self, now: Micros) -> Option<SlotGrant> {
+        self.account(now);
+        while self.running.len() < self.config.slots as usize {
+            let (rank, lane, caller) = self.choose(now)?;
+            let work = *self.ranks[rank].caller(caller).lanes[lane as usize].first_key_value()?.1;
+            let waiting = self.remove_waiting(work)?;
+            if waiting.start_by < now {
+                self.refuse(work, rank, RefusalReason::DeadlinePassed);
+                continue;
+            }
+            let estimate = self.estimate(&waiting.selector);
+            let long = rank != Rank::Urgent && Micros(estimate.mean) > LONG_STATEMENT;
+            if long && !lane.is_long() && !self.is_long_allowed() {
+                // The estimate has grown since the request arrived. Moves at most once.
+                let moved = WaitingWork { lane: WorkLane::of(!lane.is_new(), true), ..waiting };
+                self.ranks[rank].insert(work, &moved);
+                self.expiries.insert((moved.start_by, work));
+                self.waiting.insert(work, moved);
+                continue;
+            }
+            let queue = &mut self.ranks[rank];
+            queue.level = queue.level.max(queue.caller(caller).used);
+            queue.charge(caller, estimate.mean, 0);
+            queue.caller(caller).running += 1;
+            queue.running += 1;
+            queue.charged += estimate.mean;
+            queue.started += now.0;
+            queue.granted += 1;
+            queue.forget_idle();
+            self.running_long += u32::from(long);
+            let running = RunningWork {
+                rank,
+                caller,
+                selector: waiting.selector,
+                started: now,
+                charged: estimate.mean,
+                long,
+            };
+            self.running.insert(work, running);
+            return Some(SlotGrant { work, rank, waited: now.saturating_sub(waiting.arrived) });
+        }
         None
     }
 
-    /// Returns a slot.
-    pub fn finish(&mut self, _now: Micros, _work: WorkId) {}
+    /// Returns a slot. Does nothing for a request that holds none.
+    pub fn finish(&mut self, now: Micros, work: WorkId) {
+        self.account(now);
+        let Some(running) = self.running.remove(&work) else { return };
+        let time = now.saturating_sub(running.started).0;
+        let queue = &mut self.ranks[running.rank];
+        queue.running -= 1;
+        queue.charged -= running.charged;
+        queue.started -= running.started.0;
+        queue.caller(running.caller).running -= 1;
+        queue.charge(running.caller, time, running.charged);
+        queue.longest = time.max(queue.longest - queue.longest / 8);
+        queue.forget_idle();
+        self.running_long -= u32::from(running.long);
+        if let Some(estimate) = self.estimates.get_mut(&running.selector) {
+            estimate.observe(time);
+        } else if self.estimates.len() < ESTIMATE_LIMIT {
+            let estimate = ServiceEstimate { mean: time, deviation: time / 2 };
+            self.estimates.insert(running.selector, estimate);
+        }
+    }
 
-    /// Removes the requests whose deadline can no longer be met.
-    pub fn expire(&mut self, _now: Micros) -> Vec<(WorkId, RefusalReason)> {
-        Vec::new()
+    /// Removes the requests whose deadline can no longer be met, and returns them together with those
+    /// refused to make room for others.
+    pub fn expire(&mut self, now: Micros) -> Vec<(WorkId, RefusalReason)> {
+        while let Some(&(start_by, work)) = self.expiries.first() {
+            if start_by >= now {
+                break;
+            }
+            if let Some(waiting) = self.remove_waiting(work) {
+                self.refuse(work, waiting.rank, RefusalReason::DeadlinePassed);
+                self.ranks[waiting.rank].forget_idle();
+            }
+        }
+        std::mem::take(&mut self.refused)
     }
 
-    /// Returns when [`SlotQueue::expire`] has something to do next.
+    /// Returns when [`SlotQueue::expire`] has something to do next; zero if it has already.
     pub fn next_expiry(&self) -> Option<Micros> {
-        None
+        if !self.refused.is_empty() {
+            return Some(Micros::ZERO);
+        }
+        self.expiries.first().map(|(start_by, _)| *start_by + Micros(1))
+    }
+
+    /// Returns the expected wait of a request of this rank that arrives now, of a caller that has no
+    /// other waiting.
+    pub fn expected_wait(&self, now: Micros, rank: Rank) -> Micros {
+        let queue = &self.ranks[rank];
+        let mean = queue.backlog / u64::from(queue.waiting.max(1));
+        let turns = u64::from(queue.waiting_callers) + 1;
+        self.wait_behind(now, rank, queue.backlog.min(mean.saturating_mul(turns)))
     }
 
-    /// Returns the expected wait of a request of this rank that arrives now.
-    pub fn expected_wait(&self, _now: Micros, _rank: model::Rank) -> Micros {
-        Micros::ZERO
+    /// Returns the estimated service time of a selector, without a margin.
+    pub fn service_time(&self, selector: &str) -> Micros {
+        Micros(self.estimate(selector).mean)
     }
 
     /// Returns the counters.
     pub fn stats(&self) -> QueueStats {
-        QueueStats::default()
+        let mut stats = QueueStats::default();
+        for rank in Rank::ALL {
+            let queue = &self.ranks[rank];
+            stats.waiting[rank] = queue.waiting;
+            stats.running[rank] = queue.running;
+            stats.granted[rank] = queue.granted;
+            stats.refused[rank] = queue.refused;
+            stats.slot_time[rank] = Micros(queue.slot_time);
+        }
+        stats
+    }
+
+    fn estimate(&self, selector: &str) -> ServiceEstimate {
+        self.estimates.get(selector).copied().unwrap_or(ServiceEstimate::FIRST)
+    }
+
+    fn is_long_allowed(&self) -> bool {
+        self.running_long < self.config.slots.saturating_sub(1).max(1)
+    }
+
+    /// Expected time until `ahead` microseconds of waiting work of the rank have been granted.
+    fn wait_behind(&self, now: Micros, rank: Rank, ahead: u64) -> Micros {
+        let slots = f64::from(self.config.slots.max(1));
+        let free = self.running.len() < self.config.slots as usize;
+        let higher = || Rank::ALL.into_iter().filter(|other| *other < rank);
+        let urgent: u64 = higher().map(|other| self.ranks[other].backlog).sum();
+        if free && ahead == 0 && urgent == 0 {
+            return Micros::ZERO;
+        }
+        let outstanding: u64 =
+            Rank::ALL.into_iter().map(|other| self.ranks[other].outstanding(now)).sum();
+        // One slot becomes free after the mean rest of the running statements.
+        let first = if free { 0.0 } else { outstanding as f64 / slots / slots };
+        let used: f64 = higher().map(|other| self.ranks[other].share).sum();
+        let floor = f64::from(self.config.ranks[rank].floor_percent) / 100.0;
+        let open = (1.0 - used).max(floor).max(0.01);
+        let drained = urgent as f64 / slots + ahead as f64 / (slots * open);
+        let wait = if floor > 0.0 { drained.min(ahead as f64 / (slots * floor)) } else { drained };
+        Micros((first + wait) as u64)
+    }
+
+    /// Brings credits and slot times up to date.
+    fn account(&mut self, now: Micros) {
+        let elapsed = now.saturating_sub(self.accounted).0;
+        if elapsed == 0 {
+            return;
+        }
+        self.accounted = now;
+        let busy = self.running.len() as u64 * elapsed;
+        let slots = f64::from(self.config.slots.max(1));
+        let weight = elapsed as f64 / (elapsed + SHARE_SMOOTHING.0) as f64;
+        for rank in Rank::ALL {
+            let floor = u64::from(self.config.ranks[rank].floor_percent);
+            let queue = &mut self.ranks[rank];
+            let used = u64::from(queue.running) * elapsed;
+            queue.slot_time += used;
+            queue.share += (f64::from(queue.running) / slots - queue.share) * weight;
+            let gain = i64::try_from(floor.saturating_mul(busy)).unwrap_or(i64::MAX);
+            let running = u64::from(queue.running).saturating_mul(now.0);
+            let oldest = running.saturating_sub(queue.started);
+            let debt = hundredths(queue.longest.max(oldest).max(LEAST_DEBT.0));
+            queue.credit = queue.credit.saturating_add(gain).saturating_sub(hundredths(used));
+            queue.credit = queue.credit.max(-debt);
+            if queue.waiting == 0 {
+                queue.credit = queue.credit.min(0);
+            }
+        }
+    }
+
+    /// Chooses the rank, lane and caller to serve next.
+    fn choose(&self, now: Micros) -> Option<(Rank, WorkLane, usize)> {
+        let mut order = Rank::ALL.map(|rank| {
+            let credit = self.ranks[rank].effective_credit(now).max(0);
+            (std::cmp::Reverse(credit), rank)
+        });
+        order.sort_unstable();
+        order.into_iter().find_map(|(_, rank)| {
+            let long_allowed = rank == Rank::Urgent || self.is_long_allowed();
+            let (lane, caller) = self.ranks[rank].next(long_allowed)?;
+            Some((rank, lane, caller))
+        })
+    }
+
+    /// Refuses the newest request of the caller with the most waiting requests of a rank. The caller
+    /// of the arriving request counts with that request.
+    fn make_room(&mut self, rank: Rank, arriving: &Name, limit: u32) -> Result<(), RefusalReason> {
+        let reason = RefusalReason::QueueFull { limit };
+        let queue = &mut self.ranks[rank];
+        let own = match queue.index.get(arriving) {
+            Some(index) => queue.caller(*index).new_count(),
+            None => 0,
+        };
+        let victim = match queue.queued.last() {
+            Some(&(count, index)) if count > own + 1 => {
+                let lanes = &queue.caller(index).lanes;
+                let newest = [WorkLane::NewShort, WorkLane::NewLong]
+                    .into_iter()
+                    .filter_map(|lane| lanes[lane as usize].last_key_value())
+                    .max();
+                newest.map(|(_, work)| *work)
+            }
+            _ => None,
+        };
+        let Some(work) = victim else {
+            queue.refused += 1;
+            return Err(reason);
+        };
+        self.remove_waiting(work);
+        self.refuse(work, rank, reason);
+        Ok(())
+    }
+
+    fn refuse(&mut self, work: WorkId, rank: Rank, reason: RefusalReason) {
+        self.ranks[rank].refused += 1;
+        self.refused.push((work, reason));
+    }
+
+    fn remove_waiting(&mut self, work: WorkId) -> Option<WaitingWork> {
+        let waiting = self.waiting.remove(&work)?;
+        self.expiries.remove(&(waiting.start_by, work));
+        self.ranks[waiting.rank].take(&waiting);
+        Some(waiting)
     }
 }
