--- /dev/null
+++ b/crates/node/src/cluster.rs
@@ -0,0 +1,330 @@
+//! Cluster side: evidence and promotions of each cluster of which this node owns a database.
+
+use admit::WorkId;
+use failover::{
+    ClusterWatch, CommitId, LeaderView, Supervisor, SupervisorAction, SupervisorEvent, WatchAction,
+    WatchConfig, WatchEvent,
+};
+use member::rank_owners;
+use model::{ClusterConfig, Micros, Name, SocketAddress};
+
+use crate::Node;
+use crate::action::{LogLevel, NodeAction};
+use crate::event::PlatformAnswer;
+use crate::id::ReportId;
+use crate::record::{read_record, write_record};
+
+/// Time after which the purpose of an unanswered request is forgotten; the machines have long counted
+/// it as failed.
+const REQUEST_LIFE: Micros = Micros::from_secs(10);
+
+/// A watched cluster.
+#[derive(Debug)]
+pub(crate) struct ClusterDesk {
+    pub config: ClusterConfig,
+    pub watch: ClusterWatch,
+    pub supervisor: Supervisor,
+    /// When a confirmed round was last asked for work that waits for one.
+    pub asked_round: Option<(Micros, CommitId)>,
+}
+
+/// What a request on a report connection is for.
+#[derive(Debug)]
+pub(crate) struct ReportUse {
+    cluster: Name,
+    database: Name,
+    purpose: ReportPurpose,
+    asked: Micros,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum ReportPurpose {
+    Round(u64),
+    Fence,
+    Promote,
+    Follow,
+}
+
+impl ClusterDesk {
+    fn address(&self, database: &str) -> Option<SocketAddress> {
+        let mut databases = self.config.databases.iter();
+        databases.find(|config| &*config.name == database).map(|config| config.address)
+    }
+}
+
+impl Node {
+    /// Starts or updates the watch of a cluster.
+    pub(crate) fn configure_cluster(&mut self, config: &ClusterConfig) {
+        let databases: Vec<Name> =
+            config.databases.iter().map(|database| database.name.clone()).collect();
+        match self.clusters.get_mut(&config.name) {
+            Some(desk) => {
+                if desk.config != *config {
+                    desk.watch.set_databases(databases.clone());
+                    desk.supervisor.set_databases(databases);
+                    desk.config = config.clone();
+                }
+            }
+            None => {
+                let seed = self.random.next();
+                let desk = ClusterDesk {
+                    config: config.clone(),
+                    watch: ClusterWatch::new(WatchConfig::default(), databases.clone()),
+                    supervisor: Supervisor::new(self.settings.name.clone(), databases, seed),
+                    asked_round: None,
+                };
+                self.clusters.insert(config.name.clone(), desk);
+                // Starts the first round.
+                self.handle_watch(&config.name, WatchEvent::Timer);
+            }
+        }
+    }
+
+    /// Owners of the cluster's databases in the order in which they supervise it.
+    pub(crate) fn supervisors(&self, cluster: &ClusterConfig) -> Vec<Name> {
+        let mut owners: Vec<Name> = cluster
+            .databases
+            .iter()
+            .map(|database| self.members.owner_of(&database.name, &database.data_centre))
+            .collect();
+        owners.sort();
+        owners.dedup();
+        rank_owners(&cluster.name, owners)
+    }
+
+    pub(crate) fn handle_watch(&mut self, cluster: &Name, event: WatchEvent) {
+        let Some(desk) = self.clusters.get_mut(cluster) else { return };
+        let mut actions = Vec::new();
+        desk.watch.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.run_watch_action(cluster, action);
+        }
+    }
+
+    fn run_watch_action(&mut self, cluster: &Name, action: WatchAction) {
+        match action {
+            WatchAction::AskReport { database, round } => {
+                let purpose = ReportPurpose::Round(round);
+                self.ask_database(cluster, &database, purpose, |id, database, address| {
+                    NodeAction::AskReport { id, database, address }
+                });
+            }
+            WatchAction::Acknowledge { commit, floor } => self.acknowledged(commit, floor),
+            WatchAction::OutcomeUnknown { commit } => self.outcome_unknown(commit),
+            WatchAction::LeaderChanged { term, leader } => {
+                let text = format!("cluster {cluster} is led by {leader} in term {term}");
+                self.log(LogLevel::Info, text);
+                self.count("leaders.changed", 1);
+                self.leader_heard(cluster, &leader);
+                self.release_deposed(cluster, &leader);
+            }
+            WatchAction::PrimarySuspected { term } => {
+                let Some(desk) = self.clusters.get(cluster) else { return };
+                let supervisors = self.supervisors(&desk.config);
+                let place = supervisors.iter().position(|node| *node == self.settings.name);
+                if let Some(place) = place {
+                    let order = u32::try_from(place).unwrap_or(u32::MAX);
+                    let event = SupervisorEvent::PrimarySuspected { term, order };
+                    self.handle_supervisor(cluster, event);
+                }
+            }
+            WatchAction::SuspicionCleared => {
+                self.handle_supervisor(cluster, SupervisorEvent::SuspicionCleared);
+            }
+        }
+    }
+
+    /// Cancels reads that wait for a slot at the replaced primary as if it led; they are declined when
+    /// their turn comes, but by then their deadline may have passed.
+    fn release_deposed(&mut self, cluster: &Name, leader: &Name) {
+        let mut waiting: Vec<WorkId> = self
+            .owner
+            .works
+            .iter()
+            .filter(|(_, work)| work.pin.is_none() && !work.request.read)
+            .filter(|(_, work)| work.request.database != *leader)
+            .filter(|(_, work)| {
+                let desk = self.owner.desks.get(&work.request.database);
+                desk.is_some_and(|desk| desk.cluster == *cluster)
+            })
+            .filter(|(_, work)| work.connection.is_none() && !work.is_acknowledging())
+            .map(|(id, _)| *id)
+            .collect();
+        waiting.sort();
+        for id in waiting {
+            let reason = crate::work::DeclineReason::NotLeader { leader: Some(leader.clone()) };
+            self.decline_work(id, reason);
+        }
+    }
+
+    fn ask_database(
+        &mut self,
+        cluster: &Name,
+        database: &Name,
+        purpose: ReportPurpose,
+        action: impl FnOnce(ReportId, Name, SocketAddress) -> NodeAction,
+    ) {
+        let Some(address) = self.clusters.get(cluster).and_then(|desk| desk.address(database))
+        else {
+            return;
+        };
+        let id = ReportId(self.next_id());
+        let (cluster, asked) = (cluster.clone(), self.now);
+        let used = ReportUse { cluster, database: database.clone(), purpose, asked };
+        self.reports.insert(id, used);
+        self.emit(action(id, database.clone(), address));
+    }
+
+    pub(crate) fn handle_supervisor(&mut self, cluster: &Name, event: SupervisorEvent) {
+        let Some(desk) = self.clusters.get_mut(cluster) else { return };
+        let mut actions = Vec::new();
+        let before = desk.supervisor.step();
+        desk.supervisor.handle(self.now, event, &mut actions);
+        let after = desk.supervisor.step();
+        if before != after {
+            let text = format!("supervisor of cluster {cluster}: {before} to {after}");
+            self.log(LogLevel::Info, text);
+        }
+        for action in actions {
+            self.run_supervisor_action(cluster, action);
+        }
+    }
+
+    fn run_supervisor_action(&mut self, cluster: &Name, action: SupervisorAction) {
+        match action {
+            SupervisorAction::AskViews => {
+                let Some(desk) = self.clusters.get(cluster) else { return };
+                for name in self.supervisors(&desk.config) {
+                    if name == self.settings.name {
+                        continue;
+                    }
+                    match self.members.member(&name).cloned() {
+                        Some(to) => {
+                            self.emit(NodeAction::AskView { to, cluster: cluster.clone() });
+                        }
+                        None => {
+                            let event = SupervisorEvent::ViewArrived { from: name, view: None };
+                            self.handle_supervisor(cluster, event);
+                        }
+                    }
+                }
+            }
+            SupervisorAction::ReadRecord => {
+                self.emit(NodeAction::ReadRecord { cluster: cluster.clone() });
+            }
+            SupervisorAction::WriteRecord { expected_index, record } => {
+                let bytes = write_record(&record).into();
+                let cluster = cluster.clone();
+                self.emit(NodeAction::WriteRecord { cluster, expected_index, bytes });
+            }
+            SupervisorAction::Fence { database, term, by } => {
+                self.ask_database(cluster, &database, ReportPurpose::Fence, |id, database, at| {
+                    NodeAction::AskFence { id, database, address: at, term, by }
+                });
+            }
+            SupervisorAction::Promote { database, term } => {
+                self.log(
+                    LogLevel::Warn,
+                    format!("promoting {database} to primary of cluster {cluster} in term {term}"),
+                );
+                self.count("promotions.ordered", 1);
+                self.ask_database(
+                    cluster,
+                    &database,
+                    ReportPurpose::Promote,
+                    |id, database, at| NodeAction::AskPromote { id, database, address: at, term },
+                );
+            }
+            SupervisorAction::Follow { database, term, leader } => {
+                self.ask_database(cluster, &database, ReportPurpose::Follow, |id, database, at| {
+                    NodeAction::AskFollow { id, database, address: at, term, leader }
+                });
+            }
+        }
+    }
+
+    pub(crate) fn report_arrived(&mut self, id: ReportId, report: failover::DatabaseReport) {
+        let Some(used) = self.reports.remove(&id) else { return };
+        if let ReportPurpose::Round(round) = used.purpose {
+            let event = WatchEvent::ReportArrived { database: used.database, round, report };
+            self.handle_watch(&used.cluster, event);
+        }
+    }
+
+    pub(crate) fn fence_answered(
+        &mut self,
+        id: ReportId,
+        accepted: bool,
+        report: failover::DatabaseReport,
+    ) {
+        let Some(used) = self.reports.remove(&id) else { return };
+        let event = SupervisorEvent::Fenced { database: used.database, accepted, report };
+        self.handle_supervisor(&used.cluster, event);
+    }
+
+    pub(crate) fn promote_answered(&mut self, id: ReportId, start: model::LogPosition) {
+        let Some(used) = self.reports.remove(&id) else { return };
+        let event = SupervisorEvent::Promoted { database: used.database, start };
+        self.handle_supervisor(&used.cluster, event);
+    }
+
+    pub(crate) fn report_failed(&mut self, id: ReportId) {
+        let Some(used) = self.reports.remove(&id) else { return };
+        let database = used.database;
+        match used.purpose {
+            ReportPurpose::Round(round) => {
+                self.handle_watch(&used.cluster, WatchEvent::ReportFailed { database, round });
+            }
+            ReportPurpose::Fence | ReportPurpose::Promote => {
+                self.handle_supervisor(&used.cluster, SupervisorEvent::DatabaseFailed { database });
+            }
+            // The database follows at the next promotion or by its own team's tool.
+            ReportPurpose::Follow => self.count("follows.failed", 1),
+        }
+    }
+
+    /// Answers of the platform about a cluster's record.
+    pub(crate) fn record_answered(&mut self, answer: PlatformAnswer) {
+        let (cluster, event) = match answer {
+            PlatformAnswer::RecordRead { cluster, bytes, index } => {
+                let record = bytes.as_deref().and_then(read_record);
+                if bytes.is_some() && record.is_none() {
+                    let text = format!("the record of cluster {cluster} cannot be read");
+                    self.log(LogLevel::Error, text);
+                }
+                (cluster, SupervisorEvent::RecordRead { record, index })
+            }
+            PlatformAnswer::RecordWritten { cluster, applied } => {
+                (cluster, SupervisorEvent::RecordWritten { applied })
+            }
+            PlatformAnswer::RecordFailed { cluster } => (cluster, SupervisorEvent::PlatformFailed),
+            PlatformAnswer::Document { .. } | PlatformAnswer::VmList(_) => return,
+        };
+        self.handle_supervisor(&cluster, event);
+    }
+
+    pub(crate) fn view_answered(&mut self, cluster: &Name, from: Name, view: Option<LeaderView>) {
+        self.handle_supervisor(cluster, SupervisorEvent::ViewArrived { from, view });
+    }
+
+    /// Runs the timers of watches and supervisors that are due.
+    pub(crate) fn cluster_timers(&mut self) {
+        let now = self.now;
+        let names: Vec<Name> = self.clusters.keys().cloned().collect();
+        for name in names {
+            let due = |next: Option<Micros>| next.is_some_and(|next| next <= now);
+            if self.clusters.get(&name).is_some_and(|desk| due(desk.watch.next_timer())) {
+                self.handle_watch(&name, WatchEvent::Timer);
+            }
+            if self.clusters.get(&name).is_some_and(|desk| due(desk.supervisor.next_timer())) {
+                self.handle_supervisor(&name, SupervisorEvent::Timer);
+            }
+        }
+    }
+
+    /// Forgets requests that the shell never answered.
+    pub(crate) fn forget_reports(&mut self) {
+        let oldest = self.now.saturating_sub(REQUEST_LIFE);
+        self.reports.retain(|_, used| used.asked >= oldest);
+    }
+}
--- /dev/null
+++ b/crates/node/src/drain.rs
@@ -0,0 +1,102 @@
+//! Graceful shutdown: no new sessions, requests in flight finish, idle sessions end.
+
+use member::MemberEvent;
+use model::Micros;
+
+use crate::Node;
+use crate::action::{LogLevel, NodeAction};
+use crate::id::SessionId;
+use crate::owner::PinKey;
+use crate::work::ErrorReply;
+
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) enum DrainState {
+    #[default]
+    Serving,
+    Draining {
+        /// When what is left is ended by force.
+        until: Micros,
+    },
+    Complete,
+}
+
+impl DrainState {
+    pub(crate) fn is_draining(self) -> bool {
+        !matches!(self, DrainState::Serving)
+    }
+
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            DrainState::Serving => "serving",
+            DrainState::Draining { .. } => "draining",
+            DrainState::Complete => "complete",
+        }
+    }
+}
+
+fn shutdown_error() -> ErrorReply {
+    let message = "terminating connection: the proxy is shutting down".to_string();
+    ErrorReply { code: "57P01".into(), message }
+}
+
+impl Node {
+    pub(crate) fn begin_drain(&mut self) {
+        if self.drain.is_draining() {
+            return;
+        }
+        self.drain = DrainState::Draining { until: self.now + self.settings.drain_timeout };
+        self.log(LogLevel::Info, "shutting down".to_string());
+        self.handle_member(MemberEvent::Leave);
+        let mut sessions: Vec<SessionId> = self.sessions.keys().copied().collect();
+        sessions.sort();
+        for id in sessions {
+            self.close_if_draining(id);
+        }
+    }
+
+    /// Closes an idle session while the node shuts down.
+    pub(crate) fn close_if_draining(&mut self, id: SessionId) {
+        if !self.drain.is_draining() {
+            return;
+        }
+        let idle = self
+            .sessions
+            .get(&id)
+            .is_some_and(|session| session.request.is_none() && session.transaction.is_none());
+        if idle {
+            self.sessions.remove(&id);
+            self.emit(NodeAction::CloseSession { session: id, error: Some(shutdown_error()) });
+        }
+    }
+
+    /// Tells the shell once all work is finished, or the time for it is over.
+    pub(crate) fn check_drained(&mut self) {
+        let DrainState::Draining { until } = self.drain else { return };
+        let overdue = self.now >= until;
+        if overdue {
+            self.end_by_force();
+        }
+        let done = self.sessions.is_empty()
+            && self.owner.works.is_empty()
+            && self.owner.pins.is_empty()
+            && self.entry.calls.is_empty();
+        if done || overdue {
+            self.drain = DrainState::Complete;
+            self.emit(NodeAction::ShutdownComplete);
+        }
+    }
+
+    fn end_by_force(&mut self) {
+        let mut sessions: Vec<SessionId> = self.sessions.keys().copied().collect();
+        sessions.sort();
+        for id in sessions {
+            self.count("sessions.ended_by_force", 1);
+            self.emit(NodeAction::CloseSession { session: id, error: Some(shutdown_error()) });
+            self.close_session(id);
+        }
+        let pins: Vec<PinKey> = self.owner.pins.keys().copied().collect();
+        for key in pins {
+            self.close_pin(key, "the proxy is shutting down");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,270 @@
+//! Documents, the active configuration, and membership.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use config::{ChangeEnvelope, DocumentOffer, DocumentStore, parse_fleet};
+use member::{Heartbeat, MemberAction, MemberEvent, PlatformVm};
+use model::{FleetConfig, Name};
+use route::{SelectorTable, TokenKey, TokenKeys};
+use serde::Deserialize;
+
+use crate::Node;
+use crate::action::{LogLevel, NodeAction};
+
+/// Document with the operators' configuration.
+pub(crate) const CONFIG: &str = "config";
+/// Document with the keys that session tokens are signed with.
+pub(crate) const TOKEN_KEYS: &str = "token-keys";
+/// Prefix of the platform's keys.
+const KEY_PREFIX: &str = "cicadawick/";
+
+/// What the node holds and what is active of it.
+#[derive(Default)]
+pub(crate) struct FleetState {
+    pub documents: DocumentStore,
+    pub active: Option<Arc<FleetConfig>>,
+    pub selectors: SelectorTable,
+    pub keys: TokenKeys,
+    /// A held revision that cannot be activated.
+    pub rejected: Option<u64>,
+}
+
+impl std::fmt::Debug for FleetState {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        // Secrets stay out of logs.
+        formatter.debug_struct("FleetState").field("revision", &self.revision()).finish()
+    }
+}
+
+impl FleetState {
+    /// Revision of the active configuration; 0 before the first.
+    pub(crate) fn revision(&self) -> u64 {
+        self.active.as_ref().map_or(0, |fleet| fleet.revision)
+    }
+}
+
+/// A document of token keys: a list, or an object with a revision and a list.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum KeysText {
+    List(Vec<KeyText>),
+    Revised { revision: u64, keys: Vec<KeyText> },
+}
+
+#[derive(Deserialize)]
+struct KeyText {
+    id: u32,
+    secret: String,
+}
+
+impl KeyText {
+    fn read(&self) -> Option<TokenKey> {
+        let digits = self.secret.as_bytes();
+        if digits.len() != 64 {
+            return None;
+        }
+        let mut secret = [0; 32];
+        for (byte, pair) in secret.iter_mut().zip(digits.chunks_exact(2)) {
+            let high = char::from(pair[0]).to_digit(16)?;
+            let low = char::from(pair[1]).to_digit(16)?;
+            *byte = u8::try_from(high * 16 + low).ok()?;
+        }
+        Some(TokenKey { id: self.id, secret })
+    }
+}
+
+impl KeysText {
+    /// A plain list has no revision; its highest id stands for one, because keys are only ever added
+    /// with a higher id.
+    fn revision(&self) -> u64 {
+        match self {
+            KeysText::List(keys) => keys.iter().map(|key| u64::from(key.id)).max().unwrap_or(0),
+            KeysText::Revised { revision, .. } => *revision,
+        }
+    }
+
+    fn keys(&self) -> Option<TokenKeys> {
+        let (KeysText::List(keys) | KeysText::Revised { keys, .. }) = self;
+        keys.iter().map(KeyText::read).collect::<Option<Vec<_>>>().map(TokenKeys)
+    }
+}
+
+impl Node {
+    /// A document arrived from the platform, where its key has a prefix.
+    pub(crate) fn platform_document(&mut self, document: &str, bytes: Option<&[u8]>) {
+        let document = document.strip_prefix(KEY_PREFIX).unwrap_or(document);
+        let Some(bytes) = bytes else { return };
+        let revision = match document {
+            CONFIG => ChangeEnvelope::from_bytes(bytes).ok().map(|envelope| envelope.revision),
+            TOKEN_KEYS => serde_json::from_slice(bytes).ok().map(|keys: KeysText| keys.revision()),
+            _ => None,
+        };
+        match revision {
+            Some(revision) => self.offer_document(&document.into(), revision, bytes),
+            None => {
+                self.count("documents.unreadable", 1);
+                let text = format!("document {document} at the platform cannot be read");
+                self.log(LogLevel::Error, text);
+            }
+        }
+    }
+
+    /// Takes a document if its revision is higher than the one held.
+    pub(crate) fn offer_document(&mut self, document: &Name, revision: u64, bytes: &[u8]) {
+        if &**document != CONFIG && &**document != TOKEN_KEYS {
+            return;
+        }
+        match self.fleet.documents.offer(document, revision, bytes) {
+            DocumentOffer::Newer => {
+                if &**document == CONFIG {
+                    self.activate_config(revision, bytes);
+                } else {
+                    self.activate_keys(revision, bytes);
+                }
+                let event = MemberEvent::DocumentHeld { document: document.clone(), revision };
+                self.handle_member(event);
+            }
+            DocumentOffer::Same => {}
+            DocumentOffer::Older => self.count("documents.older", 1),
+        }
+    }
+
+    fn activate_config(&mut self, revision: u64, bytes: &[u8]) {
+        let parsed = ChangeEnvelope::from_bytes(bytes).map_err(|error| error.to_string()).and_then(
+            |envelope| {
+                parse_fleet(CONFIG, &envelope.text, revision)
+                    .map_err(|errors| errors.first().map(ToString::to_string).unwrap_or_default())
+            },
+        );
+        match parsed {
+            Ok(config) => {
+                self.fleet.selectors = SelectorTable::compile(&config);
+                self.fleet.active = Some(Arc::new(config));
+                self.fleet.rejected = None;
+                self.count("configurations.activated", 1);
+                self.log(LogLevel::Info, format!("configuration {revision} is active"));
+                self.sync_owned();
+            }
+            Err(reason) => {
+                self.fleet.rejected = Some(revision);
+                self.count("configurations.rejected", 1);
+                let text = format!("failed to activate configuration {revision}: {reason}");
+                self.log(LogLevel::Error, text);
+            }
+        }
+    }
+
+    fn activate_keys(&mut self, revision: u64, bytes: &[u8]) {
+        let keys = serde_json::from_slice::<KeysText>(bytes).ok().and_then(|text| text.keys());
+        match keys {
+            Some(keys) => self.fleet.keys = keys,
+            None => {
+                self.count("documents.unreadable", 1);
+                let text = format!("failed to activate token keys {revision}");
+                self.log(LogLevel::Error, text);
+            }
+        }
+    }
+
+    /// Brings desks and watches in line with the configuration and the members.
+    pub(crate) fn sync_owned(&mut self) {
+        let Some(fleet) = self.fleet.active.clone() else { return };
+        let own = self.settings.name.clone();
+        let mut owned = BTreeSet::new();
+        for cluster in &fleet.clusters {
+            let owners = self.supervisors(cluster).len();
+            let owners = u32::try_from(owners).unwrap_or(u32::MAX);
+            let mut watched = false;
+            for database in &cluster.databases {
+                let owner = self.members.owner_of(&database.name, &database.data_centre);
+                if owner == own {
+                    owned.insert(database.name.clone());
+                    watched = true;
+                    self.configure_desk(cluster, database, true, owners);
+                }
+            }
+            if watched || self.clusters.contains_key(&cluster.name) {
+                self.configure_cluster(cluster);
+            }
+        }
+        let mut retired: Vec<Name> = self.owner.desks.keys().cloned().collect();
+        retired.retain(|database| !owned.contains(database));
+        retired.sort();
+        for database in retired {
+            self.retire_desk(&database);
+        }
+        self.entry.hints.retain(|database| fleet.database(database).is_some());
+        self.trim_pools();
+        self.forget_clusters();
+    }
+
+    /// Drops the watch of each cluster of which no desk is left.
+    pub(crate) fn forget_clusters(&mut self) {
+        let desks = &self.owner.desks;
+        self.clusters.retain(|name, _| desks.values().any(|desk| desk.cluster == *name));
+    }
+
+    pub(crate) fn handle_member(&mut self, event: MemberEvent) {
+        let mut actions = Vec::new();
+        self.members.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                MemberAction::SendHeartbeat { to, heartbeat } => {
+                    self.emit(NodeAction::SendHeartbeat { to, heartbeat });
+                }
+                MemberAction::PullTable { from } => self.emit(NodeAction::PullTable { from }),
+                MemberAction::PullDocument { from, document } => {
+                    self.emit(NodeAction::PullDocument { from, document });
+                }
+                MemberAction::OwnersChanged => {
+                    self.count("owners.changed", 1);
+                    self.sync_owned();
+                }
+                MemberAction::MemberLost(name) => self.member_lost(&name),
+            }
+        }
+        self.update_watcher();
+    }
+
+    /// A heartbeat's answer; from a node that is not a member yet, it is an answer to a peer of the
+    /// settings.
+    pub(crate) fn heartbeat_answered(&mut self, heartbeat: Heartbeat) {
+        let event = match self.members.member(&heartbeat.from.name).is_some() {
+            true => MemberEvent::HeartbeatAnswered(heartbeat),
+            false => MemberEvent::PeerFound(heartbeat),
+        };
+        self.handle_member(event);
+    }
+
+    pub(crate) fn vm_list(&mut self, rows: Vec<PlatformVm>) {
+        self.handle_member(MemberEvent::VmListArrived(rows));
+    }
+
+    fn member_lost(&mut self, name: &Name) {
+        self.count("members.lost", 1);
+        self.log(LogLevel::Warn, format!("node {name} is gone"));
+        self.release_peer(name);
+        let mut calls: Vec<_> = self
+            .entry
+            .calls
+            .iter()
+            .filter(|(_, call)| call.to == *name)
+            .map(|(id, _)| *id)
+            .collect();
+        calls.sort();
+        for call in calls {
+            self.forward_failed(call, true);
+        }
+    }
+
+    /// Starts or stops the platform's watches as this node becomes, or no longer is, the watcher.
+    pub(crate) fn update_watcher(&mut self) {
+        let watcher = self.members.watcher_of(&self.settings.data_centre);
+        let watching = watcher.as_ref() == Some(&self.settings.name);
+        if watching != self.watching {
+            self.watching = watching;
+            self.emit(NodeAction::WatchPlatform(watching));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/frames.rs
@@ -0,0 +1,144 @@
+//! PostgreSQL message frames that a node reads or makes itself.
+//!
+//! Answers of backend servers never pass through the node. It makes the few frames of session
+//! commands, of recorded outcomes and of its own queries, and walks the messages of a request to
+//! answer each of them.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use sha2::{Digest, Sha256};
+
+use crate::work::{CallerRequest, RequestKind};
+
+/// An answer that the proxy makes itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum OwnAnswer<'a> {
+    Complete { tag: &'a str },
+    Row { column: &'a str, value: &'a str },
+    EmptyQuery,
+}
+
+const TEXT_TYPE: u32 = 25;
+
+/// Makes a `Query` message.
+pub(crate) fn simple_query(text: &str) -> Bytes {
+    let mut frames = BytesMut::new();
+    put_message(&mut frames, b'Q', |body| put_text(body, text));
+    frames.freeze()
+}
+
+/// Makes the messages that answer a request, without `ReadyForQuery`.
+pub(crate) fn own_answer(request: &CallerRequest, answer: OwnAnswer<'_>) -> Bytes {
+    let mut frames = BytesMut::new();
+    match request.kind {
+        RequestKind::Simple => {
+            if let OwnAnswer::Row { column, .. } = answer {
+                put_description(&mut frames, column);
+            }
+            put_result(&mut frames, answer);
+        }
+        RequestKind::Extended => {
+            for (kind, body) in messages(&request.frames) {
+                match kind {
+                    b'P' => put_message(&mut frames, b'1', |_| {}),
+                    b'B' => put_message(&mut frames, b'2', |_| {}),
+                    b'C' => put_message(&mut frames, b'3', |_| {}),
+                    b'D' => {
+                        if body.first() == Some(&b'S') {
+                            put_message(&mut frames, b't', |body| body.put_u16(0));
+                        }
+                        match answer {
+                            OwnAnswer::Row { column, .. } => put_description(&mut frames, column),
+                            _ => put_message(&mut frames, b'n', |_| {}),
+                        }
+                    }
+                    b'E' => put_result(&mut frames, answer),
+                    _ => {}
+                }
+            }
+        }
+    }
+    frames.freeze()
+}
+
+/// Tells whether a request executes a statement, or only prepares and describes some.
+pub(crate) fn executes(request: &CallerRequest) -> bool {
+    request.kind == RequestKind::Simple || messages(&request.frames).any(|(kind, _)| kind == b'E')
+}
+
+/// Returns a hash over the statement text and all bound values, in hexadecimal. The messages as a
+/// whole would not do: whether a `Parse` is among them depends on the connection.
+pub(crate) fn statement_hash(request: &CallerRequest) -> String {
+    let mut hash = Sha256::new();
+    hash.update(request.text.as_bytes());
+    if request.kind == RequestKind::Extended {
+        for (_, body) in messages(&request.frames).filter(|(kind, _)| *kind == b'B') {
+            hash.update((body.len() as u64).to_be_bytes());
+            hash.update(body);
+        }
+    }
+    hash.finalize().iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Quotes a text as an SQL constant that reads the same under every setting of
+/// `standard_conforming_strings`.
+pub(crate) fn quote_text(text: &str) -> String {
+    let doubled = text.replace('\0', "").replace('\'', "''");
+    match doubled.contains('\\') {
+        true => format!("E'{}'", doubled.replace('\\', "\\\\")),
+        false => format!("'{doubled}'"),
+    }
+}
+
+/// Splits frames into message types and bodies; stops at a frame that is cut off.
+fn messages(frames: &[u8]) -> impl Iterator<Item = (u8, &[u8])> {
+    let mut rest = frames;
+    std::iter::from_fn(move || {
+        let (kind, after) = rest.split_first()?;
+        let (length, body) = after.split_first_chunk::<4>()?;
+        let length = usize::try_from(u32::from_be_bytes(*length)).ok()?.checked_sub(4)?;
+        let (body, next) = body.split_at_checked(length)?;
+        rest = next;
+        Some((*kind, body))
+    })
+}
+
+fn put_message(frames: &mut BytesMut, kind: u8, fill: impl FnOnce(&mut BytesMut)) {
+    let mut body = BytesMut::new();
+    fill(&mut body);
+    frames.put_u8(kind);
+    frames.put_u32(body.len() as u32 + 4);
+    frames.extend_from_slice(&body);
+}
+
+fn put_text(body: &mut BytesMut, text: &str) {
+    body.extend(text.bytes().filter(|byte| *byte != 0));
+    body.put_u8(0);
+}
+
+fn put_description(frames: &mut BytesMut, column: &str) {
+    put_message(frames, b'T', |body| {
+        body.put_u16(1);
+        put_text(body, column);
+        body.put_u32(0);
+        body.put_u16(0);
+        body.put_u32(TEXT_TYPE);
+        body.put_i16(-1);
+        body.put_i32(-1);
+        body.put_u16(0);
+    });
+}
+
+fn put_result(frames: &mut BytesMut, answer: OwnAnswer<'_>) {
+    match answer {
+        OwnAnswer::EmptyQuery => put_message(frames, b'I', |_| {}),
+        OwnAnswer::Complete { tag } => put_message(frames, b'C', |body| put_text(body, tag)),
+        OwnAnswer::Row { value, .. } => {
+            put_message(frames, b'D', |body| {
+                body.put_u16(1);
+                body.put_u32(value.len() as u32);
+                body.extend_from_slice(value.as_bytes());
+            });
+            put_message(frames, b'C', |body| put_text(body, "SHOW"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/keyed.rs
@@ -0,0 +1,303 @@
+//! Writes with a request key.
+//!
+//! The key, the statement and its outcome are one transaction, so that a repeat finds either all of
+//! them or none. Concurrent repeats meet in the table's primary key. Each step is a run of its own on
+//! one connection; the statement's answer is held until the commit is acknowledged as durable.
+
+use admit::{ConnectionId, WorkId};
+use stats::CallerMeasure;
+
+use crate::Node;
+use crate::action::{NodeAction, RelayMode};
+use crate::frames::{quote_text, simple_query, statement_hash};
+use crate::id::RunId;
+use crate::owner::WorkStage;
+use crate::work::{DeclineReason, ErrorReply, RunSummary, TransactionState, WorkReply};
+
+const CREATE_TABLE: &str = "CREATE TABLE IF NOT EXISTS cicadawick_requests (request_key text, \
+    caller text, statement_hash text, outcome text, PRIMARY KEY (request_key, caller))";
+
+const DUPLICATE_KEY: &str = "23505";
+const READ_ONLY: &str = "25006";
+
+/// The run in progress of keyed work.
+#[derive(Debug)]
+pub(crate) enum KeyStep {
+    CreateTable,
+    Insert,
+    Statement,
+    /// The outcome is being recorded, outside a transaction of the caller together with the COMMIT.
+    Record {
+        statement: RunId,
+        transaction: TransactionState,
+    },
+    /// The transaction is being rolled back, before `then`.
+    RollBack {
+        then: AfterRollBack,
+    },
+    Lookup,
+    /// The recorded tag waits for its acknowledgement.
+    Recorded {
+        tag: String,
+    },
+}
+
+#[derive(Debug)]
+pub(crate) enum AfterRollBack {
+    Lookup,
+    /// Relay the statement's own error.
+    Relay(RunId),
+    Fail(ErrorReply),
+    Decline,
+}
+
+impl KeyStep {
+    pub(crate) fn recorded_tag(self) -> Option<String> {
+        match self {
+            KeyStep::Recorded { tag } => Some(tag),
+            _ => None,
+        }
+    }
+}
+
+impl Node {
+    /// Starts with the key, after making the table if this term has not seen it yet.
+    pub(crate) fn start_keyed(&mut self, id: WorkId, connection: ConnectionId) {
+        let Some(work) = self.owner.works.get(&id) else { return };
+        let ready = self.key_table_ready(&work.request.database, work.term);
+        // A caller's transaction must not make the table: its rollback would take the table along.
+        match ready || work.pin.is_some() {
+            true => self.insert_key(id, connection),
+            false => self.key_run(id, connection, KeyStep::CreateTable, CREATE_TABLE),
+        }
+    }
+
+    fn key_run(&mut self, id: WorkId, connection: ConnectionId, step: KeyStep, text: &str) {
+        if let Some(work) = self.owner.works.get_mut(&id) {
+            work.key = Some(step);
+        }
+        self.send_run(id, connection, simple_query(text), RelayMode::Collect);
+    }
+
+    fn insert_key(&mut self, id: WorkId, connection: ConnectionId) {
+        let Some(work) = self.owner.works.get(&id) else { return };
+        let begin = if work.pin.is_some() { "" } else { "BEGIN; " };
+        let (key, caller, hash) = self.key_values(id);
+        let text = format!(
+            "{begin}INSERT INTO cicadawick_requests (request_key, caller, statement_hash) \
+             VALUES ({key}, {caller}, '{hash}')"
+        );
+        self.key_run(id, connection, KeyStep::Insert, &text);
+    }
+
+    /// Key and caller as SQL constants, and the hash of the statement.
+    fn key_values(&self, id: WorkId) -> (String, String, String) {
+        let Some(work) = self.owner.works.get(&id) else { return Default::default() };
+        let key = work.request.request_key.as_deref().unwrap_or_default();
+        (quote_text(key), quote_text(&work.request.user), statement_hash(&work.request.request))
+    }
+
+    fn run_statement(&mut self, id: WorkId, connection: ConnectionId) {
+        let Some(work) = self.owner.works.get_mut(&id) else { return };
+        work.key = Some(KeyStep::Statement);
+        let Some(target) = work.target() else { return };
+        let mode = match work.pin {
+            Some(_) => RelayMode::Stream(target),
+            None => RelayMode::Hold(target),
+        };
+        let frames = work.request.request.frames.clone();
+        self.send_run(id, connection, frames, mode);
+    }
+
+    fn record_outcome(
+        &mut self,
+        id: WorkId,
+        connection: ConnectionId,
+        statement: RunId,
+        summary: &RunSummary,
+    ) {
+        let pinned = self.owner.works.get(&id).is_some_and(|work| work.pin.is_some());
+        let (key, caller, _) = self.key_values(id);
+        let tag = quote_text(summary.command_tag.as_deref().unwrap_or_default());
+        let commit = if pinned { "" } else { "; COMMIT" };
+        let text = format!(
+            "UPDATE cicadawick_requests SET outcome = {tag} \
+             WHERE request_key = {key} AND caller = {caller}{commit}"
+        );
+        let step = KeyStep::Record { statement, transaction: summary.transaction };
+        self.key_run(id, connection, step, &text);
+    }
+
+    fn look_up(&mut self, id: WorkId, connection: ConnectionId) {
+        let (key, caller, _) = self.key_values(id);
+        let text = format!(
+            "SELECT outcome, statement_hash FROM cicadawick_requests \
+             WHERE request_key = {key} AND caller = {caller}"
+        );
+        self.key_run(id, connection, KeyStep::Lookup, &text);
+    }
+
+    fn roll_back_key(&mut self, id: WorkId, connection: ConnectionId, then: AfterRollBack) {
+        self.key_run(id, connection, KeyStep::RollBack { then }, "ROLLBACK");
+    }
+
+    /// A run of keyed work ended.
+    pub(crate) fn keyed_finished(
+        &mut self,
+        id: WorkId,
+        connection: ConnectionId,
+        run: RunId,
+        summary: RunSummary,
+    ) {
+        let Some(work) = self.owner.works.get_mut(&id) else { return };
+        let pinned = work.pin.is_some();
+        let (database, term) = (work.request.database.clone(), work.term);
+        let Some(step) = work.key.take() else { return };
+        let code = summary.error.as_ref().map(|error| error.code.to_string());
+        let state = summary.transaction;
+        match (step, summary.error.clone()) {
+            (KeyStep::CreateTable, Some(error)) if &*error.code == READ_ONLY => {
+                self.end_keyed(id, connection, state);
+                self.decline_work(id, DeclineReason::NotLeader { leader: None });
+            }
+            (KeyStep::CreateTable, _) => {
+                // Two owners that make the table at once: one fails, and the table is there. If it is
+                // not, the insert says so.
+                if let Some(desk) = self.owner.desks.get_mut(&database) {
+                    desk.key_table = Some(term);
+                }
+                self.insert_key(id, connection);
+            }
+            (KeyStep::Insert, None) => self.run_statement(id, connection),
+            (KeyStep::Insert, Some(error)) if pinned => {
+                self.reply_keyed_error(id, connection, state, error);
+            }
+            (KeyStep::Insert, Some(error)) => {
+                let then = match code.as_deref() {
+                    Some(DUPLICATE_KEY) => AfterRollBack::Lookup,
+                    Some(READ_ONLY) => AfterRollBack::Decline,
+                    _ => {
+                        if let Some(desk) = self.owner.desks.get_mut(&database) {
+                            desk.key_table = None;
+                        }
+                        AfterRollBack::Fail(error)
+                    }
+                };
+                self.roll_back_key(id, connection, then);
+            }
+            (KeyStep::Statement, None) => self.record_outcome(id, connection, run, &summary),
+            (KeyStep::Statement, Some(_)) if pinned => {
+                self.end_keyed(id, connection, state);
+                self.finish_work(id, state, None);
+            }
+            (KeyStep::Statement, Some(_)) => {
+                self.roll_back_key(id, connection, AfterRollBack::Relay(run));
+            }
+            (KeyStep::Record { transaction, .. }, None) if pinned => {
+                self.end_keyed(id, connection, state);
+                self.finish_work(id, transaction, None);
+            }
+            (KeyStep::Record { statement, .. }, None) => {
+                self.end_keyed(id, connection, state);
+                self.await_acknowledgement(id, Some(statement), term, true);
+            }
+            (KeyStep::Record { statement, .. }, Some(error)) => {
+                // The COMMIT failed, for example at a deferred constraint: nothing is left.
+                self.emit(NodeAction::Discard { run: statement });
+                self.reply_keyed_error(id, connection, state, error);
+            }
+            (KeyStep::RollBack { then }, _) => self.rolled_back(id, connection, state, then),
+            (KeyStep::Lookup, Some(error)) => {
+                self.reply_keyed_error(id, connection, state, error);
+            }
+            (KeyStep::Lookup, None) => self.looked_up(id, connection, &summary),
+            (KeyStep::Recorded { .. }, _) => {}
+        }
+    }
+
+    fn rolled_back(
+        &mut self,
+        id: WorkId,
+        connection: ConnectionId,
+        state: TransactionState,
+        then: AfterRollBack,
+    ) {
+        match then {
+            AfterRollBack::Lookup => self.look_up(id, connection),
+            AfterRollBack::Relay(run) => {
+                self.end_keyed(id, connection, state);
+                self.emit(NodeAction::Relay { run });
+                self.finish_work(id, state, None);
+            }
+            AfterRollBack::Fail(error) => self.reply_keyed_error(id, connection, state, error),
+            AfterRollBack::Decline => {
+                self.end_keyed(id, connection, state);
+                self.decline_work(id, DeclineReason::NotLeader { leader: None });
+            }
+        }
+    }
+
+    fn looked_up(&mut self, id: WorkId, connection: ConnectionId, summary: &RunSummary) {
+        let (_, _, hash) = self.key_values(id);
+        match summary.first_row.as_slice() {
+            [outcome, recorded] if recorded.as_deref() == Some(hash.as_str()) => {
+                let tag = outcome.clone().unwrap_or_else(|| "OK".to_string());
+                self.end_keyed(id, connection, summary.transaction);
+                let Some(work) = self.owner.works.get_mut(&id) else { return };
+                work.key = Some(KeyStep::Recorded { tag });
+                let (caller, rank, term) =
+                    (work.request.caller.clone(), work.request.rank, work.term);
+                self.accounts.count(self.now, &caller, rank, CallerMeasure::RepeatedKeys, 1);
+                self.count("keys.repeated", 1);
+                // The first run may never have been acknowledged, so its repeat has to be.
+                self.await_acknowledgement(id, None, term, true);
+            }
+            [_, _] => {
+                let message = "the request key belongs to another statement".to_string();
+                let error = ErrorReply { code: "22023".into(), message };
+                self.reply_keyed_error(id, connection, summary.transaction, error);
+            }
+            // The row was there and is gone: it was deleted in between, so the key is free again.
+            _ => self.insert_key(id, connection),
+        }
+    }
+
+    /// Gives slot and connection back after the last run.
+    fn end_keyed(&mut self, id: WorkId, connection: ConnectionId, state: TransactionState) {
+        if let Some(work) = self.owner.works.get_mut(&id) {
+            work.key = None;
+        }
+        self.settle_connection(id, connection, state);
+        self.release_slot(id);
+    }
+
+    fn reply_keyed_error(
+        &mut self,
+        id: WorkId,
+        connection: ConnectionId,
+        state: TransactionState,
+        error: ErrorReply,
+    ) {
+        self.end_keyed(id, connection, state);
+        let reply = WorkReply::Recorded {
+            command_tag: None,
+            error: Some(error),
+            transaction: state,
+            floor: None,
+        };
+        self.reply_work(id, reply);
+    }
+
+    /// The statement's run whose held answer nobody will decide on any more.
+    pub(crate) fn held_statement(&self, id: WorkId) -> Option<RunId> {
+        let work = self.owner.works.get(&id)?;
+        if !matches!(work.stage, WorkStage::Running { .. }) {
+            return None;
+        }
+        match &work.key {
+            Some(KeyStep::Record { statement, .. }) if work.pin.is_none() => Some(*statement),
+            Some(KeyStep::RollBack { then: AfterRollBack::Relay(run) }) => Some(*run),
+            _ => None,
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,11 +9,39 @@
 //! has dispatched a run, and tells the node only of the first byte and the end, at which the node
 //! decides whether to relay, discard or hold.
 
+//! [`NodeEvent`] is dispatched to the area that it concerns: `session` and `entry` for callers, `owner`,
+//! `run`, `keyed` and `proof` for databases that this node owns, `cluster` for evidence and promotions,
+//! `fleet` for documents and membership. What an event causes elsewhere is queued as a step and done
+//! before [`Node::handle`] returns.
+
 mod action;
+mod cluster;
+mod drain;
+mod entry;
 mod event;
+mod fleet;
+mod frames;
+mod hints;
 mod id;
+mod keyed;
+mod operator;
+mod owner;
+mod proof;
+mod random;
+mod record;
+mod run;
+mod session;
+mod step;
+mod timer;
 mod work;
 
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use member::{Heartbeat, MemberConfig, MemberEvent, MemberInfo, MemberState, MemberTable};
+use model::{FastMap, Micros, Name, NodeSettings};
+use stats::CallerTable;
+
 pub use action::{AnswerTarget, LogLevel, NodeAction, RelayMode};
 pub use event::{NodeEvent, OperatorCall, PlatformAnswer};
 pub use id::{CallId, LaneId, ReportId, RunId, SessionId};
@@ -22,51 +50,302 @@
     TransactionState, WorkReply, WorkRequest,
 };
 
-use model::{Micros, NodeSettings};
+use cluster::{ClusterDesk, ReportUse};
+use drain::DrainState;
+use entry::EntryState;
+use fleet::FleetState;
+use owner::{OwnerState, PinKey};
+use random::SeededRandom;
+use session::Session;
+use step::Step;
+use timer::{TimerHeap, TimerKey};
+
+/// Callers that the accounting table keeps for each measure.
+const ACCOUNTED_CALLERS: usize = 2_048;
+
+/// Interval of the work that no event causes: closing surplus connections, forgetting.
+const HOUSEKEEPING_INTERVAL: Micros = Micros::from_secs(5);
 
 /// All decisions of one process.
 #[derive(Debug)]
 pub struct Node {
     settings: NodeSettings,
+    now: Micros,
+    out: Vec<NodeAction>,
+    steps: VecDeque<Step>,
+    random: SeededRandom,
+    last_id: u64,
+    timers: TimerHeap,
+    members: MemberTable,
+    fleet: FleetState,
+    sessions: FastMap<SessionId, Session>,
+    entry: EntryState,
+    owner: OwnerState,
+    clusters: BTreeMap<Name, ClusterDesk>,
+    reports: FastMap<ReportId, ReportUse>,
+    accounts: CallerTable,
+    counters: BTreeMap<&'static str, u64>,
+    drain: DrainState,
+    watching: bool,
+    housekeeping: Micros,
 }
 
 impl Node {
     /// Creates a node that knows only its settings. `seed` drives its random choices, `incarnation`
-    /// grows with each start of the process.
-    pub fn new(settings: NodeSettings, _incarnation: u64, _seed: u64) -> Self {
-        Node { settings }
+    /// grows with each start of the process. The first [`NodeEvent::Timer`] is due at once.
+    ///
+    /// ```
+    /// # let address: std::net::SocketAddr = "127.0.0.1:0".parse()?;
+    /// # let settings = model::NodeSettings {
+    /// #     name: "n1".into(), data_centre: "dc1".into(), caller_address: address,
+    /// #     peer_address: address, admin_address: address, platform_address: address,
+    /// #     peers: Vec::new(), metrics_address: None, database_user: "proxy".into(),
+    /// #     caller_limit: 10, request_limit_bytes: 1 << 20,
+    /// #     drain_timeout: model::Micros::from_secs(5), log_level: "info".into(),
+    /// # };
+    /// use model::Micros;
+    /// let mut node = node::Node::new(settings, 1, 42);
+    /// let mut actions = Vec::new();
+    /// node.handle(Micros::ZERO, node::NodeEvent::Timer, &mut actions);
+    /// assert!(node.next_timer().is_some());
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn new(settings: NodeSettings, incarnation: u64, seed: u64) -> Self {
+        let own = MemberInfo {
+            name: settings.name.clone(),
+            data_centre: settings.data_centre.clone(),
+            peer_address: settings.peer_address,
+            admin_address: settings.admin_address,
+            incarnation,
+            state: MemberState::Alive,
+        };
+        Node {
+            now: Micros::ZERO,
+            out: Vec::new(),
+            steps: VecDeque::new(),
+            random: SeededRandom::new(seed),
+            last_id: 0,
+            timers: TimerHeap::default(),
+            members: MemberTable::new(MemberConfig::default(), own),
+            fleet: FleetState::default(),
+            sessions: FastMap::default(),
+            entry: EntryState::default(),
+            owner: OwnerState::default(),
+            clusters: BTreeMap::new(),
+            reports: FastMap::default(),
+            accounts: CallerTable::new(ACCOUNTED_CALLERS),
+            counters: BTreeMap::new(),
+            drain: DrainState::default(),
+            watching: false,
+            housekeeping: Micros::ZERO,
+            settings,
+        }
+    }
+
+    /// Handles an event at the time `now`, which never goes back, and appends what the shell has to
+    /// do to `actions`, in order.
+    pub fn handle(&mut self, now: Micros, event: NodeEvent, actions: &mut Vec<NodeAction>) {
+        self.now = self.now.max(now);
+        std::mem::swap(&mut self.out, actions);
+        self.dispatch(event);
+        while let Some(step) = self.steps.pop_front() {
+            match step {
+                Step::Route(session) => self.route_request(session),
+                Step::Reply { session, path, reply, lane } => {
+                    self.reply_arrived(session, path, reply, lane);
+                }
+                Step::Pump(database) => self.pump_database(&database),
+            }
+        }
+        self.check_drained();
+        self.drop_stale_timers();
+        std::mem::swap(&mut self.out, actions);
+    }
+
+    fn dispatch(&mut self, event: NodeEvent) {
+        match event {
+            NodeEvent::SessionOpened { session, start } => self.open_session(session, &start),
+            NodeEvent::RequestArrived { session, request } => {
+                self.request_arrived(session, request);
+            }
+            NodeEvent::SessionClosed { session } => self.close_session(session),
+            NodeEvent::CancelArrived { session } => self.cancel_request(session),
+            NodeEvent::BackendOpened { connection } => self.backend_opened(connection),
+            NodeEvent::BackendLost { connection, message } => {
+                self.backend_lost(connection, &message);
+            }
+            NodeEvent::RunStarted { run, .. } => self.run_started(run),
+            NodeEvent::RunFinished { connection, run, summary } => {
+                self.run_finished(connection, run, summary);
+            }
+            NodeEvent::ReportArrived { id, report } => self.report_arrived(id, report),
+            NodeEvent::FenceAnswered { id, accepted, report } => {
+                self.fence_answered(id, accepted, report);
+            }
+            NodeEvent::PromoteAnswered { id, start } => self.promote_answered(id, start),
+            NodeEvent::ReportFailed { id } => self.report_failed(id),
+            NodeEvent::HeartbeatArrived(heartbeat) => {
+                self.handle_member(MemberEvent::HeartbeatArrived(heartbeat));
+            }
+            NodeEvent::HeartbeatAnswered(heartbeat) => self.heartbeat_answered(heartbeat),
+            NodeEvent::HeartbeatFailed { to } => {
+                self.handle_member(MemberEvent::HeartbeatFailed { to });
+            }
+            NodeEvent::TableArrived(members) => {
+                self.handle_member(MemberEvent::TableArrived(members));
+            }
+            NodeEvent::DocumentArrived { document, revision, bytes } => {
+                self.offer_document(&document, revision, &bytes);
+            }
+            NodeEvent::ViewAnswered { cluster, from, view } => {
+                self.view_answered(&cluster, from, view);
+            }
+            NodeEvent::ForwardArrived { call, from, lane, work } => {
+                self.forward_arrived(call, from, lane, *work);
+            }
+            NodeEvent::ForwardCancelled { call } => {
+                if let Some(work) = self.owner.calls.get(&call).copied() {
+                    self.cancel_work(work);
+                }
+            }
+            NodeEvent::LaneDropped { lane } => {
+                self.close_pin(PinKey::Lane(lane), "its lane was dropped");
+            }
+            NodeEvent::ForwardAnswered { call, reply, lane } => {
+                self.forward_answered(call, reply, lane);
+            }
+            NodeEvent::ForwardFailed { call, sent } => self.forward_failed(call, sent),
+            NodeEvent::PlatformAnswered(answer) => match answer {
+                PlatformAnswer::Document { document, bytes } => {
+                    self.platform_document(&document, bytes.as_deref());
+                }
+                PlatformAnswer::VmList(rows) => self.vm_list(rows),
+                answer => self.record_answered(answer),
+            },
+            NodeEvent::DrainRequested => self.begin_drain(),
+            NodeEvent::Timer => self.run_timers(),
+        }
+    }
+
+    fn run_timers(&mut self) {
+        let now = self.now;
+        if self.members.next_timer().is_none_or(|due| due <= now) {
+            self.handle_member(MemberEvent::Timer);
+        }
+        self.cluster_timers();
+        let mut expired: Vec<Name> = self
+            .owner
+            .desks
+            .iter()
+            .filter(|(_, desk)| desk.queue.next_expiry().is_some_and(|due| due <= now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        expired.sort();
+        self.steps.extend(expired.into_iter().map(Step::Pump));
+        while let Some((due, key)) = self.timers.first().filter(|(due, _)| *due <= now) {
+            self.timers.remove_first();
+            if !self.timer_counts(due, key) {
+                continue;
+            }
+            match key {
+                TimerKey::Session(session) => self.session_due(session),
+                TimerKey::Work(work) => self.work_due(work),
+            }
+        }
+        if self.housekeeping <= now {
+            self.housekeeping = now + HOUSEKEEPING_INTERVAL;
+            self.update_watcher();
+            self.trim_pools();
+            self.forget_clusters();
+            self.forget_reports();
+        }
     }
 
-    /// Handles an event.
-    pub fn handle(&mut self, _now: Micros, _event: NodeEvent, _actions: &mut Vec<NodeAction>) {}
+    /// Tells whether a timer is still what its owner waits for.
+    fn timer_counts(&self, due: Micros, key: TimerKey) -> bool {
+        let current = match key {
+            TimerKey::Session(session) => self
+                .sessions
+                .get(&session)
+                .and_then(|session| session.request.as_ref())
+                .and_then(|request| request.due),
+            TimerKey::Work(work) => self.owner.works.get(&work).and_then(|work| work.due),
+        };
+        current == Some(due)
+    }
+
+    fn drop_stale_timers(&mut self) {
+        while let Some((due, key)) = self.timers.first() {
+            if self.timer_counts(due, key) {
+                return;
+            }
+            self.timers.remove_first();
+        }
+    }
 
-    /// Returns when the next [`NodeEvent::Timer`] is due.
+    /// Returns when the next [`NodeEvent::Timer`] is due. Changes with every event.
     pub fn next_timer(&self) -> Option<Micros> {
-        None
+        let clusters = self
+            .clusters
+            .values()
+            .flat_map(|desk| [desk.watch.next_timer(), desk.supervisor.next_timer()]);
+        let queues = self.owner.desks.values().map(|desk| desk.queue.next_expiry());
+        let drain = match self.drain {
+            DrainState::Draining { until } => Some(until),
+            DrainState::Serving | DrainState::Complete => None,
+        };
+        clusters
+            .chain(queues)
+            .chain([
+                self.members.next_timer(),
+                self.timers.first().map(|(due, _)| due),
+                drain,
+                Some(self.housekeeping),
+            ])
+            .flatten()
+            .min()
     }
 
-    /// Answers an operator's question.
-    pub fn answer(&self, _now: Micros, _call: &OperatorCall) -> serde_json::Value {
-        serde_json::json!({ "node": self.settings.name })
+    /// Answers an operator's question. Unknown sessions and clusters give `{"error": ...}`.
+    pub fn answer(&self, now: Micros, call: &OperatorCall) -> serde_json::Value {
+        self.answer_operator(now.max(self.now), call)
     }
 
     /// Returns the heartbeat to answer a peer's heartbeat with.
-    pub fn heartbeat(&self) -> Option<member::Heartbeat> {
-        None
+    pub fn heartbeat(&self) -> Option<Heartbeat> {
+        Some(self.members.heartbeat())
     }
 
-    /// Returns a document for a peer that pulls it.
-    pub fn document(&self, _document: &str) -> Option<(u64, std::sync::Arc<[u8]>)> {
-        None
+    /// Returns the revision and bytes of a document for a peer that pulls it.
+    pub fn document(&self, document: &str) -> Option<(u64, Arc<[u8]>)> {
+        self.fleet.documents.get(document)
     }
 
     /// Returns all members for a peer that pulls the table.
-    pub fn members(&self) -> Vec<member::MemberInfo> {
-        Vec::new()
+    pub fn members(&self) -> Vec<MemberInfo> {
+        self.members.members()
+    }
+
+    /// Returns this node's view of a cluster for another supervisor; `None` if it does not watch it.
+    pub fn view(&self, now: Micros, cluster: &str) -> Option<failover::LeaderView> {
+        self.clusters.get(cluster).map(|desk| desk.watch.view(now.max(self.now)))
+    }
+
+    fn emit(&mut self, action: NodeAction) {
+        self.out.push(action);
+    }
+
+    fn count(&mut self, counter: &'static str, amount: u64) {
+        *self.counters.entry(counter).or_default() += amount;
+        self.out.push(NodeAction::Count { counter, amount });
+    }
+
+    fn log(&mut self, level: LogLevel, message: String) {
+        self.out.push(NodeAction::Log { level, message });
     }
 
-    /// Returns this node's view of a cluster for another supervisor.
-    pub fn view(&self, _now: Micros, _cluster: &str) -> Option<failover::LeaderView> {
-        None
+    fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
     }
 }
--- /dev/null
+++ b/crates/node/src/operator.rs
@@ -0,0 +1,256 @@
+//! Answers to operators, as JSON.
+
+use model::{LabelSet, Micros, Name, Rank, RankMap};
+use route::{choose_database, replica_obstacle};
+use serde_json::{Map, Value, json};
+
+use crate::Node;
+use crate::event::OperatorCall;
+use crate::session::merge_labels;
+
+/// Sessions in progress that a dump lists; the count covers all.
+const DUMPED_SESSIONS: usize = 100;
+
+impl Node {
+    pub(crate) fn answer_operator(&self, now: Micros, call: &OperatorCall) -> Value {
+        match call {
+            OperatorCall::Dump => self.dump(now),
+            OperatorCall::Top { measure, rows } => json!({
+                "node": self.settings.name,
+                "measure": measure,
+                "rows": self.accounts.top(now, *measure, *rows),
+            }),
+            OperatorCall::Explain { attributes, labels, cluster } => {
+                self.explain(now, attributes, labels, cluster)
+            }
+            OperatorCall::ExplainSession { session } => match self.sessions.get(session) {
+                Some(found) => json!({
+                    "node": self.settings.name,
+                    "session": session.0,
+                    "cluster": found.cluster,
+                    "labels": found.labels,
+                    "requests": found.history,
+                }),
+                None => json!({ "error": format!("session {} is not open here", session.0) }),
+            },
+            OperatorCall::Rollout => json!({
+                "node": self.settings.name,
+                "revision": self.fleet.revision(),
+                "rejected": self.fleet.rejected,
+                "documents": self.revisions(),
+            }),
+        }
+    }
+
+    fn revisions(&self) -> Value {
+        let revisions = self.fleet.documents.revisions();
+        revisions.into_iter().map(|(name, revision)| (name.to_string(), json!(revision))).collect()
+    }
+
+    fn dump(&self, now: Micros) -> Value {
+        let members: Vec<Value> = self
+            .members
+            .members()
+            .into_iter()
+            .map(|member| {
+                json!({
+                    "name": member.name,
+                    "data_centre": member.data_centre,
+                    "peer_address": member.peer_address.to_string(),
+                    "admin_address": member.admin_address.to_string(),
+                    "incarnation": member.incarnation,
+                    "state": format!("{:?}", member.state).to_lowercase(),
+                })
+            })
+            .collect();
+        let clusters: Map<String, Value> = self
+            .clusters
+            .keys()
+            .map(|name| (name.to_string(), self.dump_cluster(now, name)))
+            .collect();
+        let mut desks: Vec<&Name> = self.owner.desks.keys().collect();
+        desks.sort();
+        let databases: Map<String, Value> =
+            desks.iter().map(|name| (name.to_string(), self.dump_desk(now, name))).collect();
+        let busy = self.sessions.values().filter(|session| session.request.is_some()).count();
+        json!({
+            "node": self.settings.name,
+            "data_centre": self.settings.data_centre,
+            "state": self.drain.name(),
+            "watcher": self.watching,
+            "revision": self.fleet.revision(),
+            "rejected": self.fleet.rejected,
+            "documents": self.revisions(),
+            "members": members,
+            "clusters": clusters,
+            "databases": databases,
+            "sessions": {
+                "open": self.sessions.len(),
+                "busy": busy,
+                "in_progress": self.dump_sessions(),
+            },
+            "forwarded": self.entry.calls.len(),
+            "counters": self.counters,
+        })
+    }
+
+    fn dump_cluster(&self, now: Micros, name: &Name) -> Value {
+        let Some(desk) = self.clusters.get(name) else { return Value::Null };
+        let view = desk.watch.view(now);
+        let reports = desk.config.databases.iter().map(|database| {
+            let (age, report) =
+                (desk.watch.provable_age(now, &database.name), desk.watch.report(&database.name));
+            let lag = report.map(|(_, report)| {
+                json!({
+                    "term": report.term,
+                    "role": format!("{:?}", report.role).to_lowercase(),
+                    "received": report.received.to_string(),
+                    "applied": report.applied.to_string(),
+                    "behind_bytes": self.lag_bytes(name, &database.name),
+                })
+            });
+            let row = json!({
+                "report": lag,
+                "reported_ms_ago":
+                    report.map(|(began, _)| now.saturating_sub(began).as_millis()),
+                "provable_age_ms": age.map(Micros::as_millis),
+            });
+            (database.name.to_string(), row)
+        });
+        json!({
+            "term": view.term,
+            "leader": view.leader,
+            "confirmed_ms_ago": view.confirmed_ago.map(Micros::as_millis),
+            "supervisor": desk.supervisor.step(),
+            "supervisors": self.supervisors(&desk.config),
+            "databases": reports.collect::<Map<String, Value>>(),
+        })
+    }
+
+    /// Log of the leader that a database has not applied yet.
+    fn lag_bytes(&self, cluster: &Name, database: &Name) -> Option<u64> {
+        let watch = &self.clusters.get(cluster)?.watch;
+        let leader = watch.view(self.now).leader?;
+        let (_, led) = watch.report(&leader)?;
+        let (_, report) = watch.report(database)?;
+        Some(led.applied.0.saturating_sub(report.applied.0))
+    }
+
+    fn dump_desk(&self, now: Micros, name: &Name) -> Value {
+        let Some(desk) = self.owner.desks.get(name) else { return Value::Null };
+        let stats = desk.queue.stats();
+        let connections =
+            self.owner.connections.values().filter(|backend| backend.database == *name);
+        let (mut open, mut opening, mut busy) = (0, 0, 0);
+        for backend in connections {
+            match backend.open {
+                true => open += 1,
+                false => opening += 1,
+            }
+            busy += u32::from(backend.work.is_some());
+        }
+        let waits = RankMap(Rank::ALL.map(|rank| desk.queue.expected_wait(now, rank)));
+        json!({
+            "cluster": desk.cluster,
+            "owned": desk.owned,
+            "leaving": desk.config.leaving,
+            "slots": desk.config.slots,
+            "queue": {
+                "waiting": by_rank(&stats.waiting),
+                "running": by_rank(&stats.running),
+                "granted": by_rank(&stats.granted),
+                "refused": by_rank(&stats.refused),
+                "slot_time_us": by_rank(&stats.slot_time),
+                "expected_wait_us": by_rank(&waits),
+                "parked": desk.parked.len(),
+            },
+            "pool": {
+                "open": open,
+                "opening": opening,
+                "busy": busy,
+                "pinned": desk.pins.len(),
+                "waiting": desk.wanting.len(),
+            },
+        })
+    }
+
+    fn dump_sessions(&self) -> Vec<Value> {
+        let mut busy: Vec<_> =
+            self.sessions.iter().filter(|(_, session)| session.request.is_some()).collect();
+        busy.sort_by_key(|(id, _)| **id);
+        busy.into_iter()
+            .take(DUMPED_SESSIONS)
+            .map(|(id, session)| {
+                let request = session.request.as_ref();
+                json!({
+                    "session": id.0,
+                    "caller": session.caller,
+                    "cluster": session.cluster,
+                    "selector": session.policy.selector,
+                    "rank": session.policy.rank,
+                    "in_transaction": session.transaction.is_some(),
+                    "database": request
+                        .and_then(|request| request.attempt.as_ref())
+                        .map(|attempt| &attempt.database),
+                })
+            })
+            .collect()
+    }
+
+    fn explain(
+        &self,
+        now: Micros,
+        attributes: &LabelSet,
+        labels: &LabelSet,
+        cluster: &Name,
+    ) -> Value {
+        let caller = self.fleet.selectors.caller_labels(attributes);
+        let merged = merge_labels(labels, &caller);
+        let policy = self.fleet.selectors.policy(&merged);
+        let fleet = self.fleet.active.as_ref();
+        let Some(config) = fleet.and_then(|fleet| fleet.cluster(cluster)) else {
+            return json!({ "error": format!("cluster {cluster:?} is not configured") });
+        };
+        let leader = self.known_leader(cluster);
+        let hints = self.entry.hints.cluster(now, config, leader.as_ref());
+        let choose = |read: bool| {
+            let own = &self.settings.data_centre;
+            choose_database(&policy, read, None, own, &hints)
+                .map(|choice| json!({ "database": choice.database, "reason": choice.reason }))
+        };
+        let databases: Map<String, Value> = hints
+            .iter()
+            .map(|hint| {
+                let database = config.databases.iter().find(|other| other.name == hint.database);
+                let owner = database
+                    .map(|database| self.members.owner_of(&hint.database, &database.data_centre));
+                let row = json!({
+                    "owner": owner,
+                    "leader": hint.leader,
+                    "not_a_replica_because": replica_obstacle(&policy, hint),
+                    "age_ms": hint.age.map(Micros::as_millis),
+                    "wait_us": hint.wait.0,
+                });
+                (hint.database.to_string(), row)
+            })
+            .collect();
+        json!({
+            "node": self.settings.name,
+            "revision": self.fleet.revision(),
+            "labels": merged,
+            "selector": policy.selector,
+            "rank": policy.rank,
+            "max_age_ms": policy.max_age.as_millis(),
+            "deadline_ms": policy.deadline.as_millis(),
+            "durable": policy.durable,
+            "servers": policy.servers.as_str(),
+            "read": choose(true),
+            "write": choose(false),
+            "databases": databases,
+        })
+    }
+}
+
+fn by_rank<V: serde::Serialize>(values: &RankMap<V>) -> Value {
+    Rank::ALL.iter().map(|rank| (rank.name().to_string(), json!(values[*rank]))).collect()
+}
--- /dev/null
+++ b/crates/node/src/proof.rs
@@ -0,0 +1,232 @@
+//! Evidence that work needs before it is sent and before its answer is relayed.
+
+use failover::{CommitId, FloorState, WatchEvent};
+use model::{Micros, Name, Term};
+
+use crate::Node;
+use crate::action::NodeAction;
+use crate::id::RunId;
+use crate::owner::{CommitUse, OwnerWork, WorkOrigin, WorkStage};
+use crate::work::{DeclineReason, WorkReply};
+use admit::WorkId;
+
+/// Age of the last confirmed round up to which the primary counts as in office for reads and for the
+/// start of writes. Rounds run every 250 ms; a primary without one for this long is suspected anyway.
+const LEADERSHIP_AGE: Micros = Micros::from_secs(1);
+
+/// Rounds that work waits for before it is declined.
+const ROUND_LIMIT: u32 = 2;
+
+/// Whether work may be sent.
+#[derive(Debug)]
+pub(crate) enum Evidence {
+    Ready,
+    WaitRound,
+    Decline(DeclineReason),
+    RollBack(String),
+}
+
+/// What was proved of the database when a read was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum ReadProof {
+    /// It led in this term.
+    Primary { term: Term },
+    /// Its data age was `age`. The data that the statement reads was fixed after this, so the age of
+    /// the answer is at most this plus the time since.
+    Replica { age: Micros, at: Micros, limit: Micros },
+}
+
+impl Node {
+    /// Tells whether the work may be sent now, and keeps the proof.
+    pub(crate) fn check_evidence(&mut self, id: WorkId) -> Evidence {
+        let now = self.now;
+        let Some(work) = self.owner.works.get_mut(&id) else {
+            return Evidence::Decline(DeclineReason::Unavailable);
+        };
+        let database = work.request.database.clone();
+        let Some(desk) = self.owner.desks.get(&database) else {
+            if work.pin.is_some() {
+                return Evidence::RollBack("the database is gone".to_string());
+            }
+            return Evidence::Decline(not_owner(&self.fleet, &self.members, &database));
+        };
+        let watch = self.clusters.get(&desk.cluster).map(|cluster| &cluster.watch);
+        let view = watch.map(|watch| watch.view(now));
+        if let Some(key) = work.pin {
+            let Some(pin) = self.owner.pins.get(&key) else {
+                return Evidence::RollBack("its connection was lost".to_string());
+            };
+            work.term = pin.term;
+            let term = view.map(|view| view.term);
+            if work.request.commits && term != Some(pin.term) {
+                return Evidence::RollBack("the primary was replaced".to_string());
+            }
+            return Evidence::Ready;
+        }
+        if !desk.owned {
+            return Evidence::Decline(not_owner(&self.fleet, &self.members, &database));
+        }
+        let (Some(watch), Some(view)) = (watch, view) else {
+            return Evidence::Decline(DeclineReason::Unavailable);
+        };
+        if desk.config.leaving {
+            return Evidence::Decline(DeclineReason::Unavailable);
+        }
+        work.term = view.term;
+        let leads = view.leader.as_ref() == Some(&database);
+        let confirmed = view.confirmed_ago.is_some_and(|ago| ago <= LEADERSHIP_AGE);
+        if !work.request.read || work.request.max_age.is_none() {
+            if !leads {
+                return Evidence::Decline(DeclineReason::NotLeader { leader: view.leader });
+            }
+            if !confirmed {
+                return Evidence::Decline(DeclineReason::Unavailable);
+            }
+        }
+        if !work.request.read {
+            return Evidence::Ready;
+        }
+        if work.request.floor.is_none()
+            && work.sampled.is_none()
+            && let Some(ago) = work.request.arrived_ago
+        {
+            let since = work.arrived.saturating_sub(ago);
+            work.sampled = watch.confirmed_floor(since);
+            if work.sampled.is_none() {
+                return wait_or_decline(work);
+            }
+        }
+        let primary = leads && confirmed;
+        if let Some(floor) = work.lost.or(work.request.floor).or(work.sampled) {
+            let mut state = watch.floor_state(&database, floor);
+            if let FloorState::Lost { instead } = state {
+                work.lost = Some(instead);
+                state = watch.floor_state(&database, instead);
+            }
+            match state {
+                FloorState::Met => {}
+                _ if primary => return wait_or_decline(work),
+                _ => return Evidence::Decline(DeclineReason::NoProof),
+            }
+        }
+        if primary {
+            work.proof = Some(ReadProof::Primary { term: view.term });
+            return Evidence::Ready;
+        }
+        match (work.request.max_age, watch.provable_age(now, &database)) {
+            (Some(limit), Some(age)) if age <= limit => {
+                work.proof = Some(ReadProof::Replica { age, at: now, limit });
+                Evidence::Ready
+            }
+            _ => Evidence::Decline(DeclineReason::NoProof),
+        }
+    }
+
+    /// Has the work wait for a confirmed round that begins now or later.
+    pub(crate) fn wait_round(&mut self, id: WorkId) {
+        let Some(work) = self.owner.works.get_mut(&id) else { return };
+        work.rounds += 1;
+        work.stage = WorkStage::Round;
+        let deadline = work.deadline;
+        let term = work.term;
+        let Some(desk) = self.owner.desks.get(&work.request.database) else { return };
+        let cluster = desk.cluster.clone();
+        self.arm_work(id, Some(deadline));
+        // A round that began for others in this very step serves as well.
+        if let Some((at, commit)) = self.clusters.get(&cluster).and_then(|desk| desk.asked_round)
+            && at == self.now
+            && let Some(CommitUse::Round(works)) = self.owner.commits.get_mut(&commit)
+        {
+            works.push(id);
+            return;
+        }
+        let commit = CommitId(self.next_id());
+        self.owner.commits.insert(commit, CommitUse::Round(vec![id]));
+        if let Some(desk) = self.clusters.get_mut(&cluster) {
+            desk.asked_round = Some((self.now, commit));
+        }
+        let event = WatchEvent::CommitFinished { commit, term, durable: false };
+        self.handle_watch(&cluster, event);
+    }
+
+    /// The first byte of an answer arrived: checks the proof again and decides.
+    pub(crate) fn run_started(&mut self, run: RunId) {
+        let Some(id) = self.owner.runs.get(&run).copied() else { return };
+        let Some(work) = self.owner.works.get(&id) else { return };
+        if !matches!(work.stage, WorkStage::Running { decided: false, .. }) {
+            return;
+        }
+        let refusal = self.recheck_proof(work);
+        let (origin, connection) = (work.origin, work.connection);
+        let (age, wait) = self.hints_of(id);
+        if let Some(work) = self.owner.works.get_mut(&id) {
+            work.stage = WorkStage::Running { run, decided: true };
+            match refusal {
+                None => self.emit(NodeAction::Relay { run }),
+                Some(reason) => {
+                    work.origin = WorkOrigin::Gone;
+                    self.count("reads.discarded", 1);
+                    self.emit(NodeAction::Discard { run });
+                    if let Some(connection) = connection {
+                        self.emit(NodeAction::CancelRun { connection, run });
+                    }
+                    let reply = WorkReply::Declined { reason, age, wait };
+                    self.send_reply(id, origin, reply, None);
+                }
+            }
+        }
+    }
+
+    /// Returns why the answer must not be relayed.
+    pub(crate) fn recheck_proof(&self, work: &OwnerWork) -> Option<DeclineReason> {
+        match work.proof? {
+            ReadProof::Replica { age, at, limit } => {
+                (age + self.now.saturating_sub(at) > limit).then_some(DeclineReason::NoProof)
+            }
+            ReadProof::Primary { term } => {
+                let desk = self.owner.desks.get(&work.request.database)?;
+                let view = self.clusters.get(&desk.cluster).map(|cluster| {
+                    let view = cluster.watch.view(self.now);
+                    let confirmed = view.confirmed_ago.is_some_and(|ago| ago <= LEADERSHIP_AGE);
+                    (view.term, view.leader, confirmed)
+                });
+                match view {
+                    Some((now, Some(leader), true))
+                        if now == term && leader == work.request.database =>
+                    {
+                        None
+                    }
+                    Some((_, leader, _)) => {
+                        let leader = leader.filter(|leader| *leader != work.request.database);
+                        Some(DeclineReason::NotLeader { leader })
+                    }
+                    None => Some(DeclineReason::NotLeader { leader: None }),
+                }
+            }
+        }
+    }
+}
+
+fn wait_or_decline(work: &OwnerWork) -> Evidence {
+    match work.rounds < ROUND_LIMIT {
+        true => Evidence::WaitRound,
+        false => Evidence::Decline(DeclineReason::NoProof),
+    }
+}
+
+fn not_owner(
+    fleet: &crate::fleet::FleetState,
+    members: &member::MemberTable,
+    database: &Name,
+) -> DeclineReason {
+    let config = fleet.active.as_ref().and_then(|fleet| {
+        let (_, config) = fleet.database(database)?;
+        Some(config.data_centre.clone())
+    });
+    match config {
+        Some(data_centre) => {
+            DeclineReason::NotOwner { owner: members.owner_of(database, &data_centre) }
+        }
+        None => DeclineReason::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/node/src/session.rs
@@ -0,0 +1,351 @@
+//! Callers' sessions: start-up, labels, tokens and session commands.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use model::{LabelSet, Micros, Name, SessionFloor};
+use route::{SessionCommand, SessionToken, WorkPolicy};
+use serde_json::Value;
+
+use crate::Node;
+use crate::action::NodeAction;
+use crate::entry::EntryRequest;
+use crate::frames::{OwnAnswer, own_answer};
+use crate::id::{LaneId, SessionId};
+use crate::work::{CallerRequest, ErrorReply, SessionStart, TransactionState};
+
+/// Requests that `explain` shows of a session.
+const HISTORY_LENGTH: usize = 8;
+
+/// Start-up parameters of PostgreSQL that drivers send and that a pool can accept, because they are
+/// fixed for all connections or do not change what a statement does.
+const ACCEPTED_PARAMETERS: &[&str] = &[
+    "application_name",
+    "client_encoding",
+    "client_min_messages",
+    "database",
+    "datestyle",
+    "extra_float_digits",
+    "fallback_application_name",
+    "intervalstyle",
+    "standard_conforming_strings",
+    "timezone",
+    "user",
+];
+
+/// An open transaction and where it is pinned.
+#[derive(Clone, Debug)]
+pub(crate) struct SessionTransaction {
+    pub database: Name,
+    pub owner: Name,
+    /// Lane at the owner; `None` if this node is the owner.
+    pub lane: Option<LaneId>,
+    pub state: TransactionState,
+    /// A statement that may have changed something was sent.
+    pub wrote: bool,
+}
+
+/// One caller's connection.
+#[derive(Debug)]
+pub(crate) struct Session {
+    pub cluster: Name,
+    pub user: Name,
+    /// User, application and address, joined, for accounting and fair shares.
+    pub caller: Name,
+    pub attributes: LabelSet,
+    pub session_labels: LabelSet,
+    /// Accepted data age that the caller set; it can only lower the selector's.
+    pub max_age: Option<Micros>,
+    /// Key for the next write.
+    pub request_key: Option<Name>,
+    pub token: SessionToken,
+    /// The caller brought a valid token.
+    pub with_token: bool,
+    pub arrived: Micros,
+    /// Labels and policy under the configuration of this revision.
+    pub revision: u64,
+    pub labels: LabelSet,
+    pub policy: Arc<WorkPolicy>,
+    pub transaction: Option<SessionTransaction>,
+    pub request: Option<EntryRequest>,
+    pub notices: Vec<ErrorReply>,
+    pub token_changed: bool,
+    pub history: VecDeque<Value>,
+}
+
+impl Session {
+    pub(crate) fn floor(&self) -> Option<SessionFloor> {
+        self.token.floors.get(&self.cluster).copied()
+    }
+
+    /// Raises the floor of the session's cluster; it never goes down.
+    pub(crate) fn raise_floor(&mut self, floor: SessionFloor) {
+        let held = self.token.floors.entry(self.cluster.clone()).or_default();
+        if floor > *held {
+            *held = floor;
+            self.token_changed = true;
+        }
+    }
+
+    pub(crate) fn transaction_state(&self) -> TransactionState {
+        self.transaction.as_ref().map(|transaction| transaction.state).unwrap_or_default()
+    }
+
+    pub(crate) fn remember(&mut self, entry: Value) {
+        if self.history.len() == HISTORY_LENGTH {
+            self.history.pop_front();
+        }
+        self.history.push_back(entry);
+    }
+}
+
+/// Merges labels: those of the operators and the caller's own attributes win over session labels.
+pub(crate) fn merge_labels(session: &LabelSet, caller: &LabelSet) -> LabelSet {
+    let mut labels = session.clone();
+    labels.merge(caller);
+    labels
+}
+
+fn error(code: &str, message: impl Into<String>) -> ErrorReply {
+    ErrorReply { code: code.into(), message: message.into() }
+}
+
+impl Node {
+    pub(crate) fn open_session(&mut self, id: SessionId, start: &SessionStart) {
+        match self.start_session(start) {
+            Ok(session) => {
+                let parameters = self.accepted_parameters(&session, start);
+                self.sessions.insert(id, session);
+                self.emit(NodeAction::AcceptSession { session: id, parameters });
+            }
+            Err(error) => {
+                self.count("sessions.refused", 1);
+                self.emit(NodeAction::RefuseSession { session: id, error });
+            }
+        }
+    }
+
+    fn start_session(&mut self, start: &SessionStart) -> Result<Session, ErrorReply> {
+        if self.drain.is_draining() {
+            return Err(error("57P03", "the proxy is shutting down"));
+        }
+        let find =
+            |key: &str| start.parameters.iter().find(|(name, _)| name.eq_ignore_ascii_case(key));
+        let required = |key: &str| {
+            find(key)
+                .filter(|(_, value)| !value.is_empty())
+                .map(|(_, value)| Name::from(value.as_str()))
+                .ok_or_else(|| error("28000", format!("start-up parameter {key:?} is missing")))
+        };
+        let user = required("user")?;
+        let cluster = required("database")?;
+        let Some(fleet) = self.fleet.active.clone() else {
+            return Err(error("57P03", "the proxy has not received a configuration yet"));
+        };
+        if fleet.cluster(&cluster).is_none() {
+            return Err(error("3D000", format!("database {cluster:?} does not exist")));
+        }
+        let application =
+            find("application_name").map(|(_, value)| value.as_str()).unwrap_or_default();
+        let attributes = LabelSet::from_pairs(
+            [
+                ("user", user.as_str()),
+                ("application", application),
+                ("address", start.address.as_str()),
+                ("database", cluster.as_str()),
+            ]
+            .into_iter()
+            .filter(|(_, value)| !value.is_empty()),
+        );
+        let mut session = Session {
+            caller: format!("{user}/{application}/{}", start.address).into(),
+            cluster,
+            user,
+            attributes,
+            session_labels: LabelSet::default(),
+            max_age: None,
+            request_key: None,
+            token: SessionToken::default(),
+            with_token: false,
+            arrived: self.now,
+            revision: 0,
+            labels: LabelSet::default(),
+            policy: Arc::default(),
+            transaction: None,
+            request: None,
+            notices: Vec::new(),
+            token_changed: false,
+            history: VecDeque::new(),
+        };
+        for (name, value) in &start.parameters {
+            let lower = name.to_ascii_lowercase();
+            if lower.starts_with("cicadawick.") {
+                self.set_parameter(&mut session, &lower, value)?;
+            } else if !ACCEPTED_PARAMETERS.contains(&lower.as_str()) {
+                let message = format!("unrecognized configuration parameter {name:?}");
+                return Err(error("42704", message));
+            } else if lower == "client_encoding"
+                && !["utf8", "utf-8", "unicode"]
+                    .contains(&value.trim_matches(['\'', '"']).to_ascii_lowercase().as_str())
+            {
+                return Err(error("0A000", "the pool's connections use client_encoding UTF8"));
+            }
+        }
+        self.refresh_labels(&mut session);
+        Ok(session)
+    }
+
+    /// Parameters that PostgreSQL reports at start-up and drivers rely on.
+    fn accepted_parameters(&self, session: &Session, start: &SessionStart) -> Vec<(Name, String)> {
+        let application = start
+            .parameters
+            .iter()
+            .find(|(name, _)| name.as_str() == "application_name")
+            .map(|(_, value)| value.as_str())
+            .unwrap_or_default();
+        [
+            ("server_version", "16.0"),
+            ("server_encoding", "UTF8"),
+            ("client_encoding", "UTF8"),
+            ("DateStyle", "ISO, MDY"),
+            ("IntervalStyle", "postgres"),
+            ("TimeZone", "UTC"),
+            ("integer_datetimes", "on"),
+            ("standard_conforming_strings", "on"),
+            ("is_superuser", "off"),
+            ("session_authorization", session.user.as_str()),
+            ("application_name", application),
+        ]
+        .into_iter()
+        .map(|(name, value)| (name.into(), value.to_string()))
+        .collect()
+    }
+
+    /// Computes a session's labels and policy again if the configuration changed since.
+    pub(crate) fn refresh_labels(&self, session: &mut Session) {
+        let caller = self.fleet.selectors.caller_labels(&session.attributes);
+        session.labels = merge_labels(&session.session_labels, &caller);
+        let mut policy = self.fleet.selectors.policy(&session.labels);
+        if let Some(limit) = session.max_age {
+            policy.max_age = policy.max_age.min(limit);
+        }
+        session.policy = Arc::new(policy);
+        session.revision = self.fleet.revision();
+    }
+
+    fn set_parameter(
+        &mut self,
+        session: &mut Session,
+        parameter: &str,
+        value: &str,
+    ) -> Result<(), ErrorReply> {
+        let invalid = |reason: String| {
+            error("22023", format!("invalid value for parameter {parameter:?}: {reason}"))
+        };
+        match parameter {
+            "cicadawick.token" if value.is_empty() => session.token = SessionToken::default(),
+            "cicadawick.token" => match SessionToken::verify(value, &self.fleet.keys) {
+                Ok(token) => {
+                    session.with_token = true;
+                    for (cluster, floor) in token.floors {
+                        let held = session.token.floors.entry(cluster).or_default();
+                        *held = floor.max(*held);
+                    }
+                }
+                Err(reason) => {
+                    self.count("tokens.refused", 1);
+                    let message = format!("cicadawick.token is ignored: {reason}");
+                    session.notices.push(error("01000", message));
+                }
+            },
+            "cicadawick.labels" => {
+                session.session_labels =
+                    LabelSet::parse(value).map_err(|reason| invalid(reason.to_string()))?;
+            }
+            "cicadawick.max_age" if value.is_empty() => session.max_age = None,
+            "cicadawick.max_age" => {
+                let age = parse_age(value).ok_or_else(|| {
+                    invalid("expected milliseconds, or a number with the unit ms or s".into())
+                })?;
+                session.max_age = Some(age);
+            }
+            "cicadawick.request_key" if value.is_empty() => session.request_key = None,
+            "cicadawick.request_key" => {
+                if value.len() > 200 || value.contains('\0') {
+                    return Err(invalid("expected at most 200 bytes".into()));
+                }
+                session.request_key = Some(value.into());
+            }
+            _ => {
+                let message = format!("unrecognized configuration parameter {parameter:?}");
+                return Err(error("42704", message));
+            }
+        }
+        Ok(())
+    }
+
+    fn show_parameter(&self, session: &Session, parameter: &str) -> Result<String, ErrorReply> {
+        let text = match parameter {
+            "cicadawick.token" => session.token.sign(&self.fleet.keys).unwrap_or_default(),
+            "cicadawick.labels" => {
+                let pairs: Vec<String> =
+                    session.labels.0.iter().map(|(key, value)| format!("{key}={value}")).collect();
+                pairs.join(", ")
+            }
+            "cicadawick.revision" => self.fleet.revision().to_string(),
+            "cicadawick.max_age" => {
+                session.max_age.map(|age| format!("{}ms", age.as_millis())).unwrap_or_default()
+            }
+            "cicadawick.request_key" => session.request_key.as_deref().unwrap_or("").to_string(),
+            _ => {
+                let message = format!("unrecognized configuration parameter {parameter:?}");
+                return Err(error("42704", message));
+            }
+        };
+        Ok(text)
+    }
+
+    /// Answers a command that sets or shows a parameter of the proxy.
+    pub(crate) fn run_command(
+        &mut self,
+        session: &mut Session,
+        request: &CallerRequest,
+        command: &SessionCommand,
+    ) -> Result<Bytes, ErrorReply> {
+        match command {
+            SessionCommand::Set { parameter, value } => {
+                self.set_parameter(session, parameter, value)?;
+                self.refresh_labels(session);
+                Ok(own_answer(request, OwnAnswer::Complete { tag: "SET" }))
+            }
+            SessionCommand::Show { parameter } => {
+                let value = self.show_parameter(session, parameter)?;
+                Ok(own_answer(request, OwnAnswer::Row { column: parameter, value: &value }))
+            }
+        }
+    }
+
+    /// A caller's connection ended: nothing it held may stay.
+    pub(crate) fn close_session(&mut self, id: SessionId) {
+        let Some(session) = self.sessions.remove(&id) else { return };
+        self.entry.stop_waiting(&session.cluster, id);
+        if let Some(attempt) = session.request.and_then(|request| request.attempt) {
+            self.abandon_attempt(&attempt);
+        }
+        if let Some(transaction) = session.transaction {
+            self.drop_transaction(id, &transaction);
+        }
+    }
+}
+
+fn parse_age(text: &str) -> Option<Micros> {
+    let text = text.trim();
+    if let Some(millis) = text.strip_suffix("ms") {
+        return millis.trim().parse().ok().filter(|&n: &u64| n < 1 << 40).map(Micros::from_millis);
+    }
+    if let Some(secs) = text.strip_suffix('s') {
+        return secs.trim().parse().ok().filter(|&n: &u64| n < 1 << 40).map(Micros::from_secs);
+    }
+    text.parse().ok().filter(|&n: &u64| n < 1 << 40).map(Micros::from_millis)
+}
--- /dev/null
+++ b/crates/node/src/timer.rs
@@ -0,0 +1,35 @@
+//! Deadlines of sessions and of work.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use admit::WorkId;
+use model::Micros;
+
+use crate::id::SessionId;
+
+/// Whose deadline it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum TimerKey {
+    Session(SessionId),
+    Work(WorkId),
+}
+
+/// Deadlines in order. An entry is not removed when its deadline changes; its owner keeps the time
+/// that counts and entries with another time are dropped when they reach the top.
+#[derive(Debug, Default)]
+pub(crate) struct TimerHeap(BinaryHeap<Reverse<(Micros, TimerKey)>>);
+
+impl TimerHeap {
+    pub(crate) fn add(&mut self, due: Micros, key: TimerKey) {
+        self.0.push(Reverse((due, key)));
+    }
+
+    pub(crate) fn first(&self) -> Option<(Micros, TimerKey)> {
+        self.0.peek().map(|entry| entry.0)
+    }
+
+    pub(crate) fn remove_first(&mut self) {
+        self.0.pop();
+    }
+}
