--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -435,8 +435,7 @@
             }
         }
         let mut actions = Vec::new();
-        loop {
-            let Some(desk) = self.owner.desks.get_mut(database) else { break };
+        while let Some(desk) = self.owner.desks.get_mut(database) {
             let Some(id) = desk.wanting.front().copied() else { break };
             let wanted = desk.wanting.len() as u32;
             let next = &mut self.owner.next_connection;
--- /dev/null
+++ b/crates/node/tests/requests.rs
@@ -0,0 +1,432 @@
+//! Requests from entry to answer, over two or three nodes with scripted backend servers.
+
+#![allow(clippy::unwrap_used)]
+
+mod driver;
+
+use driver::{Driver, LINK, envelope, fleet_text};
+use model::Micros;
+use node::{NodeEvent, OperatorCall, SessionId, TransactionState};
+
+fn millis(count: u64) -> Micros {
+    Micros::from_millis(count)
+}
+
+/// Guards against an acknowledgement without evidence that the primary still leads.
+#[test]
+fn a_write_is_held_until_acknowledged() {
+    let mut driver = Driver::start(3);
+    let node = driver.other_than_owner("db1");
+    let session = driver.open(node, "kiosk", &[]);
+    assert_eq!(driver.accepted, [(node, session)]);
+    let finish = driver.query(node, session, "insert into t values (1)");
+    assert_eq!(finish.code(), "");
+    assert_eq!(finish.relayed, ["insert into t values (1)"]);
+    assert!(finish.token.is_some());
+    assert_eq!(driver.committed_with("values (1)"), 1);
+    // With both replicas away no round is confirmed: the outcome is unknown and nothing is relayed.
+    driver.databases.get_mut("db2").unwrap().frozen = true;
+    driver.databases.get_mut("db3").unwrap().frozen = true;
+    let start = driver.now;
+    let finish = driver.query(node, session, "insert into t values (2)");
+    assert_eq!(finish.code(), "08007");
+    assert!(finish.relayed.is_empty());
+    assert!(finish.at.saturating_sub(start) >= Micros::from_secs(3));
+}
+
+/// Guards against data that is older than accepted when its first byte leaves.
+#[test]
+fn a_read_too_old_at_first_byte_goes_to_the_primary() {
+    let mut driver = Driver::start(2);
+    let node = driver.owner_of("db1");
+    let labels = [("cicadawick.labels", "kind=aged")];
+    let session = driver.open(node, "phone", &labels);
+    let finish = driver.query(node, session, "select 1");
+    assert_eq!((finish.code(), finish.relayed.len()), ("", 1));
+    let served = driver.reached_with("select 1");
+    assert_ne!(served, ["db1"], "a replica without lag serves reads that accept an age");
+    let replica = served[0].clone();
+    driver.databases.get_mut(&replica).unwrap().run_time = millis(2_100);
+    for other in ["db2", "db3"] {
+        if other != replica {
+            driver.databases.get_mut(other).unwrap().lags = true;
+            driver.databases.get_mut(other).unwrap().run_time = millis(2_100);
+        }
+    }
+    let finish = driver.query(node, session, "select 2");
+    assert_eq!(finish.relayed, ["select 2"], "{finish:?}");
+    let served = driver.reached_with("select 2");
+    assert_eq!(served.last().map(String::as_str), Some("db1"));
+    assert_eq!(served.len(), 2, "one discarded answer, one from the primary");
+}
+
+/// Guards against "not run" for something that reached a backend server.
+#[test]
+fn a_declined_write_never_reaches_a_backend() {
+    let mut driver = Driver::start(2);
+    for name in ["db1", "db2", "db3"] {
+        driver.databases.get_mut(name).unwrap().frozen = true;
+    }
+    driver.advance(Micros::from_secs(3));
+    let session = driver.open(0, "phone", &[("cicadawick.labels", "kind=short")]);
+    let finish = driver.query(0, session, "insert into t values (1)");
+    assert_eq!(finish.code(), "WK003");
+    assert!(driver.reached_with("insert").is_empty());
+}
+
+/// Guards against a second run of a write whose first run may have had effect.
+#[test]
+fn a_lost_connection_is_an_unknown_outcome_of_a_write_and_a_retry_of_a_read() {
+    let mut driver = Driver::start(3);
+    let node = driver.other_than_owner("db1");
+    let session = driver.open(node, "phone", &[]);
+    driver.databases.get_mut("db1").unwrap().lose_next = Some(("values (1)", true));
+    let finish = driver.query(node, session, "insert into t values (1)");
+    assert_eq!(finish.code(), "08007");
+    assert_eq!(driver.committed_with("values (1)"), 1);
+    driver.databases.get_mut("db1").unwrap().lose_next = Some(("select", true));
+    let finish = driver.query(node, session, "select 1");
+    assert_eq!((finish.code(), finish.relayed.len()), ("", 1));
+    assert_eq!(driver.reached_with("select").len(), 2);
+}
+
+/// Guards against an error for work that was not sent when its owner died.
+#[test]
+fn work_of_a_dead_owner_is_routed_again() {
+    let mut driver = Driver::start(3);
+    let owner = driver.owner_of("db1");
+    let node = driver.other_than_owner("db1");
+    driver.kill(owner);
+    let session = driver.open(node, "kiosk", &[]);
+    let finish = driver.query(node, session, "insert into t values (1)");
+    assert_eq!(finish.code(), "", "{finish:?}");
+    assert_eq!(driver.committed_with("values (1)"), 1);
+}
+
+/// Guards against statements of two transactions on one connection, at the owner and over a lane.
+#[test]
+fn a_transaction_keeps_one_connection() {
+    let mut driver = Driver::start(2);
+    for node in [driver.owner_of("db1"), driver.other_than_owner("db1")] {
+        let first = driver.open(node, "kiosk", &[]);
+        let second = driver.open(node, "kiosk", &[]);
+        for session in [first, second] {
+            let finish = driver.query(node, session, "begin");
+            assert_eq!(finish.transaction, TransactionState::Open);
+            let text = format!("insert into t values ({})", session.0);
+            driver.query(node, session, &text);
+        }
+        assert_eq!(driver.committed_with("values"), 0);
+        let finish = driver.query(node, first, "commit");
+        assert_eq!((finish.code(), finish.transaction), ("", TransactionState::Idle));
+        assert!(finish.token.is_some());
+        assert_eq!(driver.committed_with("values"), 1);
+        driver.query(node, second, "rollback");
+        assert_eq!(driver.committed_with("values"), 1);
+        driver.committed.clear();
+    }
+}
+
+/// Guards against a COMMIT that is passed on after the transaction's connection is gone.
+#[test]
+fn a_transaction_that_lost_its_connection_is_rolled_back() {
+    let mut driver = Driver::start(2);
+    let node = driver.other_than_owner("db1");
+    let session = driver.open(node, "kiosk", &[]);
+    driver.query(node, session, "begin");
+    driver.databases.get_mut("db1").unwrap().lose_next = Some(("values (1)", true));
+    let finish = driver.query(node, session, "insert into t values (1)");
+    assert_eq!((finish.code(), finish.transaction), ("WK004", TransactionState::Idle));
+    driver.query(node, session, "begin");
+    driver.query(node, session, "insert into t values (2)");
+    driver.databases.get_mut("db1").unwrap().lose_next = Some(("commit", true));
+    let finish = driver.query(node, session, "commit");
+    assert_eq!(finish.code(), "08007");
+}
+
+/// Guards against a payment that runs twice, or a repeat that hides a different statement.
+#[test]
+fn a_repeated_key_gives_the_first_outcome() {
+    let mut driver = Driver::start(2);
+    let node = driver.other_than_owner("db1");
+    let session = driver.open(node, "kiosk", &[]);
+    let text = "/*request_key='k1'*/ insert into t values (1)";
+    let first = driver.query(node, session, text);
+    assert_eq!(first.code(), "", "{first:?}");
+    let again = driver.query(node, session, text);
+    assert_eq!(again.code(), "");
+    assert!(again.relayed.is_empty());
+    assert_eq!(again.frames, b"C\0\0\0\x0fINSERT 0 1\0");
+    assert_eq!(driver.committed_with("values (1)"), 1);
+    let other = "/*request_key='k1'*/ insert into t values (2)";
+    assert_eq!(driver.query(node, session, other).code(), "22023");
+    assert_eq!(driver.committed_with("values (2)"), 0);
+    let failed = driver.query(node, session, "/*request_key='k2'*/ insert into fail values (1)");
+    assert_eq!(failed.relayed.len(), 1, "the statement's own error goes out");
+    assert!(!driver.keys.keys().any(|(key, _)| key == "k2"));
+}
+
+/// Guards against a lost or doubled keyed write when the connection breaks at any step.
+#[test]
+fn a_keyed_write_is_retried_over_lost_connections() {
+    for part in ["INSERT INTO cicadawick_requests", "insert into t", "UPDATE cicadawick_requests"] {
+        for after in [false, true] {
+            let mut driver = Driver::start(2);
+            let node = driver.other_than_owner("db1");
+            let session = driver.open(node, "kiosk", &[]);
+            driver.databases.get_mut("db1").unwrap().lose_next = Some((part, after));
+            let text = "/*request_key='k1'*/ insert into t values (1)";
+            let finish = driver.query(node, session, text);
+            assert_eq!(finish.code(), "", "{part} {after}");
+            assert_eq!(driver.committed_with("values (1)"), 1, "{part} {after}");
+        }
+    }
+}
+
+/// Guards against a write outage longer than the failover, and against P2: the write of the old
+/// primary is not acknowledged.
+#[test]
+fn writes_wait_through_a_failover() {
+    for node in 0..3 {
+        let mut driver = Driver::start(3);
+        let session = driver.open(node, "kiosk", &[]);
+        assert_eq!(driver.query(node, session, "insert into t values (1)").code(), "");
+        driver.databases.get_mut("db1").unwrap().down = true;
+        driver.advance(millis(300));
+        let start = driver.now;
+        let finish = driver.query(node, session, "insert into t values (2)");
+        assert_eq!(finish.code(), "", "{}\n{}", driver.logs.join("\n"), driver.dump(node));
+        let outage = finish.at.saturating_sub(start);
+        assert!(outage < Micros::from_secs(13), "the write outage was {outage}");
+        let finish = driver.query(node, session, "select 1");
+        assert_eq!(finish.code(), "");
+        assert_ne!(driver.reached_with("select 1"), ["db1"]);
+    }
+}
+
+/// Guards against a cluster that never gets its first primary.
+#[test]
+fn the_first_start_promotes_a_primary() {
+    let mut driver = Driver::cold(3, 0);
+    driver.advance(Micros::from_secs(12));
+    let primaries = driver.databases.values().filter(|database| database.primary).count();
+    assert_eq!(primaries, 1, "{}", driver.logs.join("\n"));
+    let session = driver.open(0, "kiosk", &[]);
+    assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
+}
+
+/// Guards against a stale read after a write, also through another proxy with the token.
+#[test]
+fn a_read_after_a_write_sees_it_through_another_proxy() {
+    let mut driver = Driver::start(3);
+    for name in ["db2", "db3"] {
+        driver.databases.get_mut(name).unwrap().lags = true;
+    }
+    let session = driver.open(0, "kiosk", &[]);
+    let finish = driver.query(0, session, "insert into t values (1)");
+    let token = finish.token.unwrap();
+    let labels = [("cicadawick.token", token.as_str()), ("cicadawick.labels", "kind=aged")];
+    let roamed = driver.open(1, "phone", &labels);
+    let finish = driver.query(1, roamed, "select 1");
+    assert_eq!(finish.code(), "");
+    assert_eq!(driver.reached_with("select 1"), ["db1"]);
+    let forged = driver.open(1, "phone", &[("cicadawick.token", "forged")]);
+    let finish = driver.query(1, forged, "show cicadawick.revision");
+    assert_eq!(finish.notices.len(), 1);
+    assert!(finish.frames.ends_with(b"SHOW\0"));
+}
+
+/// Guards against connections, slots and queue entries that outlive their session.
+#[test]
+fn a_closed_session_releases_everything() {
+    let mut driver = Driver::start(2);
+    let owner = driver.owner_of("db1");
+    for node in [owner, 1 - owner] {
+        let idle = driver.open(node, "kiosk", &[]);
+        driver.query(node, idle, "begin");
+        let busy = driver.open(node, "kiosk", &[]);
+        driver.query(node, busy, "begin");
+        driver.databases.get_mut("db1").unwrap().run_time = millis(400);
+        driver.send(node, busy, "insert into t values (1)");
+        driver.advance(millis(5));
+        for session in [idle, busy] {
+            driver.give(node, NodeEvent::SessionClosed { session });
+        }
+        driver.advance(Micros::from_secs(3));
+        driver.databases.get_mut("db1").unwrap().run_time = millis(2);
+        assert_released(&driver);
+    }
+    assert_eq!(driver.committed_with("values"), 0);
+}
+
+/// Checks that no node holds work, and no transaction is open.
+fn assert_released(driver: &Driver) {
+    for node in 0..driver.nodes.len() {
+        let dump = driver.dump(node);
+        assert_eq!(dump["forwarded"], 0, "{dump:#}");
+        assert_eq!(dump["sessions"]["busy"], 0, "{dump:#}");
+        for (name, desk) in dump["databases"].as_object().unwrap() {
+            for (part, entry) in [
+                ("pool", "pinned"),
+                ("pool", "busy"),
+                ("pool", "waiting"),
+                ("pool", "opening"),
+                ("queue", "parked"),
+            ] {
+                assert_eq!(desk[part][entry], 0, "{name} {part} {entry}: {dump:#}");
+            }
+            for rank in ["urgent", "interactive", "batch"] {
+                assert_eq!(desk["queue"]["waiting"][rank], 0, "{name}: {dump:#}");
+                assert_eq!(desk["queue"]["running"][rank], 0, "{name}: {dump:#}");
+            }
+        }
+    }
+}
+
+/// Guards against a deadlock of open transactions and work that waits for their connections.
+#[test]
+fn open_transactions_leave_room_for_their_statements() {
+    let mut driver = Driver::start(2);
+    let node = driver.owner_of("db1");
+    let sessions: Vec<SessionId> = (0..12).map(|_| driver.open(node, "kiosk", &[])).collect();
+    for session in &sessions {
+        driver.send(node, *session, "begin");
+    }
+    driver.advance(millis(200));
+    for session in &sessions {
+        if driver.finishes.contains_key(&(node, *session)) {
+            driver.query(node, *session, "insert into t values (1)");
+            assert_eq!(driver.query(node, *session, "commit").code(), "");
+        }
+    }
+    driver.advance(millis(500));
+    for session in &sessions {
+        assert_eq!(driver.finishes[&(node, *session)][0].code(), "");
+        if driver.finishes[&(node, *session)].len() == 1 {
+            assert_eq!(driver.query(node, *session, "commit").code(), "");
+        }
+    }
+    assert_released(&driver);
+}
+
+/// Guards against lost requests and new work during a graceful shutdown.
+#[test]
+fn a_drain_finishes_what_is_in_flight() {
+    let mut driver = Driver::start(3);
+    let node = driver.owner_of("db1");
+    let idle = driver.open(node, "kiosk", &[]);
+    let busy = driver.open(node, "kiosk", &[]);
+    let open = driver.open(node, "kiosk", &[]);
+    driver.query(node, open, "begin");
+    driver.databases.get_mut("db1").unwrap().run_time = millis(100);
+    driver.send(node, busy, "insert into t values (1)");
+    driver.advance(millis(20));
+    driver.give(node, NodeEvent::DrainRequested);
+    let late = driver.open(node, "kiosk", &[]);
+    assert_eq!(driver.refused.last().map(|refusal| &*refusal.2.code), Some("57P03"));
+    assert!(driver.closed.iter().any(|closed| closed.1 == idle));
+    assert!(!driver.finishes.contains_key(&(node, late)));
+    let finish = driver.query(node, open, "insert into t values (2)");
+    assert_eq!(finish.code(), "");
+    assert_eq!(driver.query(node, open, "commit").code(), "");
+    driver.advance(Micros::from_secs(2));
+    assert_eq!(driver.finishes[&(node, busy)][0].code(), "");
+    assert_eq!(driver.committed_with("values"), 2);
+    assert_eq!(driver.closed.len(), 3);
+    assert_eq!(driver.shut_down, [node]);
+    let other = (node + 1) % 3;
+    let session = driver.open(other, "kiosk", &[]);
+    assert_eq!(driver.query(other, session, "insert into t values (3)").code(), "");
+}
+
+/// Guards against a lower revision, an unreadable one, and work on a backend server that leaves.
+#[test]
+fn configuration_changes_take_effect() {
+    let mut driver = Driver::start(2);
+    let give = |driver: &mut Driver, revision: u64, text: &str| {
+        for node in 0..2 {
+            let event = NodeEvent::DocumentArrived {
+                document: "config".into(),
+                revision,
+                bytes: envelope(revision, text).into(),
+            };
+            driver.give(node, event);
+        }
+    };
+    let revision = |driver: &Driver| {
+        driver.nodes[0].answer(driver.now, &OperatorCall::Rollout)["revision"].clone()
+    };
+    let leaving = fleet_text("").replacen(r#""labels""#, r#""leaving": true, "labels""#, 1);
+    give(&mut driver, 3, &leaving);
+    give(&mut driver, 2, &fleet_text(""));
+    assert_eq!(revision(&driver), 3);
+    let session = driver.open(0, "phone", &[("cicadawick.labels", "kind=short")]);
+    assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "WK003");
+    assert!(driver.reached_with("insert").is_empty());
+    give(&mut driver, 4, "{ broken");
+    assert_eq!(revision(&driver), 3);
+    assert_eq!(driver.dump(0)["rejected"], 4);
+    give(&mut driver, 5, &fleet_text(""));
+    assert_eq!(revision(&driver), 5);
+    assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
+}
+
+/// Guards against an explanation that does not match what routing does.
+#[test]
+fn explain_names_labels_and_obstacles() {
+    let driver = Driver::start(2);
+    let call = OperatorCall::Explain {
+        attributes: model::LabelSet::from_pairs([("user", "kiosk")]),
+        labels: model::LabelSet::from_pairs([("kind", "aged"), ("town", "oshakati")]),
+        cluster: "billing".into(),
+    };
+    let mut answer = driver.nodes[0].answer(driver.now, &call);
+    // The owners follow from a hash that belongs to another crate.
+    for name in ["db1", "db2", "db3"] {
+        answer["databases"][name]["owner"] = "-".into();
+    }
+    insta::assert_snapshot!(serde_json::to_string_pretty(&answer).unwrap());
+    driver.nodes[0].next_timer().unwrap();
+    let _ = LINK;
+}
+
+/// Guards against session commands that are accepted and not kept, or the other way round.
+#[test]
+fn start_up_and_session_commands_are_checked() {
+    let mut driver = Driver::start(2);
+    driver.open(0, "phone", &[("work_mem", "1GB")]);
+    assert_eq!(&*driver.refused[0].2.code, "42704");
+    driver.open(0, "phone", &[("database", "nowhere")]);
+    let session = driver.open(0, "kiosk", &[("cicadawick.labels", "kind=aged, town=x")]);
+    let shown = driver.query(0, session, "show cicadawick.labels");
+    let shown = String::from_utf8_lossy(&shown.frames).to_string();
+    assert!(shown.contains("kind=vendor, town=x"), "operators' labels win: {shown}");
+    assert_eq!(driver.query(0, session, "set cicadawick.max_age = 'x'").code(), "22023");
+    assert_eq!(driver.query(0, session, "set cicadawick.nothing = 1").code(), "42704");
+    assert_eq!(driver.query(0, session, "set search_path = x").code(), "0A000");
+    assert_eq!(driver.query(0, session, "").frames, b"I\0\0\0\x04");
+    let fresh = Driver::cold(1, 1).open(0, "phone", &[]);
+    let mut cold = Driver::cold(1, 1);
+    cold.open(0, "phone", &[]);
+    assert_eq!(&*cold.refused[0].2.code, "57P03");
+    let _ = fresh;
+}
+
+/// Guards against a cancel request that loses the request or its answer.
+#[test]
+fn a_cancelled_request_ends_once() {
+    let mut driver = Driver::start(2);
+    let owner = driver.owner_of("db1");
+    for node in [owner, 1 - owner] {
+        driver.databases.get_mut("db1").unwrap().run_time = millis(300);
+        let session = driver.open(node, "kiosk", &[]);
+        driver.send(node, session, "insert into t values (1)");
+        driver.advance(millis(40));
+        driver.give(node, NodeEvent::CancelArrived { session });
+        driver.advance(millis(500));
+        let finishes = &driver.finishes[&(node, session)];
+        assert_eq!(finishes.len(), 1);
+        assert_eq!(finishes[0].relayed.len(), 1, "the error of the backend server goes out");
+    }
+    assert_eq!(driver.committed_with("values"), 0);
+}
