--- /dev/null
+++ b/crates/rpc/src/client.rs
@@ -0,0 +1,518 @@
+//! Calling peers.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use capnp::Error;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use failover::LeaderView;
+use futures::channel::oneshot;
+use futures::future::{self, AbortHandle, Either};
+use futures::io::{BufReader, BufWriter};
+use member::{Heartbeat, MemberInfo};
+use model::{FastMap, SocketAddress};
+use node::{WorkReply, WorkRequest};
+use schema::peer_capnp::{answer_sink, lane, peer};
+use stakker::{Core, Deferrer, FixedTimerKey};
+use stakker_mio::MioPoll;
+use stakker_mio::mio::net::TcpStream;
+
+use crate::codec;
+use crate::permit::ChunkPermit;
+use crate::pool::TaskPool;
+use crate::server::reader_options;
+use crate::stream::RpcStream;
+
+/// Time after which a connection without calls and lanes is closed.
+const IDLE_CLOSE: Duration = Duration::from_secs(30);
+
+/// Timeouts in a row after which a connection counts as dead. A link that drops packets gives no
+/// error, and TCP's own retries can pause for many seconds after it heals.
+const TIMEOUT_LIMIT: u32 = 3;
+
+/// A call that failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PeerCallError {
+    /// No byte was passed to the peer.
+    #[error("failed to reach peer {address}: {message}")]
+    NotSent { address: SocketAddress, message: String },
+    /// The call may have reached the peer.
+    #[error("lost the call to peer {address}: {message}")]
+    Broken { address: SocketAddress, message: String },
+    #[error("peer {address} did not answer in time")]
+    TimedOut { address: SocketAddress },
+}
+
+impl PeerCallError {
+    /// Tells whether the call may have reached the peer.
+    pub fn may_have_arrived(&self) -> bool {
+        !matches!(self, PeerCallError::NotSent { .. })
+    }
+}
+
+/// End of a forwarded request.
+pub struct ForwardReply {
+    pub reply: WorkReply,
+    /// Set while a transaction is open.
+    pub lane: Option<LaneHandle>,
+}
+
+/// A connection pinned at a peer; drop releases it.
+#[derive(Clone)]
+pub struct LaneHandle {
+    client: lane::Client,
+    connection: Rc<Connection>,
+    _use: Rc<()>,
+}
+
+/// Cancels the call when dropped, unless it is finished.
+#[must_use]
+pub struct CallGuard {
+    abort: AbortHandle,
+    open: Rc<Cell<bool>>,
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        // Chunks that are already on their way belong to no request any more.
+        self.open.set(false);
+        self.abort.abort();
+    }
+}
+
+/// Receives the parts of an answer.
+type ChunkTarget = Rc<dyn Fn(Bytes, ChunkPermit)>;
+
+struct Connection {
+    address: SocketAddress,
+    client: peer::Client,
+    stream: RpcStream,
+    /// Cloned by every call and lane.
+    uses: Rc<()>,
+    last_use: Cell<Instant>,
+    ended: Rc<Cell<bool>>,
+    timeouts: Cell<u32>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.stream.close();
+    }
+}
+
+/// Connections to peers, one for each address, opened on demand. Clones share them.
+#[derive(Clone)]
+pub struct PeerClients {
+    pool: TaskPool,
+    connections: Rc<RefCell<FastMap<SocketAddress, Rc<Connection>>>>,
+}
+
+impl PeerClients {
+    /// Creates a client side without connections.
+    pub fn new(pool: TaskPool) -> Self {
+        PeerClients { pool, connections: Rc::default() }
+    }
+
+    /// Returns the number of open connections.
+    pub fn connection_count(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// Closes connections that were idle for 30 s, and forgets those that ended.
+    pub fn sweep(&self, core: &Core) {
+        let now = core.now();
+        self.connections.borrow_mut().retain(|_, connection| {
+            let idle = Rc::strong_count(&connection.uses) == 1
+                && now.saturating_duration_since(connection.last_use.get()) >= IDLE_CLOSE;
+            !connection.ended.get() && !idle
+        });
+    }
+
+    /// Sends a heartbeat; `done` gets the peer's own.
+    pub fn heartbeat(
+        &self,
+        core: &mut Core,
+        address: SocketAddress,
+        heartbeat: &Heartbeat,
+        timeout: Duration,
+        done: impl FnOnce(Result<Heartbeat, PeerCallError>) + 'static,
+    ) {
+        let send = |client: &peer::Client| {
+            let mut request = client.heartbeat_request();
+            codec::write_heartbeat(request.get().init_heartbeat(), heartbeat);
+            let answer = request.send().promise;
+            async move { codec::read_heartbeat(answer.await?.get()?.get_answer()?) }
+        };
+        self.call(core, address, timeout, send, done);
+    }
+
+    /// Pulls the peer's member table.
+    pub fn pull_table(
+        &self,
+        core: &mut Core,
+        address: SocketAddress,
+        timeout: Duration,
+        done: impl FnOnce(Result<Vec<MemberInfo>, PeerCallError>) + 'static,
+    ) {
+        let send = |client: &peer::Client| {
+            let answer = client.pull_table_request().send().promise;
+            async move { codec::read_members(answer.await?.get()?.get_members()?) }
+        };
+        self.call(core, address, timeout, send, done);
+    }
+
+    /// Pulls a document: its revision and bytes, if the peer holds it.
+    pub fn pull_document(
+        &self,
+        core: &mut Core,
+        address: SocketAddress,
+        document: &str,
+        timeout: Duration,
+        done: impl FnOnce(Result<Option<(u64, Arc<[u8]>)>, PeerCallError>) + 'static,
+    ) {
+        let send = |client: &peer::Client| {
+            let mut request = client.pull_document_request();
+            request.get().set_document(document);
+            let answer = request.send().promise;
+            async move {
+                let answer = answer.await?;
+                let answer = answer.get()?;
+                if !answer.has_document() {
+                    return Ok(None);
+                }
+                let document = answer.get_document()?;
+                Ok(Some((document.get_revision(), Arc::from(document.get_bytes()?))))
+            }
+        };
+        self.call(core, address, timeout, send, done);
+    }
+
+    /// Asks for the peer's view of a cluster.
+    pub fn view(
+        &self,
+        core: &mut Core,
+        address: SocketAddress,
+        cluster: &str,
+        timeout: Duration,
+        done: impl FnOnce(Result<Option<LeaderView>, PeerCallError>) + 'static,
+    ) {
+        let send = |client: &peer::Client| {
+            let mut request = client.view_request();
+            request.get().set_cluster(cluster);
+            let answer = request.send().promise;
+            async move {
+                let answer = answer.await?;
+                let answer = answer.get()?;
+                match answer.has_view() {
+                    true => Ok(Some(codec::read_view(answer.get_view()?)?)),
+                    false => Ok(None),
+                }
+            }
+        };
+        self.call(core, address, timeout, send, done);
+    }
+
+    /// Forwards work. `chunks` gets the answer; a chunk counts as delivered when its permit is dropped.
+    #[allow(clippy::too_many_arguments)]
+    pub fn execute(
+        &self,
+        core: &mut Core,
+        address: SocketAddress,
+        from: &str,
+        work: &WorkRequest,
+        timeout: Duration,
+        chunks: impl Fn(Bytes, ChunkPermit) + 'static,
+        done: impl FnOnce(Result<ForwardReply, PeerCallError>) + 'static,
+    ) -> CallGuard {
+        let connection = self.connection(core, address);
+        let (sink, open) = new_sink(chunks);
+        let send = |connection: &Result<Rc<Connection>, PeerCallError>| {
+            let connection = connection.as_ref().ok()?;
+            let mut request = connection.client.execute_request();
+            request.get().set_sender(from);
+            codec::write_work(request.get().init_work(), work);
+            request.get().set_sink(sink);
+            let answer = request.send().promise;
+            let connection = connection.clone();
+            Some(async move {
+                let answer = answer.await?;
+                let answer = answer.get()?;
+                let reply = codec::read_reply(answer.get_reply()?)?;
+                let lane = match answer.has_lane() {
+                    true => Some(LaneHandle {
+                        client: answer.get_lane()?,
+                        _use: connection.uses.clone(),
+                        connection,
+                    }),
+                    false => None,
+                };
+                Ok(ForwardReply { reply, lane })
+            })
+        };
+        let answer = send(&connection);
+        self.start_forward(core, connection, answer, timeout, open, done)
+    }
+
+    /// Forwards work to the transaction on a lane; see [`PeerClients::execute`].
+    pub fn execute_on_lane(
+        &self,
+        core: &mut Core,
+        lane: &LaneHandle,
+        work: &WorkRequest,
+        timeout: Duration,
+        chunks: impl Fn(Bytes, ChunkPermit) + 'static,
+        done: impl FnOnce(Result<ForwardReply, PeerCallError>) + 'static,
+    ) -> CallGuard {
+        let (sink, open) = new_sink(chunks);
+        let mut request = lane.client.execute_request();
+        codec::write_work(request.get().init_work(), work);
+        request.get().set_sink(sink);
+        let answer = request.send().promise;
+        let lane = lane.clone();
+        let connection = Ok(lane.connection.clone());
+        let answer = async move {
+            let answer = answer.await?;
+            let answer = answer.get()?;
+            let reply = codec::read_reply(answer.get_reply()?)?;
+            Ok(ForwardReply { reply, lane: answer.get_open().then_some(lane) })
+        };
+        self.start_forward(core, connection, Some(answer), timeout, open, done)
+    }
+
+    fn start_forward(
+        &self,
+        core: &mut Core,
+        connection: Result<Rc<Connection>, PeerCallError>,
+        answer: Option<impl Future<Output = Result<ForwardReply, Error>> + 'static>,
+        timeout: Duration,
+        open: Rc<Cell<bool>>,
+        done: impl FnOnce(Result<ForwardReply, PeerCallError>) + 'static,
+    ) -> CallGuard {
+        let still_open = open.clone();
+        let done = move |result| {
+            still_open.set(false);
+            done(result);
+        };
+        let abort = self.start(core, connection, answer, timeout, done);
+        CallGuard { abort, open }
+    }
+
+    fn call<F, T>(
+        &self,
+        core: &mut Core,
+        address: SocketAddress,
+        timeout: Duration,
+        send: impl FnOnce(&peer::Client) -> F,
+        done: impl FnOnce(Result<T, PeerCallError>) + 'static,
+    ) where
+        F: Future<Output = Result<T, Error>> + 'static,
+        T: 'static,
+    {
+        let connection = self.connection(core, address);
+        let answer = connection.as_ref().ok().map(|connection| send(&connection.client));
+        self.start(core, connection, answer, timeout, done);
+    }
+
+    fn start<T: 'static>(
+        &self,
+        core: &mut Core,
+        connection: Result<Rc<Connection>, PeerCallError>,
+        answer: Option<impl Future<Output = Result<T, Error>> + 'static>,
+        timeout: Duration,
+        done: impl FnOnce(Result<T, PeerCallError>) + 'static,
+    ) -> AbortHandle {
+        let timer = CallTimer::start(core, timeout);
+        let task = async move {
+            let result = match (connection, answer) {
+                (Ok(connection), Some(answer)) => connection.finish(answer, timer).await,
+                (Err(error), _) => Err(error),
+                (Ok(connection), None) => Err(connection.error("no request was made".to_owned())),
+            };
+            done(result);
+        };
+        let (task, abort) = future::abortable(task);
+        self.pool.spawn(async move {
+            let _ = task.await;
+        });
+        abort
+    }
+
+    fn connection(
+        &self,
+        core: &mut Core,
+        address: SocketAddress,
+    ) -> Result<Rc<Connection>, PeerCallError> {
+        let mut connections = self.connections.borrow_mut();
+        if let Some(connection) = connections.get(&address)
+            && !connection.ended.get()
+        {
+            connection.last_use.set(core.now());
+            return Ok(connection.clone());
+        }
+        let poll: MioPoll = core.anymap_get();
+        let stream =
+            TcpStream::connect(address)
+                .and_then(|stream| RpcStream::new(&poll, stream))
+                .map_err(|error| PeerCallError::NotSent { address, message: error.to_string() })?;
+        let network = twoparty::VatNetwork::new(
+            BufReader::new(stream.clone()),
+            BufWriter::new(stream.clone()),
+            Side::Client,
+            reader_options(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        // Every call on the connection gets the error itself.
+        system.set_background_error_handler(|_| {});
+        let client: peer::Client = system.bootstrap(Side::Server);
+        let ended = Rc::new(Cell::new(false));
+        let system_ended = ended.clone();
+        let system_stream = stream.clone();
+        self.pool.spawn(async move {
+            let _ = system.await;
+            system_ended.set(true);
+            system_stream.close();
+        });
+        let connection = Rc::new(Connection {
+            address,
+            client,
+            stream,
+            uses: Rc::new(()),
+            last_use: Cell::new(core.now()),
+            ended,
+            timeouts: Cell::new(0),
+        });
+        connections.insert(address, connection.clone());
+        Ok(connection)
+    }
+}
+
+impl Connection {
+    async fn finish<T>(
+        &self,
+        answer: impl Future<Output = Result<T, Error>>,
+        timer: CallTimer,
+    ) -> Result<T, PeerCallError> {
+        let _use = self.uses.clone();
+        let answer = std::pin::pin!(answer);
+        match future::select(answer, timer).await {
+            Either::Left((Ok(answer), _)) => {
+                self.timeouts.set(0);
+                Ok(answer)
+            }
+            Either::Left((Err(error), _)) => {
+                if error.kind == capnp::ErrorKind::Disconnected {
+                    self.ended.set(true);
+                }
+                Err(self.error(error.to_string()))
+            }
+            Either::Right(_) => {
+                self.timeouts.set(self.timeouts.get() + 1);
+                let sent = self.stream.has_written();
+                if self.timeouts.get() >= TIMEOUT_LIMIT || !sent {
+                    self.ended.set(true);
+                    self.stream.close();
+                }
+                match sent {
+                    true => Err(PeerCallError::TimedOut { address: self.address }),
+                    false => Err(self.error("no connection in time".to_owned())),
+                }
+            }
+        }
+    }
+
+    fn error(&self, message: String) -> PeerCallError {
+        let address = self.address;
+        match self.stream.has_written() {
+            true => PeerCallError::Broken { address, message },
+            false => PeerCallError::NotSent { address, message },
+        }
+    }
+}
+
+/// Resolves after the timeout; drop removes the timer.
+struct CallTimer {
+    key: FixedTimerKey,
+    deferrer: Deferrer,
+    expired: oneshot::Receiver<()>,
+}
+
+impl CallTimer {
+    fn start(core: &mut Core, timeout: Duration) -> Self {
+        let (sender, expired) = oneshot::channel();
+        let key = core.timer_add(core.now() + timeout, move |_| {
+            let _ = sender.send(());
+        });
+        CallTimer { key, deferrer: core.deferrer(), expired }
+    }
+}
+
+impl Future for CallTimer {
+    type Output = ();
+
+    fn poll(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<()> {
+        std::pin::Pin::new(&mut self.expired).poll(context).map(|_| ())
+    }
+}
+
+impl Drop for CallTimer {
+    fn drop(&mut self) {
+        let key = self.key;
+        self.deferrer.defer(move |stakker| {
+            stakker.timer_del(key);
+        });
+    }
+}
+
+struct SinkServer {
+    chunks: ChunkTarget,
+    open: Rc<Cell<bool>>,
+}
+
+fn new_sink(
+    chunks: impl Fn(Bytes, ChunkPermit) + 'static,
+) -> (answer_sink::Client, Rc<Cell<bool>>) {
+    let open = Rc::new(Cell::new(true));
+    let server = SinkServer { chunks: Rc::new(chunks), open: open.clone() };
+    (capnp_rpc::new_client(server), open)
+}
+
+impl answer_sink::Server for SinkServer {
+    fn write(
+        self: Rc<Self>,
+        params: answer_sink::WriteParams,
+        _results: answer_sink::WriteResults,
+    ) -> impl Future<Output = Result<(), Error>> + 'static {
+        // The chunk is passed on before the future is polled, which keeps the order of the calls.
+        let written = self.accept(&params);
+        async move {
+            if let Some(written) = written? {
+                // The permit is only ever dropped, never sent.
+                let _ = written.await;
+            }
+            Ok(())
+        }
+    }
+}
+
+impl SinkServer {
+    fn accept(
+        &self,
+        params: &answer_sink::WriteParams,
+    ) -> Result<Option<oneshot::Receiver<()>>, Error> {
+        if !self.open.get() {
+            return Ok(None);
+        }
+        let chunk = Bytes::copy_from_slice(params.get()?.get_chunk()?);
+        let (permit, written) = oneshot::channel::<()>();
+        (self.chunks)(chunk, ChunkPermit::new(move || drop(permit)));
+        Ok(Some(written))
+    }
+}
--- /dev/null
+++ b/crates/rpc/src/server.rs
@@ -0,0 +1,291 @@
+//! Answering a peer's calls.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use capnp::Error;
+use capnp::message::ReaderOptions;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use failover::LeaderView;
+use futures::channel::{mpsc, oneshot};
+use futures::io::{BufReader, BufWriter};
+use futures::stream::{FuturesUnordered, StreamExt};
+use member::{Heartbeat, MemberInfo};
+use model::Name;
+use node::{CallId, LaneId, WorkReply, WorkRequest};
+use schema::peer_capnp::{answer_sink, lane, peer};
+use stakker::Fwd;
+
+use crate::codec;
+use crate::permit::ChunkPermit;
+use crate::pool::TaskPool;
+use crate::stream::RpcStream;
+
+/// Largest message that a peer may send, in words of 8 bytes: room for a request of 1 MB and a
+/// document of 1 MB with their surroundings.
+const MESSAGE_LIMIT_WORDS: usize = 1 << 20;
+
+/// Options that bound what a message from a peer can make this side allocate.
+pub(crate) fn reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MESSAGE_LIMIT_WORDS));
+    options
+}
+
+/// Source of ids for calls that arrive. They have the highest bit set, so that they differ from the
+/// ids that the node gives to its own calls.
+#[derive(Clone, Debug)]
+pub struct CallIds {
+    next: Rc<Cell<u64>>,
+}
+
+impl Default for CallIds {
+    fn default() -> Self {
+        CallIds { next: Rc::new(Cell::new(1 << 63)) }
+    }
+}
+
+impl CallIds {
+    /// Returns an id that was not used before.
+    pub fn next(&self) -> u64 {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        id
+    }
+}
+
+/// A part of the answer to a call that arrived.
+pub enum AnswerPart {
+    /// At most [`crate::CHUNK_BYTES`].
+    Chunk(Bytes, ChunkPermit),
+    /// The end. The lane is the connection that stays pinned.
+    End(WorkReply, Option<LaneId>),
+}
+
+/// What a peer asks for.
+pub enum PeerRequest {
+    Heartbeat {
+        heartbeat: Heartbeat,
+        reply: oneshot::Sender<Heartbeat>,
+    },
+    PullTable {
+        reply: oneshot::Sender<Vec<MemberInfo>>,
+    },
+    PullDocument {
+        document: Name,
+        reply: oneshot::Sender<Option<(u64, Arc<[u8]>)>>,
+    },
+    View {
+        cluster: Name,
+        reply: oneshot::Sender<Option<LeaderView>>,
+    },
+    Execute {
+        call: CallId,
+        from: Name,
+        lane: Option<LaneId>,
+        work: Box<WorkRequest>,
+        answers: mpsc::UnboundedSender<AnswerPart>,
+    },
+    /// The peer dropped the call, or the link to it broke.
+    Cancelled {
+        call: CallId,
+    },
+    /// The peer dropped the lane, or the link to it broke.
+    LaneDropped {
+        lane: LaneId,
+    },
+}
+
+/// Serves the calls of one peer until its connection ends.
+pub fn serve_peer(pool: &TaskPool, stream: RpcStream, requests: Fwd<PeerRequest>, ids: CallIds) {
+    let server = PeerServer { requests, ids };
+    let client: peer::Client = capnp_rpc::new_client(server);
+    let network = twoparty::VatNetwork::new(
+        BufReader::new(stream.clone()),
+        BufWriter::new(stream),
+        Side::Server,
+        reader_options(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), Some(client.client));
+    // The end of a connection reaches the node through the calls and lanes that it cancels.
+    system.set_background_error_handler(|_| {});
+    pool.spawn(async move {
+        let _ = system.await;
+    });
+}
+
+fn no_answer<T>(_: T) -> Error {
+    Error::overloaded("the node is stopping".to_owned())
+}
+
+#[derive(Clone)]
+struct PeerServer {
+    requests: Fwd<PeerRequest>,
+    ids: CallIds,
+}
+
+/// Reports a call that ends without an answer.
+struct CallWatch {
+    call: CallId,
+    requests: Fwd<PeerRequest>,
+    answered: bool,
+}
+
+impl Drop for CallWatch {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.requests.fwd(PeerRequest::Cancelled { call: self.call });
+        }
+    }
+}
+
+impl PeerServer {
+    async fn run(
+        self,
+        from: Name,
+        lane: Option<LaneId>,
+        work: WorkRequest,
+        sink: answer_sink::Client,
+    ) -> Result<(WorkReply, Option<LaneId>), Error> {
+        let call = CallId(self.ids.next());
+        let (answers, mut parts) = mpsc::unbounded();
+        let mut watch = CallWatch { call, requests: self.requests.clone(), answered: false };
+        let work = Box::new(work);
+        self.requests.fwd(PeerRequest::Execute { call, from, lane, work, answers });
+        // The window of the answer's source bounds how many writes are in flight.
+        let mut writes = FuturesUnordered::new();
+        let end = loop {
+            futures::select! {
+                part = parts.next() => match part {
+                    Some(AnswerPart::Chunk(chunk, permit)) => {
+                        let mut request = sink.write_request();
+                        request.get().set_chunk(&chunk);
+                        let written = request.send().promise;
+                        writes.push(async move {
+                            let result = written.await;
+                            drop(permit);
+                            result.map(|_| ())
+                        });
+                    }
+                    Some(AnswerPart::End(reply, lane)) => break (reply, lane),
+                    None => return Err(no_answer(())),
+                },
+                result = writes.select_next_some() => result?,
+            }
+        };
+        watch.answered = true;
+        while let Some(result) = writes.next().await {
+            result?;
+        }
+        Ok(end)
+    }
+}
+
+impl peer::Server for PeerServer {
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: peer::HeartbeatParams,
+        mut results: peer::HeartbeatResults,
+    ) -> Result<(), Error> {
+        let heartbeat = codec::read_heartbeat(params.get()?.get_heartbeat()?)?;
+        let (reply, answer) = oneshot::channel();
+        self.requests.fwd(PeerRequest::Heartbeat { heartbeat, reply });
+        let heartbeat = answer.await.map_err(no_answer)?;
+        codec::write_heartbeat(results.get().init_answer(), &heartbeat);
+        Ok(())
+    }
+
+    async fn pull_table(
+        self: Rc<Self>,
+        _params: peer::PullTableParams,
+        mut results: peer::PullTableResults,
+    ) -> Result<(), Error> {
+        let (reply, answer) = oneshot::channel();
+        self.requests.fwd(PeerRequest::PullTable { reply });
+        let members = answer.await.map_err(no_answer)?;
+        codec::write_members(results.get().init_members(members.len() as u32), &members);
+        Ok(())
+    }
+
+    async fn pull_document(
+        self: Rc<Self>,
+        params: peer::PullDocumentParams,
+        mut results: peer::PullDocumentResults,
+    ) -> Result<(), Error> {
+        let document = params.get()?.get_document()?.to_str()?.into();
+        let (reply, answer) = oneshot::channel();
+        self.requests.fwd(PeerRequest::PullDocument { document, reply });
+        if let Some((revision, bytes)) = answer.await.map_err(no_answer)? {
+            let mut document = results.get().init_document();
+            document.set_revision(revision);
+            document.set_bytes(&bytes);
+        }
+        Ok(())
+    }
+
+    async fn view(
+        self: Rc<Self>,
+        params: peer::ViewParams,
+        mut results: peer::ViewResults,
+    ) -> Result<(), Error> {
+        let cluster = params.get()?.get_cluster()?.to_str()?.into();
+        let (reply, answer) = oneshot::channel();
+        self.requests.fwd(PeerRequest::View { cluster, reply });
+        if let Some(view) = answer.await.map_err(no_answer)? {
+            codec::write_view(results.get().init_view(), &view);
+        }
+        Ok(())
+    }
+
+    async fn execute(
+        self: Rc<Self>,
+        params: peer::ExecuteParams,
+        mut results: peer::ExecuteResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let from: Name = params.get_sender()?.to_str()?.into();
+        let work = codec::read_work(params.get_work()?)?;
+        let sink = params.get_sink()?;
+        let server = PeerServer::clone(&self);
+        let (reply, lane) = server.clone().run(from.clone(), None, work, sink).await?;
+        let mut results = results.get();
+        codec::write_reply(results.reborrow().init_reply(), &reply);
+        if let Some(lane) = lane {
+            results.set_lane(capnp_rpc::new_client(LaneServer { lane, from, server }));
+        }
+        Ok(())
+    }
+}
+
+struct LaneServer {
+    lane: LaneId,
+    from: Name,
+    server: PeerServer,
+}
+
+impl Drop for LaneServer {
+    fn drop(&mut self) {
+        self.server.requests.fwd(PeerRequest::LaneDropped { lane: self.lane });
+    }
+}
+
+impl lane::Server for LaneServer {
+    async fn execute(
+        self: Rc<Self>,
+        params: lane::ExecuteParams,
+        mut results: lane::ExecuteResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let work = codec::read_work(params.get_work()?)?;
+        let sink = params.get_sink()?;
+        let run = self.server.clone().run(self.from.clone(), Some(self.lane), work, sink);
+        let (reply, lane) = run.await?;
+        let mut results = results.get();
+        codec::write_reply(results.reborrow().init_reply(), &reply);
+        results.set_open(lane.is_some());
+        Ok(())
+    }
+}
