--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,196 @@
+//! The operators' HTTP interface: a thread that passes requests to the loop and waits for the answer.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, mpsc};
+use std::time::Duration;
+
+use model::{LabelSet, SocketAddress};
+use node::{OperatorCall, SessionId};
+use stakker::sync::Channel;
+use stats::CallerMeasure;
+
+/// Time that the loop has to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Rows of `top` if the request names no number, and the most that it may name.
+const DEFAULT_ROWS: usize = 20;
+const MAX_ROWS: usize = 2_048;
+
+/// What an operator asks.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum AdminCall {
+    Node(OperatorCall),
+    /// The node's dump joined with the shell's.
+    Dump,
+    Drain,
+    Health,
+}
+
+/// A request on its way to the loop.
+pub(crate) struct AdminRequest {
+    pub(crate) call: AdminCall,
+    pub(crate) reply: mpsc::Sender<serde_json::Value>,
+}
+
+/// The HTTP thread; drop ends it.
+pub(crate) struct AdminServer {
+    server: Arc<tiny_http::Server>,
+}
+
+impl AdminServer {
+    /// Binds the address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub(crate) fn bind(
+        address: SocketAddress,
+    ) -> Result<Self, Box<dyn std::error::Error + Send + Sync>> {
+        Ok(AdminServer { server: Arc::new(tiny_http::Server::http(address)?) })
+    }
+
+    /// Returns the bound address.
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        self.server.server_addr().to_ip()
+    }
+
+    /// Starts to serve; requests go to `channel`.
+    pub(crate) fn start(&self, channel: Channel<AdminRequest>) {
+        let server = self.server.clone();
+        std::thread::spawn(move || {
+            while let Ok(request) = server.recv() {
+                let (status, body) = answer(request.method(), request.url(), &channel);
+                let mut response = tiny_http::Response::from_string(format!("{body:#}\n"))
+                    .with_status_code(status);
+                if let Ok(header) = "Content-Type: application/json".parse() {
+                    response.add_header::<tiny_http::Header>(header);
+                }
+                // The operator may have gone away.
+                let _ = request.respond(response);
+            }
+        });
+    }
+}
+
+impl Drop for AdminServer {
+    fn drop(&mut self) {
+        self.server.unblock();
+    }
+}
+
+fn answer(
+    method: &tiny_http::Method,
+    url: &str,
+    channel: &Channel<AdminRequest>,
+) -> (u16, serde_json::Value) {
+    let error = |status: u16, message: &str| (status, serde_json::json!({ "error": message }));
+    let call = match parse_call(method, url) {
+        Ok(call) => call,
+        Err((status, message)) => return error(status, &message),
+    };
+    let (reply, answer) = mpsc::channel();
+    if !channel.send(AdminRequest { call, reply }) {
+        return error(503, "the node is stopping");
+    }
+    match answer.recv_timeout(ANSWER_TIMEOUT) {
+        Ok(body) => (200, body),
+        Err(_) => error(503, "the node does not answer"),
+    }
+}
+
+/// Reads a request line.
+fn parse_call(method: &tiny_http::Method, url: &str) -> Result<AdminCall, (u16, String)> {
+    let (path, query) = url.split_once('?').unwrap_or((url, ""));
+    let query: Vec<(String, String)> = query
+        .split('&')
+        .filter(|pair| !pair.is_empty())
+        .map(|pair| {
+            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+            (decode(name), decode(value))
+        })
+        .collect();
+    let get =
+        |name: &str| query.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str());
+    let bad = |name: &str, accepted: &str| (400, format!("{name}: expected {accepted}"));
+    let (expected, call) = match path {
+        "/v1/dump" => (tiny_http::Method::Get, AdminCall::Dump),
+        "/v1/health" => (tiny_http::Method::Get, AdminCall::Health),
+        "/v1/rollout" => (tiny_http::Method::Get, AdminCall::Node(OperatorCall::Rollout)),
+        "/v1/drain" => (tiny_http::Method::Post, AdminCall::Drain),
+        "/v1/top" => {
+            let measure = parse_measure(get("measure").unwrap_or("requests"))
+                .ok_or_else(|| bad("measure", MEASURES))?;
+            let rows = match get("rows") {
+                None => DEFAULT_ROWS,
+                Some(rows) => rows
+                    .parse()
+                    .ok()
+                    .filter(|rows| (1..=MAX_ROWS).contains(rows))
+                    .ok_or_else(|| bad("rows", &format!("a number from 1 to {MAX_ROWS}")))?,
+            };
+            (tiny_http::Method::Get, AdminCall::Node(OperatorCall::Top { measure, rows }))
+        }
+        "/v1/explain" => {
+            let call = match get("session") {
+                Some(session) => {
+                    let id = session.parse().map_err(|_| bad("session", "a session's number"))?;
+                    OperatorCall::ExplainSession { session: SessionId(id) }
+                }
+                None => {
+                    let attributes = ["user", "application", "address"]
+                        .into_iter()
+                        .filter_map(|name| Some((name, get(name)?)));
+                    let labels = LabelSet::parse(get("labels").unwrap_or(""))
+                        .map_err(|error| (400, error.to_string()))?;
+                    let cluster =
+                        get("cluster").ok_or_else(|| bad("cluster", "a cluster's name"))?;
+                    OperatorCall::Explain {
+                        attributes: LabelSet::from_pairs(attributes),
+                        labels,
+                        cluster: cluster.into(),
+                    }
+                }
+            };
+            (tiny_http::Method::Get, AdminCall::Node(call))
+        }
+        _ => return Err((404, format!("no such path: {path}"))),
+    };
+    if *method != expected {
+        return Err((405, format!("{path}: expected {expected}")));
+    }
+    Ok(call)
+}
+
+const MEASURES: &str =
+    "requests, slot_time, refused, replica_declined, repeated_keys or outcome_unknown";
+
+fn parse_measure(name: &str) -> Option<CallerMeasure> {
+    serde_json::from_value(serde_json::Value::String(name.to_owned())).ok()
+}
+
+/// Decodes `+` and `%XX`; what is not a valid escape stays as it is.
+fn decode(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        let escape = match first {
+            b'%' => tail.get(..2).and_then(|hex| std::str::from_utf8(hex).ok()),
+            _ => None,
+        };
+        match (first, escape.and_then(|hex| u8::from_str_radix(hex, 16).ok())) {
+            (_, Some(byte)) => {
+                bytes.push(byte);
+                rest = &tail[2..];
+            }
+            (b'+', None) => {
+                bytes.push(b' ');
+                rest = tail;
+            }
+            (other, None) => {
+                bytes.push(*other);
+                rest = tail;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,217 @@
 //! `cicadawickd`: the shell that feeds a node from sockets and timers.
+//!
+//! One thread runs a stakker loop. The hub actor owns the [`node::Node`], passes it events and carries
+//! out its actions. Session and backend actors own the sockets and exchange the parts of answers
+//! directly, each with a permit that bounds what is buffered. Blocking work, which is calls to the
+//! platform and the operators' HTTP interface, has threads of its own that talk to the loop through
+//! channels.
+//!
+//! The daemon never panics because of a peer: bytes from the network are read with bounds checks, and
+//! a malformed message closes only the connection that it came from.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use model::NodeSettings;
+use stakker::sync::Channel;
+use stakker::{ActorOwn, Stakker, StopCause, actor, call, ret_shutdown};
+use stakker_mio::MioPoll;
+use stakker_mio::mio::{Events, Poll};
+
+mod admin;
+mod backend;
+mod cancel;
+mod counters;
+mod handshake;
+mod hub;
+mod logging;
+mod platform_link;
+mod relay;
+mod report;
+mod session;
+mod socket;
+
+use admin::AdminServer;
+use counters::CounterSet;
+use hub::{Hub, HubSetup};
+
+pub use logging::start_logging;
+
+/// Longest time that the loop sleeps.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// Events that one poll of the sockets takes.
+const EVENT_CAPACITY: usize = 1_024;
+
+/// The addresses that a daemon listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadyAddresses {
+    pub caller_address: SocketAddr,
+    pub peer_address: SocketAddr,
+    pub admin_address: SocketAddr,
+}
+
+impl std::fmt::Display for ReadyAddresses {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            formatter,
+            "ready caller_address={} peer_address={} admin_address={}",
+            self.caller_address, self.peer_address, self.admin_address
+        )
+    }
+}
+
+/// Why a daemon could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    #[error("failed to listen on {key} {address}: {source}")]
+    Listen { key: &'static str, address: SocketAddr, source: std::io::Error },
+    #[error("failed to start: {0}")]
+    Start(#[from] std::io::Error),
+    #[error("failed to get random bytes: {0}")]
+    Random(getrandom::Error),
+    #[error("the event loop failed: {0}")]
+    Loop(String),
+}
+
+/// Ends a running daemon from another thread, as SIGTERM does.
+#[derive(Clone)]
+pub struct StopHandle {
+    channel: Channel<()>,
+}
+
+impl StopHandle {
+    /// Begins a graceful shutdown; [`run`] returns when it is complete.
+    pub fn stop(&self) {
+        self.channel.send(());
+    }
+}
+
+/// How a daemon runs.
+#[derive(Default)]
+pub struct RunOptions {
+    /// Called once all addresses are bound.
+    #[allow(clippy::type_complexity)]
+    pub ready: Option<Box<dyn FnOnce(ReadyAddresses, StopHandle)>>,
+    /// SIGTERM and SIGINT begin a graceful shutdown.
+    pub handle_signals: bool,
+}
+
+/// Runs a daemon until it was shut down gracefully. Port 0 in an address of the settings stands for a
+/// free port, which `options.ready` gets to know.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound or the loop cannot be set up.
+pub fn run(mut settings: NodeSettings, options: RunOptions) -> Result<(), DaemonError> {
+    let callers = listen("caller_address", &mut settings.caller_address)?;
+    let peers = listen("peer_address", &mut settings.peer_address)?;
+    let admin = AdminServer::bind(settings.admin_address).map_err(|error| {
+        let source = match error.downcast::<std::io::Error>() {
+            Ok(error) => *error,
+            Err(error) => std::io::Error::other(error.to_string()),
+        };
+        DaemonError::Listen { key: "admin_address", address: settings.admin_address, source }
+    })?;
+    if let Some(address) = admin.address() {
+        settings.admin_address = address;
+    }
+    let ready = ReadyAddresses {
+        caller_address: settings.caller_address,
+        peer_address: settings.peer_address,
+        admin_address: settings.admin_address,
+    };
+    let counters = CounterSet::new(settings.metrics_address)?;
+    let mut seed = [0; 8];
+    getrandom::fill(&mut seed).map_err(DaemonError::Random)?;
+    let setup = HubSetup {
+        settings,
+        callers,
+        peers,
+        admin,
+        counters,
+        incarnation: wall_clock_micros(),
+        seed: u64::from_le_bytes(seed),
+    };
+
+    let mut stakker = Stakker::new(Instant::now());
+    let stakker = &mut stakker;
+    let events = Events::with_capacity(EVENT_CAPACITY);
+    let poll = MioPoll::new(stakker, Poll::new()?, events, 10)?;
+    let hub: ActorOwn<Hub> = actor!(stakker, Hub::init(setup), ret_shutdown!(stakker));
+
+    let stop_hub = hub.clone();
+    let stop = stakker::Fwd::new(move |()| {
+        let hub = stop_hub.clone();
+        let deferred = hub.clone();
+        hub.defer(move |stakker| call!([deferred, stakker], drain()));
+    });
+    let (channel, _stop_guard) = Channel::new(stakker, stop);
+    let _signals = match options.handle_signals {
+        true => Some(SignalThread::start(channel.clone())?),
+        false => None,
+    };
+
+    let mut idle_pending = stakker.run(Instant::now(), false);
+    if stakker.not_shutdown() {
+        log::info!("{ready}");
+        if let Some(call) = options.ready {
+            call(ready, StopHandle { channel });
+        }
+    }
+    let mut io_pending = false;
+    let mut activity;
+    while stakker.not_shutdown() {
+        let wait = stakker.next_wait_max(Instant::now(), MAX_WAIT, idle_pending || io_pending);
+        (activity, io_pending) = poll.poll(wait)?;
+        idle_pending = stakker.run(Instant::now(), !activity);
+    }
+    let cause = stakker.shutdown_reason();
+    drop(hub);
+    stakker.run(Instant::now(), false);
+    match cause {
+        None | Some(StopCause::Stopped | StopCause::Dropped) => {
+            log::info!("stopped");
+            Ok(())
+        }
+        Some(cause) => Err(DaemonError::Loop(cause.to_string())),
+    }
+}
+
+fn listen(key: &'static str, address: &mut SocketAddr) -> Result<TcpListener, DaemonError> {
+    let error = |source| DaemonError::Listen { key, address: *address, source };
+    let listener = TcpListener::bind(*address).map_err(error)?;
+    *address = listener.local_addr().map_err(error)?;
+    Ok(listener)
+}
+
+/// Microseconds since 1970, which grow from one start of the process to the next.
+fn wall_clock_micros() -> u64 {
+    let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
+}
+
+/// Waits for signals; drop ends the thread.
+struct SignalThread {
+    handle: signal_hook::iterator::Handle,
+}
+
+impl SignalThread {
+    fn start(channel: Channel<()>) -> Result<Self, std::io::Error> {
+        use signal_hook::consts::{SIGINT, SIGTERM};
+        let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
+        let handle = signals.handle();
+        std::thread::spawn(move || {
+            for _ in signals.forever() {
+                channel.send(());
+            }
+        });
+        Ok(SignalThread { handle })
+    }
+}
+
+impl Drop for SignalThread {
+    fn drop(&mut self) {
+        self.handle.close();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform_link.rs
@@ -0,0 +1,213 @@
+//! Calls to the platform, on threads of their own because they block.
+//!
+//! Each watch has a thread, which waits in one blocking query at a time. Reads and writes of records
+//! share one more thread. Dropping a thread's handle ends it after its current call.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use member::PlatformVm;
+use model::{Name, SocketAddress};
+use node::PlatformAnswer;
+use platform::{PlatformClient, PlatformError};
+use stakker::{Actor, Core, Fwd, PipedLink, PipedThread, call};
+
+use crate::hub::Hub;
+
+/// Keys of the watched documents; the document's name is the last part.
+const DOCUMENT_KEYS: [(&str, &str); 2] =
+    [("config", "cicadawick/config"), ("token-keys", "cicadawick/token-keys")];
+
+/// Time that a blocking query waits at the platform. Each return counts as a call, so it is long.
+const WATCH_WAIT: Duration = Duration::from_secs(55);
+
+/// Time for a call that does not wait. A promotion gives the record this long.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Pause after a failed watch, so that an outage does not cause a burst of calls.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Calls about records that wait at most.
+const RECORD_CALL_LIMIT: usize = 256;
+
+/// A call about a cluster's record.
+pub(crate) enum RecordCall {
+    Read { cluster: Name },
+    Write { cluster: Name, expected_index: u64, bytes: Arc<[u8]> },
+}
+
+/// Threads that talk to the platform.
+pub(crate) struct PlatformLink {
+    address: SocketAddress,
+    watches: Vec<PipedThread<(), PlatformAnswer>>,
+    records: Option<PipedThread<RecordCall, PlatformAnswer>>,
+    waiting: usize,
+}
+
+impl PlatformLink {
+    /// Creates a link without threads.
+    pub(crate) fn new(address: SocketAddress) -> Self {
+        PlatformLink { address, watches: Vec::new(), records: None, waiting: 0 }
+    }
+
+    /// Returns the number of watch threads, for the state dump.
+    pub(crate) fn watch_count(&self) -> usize {
+        self.watches.len()
+    }
+
+    /// Starts the watches if they are not running.
+    pub(crate) fn start_watches(&mut self, core: &mut Core, hub: &Actor<Hub>) {
+        if !self.watches.is_empty() {
+            return;
+        }
+        for (document, key) in DOCUMENT_KEYS {
+            let client = PlatformClient::new(self.address, CALL_TIMEOUT);
+            self.watches.push(spawn(core, hub, move |link| {
+                let mut index = 0;
+                watch(link, || {
+                    let (value, next) = client.watch(key, index, WATCH_WAIT)?;
+                    let changed = next != index || index == 0;
+                    index = next;
+                    Ok(changed.then(|| PlatformAnswer::Document {
+                        document: document.into(),
+                        bytes: value.map(|value| value.bytes.into()),
+                    }))
+                });
+            }));
+        }
+        let client = PlatformClient::new(self.address, CALL_TIMEOUT);
+        self.watches.push(spawn(core, hub, move |link| {
+            let mut index = 0;
+            watch(link, || {
+                let (vms, next) = client.watch_vms(index, WATCH_WAIT)?;
+                let changed = next != index || index == 0;
+                index = next;
+                let vms = vms.into_iter().map(|vm| PlatformVm {
+                    name: vm.name.into(),
+                    data_centre: vm.data_centre.into(),
+                    peer_address: vm.peer_address,
+                    admin_address: vm.admin_address,
+                    leaving: vm.leaving,
+                });
+                Ok(changed.then(|| PlatformAnswer::VmList(vms.collect())))
+            });
+        }));
+    }
+
+    /// Stops the watches.
+    pub(crate) fn stop_watches(&mut self) {
+        self.watches.clear();
+    }
+
+    /// Makes a call about a record. Returns the call's cluster if too many calls wait.
+    pub(crate) fn record(
+        &mut self,
+        core: &mut Core,
+        hub: &Actor<Hub>,
+        request: RecordCall,
+    ) -> Result<(), Name> {
+        if self.waiting >= RECORD_CALL_LIMIT {
+            let (RecordCall::Read { cluster } | RecordCall::Write { cluster, .. }) = request;
+            return Err(cluster);
+        }
+        self.waiting += 1;
+        let address = self.address;
+        let records = self.records.get_or_insert_with(|| {
+            let hub = hub.clone();
+            let answered = Fwd::new(move |answer| {
+                let hub = hub.clone();
+                let deferred = hub.clone();
+                hub.defer(move |stakker| call!([deferred, stakker], record_answered(answer)));
+            });
+            PipedThread::spawn(answered, log_end(), core, move |link| {
+                let client = PlatformClient::new(address, CALL_TIMEOUT);
+                while let Some(request) = link.recv() {
+                    if !link.send(record_call(&client, request)) {
+                        return;
+                    }
+                }
+            })
+        });
+        records.send(request);
+        Ok(())
+    }
+
+    /// Takes note of an answered call about a record.
+    pub(crate) fn record_answered(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+}
+
+fn log_end() -> Fwd<Option<String>> {
+    Fwd::new(|panic: Option<String>| {
+        if let Some(panic) = panic {
+            log::error!("a platform thread failed error={panic:?}");
+        }
+    })
+}
+
+fn spawn(
+    core: &mut Core,
+    hub: &Actor<Hub>,
+    run: impl FnOnce(&mut PipedLink<(), PlatformAnswer>) + Send + 'static,
+) -> PipedThread<(), PlatformAnswer> {
+    let hub = hub.clone();
+    let answered = Fwd::new(move |answer| {
+        let hub = hub.clone();
+        let deferred = hub.clone();
+        hub.defer(move |stakker| call!([deferred, stakker], platform_answered(answer)));
+    });
+    PipedThread::spawn(answered, log_end(), core, run)
+}
+
+fn watch(
+    link: &mut PipedLink<(), PlatformAnswer>,
+    mut next: impl FnMut() -> Result<Option<PlatformAnswer>, PlatformError>,
+) {
+    let mut failing = false;
+    while !link.cancel() {
+        match next() {
+            Ok(answer) => {
+                if failing {
+                    failing = false;
+                    log::info!("the platform answers again");
+                }
+                if let Some(answer) = answer
+                    && !link.send(answer)
+                {
+                    return;
+                }
+            }
+            Err(error) => {
+                if !failing {
+                    failing = true;
+                    log::warn!("failed to watch the platform error={:?}", error.to_string());
+                }
+                std::thread::sleep(RETRY_PAUSE);
+            }
+        }
+    }
+}
+
+fn record_key(cluster: &str) -> String {
+    format!("cicadawick/clusters/{cluster}")
+}
+
+fn record_call(client: &PlatformClient, request: RecordCall) -> PlatformAnswer {
+    match request {
+        RecordCall::Read { cluster } => match client.get(&record_key(&cluster)) {
+            Ok(value) => {
+                let index = value.as_ref().map_or(0, |value| value.modify_index);
+                let bytes = value.map(|value| value.bytes.into());
+                PlatformAnswer::RecordRead { cluster, bytes, index }
+            }
+            Err(_) => PlatformAnswer::RecordFailed { cluster },
+        },
+        RecordCall::Write { cluster, expected_index, bytes } => {
+            match client.put(&record_key(&cluster), &bytes, expected_index) {
+                Ok(applied) => PlatformAnswer::RecordWritten { cluster, applied },
+                Err(_) => PlatformAnswer::RecordFailed { cluster },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/report.rs
@@ -0,0 +1,293 @@
+//! The report connection to one database.
+//!
+//! It is opened with the first request. Requests are sent at once and answered in order. When the
+//! connection fails or a request takes too long, all requests in progress fail and the actor ends; the
+//! next request opens a new connection.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use failover::{DatabaseReport, DatabaseRole};
+use model::{LogPosition, Name, SocketAddress, Term};
+use node::{NodeEvent, ReportId};
+use pg::{FrameSplitter, kind};
+use stakker::{Actor, CX, after, call, fwd_to};
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::{MioPoll, Ready};
+
+use crate::handshake::{SERVER_MESSAGE_LIMIT, ServerHandshake, startup_packet};
+use crate::hub::Hub;
+use crate::socket::{BufferedSocket, ReadOutcome, ScratchBuffer};
+
+/// Time for a request, the opening of the connection included. Shorter than a promotion's step, so
+/// that a frozen database does not hold it up.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Requests that wait for an answer at most.
+const REQUEST_LIMIT: usize = 32;
+
+const READ_BYTES: usize = 64 * 1024;
+
+/// What a database is asked.
+#[derive(Clone, Debug)]
+pub(crate) enum ReportRequest {
+    Report,
+    Fence { term: Term, by: Name },
+    Promote { term: Term },
+    Follow { term: Term, leader: Name },
+}
+
+impl ReportRequest {
+    fn statement(&self) -> String {
+        let quote = |name: &Name| name.replace('\'', "''");
+        match self {
+            ReportRequest::Report => "SELECT * FROM cicadawick_report()".to_owned(),
+            ReportRequest::Fence { term, by } => {
+                format!("SELECT * FROM cicadawick_fence({term}, '{}')", quote(by))
+            }
+            ReportRequest::Promote { term } => format!("SELECT cicadawick_promote({term})"),
+            ReportRequest::Follow { term, leader } => {
+                format!("SELECT cicadawick_follow({term}, '{}')", quote(leader))
+            }
+        }
+    }
+
+    /// Turns the row of an answer into an event; `None` if nothing is to be told.
+    fn event(&self, id: ReportId, row: &[Option<String>]) -> Result<Option<NodeEvent>, String> {
+        match self {
+            ReportRequest::Report => {
+                Ok(Some(NodeEvent::ReportArrived { id, report: read_report(row)? }))
+            }
+            ReportRequest::Fence { .. } => {
+                let accepted = match column(row, 0)? {
+                    "t" => true,
+                    "f" => false,
+                    other => return Err(format!("invalid boolean {other:?}")),
+                };
+                let report = read_report(&row[1..])?;
+                Ok(Some(NodeEvent::FenceAnswered { id, accepted, report }))
+            }
+            ReportRequest::Promote { .. } => {
+                let start = LogPosition(number(row, 0)?);
+                Ok(Some(NodeEvent::PromoteAnswered { id, start }))
+            }
+            ReportRequest::Follow { .. } => Ok(None),
+        }
+    }
+}
+
+fn column(row: &[Option<String>], index: usize) -> Result<&str, String> {
+    row.get(index)
+        .and_then(Option::as_deref)
+        .ok_or_else(|| format!("column {} is missing", index + 1))
+}
+
+fn number(row: &[Option<String>], index: usize) -> Result<u64, String> {
+    let text = column(row, index)?;
+    text.parse().map_err(|_| format!("invalid number {text:?} in column {}", index + 1))
+}
+
+fn read_report(row: &[Option<String>]) -> Result<DatabaseReport, String> {
+    Ok(DatabaseReport {
+        term: Term(number(row, 0)?),
+        role: match column(row, 1)? {
+            "primary" => DatabaseRole::Primary,
+            "replica" => DatabaseRole::Replica,
+            other => return Err(format!("invalid role {other:?}")),
+        },
+        log_term: Term(number(row, 2)?),
+        received: LogPosition(number(row, 3)?),
+        applied: LogPosition(number(row, 4)?),
+        term_start: LogPosition(number(row, 5)?),
+    })
+}
+
+struct WaitingRequest {
+    id: ReportId,
+    request: ReportRequest,
+    since: Instant,
+}
+
+/// What opening a report connection needs.
+pub(crate) struct ReportStart {
+    pub(crate) database: Name,
+    pub(crate) address: SocketAddress,
+    pub(crate) user: String,
+    pub(crate) catalog: String,
+    pub(crate) scratch: ScratchBuffer,
+}
+
+/// The report connection to one database.
+pub(crate) struct ReportLink {
+    database: Name,
+    address: SocketAddress,
+    hub: Actor<Hub>,
+    socket: BufferedSocket,
+    /// `None` once the connection is ready.
+    handshake: Option<ServerHandshake>,
+    waiting: VecDeque<WaitingRequest>,
+    row: Vec<Option<String>>,
+    error: Option<String>,
+    failed: bool,
+}
+
+impl ReportLink {
+    /// Begins to open a connection.
+    pub(crate) fn init(cx: CX![], hub: Actor<Hub>, start: ReportStart) -> Option<Self> {
+        let ReportStart { database, address, user, catalog, scratch } = start;
+        let poll: MioPoll = cx.anymap_get();
+        let ready = fwd_to!([cx], ready() as (Ready));
+        let socket = TcpStream::connect(address)
+            .and_then(|stream| BufferedSocket::new(&poll, stream, scratch, ready));
+        let mut socket = match socket {
+            Ok(socket) => socket,
+            Err(error) => {
+                call!([hub, cx], report_link_lost(database, Vec::new(), error.to_string()));
+                return None;
+            }
+        };
+        socket.push(startup_packet(&user, &catalog), rpc::ChunkPermit::free());
+        Some(ReportLink {
+            database,
+            address,
+            hub,
+            socket,
+            handshake: Some(ServerHandshake::default()),
+            waiting: VecDeque::new(),
+            row: Vec::new(),
+            error: None,
+            failed: false,
+        })
+    }
+
+    /// Sends a request.
+    pub(crate) fn ask(&mut self, cx: CX![], id: ReportId, request: ReportRequest) {
+        if self.failed || self.waiting.len() >= REQUEST_LIMIT {
+            call!([self.hub, cx], node_event(NodeEvent::ReportFailed { id }));
+            return;
+        }
+        if self.handshake.is_none() {
+            self.send(&request);
+        }
+        self.waiting.push_back(WaitingRequest { id, request, since: cx.now() });
+        after!(REQUEST_TIMEOUT, [cx], check_timeout());
+        self.flush(cx);
+    }
+
+    fn send(&mut self, request: &ReportRequest) {
+        let mut output = BytesMut::new();
+        pg::put_query(&mut output, &request.statement());
+        self.socket.push(output.freeze(), rpc::ChunkPermit::free());
+    }
+
+    fn check_timeout(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let late = self
+            .waiting
+            .front()
+            .is_some_and(|waiting| now.saturating_duration_since(waiting.since) >= REQUEST_TIMEOUT);
+        if late {
+            self.fail(cx, format!("{} did not answer in time", self.address));
+        }
+    }
+
+    fn ready(&mut self, cx: CX![], _: Ready) {
+        self.flush(cx);
+        self.read(cx);
+    }
+
+    fn flush(&mut self, cx: CX![]) {
+        if !self.failed
+            && let Err(error) = self.socket.flush()
+        {
+            self.fail(cx, error.to_string());
+        }
+    }
+
+    fn fail(&mut self, cx: CX![], message: String) {
+        if !self.failed {
+            self.failed = true;
+            let ids: Vec<ReportId> = self.waiting.drain(..).map(|waiting| waiting.id).collect();
+            call!([self.hub, cx], report_link_lost(self.database.clone(), ids, message));
+            cx.stop();
+        }
+    }
+
+    fn read(&mut self, cx: CX![]) {
+        if self.failed {
+            return;
+        }
+        let outcome = self.socket.fill(self.socket.input.len() + READ_BYTES);
+        loop {
+            let frame = FrameSplitter::new(SERVER_MESSAGE_LIMIT).split(&mut self.socket.input);
+            let handled = match frame {
+                Ok(Some(frame)) => self.message(cx, &frame),
+                Ok(None) => break,
+                Err(error) => Err(error.to_string()),
+            };
+            if let Err(message) = handled {
+                self.fail(cx, message);
+                return;
+            }
+        }
+        self.socket.release_input();
+        match outcome {
+            ReadOutcome::Open if self.socket.has_more() => call!([cx], read()),
+            ReadOutcome::Open => {}
+            ReadOutcome::Ended => self.fail(cx, "the database closed the connection".to_owned()),
+            ReadOutcome::Failed(error) => self.fail(cx, error.to_string()),
+        }
+    }
+
+    fn message(&mut self, cx: CX![], frame: &pg::Frame) -> Result<(), String> {
+        if let Some(handshake) = &mut self.handshake {
+            if handshake.message(frame)? {
+                self.handshake = None;
+                let requests: Vec<ReportRequest> =
+                    self.waiting.iter().map(|waiting| waiting.request.clone()).collect();
+                for request in &requests {
+                    self.send(request);
+                }
+                self.flush(cx);
+            }
+            return Ok(());
+        }
+        match frame.kind {
+            kind::DATA_ROW if self.row.is_empty() => {
+                self.row = pg::read_data_row(frame.body()).map_err(|error| error.to_string())?;
+            }
+            kind::ERROR => {
+                let error = pg::read_error(frame.body()).map_err(|error| error.to_string())?;
+                if error.severity == "FATAL" {
+                    return Err(error.message);
+                }
+                self.error = Some(error.message);
+            }
+            kind::READY => {
+                let row = std::mem::take(&mut self.row);
+                let error = self.error.take();
+                let Some(WaitingRequest { id, request, .. }) = self.waiting.pop_front() else {
+                    return Err("an answer without a request".to_owned());
+                };
+                let event = match error {
+                    Some(error) => Err(error),
+                    None => request.event(id, &row),
+                };
+                let event = match event {
+                    Ok(event) => event,
+                    Err(message) => {
+                        let database = &self.database;
+                        log::debug!("failed request of report database={database} {message:?}");
+                        Some(NodeEvent::ReportFailed { id })
+                    }
+                };
+                if let Some(event) = event {
+                    call!([self.hub, cx], node_event(event));
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/session.rs
@@ -0,0 +1,542 @@
+//! A caller's connection.
+//!
+//! The actor cuts the caller's bytes into requests and passes them to the node one at a time. While
+//! one is in progress the socket is read only up to a bounded buffer. Answers arrive in chunks, each
+//! with a permit that returns the source's window when the chunk is written.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use model::Name;
+use node::{
+    CallerRequest, ErrorReply, NodeEvent, RequestKind, SessionId, SessionStart, TransactionState,
+};
+use pg::{AnswerScanner, FirstPacket, Frame, FrameSplitter, Severity, StatementTable, kind};
+use rpc::ChunkPermit;
+use stakker::{Actor, CX, after, call, fwd_to, lazy};
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::{MioPoll, Ready};
+
+use crate::hub::Hub;
+use crate::socket::{BufferedSocket, ReadOutcome, ScratchBuffer};
+
+/// Bytes of pipelined requests that are read while a request is in progress.
+const READ_AHEAD_BYTES: usize = 16 * 1024;
+
+/// Bytes that one read takes, so that one caller does not keep the loop.
+const READ_BYTES: usize = 128 * 1024;
+
+/// Time for a caller to send its start-up packet.
+const STARTUP_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time that a closing connection has to take its last message.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// What a new session needs.
+pub(crate) struct SessionSetup {
+    pub(crate) id: SessionId,
+    pub(crate) stream: TcpStream,
+    pub(crate) address: Name,
+    /// Sent in `BackendKeyData`; a cancel request must show both.
+    pub(crate) process: i32,
+    pub(crate) secret: i32,
+    pub(crate) request_limit: usize,
+    /// The process has too many callers.
+    pub(crate) refused: bool,
+    pub(crate) scratch: ScratchBuffer,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SessionState {
+    /// Waits for the start-up packet.
+    Starting,
+    /// Waits for the node to accept it.
+    Opening,
+    Idle,
+    /// A request is in progress. After a Flush there is no `ReadyForQuery` at its end.
+    Busy {
+        flush: bool,
+    },
+    /// Only output is left.
+    Closing,
+}
+
+/// A caller's connection.
+pub(crate) struct Session {
+    id: SessionId,
+    hub: Actor<Hub>,
+    socket: BufferedSocket,
+    state: SessionState,
+    address: Name,
+    process: i32,
+    secret: i32,
+    request_limit: usize,
+    refused: bool,
+    /// Number of the request in progress or of the last one.
+    request: u64,
+    transaction: u8,
+    /// Extended messages of the next request.
+    messages: Vec<Frame>,
+    message_bytes: usize,
+    /// A request that ended at a Flush failed: messages up to the Sync are skipped.
+    skip_to_sync: bool,
+    failed: bool,
+    statements: StatementTable,
+    scanner: AnswerScanner,
+    flush_scheduled: bool,
+    ended: bool,
+}
+
+impl Session {
+    /// Starts to serve a caller.
+    pub(crate) fn init(cx: CX![], hub: Actor<Hub>, setup: SessionSetup) -> Option<Self> {
+        let SessionSetup { id, stream, address, process, secret, request_limit, refused, scratch } =
+            setup;
+        let poll: MioPoll = cx.anymap_get();
+        let ready = fwd_to!([cx], ready() as (Ready));
+        let socket = match BufferedSocket::new(&poll, stream, scratch, ready) {
+            Ok(socket) => socket,
+            Err(error) => {
+                log::warn!("failed to register a caller's socket address={address} error={error}");
+                call!([hub, cx], session_ended(id));
+                return None;
+            }
+        };
+        after!(STARTUP_TIMEOUT, [cx], check_started());
+        call!([cx], read());
+        Some(Session {
+            id,
+            hub,
+            socket,
+            state: SessionState::Starting,
+            address,
+            process,
+            secret,
+            request_limit,
+            refused,
+            request: 0,
+            transaction: b'I',
+            messages: Vec::new(),
+            message_bytes: 0,
+            skip_to_sync: false,
+            failed: false,
+            statements: StatementTable::default(),
+            scanner: AnswerScanner::default(),
+            flush_scheduled: false,
+            ended: false,
+        })
+    }
+
+    fn check_started(&mut self, cx: CX![]) {
+        if self.state == SessionState::Starting {
+            self.end(cx);
+        }
+    }
+
+    fn ready(&mut self, cx: CX![], ready: Ready) {
+        if ready.is_writable() {
+            self.flush(cx);
+        }
+        self.read(cx);
+    }
+
+    /// Reports the end once; the hub then drops this actor.
+    fn end(&mut self, cx: CX![]) {
+        if !self.ended {
+            self.ended = true;
+            self.state = SessionState::Closing;
+            call!([self.hub, cx], session_ended(self.id));
+        }
+    }
+
+    fn push(&mut self, cx: CX![], bytes: Bytes, permit: ChunkPermit) {
+        self.socket.push(bytes, permit);
+        if !self.flush_scheduled {
+            // One write for what is queued by all calls that are already under way.
+            self.flush_scheduled = true;
+            lazy!([cx], flush_lazily());
+        }
+    }
+
+    fn flush_lazily(&mut self, cx: CX![]) {
+        self.flush_scheduled = false;
+        self.flush(cx);
+    }
+
+    fn flush(&mut self, cx: CX![]) {
+        if self.ended {
+            return;
+        }
+        let lost = self.socket.flush().is_err();
+        if lost || (self.state == SessionState::Closing && self.socket.output_bytes() == 0) {
+            self.end(cx);
+        }
+    }
+
+    fn read_limit(&self) -> usize {
+        match self.state {
+            SessionState::Closing => 0,
+            SessionState::Starting | SessionState::Idle => self.socket.input.len() + READ_BYTES,
+            SessionState::Opening | SessionState::Busy { .. } => READ_AHEAD_BYTES,
+        }
+    }
+
+    fn read(&mut self, cx: CX![]) {
+        if self.ended || self.state == SessionState::Closing {
+            return;
+        }
+        let limit = self.read_limit();
+        let outcome = self.socket.fill(limit);
+        self.process(cx);
+        match outcome {
+            ReadOutcome::Open => {
+                // A session that waits for the node reads on when the request is finished.
+                let waits = matches!(self.state, SessionState::Opening | SessionState::Busy { .. });
+                if self.socket.has_more() && !(waits && self.socket.input.len() >= READ_AHEAD_BYTES)
+                {
+                    call!([cx], read());
+                }
+            }
+            ReadOutcome::Ended | ReadOutcome::Failed(_) => self.end(cx),
+        }
+    }
+
+    /// Handles as much of the input as the state allows.
+    fn process(&mut self, cx: CX![]) {
+        loop {
+            let advanced = match self.state {
+                SessionState::Starting => self.first_packet(cx),
+                SessionState::Idle => self.next_message(cx),
+                _ => false,
+            };
+            if !advanced {
+                break;
+            }
+        }
+        self.socket.release_input();
+    }
+
+    fn first_packet(&mut self, cx: CX![]) -> bool {
+        match pg::split_first_packet(&mut self.socket.input) {
+            Ok(None) => false,
+            Ok(Some(FirstPacket::SslRequest | FirstPacket::GssEncRequest)) => {
+                self.push(cx, Bytes::from_static(b"N"), ChunkPermit::free());
+                true
+            }
+            Ok(Some(FirstPacket::Cancel { process, secret })) => {
+                call!([self.hub, cx], cancel_arrived(process, secret));
+                self.end(cx);
+                false
+            }
+            Ok(Some(FirstPacket::Startup { minor, parameters })) => {
+                self.start(cx, minor, parameters);
+                false
+            }
+            Err(error) => {
+                self.fatal(cx, error.code(), &error.to_string());
+                false
+            }
+        }
+    }
+
+    fn start(&mut self, cx: CX![], minor: u16, parameters: Vec<(String, String)>) {
+        if self.refused {
+            self.fatal(cx, "53300", "sorry, too many clients already");
+            return;
+        }
+        let mut unsupported = Vec::new();
+        let mut start = SessionStart { parameters: Vec::new(), address: self.address.clone() };
+        let mut user = None;
+        let mut has_database = false;
+        for (name, value) in parameters {
+            match name.as_str() {
+                "options" => match pg::split_options(&value) {
+                    Ok(options) => {
+                        let options = options.into_iter().map(|(name, value)| (name.into(), value));
+                        start.parameters.extend(options);
+                    }
+                    Err(error) => {
+                        self.fatal(cx, "42601", &error.to_string());
+                        return;
+                    }
+                },
+                "replication" => {
+                    self.fatal(cx, "0A000", "replication connections are not supported");
+                    return;
+                }
+                option if option.starts_with("_pq_.") => unsupported.push(name),
+                _ => {
+                    has_database |= name == "database";
+                    if name == "user" {
+                        user = Some(value.clone());
+                    }
+                    start.parameters.push((name.into(), value));
+                }
+            }
+        }
+        let Some(user) = user.filter(|user| !user.is_empty()) else {
+            self.fatal(cx, "28000", "no PostgreSQL user name specified in startup packet");
+            return;
+        };
+        if !has_database {
+            start.parameters.push(("database".into(), user));
+        }
+        if minor > 0 || !unsupported.is_empty() {
+            let mut output = BytesMut::new();
+            pg::put_negotiate_version(&mut output, unsupported);
+            self.push(cx, output.freeze(), ChunkPermit::free());
+        }
+        self.state = SessionState::Opening;
+        call!([self.hub, cx], node_event(NodeEvent::SessionOpened { session: self.id, start }));
+    }
+
+    /// Handles the next message; returns whether there may be another one to handle.
+    fn next_message(&mut self, cx: CX![]) -> bool {
+        let frame = match FrameSplitter::new(self.request_limit).split(&mut self.socket.input) {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return false,
+            Err(error) => {
+                self.fatal(cx, error.code(), &error.to_string());
+                return false;
+            }
+        };
+        if self.skip_to_sync && !matches!(frame.kind, kind::SYNC | kind::TERMINATE) {
+            return true;
+        }
+        match frame.kind {
+            kind::QUERY if self.messages.is_empty() => self.simple_query(cx, frame),
+            kind::PARSE | kind::BIND | kind::DESCRIBE | kind::EXECUTE | kind::CLOSE => {
+                self.message_bytes += frame.bytes.len();
+                if self.message_bytes > self.request_limit {
+                    let limit = self.request_limit;
+                    let message = format!("a request of more than {limit} bytes is not accepted");
+                    self.fatal(cx, "54000", &message);
+                    return false;
+                }
+                self.messages.push(frame);
+                true
+            }
+            kind::SYNC => {
+                self.skip_to_sync = false;
+                if self.messages.is_empty() {
+                    self.ready_for_query(cx);
+                    true
+                } else {
+                    self.extended_request(cx, false)
+                }
+            }
+            kind::FLUSH => {
+                if self.messages.is_empty() {
+                    return true;
+                }
+                // A statement survives the Sync that ends the request at the backend server; a portal
+                // does not.
+                if self.messages.iter().any(is_portal_message) {
+                    self.fatal(cx, "0A000", "Flush after Bind or Execute is not supported");
+                    return false;
+                }
+                self.extended_request(cx, true)
+            }
+            kind::TERMINATE => {
+                self.end(cx);
+                false
+            }
+            // Left over from a COPY that was refused.
+            kind::COPY_DATA | kind::COPY_DONE | kind::COPY_FAIL => true,
+            kind::FUNCTION_CALL => {
+                self.fatal(cx, "0A000", "the function call protocol is not supported");
+                false
+            }
+            other => {
+                let message = match other {
+                    kind::QUERY => "a simple query before the Sync of extended messages".to_owned(),
+                    _ => format!("invalid frontend message type {other}"),
+                };
+                self.fatal(cx, "08P01", &message);
+                false
+            }
+        }
+    }
+
+    fn simple_query(&mut self, cx: CX![], frame: Frame) -> bool {
+        match pg::read_query(frame.body()) {
+            Ok(text) => {
+                let text = Arc::from(text);
+                self.statements.simple_query();
+                self.submit(cx, RequestKind::Simple, text, frame.bytes, false);
+            }
+            Err(error) => self.fatal(cx, "08P01", &error.to_string()),
+        }
+        false
+    }
+
+    fn extended_request(&mut self, cx: CX![], flush: bool) -> bool {
+        let messages = std::mem::take(&mut self.messages);
+        self.message_bytes = 0;
+        match self.statements.rewrite(&messages) {
+            Ok(request) => {
+                let text = Arc::from(request.text);
+                self.submit(cx, RequestKind::Extended, text, request.frames, flush);
+            }
+            Err(error) => self.fatal(cx, error.code(), &error.to_string()),
+        }
+        false
+    }
+
+    fn submit(&mut self, cx: CX![], kind: RequestKind, text: Arc<str>, frames: Bytes, flush: bool) {
+        self.state = SessionState::Busy { flush };
+        self.request += 1;
+        self.failed = false;
+        let request = CallerRequest { kind, text, frames };
+        call!([self.hub, cx], request_arrived(self.id, self.request, request));
+    }
+
+    fn ready_for_query(&mut self, cx: CX![]) {
+        let mut output = BytesMut::new();
+        pg::put_ready(&mut output, self.transaction);
+        self.push(cx, output.freeze(), ChunkPermit::free());
+    }
+
+    /// Sends a fatal error and closes the connection after it.
+    fn fatal(&mut self, cx: CX![], code: &str, message: &str) {
+        if matches!(self.state, SessionState::Closing) {
+            return;
+        }
+        let mut output = BytesMut::new();
+        pg::put_error(&mut output, Severity::Fatal, code, message);
+        self.close_after(cx, output.freeze());
+    }
+
+    fn close_after(&mut self, cx: CX![], output: Bytes) {
+        self.state = SessionState::Closing;
+        self.messages = Vec::new();
+        self.socket.input = BytesMut::new();
+        if self.scanner.is_between_frames() {
+            self.push(cx, output, ChunkPermit::free());
+        }
+        after!(LINGER, [cx], end_linger());
+        self.flush(cx);
+    }
+
+    fn end_linger(&mut self, cx: CX![]) {
+        self.end(cx);
+    }
+
+    /// The node accepted the session.
+    pub(crate) fn accept(&mut self, cx: CX![], parameters: Vec<(Name, String)>) {
+        if self.state != SessionState::Opening {
+            return;
+        }
+        let mut output = BytesMut::new();
+        pg::put_authentication_ok(&mut output);
+        for (name, value) in &parameters {
+            pg::put_parameter_status(&mut output, name, value);
+        }
+        pg::put_backend_key(&mut output, self.process, self.secret);
+        pg::put_ready(&mut output, self.transaction);
+        self.push(cx, output.freeze(), ChunkPermit::free());
+        self.state = SessionState::Idle;
+        self.read(cx);
+    }
+
+    /// The node closes the session, or did not accept it.
+    pub(crate) fn close(&mut self, cx: CX![], error: Option<ErrorReply>) {
+        if self.state == SessionState::Closing {
+            return;
+        }
+        match error {
+            Some(error) => self.fatal(cx, &error.code, &error.message),
+            None => self.close_after(cx, Bytes::new()),
+        }
+    }
+
+    /// Relays a part of the answer to a request.
+    pub(crate) fn answer(&mut self, cx: CX![], request: u64, bytes: Bytes, permit: ChunkPermit) {
+        if request != self.request || !matches!(self.state, SessionState::Busy { .. }) {
+            return;
+        }
+        self.scan(&bytes);
+        self.push(cx, bytes, permit);
+    }
+
+    fn scan(&mut self, bytes: &[u8]) {
+        let Session { scanner, statements, failed, .. } = self;
+        scanner.scan(bytes, |answer_kind| {
+            *failed |= answer_kind == kind::ERROR;
+            statements.answered(answer_kind);
+        });
+    }
+
+    /// Ends the request in progress.
+    pub(crate) fn finish(
+        &mut self,
+        cx: CX![],
+        token: Option<String>,
+        notices: Vec<ErrorReply>,
+        error: Option<ErrorReply>,
+        frames: Bytes,
+        transaction: TransactionState,
+    ) {
+        let SessionState::Busy { flush } = self.state else { return };
+        if !self.scanner.is_between_frames() {
+            // The source of the answer broke off in the middle of a row, which leaves no place for an
+            // error. The closed connection tells the caller.
+            log::debug!("closed a caller in the middle of a row session={}", self.id.0);
+            self.end(cx);
+            return;
+        }
+        let mut output = BytesMut::new();
+        output.extend_from_slice(&frames);
+        for notice in &notices {
+            pg::put_notice(&mut output, &notice.code, &notice.message);
+        }
+        if let Some(token) = &token {
+            pg::put_parameter_status(&mut output, "cicadawick.token", token);
+        }
+        if let Some(error) = &error {
+            pg::put_error(&mut output, Severity::Error, &error.code, &error.message);
+        }
+        self.scan(&output);
+        self.transaction = match transaction {
+            TransactionState::Idle => b'I',
+            TransactionState::Open => b'T',
+            TransactionState::Failed => b'E',
+        };
+        if flush {
+            self.skip_to_sync = self.failed;
+        } else {
+            pg::put_ready(&mut output, self.transaction);
+        }
+        self.push(cx, output.freeze(), ChunkPermit::free());
+        self.state = SessionState::Idle;
+        self.process(cx);
+        self.read(cx);
+    }
+
+    /// Describes the session, for the state dump.
+    pub(crate) fn describe(&self) -> serde_json::Value {
+        serde_json::json!({
+            "id": self.id.0,
+            "address": self.address.as_str(),
+            "state": match self.state {
+                SessionState::Starting => "starting",
+                SessionState::Opening => "opening",
+                SessionState::Idle => "idle",
+                SessionState::Busy { .. } => "busy",
+                SessionState::Closing => "closing",
+            },
+            "requests": self.request,
+            "buffer_bytes": self.socket.buffer_bytes() + self.message_bytes,
+            "statements": self.statements.len(),
+        })
+    }
+}
+
+fn is_portal_message(message: &Frame) -> bool {
+    match message.kind {
+        kind::BIND | kind::EXECUTE => true,
+        kind::DESCRIBE | kind::CLOSE => message.body().first() == Some(&b'P'),
+        _ => false,
+    }
+}
