--- a/crates/pg/src/extended.rs
+++ b/crates/pg/src/extended.rs
@@ -15,7 +15,7 @@
 //!   The first one is swallowed and makes the second one, which follows, fail as it would directly.
 //! - `Close(S, none)`: the caller closes a name of its own, which the connection does not know.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use bytes::{BufMut, Bytes, BytesMut};
@@ -179,14 +179,16 @@
             rewriter.message(message)?;
         }
         let Rewriter { overlay, texts, prelude: mut frames, frames: rest, pending, .. } = rewriter;
-        let added = overlay.iter().filter(|(_, text)| text.is_some()).count();
-        let added_bytes: usize = overlay
-            .iter()
-            .map(|(name, text)| text.as_ref().map_or(0, |text| text.bytes(name)))
-            .sum();
-        if self.statements.len() + added > self.limits.statements
-            || self.bytes + added_bytes > self.limits.bytes
-        {
+        let mut after: BTreeMap<&str, &StatementText> =
+            self.statements.iter().map(|(name, text)| (&**name, &**text)).collect();
+        for (name, text) in &overlay {
+            match text {
+                Some(text) => after.insert(name, text),
+                None => after.remove(&**name),
+            };
+        }
+        let bytes: usize = after.iter().map(|(name, text)| text.bytes(name)).sum();
+        if after.len() > self.limits.statements || bytes > self.limits.bytes {
             let StatementLimits { statements: limit, bytes } = self.limits;
             return Err(ExtendedError::TooMany { limit, bytes });
         }
