--- a/crates/pg/tests/frames.rs
+++ b/crates/pg/tests/frames.rs
@@ -1,5 +1,7 @@
 //! Guards against a splitter that panics on hostile bytes or depends on how the stream is cut.
 
+#![allow(clippy::unwrap_used)]
+
 use bytes::BytesMut;
 use pg::{AnswerScanner, Frame, FrameError, FrameSplitter, split_first_packet, split_options};
 use proptest::prelude::*;
--- a/crates/pg/tests/statements.rs
+++ b/crates/pg/tests/statements.rs
@@ -1,6 +1,8 @@
 //! Guards the extended protocol over shared connections: a caller must see what a direct connection
 //! would answer, whichever connection runs its request.
 
+#![allow(clippy::unwrap_used)]
+
 use bytes::{BufMut, Bytes, BytesMut};
 use pg::{ConnectionStatements, Frame, FrameSplitter, StatementLimits, StatementTable, kind};
 
