Keep the tools running when their output is closed early

A test or demo that reads the first address line and closes the pipe could end fakedb with a broken-pipe panic at the second line: 1 of 3 starts by hand. The lines are now written at once and a failed write is ignored: 0 of 30 starts.

--- a/crates/fake/src/bin/fakedb.rs
+++ b/crates/fake/src/bin/fakedb.rs
@@ -39,9 +39,7 @@
     options.receive_delay = time(flags.receive_ms, options.receive_delay);
     options.apply_lag = time(flags.apply_ms, options.apply_lag);
     let group = DatabaseGroup::start(options)?;
-    for (name, address) in group.names().iter().zip(group.addresses()) {
-        println!("{name} listening on {address}");
-    }
-    println!("control listening on {}", group.control_address());
+    let databases = group.names().iter().map(String::as_str).zip(group.addresses().iter().copied());
+    fake::announce(databases.chain([("control", group.control_address())]));
     fake::wait_forever()
 }
--- a/crates/fake/src/bin/fakeplatform.rs
+++ b/crates/fake/src/bin/fakeplatform.rs
@@ -6,7 +6,6 @@
         optional --port port: u16
     };
     let platform = FakePlatform::start(flags.port.unwrap_or_default())?;
-    println!("listening on {}", platform.address());
-    println!("control listening on {}", platform.control_address());
+    fake::announce([("", platform.address()), ("control", platform.control_address())]);
     fake::wait_forever()
 }
--- a/crates/fake/src/bin/faultproxy.rs
+++ b/crates/fake/src/bin/faultproxy.rs
@@ -16,10 +16,9 @@
         links.push(parse_link(link).with_context(|| format!("invalid link {link:?}"))?);
     }
     let proxy = FaultProxy::start_on(&links, flags.control_port.unwrap_or_default())?;
-    for (name, address) in proxy.addresses() {
-        println!("{name} listening on {address}");
-    }
-    println!("control listening on {}", proxy.control_address());
+    let addresses = proxy.addresses();
+    let links = addresses.iter().map(|(name, address)| (name.as_str(), *address));
+    fake::announce(links.chain([("control", proxy.control_address())]));
     fake::wait_forever()
 }
 
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -15,6 +15,25 @@
 mod http;
 pub mod loadgen;
 
+/// Prints where a tool listens, in one write. A reader that closes the pipe after the first line
+/// must not end the tool, so a failed write is ignored.
+///
+/// ```
+/// fake::announce([("control", "127.0.0.1:7000".parse()?)]);
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+pub fn announce<'a>(addresses: impl IntoIterator<Item = (&'a str, std::net::SocketAddr)>) {
+    use std::io::Write;
+
+    let lines = addresses.into_iter().map(|(name, address)| match name {
+        "" => format!("listening on {address}\n"),
+        _ => format!("{name} listening on {address}\n"),
+    });
+    let mut stdout = std::io::stdout().lock();
+    drop(stdout.write_all(lines.collect::<String>().as_bytes()));
+    drop(stdout.flush());
+}
+
 /// Keeps a tool's process alive until it is killed.
 ///
 /// ```no_run
