Test the platform stand-in with the project's own client

The stand-in and crates/platform were written apart. One test now drives fakeplatform through PlatformClient: compare-and-swap, a lost answer, a watch and the list of VMs.

--- a/crates/fake/tests/platform_and_links.rs
+++ b/crates/fake/tests/platform_and_links.rs
@@ -194,6 +194,40 @@
     assert_eq!(platform.counters().watch_list, 2);
 }
 
+/// Guards against a stand-in that the project's own client does not understand.
+#[test]
+fn project_client_understands_the_platform() {
+    let platform = FakePlatform::start(0).unwrap();
+    let client = platform::PlatformClient::new(platform.address(), Duration::from_secs(10));
+    assert_eq!(client.get("cicadawick/config").unwrap(), None);
+    assert!(client.put("cicadawick/config", b"\x00one", 0).unwrap());
+    assert!(!client.put("cicadawick/config", b"two", 0).unwrap());
+    let stored = client.get("cicadawick/config").unwrap().unwrap();
+    assert_eq!(stored.bytes, b"\x00one");
+    platform.lose_next(1);
+    assert!(client.put("cicadawick/config", b"two", stored.modify_index).is_err());
+    let wait = Duration::from_secs(10);
+    let (changed, _) = client.watch("cicadawick/config", stored.modify_index, wait).unwrap();
+    assert_eq!(changed.unwrap().bytes, b"two");
+    let vm = |name: &str, port| FakeVm {
+        name: name.into(),
+        data_centre: "dc-1".into(),
+        peer_address: SocketAddr::from(([127, 0, 0, 1], port)),
+        admin_port: port + 1,
+        leaving: false,
+    };
+    platform.put_vm(vm("vm-1", 7000));
+    platform.put_vm(vm("vm-2", 8000));
+    let (_, index) = client.watch_vms(0, Duration::ZERO).unwrap();
+    platform.mark_leaving("vm-2").unwrap();
+    let (vms, _) = client.watch_vms(index, wait).unwrap();
+    let seen: Vec<_> = vms
+        .iter()
+        .map(|vm| (vm.name.as_str(), vm.peer_address.port(), vm.admin_address.port(), vm.leaving))
+        .collect();
+    assert_eq!(seen, [("vm-1", 7000, 7001, false), ("vm-2", 8000, 8001, true)]);
+}
+
 /// A server that answers each byte with the same byte.
 fn start_echo() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
