--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -11,4 +11,7 @@
 pub mod fleet_capnp;
 #[rustfmt::skip]
 #[allow(clippy::all, clippy::unwrap_used, unsafe_code)]
+pub mod peer_capnp;
+#[rustfmt::skip]
+#[allow(clippy::all, clippy::unwrap_used, unsafe_code)]
 pub mod settings_capnp;
