Measure the service of the ranks under overload

Whether urgent work survives a flood was not measured. bench::rank drives the SlotQueue and a plain queue with the same arrivals in virtual time, and `bench rank` prints the table.

Two faults showed and are fixed: the debt of a rank was forgotten with the next short statements, so long reports followed each other; and new callers overtook those that were served once, so waits were uneven.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -10,8 +10,11 @@
 //! 2. The most urgent rank that has work. Shares that nobody uses go here.
 //!
 //! Inside a rank, statements of open transactions go first, since they hold locks and a connection.
-//! Then the caller with the least slot time goes first. A caller that was away starts at the level of
-//! those being served, so it can neither save time up nor shed what it used.
+//! Then the caller with the least slot time goes first. A caller that begins to wait starts one mean
+//! statement above the caller served last: it cannot save time up, and a stream of new callers cannot
+//! overtake those that were served once. Its earlier use counts up to two mean statements above, so that
+//! one slow statement does not shut out a caller that seldom sends; a caller that always has work
+//! waiting pays in full.
 //!
 //! A statement is charged its estimate when it is granted and the difference when it finishes, so
 //! several grants in a row see each other.
@@ -27,7 +30,9 @@
 //! The service time of a selector is estimated by a smoothed mean and deviation. A request is refused
 //! when the time left is shorter than expected wait plus mean plus two deviations, so no slot time goes
 //! to an answer that comes too late. The expected wait leans low: a request that is admitted in
-//! error is refused later, while one refused in error could have been served.
+//! error is refused later, while one refused in error could have been served. On arrival the expected
+//! wait may take three quarters of the time that is left after the service; the rest absorbs variance,
+//! and the backlog of a flood drains soon after its end.
 //!
 //! # Cost
 //!
@@ -47,6 +52,9 @@
 const IDLE_CALLER_LIMIT: usize = 4_096;
 /// Least debt that a rank may run up, so that very short statements do not turn the floor into turns.
 const LEAST_DEBT: Micros = Micros::from_millis(10);
+/// Time constant with which a long statement is forgotten as a bound of the debt. Forgetting it with the
+/// next short statements would let the rank start another long one before the first is paid for.
+const DEBT_MEMORY: Micros = Micros::from_secs(10);
 /// Time constant of the smoothed share of slot time that a rank uses.
 const SHARE_SMOOTHING: Micros = Micros::from_millis(500);
 
@@ -216,6 +224,11 @@
         self.lanes.iter().any(|lane| !lane.is_empty())
     }
 
+    /// Place among the callers of the rank.
+    fn place(&self, index: usize) -> (u64, u64, usize) {
+        (self.used, self.activated, index)
+    }
+
     fn new_count(&self) -> usize {
         self.lanes[WorkLane::NewShort as usize].len() + self.lanes[WorkLane::NewLong as usize].len()
     }
@@ -247,8 +260,10 @@
     started: u64,
     /// Slot time owed to the rank, in hundredths of a microsecond.
     credit: i64,
-    /// Longest recent statement, in microseconds.
-    longest: u64,
+    /// Smoothed time of a statement, in microseconds.
+    mean: u64,
+    /// Longest recent statement, in microseconds; fades with time.
+    longest: f64,
     /// Smoothed share of the slots in use, from 0 to 1.
     share: f64,
     slot_time: u64,
@@ -296,20 +311,20 @@
     }
 
     fn insert(&mut self, work: WorkId, waiting: &WaitingWork) {
-        let level = self.level;
+        let (least, most) = (self.level + self.mean, self.level + 2 * self.mean);
         let state = self.caller(waiting.caller);
         let idle = !state.is_waiting();
         let key = (state.used, waiting.caller);
         let count = state.new_count();
         if idle {
-            state.used = state.used.max(level);
+            state.used = state.used.clamp(least, most);
             state.activated = waiting.sequence;
         }
         let lane = &mut state.lanes[waiting.lane as usize];
         let first = lane.is_empty();
         lane.insert(waiting.sequence, work);
         state.backlog += waiting.charged;
-        let entry = (state.used, state.activated, waiting.caller);
+        let entry = state.place(waiting.caller);
         if idle {
             self.idle.remove(&key);
             self.waiting_callers += 1;
@@ -329,7 +344,8 @@
     fn take(&mut self, waiting: &WaitingWork) {
         let state = self.caller(waiting.caller);
         let count = state.new_count();
-        let entry = (state.used, state.activated, waiting.caller);
+        let used = state.used;
+        let entry = state.place(waiting.caller);
         let lane = &mut state.lanes[waiting.lane as usize];
         lane.remove(&waiting.sequence);
         let emptied = lane.is_empty();
@@ -347,7 +363,7 @@
         }
         if idle {
             self.waiting_callers -= 1;
-            self.idle.insert((entry.0, waiting.caller));
+            self.idle.insert((used, waiting.caller));
         }
         self.waiting -= 1;
         self.backlog -= waiting.charged;
@@ -356,14 +372,14 @@
     /// Changes the slot time of a caller and its place in the order.
     fn charge(&mut self, index: usize, more: u64, less: u64) {
         let state = self.caller(index);
-        let old = state.used;
+        let (old, old_place) = (state.used, state.place(index));
         state.used = old.saturating_add(more).saturating_sub(less);
-        let (used, activated) = (state.used, state.activated);
+        let (used, place) = (state.used, state.place(index));
         let lanes = state.lanes.each_ref().map(|lane| !lane.is_empty());
         for (order, filled) in self.order.iter_mut().zip(lanes) {
             if filled {
-                order.remove(&(old, activated, index));
-                order.insert((used, activated, index));
+                order.remove(&old_place);
+                order.insert(place);
             }
         }
         if self.idle.remove(&(old, index)) {
@@ -371,8 +387,8 @@
         }
     }
 
-    /// Forgets idle callers that have no more slot time than the callers being served, and the ones
-    /// with the least if there are too many.
+    /// Forgets idle callers whose slot time would not count when they return, and the ones with the
+    /// least if there are too many.
     fn forget_idle(&mut self) {
         let empty = self.waiting == 0 && self.running == 0;
         let mut spared = None;
@@ -382,7 +398,7 @@
                 self.idle.range((std::ops::Bound::Excluded(key), std::ops::Bound::Unbounded)).next()
             }
         } {
-            if used > self.level && !empty && self.idle.len() <= IDLE_CALLER_LIMIT {
+            if used > self.level + self.mean && !empty && self.idle.len() <= IDLE_CALLER_LIMIT {
                 break;
             }
             if self.caller(index).running > 0 {
@@ -404,7 +420,7 @@
             pair.iter()
                 .filter(|lane| long_allowed || !lane.is_long())
                 .filter_map(|lane| Some((*self.order[*lane as usize].first()?, *lane)))
-                .min_by_key(|((used, activated, _), _)| (*used, *activated))
+                .min_by_key(|(place, _)| *place)
                 .map(|((_, _, index), lane)| (lane, index))
         })
     }
@@ -518,7 +534,7 @@
         let wait =
             if ticket.in_transaction { Micros::ZERO } else { self.wait_behind(now, rank, ahead) };
         let expected = wait + service;
-        if expected > left {
+        if expected + Micros(wait.0 / 3) > left {
             if service > left
                 && left > Micros::ZERO
                 && let Some(estimate) = self.estimates.get_mut(&ticket.selector)
@@ -621,7 +637,8 @@
         queue.started -= running.started.0;
         queue.caller(running.caller).running -= 1;
         queue.charge(running.caller, time, running.charged);
-        queue.longest = time.max(queue.longest - queue.longest / 8);
+        queue.mean = queue.mean - queue.mean / 16 + time / 16;
+        queue.longest = queue.longest.max(time as f64);
         queue.forget_idle();
         self.running_long -= u32::from(running.long);
         if let Some(estimate) = self.estimates.get_mut(&running.selector) {
@@ -706,7 +723,12 @@
         let first = if free { 0.0 } else { outstanding as f64 / slots / slots };
         let used: f64 = higher().map(|other| self.ranks[other].share).sum();
         let floor = f64::from(self.config.ranks[rank].floor_percent) / 100.0;
-        let open = (1.0 - used).max(floor).max(0.01);
+        let kept: f64 = Rank::ALL
+            .into_iter()
+            .filter(|other| *other > rank && self.ranks[*other].waiting > 0)
+            .map(|other| f64::from(self.config.ranks[other].floor_percent) / 100.0)
+            .sum();
+        let open = (1.0 - used - kept).max(floor).max(0.01);
         let drained = urgent as f64 / slots + ahead as f64 / (slots * open);
         let wait = if floor > 0.0 { drained.min(ahead as f64 / (slots * floor)) } else { drained };
         Micros((first + wait) as u64)
@@ -728,10 +750,11 @@
             let used = u64::from(queue.running) * elapsed;
             queue.slot_time += used;
             queue.share += (f64::from(queue.running) / slots - queue.share) * weight;
+            queue.longest *= DEBT_MEMORY.0 as f64 / (elapsed + DEBT_MEMORY.0) as f64;
             let gain = i64::try_from(floor.saturating_mul(busy)).unwrap_or(i64::MAX);
             let running = u64::from(queue.running).saturating_mul(now.0);
             let oldest = running.saturating_sub(queue.started);
-            let debt = hundredths(queue.longest.max(oldest).max(LEAST_DEBT.0));
+            let debt = hundredths((queue.longest as u64).max(oldest).max(LEAST_DEBT.0));
             queue.credit = queue.credit.saturating_add(gain).saturating_sub(hundredths(used));
             queue.credit = queue.credit.max(-debt);
             if queue.waiting == 0 {
--- /dev/null
+++ b/crates/bench/src/rank.rs
@@ -0,0 +1,460 @@
+//! Service of the ranks under overload, in virtual time.
+//!
+//! One database with its slots receives streams of requests with random arrivals and service times. The
+//! same arrivals and service times go through the [`SlotQueue`] and through a plain queue that serves
+//! first come, first served and knows neither ranks nor deadlines. The sizes are those of section 1.4 of
+//! the design page.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::fmt::Write;
+
+use admit::{QueueConfig, SlotQueue, WorkId, WorkTicket};
+use model::{Micros, Name, Rank, RankConfig, RankMap};
+
+/// Slots of a database of each user.
+pub const SLOT_COUNTS: [u32; 2] = [2, 5];
+/// Requests that may wait in each rank; the plain queue holds three times as many.
+const QUEUE_LIMIT: u32 = 1_024;
+/// Minimum shares of the experiments, in percent.
+pub const FLOORS: RankMap<u32> = RankMap([0, 15, 10]);
+
+/// Queue under test.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueueKind {
+    /// [`SlotQueue`].
+    Ranked,
+    /// First come, first served.
+    Plain,
+}
+
+/// Requests of one kind with exponential times between arrivals.
+#[derive(Clone, Debug)]
+pub struct LoadStream {
+    pub rank: Rank,
+    pub selector: &'static str,
+    pub callers: u64,
+    /// Offered load as a multiple of what all slots can serve.
+    pub load: f64,
+    /// Mean service time. Half of it is constant, half exponential.
+    pub service: Micros,
+    pub deadline: Micros,
+    pub from: Micros,
+    pub until: Micros,
+}
+
+/// One run.
+#[derive(Clone, Debug)]
+pub struct RankExperiment {
+    pub slots: u32,
+    pub streams: Vec<LoadStream>,
+    /// Outcomes of requests that arrive before this are not counted.
+    pub warm_up: Micros,
+    /// Requests that arrive from this time on are counted apart, as those after a flood.
+    pub settled_from: RankMap<Micros>,
+    pub seed: u64,
+}
+
+/// Outcome of one rank.
+#[derive(Clone, Debug, Default)]
+pub struct RankOutcome {
+    pub offered: u64,
+    /// Answered within the deadline.
+    pub in_time: u64,
+    /// Answered too late.
+    pub late: u64,
+    /// Refused as "not run".
+    pub refused: u64,
+    /// Share of the slot time of all slots, from 0 to 1.
+    pub share: f64,
+    /// Requests that arrived after the settling time, and those of them answered in time.
+    pub settled: u64,
+    pub settled_in_time: u64,
+    /// Waits for a slot of the requests that were answered.
+    pub waits: Vec<Micros>,
+}
+
+/// Outcome of one run.
+#[derive(Clone, Debug)]
+pub struct RunOutcome {
+    pub ranks: RankMap<RankOutcome>,
+    /// Share of the slots in use during the time in which work waits.
+    pub busy: f64,
+    /// Share of the slot time that went to answers within their deadline.
+    pub useful: f64,
+}
+
+impl Default for RunOutcome {
+    fn default() -> Self {
+        let ranks = RankMap(std::array::from_fn(|_| RankOutcome::default()));
+        RunOutcome { ranks, busy: 1.0, useful: 0.0 }
+    }
+}
+
+impl RankOutcome {
+    /// Share of the requests that were answered within their deadline, from 0 to 1.
+    pub fn in_time_share(&self) -> f64 {
+        if self.offered == 0 { 1.0 } else { self.in_time as f64 / self.offered as f64 }
+    }
+
+    /// The same for requests that arrived after the settling time.
+    pub fn settled_share(&self) -> f64 {
+        if self.settled == 0 { 1.0 } else { self.settled_in_time as f64 / self.settled as f64 }
+    }
+}
+
+/// SplitMix64.
+struct RandomSource(u64);
+
+impl RandomSource {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// Exponential with mean 1.
+    fn exponential(&mut self) -> f64 {
+        let unit = (self.next() >> 11) as f64 / (1u64 << 53) as f64;
+        -(1.0 - unit).ln()
+    }
+}
+
+/// A request of a run.
+#[derive(Clone, Debug)]
+struct ExperimentRequest {
+    arrives: Micros,
+    stream: usize,
+    caller: Name,
+    service: Micros,
+}
+
+/// Draws all requests of an experiment, in order of arrival.
+fn draw_requests(experiment: &RankExperiment) -> Vec<ExperimentRequest> {
+    let mut random = RandomSource(experiment.seed);
+    let mut requests = Vec::new();
+    for (index, stream) in experiment.streams.iter().enumerate() {
+        let callers: Vec<Name> = (0..stream.callers)
+            .map(|caller| Name::from(format!("{}-{caller}", stream.selector)))
+            .collect();
+        let gap = stream.service.0 as f64 / (stream.load * f64::from(experiment.slots));
+        let mut now = stream.from.0 as f64;
+        loop {
+            now += gap * random.exponential();
+            if now >= stream.until.0 as f64 {
+                break;
+            }
+            let half = stream.service.0 as f64 / 2.0;
+            requests.push(ExperimentRequest {
+                arrives: Micros(now as u64),
+                stream: index,
+                caller: callers[(random.next() % stream.callers) as usize].clone(),
+                service: Micros((half + half * random.exponential()) as u64),
+            });
+        }
+    }
+    requests.sort_by_key(|request| request.arrives);
+    requests
+}
+
+/// Either queue behind the same calls.
+enum QueueUnderTest {
+    Ranked(Box<SlotQueue>),
+    Plain { slots: usize, running: usize, waiting: VecDeque<WorkId> },
+}
+
+impl QueueUnderTest {
+    fn new(kind: QueueKind, slots: u32) -> Self {
+        match kind {
+            QueueKind::Ranked => {
+                let ranks = FLOORS
+                    .0
+                    .map(|floor_percent| RankConfig { floor_percent, queue_limit: QUEUE_LIMIT });
+                let config = QueueConfig { slots, ranks: RankMap(ranks) };
+                QueueUnderTest::Ranked(Box::new(SlotQueue::new(config)))
+            }
+            QueueKind::Plain => QueueUnderTest::Plain {
+                slots: slots as usize,
+                running: 0,
+                waiting: VecDeque::new(),
+            },
+        }
+    }
+
+    fn enqueue(&mut self, now: Micros, ticket: WorkTicket) -> bool {
+        match self {
+            QueueUnderTest::Ranked(queue) => queue.enqueue(now, ticket).is_ok(),
+            QueueUnderTest::Plain { waiting, .. } => {
+                let room = waiting.len() < 3 * QUEUE_LIMIT as usize;
+                if room {
+                    waiting.push_back(ticket.work);
+                }
+                room
+            }
+        }
+    }
+
+    fn grant(&mut self, now: Micros) -> Option<WorkId> {
+        match self {
+            QueueUnderTest::Ranked(queue) => queue.grant(now).map(|grant| grant.work),
+            QueueUnderTest::Plain { slots, running, waiting } => {
+                if running == slots {
+                    return None;
+                }
+                let work = waiting.pop_front()?;
+                *running += 1;
+                Some(work)
+            }
+        }
+    }
+
+    fn finish(&mut self, now: Micros, work: WorkId) {
+        match self {
+            QueueUnderTest::Ranked(queue) => queue.finish(now, work),
+            QueueUnderTest::Plain { running, .. } => *running -= 1,
+        }
+    }
+
+    fn expire(&mut self, now: Micros) -> Vec<WorkId> {
+        match self {
+            QueueUnderTest::Ranked(queue) => {
+                queue.expire(now).into_iter().map(|(work, _)| work).collect()
+            }
+            QueueUnderTest::Plain { .. } => Vec::new(),
+        }
+    }
+
+    fn next_expiry(&self) -> Option<Micros> {
+        match self {
+            QueueUnderTest::Ranked(queue) => queue.next_expiry(),
+            QueueUnderTest::Plain { .. } => None,
+        }
+    }
+}
+
+/// Runs an experiment through one queue.
+pub fn run_experiment(experiment: &RankExperiment, kind: QueueKind) -> RunOutcome {
+    let requests = draw_requests(experiment);
+    let end = experiment.streams.iter().map(|stream| stream.until).max().unwrap_or_default();
+    let mut queue = QueueUnderTest::new(kind, experiment.slots);
+    let mut outcome = RunOutcome::default();
+    let mut finishes: BinaryHeap<Reverse<(Micros, usize)>> = BinaryHeap::new();
+    let mut granted: Vec<Micros> = vec![Micros::ZERO; requests.len()];
+    let mut arrivals = 0;
+    let (mut waiting, mut running, mut running_ranks) = (0u64, 0u64, RankMap([0u64; 3]));
+    let (mut now, mut busy, mut contended, mut useful) = (Micros::ZERO, 0u64, 0u64, 0u64);
+    let counted = |index: usize| requests[index].arrives >= experiment.warm_up;
+    loop {
+        let next = [
+            requests.get(arrivals).map(|request| request.arrives),
+            finishes.peek().map(|Reverse((at, _))| *at),
+            queue.next_expiry(),
+        ];
+        let Some(next) = next.into_iter().flatten().min() else { break };
+        let next = next.max(now);
+        if waiting > 0 && now >= experiment.warm_up && next <= end {
+            let elapsed = (next - now).0;
+            busy += running * elapsed;
+            contended += u64::from(experiment.slots) * elapsed;
+        }
+        if now >= experiment.warm_up && next <= end {
+            for rank in Rank::ALL {
+                outcome.ranks[rank].share += (running_ranks[rank] * (next - now).0) as f64;
+            }
+        }
+        now = next;
+        while let Some(&Reverse((at, index))) = finishes.peek()
+            && at <= now
+        {
+            finishes.pop();
+            running -= 1;
+            queue.finish(now, WorkId(index as u64));
+            let request = &requests[index];
+            let stream = &experiment.streams[request.stream];
+            let in_time = now <= request.arrives + stream.deadline;
+            let rank = &mut outcome.ranks[stream.rank];
+            if counted(index) {
+                rank.in_time += u64::from(in_time);
+                rank.late += u64::from(!in_time);
+                rank.waits.push(granted[index] - request.arrives);
+            }
+            running_ranks[stream.rank] -= 1;
+            if request.arrives >= experiment.settled_from[stream.rank] {
+                rank.settled_in_time += u64::from(in_time);
+            }
+            if now >= experiment.warm_up && now <= end {
+                useful += if in_time { request.service.0 } else { 0 };
+            }
+        }
+        while let Some(request) = requests.get(arrivals)
+            && request.arrives <= now
+        {
+            let stream = &experiment.streams[request.stream];
+            let ticket = WorkTicket {
+                work: WorkId(arrivals as u64),
+                rank: stream.rank,
+                caller: request.caller.clone(),
+                deadline: request.arrives + stream.deadline,
+                selector: stream.selector.into(),
+                in_transaction: false,
+            };
+            let rank = &mut outcome.ranks[stream.rank];
+            rank.offered += u64::from(counted(arrivals));
+            rank.settled += u64::from(request.arrives >= experiment.settled_from[stream.rank]);
+            if queue.enqueue(now, ticket) {
+                waiting += 1;
+            } else {
+                rank.refused += u64::from(counted(arrivals));
+            }
+            arrivals += 1;
+        }
+        loop {
+            while let Some(work) = queue.grant(now) {
+                let index = work.0 as usize;
+                granted[index] = now;
+                finishes.push(Reverse((now + requests[index].service, index)));
+                waiting -= 1;
+                running += 1;
+                running_ranks[experiment.streams[requests[index].stream].rank] += 1;
+            }
+            let expired = queue.expire(now);
+            if expired.is_empty() {
+                break;
+            }
+            for work in expired {
+                let index = work.0 as usize;
+                let rank = &mut outcome.ranks[experiment.streams[requests[index].stream].rank];
+                rank.refused += u64::from(counted(index));
+                waiting -= 1;
+            }
+        }
+    }
+    let capacity = u64::from(experiment.slots) * (end - experiment.warm_up).0;
+    for rank in Rank::ALL {
+        outcome.ranks[rank].share /= capacity as f64;
+        outcome.ranks[rank].waits.sort_unstable();
+    }
+    if contended > 0 {
+        outcome.busy = busy as f64 / contended as f64;
+    }
+    outcome.useful = useful as f64 / capacity as f64;
+    outcome
+}
+
+/// Load of each kind as multiples of the capacity of the slots.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadMix {
+    pub urgent: f64,
+    pub interactive: f64,
+    /// Uploads of 20 ms.
+    pub batch: f64,
+    /// Reports of 400 ms.
+    pub reports: f64,
+}
+
+/// Length of an experiment.
+pub const LENGTH: Micros = Micros::from_secs(60);
+/// Time until the estimates and queues have settled.
+pub const WARM_UP: Micros = Micros::from_secs(10);
+
+/// Returns the streams of a mix in a time span.
+pub fn streams(mix: LoadMix, from: Micros, until: Micros) -> Vec<LoadStream> {
+    let stream = |rank, selector, callers, load, service, deadline| LoadStream {
+        rank,
+        selector,
+        callers,
+        load,
+        service: Micros::from_millis(service),
+        deadline: Micros::from_millis(deadline),
+        from,
+        until,
+    };
+    let all = vec![
+        stream(Rank::Urgent, "purchase", 200, mix.urgent, 10, 1_000),
+        stream(Rank::Interactive, "balance", 200, mix.interactive, 8, 1_000),
+        stream(Rank::Batch, "upload", 50, mix.batch, 20, 5_000),
+        stream(Rank::Batch, "report", 5, mix.reports, 400, 30_000),
+    ];
+    all.into_iter().filter(|stream| stream.load > 0.0).collect()
+}
+
+/// Load without a flood: 75% of the capacity.
+pub const NORMAL: LoadMix = LoadMix { urgent: 0.5, interactive: 0.1, batch: 0.1, reports: 0.05 };
+
+/// Returns an experiment with one mix for its whole length.
+pub fn steady(slots: u32, mix: LoadMix, seed: u64) -> RankExperiment {
+    RankExperiment {
+        slots,
+        streams: streams(mix, Micros::ZERO, LENGTH),
+        warm_up: WARM_UP,
+        settled_from: RankMap([WARM_UP; 3]),
+        seed,
+    }
+}
+
+/// Returns an experiment with normal load and a flood between 15 s and 25 s. The settling time of each
+/// rank is one deadline after the end of the flood.
+pub fn passing_flood(slots: u32, flood: LoadMix, seed: u64) -> RankExperiment {
+    let mut all = streams(NORMAL, Micros::ZERO, LENGTH);
+    all.extend(streams(flood, FLOOD_FROM, FLOOD_UNTIL));
+    let settled_from = RankMap([1, 1, 5].map(|deadline| FLOOD_UNTIL + Micros::from_secs(deadline)));
+    RankExperiment { slots, streams: all, warm_up: WARM_UP, settled_from, seed }
+}
+
+/// Begin of a passing flood.
+pub const FLOOD_FROM: Micros = Micros::from_secs(15);
+/// End of a passing flood.
+pub const FLOOD_UNTIL: Micros = Micros::from_secs(25);
+
+/// Returns the floods of the experiments by name.
+pub fn floods() -> Vec<(&'static str, LoadMix)> {
+    vec![
+        ("normal", NORMAL),
+        ("batch x3", LoadMix { batch: 3.0, ..NORMAL }),
+        ("batch x10", LoadMix { batch: 10.0, ..NORMAL }),
+        ("urgent x3", LoadMix { urgent: 3.0, interactive: 0.3, batch: 0.3, ..NORMAL }),
+        ("urgent x10", LoadMix { urgent: 10.0, interactive: 0.3, batch: 0.3, ..NORMAL }),
+        ("all x10", LoadMix { urgent: 10.0, interactive: 10.0, batch: 10.0, reports: 1.0 }),
+    ]
+}
+
+/// Returns one line for each flood, size, queue and rank.
+pub fn render_table(seed: u64) -> String {
+    let mut table = String::from(
+        "flood       slots queue  rank         offered in time   late refused  share  p99 wait\n",
+    );
+    for (name, mix) in floods() {
+        for slots in SLOT_COUNTS {
+            for kind in [QueueKind::Ranked, QueueKind::Plain] {
+                let outcome = run_experiment(&steady(slots, mix, seed), kind);
+                let queue = if kind == QueueKind::Ranked { "ranked" } else { "plain" };
+                for rank in Rank::ALL {
+                    let result = &outcome.ranks[rank];
+                    let index = result.waits.len() * 99 / 100;
+                    let wait = result.waits.get(index).copied().unwrap_or_default();
+                    let _ = writeln!(
+                        table,
+                        "{name:<11} {slots:>5} {queue:<6} {:<11} {:>8} {:>6.2}% {:>6} {:>7} \
+                         {:>5.1}% {:>6} ms",
+                        rank.name(),
+                        result.offered,
+                        100.0 * result.in_time_share(),
+                        result.late,
+                        result.refused,
+                        100.0 * result.share,
+                        wait.as_millis(),
+                    );
+                }
+                let _ = writeln!(
+                    table,
+                    "{name:<11} {slots:>5} {queue:<6} busy while work waits {:.1}%, useful {:.1}%",
+                    100.0 * outcome.busy,
+                    100.0 * outcome.useful,
+                );
+            }
+        }
+    }
+    table
+}
