--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -18,11 +18,19 @@
             out.finish(format_args!("{time} {} {} {message}", record.level(), record.target()));
         })
         .level(level)
+        .filter(|metadata| metadata.level() <= log::Level::Warn || is_own(metadata.target()))
         .chain(std::io::stderr())
         .apply()?;
     Ok(())
 }
 
+/// Tells whether a line comes from this project. Libraries are heard only when something is wrong.
+fn is_own(target: &str) -> bool {
+    const CRATES: [&str; 5] = ["daemon", "node", "platform", "rpc", "cicadawickd"];
+    let name = target.split("::").next().unwrap_or(target);
+    CRATES.contains(&name)
+}
+
 /// Formats a time as RFC 3339 in UTC with milliseconds.
 fn format_time(time: SystemTime) -> String {
     let elapsed = time.duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -30,6 +30,10 @@
 /// Time for a caller to send its start-up packet.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time between an answer and the fatal error that ends the session. Drivers that read both at once
+/// report the error instead of the answer.
+const CLOSE_PAUSE: Duration = Duration::from_millis(200);
+
 /// Time that a closing connection has to take its last message.
 const LINGER: Duration = Duration::from_secs(2);
 
@@ -58,6 +62,8 @@
     Busy {
         flush: bool,
     },
+    /// The node closes the session, a little after its last answer.
+    Pausing,
     /// Only output is left.
     Closing,
 }
@@ -85,6 +91,8 @@
     statements: StatementTable,
     scanner: AnswerScanner,
     flush_scheduled: bool,
+    /// An answer was finished a moment ago.
+    just_answered: bool,
     ended: bool,
 }
 
@@ -124,6 +132,7 @@
             statements: StatementTable::default(),
             scanner: AnswerScanner::default(),
             flush_scheduled: false,
+            just_answered: false,
             ended: false,
         })
     }
@@ -178,7 +187,9 @@
         match self.state {
             SessionState::Closing => 0,
             SessionState::Starting | SessionState::Idle => self.socket.input.len() + READ_BYTES,
-            SessionState::Opening | SessionState::Busy { .. } => READ_AHEAD_BYTES,
+            SessionState::Opening | SessionState::Busy { .. } | SessionState::Pausing => {
+                READ_AHEAD_BYTES
+            }
         }
     }
 
@@ -445,6 +456,15 @@
         if self.state == SessionState::Closing {
             return;
         }
+        if self.just_answered {
+            self.state = SessionState::Pausing;
+            after!(CLOSE_PAUSE, [cx], close_now(error));
+        } else {
+            self.close_now(cx, error);
+        }
+    }
+
+    fn close_now(&mut self, cx: CX![], error: Option<ErrorReply>) {
         match error {
             Some(error) => self.fatal(cx, &error.code, &error.message),
             None => self.close_after(cx, Bytes::new()),
@@ -510,10 +530,17 @@
         }
         self.push(cx, output.freeze(), ChunkPermit::free());
         self.state = SessionState::Idle;
+        self.just_answered = true;
+        // Comes after the node's decision to close, if it made one with the end of the request.
+        lazy!([cx], forget_answer());
         self.process(cx);
         self.read(cx);
     }
 
+    fn forget_answer(&mut self, _cx: CX![]) {
+        self.just_answered = false;
+    }
+
     /// Describes the session, for the state dump.
     pub(crate) fn describe(&self) -> serde_json::Value {
         serde_json::json!({
@@ -524,7 +551,7 @@
                 SessionState::Opening => "opening",
                 SessionState::Idle => "idle",
                 SessionState::Busy { .. } => "busy",
-                SessionState::Closing => "closing",
+                SessionState::Pausing | SessionState::Closing => "closing",
             },
             "requests": self.request,
             "buffer_bytes": self.socket.buffer_bytes() + self.message_bytes,
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,247 @@
+//! Stand-ins and real `cicadawickd` processes for the functional tests.
+
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use config::ChangeEnvelope;
+use fake::fakedb::{DatabaseGroup, GroupOptions};
+use fake::fakeplatform::FakePlatform;
+use platform::PlatformClient;
+use postgres::{Client, NoTls, SimpleQueryMessage};
+
+pub const WAIT: Duration = Duration::from_secs(20);
+
+/// Polls until a condition holds.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + WAIT;
+    while !holds() {
+        assert!(Instant::now() < end, "timed out waiting until {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A running `cicadawickd`; drop kills it.
+pub struct Proxy {
+    pub caller_address: SocketAddr,
+    pub peer_address: SocketAddr,
+    pub admin_address: SocketAddr,
+    settings: PathBuf,
+    child: Child,
+}
+
+impl Proxy {
+    pub fn connect(&self) -> Client {
+        self.try_connect("billing", "").unwrap()
+    }
+
+    pub fn try_connect(&self, database: &str, options: &str) -> Result<Client, postgres::Error> {
+        let mut config = postgres::Config::new();
+        config
+            .host(&self.caller_address.ip().to_string())
+            .port(self.caller_address.port())
+            .user("vendor")
+            .dbname(database)
+            .connect_timeout(Duration::from_secs(5));
+        if !options.is_empty() {
+            config.options(options);
+        }
+        config.connect(NoTls)
+    }
+
+    pub fn get(&self, path: &str) -> serde_json::Value {
+        let address = self.admin_address;
+        let mut answer = ureq::get(format!("http://{address}{path}")).call().unwrap();
+        answer.body_mut().read_json().unwrap()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
+        assert!(status.unwrap().success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        let end = Instant::now() + WAIT;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < end, "the daemon did not end");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    pub fn resident_bytes(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// A database group, a platform and proxies in one data centre.
+pub struct Fleet {
+    pub group: DatabaseGroup,
+    pub platform: FakePlatform,
+    pub proxies: Vec<Proxy>,
+}
+
+impl Fleet {
+    pub fn start(proxies: usize) -> Self {
+        Fleet::start_with(proxies, GroupOptions::new("billing", 3))
+    }
+
+    pub fn start_with(proxies: usize, options: GroupOptions) -> Self {
+        let group = DatabaseGroup::start(options.clone()).unwrap();
+        let platform = FakePlatform::start(0).unwrap();
+        let databases: Vec<serde_json::Value> = group
+            .names()
+            .iter()
+            .zip(group.addresses())
+            .map(|(name, address)| {
+                serde_json::json!({
+                    "name": name, "data_centre": "dc1", "address": address.to_string(),
+                    "slots": options.slots, "connections": options.connections,
+                })
+            })
+            .collect();
+        let text = serde_json::json!({
+            "clusters": [{ "name": "billing", "databases": databases }],
+            "selectors": [{ "name": "all", "matches": "", "rank": "urgent", "deadline_ms": 10_000 }],
+        });
+        let envelope = ChangeEnvelope {
+            revision: 1,
+            change_id: "first".to_owned(),
+            author: "test".to_owned(),
+            written_at: 0,
+            text: text.to_string(),
+        };
+        let client = PlatformClient::new(platform.address(), Duration::from_secs(2));
+        assert!(client.put("cicadawick/config", &envelope.to_bytes(), 0).unwrap());
+        let keys = serde_json::json!([{ "id": 1, "secret": "5a".repeat(32) }]).to_string();
+        assert!(client.put("cicadawick/token-keys", keys.as_bytes(), 0).unwrap());
+        let mut fleet = Fleet { group, platform, proxies: Vec::new() };
+        for _ in 0..proxies {
+            fleet.add_proxy();
+        }
+        for proxy in &fleet.proxies {
+            wait_until("the proxies know each other", || {
+                let dump = proxy.get("/v1/dump");
+                dump["members"].as_array().is_some_and(|members| members.len() == proxies)
+            });
+            wait_until("the proxy serves writes", || {
+                let client = proxy.try_connect("billing", "");
+                client.is_ok_and(|mut client| {
+                    client.batch_execute("CREATE TABLE IF NOT EXISTS ready (id bigint)").is_ok()
+                })
+            });
+        }
+        fleet
+    }
+
+    pub fn add_proxy(&mut self) {
+        let number = self.proxies.len() + 1;
+        let peers: Vec<String> =
+            self.proxies.iter().map(|proxy| proxy.peer_address.to_string()).collect();
+        let settings = serde_json::json!({
+            "name": format!("vm-{number}"),
+            "data_centre": "dc1",
+            "caller_address": free_address().to_string(),
+            "peer_address": free_address().to_string(),
+            "admin_address": free_address().to_string(),
+            "platform_address": self.platform.address().to_string(),
+            "peers": peers,
+            "drain_timeout_ms": 5_000,
+            "log_level": std::env::var("CICADAWICK_TEST_LOG").unwrap_or("warn".to_owned()),
+        });
+        self.proxies.push(start_proxy(&settings));
+    }
+}
+
+/// Starts a daemon and waits until it is ready.
+pub fn start_proxy(settings: &serde_json::Value) -> Proxy {
+    let name = settings["name"].as_str().unwrap();
+    let path = temporary_file(name);
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let ready = path.with_extension("ready");
+    let child = Command::new(env!("CARGO_BIN_EXE_cicadawickd"))
+        .arg("--settings")
+        .arg(&path)
+        .arg("--ready-file")
+        .arg(&ready)
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    wait_until("the daemon is ready", || {
+        line = std::fs::read_to_string(&ready).unwrap_or_default();
+        !line.is_empty()
+    });
+    std::fs::remove_file(&ready).unwrap();
+    let address = |key: &str| {
+        let field = line.split_whitespace().find_map(|field| field.strip_prefix(key)).unwrap();
+        field.parse().unwrap()
+    };
+    Proxy {
+        caller_address: address("caller_address="),
+        peer_address: address("peer_address="),
+        admin_address: address("admin_address="),
+        settings: path,
+        child,
+    }
+}
+
+/// Returns a name that no other test process uses.
+pub fn temporary_file(name: &str) -> PathBuf {
+    use std::sync::atomic::{AtomicU32, Ordering};
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    std::env::temp_dir().join(format!("cicadawickd-{}-{number}-{name}.jsonc", std::process::id()))
+}
+
+/// Runs the binary to its end; returns exit code, stdout and stderr.
+pub fn run_binary(arguments: &[&str]) -> (i32, String, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cicadawickd"))
+        .args(arguments)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let (mut out, mut err) = (String::new(), String::new());
+    child.stdout.take().unwrap().read_to_string(&mut out).unwrap();
+    child.stderr.take().unwrap().read_to_string(&mut err).unwrap();
+    (child.wait().unwrap().code().unwrap(), out, err)
+}
+
+/// Runs a simple query and returns the text of all fields of all rows.
+pub fn rows(client: &mut Client, sql: &str) -> Result<Vec<Vec<Option<String>>>, String> {
+    let messages = client.simple_query(sql).map_err(|error| code(&error))?;
+    Ok(messages
+        .iter()
+        .filter_map(|message| match message {
+            SimpleQueryMessage::Row(row) => {
+                Some((0..row.len()).map(|at| row.get(at).map(str::to_string)).collect())
+            }
+            _ => None,
+        })
+        .collect())
+}
+
+/// Returns an error's SQLSTATE, or `closed`.
+pub fn code(error: &postgres::Error) -> String {
+    error.code().map_or("closed", |code| code.code()).to_string()
+}
