Contact the settings' peers until one answers

The member table only learns of members from heartbeats and the platform's list, so two proxies whose platform lists no VM never met. The shell now sends heartbeats to the settings' peers while no live member is known. Both proxies of the functional tests then know each other and forward.

--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -12,6 +12,7 @@
 use admit::ConnectionId;
 use bytes::Bytes;
 use futures::channel::mpsc;
+use member::{MemberInfo, MemberState};
 use model::{FastMap, Micros, Name, NodeSettings, SocketAddress};
 use node::{
     AnswerTarget, CallId, CallerRequest, LaneId, LogLevel, Node, NodeAction, NodeEvent, RelayMode,
@@ -53,6 +54,9 @@
 /// Interval of closing idle connections to peers and of sending metrics.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Peers of the settings that are asked at once.
+const PEERS_ASKED: usize = 4;
+
 /// Connections beyond the caller limit that are kept to tell their callers so.
 const REFUSED_LIMIT: usize = 64;
 
@@ -115,6 +119,8 @@
     pool: TaskPool,
     clients: PeerClients,
     call_ids: CallIds,
+    /// Index of the settings' peer to ask next.
+    next_peer: usize,
     next_session: u64,
     sessions: FastMap<SessionId, SessionEntry>,
     backends: FastMap<ConnectionId, ActorOwn<Backend>>,
@@ -176,6 +182,7 @@
             clients: PeerClients::new(pool.clone()),
             pool,
             call_ids: CallIds::default(),
+            next_peer: 0,
             next_session: 1,
             sessions: FastMap::default(),
             backends: FastMap::default(),
@@ -195,6 +202,7 @@
 
     fn begin(&mut self, cx: CX![]) {
         self.node_event(cx, NodeEvent::Timer);
+        self.find_peers(cx);
     }
 
     fn now(&self, core: &Core) -> Micros {
@@ -241,12 +249,37 @@
 
     fn sweep(&mut self, cx: CX![]) {
         self.clients.sweep(cx);
+        self.find_peers(cx);
         self.counters.gauge("sessions", self.sessions.len() as u64);
         self.counters.gauge("backend_connections", self.backends.len() as u64);
         self.counters.flush();
         after!(SWEEP_INTERVAL, [cx], sweep());
     }
 
+    /// Sends heartbeats to the settings' peers while this node knows no live member. The member table
+    /// does the rest once one has answered.
+    fn find_peers(&mut self, cx: CX![]) {
+        if self.settings.peers.is_empty() {
+            return;
+        }
+        let own = &self.settings.name;
+        let found = |member: &MemberInfo| {
+            member.name != *own && matches!(member.state, MemberState::Alive | MemberState::Leaving)
+        };
+        if self.node.members().iter().any(found) {
+            return;
+        }
+        let Some(heartbeat) = self.node.heartbeat() else { return };
+        let hub = cx.this().clone();
+        for _ in 0..PEERS_ASKED.min(self.settings.peers.len()) {
+            let peer = self.settings.peers[self.next_peer % self.settings.peers.len()];
+            self.next_peer += 1;
+            let done =
+                reply_to(hub.clone(), |answer| answer.ok().map(NodeEvent::HeartbeatAnswered));
+            self.clients.heartbeat(cx, peer, &heartbeat, HEARTBEAT_TIMEOUT, done);
+        }
+    }
+
     fn act(&mut self, cx: CX![], action: NodeAction) {
         match action {
             NodeAction::AcceptSession { session, parameters } => {
