--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -64,7 +64,7 @@
 const ACCOUNTED_CALLERS: usize = 2_048;
 
 /// Interval of the work that no event causes: closing surplus connections, forgetting.
-const HOUSEKEEPING_INTERVAL: Micros = Micros::from_secs(5);
+const HOUSEKEEPING_INTERVAL: Micros = Micros::from_secs(1);
 
 /// All decisions of one process.
 #[derive(Debug)]
@@ -237,7 +237,12 @@
             .owner
             .desks
             .iter()
-            .filter(|(_, desk)| desk.queue.next_expiry().is_some_and(|due| due <= now))
+            .filter(|(_, desk)| {
+                [desk.queue.next_expiry(), desk.next_open()]
+                    .into_iter()
+                    .flatten()
+                    .any(|due| due <= now)
+            })
             .map(|(name, _)| name.clone())
             .collect();
         expired.sort();
@@ -255,6 +260,7 @@
         if self.housekeeping <= now {
             self.housekeeping = now + HOUSEKEEPING_INTERVAL;
             self.update_watcher();
+            self.give_up_openings();
             self.trim_pools();
             self.forget_clusters();
             self.forget_reports();
@@ -289,7 +295,8 @@
             .clusters
             .values()
             .flat_map(|desk| [desk.watch.next_timer(), desk.supervisor.next_timer()]);
-        let queues = self.owner.desks.values().map(|desk| desk.queue.next_expiry());
+        let queues =
+            self.owner.desks.values().flat_map(|desk| [desk.queue.next_expiry(), desk.next_open()]);
         let drain = match self.drain {
             DrainState::Draining { until } => Some(until),
             DrainState::Serving | DrainState::Complete => None,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -29,6 +29,10 @@
 /// Time for which a surplus connection stays open. Opening one takes 12 ms at both users.
 const IDLE_TIMEOUT: Micros = Micros::from_secs(60);
 
+/// Time after which a connection that does not open is given up, so that a frozen backend server does
+/// not use up its limit with connections that never open.
+const OPEN_TIMEOUT: Micros = Micros::from_secs(3);
+
 /// Time between a cancel request and the close of the connection, if the statement does not end.
 const CANCEL_GRACE: Micros = Micros::from_secs(1);
 
@@ -129,6 +133,8 @@
 pub(crate) struct BackendConnection {
     pub database: Name,
     pub open: bool,
+    /// When the node asked for it.
+    pub asked: Micros,
     pub work: Option<WorkId>,
     pub pin: Option<PinKey>,
 }
@@ -202,6 +208,11 @@
         spare.max(pool.limit / 2).max(1) as usize
     }
 
+    /// When the pool opens connections again for work that waits.
+    pub(crate) fn next_open(&self) -> Option<Micros> {
+        self.pool.next_retry().filter(|_| !self.wanting.is_empty())
+    }
+
     pub(crate) fn is_unused(&self) -> bool {
         self.pins.is_empty() && self.begins.is_empty() && self.wanting.is_empty()
     }
@@ -443,6 +454,7 @@
             desk.wanting.pop_front();
             self.dispatch_work(id, connection);
         }
+        self.decline_without_pool(database);
         if let Some(desk) = self.owner.desks.get_mut(database)
             && !desk.owned
         {
@@ -451,6 +463,19 @@
         self.run_pool_actions(database, actions);
     }
 
+    /// Declines work that waits for a connection while none is there and none is being opened, as after
+    /// a failed open. It would hold slots for nothing.
+    fn decline_without_pool(&mut self, database: &Name) {
+        let Some(desk) = self.owner.desks.get(database) else { return };
+        let stats = desk.pool.stats();
+        if stats.opening + stats.idle + stats.taken > 0 {
+            return;
+        }
+        for id in desk.wanting.clone() {
+            self.decline_work(id, DeclineReason::Unavailable);
+        }
+    }
+
     /// Opens and closes connections as a pool asks.
     pub(crate) fn run_pool_actions(&mut self, database: &Name, actions: Vec<PoolAction>) {
         for action in actions {
@@ -463,6 +488,7 @@
                         BackendConnection {
                             database: database.clone(),
                             open: false,
+                            asked: self.now,
                             work: None,
                             pin: None,
                         },
@@ -509,16 +535,10 @@
         if let Some(id) = backend.work {
             self.work_lost(id, message);
         }
-        let opening =
-            self.owner.connections.values().any(|other| other.database == database && !other.open);
-        if !backend.open && !opening {
-            // Nothing can be opened: work that waits goes elsewhere instead of trying in a loop.
+        if !backend.open {
             let text = format!("failed to connect to database {database}: {message}");
             self.log(LogLevel::Warn, text);
-            let waiting = self.owner.desks.get_mut(&database).map(|desk| desk.wanting.clone());
-            for id in waiting.unwrap_or_default() {
-                self.decline_work(id, DeclineReason::Unavailable);
-            }
+            self.decline_without_pool(&database);
         }
         self.steps.push_back(Step::Pump(database));
     }
@@ -792,6 +812,23 @@
         }
     }
 
+    /// Gives up connections that do not open.
+    pub(crate) fn give_up_openings(&mut self) {
+        let oldest = self.now.saturating_sub(OPEN_TIMEOUT);
+        let mut late: Vec<ConnectionId> = self
+            .owner
+            .connections
+            .iter()
+            .filter(|(_, backend)| !backend.open && backend.asked <= oldest)
+            .map(|(connection, _)| *connection)
+            .collect();
+        late.sort();
+        for connection in late {
+            self.emit(NodeAction::CloseBackend { connection });
+            self.backend_lost(connection, "the connection did not open in time");
+        }
+    }
+
     /// Closes surplus connections of all pools and forgets desks that are no longer owned or used.
     pub(crate) fn trim_pools(&mut self) {
         let mut names: Vec<Name> = self.owner.desks.keys().cloned().collect();
--- a/crates/node/src/proof.rs
+++ b/crates/node/src/proof.rs
@@ -11,8 +11,9 @@
 use admit::WorkId;
 
 /// Age of the last confirmed round up to which the primary counts as in office for reads and for the
-/// start of writes. Rounds run every 250 ms; a primary without one for this long is suspected anyway.
-const LEADERSHIP_AGE: Micros = Micros::from_secs(1);
+/// start of writes: two rounds of 250 ms and a margin. A longer time sends more writes to a frozen
+/// primary, and their outcome is then unknown.
+const LEADERSHIP_AGE: Micros = Micros::from_millis(600);
 
 /// Rounds that work waits for before it is declined.
 const ROUND_LIMIT: u32 = 2;
--- a/crates/node/tests/driver/mod.rs
+++ b/crates/node/tests/driver/mod.rs
@@ -87,6 +87,7 @@
     pub dead: Vec<bool>,
     items: BTreeMap<(Micros, u64), Item>,
     sequence: u64,
+    handled: u64,
     pub databases: BTreeMap<String, Database>,
     connections: HashMap<(usize, ConnectionId), Connection>,
     runs: HashMap<(usize, RunId), Run>,
@@ -190,6 +191,7 @@
             names,
             items: BTreeMap::new(),
             sequence: 0,
+            handled: 0,
             databases: BTreeMap::new(),
             connections: HashMap::new(),
             runs: HashMap::new(),
@@ -266,6 +268,8 @@
         if self.dead[node] {
             return;
         }
+        self.handled += 1;
+        assert!(self.handled < 400_000, "too many events; {}", self.logs.join("\n"));
         let mut actions = Vec::new();
         self.nodes[node].handle(self.now, event, &mut actions);
         for action in actions {
@@ -792,6 +796,23 @@
         self.nodes[node].answer(self.now, &OperatorCall::Dump)
     }
 
+    /// Stops a database and breaks its connections.
+    pub fn crash(&mut self, name: &str) {
+        self.databases.get_mut(name).unwrap().down = true;
+        let mut lost: Vec<_> = self
+            .connections
+            .iter()
+            .filter(|(_, link)| link.database == name)
+            .map(|(key, _)| *key)
+            .collect();
+        lost.sort();
+        for (node, connection) in lost {
+            self.connections.remove(&(node, connection));
+            let event = NodeEvent::BackendLost { connection, message: "reset".into() };
+            self.event_in(LINK, node, event);
+        }
+    }
+
     /// Stops a node without notice.
     pub fn kill(&mut self, node: usize) {
         self.dead[node] = true;
--- a/crates/node/tests/random.rs
+++ b/crates/node/tests/random.rs
@@ -21,16 +21,18 @@
     Fail { database: usize, fault: usize },
     Heal { database: usize },
     Drain { node: usize },
+    Kill { node: usize },
 }
 
+/// Texts to send; `N` becomes the number of the request.
 const TEXTS: [&str; 9] = [
-    "select 1",
-    "insert into t values (1)",
+    "select N",
+    "insert into t values (N.)",
     "begin",
     "commit",
     "rollback",
-    "/*request_key='k1'*/ insert into t values (2)",
-    "insert into fail values (1)",
+    "/*request_key='kN'*/ insert into t values (N.)",
+    "insert into fail values (N)",
     "show cicadawick.labels",
     "copy t from stdin",
 ];
@@ -45,7 +47,8 @@
         2 => (0..8u64).prop_map(|secs| Act::Advance { millis: secs * 700 }),
         2 => (0..3usize, 0..6usize).prop_map(|(database, fault)| Act::Fail { database, fault }),
         2 => (0..3usize).prop_map(|database| Act::Heal { database }),
-        1 => (0..40usize).prop_map(|node| Act::Drain { node }),
+        1 => (0..12usize).prop_map(|node| Act::Drain { node }),
+        1 => (0..12usize).prop_map(|node| Act::Kill { node }),
     ];
     prop::collection::vec(act, 1..60)
 }
@@ -55,6 +58,8 @@
     sessions: Vec<(usize, SessionId)>,
     closed: HashSet<(usize, SessionId)>,
     sent: HashMap<(usize, SessionId), usize>,
+    /// Session, place among its requests, and text of each request.
+    texts: Vec<((usize, SessionId), usize, String)>,
 }
 
 impl Trial {
@@ -62,7 +67,7 @@
         let live: Vec<_> = self
             .sessions
             .iter()
-            .filter(|key| !self.closed.contains(key))
+            .filter(|key| !self.closed.contains(key) && !self.driver.dead[key.0])
             .filter(|(node, id)| {
                 !self.driver.closed.iter().any(|(other, gone, _)| other == node && gone == id)
             })
@@ -76,6 +81,7 @@
 
     fn play(&mut self, act: &Act) {
         match *act {
+            Act::Open { node, .. } if self.driver.dead[node] => {}
             Act::Open { node, labels } => {
                 let labels = ["kind=aged", "kind=short", "kind=none"][labels];
                 let session = self.driver.open(node, "phone", &[("cicadawick.labels", labels)]);
@@ -87,8 +93,11 @@
                 let Some(key) = self.usable(session) else { return };
                 // The shell sends one request at a time.
                 if self.sent.get(&key).copied().unwrap_or(0) == self.ended(key) {
-                    *self.sent.entry(key).or_default() += 1;
-                    self.driver.send(key.0, key.1, TEXTS[text]);
+                    let place = self.sent.entry(key).or_default();
+                    let text = TEXTS[text].replace('N', &self.texts.len().to_string());
+                    self.driver.send(key.0, key.1, &text);
+                    self.texts.push((key, *place, text));
+                    *place += 1;
                 }
             }
             Act::Close { session } => {
@@ -117,10 +126,31 @@
             Act::Drain { node } if node < 3 && self.driver.shut_down.is_empty() => {
                 self.driver.give(node, NodeEvent::DrainRequested);
             }
-            Act::Drain { .. } => {}
+            Act::Kill { node } if node < 3 && !self.driver.dead.contains(&true) => {
+                self.driver.kill(node);
+            }
+            Act::Drain { .. } | Act::Kill { .. } => {}
         }
     }
 
+    /// Checks what callers were told against what the backend servers committed.
+    fn check_outcomes(&self) -> Result<(), TestCaseError> {
+        for (key, place, text) in &self.texts {
+            let Some((_, value)) = text.split_once("values") else { continue };
+            let commits = self.driver.committed_with(value);
+            prop_assert!(commits <= 1, "{text} ran {commits} times");
+            let finish = self.driver.finishes.get(key).and_then(|finishes| finishes.get(*place));
+            let Some(finish) = finish else { continue };
+            if finish.code().starts_with("WK") {
+                prop_assert_eq!(commits, 0, "{} was told not to have run", text);
+            }
+            if finish.code().is_empty() && finish.token.is_some() {
+                prop_assert_eq!(commits, 1, "{} was acknowledged", text);
+            }
+        }
+        Ok(())
+    }
+
     fn heal(&mut self, database: usize) {
         let name = format!("db{}", database + 1);
         let found = self.driver.databases.get_mut(&name).unwrap();
@@ -132,8 +162,13 @@
     }
 }
 
+fn cases() -> u32 {
+    std::env::var("PROPTEST_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(64)
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 96, ..ProptestConfig::default() })]
+    // A case takes about 0.1 s; more with PROPTEST_CASES.
+    #![proptest_config(ProptestConfig::with_cases(cases()))]
 
     #[test]
     fn nothing_leaks_and_each_request_ends_once(acts in acts()) {
@@ -142,6 +177,7 @@
             sessions: Vec::new(),
             closed: HashSet::new(),
             sent: HashMap::new(),
+            texts: Vec::new(),
         };
         for act in &acts {
             trial.play(act);
@@ -150,7 +186,11 @@
             trial.heal(database);
         }
         trial.driver.advance(Micros::from_secs(30));
+        trial.check_outcomes()?;
         for (key, sent) in &trial.sent {
+            if trial.driver.dead[key.0] {
+                continue;
+            }
             let ended = trial.ended(*key);
             let gone = trial.closed.contains(key)
                 || trial.driver.closed.iter().any(|closed| (closed.0, closed.1) == *key);
@@ -161,7 +201,7 @@
             trial.driver.give(key.0, NodeEvent::SessionClosed { session: key.1 });
         }
         trial.driver.advance(Micros::from_secs(10));
-        for node in 0..3 {
+        for node in (0..3).filter(|node| !trial.driver.dead[*node]) {
             let dump = trial.driver.dump(node);
             prop_assert_eq!(&dump["forwarded"], 0);
             prop_assert_eq!(&dump["sessions"]["open"], 0);
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -191,7 +191,7 @@
         let mut driver = Driver::start(3);
         let session = driver.open(node, "kiosk", &[]);
         assert_eq!(driver.query(node, session, "insert into t values (1)").code(), "");
-        driver.databases.get_mut("db1").unwrap().down = true;
+        driver.crash("db1");
         driver.advance(millis(300));
         let start = driver.now;
         let finish = driver.query(node, session, "insert into t values (2)");
