--- a/crates/failover/src/watch.rs
+++ b/crates/failover/src/watch.rs
@@ -153,10 +153,12 @@
 
 /// Longest data age for which samples are kept.
 const SAMPLE_SPAN: Micros = Micros::from_secs(60);
-/// Samples kept for each cluster; the thinning below needs about 210.
+/// Samples kept for each cluster. Thinning leaves at most two for each gap, 230 over the whole span.
 const SAMPLE_LIMIT: usize = 256;
-/// Samples closer than this, or than 1/32 of their age, are thinned.
+/// Samples are thinned to gaps of this,
 const SAMPLE_GAP: Micros = Micros::from_millis(8);
+/// or of their age divided by this, whichever is longer.
+const SAMPLE_PRECISION: u64 = 16;
 /// Terms whose start is remembered. With two changes a day this covers a month.
 const TERM_LIMIT: usize = 64;
 /// Pause between rounds when no commit is new, so a lagging replica is not polled at line speed.
@@ -688,15 +690,20 @@
         }
     }
 
-    /// Thins samples with growing age, so that the age stated is too high by at most 1/32 or 8 ms.
+    /// Thins samples with growing age. A sample is dropped only if its neighbours are close to each
+    /// other, so the age stated is too high by at most 1/16 or 8 ms.
     fn thin_samples(&mut self, now: Micros) {
         let mut kept: VecDeque<PositionSample> = VecDeque::with_capacity(SAMPLE_LIMIT);
         let oldest = now.saturating_sub(SAMPLE_SPAN);
-        for sample in self.samples.iter().rev() {
+        for (index, sample) in self.samples.iter().enumerate().rev() {
             let age = now.saturating_sub(sample.began);
-            let gap = SAMPLE_GAP.max(Micros(age.0 / 32));
-            let close = kept.front().is_some_and(|newer| newer.began - sample.began < gap);
-            if sample.began >= oldest && !close {
+            let gap = SAMPLE_GAP.max(Micros(age.0 / SAMPLE_PRECISION));
+            let older = index.checked_sub(1).and_then(|index| self.samples.get(index));
+            let spare = match (kept.front(), older) {
+                (Some(newer), Some(older)) => newer.began - older.began <= gap,
+                _ => false,
+            };
+            if sample.began >= oldest && !spare {
                 kept.push_front(*sample);
             }
         }
