--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,1 +1,46 @@
 //! Stand-ins of the systems that cicadawick works with, and tools to load and disturb them.
+//!
+//! - [`fakedb`]: one database group with PostgreSQL protocol, replication and terms.
+//! - [`fakeplatform`]: the platform's key-value service and list of VMs.
+//! - [`faultproxy`]: a TCP relay that delays, cuts, freezes and drops links.
+//! - [`loadgen`]: callers with mixes of work, latency figures and correctness checks.
+//!
+//! Each starts on the loopback interface inside a test or demo process and stops when its handle is
+//! dropped. The binaries of the same names run them as separate processes. All use plain threads:
+//! they hold tens of connections, and a thread per connection keeps the code short.
+
+pub mod fakedb;
+pub mod fakeplatform;
+pub mod faultproxy;
+mod http;
+pub mod loadgen;
+
+/// Prints where a tool listens, in one write. A reader that closes the pipe after the first line
+/// must not end the tool, so a failed write is ignored.
+///
+/// ```
+/// fake::announce([("control", "127.0.0.1:7000".parse()?)]);
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+pub fn announce<'a>(addresses: impl IntoIterator<Item = (&'a str, std::net::SocketAddr)>) {
+    use std::io::Write;
+
+    let lines = addresses.into_iter().map(|(name, address)| match name {
+        "" => format!("listening on {address}\n"),
+        _ => format!("{name} listening on {address}\n"),
+    });
+    let mut stdout = std::io::stdout().lock();
+    drop(stdout.write_all(lines.collect::<String>().as_bytes()));
+    drop(stdout.flush());
+}
+
+/// Keeps a tool's process alive until it is killed.
+///
+/// ```no_run
+/// fake::wait_forever();
+/// ```
+pub fn wait_forever() -> ! {
+    loop {
+        std::thread::park();
+    }
+}
