--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,6 +18,8 @@
             optional --settings file: PathBuf
             /// Check the settings and exit.
             optional --check
+            /// Listen on free ports instead of those of the settings; for tests and demos.
+            optional --free-ports
             /// Write the line with the addresses to this file once the daemon is ready.
             optional --ready-file file: PathBuf
             /// Print the line with the addresses once the daemon is ready.
@@ -52,7 +54,7 @@
         eprintln!("cicadawickd: flag is required: `--settings`");
         return ExitCode::from(COMMAND_LINE_ERROR);
     };
-    let settings = match read_settings(&file) {
+    let mut settings = match read_settings(&file) {
         Ok(settings) => settings,
         Err(messages) => {
             for message in messages {
@@ -65,6 +67,11 @@
         println!("{}: settings are valid", file.display());
         return ExitCode::SUCCESS;
     }
+    if flags.free_ports {
+        settings.caller_address.set_port(0);
+        settings.peer_address.set_port(0);
+        settings.admin_address.set_port(0);
+    }
     if let Err(error) = daemon::start_logging(&settings.log_level) {
         eprintln!("cicadawickd: failed to start the log: {error}");
         return ExitCode::from(SETTINGS_ERROR);
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, clippy::unwrap_used)]
 
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
@@ -25,10 +25,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// A running `cicadawickd`; drop kills it.
 pub struct Proxy {
     pub caller_address: SocketAddr,
@@ -161,9 +157,9 @@
         let settings = serde_json::json!({
             "name": format!("vm-{number}"),
             "data_centre": "dc1",
-            "caller_address": free_address().to_string(),
-            "peer_address": free_address().to_string(),
-            "admin_address": free_address().to_string(),
+            "caller_address": "127.0.0.1:5432",
+            "peer_address": "127.0.0.1:7400",
+            "admin_address": "127.0.0.1:7401",
             "platform_address": self.platform.address().to_string(),
             "peers": peers,
             "drain_timeout_ms": 5_000,
@@ -182,6 +178,8 @@
     let child = Command::new(env!("CARGO_BIN_EXE_cicadawickd"))
         .arg("--settings")
         .arg(&path)
+        // Ports chosen beforehand would be taken by tests that run at the same time.
+        .arg("--free-ports")
         .arg("--ready-file")
         .arg(&ready)
         .spawn()
