Ask again as soon as a fresh view is stale

An owner whose view stopped a promotion was asked again after 500 ms, though its confirmed round is 1 s old earlier than that. The supervisor now waits just until then.

--- a/crates/failover/src/supervisor.rs
+++ b/crates/failover/src/supervisor.rs
@@ -12,7 +12,7 @@
 //! | step | invariant | on failure |
 //! | --- | --- | --- |
 //! | `waiting` | Nothing was sent. Supervisor k waits k x 3 s. | Suspicion cleared: idle. |
-//! | `views` | Nothing was changed. A confirmed round younger than 1 s stops the promotion, so a bad link of one owner replaces nobody. | No answer counts as no objection. |
+//! | `views` | Nothing was changed. A confirmed round younger than 1 s stops the promotion until it is older, so a bad link of one owner replaces nobody. | No answer counts as no objection. |
 //! | `record-read`, `record-write` | The target term is above every term seen. The record only orders supervisors. | Platform silent for 1.5 s: continue. Conflict: read again. Another supervisor's record at or above the target: wait one step. Own record at the target: the write was applied and its answer lost, continue. |
 //! | `other` | Another supervisor holds the record; it has one step of 3 s. | Still suspected after that: take over with a higher term. This also resumes a promotion left half done. |
 //! | `fencing` | Each accepted fence stops the old primary's log at one more database. | A refusal shows the higher term; without a majority in 0.5 s: back off, then a higher term. |
@@ -39,8 +39,8 @@
 const VIEW_TIMEOUT: Micros = Micros::from_millis(300);
 /// A view with a confirmed round younger than this stops the promotion.
 const VIEW_FRESH: Micros = Micros::from_secs(1);
-/// Pause after a view stopped the promotion.
-const VIEW_PAUSE: Micros = Micros::from_millis(500);
+/// Pause after a promotion, until the watch can confirm it.
+const CONFIRM_PAUSE: Micros = Micros::from_millis(500);
 /// Longest wait for the platform in one attempt.
 const RECORD_TIMEOUT: Micros = Micros::from_millis(1_500);
 /// For this long after the platform was silent, an attempt does not wait for it.
@@ -258,7 +258,8 @@
                     self.step = PromotionStep::Waiting { until };
                 } else if let PromotionStep::Waiting { until } = &mut self.step {
                     // The place may have become a better one since.
-                    *until = (*until).min(now + Micros(STEP_WAIT.0 * u64::from(order)));
+                    let better = now + Micros(STEP_WAIT.0 * u64::from(order));
+                    *until = (*until).min(better.max(self.paused_until));
                 }
             }
             SupervisorEvent::SuspicionCleared => {
@@ -421,9 +422,11 @@
         let PromotionStep::Views { .. } = self.step else { return };
         if let Some(view) = view {
             self.see_term(view.term);
-            if view.confirmed_ago.is_some_and(|ago| ago < VIEW_FRESH) {
-                self.step = PromotionStep::Idle;
-                self.paused_until = now + VIEW_PAUSE;
+            if let Some(ago) = view.confirmed_ago.filter(|ago| *ago < VIEW_FRESH) {
+                // Asks again as soon as this view would no longer stop the promotion.
+                let until = now + (VIEW_FRESH - ago);
+                self.paused_until = until;
+                self.step = PromotionStep::Waiting { until };
                 return;
             }
         }
@@ -550,7 +553,7 @@
             if report.role == DatabaseRole::Primary {
                 // A newer term has its leader; the watch will confirm it.
                 self.step = PromotionStep::Idle;
-                self.paused_until = now + VIEW_PAUSE;
+                self.paused_until = now + CONFIRM_PAUSE;
             } else {
                 self.back_off(now);
             }
@@ -639,7 +642,7 @@
         let state = RecordState::Leading { leader, start };
         let record = LeaderRecord { term: self.target, state };
         self.record_task = Some(RecordTask { record, due: now, reading: false });
-        self.paused_until = now + VIEW_PAUSE;
+        self.paused_until = now + CONFIRM_PAUSE;
         self.step = PromotionStep::Idle;
     }
 
