Stop requests that wait from waking each other

While a primary refused connections, its owner declined, another owner named it again, and each naming woke all requests that waited; two sessions at one node looped without end. The random test hung on it about once in some thousand cases. A leader that just declined and is named again wakes nobody now, and changes wake at most every 20 ms.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -452,7 +452,7 @@
 
     /// A leader is known: requests that wait for one go on.
     pub(crate) fn leader_heard(&mut self, cluster: &Name, leader: &Name) {
-        if !self.entry.hints.set_leader(cluster, leader) {
+        if !self.entry.hints.set_leader(self.now, cluster, leader) {
             return;
         }
         for id in self.entry.waiting.remove(cluster).unwrap_or_default() {
--- a/crates/node/src/hints.rs
+++ b/crates/node/src/hints.rs
@@ -6,6 +6,18 @@
 /// Time for which a hint is believed, and for which a database that declined is avoided.
 const HINT_LIFE: Micros = Micros::from_secs(1);
 
+/// Least time between two changes of a leader that requests are woken for. Owners that contradict each
+/// other would otherwise have all requests that wait ask them in turn without a pause.
+const CHANGE_INTERVAL: Micros = Micros::from_millis(20);
+
+#[derive(Debug)]
+struct LeaderNews {
+    leader: Name,
+    /// No owner has denied it since.
+    believed: bool,
+    changed: Micros,
+}
+
 #[derive(Debug, Default)]
 struct DatabaseNews {
     heard: Micros,
@@ -18,7 +30,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct HintTable {
     databases: FastMap<Name, DatabaseNews>,
-    leaders: FastMap<Name, Name>,
+    leaders: FastMap<Name, LeaderNews>,
 }
 
 impl HintTable {
@@ -40,25 +52,41 @@
     }
 
     pub(crate) fn leader(&self, cluster: &str) -> Option<&Name> {
-        self.leaders.get(cluster)
+        self.leaders.get(cluster).filter(|news| news.believed).map(|news| &news.leader)
     }
 
-    /// Returns whether the leader is news.
-    pub(crate) fn set_leader(&mut self, cluster: &Name, leader: &Name) -> bool {
-        self.leaders.insert(cluster.clone(), leader.clone()).as_ref() != Some(leader)
+    /// Returns whether it is another leader than the last one, believed or not: a leader that just
+    /// declined and is named again is no reason to wake requests that wait.
+    pub(crate) fn set_leader(&mut self, now: Micros, cluster: &Name, leader: &Name) -> bool {
+        match self.leaders.get_mut(cluster) {
+            Some(news) if news.leader == *leader => {
+                news.believed = true;
+                false
+            }
+            Some(news) => {
+                let wakes = now.saturating_sub(news.changed) >= CHANGE_INTERVAL;
+                *news = LeaderNews { leader: leader.clone(), believed: true, changed: now };
+                wakes
+            }
+            None => {
+                let news = LeaderNews { leader: leader.clone(), believed: true, changed: now };
+                self.leaders.insert(cluster.clone(), news);
+                true
+            }
+        }
     }
 
-    /// Forgets the leader if it still is this database.
+    /// Stops believing in the leader if it still is this database.
     pub(crate) fn clear_leader(&mut self, cluster: &str, database: &Name) {
-        if self.leaders.get(cluster) == Some(database) {
-            self.leaders.remove(cluster);
+        if let Some(news) = self.leaders.get_mut(cluster).filter(|news| news.leader == *database) {
+            news.believed = false;
         }
     }
 
     /// Forgets databases and clusters for which `known` is false.
     pub(crate) fn retain(&mut self, known: impl Fn(&Name) -> bool) {
         self.databases.retain(|database, _| known(database));
-        self.leaders.retain(|_, leader| known(leader));
+        self.leaders.retain(|_, news| known(&news.leader));
     }
 
     /// Returns the hints for a cluster's databases.
--- a/crates/node/tests/driver/mod.rs
+++ b/crates/node/tests/driver/mod.rs
@@ -87,7 +87,8 @@
     pub dead: Vec<bool>,
     items: BTreeMap<(Micros, u64), Item>,
     sequence: u64,
-    handled: u64,
+    /// Events given to nodes.
+    pub handled: u64,
     pub databases: BTreeMap<String, Database>,
     connections: HashMap<(usize, ConnectionId), Connection>,
     runs: HashMap<(usize, RunId), Run>,
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -204,6 +204,29 @@
     }
 }
 
+/// Guards against requests that wake each other without a pause while the primary's owner declines and
+/// another owner still names it.
+#[test]
+fn waiting_requests_do_not_wake_each_other() {
+    for node in 0..3 {
+        let mut driver = Driver::start(3);
+        let sessions = [driver.open(node, "kiosk", &[]), driver.open(node, "kiosk", &[])];
+        driver.databases.get_mut("db1").unwrap().down = true;
+        for session in sessions {
+            driver.send(node, session, "insert into t values (1)");
+        }
+        let before = driver.handled;
+        driver.advance(millis(300));
+        let handled = driver.handled - before;
+        assert!(handled < 1_000, "{handled} events in 300 ms");
+        driver.databases.get_mut("db1").unwrap().down = false;
+        driver.advance(Micros::from_secs(2));
+        for session in sessions {
+            assert_eq!(driver.finishes[&(node, session)][0].code(), "");
+        }
+    }
+}
+
 /// Guards against a cluster that never gets its first primary.
 #[test]
 fn the_first_start_promotes_a_primary() {
