--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -134,8 +134,8 @@
         }
     }
 
-    /// Cancels reads that wait for a slot at the replaced primary as if it led; they are declined when
-    /// their turn comes, but by then their deadline may have passed.
+    /// Declines writes that wait at the replaced primary. They would be declined when their turn comes,
+    /// but by then their deadline may have passed.
     fn release_deposed(&mut self, cluster: &Name, leader: &Name) {
         let mut waiting: Vec<WorkId> = self
             .owner
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -672,7 +672,8 @@
             DeclineReason::NoProof => {
                 request.primary_only = true;
                 self.entry.hints.avoid(now, &database);
-                if let Some(session) = self.sessions.get(&id) {
+                let led = self.known_leader(cluster).as_ref() == Some(&database);
+                if let Some(session) = self.sessions.get(&id).filter(|_| !led) {
                     let measure = CallerMeasure::ReplicaDeclined;
                     self.accounts.count(now, &session.caller, rank, measure, 1);
                 }
