--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -103,6 +103,40 @@
     assert_eq!(driver.committed_with("values (1)"), 1);
 }
 
+/// Guards against a second run of a write whose owner died after it may have sent it.
+#[test]
+fn a_write_at_an_owner_that_dies_has_an_unknown_outcome() {
+    let mut driver = Driver::start(3);
+    let owner = driver.owner_of("db1");
+    let node = driver.other_than_owner("db1");
+    driver.databases.get_mut("db1").unwrap().run_time = millis(100);
+    let session = driver.open(node, "kiosk", &[]);
+    driver.send(node, session, "insert into t values (1)");
+    driver.advance(millis(40));
+    assert_eq!(driver.reached_with("insert"), ["db1"]);
+    driver.kill(owner);
+    driver.advance(Micros::from_secs(10));
+    let finishes = &driver.finishes[&(node, session)];
+    assert_eq!((finishes.len(), finishes[0].code()), (1, "08007"));
+    assert_eq!(driver.reached_with("insert"), ["db1"]);
+}
+
+/// Guards against a COMMIT at a primary that was replaced while the transaction was open.
+#[test]
+fn a_transaction_of_a_replaced_primary_is_rolled_back() {
+    let mut driver = Driver::start(3);
+    let node = driver.other_than_owner("db1");
+    let session = driver.open(node, "kiosk", &[]);
+    driver.query(node, session, "begin");
+    driver.query(node, session, "insert into t values (1)");
+    driver.databases.get_mut("db1").unwrap().frozen = true;
+    driver.advance(Micros::from_secs(10));
+    driver.databases.get_mut("db1").unwrap().frozen = false;
+    let finish = driver.query(node, session, "commit");
+    assert_eq!(finish.code(), "WK004", "{}", driver.logs.join("\n"));
+    assert_eq!(driver.committed_with("values"), 0);
+}
+
 /// Guards against statements of two transactions on one connection, at the owner and over a lane.
 #[test]
 fn a_transaction_keeps_one_connection() {
