--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -97,8 +97,8 @@
 /// The listening sockets and threads of a daemon.
 pub(crate) struct HubSetup {
     pub(crate) settings: NodeSettings,
-    pub(crate) callers: std::net::TcpListener,
-    pub(crate) peers: std::net::TcpListener,
+    pub(crate) callers: TcpListener,
+    pub(crate) peers: TcpListener,
     pub(crate) admin: AdminServer,
     pub(crate) counters: CounterSet,
     pub(crate) incarnation: u64,
@@ -147,9 +147,8 @@
     pub(crate) fn init(cx: CX![], setup: HubSetup) -> Option<Self> {
         let HubSetup { settings, callers, peers, admin, counters, incarnation, seed } = setup;
         let poll: MioPoll = cx.anymap_get();
-        let listen = |listener: std::net::TcpListener, ready: Fwd<Ready>| {
-            listener.set_nonblocking(true)?;
-            poll.add(TcpListener::from_std(listener), Interest::READABLE, 10, ready)
+        let listen = |listener: TcpListener, ready: Fwd<Ready>| {
+            poll.add(listener, Interest::READABLE, 10, ready)
         };
         let sources =
             listen(callers, fwd_to!([cx], accept_callers() as (Ready))).and_then(|callers| {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,13 +9,14 @@
 //! The daemon never panics because of a peer: bytes from the network are read with bounds checks, and
 //! a malformed message closes only the connection that it came from.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use model::NodeSettings;
 use stakker::sync::Channel;
 use stakker::{ActorOwn, Stakker, StopCause, actor, call, ret_shutdown};
 use stakker_mio::MioPoll;
+use stakker_mio::mio::net::TcpListener;
 use stakker_mio::mio::{Events, Poll};
 
 mod admin;
@@ -178,9 +179,22 @@
     }
 }
 
+/// Callers that may wait to be accepted. With the standard library's 128, callers that reconnect all
+/// at once overflow the queue and wait a second for their next attempt.
+const ACCEPT_BACKLOG: i32 = 4_096;
+
 fn listen(key: &'static str, address: &mut SocketAddr) -> Result<TcpListener, DaemonError> {
+    let bind = |address: SocketAddr| {
+        let domain = socket2::Domain::for_address(address);
+        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(ACCEPT_BACKLOG)?;
+        Ok(TcpListener::from_std(socket.into()))
+    };
     let error = |source| DaemonError::Listen { key, address: *address, source };
-    let listener = TcpListener::bind(*address).map_err(error)?;
+    let listener = bind(*address).map_err(error)?;
     *address = listener.local_addr().map_err(error)?;
     Ok(listener)
 }
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -121,18 +121,94 @@
 
 /// Reads messages until one of the given kind; returns its body.
 fn read_message(stream: &mut TcpStream, wanted: u8) -> Vec<u8> {
+    next_message(stream, &[wanted]).1
+}
+
+/// Reads messages until one of the given kinds; returns its kind and body.
+fn next_message(stream: &mut TcpStream, wanted: &[u8]) -> (u8, Vec<u8>) {
     loop {
         let mut header = [0; 5];
         stream.read_exact(&mut header).unwrap();
         let length = u32::from_be_bytes([header[1], header[2], header[3], header[4]]);
         let mut body = vec![0; length as usize - 4];
         stream.read_exact(&mut body).unwrap();
-        if header[0] == wanted {
-            return body;
+        if wanted.contains(&header[0]) {
+            return (header[0], body);
         }
     }
 }
 
+#[test]
+fn answer_that_breaks_off_ends_with_an_error() {
+    let fleet = Fleet::start(2);
+    let mut client = fleet.proxies[0].connect();
+    client.batch_execute("CREATE TABLE readings (id bigint, note text)").unwrap();
+    let note = "n".repeat(60_000);
+    for id in 0..500 {
+        client.batch_execute(&format!("INSERT INTO readings VALUES ({id}, '{note}')")).unwrap();
+    }
+    let mut streams: Vec<TcpStream> = fleet.proxies.iter().map(open_raw).collect();
+    for stream in &mut streams {
+        let mut query = bytes::BytesMut::new();
+        pg::put_query(&mut query, "SELECT id, note FROM readings");
+        stream.write_all(&query).unwrap();
+        read_message(stream, b'D');
+    }
+    // Answers of 30 MB are larger than all buffers on the way, so they are not complete yet.
+    fleet.group.kill("billing-1").unwrap();
+    for stream in &mut streams {
+        let error = pg::read_error(&read_message(stream, b'E')).unwrap();
+        assert_eq!(error.severity, "ERROR", "{error:?}");
+        read_message(stream, b'Z');
+    }
+    // Another database takes over, and the sessions go on.
+    for stream in &mut streams {
+        wait_until("writes are served again", || {
+            let mut query = bytes::BytesMut::new();
+            pg::put_query(&mut query, "INSERT INTO readings VALUES (501, '')");
+            stream.write_all(&query).unwrap();
+            let (kind, _) = next_message(stream, b"CE");
+            read_message(stream, b'Z');
+            kind == b'C'
+        });
+    }
+}
+
+#[test]
+fn copy_is_refused_and_leaves_the_session_usable() {
+    let fleet = Fleet::start(1);
+    let mut client = fleet.proxies[0].connect();
+    client.batch_execute("CREATE TABLE receipts (id bigint)").unwrap();
+    for sql in ["COPY receipts TO STDOUT", "COPY receipts FROM STDIN"] {
+        assert_eq!(code(&client.batch_execute(sql).unwrap_err()), "0A000");
+    }
+    assert_eq!(rows(&mut client, "SELECT 1"), Ok(vec![vec![Some("1".to_owned())]]));
+}
+
+#[test]
+fn flush_answers_a_parse_before_its_sync() {
+    let fleet = Fleet::start(1);
+    let mut stream = open_raw(&fleet.proxies[0]);
+    let mut input = bytes::BytesMut::new();
+    pg::put_parse(&mut input, "s", "SELECT 7", &[]);
+    input.extend_from_slice(b"H\0\0\0\x04");
+    stream.write_all(&input).unwrap();
+    read_message(&mut stream, b'1');
+    stream.write_all(b"B\0\0\0\x0d\0s\0\0\0\0\0\0\0E\0\0\0\x09\0\0\0\0\0S\0\0\0\x04").unwrap();
+    let row = read_message(&mut stream, b'D');
+    assert_eq!(pg::read_data_row(&row).unwrap(), [Some("7".to_owned())]);
+    read_message(&mut stream, b'Z');
+    // An error before the Flush skips what follows up to the Sync.
+    let mut input = bytes::BytesMut::new();
+    pg::put_parse(&mut input, "", "SELECT * FROM missing", &[]);
+    input.extend_from_slice(b"H\0\0\0\x04");
+    stream.write_all(&input).unwrap();
+    read_message(&mut stream, b'E');
+    stream.write_all(b"D\0\0\0\x06S\0S\0\0\0\x04").unwrap();
+    let (kind, _) = next_message(&mut stream, b"EtZ");
+    assert_eq!(kind, b'Z');
+}
+
 #[test]
 fn malformed_input_closes_only_its_caller() {
     let fleet = Fleet::start(1);
