Answer every report request and probe silent callers

A report request that met a connection that had just failed, or an immediate connection error, got no answer. Callers' sockets use TCP keepalive, so that sessions of vanished VMs end.

--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -66,6 +66,10 @@
 /// Time for the last messages to callers after the node finished its shutdown.
 const LAST_FLUSH: Duration = Duration::from_secs(2);
 
+/// Silence after which a caller's connection is probed, and the time between probes.
+const KEEPALIVE: Duration = Duration::from_secs(60);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Pause after a failed accept, such as when the process has too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -405,6 +409,12 @@
             return;
         }
         let secret = i32::from_be_bytes(secret);
+        // Finds callers whose VM vanished without closing the connection.
+        let keepalive =
+            socket2::TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE_INTERVAL);
+        if let Err(error) = socket2::SockRef::from(&stream).set_tcp_keepalive(&keepalive) {
+            log::debug!("failed to set keepalive address={address} error={error}");
+        }
         let id = SessionId(self.next_session);
         self.next_session += 1;
         self.counters.add("sessions_opened", 1);
@@ -598,7 +608,16 @@
     ) {
         let current = self.reports.get(&database).is_some_and(|(held, _)| *held == address);
         if !current {
+            let stream = match TcpStream::connect(address) {
+                Ok(stream) => stream,
+                Err(error) => {
+                    log::debug!("failed to connect database={database} error={error}");
+                    call!([cx], node_event(NodeEvent::ReportFailed { id }));
+                    return;
+                }
+            };
             let start = ReportStart {
+                stream,
                 database: database.clone(),
                 address,
                 user: self.settings.database_user.to_string(),
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -111,6 +111,8 @@
 
 /// What opening a report connection needs.
 pub(crate) struct ReportStart {
+    /// A stream that is connecting.
+    pub(crate) stream: TcpStream,
     pub(crate) database: Name,
     pub(crate) address: SocketAddress,
     pub(crate) user: String,
@@ -135,12 +137,10 @@
 impl ReportLink {
     /// Begins to open a connection.
     pub(crate) fn init(cx: CX![], hub: Actor<Hub>, start: ReportStart) -> Option<Self> {
-        let ReportStart { database, address, user, catalog, scratch } = start;
+        let ReportStart { stream, database, address, user, catalog, scratch } = start;
         let poll: MioPoll = cx.anymap_get();
         let ready = fwd_to!([cx], ready() as (Ready));
-        let socket = TcpStream::connect(address)
-            .and_then(|stream| BufferedSocket::new(&poll, stream, scratch, ready));
-        let mut socket = match socket {
+        let mut socket = match BufferedSocket::new(&poll, stream, scratch, ready) {
             Ok(socket) => socket,
             Err(error) => {
                 call!([hub, cx], report_link_lost(database, Vec::new(), error.to_string()));
@@ -209,8 +209,8 @@
         if !self.failed {
             self.failed = true;
             let ids: Vec<ReportId> = self.waiting.drain(..).map(|waiting| waiting.id).collect();
+            // The hub drops this actor. Until then it refuses requests, so that each is answered.
             call!([self.hub, cx], report_link_lost(self.database.clone(), ids, message));
-            cx.stop();
         }
     }
 
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -241,6 +241,23 @@
     assert_eq!(code(&proxy.try_connect("missing", "").err().unwrap()), "3D000");
 }
 
+#[test]
+fn idle_sessions_hold_no_buffers() {
+    let fleet = Fleet::start(1);
+    let proxy = &fleet.proxies[0];
+    let mut idle: Vec<TcpStream> = (0..100).map(|_| open_raw(proxy)).collect();
+    let before = proxy.resident_bytes();
+    idle.extend((0..500).map(|_| open_raw(proxy)));
+    let grown = proxy.resident_bytes().saturating_sub(before) / 500;
+    // The target of 8,500 callers in half a gigabyte leaves 60 KB for each.
+    assert!(grown < 16 * 1024, "an idle session takes {grown} bytes");
+    let dump = proxy.get("/v1/dump");
+    let sessions = dump["shell"]["sessions"].as_array().unwrap();
+    assert!(sessions.iter().all(|session| session["buffer_bytes"] == 0), "{sessions:?}");
+    drop(idle);
+    wait_until("all sessions are closed", || proxy.get("/v1/dump")["shell"]["session_count"] == 0);
+}
+
 #[test]
 fn pipelined_requests_are_answered_in_order() {
     let fleet = Fleet::start(1);
