--- a/crates/node/tests/driver/mod.rs
+++ b/crates/node/tests/driver/mod.rs
@@ -734,9 +734,10 @@
                 database.log_term = database.term;
                 database.applied = database.received;
             }
-            NodeAction::AskFollow { .. } => database.primary = false,
+            NodeAction::AskFollow { term, leader, .. } => self.follow(name, term.0, leader),
             _ => {}
         }
+        let database = &self.databases[name];
         let role = if database.primary { DatabaseRole::Primary } else { DatabaseRole::Replica };
         let report = DatabaseReport {
             term: Term(database.term),
@@ -756,6 +757,24 @@
         self.event_in(LINK, node, event);
     }
 
+    /// Takes over the leader's log, and with it the loss of entries that the leader does not have.
+    fn follow(&mut self, name: &str, term: u64, leader: &str) {
+        let source = self.databases[leader].clone();
+        let database = self.databases.get_mut(name).unwrap();
+        if term < database.term || (term == database.term && database.primary) {
+            return;
+        }
+        database.term = term;
+        database.primary = false;
+        if source.primary && source.term == term && !source.down && !source.frozen {
+            database.received = source.received;
+            database.log_term = source.log_term;
+            if !database.lags {
+                database.applied = source.received;
+            }
+        }
+    }
+
     /// Opens a session and returns its identifier.
     pub fn open(&mut self, node: usize, user: &str, extra: &[(&str, &str)]) -> SessionId {
         self.sequence += 1;
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -273,6 +273,30 @@
     }
 }
 
+/// Guards against an old primary that stays in its old term for good, so that the cluster has one
+/// database less for its majorities.
+#[test]
+fn an_old_primary_that_comes_back_follows() {
+    let mut driver = Driver::start(3);
+    let session = driver.open(0, "kiosk", &[]);
+    driver.crash("db1");
+    driver.advance(Micros::from_secs(6));
+    assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
+    driver.databases.get_mut("db1").unwrap().down = false;
+    driver.advance(Micros::from_secs(3));
+    let old = driver.databases["db1"].clone();
+    let leader = driver.databases.values().find(|database| database.term > 1 && database.primary);
+    let leader = leader.unwrap().clone();
+    assert_eq!((old.term, old.primary, old.received), (leader.term, false, leader.received));
+    let owner = driver.owner_of("db1");
+    let shown = &driver.dump(owner)["clusters"]["billing"]["databases"]["db1"];
+    assert!(shown["provable_age_ms"].as_u64().unwrap() < 1_000, "{shown}");
+    // Its report counts: the majority holds without one of the other two.
+    let other = ["db2", "db3"].into_iter().find(|name| !driver.databases[*name].primary).unwrap();
+    driver.crash(other);
+    assert_eq!(driver.query(0, session, "insert into t values (2)").code(), "");
+}
+
 /// The same for a primary that freezes, which no broken connection tells of.
 #[test]
 fn writes_wait_through_a_freeze() {
