Report the previous term for exact session floors

A watch knew which term came before the current one only if it had seen the primary before its first write, and otherwise told sessions that their write was lost. Databases now report the term of the last entry before the start of their term. A floor is lost only if the log up to its position is not part of the current log; a watch that was not there for a term between answers Uncertain.

--- a/crates/bench/src/decision.rs
+++ b/crates/bench/src/decision.rs
@@ -202,6 +202,7 @@
                 received: LogPosition(turn as u64),
                 applied: LogPosition(turn as u64),
                 term_start: LogPosition(0),
+                previous_term: Term(0),
             };
             watch.handle(now, WatchEvent::ReportArrived { database, round, report }, &mut actions);
         }
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -100,6 +100,7 @@
         received: LogPosition(number(row, 3)?),
         applied: LogPosition(number(row, 4)?),
         term_start: LogPosition(number(row, 5)?),
+        previous_term: Term(number(row, 6)?),
     })
 }
 
--- a/crates/failover/src/watch.rs
+++ b/crates/failover/src/watch.rs
@@ -39,11 +39,14 @@
 //! past L holds it. Dropping a sample makes the provable age only larger.
 //!
 //! **Session floors.** Position p of term F is part of the log of T if p is at or below the start of
-//! each term whose entries lie between F and T in the log of T's primary. That needs the term of the
-//! last entry before each start (`previous`). It is known when the primary was seen before its first
-//! write, when the same database reported entries of term T - 1 earlier, or from
-//! [`ClusterWatch::learn_term`]. Without it the floor counts as lost: the replacement floor is the start
-//! of the current term, which still covers the write if it survived, so only the notice can be wrong.
+//! each term whose entries lie between F and T in the log of T's primary. That needs the start of each
+//! of these terms and the term of the last entry before it, which the primary reports. If F has no
+//! entry in that log, or p is past one of the starts, the write was lost. If the watch was not there
+//! for a term between (a new owner, or a paused one), the answer is uncertain: the replacement floor,
+//! the start of the current term, covers the write if it survived, but whether it did is not known.
+//! A floor at or before the start of its own term is one of the term before, because it needs no entry
+//! of its own term. The position of a floor is the primary's at the acknowledging round, so it may be
+//! past the write: "lost" means that the log up to that position was lost in part.
 //! "Met" describes the database when it was sampled; as with the data age, the caller checks again when
 //! the response starts.
 
@@ -75,6 +78,8 @@
     pub applied: LogPosition,
     /// Where this database's current term began, if it is the primary.
     pub term_start: LogPosition,
+    /// Term of the last log entry before `term_start`, if it is the primary; 0 if there is none.
+    pub previous_term: Term,
 }
 
 /// Intervals and limits of a watch.
@@ -140,6 +145,9 @@
     NotYet,
     /// The write was lost in a change of primary; the floor to use instead.
     Lost { instead: SessionFloor },
+    /// The watch does not know whether the write survived several changes of primary. `instead` covers
+    /// it if it did.
+    Uncertain { instead: SessionFloor },
 }
 
 /// A pool owner's view, which another supervisor asks for.
@@ -172,8 +180,16 @@
 pub struct TermStart {
     /// Position at which the term's first entry is written.
     pub start: LogPosition,
-    /// Term of the last entry before `start`, if known.
-    pub previous: Option<Term>,
+    /// Term of the last entry before `start`.
+    pub previous: Term,
+}
+
+/// What became of the write behind a session floor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FloorFate {
+    Kept,
+    Lost,
+    Unknown,
 }
 
 /// Rules that a test breaks on purpose, to show that the model finds the fault.
@@ -216,19 +232,11 @@
     retry_at: Micros,
     /// Round number, begin and content of the latest report.
     latest: Option<(u64, Micros, DatabaseReport)>,
-    /// Highest log term reported before the current one.
-    earlier_log_term: Option<Term>,
 }
 
 impl DatabaseState {
     fn new(name: Name) -> Self {
-        DatabaseState {
-            name,
-            asked: None,
-            retry_at: Micros::ZERO,
-            latest: None,
-            earlier_log_term: None,
-        }
+        DatabaseState { name, asked: None, retry_at: Micros::ZERO, latest: None }
     }
 
     fn is_free(&self, now: Micros) -> bool {
@@ -269,6 +277,7 @@
 ///         received: LogPosition(10),
 ///         applied: LogPosition(10),
 ///         term_start: LogPosition(0),
+///         previous_term: Term(0),
 ///     };
 ///     let event = WatchEvent::ReportArrived { database: name.into(), round: 1, report };
 ///     watch.handle(Micros(500), event, &mut actions);
@@ -350,13 +359,10 @@
         self.rounds.clear();
     }
 
-    /// Records where a term began, from a source other than reports. `previous` is the term of the
-    /// last log entry before `start`. Wrong values make floors wrong; use durable records only.
+    /// Records where a term began, from a source other than reports. What is known already stands.
+    /// Wrong values make floors wrong; use durable records only.
     pub fn learn_term(&mut self, term: Term, start: TermStart) {
-        let known = self.terms.entry(term).or_insert(start);
-        if known.previous.is_none() && known.start == start.start {
-            known.previous = start.previous;
-        }
+        self.terms.entry(term).or_insert(start);
         while self.terms.len() > TERM_LIMIT {
             self.terms.pop_first();
         }
@@ -462,9 +468,12 @@
         if floor.term > self.term || self.leader.is_none() {
             return FloorState::NotYet;
         }
-        if !self.is_floor_valid(floor) {
-            let start = self.terms.get(&self.term).map_or(LogPosition(0), |start| start.start);
-            return FloorState::Lost { instead: SessionFloor { term: self.term, position: start } };
+        let start = self.terms.get(&self.term).map_or(LogPosition(0), |start| start.start);
+        let instead = SessionFloor { term: self.term, position: start };
+        match self.floor_fate(floor) {
+            FloorFate::Kept => {}
+            FloorFate::Lost => return FloorState::Lost { instead },
+            FloorFate::Unknown => return FloorState::Uncertain { instead },
         }
         match self.report(database) {
             Some((_, report)) if self.is_on_log(&report) && report.applied >= floor.position => {
@@ -501,28 +510,37 @@
             return true;
         }
         match self.terms.get(&self.term) {
-            Some(start) => {
-                start.previous == Some(report.log_term) && report.received <= start.start
-            }
+            Some(start) => start.previous == report.log_term && report.received <= start.start,
             None => false,
         }
     }
 
     /// Whether the position of the floor is part of the log of `self.term`.
-    fn is_floor_valid(&self, floor: SessionFloor) -> bool {
+    fn floor_fate(&self, floor: SessionFloor) -> FloorFate {
         if self.faults.ignore_lineage {
-            return true;
+            return FloorFate::Kept;
+        }
+        // A position at or before the start of its term belongs to an older term.
+        let mut owner = floor.term;
+        while let Some(start) = self.terms.get(&owner)
+            && floor.position <= start.start
+            && start.previous < owner
+        {
+            owner = start.previous;
         }
         let mut term = self.term;
         let mut limit = LogPosition(u64::MAX);
-        while term > floor.term {
-            let Some(start) = self.terms.get(&term) else { return false };
-            let Some(previous) = start.previous else { return false };
+        while term > owner {
+            let Some(start) = self.terms.get(&term).filter(|start| start.previous < term) else {
+                let lost = floor.position > limit;
+                return if lost { FloorFate::Lost } else { FloorFate::Unknown };
+            };
             limit = limit.min(start.start);
-            term = previous;
+            term = start.previous;
         }
         // A floor of a term that the walk passed over has no entry in this log.
-        term == floor.term && floor.position <= limit
+        let kept = term == owner && floor.position <= limit;
+        if kept { FloorFate::Kept } else { FloorFate::Lost }
     }
 
     fn take_report(
@@ -550,11 +568,6 @@
         let name = state.name.clone();
         round.reports.push((name.clone(), report));
         if state.latest.is_none_or(|(newest, _, _)| newest < number) {
-            if let Some((_, _, old)) = state.latest
-                && old.log_term != report.log_term
-            {
-                state.earlier_log_term = Some(old.log_term);
-            }
             state.latest = Some((number, round.began, report));
         }
         self.highest = self.highest.max(report.term);
@@ -623,16 +636,8 @@
                 keep
             });
         }
-        // Before the first write of the term the last entry tells what came before. Later, entries of
-        // the term just before, seen at this database, tell the same: only a primary of a newer term
-        // could have made it discard them, and that is itself.
-        let previous = if primary.log_term < term {
-            Some(primary.log_term)
-        } else {
-            let state = self.databases.iter().find(|state| state.name == *leader);
-            state.and_then(|state| state.earlier_log_term).filter(|earlier| earlier.next() == term)
-        };
-        self.learn_term(term, TermStart { start: primary.term_start, previous });
+        let start = TermStart { start: primary.term_start, previous: primary.previous_term };
+        self.learn_term(term, start);
     }
 
     /// Acknowledges the commits that the round covers.
--- a/crates/failover/tests/supervisor.rs
+++ b/crates/failover/tests/supervisor.rs
@@ -22,6 +22,7 @@
         received: LogPosition(received),
         applied: LogPosition(received),
         term_start: LogPosition(0),
+        previous_term: Term(0),
     }
 }
 
--- a/crates/failover/tests/support/mod.rs
+++ b/crates/failover/tests/support/mod.rs
@@ -125,6 +125,7 @@
     pub acknowledged: usize,
     pub unknown: usize,
     pub lost_notices: usize,
+    pub uncertain: usize,
     pub met: usize,
     pub proofs: usize,
     /// Time of each first LeaderChanged of a term.
@@ -190,6 +191,7 @@
             acknowledged: 0,
             unknown: 0,
             lost_notices: 0,
+            uncertain: 0,
             met: 0,
             proofs: 0,
             opened: BTreeMap::new(),
@@ -270,6 +272,8 @@
     fn report(&self, index: usize) -> DatabaseReport {
         let database = &self.databases[index];
         let primary = database.primary;
+        let before = database.term_start.checked_sub(1).filter(|_| primary);
+        let previous = before.and_then(|at| database.log.get(at)).map_or(0, |entry| entry.0);
         DatabaseReport {
             term: Term(database.term),
             role: if primary { DatabaseRole::Primary } else { DatabaseRole::Replica },
@@ -277,6 +281,7 @@
             received: LogPosition(database.log.len() as u64),
             applied: LogPosition(database.applied as u64),
             term_start: LogPosition(if primary { database.term_start as u64 } else { 0 }),
+            previous_term: Term(previous),
         }
     }
 
@@ -653,6 +658,14 @@
         }
     }
 
+    /// Whether the log of `term` has the entry at the floor's position. The position may be past the
+    /// write, because it is the primary's at a later round.
+    fn is_position_kept(&self, floor: SessionFloor, term: u64) -> bool {
+        let at = floor.position.0 as usize - 1;
+        let entry = |term: u64| self.terms[&term].log.get(at).map(|(entry, _)| *entry);
+        entry(floor.term.0).is_some() && entry(floor.term.0) == entry(term)
+    }
+
     /// Compares the age proofs and floors of a node with the truth.
     fn check_reads(&mut self, node: usize) {
         if self.random(4) != 0 {
@@ -707,7 +720,12 @@
                         return;
                     }
                     FloorState::Met => self.met += 1,
+                    FloorState::Lost { .. } if self.is_position_kept(floor, watch_term) => {
+                        self.fail(format!("floor {floor:?} called lost in term {watch_term}"));
+                        return;
+                    }
                     FloorState::Lost { .. } => self.lost_notices += 1,
+                    FloorState::Uncertain { .. } => self.uncertain += 1,
                     FloorState::NotYet => {}
                 }
             }
--- a/crates/failover/tests/watch.rs
+++ b/crates/failover/tests/watch.rs
@@ -18,6 +18,7 @@
         received: LogPosition(position),
         applied: LogPosition(position),
         term_start: LogPosition(start),
+        previous_term: Term(term.saturating_sub(1)),
     }
 }
 
@@ -109,11 +110,31 @@
     assert_eq!(watch.floor_state("a", floor(1, 45)), FloorState::NotYet);
     let lost = FloorState::Lost { instead: floor(2, 50) };
     assert_eq!(watch.floor_state("b", floor(1, 51)), lost);
-    // A term whose place in the log is unknown counts as lost until it is learned.
-    assert_eq!(watch.floor_state("b", floor(0, 5)), lost);
-    let start = TermStart { start: LogPosition(10), previous: Some(Term(0)) };
+    let start = TermStart { start: LogPosition(10), previous: Term(0) };
     watch.learn_term(Term(1), start);
     assert_eq!(watch.floor_state("b", floor(0, 5)), lost, "the start seen in reports stands");
+    // The start of a term that nothing of was written is a position of the term before.
+    assert_eq!(watch.floor_state("b", floor(2, 50)), FloorState::Met);
+}
+
+// Guards against a write told as lost by an owner that only knows the newest term, and against silence
+// about one that may have been lost in a term between.
+#[test]
+fn new_owner_does_not_call_a_kept_write_lost() {
+    let mut watch = watch();
+    handle(&mut watch, 0, WatchEvent::Timer);
+    // The primary of term 5 has written already; the entries before its start are of term 4.
+    arrive(&mut watch, 100, "b", 1, report(5, true, 5, 80, 50));
+    arrive(&mut watch, 200, "c", 1, report(5, false, 5, 70, 50));
+    let instead = floor(5, 50);
+    assert_eq!(watch.floor_state("c", floor(4, 50)), FloorState::Met);
+    assert_eq!(watch.floor_state("c", floor(4, 51)), FloorState::Lost { instead });
+    assert_eq!(watch.floor_state("c", floor(3, 51)), FloorState::Lost { instead });
+    assert_eq!(watch.floor_state("c", floor(3, 40)), FloorState::Uncertain { instead });
+    watch.learn_term(Term(4), TermStart { start: LogPosition(40), previous: Term(2) });
+    assert_eq!(watch.floor_state("c", floor(3, 40)), FloorState::Lost { instead });
+    assert_eq!(watch.floor_state("c", floor(2, 40)), FloorState::Met);
+    assert_eq!(watch.floor_state("c", floor(2, 41)), FloorState::Lost { instead });
 }
 
 // Guards against samples that grow without bound, and against ages far above the provable ones.
--- a/crates/fake/src/fakedb/engine.rs
+++ b/crates/fake/src/fakedb/engine.rs
@@ -519,7 +519,7 @@
 /// Fields of a table function, or `None` if the name is none.
 fn function_fields(name: &str) -> Option<Vec<Field>> {
     let text = |name: &str| Field { name: name.to_string(), kind: ColumnType::Text };
-    let report = ["term", "role", "log_term", "received", "applied", "term_start"];
+    let report = ["term", "role", "log_term", "received", "applied", "term_start", "previous_term"];
     Some(match name {
         "cicadawick_report" => report.into_iter().map(text).collect(),
         "cicadawick_fence" => std::iter::once("accepted").chain(report).map(text).collect(),
@@ -563,6 +563,7 @@
             number(report.received),
             number(report.applied),
             number(report.term_start),
+            number(report.previous_term),
         ]
     };
     Ok(match name {
--- a/crates/fake/src/fakedb/mod.rs
+++ b/crates/fake/src/fakedb/mod.rs
@@ -79,6 +79,8 @@
     pub applied: u64,
     /// Position at which `log_term` starts.
     pub term_start: u64,
+    /// Term of the last log entry before `term_start`; 0 if there is none.
+    pub previous_term: u64,
 }
 
 /// Counters of one database since it started; a kill resets only the numbers of now.
--- a/crates/fake/src/fakedb/store.rs
+++ b/crates/fake/src/fakedb/store.rs
@@ -335,6 +335,7 @@
             received: self.received(),
             applied: end_before(self.applied),
             term_start: end_before(first),
+            previous_term: first.checked_sub(1).map_or(0, |last| self.log[last].term),
         }
     }
 
--- a/crates/fake/tests/fakedb_terms.rs
+++ b/crates/fake/tests/fakedb_terms.rs
@@ -51,6 +51,7 @@
         end.received.to_string(),
         behind.applied.to_string(),
         "0".to_string(),
+        "0".to_string(),
     ];
     assert_eq!(report, vec![expected.map(Some).to_vec()]);
     group.set_lag("db-2", Duration::ZERO, Duration::ZERO).unwrap();
@@ -101,6 +102,7 @@
     second.batch_execute("INSERT INTO t VALUES (3, 3)").unwrap();
     let report = group.report("db-2").unwrap();
     assert_eq!((report.term, report.log_term, report.term_start), (2, 2, shared));
+    assert_eq!(report.previous_term, 1);
     wait_until("db-3 follows", || group.report("db-3").unwrap().received == report.received);
 
     // The old primary comes back and still believes that it leads.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -809,8 +809,8 @@
     error(
         "01000",
         format!(
-            "a write of this session was lost in a change of primary; reads now start at term {} \
-             position {}",
+            "a write of this session may have been lost in a change of primary; reads now start \
+             at term {} position {}",
             instead.term, instead.position
         ),
     )
--- a/crates/node/src/proof.rs
+++ b/crates/node/src/proof.rs
@@ -100,7 +100,7 @@
         let primary = leads && confirmed;
         if let Some(floor) = work.lost.or(work.request.floor).or(work.sampled) {
             let mut state = watch.floor_state(&database, floor);
-            if let FloorState::Lost { instead } = state {
+            if let FloorState::Lost { instead } | FloorState::Uncertain { instead } = state {
                 work.lost = Some(instead);
                 state = watch.floor_state(&database, instead);
             }
--- a/crates/node/tests/driver/mod.rs
+++ b/crates/node/tests/driver/mod.rs
@@ -23,6 +23,7 @@
     pub received: u64,
     pub applied: u64,
     pub term_start: u64,
+    pub previous_term: u64,
     /// Refuses connections and requests.
     pub down: bool,
     /// Answers nothing.
@@ -222,6 +223,7 @@
                 received: 100,
                 applied: 100,
                 term_start: 0,
+                previous_term: 0,
                 down: false,
                 frozen: false,
                 lags: false,
@@ -728,9 +730,10 @@
                 database.primary = false;
                 accepted = true;
             }
-            NodeAction::AskPromote { term, .. } if term.0 == database.term => {
+            NodeAction::AskPromote { term, .. } if term.0 == database.term && !database.primary => {
                 database.primary = true;
                 database.term_start = database.received;
+                database.previous_term = database.log_term;
                 database.log_term = database.term;
                 database.applied = database.received;
             }
@@ -746,6 +749,7 @@
             received: LogPosition(database.received),
             applied: LogPosition(database.applied),
             term_start: LogPosition(database.term_start),
+            previous_term: Term(database.previous_term),
         };
         let event = match action {
             NodeAction::AskFence { .. } => NodeEvent::FenceAnswered { id, accepted, report },
