Move the primary away from a leaving database

A leader whose database was marked leaving got no new statement and stayed primary, so writes of its cluster waited for good. The first supervisor now fences and promotes a database that stays once one reports the leader's whole log, at most one try every 10 s, and equal logs never promote a leaving database. Measured in the node test: one change of term, writes go on within the asserted 3 s, no statement reaches the leaving database in the 18 s after. The model runs with leaving databases too.

--- a/crates/failover/src/supervisor.rs
+++ b/crates/failover/src/supervisor.rs
@@ -26,6 +26,14 @@
 //! target term does not count, even if an earlier answer of ours may have been lost, because another
 //! supervisor may own that fence.
 //!
+//! # Planned change of primary
+//!
+//! When the leader's database is leaving, the promotion starts at `record-read`: the leader is in
+//! office, so the other owners would object. It only starts while a database that stays reports the
+//! leader's whole log, and otherwise waits, because fencing a leader that nobody can replace is an
+//! outage for nothing. Among equal logs a database that stays is promoted. If the leaving one has the
+//! longest log after all, it is promoted again, so nothing is lost, and the next try follows 10 s later.
+//!
 //! While idle, the supervisor writes the record of its last promotion as soon as the platform answers,
 //! and orders databases that lag behind a confirmed term to follow its leader.
 
@@ -59,6 +67,9 @@
 const BACKOFF_SPREAD: Micros = Micros::from_millis(500);
 /// Pause between two tries to write the record of a finished promotion.
 const RECORD_RETRY: Micros = Micros::from_secs(3);
+/// Least time between two tries to move the primary away from a leaving database, so that a try that
+/// cannot succeed does not raise the term again and again.
+const SWITCH_INTERVAL: Micros = Micros::from_secs(10);
 /// Least time between two follow orders to one database.
 const FOLLOW_INTERVAL: Micros = Micros::from_secs(1);
 
@@ -85,6 +96,9 @@
     PrimarySuspected { term: Term, order: u32 },
     /// The suspicion is over.
     SuspicionCleared,
+    /// The confirmed leader of `term` is leaving and this node is the first supervisor. May be
+    /// repeated; see [`Supervisor::set_leaving`].
+    LeaderLeaving { term: Term },
     /// Another owner's view arrived, or `None` if it could not be asked.
     ViewArrived { from: Name, view: Option<LeaderView> },
     /// The platform answered a read: the record and its index for compare-and-swap.
@@ -198,6 +212,10 @@
     record_task: Option<RecordTask>,
     leader: Option<(Term, Name)>,
     followers: Vec<FollowState>,
+    /// Databases that are not promoted while another one has an equal log.
+    leaving: Vec<Name>,
+    /// When the last planned change of primary began.
+    switched_at: Option<Micros>,
 }
 
 impl Supervisor {
@@ -219,6 +237,8 @@
             record_task: None,
             leader: None,
             followers: Vec::new(),
+            leaving: Vec::new(),
+            switched_at: None,
         }
     }
 
@@ -239,6 +259,12 @@
         self.followers.retain(|follower| self.databases.contains(&follower.database));
     }
 
+    /// Takes over the list of databases that are leaving. They are not promoted while another database
+    /// of the fenced majority has an equal log.
+    pub fn set_leaving(&mut self, leaving: Vec<Name>) {
+        self.leaving = leaving;
+    }
+
     /// Handles an event. `now` must not decrease between calls.
     ///
     /// Answers of the platform and of databases need not carry the step they belong to: an answer that
@@ -268,6 +294,7 @@
                     self.step = PromotionStep::Idle;
                 }
             }
+            SupervisorEvent::LeaderLeaving { term } => self.move_leader(now, term, actions),
             SupervisorEvent::ViewArrived { from, view } => {
                 self.take_view(now, from, view, actions);
             }
@@ -438,6 +465,29 @@
         }
     }
 
+    /// Begins a planned change of primary if a database that stays holds the leader's whole log.
+    fn move_leader(&mut self, now: Micros, term: Term, actions: &mut Vec<SupervisorAction>) {
+        let Some((led, leader)) = &self.leader else { return };
+        let due = self.switched_at.is_none_or(|at| now >= at + SWITCH_INTERVAL);
+        let idle = self.step == PromotionStep::Idle && now >= self.paused_until;
+        if *led != term || !self.leaving.contains(leader) || !due || !idle {
+            return;
+        }
+        let mut current = self.followers.iter().filter(|follower| follower.report.term == term);
+        let Some(head) = current.clone().find(|follower| follower.database == *leader) else {
+            return;
+        };
+        let log = (head.report.log_term, head.report.received);
+        let ready = current.any(|follower| {
+            !self.leaving.contains(&follower.database)
+                && (follower.report.log_term, follower.report.received) == log
+        });
+        if ready {
+            self.switched_at = Some(now);
+            self.begin_record(now, actions);
+        }
+    }
+
     fn begin_record(&mut self, now: Micros, actions: &mut Vec<SupervisorAction>) {
         self.record_task = None;
         self.target = self.highest.next();
@@ -597,7 +647,9 @@
         let best = if self.faults.any_candidate {
             accepted.last()
         } else {
-            accepted.iter().max_by_key(|(_, report)| (report.log_term, report.received))
+            accepted.iter().max_by_key(|(name, report)| {
+                (report.log_term, report.received, !self.leaving.contains(name))
+            })
         };
         let Some((database, _)) = best.cloned() else { return };
         let others = self.databases.iter().filter(|name| **name != database).cloned().collect();
--- a/crates/failover/tests/model.rs
+++ b/crates/failover/tests/model.rs
@@ -26,6 +26,7 @@
         3 => (0..COUNT, 0..COUNT).prop_map(|(node, index)| FaultKind::CutReport(node, index)),
         3 => (0..COUNT).prop_map(FaultKind::CutReplication),
         1 => Just(FaultKind::PlatformAway),
+        2 => (0..COUNT).prop_map(FaultKind::Leaving),
     ];
     (2_000u64..40_000, 100u64..9_000, kind).prop_map(|(at, lasts, kind)| Fault { at, lasts, kind })
 }
--- a/crates/failover/tests/supervisor.rs
+++ b/crates/failover/tests/supervisor.rs
@@ -3,8 +3,8 @@
 use std::fmt::Write;
 
 use failover::SupervisorEvent::{
-    DatabaseFailed, Fenced, LeaderConfirmed, PlatformFailed, PrimarySuspected, Promoted,
-    RecordRead, RecordWritten, ReportSeen, SuspicionCleared, Timer, ViewArrived,
+    DatabaseFailed, Fenced, LeaderConfirmed, LeaderLeaving, PlatformFailed, PrimarySuspected,
+    Promoted, RecordRead, RecordWritten, ReportSeen, SuspicionCleared, Timer, ViewArrived,
 };
 use failover::{
     DatabaseReport, DatabaseRole, LeaderRecord, LeaderView, RecordState, Supervisor,
@@ -52,8 +52,13 @@
 
 /// Runs events at times in ms and returns what the supervisor did. Random waits show as they are.
 fn run(events: Vec<(u64, SupervisorEvent)>) -> String {
+    run_with(&[], events)
+}
+
+fn run_with(leaving: &[&str], events: Vec<(u64, SupervisorEvent)>) -> String {
     let names = ["a", "b", "c"].map(Name::from).to_vec();
     let mut supervisor = Supervisor::new("node-1".into(), names, 7);
+    supervisor.set_leaving(leaving.iter().map(|name| Name::from(*name)).collect());
     let mut text = String::new();
     for (millis, event) in events {
         let mut actions = Vec::new();
@@ -88,6 +93,20 @@
     text
 }
 
+/// Runs events at a supervisor whose confirmed leader `a` is leaving, with a report of each database.
+fn run_leaving(
+    received: [u64; 3],
+    leaving: &[&str],
+    events: Vec<(u64, SupervisorEvent)>,
+) -> String {
+    let mut before = vec![(0, LeaderConfirmed { term: Term(4), leader: "a".into() })];
+    for (name, received) in ["a", "b", "c"].into_iter().zip(received) {
+        let seen = report(4, 4, received);
+        before.push((0, ReportSeen { database: name.into(), report: seen }));
+    }
+    run_with(leaving, and_events(before, events))
+}
+
 /// The usual way up to the fences.
 fn until_fence() -> Vec<(u64, SupervisorEvent)> {
     vec![
@@ -103,6 +122,62 @@
     run(and_events(events, more))
 }
 
+// Guards against a leaving database that stays primary or is promoted again without need, against a
+// fence that nobody can follow, and against one change of primary after another.
+#[test]
+fn branches_of_a_planned_change() {
+    const LEAVING: SupervisorEvent = LeaderLeaving { term: Term(4) };
+    let mut text = String::new();
+    let mut add = |title: &str, lines: String| {
+        let _ = writeln!(text, "{title}\n{lines}");
+    };
+    let fences = |received: [u64; 3]| {
+        let [a, b, c] = received;
+        vec![
+            (1_000, LEAVING),
+            (1_002, leading(4)),
+            (1_004, RecordWritten { applied: true }),
+            (1_006, fenced("a", true, 5, a)),
+            (1_007, fenced("b", true, 5, b)),
+            (1_008, fenced("c", true, 5, c)),
+        ]
+    };
+    add(
+        "among equal logs a database that stays is promoted",
+        run_leaving([90, 90, 90], &["a", "c"], fences([90, 90, 90])),
+    );
+    add(
+        "the leaving database alone has the whole log: nothing is lost, the next try waits 10 s",
+        run_leaving(
+            [90, 90, 90],
+            &["a"],
+            and_events(
+                fences([95, 90, 90]),
+                vec![
+                    (1_010, Promoted { database: "a".into(), start: LogPosition(95) }),
+                    (1_012, leading(5)),
+                    (1_014, RecordWritten { applied: true }),
+                    (1_600, LeaderConfirmed { term: Term(5), leader: "a".into() }),
+                    (1_601, ReportSeen { database: "a".into(), report: report(5, 4, 95) }),
+                    (1_602, ReportSeen { database: "b".into(), report: report(5, 4, 95) }),
+                    (10_999, LeaderLeaving { term: Term(5) }),
+                    (11_000, LeaderLeaving { term: Term(5) }),
+                ],
+            ),
+        ),
+    );
+    add(
+        "no database that stays holds the whole log, or the term is over: nothing is fenced",
+        run_leaving(
+            [90, 80, 90],
+            &["a", "c"],
+            vec![(1_000, LEAVING), (2_000, LeaderLeaving { term: Term(3) })],
+        ),
+    );
+    add("the leader stays", run_leaving([90, 90, 90], &["b"], vec![(1_000, LEAVING)]));
+    insta::assert_snapshot!(text);
+}
+
 #[test]
 fn branches_of_a_promotion() {
     let mut text = String::new();
--- a/crates/failover/tests/support/mod.rs
+++ b/crates/failover/tests/support/mod.rs
@@ -31,6 +31,8 @@
     CutReport(usize, usize),
     CutReplication(usize),
     PlatformAway,
+    /// The database is leaving; every node tries to move the primary away from it.
+    Leaving(usize),
 }
 
 /// Options of a run.
@@ -93,6 +95,7 @@
     Pull { database: usize },
     Client,
     Timer { node: usize },
+    MoveLeader { node: usize },
     Fault(Fault),
 }
 
@@ -293,6 +296,7 @@
             | Message::Supervisor { node, .. }
             | Message::Written { node, .. }
             | Message::AskView { to: node, .. }
+            | Message::MoveLeader { node }
             | Message::Timer { node } => Some(*node),
             _ => None,
         };
@@ -396,6 +400,10 @@
                     self.send(Message::Request { node, database, request });
                 }
             }
+            Message::MoveLeader { node } => {
+                let term = self.nodes[node].watch.view(Micros(self.now)).term;
+                self.supervise(node, SupervisorEvent::LeaderLeaving { term });
+            }
             Message::Timer { node } => {
                 if self.nodes[node].timer_at > self.now {
                     return;
@@ -427,6 +435,14 @@
             FaultKind::CutReport(node, index) => self.cuts[node][index] = until,
             FaultKind::CutReplication(index) => self.databases[index].cut_until = until,
             FaultKind::PlatformAway => self.platform_away_until = until,
+            FaultKind::Leaving(index) => {
+                for node in 0..COUNT {
+                    self.nodes[node].supervisor.set_leaving(vec![name("d", index)]);
+                    for wait in (0..until - self.now).step_by(500_000) {
+                        self.push(wait, Message::MoveLeader { node });
+                    }
+                }
+            }
         }
     }
 
--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -18,6 +18,10 @@
 /// it as failed.
 const REQUEST_LIFE: Micros = Micros::from_secs(10);
 
+/// Age of the last confirmed round up to which a planned change of primary is begun; beyond it, the
+/// primary is suspected instead.
+const LEADER_FRESH: Micros = Micros::from_secs(1);
+
 /// A watched cluster.
 #[derive(Debug)]
 pub(crate) struct ClusterDesk {
@@ -45,6 +49,11 @@
     Follow,
 }
 
+fn leaving_databases(config: &ClusterConfig) -> Vec<Name> {
+    let leaving = config.databases.iter().filter(|database| database.leaving);
+    leaving.map(|database| database.name.clone()).collect()
+}
+
 impl ClusterDesk {
     fn address(&self, database: &str) -> Option<SocketAddress> {
         let mut databases = self.config.databases.iter();
@@ -62,17 +71,17 @@
                 if desk.config != *config {
                     desk.watch.set_databases(databases.clone());
                     desk.supervisor.set_databases(databases);
+                    desk.supervisor.set_leaving(leaving_databases(config));
                     desk.config = config.clone();
                 }
             }
             None => {
                 let seed = self.random.next();
-                let desk = ClusterDesk {
-                    config: config.clone(),
-                    watch: ClusterWatch::new(WatchConfig::default(), databases.clone()),
-                    supervisor: Supervisor::new(self.settings.name.clone(), databases, seed),
-                    asked_round: None,
-                };
+                let watch = ClusterWatch::new(WatchConfig::default(), databases.clone());
+                let mut supervisor = Supervisor::new(self.settings.name.clone(), databases, seed);
+                supervisor.set_leaving(leaving_databases(config));
+                let desk =
+                    ClusterDesk { config: config.clone(), watch, supervisor, asked_round: None };
                 self.clusters.insert(config.name.clone(), desk);
                 // Starts the first round.
                 self.handle_watch(&config.name, WatchEvent::Timer);
@@ -327,6 +336,29 @@
         }
     }
 
+    /// Has the primary of each cluster moved away from a database that is leaving, if this node is the
+    /// first supervisor.
+    pub(crate) fn move_leaders(&mut self) {
+        let mut moves = Vec::new();
+        for (name, desk) in &self.clusters {
+            let view = desk.watch.view(self.now);
+            let leaving =
+                desk.config.databases.iter().any(|database| {
+                    database.leaving && view.leader.as_ref() == Some(&database.name)
+                });
+            let confirmed = view.confirmed_ago.is_some_and(|ago| ago < LEADER_FRESH);
+            if leaving
+                && confirmed
+                && self.supervisors(&desk.config).first() == Some(&self.settings.name)
+            {
+                moves.push((name.clone(), view.term));
+            }
+        }
+        for (name, term) in moves {
+            self.handle_supervisor(&name, SupervisorEvent::LeaderLeaving { term });
+        }
+    }
+
     /// Forgets requests that the shell never answered.
     pub(crate) fn forget_reports(&mut self) {
         let oldest = self.now.saturating_sub(REQUEST_LIFE);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -260,6 +260,7 @@
         if self.housekeeping <= now {
             self.housekeeping = now + HOUSEKEEPING_INTERVAL;
             self.update_watcher();
+            self.move_leaders();
             self.give_up_openings();
             self.trim_pools();
             self.forget_clusters();
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -505,6 +505,43 @@
     assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
 }
 
+/// Guards against a primary that stays on a backend server that leaves, against a write outage beyond
+/// its change, and against new statements at the leaving server (P7).
+#[test]
+fn the_primary_moves_away_from_a_leaving_backend() {
+    let mut driver = Driver::start(3);
+    let session = driver.open(0, "kiosk", &[]);
+    assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
+    let leaving = fleet_text("").replacen(r#""labels""#, r#""leaving": true, "labels""#, 1);
+    let start = driver.now;
+    for node in 0..3 {
+        let event = NodeEvent::DocumentArrived {
+            document: "config".into(),
+            revision: 3,
+            bytes: envelope(3, &leaving).into(),
+        };
+        driver.give(node, event);
+    }
+    let before = driver.reached_with("").iter().filter(|name| *name == "db1").count();
+    let finish = driver.query(0, session, "insert into t values (2)");
+    assert_eq!(finish.code(), "", "{}", driver.logs.join("\n"));
+    let outage = finish.at.saturating_sub(start);
+    assert!(outage < Micros::from_secs(3), "the write outage was {outage}");
+    let term = |driver: &Driver| driver.databases.values().map(|found| found.term).max();
+    assert_eq!(term(&driver), Some(2));
+    assert!(!driver.databases["db1"].primary);
+    for number in 3..40 {
+        let text = format!("insert into t values ({number})");
+        assert_eq!(driver.query(0, session, &text).code(), "");
+        let aged = driver.open(1, "phone", &[("cicadawick.labels", "kind=aged")]);
+        assert_eq!(driver.query(1, aged, "select 1").code(), "");
+        driver.advance(millis(500));
+    }
+    let after = driver.reached_with("").iter().filter(|name| *name == "db1").count();
+    assert_eq!(before, after, "new statements at the leaving backend server");
+    assert_eq!(term(&driver), Some(2), "the primary moved once");
+}
+
 /// Guards against an explanation that does not match what routing does.
 #[test]
 fn explain_names_labels_and_obstacles() {
