Sign with a new token key only after 20 s

A node signed with a new key as soon as it had it, and a node that did not have it yet treated the token as forged, so a session lost its floor. A key now signs once it was held for 20 s (changes are active everywhere within 17 s), unless it is the only one. A new node signs with the first key until then. The test signs at 0 s and 19 s with the old key and at 20 s with the new one.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -788,7 +788,7 @@
         }
         let cluster = session.cluster.clone();
         let token = std::mem::take(&mut session.token_changed)
-            .then(|| session.token.sign(&self.fleet.keys))
+            .then(|| session.token.sign(&self.fleet.signing_key(self.now)))
             .flatten();
         let notices = std::mem::take(&mut session.notices);
         let transaction = session.transaction_state();
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use config::{ChangeEnvelope, DocumentOffer, DocumentStore, parse_fleet};
 use member::{Heartbeat, MemberAction, MemberEvent, PlatformVm};
-use model::{FleetConfig, Name};
+use model::{FleetConfig, Micros, Name};
 use route::{SelectorTable, TokenKey, TokenKeys};
 use serde::Deserialize;
 
@@ -19,6 +19,10 @@
 /// Prefix of the platform's keys.
 const KEY_PREFIX: &str = "cicadawick/";
 
+/// Time for which a node holds a key before it signs with it. Changes are active everywhere within
+/// 17 s; a token signed with a key that another node does not know yet would count as forged there.
+const KEY_DELAY: Micros = Micros::from_secs(20);
+
 /// What the node holds and what is active of it.
 #[derive(Default)]
 pub(crate) struct FleetState {
@@ -26,6 +30,8 @@
     pub active: Option<Arc<FleetConfig>>,
     pub selectors: SelectorTable,
     pub keys: TokenKeys,
+    /// When this node first held each of `keys`.
+    keys_since: Vec<Micros>,
     /// A held revision that cannot be activated.
     pub rejected: Option<u64>,
 }
@@ -42,6 +48,22 @@
     pub(crate) fn revision(&self) -> u64 {
         self.active.as_ref().map_or(0, |fleet| fleet.revision)
     }
+
+    /// The key to sign with: the last one that was held long enough, else the first one.
+    pub(crate) fn signing_key(&self, now: Micros) -> TokenKeys {
+        let held = |since: &Micros| now >= *since + KEY_DELAY;
+        let index = self.keys_since.iter().rposition(held).unwrap_or(0);
+        TokenKeys(self.keys.0.get(index).cloned().into_iter().collect())
+    }
+
+    fn replace_keys(&mut self, now: Micros, keys: TokenKeys) {
+        let known = |key: &TokenKey| {
+            let index = self.keys.0.iter().position(|other| other == key);
+            index.and_then(|index| self.keys_since.get(index).copied())
+        };
+        self.keys_since = keys.0.iter().map(|key| known(key).unwrap_or(now)).collect();
+        self.keys = keys;
+    }
 }
 
 /// A document of token keys: a list, or an object with a revision and a list.
@@ -158,7 +180,7 @@
     fn activate_keys(&mut self, revision: u64, bytes: &[u8]) {
         let keys = serde_json::from_slice::<KeysText>(bytes).ok().and_then(|text| text.keys());
         match keys {
-            Some(keys) => self.fleet.keys = keys,
+            Some(keys) => self.fleet.replace_keys(self.now, keys),
             None => {
                 self.count("documents.unreadable", 1);
                 let text = format!("failed to activate token keys {revision}");
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -289,7 +289,9 @@
 
     fn show_parameter(&self, session: &Session, parameter: &str) -> Result<String, ErrorReply> {
         let text = match parameter {
-            "cicadawick.token" => session.token.sign(&self.fleet.keys).unwrap_or_default(),
+            "cicadawick.token" => {
+                session.token.sign(&self.fleet.signing_key(self.now)).unwrap_or_default()
+            }
             "cicadawick.labels" => {
                 let pairs: Vec<String> =
                     session.labels.0.iter().map(|(key, value)| format!("{key}={value}")).collect();
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -542,6 +542,41 @@
     assert_eq!(term(&driver), Some(2), "the primary moved once");
 }
 
+/// Guards against tokens signed with a key that other nodes do not know yet.
+#[test]
+fn a_new_key_signs_only_after_other_nodes_can_know_it() {
+    let mut driver = Driver::start(3);
+    let key = |id: u8| route::TokenKey { id: u32::from(id), secret: [id; 32] };
+    let only = |id: u8| route::TokenKeys(vec![key(id)]);
+    let document = |ids: &[u8]| {
+        let keys: Vec<_> = ids
+            .iter()
+            .map(|id| serde_json::json!({ "id": id, "secret": format!("{id:02x}").repeat(32) }))
+            .collect();
+        serde_json::to_vec(&keys).unwrap()
+    };
+    let give = |driver: &mut Driver, ids: &[u8]| {
+        let revision = u64::from(*ids.iter().max().unwrap());
+        let bytes = document(ids).into();
+        let document = "token-keys".into();
+        driver.give(0, NodeEvent::DocumentArrived { document, revision, bytes });
+    };
+    let session = driver.open(0, "kiosk", &[]);
+    let signed_with = |driver: &mut Driver, id: u8| {
+        let finish = driver.query(0, session, "insert into t values (1)");
+        route::SessionToken::verify(&finish.token.unwrap(), &only(id)).is_ok()
+    };
+    assert!(signed_with(&mut driver, 1), "the only key signs at once");
+    give(&mut driver, &[1, 2]);
+    assert!(signed_with(&mut driver, 1));
+    driver.advance(Micros::from_secs(19));
+    assert!(signed_with(&mut driver, 1));
+    driver.advance(Micros::from_secs(1));
+    assert!(signed_with(&mut driver, 2));
+    give(&mut driver, &[3]);
+    assert!(signed_with(&mut driver, 3), "the only key signs at once");
+}
+
 /// Guards against an explanation that does not match what routing does.
 #[test]
 fn explain_names_labels_and_obstacles() {
