Treat a floor of an unknown term as lost

A floor with a term above the cluster's made each read of the session wait until its deadline, as after a cluster was rebuilt. A confirmed round that began after the request proves that no higher term is open, so the floor is now lost with the usual notice. The test reads within 300 ms with term 99.

--- a/crates/failover/src/watch.rs
+++ b/crates/failover/src/watch.rs
@@ -463,13 +463,14 @@
         Some(now.saturating_sub(sample.began))
     }
 
-    /// Compares a database with a session floor.
+    /// Compares a database with a session floor. A floor of a term above the confirmed one is `NotYet`;
+    /// if a round that began after the floor was presented confirms a lower term, the floor is of
+    /// another cluster, because terms do not decrease at a majority.
     pub fn floor_state(&self, database: &str, floor: SessionFloor) -> FloorState {
         if floor.term > self.term || self.leader.is_none() {
             return FloorState::NotYet;
         }
-        let start = self.terms.get(&self.term).map_or(LogPosition(0), |start| start.start);
-        let instead = SessionFloor { term: self.term, position: start };
+        let instead = self.term_floor();
         match self.floor_fate(floor) {
             FloorFate::Kept => {}
             FloorFate::Lost => return FloorState::Lost { instead },
@@ -483,6 +484,12 @@
         }
     }
 
+    /// Returns the start of the confirmed term, the floor to use instead of a lost one.
+    pub fn term_floor(&self) -> SessionFloor {
+        let start = self.terms.get(&self.term).map_or(LogPosition(0), |start| start.start);
+        SessionFloor { term: self.term, position: start }
+    }
+
     /// Returns the position of the last confirmed round that began at or after `since`.
     pub fn confirmed_floor(&self, since: Micros) -> Option<SessionFloor> {
         let (began, position) = self.confirmed?;
--- a/crates/node/src/proof.rs
+++ b/crates/node/src/proof.rs
@@ -100,6 +100,11 @@
         let primary = leads && confirmed;
         if let Some(floor) = work.lost.or(work.request.floor).or(work.sampled) {
             let mut state = watch.floor_state(&database, floor);
+            // Terms never decrease, so this round shows that the cluster was rebuilt or the floor is
+            // not its own.
+            if floor.term > view.term && watch.confirmed_floor(work.arrived).is_some() {
+                state = FloorState::Lost { instead: watch.term_floor() };
+            }
             if let FloorState::Lost { instead } | FloorState::Uncertain { instead } = state {
                 work.lost = Some(instead);
                 state = watch.floor_state(&database, instead);
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -577,6 +577,28 @@
     assert!(signed_with(&mut driver, 3), "the only key signs at once");
 }
 
+/// Guards against reads that wait until their deadline for a term that the cluster does not have, as
+/// after it was rebuilt.
+#[test]
+fn a_floor_of_an_unknown_term_counts_as_lost() {
+    let mut driver = Driver::start(3);
+    let keys = route::TokenKeys(vec![route::TokenKey { id: 1, secret: [1; 32] }]);
+    let floor = model::SessionFloor { term: model::Term(99), position: model::LogPosition(5) };
+    let floors = [("billing".into(), floor)].into();
+    let token = route::SessionToken { floors }.sign(&keys).unwrap();
+    for node in 0..3 {
+        let session = driver.open(node, "phone", &[("cicadawick.token", &token)]);
+        let start = driver.now;
+        let finish = driver.query(node, session, "select 1");
+        assert_eq!((finish.code(), finish.notices.len()), ("", 1), "{finish:?}");
+        let wait = finish.at.saturating_sub(start);
+        assert!(wait < millis(300), "the read waited {wait}");
+        let verified = route::SessionToken::verify(&finish.token.unwrap(), &keys).unwrap();
+        assert_eq!(verified.floors["billing"].term, model::Term(1));
+        assert!(driver.query(node, session, "select 2").notices.is_empty());
+    }
+}
+
 /// Guards against an explanation that does not match what routing does.
 #[test]
 fn explain_names_labels_and_obstacles() {
