Poll the futures of peer calls without a system call

A wake on the loop's own thread went through the loop's event descriptor and another poll of the sockets. It is now queued directly.

The shell counts only what the node does not, because both kinds share one set of counters.

--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -291,7 +291,6 @@
                 }
             }
             NodeAction::RefuseSession { session, error } => {
-                self.counters.add("sessions_refused", 1);
                 self.close_session(cx, session, Some(error));
             }
             NodeAction::FinishRequest { session, token, notices, error, frames, transaction } => {
@@ -304,7 +303,6 @@
                 self.close_session(cx, session, error);
             }
             NodeAction::OpenBackend { connection, address, catalog, .. } => {
-                self.counters.add("backend_connections_opened", 1);
                 let start = BackendStart {
                     id: connection,
                     address,
@@ -329,7 +327,7 @@
                 self.run(cx, connection, run, frames, mode);
             }
             NodeAction::CancelRun { connection, run } => {
-                self.counters.add("runs_cancelled", 1);
+                self.counters.add("runs.cancelled", 1);
                 if let Some(backend) = self.backends.get(&connection) {
                     call!([backend, cx], cancel(run));
                 }
@@ -400,7 +398,7 @@
     fn add_session(&mut self, cx: CX![], stream: TcpStream, address: SocketAddress) {
         let limit = self.settings.caller_limit as usize;
         if self.sessions.len() >= limit + REFUSED_LIMIT {
-            self.counters.add("sessions_refused", 1);
+            self.counters.add("sessions.refused", 1);
             return;
         }
         let mut secret = [0; 4];
@@ -417,7 +415,7 @@
         }
         let id = SessionId(self.next_session);
         self.next_session += 1;
-        self.counters.add("sessions_opened", 1);
+        self.counters.add("sessions.opened", 1);
         let setup = SessionSetup {
             id,
             stream,
@@ -454,17 +452,17 @@
         });
         match session {
             Some(session) => {
-                self.counters.add("cancel_requests", 1);
+                self.counters.add("cancels.accepted", 1);
                 self.node_event(cx, NodeEvent::CancelArrived { session });
             }
-            None => self.counters.add("cancel_requests_ignored", 1),
+            None => self.counters.add("cancels.ignored", 1),
         }
     }
 
     /// A caller's connection is over.
     pub(crate) fn session_ended(&mut self, cx: CX![], session: SessionId) {
         if self.sessions.remove(&session).is_some() {
-            self.counters.add("sessions_closed", 1);
+            self.counters.add("sessions.closed", 1);
             self.drop_held(AnswerTarget::Session(session));
             self.node_event(cx, NodeEvent::SessionClosed { session });
             self.finish_if_empty(cx);
@@ -514,7 +512,6 @@
             self.targets.insert(run, target);
         }
         self.runs.insert(run, RunEntry { connection, relayed: None });
-        self.counters.add("runs", 1);
         call!([backend, cx], run(run, frames, mode, sink));
     }
 
@@ -560,7 +557,6 @@
     /// A connection could not be opened or was lost.
     pub(crate) fn backend_lost(&mut self, cx: CX![], connection: ConnectionId, message: String) {
         if self.backends.remove(&connection).is_some() {
-            self.counters.add("backend_connections_lost", 1);
             self.forget_runs(connection);
             self.node_event(cx, NodeEvent::BackendLost { connection, message });
         }
@@ -642,7 +638,7 @@
         message: String,
     ) {
         log::debug!("lost a report connection database={database} error={message:?}");
-        self.counters.add("report_connections_lost", 1);
+        self.counters.add("reports.connections_lost", 1);
         self.reports.remove(&database);
         for id in ids {
             self.node_event(cx, NodeEvent::ReportFailed { id });
@@ -745,7 +741,6 @@
         lane: Option<LaneId>,
         work: &WorkRequest,
     ) {
-        self.counters.add("forwards", 1);
         let sink = self.sink(AnswerTarget::Session(session));
         let deferrer = cx.deferrer();
         let relayed = Rc::new(Cell::new(false));
@@ -808,7 +803,7 @@
             }
             Err(error) => {
                 log::debug!("failed to forward a request error={:?}", error.to_string());
-                self.counters.add("forwards_failed", 1);
+                self.counters.add("forwards.failed", 1);
                 if let Some(lane) = lane {
                     self.lanes.remove(&lane);
                 }
@@ -842,7 +837,6 @@
                 let _ = reply.send(self.node.view(self.now(cx), &cluster));
             }
             PeerRequest::Execute { call, from, lane, work, answers } => {
-                self.counters.add("forwards_received", 1);
                 self.calls.insert(call, answers);
                 self.node_event(cx, NodeEvent::ForwardArrived { call, from, lane, work });
             }
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -52,7 +52,9 @@
     let forwards: u64 = fleet
         .proxies
         .iter()
-        .map(|proxy| proxy.get("/v1/dump")["shell"]["counters"]["forwards"].as_u64().unwrap_or(0))
+        .map(|proxy| {
+            proxy.get("/v1/dump")["shell"]["counters"]["requests.forwarded"].as_u64().unwrap_or(0)
+        })
         .sum();
     assert!(forwards > 0);
 }
@@ -301,7 +303,7 @@
         let mut rest = Vec::new();
         stream.read_to_end(&mut rest).unwrap();
         let counters = proxy.get("/v1/dump")["shell"]["counters"].clone();
-        assert_eq!(counters["cancel_requests_ignored"], 1);
+        assert_eq!(counters["cancels.ignored"], 1);
     }
 }
 
--- a/crates/rpc/src/pool.rs
+++ b/crates/rpc/src/pool.rs
@@ -4,11 +4,13 @@
 use std::future::Future;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, Wake, Waker};
 
 use futures::future::LocalBoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
-use stakker::Core;
+use model::FastMap;
+use stakker::{Core, Deferrer};
 
 /// Runs futures from the stakker loop. Clones share one pool.
 #[derive(Clone)]
@@ -20,37 +22,78 @@
     tasks: RefCell<FuturesUnordered<LocalBoxFuture<'static, ()>>>,
     /// Apart from `tasks`, because a running task may spawn others.
     spawned: RefCell<Vec<LocalBoxFuture<'static, ()>>>,
+    alarm: Arc<LoopWaker>,
     waker: Waker,
 }
 
-struct LoopWaker(stakker::Waker);
+thread_local! {
+    /// The pools of this thread. A waker must be `Send`, so it finds its pool by number.
+    static POOLS: RefCell<FastMap<u64, (Deferrer, Weak<PoolState>)>> = RefCell::default();
+}
+
+static NEXT_POOL: AtomicU64 = AtomicU64::new(0);
+
+/// Schedules a poll. On the pool's own thread, which is the usual case, it is queued directly and
+/// needs no system call.
+struct LoopWaker {
+    pool: u64,
+    scheduled: AtomicBool,
+    remote: stakker::Waker,
+}
+
+impl LoopWaker {
+    fn schedule(&self) {
+        if self.scheduled.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let queued = POOLS.try_with(|pools| {
+            let pools = pools.borrow();
+            let Some((deferrer, state)) = pools.get(&self.pool) else { return false };
+            let state = state.clone();
+            deferrer.defer(move |_| {
+                if let Some(state) = state.upgrade() {
+                    state.poll();
+                }
+            });
+            true
+        });
+        if !queued.unwrap_or(false) {
+            self.remote.wake();
+        }
+    }
+}
 
 impl Wake for LoopWaker {
     fn wake(self: Arc<Self>) {
-        self.0.wake();
+        self.schedule();
     }
 
     fn wake_by_ref(self: &Arc<Self>) {
-        self.0.wake();
+        self.schedule();
     }
 }
 
 impl TaskPool {
     /// Creates an empty pool. The loop must have a poll waker, as `stakker_mio::MioPoll` sets it up.
     pub fn new(core: &mut Core) -> Self {
+        let pool = NEXT_POOL.fetch_add(1, Ordering::Relaxed);
         let state = Rc::new_cyclic(|weak: &Weak<PoolState>| {
             let weak = weak.clone();
-            let waker = core.waker(move |_, _| {
+            let remote = core.waker(move |_, _| {
                 if let Some(state) = weak.upgrade() {
                     state.poll();
                 }
             });
+            let alarm = Arc::new(LoopWaker { pool, scheduled: AtomicBool::new(false), remote });
             PoolState {
                 tasks: RefCell::default(),
                 spawned: RefCell::default(),
-                waker: Waker::from(Arc::new(LoopWaker(waker))),
+                waker: Waker::from(alarm.clone()),
+                alarm,
             }
         });
+        let entry = (core.deferrer(), Rc::downgrade(&state));
+        POOLS.with(|pools| pools.borrow_mut().insert(pool, entry));
         TaskPool { state }
     }
 
@@ -74,6 +117,7 @@
 
 impl PoolState {
     fn poll(&self) {
+        self.alarm.scheduled.store(false, Ordering::Release);
         let Ok(mut tasks) = self.tasks.try_borrow_mut() else { return };
         let mut context = Context::from_waker(&self.waker);
         loop {
@@ -86,3 +130,10 @@
         }
     }
 }
+
+impl Drop for PoolState {
+    fn drop(&mut self) {
+        // Fails while the thread ends, when the table is gone as well.
+        let _ = POOLS.try_with(|pools| pools.borrow_mut().remove(&self.alarm.pool));
+    }
+}
