Add a demo that runs and checks a proxy in one process

The demo starts a platform, three databases and the daemon's event loop as threads, loads the proxy with tokens, sessions, balances and readings for three seconds and prints the checks.

--- /dev/null
+++ b/crates/daemon/examples/demo.rs
@@ -0,0 +1,311 @@
+//! Runs a proxy between stand-ins of its surroundings on the loopback interface, loads it and checks
+//! what callers were told.
+//!
+//! A platform, a group of three databases and `cicadawickd`'s event loop run as threads of this
+//! process. Exits with 0 if every check passes and with 1 otherwise.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use config::ChangeEnvelope;
+use daemon::{ReadyAddresses, RunOptions, StopHandle};
+use fake::fakedb::{DatabaseGroup, GroupOptions};
+use fake::fakeplatform::FakePlatform;
+use fake::loadgen::{LoadKind, LoadMix, LoadOptions, LoadReport};
+use model::{Micros, NodeSettings};
+use platform::PlatformClient;
+
+mod flags {
+    xflags::xflags! {
+        /// Runs a platform, three databases and a proxy on the loopback interface, loads the proxy for
+        /// three seconds and checks the result.
+        ///
+        /// Exit codes: 0 if every check passes, 1 otherwise, 2 for a bad command line.
+        cmd demo {
+            /// Keep running after the checks until the process is interrupted.
+            optional --stay
+        }
+    }
+}
+
+const CLUSTER: &str = "billing";
+
+/// Length of each of the three loads.
+const LOAD_TIME: Duration = Duration::from_secs(1);
+
+/// Accepted data age of the balance checks.
+const BALANCE_AGE: Duration = Duration::from_millis(1_000);
+
+/// Longest time for the proxy to find the primary.
+const START_LIMIT: Duration = Duration::from_secs(5);
+
+fn main() -> ExitCode {
+    let flags = match flags::Demo::from_env() {
+        Ok(flags) => flags,
+        Err(error) => error.exit(),
+    };
+    match run(flags.stay) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("demo: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs the demo; returns whether every check passed.
+fn run(stay: bool) -> anyhow::Result<bool> {
+    daemon::start_logging("error")?;
+    // Replicas apply 20 ms late, so that proofs of data age decide where a read may go.
+    let mut options = GroupOptions::new(CLUSTER, 3);
+    options.apply_lag = Duration::from_millis(20);
+    let group = DatabaseGroup::start(options.clone())?;
+    let platform = FakePlatform::start(0)?;
+    write_config(&group, &options, platform.address())?;
+    let proxy = ProxyThread::start(platform.address())?;
+    wait_until_served(proxy.addresses.caller_address)?;
+
+    let caller = proxy.addresses.caller_address;
+    println!("proxy     postgresql://vendor@{caller}/{CLUSTER}");
+    println!("operators http://{}/v1/dump", proxy.addresses.admin_address);
+    println!("platform  http://{}", platform.address());
+    for (name, address) in group.names().iter().zip(group.addresses()) {
+        println!("database  {address} {name}");
+    }
+    println!();
+
+    let mut checks = CheckTable::default();
+    let mut loads = Vec::new();
+    for (labels, mix) in [
+        ("kind=vendor", vec![(LoadKind::Token, 1), (LoadKind::Session, 2)]),
+        ("kind=kiosk", vec![(LoadKind::Balance, 1)]),
+        ("kind=meter", vec![(LoadKind::Reading, 1)]),
+    ] {
+        let primary = group.primary().context("the group has no primary")?;
+        let mut options = LoadOptions::new(caller, CLUSTER);
+        options.user = "vendor".to_string();
+        options.labels = Some(labels.to_string());
+        options.connections = 8;
+        options.max_age = (labels == "kind=kiosk").then_some(BALANCE_AGE);
+        options.mix = LoadMix(mix);
+        options.duration = LOAD_TIME;
+        options.check_address = Some(group.address(&primary)?);
+        let report = fake::loadgen::run(&options)?;
+        checks.add(&report);
+        loads.push(report);
+    }
+    print_loads(&loads);
+    checks.print();
+    let passed = checks.passed();
+    println!("{}", if passed { "all checks passed" } else { "a check FAILED" });
+    if stay {
+        println!("running until interrupted");
+        proxy.wait()?;
+    } else {
+        proxy.stop()?;
+    }
+    Ok(passed)
+}
+
+fn write_config(
+    group: &DatabaseGroup,
+    options: &GroupOptions,
+    platform: SocketAddr,
+) -> anyhow::Result<()> {
+    let databases: Vec<serde_json::Value> = group
+        .names()
+        .iter()
+        .zip(group.addresses())
+        .map(|(name, address)| {
+            serde_json::json!({
+                "name": name, "data_centre": "north-1", "address": address.to_string(),
+                "slots": options.slots, "connections": options.connections,
+            })
+        })
+        .collect();
+    let text = serde_json::json!({
+        "clusters": [{ "name": CLUSTER, "databases": databases }],
+        "selectors": [
+            { "name": "purchases", "matches": "kind=vendor", "rank": "urgent", "durable": true },
+            { "name": "balances", "matches": "kind=kiosk", "rank": "interactive",
+              "max_age_ms": BALANCE_AGE.as_millis() as u64 },
+            { "name": "readings", "matches": "", "rank": "batch" },
+        ],
+    });
+    let envelope = ChangeEnvelope {
+        revision: 1,
+        change_id: "demo".to_owned(),
+        author: "demo".to_owned(),
+        written_at: 0,
+        text: text.to_string(),
+    };
+    let client = PlatformClient::new(platform, Duration::from_secs(2));
+    let keys = serde_json::json!([{ "id": 1, "secret": "5a".repeat(32) }]).to_string();
+    if !client.put("cicadawick/config", &envelope.to_bytes(), 0)?
+        || !client.put("cicadawick/token-keys", keys.as_bytes(), 0)?
+    {
+        bail!("failed to write the configuration: the platform holds one already");
+    }
+    Ok(())
+}
+
+/// The daemon's event loop in a thread of its own.
+struct ProxyThread {
+    addresses: ReadyAddresses,
+    handle: StopHandle,
+    thread: std::thread::JoinHandle<Result<(), daemon::DaemonError>>,
+}
+
+impl ProxyThread {
+    fn start(platform: SocketAddr) -> anyhow::Result<Self> {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let settings = NodeSettings {
+            name: "vm-1".into(),
+            data_centre: "north-1".into(),
+            caller_address: any_port,
+            peer_address: any_port,
+            admin_address: any_port,
+            platform_address: platform,
+            peers: Vec::new(),
+            metrics_address: None,
+            database_user: "cicadawick".into(),
+            caller_limit: 20_000,
+            request_limit_bytes: 1_048_576,
+            drain_timeout: Micros::from_millis(2_000),
+            log_level: "error".into(),
+        };
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let thread = std::thread::spawn(move || {
+            let ready = move |addresses, handle| drop(sender.send((addresses, handle)));
+            let options = RunOptions { ready: Some(Box::new(ready)), handle_signals: true };
+            daemon::run(settings, options)
+        });
+        let (addresses, handle) =
+            receiver.recv_timeout(START_LIMIT).context("the proxy did not start")?;
+        Ok(ProxyThread { addresses, handle, thread })
+    }
+
+    /// Waits until a signal ended the proxy.
+    fn wait(self) -> anyhow::Result<()> {
+        match self.thread.join() {
+            Ok(result) => Ok(result?),
+            Err(_) => bail!("the proxy's thread panicked"),
+        }
+    }
+
+    fn stop(self) -> anyhow::Result<()> {
+        self.handle.stop();
+        self.wait()
+    }
+}
+
+/// Waits until the proxy has found the primary and serves a write.
+fn wait_until_served(caller: SocketAddr) -> anyhow::Result<()> {
+    let end = Instant::now() + START_LIMIT;
+    let mut config = postgres::Config::new();
+    config
+        .host(&caller.ip().to_string())
+        .port(caller.port())
+        .user("vendor")
+        .dbname(CLUSTER)
+        .connect_timeout(Duration::from_secs(1));
+    loop {
+        let attempt = config.connect(postgres::NoTls).and_then(|mut client| {
+            client.batch_execute("CREATE TABLE IF NOT EXISTS ready (id bigint)")
+        });
+        match attempt {
+            Ok(()) => return Ok(()),
+            Err(error) if Instant::now() >= end => {
+                return Err(error).context("the proxy serves no write");
+            }
+            Err(_) => std::thread::sleep(Duration::from_millis(20)),
+        }
+    }
+}
+
+/// Sums of what the loads checked.
+#[derive(Default)]
+struct CheckTable {
+    acknowledged: u64,
+    missing: u64,
+    duplicated: u64,
+    refused: u64,
+    refused_present: u64,
+    session_reads: u64,
+    session_violations: u64,
+    age_reads: u64,
+    age_violations: u64,
+    requests: u64,
+    errors: u64,
+}
+
+impl CheckTable {
+    fn add(&mut self, report: &LoadReport) {
+        self.errors += report.connect_errors.values().sum::<u64>();
+        self.errors +=
+            report.kinds.values().flat_map(|kind| kind.errors.values()).copied().sum::<u64>();
+        self.requests += report.kinds.values().map(|kind| kind.count).sum::<u64>();
+        let Some(checks) = &report.checks else { return };
+        self.acknowledged += checks.tokens_acknowledged;
+        self.missing += checks.tokens_missing;
+        self.duplicated += checks.tokens_duplicated;
+        self.refused += checks.tokens_refused;
+        self.refused_present += checks.tokens_refused_present;
+        self.session_reads += checks.session_reads;
+        self.session_violations += checks.session_violations;
+        self.age_reads += checks.age_reads;
+        self.age_violations += checks.age_violations;
+    }
+
+    /// Returns name, number checked and number failed of each check.
+    fn rows(&self) -> [(&'static str, u64, u64); 6] {
+        [
+            ("acknowledged tokens present", self.acknowledged, self.missing),
+            ("acknowledged tokens present once", self.acknowledged, self.duplicated),
+            ("refused tokens absent", self.refused, self.refused_present),
+            (
+                "reads that show the session's own write",
+                self.session_reads,
+                self.session_violations,
+            ),
+            ("balances no older than 1 s", self.age_reads, self.age_violations),
+            ("requests without an error", self.requests, self.errors),
+        ]
+    }
+
+    /// A check that checked nothing fails, but for refused tokens, of which there should be none.
+    fn passed(&self) -> bool {
+        let checked = self.acknowledged > 0 && self.session_reads > 0 && self.age_reads > 0;
+        checked && self.rows().iter().all(|(_, _, failed)| *failed == 0)
+    }
+
+    fn print(&self) {
+        println!("{:<42} {:>9} {:>7}", "check", "checked", "failed");
+        for (name, checked, failed) in self.rows() {
+            println!("{name:<42} {checked:>9} {failed:>7}");
+        }
+        println!();
+    }
+}
+
+fn print_loads(loads: &[LoadReport]) {
+    println!(
+        "{:<10} {:>9} {:>7} {:>10} {:>9} {:>9}",
+        "work", "requests", "errors", "per s", "p50 us", "p99 us"
+    );
+    for (kind, report) in loads.iter().flat_map(|load| &load.kinds) {
+        println!(
+            "{:<10} {:>9} {:>7} {:>10.0} {:>9} {:>9}",
+            format!("{kind:?}").to_lowercase(),
+            report.count,
+            report.errors.values().sum::<u64>(),
+            report.per_second,
+            report.p50_us,
+            report.p99_us
+        );
+    }
+    println!();
+}
