Measure the cost of the way through a real daemon

bench overhead runs the same closed loop on the database and through one cicadawickd, and reads the resident size at up to 8,500 idle callers.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -10,6 +10,13 @@
             /// Seed of arrivals and service times; 1 if absent.
             optional --seed seed: u64
         }
+        /// Latency, throughput and memory of one real daemon against the database alone.
+        cmd overhead {
+            /// Length of each load; 1 if absent.
+            optional --seconds seconds: f64
+            /// Skip the idle callers.
+            optional --no-idle
+        }
     }
 }
 
@@ -18,8 +25,20 @@
         Ok(flags) => flags,
         Err(error) => error.exit(),
     };
-    match flags.subcommand {
-        BenchCmd::Rank(flags) => print!("{}", bench::rank::render_table(flags.seed.unwrap_or(1))),
+    let result = match flags.subcommand {
+        BenchCmd::Rank(flags) => {
+            print!("{}", bench::rank::render_table(flags.seed.unwrap_or(1)));
+            Ok(())
+        }
+        BenchCmd::Overhead(flags) => {
+            bench::overhead::run(flags.seconds.unwrap_or(1.0), !flags.no_idle)
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bench: {error:#}");
+            ExitCode::FAILURE
+        }
     }
-    ExitCode::SUCCESS
 }
--- /dev/null
+++ b/crates/bench/src/surroundings.rs
@@ -0,0 +1,193 @@
+//! A database group, a platform and one real `cicadawickd` process on the loopback interface.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use config::ChangeEnvelope;
+use fake::fakedb::{DatabaseGroup, GroupOptions};
+use fake::fakeplatform::FakePlatform;
+use platform::PlatformClient;
+
+/// Name of the cluster, and the database name that callers connect to.
+pub const CLUSTER: &str = "billing";
+
+/// Longest time for a daemon to start and to find the primary.
+const START_LIMIT: Duration = Duration::from_secs(10);
+
+/// A daemon with what it needs; drop ends all of it.
+pub struct ProxySurroundings {
+    pub group: DatabaseGroup,
+    pub caller_address: SocketAddr,
+    _platform: FakePlatform,
+    child: Child,
+    files: [PathBuf; 2],
+}
+
+impl ProxySurroundings {
+    /// Starts a group with `options`, a platform and the `cicadawickd` beside this executable, and
+    /// waits until the proxy serves a write. Work labelled `kind=durable` is durable.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the executable is missing or a part does not start within 10 s.
+    pub fn start(options: &GroupOptions) -> anyhow::Result<Self> {
+        let binary = std::env::current_exe()?.with_file_name("cicadawickd");
+        if !binary.exists() {
+            bail!("no {}: build it with `cargo build --release -p daemon`", binary.display());
+        }
+        let group = DatabaseGroup::start(options.clone())?;
+        let platform = FakePlatform::start(0)?;
+        write_config(&group, options, platform.address())?;
+        let name = format!("cicadawick-bench-{}", std::process::id());
+        let settings_file = std::env::temp_dir().join(format!("{name}.jsonc"));
+        let ready_file = std::env::temp_dir().join(format!("{name}.ready"));
+        let settings = serde_json::json!({
+            "name": "vm-1",
+            "data_centre": "dc1",
+            "caller_address": free_address()?.to_string(),
+            "peer_address": free_address()?.to_string(),
+            "admin_address": free_address()?.to_string(),
+            "platform_address": platform.address().to_string(),
+            "log_level": "error",
+        });
+        std::fs::write(&settings_file, settings.to_string())
+            .with_context(|| format!("failed to write {}", settings_file.display()))?;
+        let child = Command::new(&binary)
+            .arg("--settings")
+            .arg(&settings_file)
+            .arg("--ready-file")
+            .arg(&ready_file)
+            .spawn()
+            .with_context(|| format!("failed to start {}", binary.display()))?;
+        let mut surroundings = ProxySurroundings {
+            group,
+            caller_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            _platform: platform,
+            child,
+            files: [settings_file, ready_file],
+        };
+        surroundings.caller_address = surroundings.wait_for_address()?;
+        surroundings.wait_until_served()?;
+        Ok(surroundings)
+    }
+
+    /// Returns the resident size of the daemon in bytes.
+    ///
+    /// # Errors
+    ///
+    /// This and the next call fail if `/proc` does not show the process.
+    pub fn resident_bytes(&self) -> anyhow::Result<u64> {
+        let status = self.proc_file("status")?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+        Ok(kilobytes.context("no VmRSS")?.parse::<u64>()? * 1_024)
+    }
+
+    /// Returns the processor time of the daemon's event loop.
+    ///
+    /// # Errors
+    ///
+    /// See [`ProxySurroundings::resident_bytes`].
+    pub fn loop_time(&self) -> anyhow::Result<Duration> {
+        // Covers the main thread only, which runs the event loop, in nanoseconds.
+        let schedstat = self.proc_file("schedstat")?;
+        let nanos = schedstat.split_whitespace().next().context("an empty schedstat")?;
+        Ok(Duration::from_nanos(nanos.parse()?))
+    }
+
+    fn proc_file(&self, name: &str) -> anyhow::Result<String> {
+        let path = format!("/proc/{}/{name}", self.child.id());
+        std::fs::read_to_string(&path).with_context(|| format!("failed to read {path}"))
+    }
+
+    fn wait_for_address(&self) -> anyhow::Result<SocketAddr> {
+        let end = Instant::now() + START_LIMIT;
+        while Instant::now() < end {
+            let line = std::fs::read_to_string(&self.files[1]).unwrap_or_default();
+            let mut fields = line.split_whitespace();
+            if let Some(address) = fields.find_map(|field| field.strip_prefix("caller_address=")) {
+                return Ok(address.parse()?);
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        bail!("the daemon was not ready within {START_LIMIT:?}");
+    }
+
+    fn wait_until_served(&self) -> anyhow::Result<()> {
+        let end = Instant::now() + START_LIMIT;
+        let mut config = postgres::Config::new();
+        config
+            .host(&self.caller_address.ip().to_string())
+            .port(self.caller_address.port())
+            .user("bench")
+            .dbname(CLUSTER)
+            .connect_timeout(Duration::from_secs(1));
+        loop {
+            let attempt = config.connect(postgres::NoTls).and_then(|mut client| {
+                client.batch_execute("CREATE TABLE IF NOT EXISTS ready (id bigint)")
+            });
+            match attempt {
+                Ok(()) => return Ok(()),
+                Err(error) if Instant::now() >= end => {
+                    return Err(error).context("the proxy serves no write");
+                }
+                Err(_) => std::thread::sleep(Duration::from_millis(20)),
+            }
+        }
+    }
+}
+
+impl Drop for ProxySurroundings {
+    fn drop(&mut self) {
+        // Fails only if the process has ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        for file in &self.files {
+            let _ = std::fs::remove_file(file);
+        }
+    }
+}
+
+fn free_address() -> std::io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+fn write_config(
+    group: &DatabaseGroup,
+    options: &GroupOptions,
+    platform: SocketAddr,
+) -> anyhow::Result<()> {
+    let databases: Vec<serde_json::Value> = group
+        .names()
+        .iter()
+        .zip(group.addresses())
+        .map(|(name, address)| {
+            serde_json::json!({
+                "name": name, "data_centre": "dc1", "address": address.to_string(),
+                "slots": options.slots, "connections": options.connections,
+            })
+        })
+        .collect();
+    let text = serde_json::json!({
+        "clusters": [{ "name": CLUSTER, "databases": databases }],
+        "selectors": [
+            { "name": "durable", "matches": "kind=durable", "rank": "urgent", "durable": true },
+            { "name": "other", "matches": "", "rank": "interactive" },
+        ],
+    });
+    let envelope = ChangeEnvelope {
+        revision: 1,
+        change_id: "bench".to_owned(),
+        author: "bench".to_owned(),
+        written_at: 0,
+        text: text.to_string(),
+    };
+    let client = PlatformClient::new(platform, Duration::from_secs(2));
+    let keys = serde_json::json!([{ "id": 1, "secret": "5a".repeat(32) }]).to_string();
+    client.put("cicadawick/config", &envelope.to_bytes(), 0)?;
+    client.put("cicadawick/token-keys", keys.as_bytes(), 0)?;
+    Ok(())
+}
