--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -10,6 +10,11 @@
             /// Seed of arrivals and service times; 1 if absent.
             optional --seed seed: u64
         }
+        /// Processor time of single decisions.
+        cmd decision {
+            /// Decisions for each point; 1,000,000 if absent.
+            optional --turns turns: usize
+        }
         /// Latency, throughput and memory of one real daemon against the database alone.
         cmd overhead {
             /// Length of each load; 1 if absent.
@@ -30,6 +35,11 @@
             print!("{}", bench::rank::render_table(flags.seed.unwrap_or(1)));
             Ok(())
         }
+        BenchCmd::Decision(flags) => {
+            let turns = flags.turns.unwrap_or(1_000_000).max(1_000);
+            print!("{}", bench::decision::render_table(turns));
+            Ok(())
+        }
         BenchCmd::Overhead(flags) => {
             bench::overhead::run(flags.seconds.unwrap_or(1.0), !flags.no_idle)
         }
