--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,9 @@
 //! Experiments in virtual time and capacity slopes.
 //!
 //! [`rank`] measures the service of each rank under overload, [`decision`] the processor time of single
-//! decisions.
+//! decisions, [`overhead`] the cost of the way through a proxy.
 
 pub mod decision;
+pub mod overhead;
 pub mod rank;
+mod surroundings;
