--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, mpsc};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use model::{LabelSet, SocketAddress};
@@ -32,9 +33,10 @@
     pub(crate) reply: mpsc::Sender<serde_json::Value>,
 }
 
-/// The HTTP thread; drop ends it.
+/// The HTTP thread; drop ends it after the answer in progress.
 pub(crate) struct AdminServer {
     server: Arc<tiny_http::Server>,
+    thread: Option<JoinHandle<()>>,
 }
 
 impl AdminServer {
@@ -46,7 +48,7 @@
     pub(crate) fn bind(
         address: SocketAddress,
     ) -> Result<Self, Box<dyn std::error::Error + Send + Sync>> {
-        Ok(AdminServer { server: Arc::new(tiny_http::Server::http(address)?) })
+        Ok(AdminServer { server: Arc::new(tiny_http::Server::http(address)?), thread: None })
     }
 
     /// Returns the bound address.
@@ -55,9 +57,9 @@
     }
 
     /// Starts to serve; requests go to `channel`.
-    pub(crate) fn start(&self, channel: Channel<AdminRequest>) {
+    pub(crate) fn start(&mut self, channel: Channel<AdminRequest>) {
         let server = self.server.clone();
-        std::thread::spawn(move || {
+        self.thread = Some(std::thread::spawn(move || {
             while let Ok(request) = server.recv() {
                 let (status, body) = answer(request.method(), request.url(), &channel);
                 let mut response = tiny_http::Response::from_string(format!("{body:#}\n"))
@@ -68,13 +70,17 @@
                 // The operator may have gone away.
                 let _ = request.respond(response);
             }
-        });
+        }));
     }
 }
 
 impl Drop for AdminServer {
     fn drop(&mut self) {
         self.server.unblock();
+        // Without the wait, the process could exit before the answer to a drain request is sent.
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
     }
 }
 
--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -117,8 +117,9 @@
     actions: VecDeque<NodeAction>,
     callers: Option<MioSource<TcpListener>>,
     peers: MioSource<TcpListener>,
-    _admin: AdminServer,
+    // Dropped before the server, so that requests not yet seen end at once.
     _admin_channel: ChannelGuard,
+    _admin: AdminServer,
     scratch: ScratchBuffer,
     pool: TaskPool,
     clients: PeerClients,
@@ -149,7 +150,7 @@
 impl Hub {
     /// Starts to serve.
     pub(crate) fn init(cx: CX![], setup: HubSetup) -> Option<Self> {
-        let HubSetup { settings, callers, peers, admin, counters, incarnation, seed } = setup;
+        let HubSetup { settings, callers, peers, mut admin, counters, incarnation, seed } = setup;
         let poll: MioPoll = cx.anymap_get();
         let listen = |listener: TcpListener, ready: Fwd<Ready>| {
             poll.add(listener, Interest::READABLE, 10, ready)
