Keep replicas in use when a new session's floor is ahead of them

A replica that declined a read for the session's floor was avoided by all sessions of the entry proxy for a second. With one new session a second a replica that lags at all served almost no reads.

A decline whose reply carries an age that would do now affects only its session, which reads from the primary for 100 ms. An age that would not do is a hint by itself.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -37,6 +37,10 @@
 /// cancellation of a running statement (1 s) and the wait for an acknowledgement (3 s).
 const ANSWER_GRACE: Micros = Micros::from_secs(5);
 
+/// Time for which a session whose floor a replica has not reached reads from the primary. It saves the
+/// way over a replica that would decline again, and is short against a lag at which replicas serve.
+const FLOOR_PAUSE: Micros = Micros::from_millis(100);
+
 /// Where a request is at the moment.
 #[derive(Clone, Debug)]
 pub(crate) struct EntryAttempt {
@@ -222,7 +226,7 @@
             due: None,
             backoff: FIRST_BACKOFF,
             tried: Vec::new(),
-            primary_only: !executes,
+            primary_only: !executes || self.now < session.primary_until,
             no_primary: false,
             maybe_ran: false,
             broke_off: false,
@@ -579,7 +583,7 @@
                 self.entry.hints.heard(now, &database, age, wait);
                 match session.transaction.is_some() {
                     true => self.end_transaction(id, "a statement of it was declined"),
-                    false => self.request_declined(id, &cluster, &attempt, reason),
+                    false => self.request_declined(id, &cluster, &attempt, reason, age),
                 }
             }
             WorkReply::RolledBack { message } => self.end_transaction(id, &message),
@@ -662,6 +666,7 @@
         cluster: &Name,
         attempt: &EntryAttempt,
         reason: DeclineReason,
+        age: Option<Micros>,
     ) {
         let now = self.now;
         let database = attempt.database.clone();
@@ -675,8 +680,19 @@
         match reason {
             DeclineReason::NoProof => {
                 request.primary_only = true;
-                self.entry.hints.avoid(now, &database);
+                let max_age = request.policy.max_age;
                 let led = self.known_leader(cluster).as_ref() == Some(&database);
+                // A provable age that would do means that only this session's floor is missing, which
+                // says nothing about the reads of others. An age that would not do is a hint already.
+                match age {
+                    None => self.entry.hints.avoid(now, &database),
+                    Some(age) if age <= max_age && !led => {
+                        if let Some(session) = self.sessions.get_mut(&id) {
+                            session.primary_until = now + FLOOR_PAUSE;
+                        }
+                    }
+                    Some(_) => {}
+                }
                 if let Some(session) = self.sessions.get(&id).filter(|_| !led) {
                     let measure = CallerMeasure::ReplicaDeclined;
                     self.accounts.count(now, &session.caller, rank, measure, 1);
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -63,6 +63,8 @@
     /// The caller brought a valid token.
     pub with_token: bool,
     pub arrived: Micros,
+    /// Reads go to the primary until then, because a replica had not reached the session's floor.
+    pub primary_until: Micros,
     /// Labels and policy under the configuration of this revision.
     pub revision: u64,
     pub labels: LabelSet,
@@ -169,6 +171,7 @@
             token: SessionToken::default(),
             with_token: false,
             arrived: self.now,
+            primary_until: Micros::ZERO,
             revision: 0,
             labels: LabelSet::default(),
             policy: Arc::default(),
