Test payments with a cut after every byte

The fault proxy's byte limit counted all connections of a link, so reports shifted it. limit_marked counts one connection from the piece that holds a marker.

payments.rs ends the backend connection after each byte of a purchase, kills the entry proxy, the owner and the primary in the middle, and sends one key concurrently.

--- /dev/null
+++ b/crates/daemon/tests/payments.rs
@@ -0,0 +1,309 @@
+//! Purchases run at most once, and an acknowledged one is not lost.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+mod sessions;
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use common::{Proxy, wait_until};
+use fake::faultproxy::Direction;
+use postgres::Client;
+use sessions::{CallerAnswer, FleetSetup, SessionFleet, run};
+
+const WORKERS: usize = 4;
+
+/// Longer than any conversation of one purchase.
+const NO_LIMIT: u64 = 1 << 40;
+
+/// A caller's connection that is opened again when it was closed.
+struct Caller<'a> {
+    proxy: &'a Proxy,
+    client: Client,
+}
+
+impl<'a> Caller<'a> {
+    fn new(proxy: &'a Proxy) -> Self {
+        Caller { proxy, client: proxy.connect() }
+    }
+
+    fn run(&mut self, sql: &str) -> CallerAnswer {
+        if self.client.is_closed() {
+            self.client = self.proxy.connect();
+        }
+        run(&mut self.client, sql)
+    }
+}
+
+/// The statement of one purchase. Numbers have the same width, so all conversations are equally long.
+fn purchase(number: usize, keyed: bool) -> String {
+    let key = if keyed { format!("/*request_key='k{number:06}'*/ ") } else { String::new() };
+    format!("{key}INSERT INTO purchases VALUES ({number}, 'meter-{number:06}')")
+}
+
+/// Text that the first piece of the conversation about a purchase holds.
+fn marker(number: usize, keyed: bool) -> String {
+    if keyed { format!("k{number:06}") } else { format!("meter-{number:06}") }
+}
+
+/// Counts the rows of each purchase.
+fn purchases(fleet: &SessionFleet) -> BTreeMap<usize, usize> {
+    let mut counts = BTreeMap::new();
+    for row in fleet.group.table("purchases").unwrap().rows {
+        let number = row[0].as_ref().unwrap().parse().unwrap();
+        *counts.entry(number).or_insert(0) += 1;
+    }
+    counts
+}
+
+/// Ends the backend connection after every byte of a purchase's conversation in turn.
+fn cut_every_byte(keyed: bool) {
+    let mut setup = FleetSetup::new(2);
+    setup.group.open_time = Duration::ZERO;
+    let fleet = SessionFleet::start(setup);
+    let mut caller = fleet.proxies[0].connect();
+    caller.batch_execute("CREATE TABLE purchases (id bigint, meter text)").unwrap();
+    // The first keyed purchase makes the table of keys.
+    assert_eq!(run(&mut caller, &purchase(100_000, keyed)), CallerAnswer::Done(1));
+    let mut boundaries = Vec::new();
+    for direction in [Direction::ToUpstream, Direction::ToCaller] {
+        let number = 100_001 + boundaries.len();
+        let mark = marker(number, keyed);
+        fleet.links.limit_marked("billing-1", &mark, direction, NO_LIMIT).unwrap();
+        assert_eq!(run(&mut caller, &purchase(number, keyed)), CallerAnswer::Done(1));
+        let length = fleet.links.clear_marked("billing-1", &mark).unwrap()[0];
+        boundaries.extend((0..=length).map(|bytes| (direction, bytes)));
+    }
+
+    let started = Instant::now();
+    let next = AtomicUsize::new(0);
+    let answers = Mutex::new(BTreeMap::new());
+    std::thread::scope(|scope| {
+        for _ in 0..WORKERS {
+            scope.spawn(|| {
+                let mut callers: Vec<Caller> = fleet.proxies.iter().map(Caller::new).collect();
+                let mut checker = fleet.direct("billing-1");
+                loop {
+                    let at = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(&(direction, bytes)) = boundaries.get(at) else { return };
+                    let number = 200_000 + at;
+                    let (sql, mark) = (purchase(number, keyed), marker(number, keyed));
+                    fleet.links.limit_marked("billing-1", &mark, direction, bytes).unwrap();
+                    let answer = callers[at % 2].run(&sql);
+                    let unused = fleet.links.clear_marked("billing-1", &mark).unwrap();
+                    assert!(unused.is_empty(), "{direction:?} {bytes}: the cut was not reached");
+                    let query = format!("SELECT id FROM purchases WHERE id = {number}");
+                    let rows = checker.query(&query, &[]).unwrap().len();
+                    let context = format!("{direction:?} {bytes}: {answer:?}, {rows} rows");
+                    match &answer {
+                        CallerAnswer::Done(1) => assert_eq!(rows, 1, "{context}"),
+                        answer if answer.is_not_run() => assert_eq!(rows, 0, "{context}"),
+                        answer => {
+                            assert!(answer.is_unknown() && rows <= 1, "{context}");
+                        }
+                    }
+                    if keyed {
+                        let retry = callers[(at + 1) % 2].run(&sql);
+                        assert_eq!(retry, CallerAnswer::Done(1), "{context}: retry");
+                        let rows = checker.query(&query, &[]).unwrap().len();
+                        assert_eq!(rows, 1, "{context}: after the retry");
+                    }
+                    answers.lock().unwrap().insert(number, answer);
+                }
+            });
+        }
+    });
+    let answers = answers.into_inner().unwrap();
+    // Statements of cut connections that were still running have ended by now.
+    std::thread::sleep(Duration::from_millis(200));
+    let counts = purchases(&fleet);
+    let mut tally: BTreeMap<String, usize> = BTreeMap::new();
+    for (number, answer) in &answers {
+        let rows = counts.get(number).copied().unwrap_or(0);
+        let name = match answer {
+            CallerAnswer::Done(_) => "acknowledged".to_owned(),
+            CallerAnswer::Error(code) => format!("{code} with {rows} rows"),
+        };
+        *tally.entry(name).or_default() += 1;
+        match answer {
+            _ if keyed => assert_eq!(rows, 1, "{number} {answer:?}"),
+            CallerAnswer::Done(_) => assert_eq!(rows, 1, "{number}"),
+            answer if answer.is_not_run() => assert_eq!(rows, 0, "{number} {answer:?}"),
+            _ => assert!(rows <= 1, "{number} {answer:?}: {rows} rows"),
+        }
+    }
+    assert_eq!(answers.len(), boundaries.len());
+    println!(
+        "keyed={keyed}: {} byte boundaries in {:.1} s: {tally:?}",
+        boundaries.len(),
+        started.elapsed().as_secs_f64()
+    );
+}
+
+#[test]
+fn keyed_purchase_survives_a_cut_after_every_byte() {
+    cut_every_byte(true);
+}
+
+#[test]
+fn purchase_without_a_key_never_runs_twice() {
+    cut_every_byte(false);
+}
+
+/// Retries a keyed statement until it is acknowledged.
+fn retry_until_done(proxies: &[&Proxy], sql: &str) -> u64 {
+    let mut outcome = 0;
+    let mut turn = 0;
+    wait_until("a retry is acknowledged", || {
+        turn += 1;
+        let client = proxies[turn % proxies.len()].try_connect("billing", "");
+        match client.map(|mut client| run(&mut client, sql)) {
+            Ok(CallerAnswer::Done(count)) => {
+                outcome = count;
+                true
+            }
+            Ok(CallerAnswer::Error(code)) => {
+                assert!(
+                    code.starts_with("WK") || code.starts_with("08") || code == "closed",
+                    "{code}"
+                );
+                false
+            }
+            Err(_) => false,
+        }
+    });
+    outcome
+}
+
+/// Starts many keyed purchases over a slow link, disturbs them in the middle, retries all of them
+/// through other proxies and checks that each has run once.
+fn disturb(mut fleet: SessionFleet, disturbance: impl FnOnce(&mut SessionFleet)) {
+    const COUNT: usize = 40;
+    let mut caller = fleet.proxies[0].connect();
+    caller.batch_execute("CREATE TABLE purchases (id bigint, meter text)").unwrap();
+    caller.batch_execute("CREATE TABLE vouchers (id bigint, meter text)").unwrap();
+    for number in 0..COUNT {
+        let sql = format!("INSERT INTO vouchers VALUES ({number}, 'v'), ({number}, 'w')");
+        caller.batch_execute(&sql).unwrap();
+    }
+    assert_eq!(run(&mut caller, &purchase(900, true)), CallerAnswer::Done(1));
+    // Each step of a conversation takes 30 ms and the starts are spread, so that the disturbance
+    // meets purchases in all phases.
+    let way = Duration::from_millis(15);
+    fleet.links.set_delay("billing-1", way, way).unwrap();
+    // The second statement has another outcome if it runs again.
+    let statement = |number: usize| match number % 2 {
+        0 => purchase(number, true),
+        _ => format!("/*request_key='k{number:06}'*/ DELETE FROM vouchers WHERE id = {number}"),
+    };
+    let requests: Vec<_> = (0..COUNT)
+        .map(|number| {
+            let mut client = fleet.proxies[number % 2].connect();
+            let sql = statement(number);
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(5 * number as u64));
+                run(&mut client, &sql)
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(150));
+    disturbance(&mut fleet);
+    fleet.links.set_delay("billing-1", Duration::ZERO, Duration::ZERO).unwrap();
+    let answers: Vec<CallerAnswer> =
+        requests.into_iter().map(|request| request.join().unwrap()).collect();
+    let before = purchases(&fleet);
+    for (number, answer) in answers.iter().enumerate().filter(|(number, _)| number % 2 == 0) {
+        match answer {
+            CallerAnswer::Done(_) => assert_eq!(before.get(&number), Some(&1), "{number} lost"),
+            answer if answer.is_not_run() => assert_eq!(before.get(&number), None, "{number}"),
+            answer => assert!(answer.is_unknown(), "{number} {answer:?}"),
+        }
+    }
+    let alive: Vec<&Proxy> = fleet.proxies.iter().collect();
+    for (number, answer) in answers.iter().enumerate() {
+        let expected = if number % 2 == 0 { 1 } else { 2 };
+        if let CallerAnswer::Done(count) = answer {
+            assert_eq!(*count, expected, "{number}");
+        }
+        assert_eq!(retry_until_done(&alive, &statement(number)), expected, "retry of {number}");
+    }
+    let after = purchases(&fleet);
+    for number in (0..COUNT).step_by(2) {
+        assert_eq!(after.get(&number), Some(&1), "{number}: {:?}", answers[number]);
+    }
+    let left = fleet.group.table("vouchers").unwrap().rows.len();
+    assert_eq!(left, COUNT, "vouchers of even numbers are left, two each");
+    let done = answers.iter().filter(|answer| matches!(answer, CallerAnswer::Done(_))).count();
+    println!("{done} of {COUNT} acknowledged at the first try, all exactly once after the retry");
+}
+
+/// Index of the proxy that owns the primary.
+fn owner(fleet: &SessionFleet) -> usize {
+    let owns = |proxy: &Proxy| proxy.get("/v1/dump")["databases"]["billing-1"]["owned"] == true;
+    fleet.proxies.iter().position(owns).unwrap()
+}
+
+fn kill_proxy(fleet: &mut SessionFleet, at: usize) {
+    let mut proxy = fleet.proxies.remove(at);
+    proxy.signal("-KILL");
+    proxy.wait();
+}
+
+#[test]
+fn purchase_survives_the_death_of_its_entry_proxy() {
+    disturb(SessionFleet::start(FleetSetup::new(3)), |fleet| {
+        let at = usize::from(owner(fleet) == 0);
+        kill_proxy(fleet, at);
+    });
+}
+
+#[test]
+fn purchase_survives_the_death_of_the_owner() {
+    disturb(SessionFleet::start(FleetSetup::new(3)), |fleet| {
+        let at = owner(fleet);
+        kill_proxy(fleet, at);
+    });
+}
+
+#[test]
+fn purchase_survives_a_change_of_primary() {
+    disturb(SessionFleet::start(FleetSetup::new(2)), |fleet| {
+        fleet.group.kill("billing-1").unwrap();
+        wait_until("another database leads", || {
+            fleet.group.primary().is_some_and(|primary| primary != "billing-1")
+        });
+    });
+}
+
+#[test]
+fn concurrent_requests_with_one_key_run_once() {
+    let fleet = SessionFleet::start(FleetSetup::new(2));
+    let mut caller = fleet.proxies[0].connect();
+    caller.batch_execute("CREATE TABLE purchases (id bigint, meter text)").unwrap();
+    let mut clients: Vec<Client> =
+        (0..4).map(|number| fleet.proxies[number % 2].connect()).collect();
+    for number in 0..20 {
+        let sql = purchase(number, true);
+        let answers: Vec<CallerAnswer> = std::thread::scope(|scope| {
+            let requests: Vec<_> =
+                clients.iter_mut().map(|client| scope.spawn(|| run(client, &sql))).collect();
+            requests.into_iter().map(|request| request.join().unwrap()).collect()
+        });
+        assert_eq!(answers, vec![CallerAnswer::Done(1); 4], "purchase {number}");
+    }
+    let counts = purchases(&fleet);
+    assert!(counts.len() == 20 && counts.values().all(|count| *count == 1), "{counts:?}");
+
+    // The same key with another statement is an error, through every proxy, and runs nothing.
+    for proxy in &fleet.proxies {
+        let mut client = proxy.connect();
+        let sql = "/*request_key='k000001'*/ INSERT INTO purchases VALUES (77, 'other')";
+        assert_eq!(run(&mut client, sql), CallerAnswer::Error("22023".to_owned()));
+        assert_eq!(run(&mut client, &purchase(1, true)), CallerAnswer::Done(1));
+    }
+    assert_eq!(purchases(&fleet).get(&77), None);
+}
--- /dev/null
+++ b/crates/daemon/tests/sessions/mod.rs
@@ -0,0 +1,265 @@
+//! Proxies in several data centres whose backend connections pass a fault proxy, and callers that
+//! speak the protocol byte by byte.
+
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use config::ChangeEnvelope;
+use fake::fakedb::{DatabaseGroup, GroupOptions};
+use fake::fakeplatform::FakePlatform;
+use fake::faultproxy::FaultProxy;
+use platform::PlatformClient;
+use postgres::{Client, SimpleQueryMessage};
+use serde_json::{Value, json};
+
+use crate::common::{Proxy, code, start_proxy, wait_until};
+
+/// What a [`SessionFleet`] is made of.
+pub struct FleetSetup {
+    pub group: GroupOptions,
+    /// Data centre of each proxy.
+    pub proxies: Vec<&'static str>,
+    /// Data centre of each database.
+    pub databases: Vec<&'static str>,
+    pub selectors: Value,
+}
+
+impl FleetSetup {
+    /// Three databases and `proxies` proxies in one data centre; writes are durable.
+    pub fn new(proxies: usize) -> Self {
+        FleetSetup {
+            group: GroupOptions::new("billing", 3),
+            proxies: vec!["dc1"; proxies],
+            databases: vec!["dc1"; 3],
+            selectors: json!([{
+                "name": "all", "matches": "", "rank": "urgent", "deadline_ms": 10_000,
+                "durable": true,
+            }]),
+        }
+    }
+}
+
+/// A database group behind a fault proxy, a platform and proxies. The links are named after the
+/// databases.
+pub struct SessionFleet {
+    pub proxies: Vec<Proxy>,
+    pub links: FaultProxy,
+    pub group: DatabaseGroup,
+    pub platform: FakePlatform,
+}
+
+impl SessionFleet {
+    pub fn start(setup: FleetSetup) -> Self {
+        let group = DatabaseGroup::start(setup.group.clone()).unwrap();
+        let platform = FakePlatform::start(0).unwrap();
+        let upstreams: Vec<(String, SocketAddr)> =
+            group.names().iter().cloned().zip(group.addresses().iter().copied()).collect();
+        let links = FaultProxy::start(&upstreams, 0).unwrap();
+        let databases: Vec<Value> = links
+            .addresses()
+            .iter()
+            .zip(&setup.databases)
+            .map(|((name, address), data_centre)| {
+                json!({
+                    "name": name, "data_centre": data_centre, "address": address.to_string(),
+                    "slots": setup.group.slots, "connections": setup.group.connections,
+                })
+            })
+            .collect();
+        let text = json!({
+            "clusters": [{ "name": "billing", "databases": databases }],
+            "selectors": setup.selectors,
+        });
+        let mut fleet = SessionFleet { proxies: Vec::new(), links, group, platform };
+        fleet.put_config(1, &text);
+        fleet.put_keys(&json!([{ "id": 1, "secret": "5a".repeat(32) }]), 0);
+        for data_centre in &setup.proxies {
+            fleet.add_proxy(data_centre);
+        }
+        fleet.wait_ready();
+        fleet
+    }
+
+    fn put_config(&self, revision: u64, text: &Value) {
+        let envelope = ChangeEnvelope {
+            revision,
+            change_id: format!("change-{revision}"),
+            author: "test".to_owned(),
+            written_at: 0,
+            text: text.to_string(),
+        };
+        let client = self.platform_client();
+        assert!(client.put("cicadawick/config", &envelope.to_bytes(), 0).unwrap());
+    }
+
+    pub fn platform_client(&self) -> PlatformClient {
+        PlatformClient::new(self.platform.address(), Duration::from_secs(2))
+    }
+
+    /// Writes the token keys over the version with index `index`.
+    pub fn put_keys(&self, keys: &Value, index: u64) {
+        let client = self.platform_client();
+        let text = keys.to_string();
+        assert!(client.put("cicadawick/token-keys", text.as_bytes(), index).unwrap());
+    }
+
+    pub fn add_proxy(&mut self, data_centre: &str) {
+        let number = self.proxies.len() + 1;
+        let peers: Vec<String> =
+            self.proxies.iter().map(|proxy| proxy.peer_address.to_string()).collect();
+        let settings = json!({
+            "name": format!("vm-{number}"),
+            "data_centre": data_centre,
+            "caller_address": "127.0.0.1:5432",
+            "peer_address": "127.0.0.1:7400",
+            "admin_address": "127.0.0.1:7401",
+            "platform_address": self.platform.address().to_string(),
+            "peers": peers,
+            "drain_timeout_ms": 5_000,
+            "log_level": std::env::var("CICADAWICK_TEST_LOG").unwrap_or("error".to_owned()),
+        });
+        self.proxies.push(start_proxy(&settings));
+    }
+
+    fn wait_ready(&self) {
+        for proxy in &self.proxies {
+            wait_until("the proxies know each other", || {
+                let dump = proxy.get("/v1/dump");
+                dump["members"].as_array().is_some_and(|list| list.len() == self.proxies.len())
+            });
+            wait_until("the proxy serves writes", || {
+                proxy.try_connect("billing", "").is_ok_and(|mut client| {
+                    client.batch_execute("CREATE TABLE IF NOT EXISTS ready (id bigint)").is_ok()
+                })
+            });
+        }
+    }
+
+    /// Connects to a database without a proxy.
+    pub fn direct(&self, database: &str) -> Client {
+        let address = self.group.address(database).unwrap();
+        let mut config = postgres::Config::new();
+        config.host(&address.ip().to_string()).port(address.port()).user("checker");
+        config.dbname("billing").connect(postgres::NoTls).unwrap()
+    }
+
+    /// Adds a counter of the proxies' state dumps up.
+    pub fn counter(&self, section: &str, name: &str) -> u64 {
+        let read = |proxy: &Proxy| proxy.get("/v1/dump")[section][name].as_u64().unwrap_or(0);
+        self.proxies.iter().map(read).sum()
+    }
+}
+
+/// What a caller was told about a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallerAnswer {
+    /// Number of rows of the command tag.
+    Done(u64),
+    Error(String),
+}
+
+impl CallerAnswer {
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, CallerAnswer::Error(code) if code.starts_with("WK"))
+    }
+
+    pub fn is_unknown(&self) -> bool {
+        matches!(self, CallerAnswer::Error(code) if code == "08007" || code == "closed")
+    }
+}
+
+/// Runs a simple query.
+pub fn run(client: &mut Client, sql: &str) -> CallerAnswer {
+    match client.simple_query(sql) {
+        Ok(messages) => {
+            let tags = messages.iter().filter_map(|message| match message {
+                SimpleQueryMessage::CommandComplete(count) => Some(*count),
+                _ => None,
+            });
+            CallerAnswer::Done(tags.last().unwrap_or(0))
+        }
+        Err(error) => CallerAnswer::Error(code(&error)),
+    }
+}
+
+/// A caller without a driver.
+pub struct RawCaller {
+    pub stream: TcpStream,
+}
+
+impl RawCaller {
+    /// Opens a session and reads up to its first `ReadyForQuery`.
+    pub fn open(proxy: &Proxy) -> Self {
+        let mut packet = BytesMut::new();
+        pg::put_startup(&mut packet, &[("user", "vendor"), ("database", "billing")]);
+        let mut caller = RawCaller::start(proxy, &packet);
+        caller.read_until(b'Z');
+        caller
+    }
+
+    /// Connects and sends a first packet.
+    pub fn start(proxy: &Proxy, packet: &[u8]) -> Self {
+        let mut stream = TcpStream::connect(proxy.caller_address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(15))).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream.write_all(packet).unwrap();
+        RawCaller { stream }
+    }
+
+    pub fn query(&mut self, sql: &str) {
+        let mut packet = BytesMut::new();
+        pg::put_query(&mut packet, sql);
+        self.stream.write_all(&packet).unwrap();
+    }
+
+    /// Reads the next message; `None` at the end of the stream.
+    pub fn next(&mut self) -> Option<(u8, Vec<u8>)> {
+        let mut header = [0; 5];
+        self.stream.read_exact(&mut header).ok()?;
+        let length = u32::from_be_bytes([header[1], header[2], header[3], header[4]]);
+        let mut body = vec![0; length as usize - 4];
+        self.stream.read_exact(&mut body).ok()?;
+        Some((header[0], body))
+    }
+
+    /// Reads messages up to one of the given kind; returns all of them.
+    pub fn read_until(&mut self, wanted: u8) -> Vec<(u8, Vec<u8>)> {
+        let mut messages = Vec::new();
+        loop {
+            let message = self.next();
+            let Some(message) = message else { panic!("the stream ended after {messages:?}") };
+            let kind = message.0;
+            messages.push(message);
+            if kind == wanted {
+                return messages;
+            }
+        }
+    }
+
+    /// Reads up to a `ReadyForQuery` or the end and renders what arrived, one message a line.
+    pub fn transcript(&mut self) -> String {
+        let mut lines = Vec::new();
+        while let Some((kind, body)) = self.next() {
+            lines.push(match kind {
+                b'E' | b'N' => {
+                    let error = pg::read_error(&body).unwrap();
+                    format!("{} {}: {}", error.severity, error.code, error.message)
+                }
+                b'C' => format!("complete {}", pg::read_command_tag(&body).unwrap()),
+                b'D' => format!("row {:?}", pg::read_data_row(&body).unwrap()),
+                b'Z' => format!("ready {}", char::from(body[0])),
+                b'S' | b'K' | b'R' | b'T' => continue,
+                other => format!("message {}", char::from(other)),
+            });
+            if kind == b'Z' {
+                return lines.join("\n");
+            }
+        }
+        lines.push("closed".to_owned());
+        lines.join("\n")
+    }
+}
--- a/crates/fake/src/faultproxy.rs
+++ b/crates/fake/src/faultproxy.rs
@@ -54,6 +54,46 @@
     connections: BTreeMap<u64, Arc<RelayedConnection>>,
     accepted: u64,
     stopping: bool,
+    marked: Vec<MarkedLimit>,
+}
+
+/// A byte limit of the one connection that first carries a marker towards the upstream.
+#[derive(Debug)]
+struct MarkedLimit {
+    marker: Vec<u8>,
+    direction: Direction,
+    bytes_left: u64,
+    passed: u64,
+    /// Number of the connection, once the marker was seen.
+    connection: Option<u64>,
+}
+
+impl LinkState {
+    /// Applies the limits by marker to bytes that were read; returns how many may pass and whether
+    /// the connection ends after them.
+    fn apply_marked(&mut self, number: u64, direction: Direction, bytes: &[u8]) -> (usize, bool) {
+        if direction == Direction::ToUpstream {
+            for limit in self.marked.iter_mut().filter(|limit| limit.connection.is_none()) {
+                if bytes.windows(limit.marker.len()).any(|part| part == limit.marker) {
+                    limit.connection = Some(number);
+                }
+            }
+        }
+        let found = self
+            .marked
+            .iter()
+            .position(|limit| limit.connection == Some(number) && limit.direction == direction);
+        let Some(at) = found else { return (bytes.len(), false) };
+        let limit = &mut self.marked[at];
+        let allowed = bytes.len().min(usize::try_from(limit.bytes_left).unwrap_or(usize::MAX));
+        limit.bytes_left -= allowed as u64;
+        limit.passed += allowed as u64;
+        let is_last = limit.bytes_left == 0;
+        if is_last {
+            self.marked.remove(at);
+        }
+        (allowed, is_last)
+    }
 }
 
 #[derive(Debug)]
@@ -220,18 +260,23 @@
             number
         };
         let (link, other) = (self.clone(), connection.clone());
-        let back = std::thread::spawn(move || link.pass(&other, Direction::ToCaller));
-        self.pass(&connection, Direction::ToUpstream);
+        let back = std::thread::spawn(move || link.pass(&other, number, Direction::ToCaller));
+        self.pass(&connection, number, Direction::ToUpstream);
         drop(back.join());
         self.lock().connections.remove(&number);
     }
 
     /// Passes bytes in one direction until an end or a drop.
-    fn pass(self: &Arc<Self>, connection: &Arc<RelayedConnection>, direction: Direction) {
+    fn pass(
+        self: &Arc<Self>,
+        connection: &Arc<RelayedConnection>,
+        number: u64,
+        direction: Direction,
+    ) {
         let (sender, receiver) = sync_channel(QUEUED_CHUNKS);
         let (link, other) = (self.clone(), connection.clone());
         let writer = std::thread::spawn(move || link.write(&other, direction, &receiver));
-        self.read(connection, direction, &sender);
+        self.read(connection, number, direction, &sender);
         drop(sender);
         drop(writer.join());
     }
@@ -239,6 +284,7 @@
     fn read(
         &self,
         connection: &RelayedConnection,
+        number: u64,
         direction: Direction,
         sender: &SyncSender<Chunk>,
     ) {
@@ -259,6 +305,8 @@
             }
             let (due, allowed, is_last) = {
                 let mut state = self.lock();
+                let (count, is_marked_end) =
+                    state.apply_marked(number, direction, &buffer[..count]);
                 let faults = &mut state.faults[direction as usize];
                 has_gap |= faults.cut;
                 if has_gap {
@@ -275,7 +323,7 @@
                     left => left.map(|left| left - allowed as u64),
                 };
                 faults.passed += allowed as u64;
-                (Instant::now() + faults.delay, allowed, is_last)
+                (Instant::now() + faults.delay, allowed, is_last || is_marked_end)
             };
             let end = match (count, is_last) {
                 (_, true) => ChunkEnd::Drop,
@@ -494,6 +542,38 @@
         self.core.faults(link, |faults| faults[direction as usize].bytes_left = Some(bytes))
     }
 
+    /// Limits only the connection that first carries `marker` towards the upstream in one piece. The
+    /// count of bytes begins with the piece that holds the marker, so other connections of the link,
+    /// and what this one carried before, do not shift it. With 0 the next byte closes.
+    pub fn limit_marked(
+        &self,
+        link: &str,
+        marker: &str,
+        direction: Direction,
+        bytes: u64,
+    ) -> anyhow::Result<()> {
+        let limit = MarkedLimit {
+            marker: marker.as_bytes().to_vec(),
+            direction,
+            bytes_left: bytes,
+            passed: 0,
+            connection: None,
+        };
+        self.core.link(link)?.lock().marked.push(limit);
+        Ok(())
+    }
+
+    /// Ends the limits of one marker that were not reached; returns the bytes that passed under them.
+    pub fn clear_marked(&self, link: &str, marker: &str) -> anyhow::Result<Vec<u64>> {
+        let mut state = self.core.link(link)?.lock();
+        let (ended, kept) = std::mem::take(&mut state.marked)
+            .into_iter()
+            .partition(|limit| limit.marker == marker.as_bytes());
+        state.marked = kept;
+        let ended: Vec<MarkedLimit> = ended;
+        Ok(ended.iter().map(|limit| limit.passed).collect())
+    }
+
     /// Reads a link's counters.
     pub fn counters(&self, link: &str) -> anyhow::Result<LinkCounters> {
         let state = self.core.link(link)?.lock();
