--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -15,6 +15,13 @@
             /// Decisions for each point; 1,000,000 if absent.
             optional --turns turns: usize
         }
+        /// Latency, throughput and memory of one real daemon against the database alone.
+        cmd overhead {
+            /// Length of each load; 1 if absent.
+            optional --seconds seconds: f64
+            /// Skip the idle callers.
+            optional --no-idle
+        }
     }
 }
 
@@ -23,12 +30,25 @@
         Ok(flags) => flags,
         Err(error) => error.exit(),
     };
-    let table = match flags.subcommand {
-        BenchCmd::Rank(flags) => bench::rank::render_table(flags.seed.unwrap_or(1)),
+    let result = match flags.subcommand {
+        BenchCmd::Rank(flags) => {
+            print!("{}", bench::rank::render_table(flags.seed.unwrap_or(1)));
+            Ok(())
+        }
         BenchCmd::Decision(flags) => {
-            bench::decision::render_table(flags.turns.unwrap_or(1_000_000).max(1_000))
+            let turns = flags.turns.unwrap_or(1_000_000).max(1_000);
+            print!("{}", bench::decision::render_table(turns));
+            Ok(())
+        }
+        BenchCmd::Overhead(flags) => {
+            bench::overhead::run(flags.seconds.unwrap_or(1.0), !flags.no_idle)
         }
     };
-    print!("{table}");
-    ExitCode::SUCCESS
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bench: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
