Refuse session-level locks and repeats of rows already sent

A keyed write whose rows exceed the held-answer bound was repeated after a lost connection, and the caller got rows twice. The shell now sends HeldRowsRelayed when rows of a held answer go out, and the outcome of such a write is unknown instead of retried. Tested for a loss during the statement and while its outcome is recorded, at the owner and over a forward.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -391,6 +391,7 @@
                 && active.held.len() + bytes.len() > HELD_BYTES
             {
                 active.policy = OutputPolicy::HoldRest;
+                call!([self.hub, cx], held_rows_relayed(self.id, active.run));
                 let held = active.held.split().freeze();
                 relay(cx, active, &self.window, held);
             }
@@ -418,6 +419,7 @@
                         return Err(too_much_held());
                     }
                     active.policy = OutputPolicy::HoldCompletion;
+                    call!([self.hub, cx], held_rows_relayed(self.id, active.run));
                     let held = active.held.split().freeze();
                     relay(cx, active, &self.window, held);
                 }
--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -570,6 +570,13 @@
         }
     }
 
+    /// Rows of a held answer went out.
+    pub(crate) fn held_rows_relayed(&mut self, cx: CX![], connection: ConnectionId, run: RunId) {
+        if self.runs.contains_key(&run) {
+            self.node_event(cx, NodeEvent::HeldRowsRelayed { connection, run });
+        }
+    }
+
     /// The answer of a run is complete.
     pub(crate) fn run_finished(
         &mut self,
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -46,6 +46,12 @@
         connection: ConnectionId,
         run: RunId,
     },
+    /// Rows of a held answer went out because they exceed the bound; only the completion is still
+    /// held. Sent before the run's end or the loss of its connection.
+    HeldRowsRelayed {
+        connection: ConnectionId,
+        run: RunId,
+    },
     RunFinished {
         connection: ConnectionId,
         run: RunId,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -175,6 +175,7 @@
                 self.backend_lost(connection, &message);
             }
             NodeEvent::RunStarted { run, .. } => self.run_started(run),
+            NodeEvent::HeldRowsRelayed { run, .. } => self.held_rows_relayed(run),
             NodeEvent::RunFinished { connection, run, summary } => {
                 self.run_finished(connection, run, summary);
             }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -106,6 +106,8 @@
     /// Confirmed rounds that were waited for.
     pub rounds: u32,
     pub cancel_sent: bool,
+    /// Rows of a held answer went out.
+    pub relayed: bool,
     pub key: Option<KeyStep>,
 }
 
@@ -325,6 +327,7 @@
             lost: None,
             rounds: 0,
             cancel_sent: false,
+            relayed: false,
             key: None,
         };
         self.owner.works.insert(id, work);
@@ -702,6 +705,13 @@
     pub(crate) fn reply_work(&mut self, id: WorkId, reply: WorkReply) {
         let lane = self.lane_of(id);
         let Some(work) = self.remove_work(id) else { return };
+        let reply = match reply {
+            // The entry proxy would repeat a keyed write, and the caller get its rows twice.
+            WorkReply::Unknown { message } if work.relayed => {
+                WorkReply::ReadFailed { relayed: true, message }
+            }
+            reply => reply,
+        };
         self.send_reply(id, work.origin, reply, lane);
     }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -292,6 +292,14 @@
         }
     }
 
+    /// Rows of a held answer went out.
+    pub(crate) fn held_rows_relayed(&mut self, run: RunId) {
+        let id = self.owner.runs.get(&run).copied();
+        if let Some(work) = id.and_then(|id| self.owner.works.get_mut(&id)) {
+            work.relayed = true;
+        }
+    }
+
     /// The connection of work in progress was lost.
     pub(crate) fn work_lost(&mut self, id: WorkId, message: &str) {
         let Some(work) = self.owner.works.get(&id) else { return };
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -142,6 +142,7 @@
     RolledBack { message: String },
     /// The outcome is not known.
     Unknown { message: String },
-    /// A read broke off; `relayed` tells whether a part of the answer went out.
+    /// An answer broke off; `relayed` tells whether a part of it went out. For a write, whose outcome
+    /// is then unknown, it always did: the write must not be tried again, not even with a request key.
     ReadFailed { relayed: bool, message: String },
 }
--- a/crates/node/tests/driver/mod.rs
+++ b/crates/node/tests/driver/mod.rs
@@ -33,6 +33,8 @@
     pub run_time: Micros,
     /// Loses the connection when the next statement with this text arrives; true: after its effect.
     pub lose_next: Option<(&'static str, bool)>,
+    /// Held answers exceed the bound, so that their rows go out.
+    pub large_answers: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -229,6 +231,7 @@
                 lags: false,
                 run_time: Micros::from_millis(2),
                 lose_next: None,
+                large_answers: false,
             };
             driver.databases.insert(format!("db{n}"), database);
         }
@@ -593,6 +596,9 @@
             return;
         }
         record.finished = true;
+        if found.large_answers && matches!(mode, RelayMode::Hold(_)) {
+            self.event_in(LINK, node, NodeEvent::HeldRowsRelayed { connection, run });
+        }
         let lost = found.lose_next.filter(|(part, _)| text.contains(part));
         if found.down || lost.is_some_and(|(_, after)| !after) {
             self.databases.get_mut(&link.database).unwrap().lose_next = None;
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -252,6 +252,24 @@
     }
 }
 
+/// Guards against rows that a caller gets twice: a keyed write whose rows already went out must not run
+/// again on another connection, wherever it breaks off.
+#[test]
+fn a_keyed_write_whose_rows_went_out_is_not_retried() {
+    for part in ["insert into t", "UPDATE cicadawick_requests"] {
+        let mut driver = Driver::start(2);
+        for node in [driver.owner_of("db1"), driver.other_than_owner("db1")] {
+            let session = driver.open(node, "kiosk", &[]);
+            let database = driver.databases.get_mut("db1").unwrap();
+            database.large_answers = true;
+            database.lose_next = Some((part, false));
+            let text = format!("/*request_key='k{node}'*/ insert into t values ({node}.)");
+            assert_eq!(driver.query(node, session, &text).code(), "08007", "{part}");
+            assert_eq!(driver.reached_with(&format!("{node}.")).len(), 1, "{part}");
+        }
+    }
+}
+
 /// Guards against a write outage longer than the failover, and against P2: the write of the old
 /// primary is not acknowledged.
 #[test]
--- a/crates/route/src/classify.rs
+++ b/crates/route/src/classify.rs
@@ -269,12 +269,22 @@
     }
 }
 
-/// Refuses names that would let a caller change the cluster's leadership or a pooled connection.
+/// Refuses names that would let a caller change the cluster's leadership or a pooled connection. A
+/// session-level lock would stay with a connection that other sessions use next.
 fn reserved_name(tokens: &[Token<'_>]) -> Option<&'static str> {
     Words(tokens).names().find_map(|name| match name.as_str() {
         "cicadawick_fence" | "cicadawick_promote" | "cicadawick_follow" => {
             Some("only the proxy itself orders promotions")
         }
+        "pg_advisory_lock"
+        | "pg_advisory_lock_shared"
+        | "pg_advisory_unlock"
+        | "pg_advisory_unlock_all"
+        | "pg_advisory_unlock_shared"
+        | "pg_try_advisory_lock"
+        | "pg_try_advisory_lock_shared" => {
+            Some("a session-level lock stays with one connection; use pg_advisory_xact_lock")
+        }
         "pg_temp" => Some("a temporary object belongs to one connection"),
         "set_config" => Some("a pool cannot keep this parameter; use SET LOCAL in a transaction"),
         _ => None,
