Rename the owner's and the cluster's state to standard terms

DatabaseDesk becomes DatabaseService and ClusterDesk ClusterState, because a desk is no term of the field; locals repeat the last word. Parked work is now deferred, also in the state dump. The name OwnedDatabase was not taken: its local would be database, which already names the database itself.

--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -24,7 +24,7 @@
 
 /// A watched cluster.
 #[derive(Debug)]
-pub(crate) struct ClusterDesk {
+pub(crate) struct ClusterState {
     pub config: ClusterConfig,
     pub watch: ClusterWatch,
     pub supervisor: Supervisor,
@@ -54,7 +54,7 @@
     leaving.map(|database| database.name.clone()).collect()
 }
 
-impl ClusterDesk {
+impl ClusterState {
     fn address(&self, database: &str) -> Option<SocketAddress> {
         let mut databases = self.config.databases.iter();
         databases.find(|config| &*config.name == database).map(|config| config.address)
@@ -67,12 +67,12 @@
         let databases: Vec<Name> =
             config.databases.iter().map(|database| database.name.clone()).collect();
         match self.clusters.get_mut(&config.name) {
-            Some(desk) => {
-                if desk.config != *config {
-                    desk.watch.set_databases(databases.clone());
-                    desk.supervisor.set_databases(databases);
-                    desk.supervisor.set_leaving(leaving_databases(config));
-                    desk.config = config.clone();
+            Some(state) => {
+                if state.config != *config {
+                    state.watch.set_databases(databases.clone());
+                    state.supervisor.set_databases(databases);
+                    state.supervisor.set_leaving(leaving_databases(config));
+                    state.config = config.clone();
                 }
             }
             None => {
@@ -80,9 +80,9 @@
                 let watch = ClusterWatch::new(WatchConfig::default(), databases.clone());
                 let mut supervisor = Supervisor::new(self.settings.name.clone(), databases, seed);
                 supervisor.set_leaving(leaving_databases(config));
-                let desk =
-                    ClusterDesk { config: config.clone(), watch, supervisor, asked_round: None };
-                self.clusters.insert(config.name.clone(), desk);
+                let state =
+                    ClusterState { config: config.clone(), watch, supervisor, asked_round: None };
+                self.clusters.insert(config.name.clone(), state);
                 // Starts the first round.
                 self.handle_watch(&config.name, WatchEvent::Timer);
             }
@@ -102,9 +102,9 @@
     }
 
     pub(crate) fn handle_watch(&mut self, cluster: &Name, event: WatchEvent) {
-        let Some(desk) = self.clusters.get_mut(cluster) else { return };
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
         let mut actions = Vec::new();
-        desk.watch.handle(self.now, event, &mut actions);
+        state.watch.handle(self.now, event, &mut actions);
         for action in actions {
             self.run_watch_action(cluster, action);
         }
@@ -130,8 +130,8 @@
                 self.handle_supervisor(cluster, event);
             }
             WatchAction::PrimarySuspected { term } => {
-                let Some(desk) = self.clusters.get(cluster) else { return };
-                let supervisors = self.supervisors(&desk.config);
+                let Some(state) = self.clusters.get(cluster) else { return };
+                let supervisors = self.supervisors(&state.config);
                 let place = supervisors.iter().position(|node| *node == self.settings.name);
                 if let Some(place) = place {
                     let order = u32::try_from(place).unwrap_or(u32::MAX);
@@ -155,8 +155,8 @@
             .filter(|(_, work)| work.pin.is_none() && !work.request.read)
             .filter(|(_, work)| work.request.database != *leader)
             .filter(|(_, work)| {
-                let desk = self.owner.desks.get(&work.request.database);
-                desk.is_some_and(|desk| desk.cluster == *cluster)
+                let service = self.owner.services.get(&work.request.database);
+                service.is_some_and(|service| service.cluster == *cluster)
             })
             .filter(|(_, work)| work.connection.is_none() && !work.is_acknowledging())
             .map(|(id, _)| *id)
@@ -175,7 +175,7 @@
         purpose: ReportPurpose,
         action: impl FnOnce(ReportId, Name, SocketAddress) -> NodeAction,
     ) {
-        let Some(address) = self.clusters.get(cluster).and_then(|desk| desk.address(database))
+        let Some(address) = self.clusters.get(cluster).and_then(|state| state.address(database))
         else {
             return;
         };
@@ -187,11 +187,11 @@
     }
 
     pub(crate) fn handle_supervisor(&mut self, cluster: &Name, event: SupervisorEvent) {
-        let Some(desk) = self.clusters.get_mut(cluster) else { return };
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
         let mut actions = Vec::new();
-        let before = desk.supervisor.step();
-        desk.supervisor.handle(self.now, event, &mut actions);
-        let after = desk.supervisor.step();
+        let before = state.supervisor.step();
+        state.supervisor.handle(self.now, event, &mut actions);
+        let after = state.supervisor.step();
         if before != after {
             let text = format!("supervisor of cluster {cluster}: {before} to {after}");
             self.log(LogLevel::Info, text);
@@ -204,8 +204,8 @@
     fn run_supervisor_action(&mut self, cluster: &Name, action: SupervisorAction) {
         match action {
             SupervisorAction::AskViews => {
-                let Some(desk) = self.clusters.get(cluster) else { return };
-                for name in self.supervisors(&desk.config) {
+                let Some(state) = self.clusters.get(cluster) else { return };
+                for name in self.supervisors(&state.config) {
                     if name == self.settings.name {
                         continue;
                     }
@@ -327,10 +327,10 @@
         let names: Vec<Name> = self.clusters.keys().cloned().collect();
         for name in names {
             let due = |next: Option<Micros>| next.is_some_and(|next| next <= now);
-            if self.clusters.get(&name).is_some_and(|desk| due(desk.watch.next_timer())) {
+            if self.clusters.get(&name).is_some_and(|state| due(state.watch.next_timer())) {
                 self.handle_watch(&name, WatchEvent::Timer);
             }
-            if self.clusters.get(&name).is_some_and(|desk| due(desk.supervisor.next_timer())) {
+            if self.clusters.get(&name).is_some_and(|state| due(state.supervisor.next_timer())) {
                 self.handle_supervisor(&name, SupervisorEvent::Timer);
             }
         }
@@ -340,16 +340,16 @@
     /// first supervisor.
     pub(crate) fn move_leaders(&mut self) {
         let mut moves = Vec::new();
-        for (name, desk) in &self.clusters {
-            let view = desk.watch.view(self.now);
+        for (name, state) in &self.clusters {
+            let view = state.watch.view(self.now);
             let leaving =
-                desk.config.databases.iter().any(|database| {
+                state.config.databases.iter().any(|database| {
                     database.leaving && view.leader.as_ref() == Some(&database.name)
                 });
             let confirmed = view.confirmed_ago.is_some_and(|ago| ago < LEADER_FRESH);
             if leaving
                 && confirmed
-                && self.supervisors(&desk.config).first() == Some(&self.settings.name)
+                && self.supervisors(&state.config).first() == Some(&self.settings.name)
             {
                 moves.push((name.clone(), view.term));
             }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -189,7 +189,7 @@
         }
     }
 
-    /// Brings desks and watches in line with the configuration and the members.
+    /// Brings owned databases and watches in line with the configuration and the members.
     pub(crate) fn sync_owned(&mut self) {
         let Some(fleet) = self.fleet.active.clone() else { return };
         let own = self.settings.name.clone();
@@ -203,28 +203,28 @@
                 if owner == own {
                     owned.insert(database.name.clone());
                     watched = true;
-                    self.configure_desk(cluster, database, true, owners);
+                    self.configure_service(cluster, database, true, owners);
                 }
             }
             if watched || self.clusters.contains_key(&cluster.name) {
                 self.configure_cluster(cluster);
             }
         }
-        let mut retired: Vec<Name> = self.owner.desks.keys().cloned().collect();
+        let mut retired: Vec<Name> = self.owner.services.keys().cloned().collect();
         retired.retain(|database| !owned.contains(database));
         retired.sort();
         for database in retired {
-            self.retire_desk(&database);
+            self.retire_service(&database);
         }
         self.entry.hints.retain(|database| fleet.database(database).is_some());
         self.trim_pools();
         self.forget_clusters();
     }
 
-    /// Drops the watch of each cluster of which no desk is left.
+    /// Drops the watch of each cluster of which this node serves no database.
     pub(crate) fn forget_clusters(&mut self) {
-        let desks = &self.owner.desks;
-        self.clusters.retain(|name, _| desks.values().any(|desk| desk.cluster == *name));
+        let services = &self.owner.services;
+        self.clusters.retain(|name, _| services.values().any(|service| service.cluster == *name));
     }
 
     pub(crate) fn handle_member(&mut self, event: MemberEvent) {
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -163,8 +163,8 @@
                 // Two owners that make the table at once: one fails, and the table is there. If it is
                 // not, the insert says so.
                 // In a caller's transaction its rollback takes a table along that it made.
-                if let Some(desk) = self.owner.desks.get_mut(&database).filter(|_| !pinned) {
-                    desk.key_table = Some(term);
+                if let Some(service) = self.owner.services.get_mut(&database).filter(|_| !pinned) {
+                    service.key_table = Some(term);
                 }
                 self.insert_key(id, connection);
             }
@@ -177,8 +177,8 @@
                     Some(DUPLICATE_KEY) => AfterRollBack::Lookup,
                     Some(READ_ONLY) => AfterRollBack::Decline,
                     _ => {
-                        if let Some(desk) = self.owner.desks.get_mut(&database) {
-                            desk.key_table = None;
+                        if let Some(service) = self.owner.services.get_mut(&database) {
+                            service.key_table = None;
                         }
                         AfterRollBack::Fail(error)
                     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -50,7 +50,7 @@
     TransactionState, WorkReply, WorkRequest,
 };
 
-use cluster::{ClusterDesk, ReportUse};
+use cluster::{ClusterState, ReportUse};
 use drain::DrainState;
 use entry::EntryState;
 use fleet::FleetState;
@@ -81,7 +81,7 @@
     sessions: FastMap<SessionId, Session>,
     entry: EntryState,
     owner: OwnerState,
-    clusters: BTreeMap<Name, ClusterDesk>,
+    clusters: BTreeMap<Name, ClusterState>,
     reports: FastMap<ReportId, ReportUse>,
     accounts: CallerTable,
     counters: BTreeMap<&'static str, u64>,
@@ -236,10 +236,10 @@
         self.cluster_timers();
         let mut expired: Vec<Name> = self
             .owner
-            .desks
+            .services
             .iter()
-            .filter(|(_, desk)| {
-                [desk.queue.next_expiry(), desk.next_open()]
+            .filter(|(_, service)| {
+                [service.queue.next_expiry(), service.next_open()]
                     .into_iter()
                     .flatten()
                     .any(|due| due <= now)
@@ -296,9 +296,12 @@
         let clusters = self
             .clusters
             .values()
-            .flat_map(|desk| [desk.watch.next_timer(), desk.supervisor.next_timer()]);
-        let queues =
-            self.owner.desks.values().flat_map(|desk| [desk.queue.next_expiry(), desk.next_open()]);
+            .flat_map(|state| [state.watch.next_timer(), state.supervisor.next_timer()]);
+        let queues = self
+            .owner
+            .services
+            .values()
+            .flat_map(|service| [service.queue.next_expiry(), service.next_open()]);
         let drain = match self.drain {
             DrainState::Draining { until } => Some(until),
             DrainState::Serving | DrainState::Complete => None,
@@ -337,7 +340,7 @@
 
     /// Returns this node's view of a cluster for another supervisor; `None` if it does not watch it.
     pub fn view(&self, now: Micros, cluster: &str) -> Option<failover::LeaderView> {
-        self.clusters.get(cluster).map(|desk| desk.watch.view(now.max(self.now)))
+        self.clusters.get(cluster).map(|state| state.watch.view(now.max(self.now)))
     }
 
     fn emit(&mut self, action: NodeAction) {
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -68,10 +68,10 @@
             .keys()
             .map(|name| (name.to_string(), self.dump_cluster(now, name)))
             .collect();
-        let mut desks: Vec<&Name> = self.owner.desks.keys().collect();
-        desks.sort();
+        let mut services: Vec<&Name> = self.owner.services.keys().collect();
+        services.sort();
         let databases: Map<String, Value> =
-            desks.iter().map(|name| (name.to_string(), self.dump_desk(now, name))).collect();
+            services.iter().map(|name| (name.to_string(), self.dump_database(now, name))).collect();
         let busy = self.sessions.values().filter(|session| session.request.is_some()).count();
         json!({
             "node": self.settings.name,
@@ -95,11 +95,11 @@
     }
 
     fn dump_cluster(&self, now: Micros, name: &Name) -> Value {
-        let Some(desk) = self.clusters.get(name) else { return Value::Null };
-        let view = desk.watch.view(now);
-        let reports = desk.config.databases.iter().map(|database| {
+        let Some(state) = self.clusters.get(name) else { return Value::Null };
+        let view = state.watch.view(now);
+        let reports = state.config.databases.iter().map(|database| {
             let (age, report) =
-                (desk.watch.provable_age(now, &database.name), desk.watch.report(&database.name));
+                (state.watch.provable_age(now, &database.name), state.watch.report(&database.name));
             let lag = report.map(|(_, report)| {
                 json!({
                     "term": report.term,
@@ -121,8 +121,8 @@
             "term": view.term,
             "leader": view.leader,
             "confirmed_ms_ago": view.confirmed_ago.map(Micros::as_millis),
-            "supervisor": desk.supervisor.step(),
-            "supervisors": self.supervisors(&desk.config),
+            "supervisor": state.supervisor.step(),
+            "supervisors": self.supervisors(&state.config),
             "databases": reports.collect::<Map<String, Value>>(),
         })
     }
@@ -136,9 +136,9 @@
         Some(led.applied.0.saturating_sub(report.applied.0))
     }
 
-    fn dump_desk(&self, now: Micros, name: &Name) -> Value {
-        let Some(desk) = self.owner.desks.get(name) else { return Value::Null };
-        let stats = desk.queue.stats();
+    fn dump_database(&self, now: Micros, name: &Name) -> Value {
+        let Some(service) = self.owner.services.get(name) else { return Value::Null };
+        let stats = service.queue.stats();
         let connections =
             self.owner.connections.values().filter(|backend| backend.database == *name);
         let (mut open, mut opening, mut busy) = (0, 0, 0);
@@ -149,12 +149,12 @@
             }
             busy += u32::from(backend.work.is_some());
         }
-        let waits = RankMap(Rank::ALL.map(|rank| desk.queue.expected_wait(now, rank)));
+        let waits = RankMap(Rank::ALL.map(|rank| service.queue.expected_wait(now, rank)));
         json!({
-            "cluster": desk.cluster,
-            "owned": desk.owned,
-            "leaving": desk.config.leaving,
-            "slots": desk.config.slots,
+            "cluster": service.cluster,
+            "owned": service.owned,
+            "leaving": service.config.leaving,
+            "slots": service.config.slots,
             "queue": {
                 "waiting": by_rank(&stats.waiting),
                 "running": by_rank(&stats.running),
@@ -162,14 +162,14 @@
                 "refused": by_rank(&stats.refused),
                 "slot_time_us": by_rank(&stats.slot_time),
                 "expected_wait_us": by_rank(&waits),
-                "parked": desk.parked.len(),
+                "deferred": service.deferred.len(),
             },
             "pool": {
                 "open": open,
                 "opening": opening,
                 "busy": busy,
-                "pinned": desk.pins.len(),
-                "waiting": desk.wanting.len(),
+                "pinned": service.pins.len(),
+                "waiting": service.wanting.len(),
             },
         })
     }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -70,7 +70,7 @@
     /// Waits for a confirmed round, for a floor or for news of the primary.
     Round,
     /// Waits until another transaction ends.
-    Parked,
+    Deferred,
     /// Waits for a slot.
     Queued,
     /// Holds a slot and waits for a connection.
@@ -143,7 +143,7 @@
 
 /// A database that this node owns, or owned while work on it is in progress.
 #[derive(Debug)]
-pub(crate) struct DatabaseDesk {
+pub(crate) struct DatabaseService {
     pub cluster: Name,
     pub config: DatabaseConfig,
     pub owned: bool,
@@ -152,7 +152,7 @@
     /// Work with a slot that waits for a connection, in the order of the grants.
     pub wanting: VecDeque<WorkId>,
     /// Work that would open one transaction too many.
-    pub parked: BTreeSet<(Rank, WorkId)>,
+    pub deferred: BTreeSet<(Rank, WorkId)>,
     pub pins: FastSet<PinKey>,
     /// Work in progress that opens a transaction.
     pub begins: FastSet<WorkId>,
@@ -162,13 +162,13 @@
     pub transaction_limit: usize,
     /// Term in which the table of request keys was made.
     pub key_table: Option<Term>,
-    parked_limit: usize,
+    deferred_limit: usize,
 }
 
 /// State of the owner side.
 #[derive(Debug, Default)]
 pub(crate) struct OwnerState {
-    pub desks: FastMap<Name, DatabaseDesk>,
+    pub services: FastMap<Name, DatabaseService>,
     pub works: FastMap<WorkId, OwnerWork>,
     pub calls: FastMap<CallId, WorkId>,
     pub runs: FastMap<RunId, WorkId>,
@@ -186,7 +186,7 @@
     Round(Vec<WorkId>),
 }
 
-impl DatabaseDesk {
+impl DatabaseService {
     fn limits(
         cluster: &ClusterConfig,
         config: &DatabaseConfig,
@@ -221,8 +221,8 @@
 }
 
 impl Node {
-    /// Brings a desk in line with the configuration.
-    pub(crate) fn configure_desk(
+    /// Starts to serve an owned database, or takes over its changed configuration.
+    pub(crate) fn configure_service(
         &mut self,
         cluster: &ClusterConfig,
         config: &DatabaseConfig,
@@ -231,39 +231,39 @@
     ) {
         let Some(fleet) = self.fleet.active.clone() else { return };
         let queue = QueueConfig { slots: config.slots, ranks: fleet.ranks };
-        let pool = DatabaseDesk::limits(cluster, config, owned, owners);
-        let parked_limit = Rank::ALL.iter().map(|rank| fleet.ranks[*rank].queue_limit as usize);
-        let parked_limit = parked_limit.max().unwrap_or(0);
-        let transaction_limit = DatabaseDesk::transaction_limit(config, pool);
-        match self.owner.desks.get_mut(&config.name) {
-            Some(desk) => {
-                desk.cluster = cluster.name.clone();
-                if desk.config.address != config.address {
-                    desk.key_table = None;
+        let pool = DatabaseService::limits(cluster, config, owned, owners);
+        let deferred_limit = Rank::ALL.iter().map(|rank| fleet.ranks[*rank].queue_limit as usize);
+        let deferred_limit = deferred_limit.max().unwrap_or(0);
+        let transaction_limit = DatabaseService::transaction_limit(config, pool);
+        match self.owner.services.get_mut(&config.name) {
+            Some(service) => {
+                service.cluster = cluster.name.clone();
+                if service.config.address != config.address {
+                    service.key_table = None;
                 }
-                desk.config = config.clone();
-                desk.owned = owned;
-                desk.queue.reconfigure(queue);
-                desk.pool.reconfigure(pool);
-                desk.transaction_limit = transaction_limit;
-                desk.parked_limit = parked_limit;
+                service.config = config.clone();
+                service.owned = owned;
+                service.queue.reconfigure(queue);
+                service.pool.reconfigure(pool);
+                service.transaction_limit = transaction_limit;
+                service.deferred_limit = deferred_limit;
             }
             None if owned => {
-                let desk = DatabaseDesk {
+                let service = DatabaseService {
                     cluster: cluster.name.clone(),
                     config: config.clone(),
                     owned,
                     queue: SlotQueue::new(queue),
                     pool: ConnectionPool::new(pool),
                     wanting: VecDeque::new(),
-                    parked: BTreeSet::new(),
+                    deferred: BTreeSet::new(),
                     pins: FastSet::default(),
                     begins: FastSet::default(),
                     transaction_limit,
                     key_table: None,
-                    parked_limit,
+                    deferred_limit,
                 };
-                self.owner.desks.insert(config.name.clone(), desk);
+                self.owner.services.insert(config.name.clone(), service);
             }
             None => {}
         }
@@ -271,14 +271,14 @@
     }
 
     /// Stops serving a database: work that was not sent is declined, the rest finishes.
-    pub(crate) fn retire_desk(&mut self, database: &Name) {
-        let Some(desk) = self.owner.desks.get_mut(database) else { return };
-        if !desk.owned {
+    pub(crate) fn retire_service(&mut self, database: &Name) {
+        let Some(service) = self.owner.services.get_mut(database) else { return };
+        if !service.owned {
             return;
         }
-        desk.owned = false;
-        let limit = desk.config.connections.max(1);
-        desk.pool.reconfigure(PoolConfig { limit, keep: 0, idle_timeout: Micros::ZERO });
+        service.owned = false;
+        let limit = service.config.connections.max(1);
+        service.pool.reconfigure(PoolConfig { limit, keep: 0, idle_timeout: Micros::ZERO });
         let unsent: Vec<WorkId> = self
             .owner
             .works
@@ -351,20 +351,20 @@
 
     fn enqueue_work(&mut self, id: WorkId) {
         let Some(work) = self.owner.works.get_mut(&id) else { return };
-        let Some(desk) = self.owner.desks.get_mut(&work.request.database) else { return };
-        if work.begins() && !desk.begins.contains(&id) {
-            if desk.pins.len() + desk.begins.len() >= desk.transaction_limit {
+        let Some(service) = self.owner.services.get_mut(&work.request.database) else { return };
+        if work.begins() && !service.begins.contains(&id) {
+            if service.pins.len() + service.begins.len() >= service.transaction_limit {
                 let rank = work.request.rank;
-                if desk.parked.len() >= desk.parked_limit {
-                    let limit = u32::try_from(desk.parked_limit).unwrap_or(u32::MAX);
+                if service.deferred.len() >= service.deferred_limit {
+                    let limit = u32::try_from(service.deferred_limit).unwrap_or(u32::MAX);
                     return self.decline_work(id, DeclineReason::QueueFull { limit });
                 }
-                work.stage = WorkStage::Parked;
-                desk.parked.insert((rank, id));
+                work.stage = WorkStage::Deferred;
+                service.deferred.insert((rank, id));
                 let deadline = work.deadline;
                 return self.arm_work(id, Some(deadline));
             }
-            desk.begins.insert(id);
+            service.begins.insert(id);
         }
         let ticket = WorkTicket {
             work: id,
@@ -374,7 +374,7 @@
             selector: work.request.selector.clone(),
             in_transaction: work.pin.is_some(),
         };
-        match desk.queue.enqueue(self.now, ticket) {
+        match service.queue.enqueue(self.now, ticket) {
             Ok(()) => {
                 work.stage = WorkStage::Queued;
                 let database = work.request.database.clone();
@@ -411,26 +411,26 @@
     /// Grants slots and connections of a database.
     pub(crate) fn pump_database(&mut self, database: &Name) {
         let now = self.now;
-        let Some(desk) = self.owner.desks.get_mut(database) else { return };
-        for (id, reason) in desk.queue.expire(now) {
+        let Some(service) = self.owner.services.get_mut(database) else { return };
+        for (id, reason) in service.queue.expire(now) {
             if let Some(work) = self.owner.works.get_mut(&id) {
                 work.stage = WorkStage::Round;
                 self.refuse_work(id, reason);
             }
         }
         loop {
-            let Some(desk) = self.owner.desks.get_mut(database) else { return };
-            if desk.pins.len() + desk.begins.len() >= desk.transaction_limit {
+            let Some(service) = self.owner.services.get_mut(database) else { return };
+            if service.pins.len() + service.begins.len() >= service.transaction_limit {
                 break;
             }
-            let Some((_, id)) = desk.parked.pop_first() else { break };
+            let Some((_, id)) = service.deferred.pop_first() else { break };
             self.check_work(id);
         }
         loop {
-            let Some(desk) = self.owner.desks.get_mut(database) else { return };
-            let Some(grant) = desk.queue.grant(now) else { break };
+            let Some(service) = self.owner.services.get_mut(database) else { return };
+            let Some(grant) = service.queue.grant(now) else { break };
             let Some(work) = self.owner.works.get_mut(&grant.work) else {
-                desk.queue.finish(now, grant.work);
+                service.queue.finish(now, grant.work);
                 continue;
             };
             work.granted_at = Some(now);
@@ -438,7 +438,7 @@
             let pin = work.pin.and_then(|pin| self.owner.pins.get(&pin));
             match (work.pin, pin.map(|pin| pin.connection)) {
                 (None, _) => {
-                    desk.wanting.push_back(grant.work);
+                    service.wanting.push_back(grant.work);
                     let deadline = work.deadline;
                     self.arm_work(grant.work, Some(deadline));
                 }
@@ -449,19 +449,21 @@
             }
         }
         let mut actions = Vec::new();
-        while let Some(desk) = self.owner.desks.get_mut(database) {
-            let Some(id) = desk.wanting.front().copied() else { break };
-            let wanted = desk.wanting.len() as u32;
+        while let Some(service) = self.owner.services.get_mut(database) {
+            let Some(id) = service.wanting.front().copied() else { break };
+            let wanted = service.wanting.len() as u32;
             let next = &mut self.owner.next_connection;
-            let Some(connection) = desk.pool.take(now, wanted, next, &mut actions) else { break };
-            desk.wanting.pop_front();
+            let Some(connection) = service.pool.take(now, wanted, next, &mut actions) else {
+                break;
+            };
+            service.wanting.pop_front();
             self.dispatch_work(id, connection);
         }
         self.decline_without_pool(database);
-        if let Some(desk) = self.owner.desks.get_mut(database)
-            && !desk.owned
+        if let Some(service) = self.owner.services.get_mut(database)
+            && !service.owned
         {
-            desk.pool.trim(now, &mut actions);
+            service.pool.trim(now, &mut actions);
         }
         self.run_pool_actions(database, actions);
     }
@@ -469,12 +471,12 @@
     /// Declines work that waits for a connection while none is there and none is being opened, as after
     /// a failed open. It would hold slots for nothing.
     fn decline_without_pool(&mut self, database: &Name) {
-        let Some(desk) = self.owner.desks.get(database) else { return };
-        let stats = desk.pool.stats();
+        let Some(service) = self.owner.services.get(database) else { return };
+        let stats = service.pool.stats();
         if stats.opening + stats.idle + stats.taken > 0 {
             return;
         }
-        for id in desk.wanting.clone() {
+        for id in service.wanting.clone() {
             self.decline_work(id, DeclineReason::Unavailable);
         }
     }
@@ -484,8 +486,8 @@
         for action in actions {
             match action {
                 PoolAction::Open(connection) => {
-                    let Some(desk) = self.owner.desks.get(database) else { continue };
-                    let (address, catalog) = (desk.config.address, desk.cluster.clone());
+                    let Some(service) = self.owner.services.get(database) else { continue };
+                    let (address, catalog) = (service.config.address, service.cluster.clone());
                     self.owner.connections.insert(
                         connection,
                         BackendConnection {
@@ -518,8 +520,8 @@
         };
         backend.open = true;
         let database = backend.database.clone();
-        if let Some(desk) = self.owner.desks.get_mut(&database) {
-            desk.pool.opened(self.now, connection);
+        if let Some(service) = self.owner.services.get_mut(&database) {
+            service.pool.opened(self.now, connection);
         }
         self.steps.push_back(Step::Pump(database));
     }
@@ -528,8 +530,8 @@
     pub(crate) fn backend_lost(&mut self, connection: ConnectionId, message: &str) {
         let Some(backend) = self.owner.connections.remove(&connection) else { return };
         let database = backend.database;
-        if let Some(desk) = self.owner.desks.get_mut(&database) {
-            desk.pool.lost(self.now, connection);
+        if let Some(service) = self.owner.services.get_mut(&database) {
+            service.pool.lost(self.now, connection);
         }
         self.count("backends.lost", 1);
         if let Some(key) = backend.pin {
@@ -552,8 +554,8 @@
         let Some(work) = self.owner.works.get_mut(&id) else { return };
         let Some(granted_at) = work.granted_at.take() else { return };
         let request = &work.request;
-        let Some(desk) = self.owner.desks.get_mut(&request.database) else { return };
-        desk.queue.finish(now, id);
+        let Some(service) = self.owner.services.get_mut(&request.database) else { return };
+        service.queue.finish(now, id);
         let used = now.saturating_sub(granted_at);
         self.accounts.count(now, &request.caller, request.rank, CallerMeasure::SlotTime, used.0);
         self.steps.push_back(Step::Pump(request.database.clone()));
@@ -562,8 +564,8 @@
     /// Closes a connection that must not be used again.
     pub(crate) fn close_connection(&mut self, connection: ConnectionId) {
         let Some(backend) = self.owner.connections.remove(&connection) else { return };
-        if let Some(desk) = self.owner.desks.get_mut(&backend.database) {
-            desk.pool.lost(self.now, connection);
+        if let Some(service) = self.owner.services.get_mut(&backend.database) {
+            service.pool.lost(self.now, connection);
         }
         self.emit(NodeAction::CloseBackend { connection });
         self.steps.push_back(Step::Pump(backend.database));
@@ -571,8 +573,8 @@
 
     pub(crate) fn forget_pin(&mut self, key: PinKey) -> Option<TransactionPin> {
         let pin = self.owner.pins.remove(&key)?;
-        if let Some(desk) = self.owner.desks.get_mut(&pin.database) {
-            desk.pins.remove(&key);
+        if let Some(service) = self.owner.services.get_mut(&pin.database) {
+            service.pins.remove(&key);
         }
         self.steps.push_back(Step::Pump(pin.database.clone()));
         Some(pin)
@@ -668,18 +670,18 @@
     pub(crate) fn remove_work(&mut self, id: WorkId) -> Option<OwnerWork> {
         self.release_slot(id);
         let work = self.owner.works.remove(&id)?;
-        if let Some(desk) = self.owner.desks.get_mut(&work.request.database) {
+        if let Some(service) = self.owner.services.get_mut(&work.request.database) {
             match work.stage {
                 WorkStage::Queued => {
-                    desk.queue.cancel(id);
+                    service.queue.cancel(id);
                 }
-                WorkStage::Parked => {
-                    desk.parked.remove(&(work.request.rank, id));
+                WorkStage::Deferred => {
+                    service.deferred.remove(&(work.request.rank, id));
                 }
-                WorkStage::Granted => desk.wanting.retain(|waiting| *waiting != id),
+                WorkStage::Granted => service.wanting.retain(|waiting| *waiting != id),
                 _ => {}
             }
-            if desk.begins.remove(&id) {
+            if service.begins.remove(&id) {
                 self.steps.push_back(Step::Pump(work.request.database.clone()));
             }
         }
@@ -775,14 +777,14 @@
     /// Data age and expected wait that a reply carries as hints.
     pub(crate) fn hints_of(&self, id: WorkId) -> (Option<Micros>, Micros) {
         let Some(work) = self.owner.works.get(&id) else { return (None, Micros::ZERO) };
-        let Some(desk) = self.owner.desks.get(&work.request.database) else {
+        let Some(service) = self.owner.services.get(&work.request.database) else {
             return (None, Micros::ZERO);
         };
         let age = self
             .clusters
-            .get(&desk.cluster)
+            .get(&service.cluster)
             .and_then(|cluster| cluster.watch.provable_age(self.now, &work.request.database));
-        (age, desk.queue.expected_wait(self.now, work.request.rank))
+        (age, service.queue.expected_wait(self.now, work.request.rank))
     }
 
     pub(crate) fn forward_arrived(
@@ -839,24 +841,24 @@
         }
     }
 
-    /// Closes surplus connections of all pools and forgets desks that are no longer owned or used.
+    /// Closes surplus connections of all pools and forgets databases that are no longer owned or used.
     pub(crate) fn trim_pools(&mut self) {
-        let mut names: Vec<Name> = self.owner.desks.keys().cloned().collect();
+        let mut names: Vec<Name> = self.owner.services.keys().cloned().collect();
         names.sort();
         for name in names {
             let mut actions = Vec::new();
-            if let Some(desk) = self.owner.desks.get_mut(&name) {
-                desk.pool.trim(self.now, &mut actions);
+            if let Some(service) = self.owner.services.get_mut(&name) {
+                service.pool.trim(self.now, &mut actions);
             }
             self.run_pool_actions(&name, actions);
-            let unused = self.owner.desks.get(&name).is_some_and(|desk| {
-                !desk.owned
-                    && desk.is_unused()
+            let unused = self.owner.services.get(&name).is_some_and(|service| {
+                !service.owned
+                    && service.is_unused()
                     && !self.owner.works.values().any(|work| work.request.database == name)
                     && !self.owner.connections.values().any(|backend| backend.database == name)
             });
             if unused {
-                self.owner.desks.remove(&name);
+                self.owner.services.remove(&name);
             }
         }
     }
--- a/crates/node/src/proof.rs
+++ b/crates/node/src/proof.rs
@@ -45,13 +45,13 @@
             return Evidence::Decline(DeclineReason::Unavailable);
         };
         let database = work.request.database.clone();
-        let Some(desk) = self.owner.desks.get(&database) else {
+        let Some(service) = self.owner.services.get(&database) else {
             if work.pin.is_some() {
                 return Evidence::RollBack("the database is gone".to_string());
             }
             return Evidence::Decline(not_owner(&self.fleet, &self.members, &database));
         };
-        let watch = self.clusters.get(&desk.cluster).map(|cluster| &cluster.watch);
+        let watch = self.clusters.get(&service.cluster).map(|cluster| &cluster.watch);
         let view = watch.map(|watch| watch.view(now));
         if let Some(key) = work.pin {
             let Some(pin) = self.owner.pins.get(&key) else {
@@ -64,13 +64,13 @@
             }
             return Evidence::Ready;
         }
-        if !desk.owned {
+        if !service.owned {
             return Evidence::Decline(not_owner(&self.fleet, &self.members, &database));
         }
         let (Some(watch), Some(view)) = (watch, view) else {
             return Evidence::Decline(DeclineReason::Unavailable);
         };
-        if desk.config.leaving {
+        if service.config.leaving {
             return Evidence::Decline(DeclineReason::Unavailable);
         }
         work.term = view.term;
@@ -135,11 +135,11 @@
         work.stage = WorkStage::Round;
         let deadline = work.deadline;
         let term = work.term;
-        let Some(desk) = self.owner.desks.get(&work.request.database) else { return };
-        let cluster = desk.cluster.clone();
+        let Some(service) = self.owner.services.get(&work.request.database) else { return };
+        let cluster = service.cluster.clone();
         self.arm_work(id, Some(deadline));
         // A round that began for others in this very step serves as well.
-        if let Some((at, commit)) = self.clusters.get(&cluster).and_then(|desk| desk.asked_round)
+        if let Some((at, commit)) = self.clusters.get(&cluster).and_then(|state| state.asked_round)
             && at == self.now
             && let Some(CommitUse::Round(works)) = self.owner.commits.get_mut(&commit)
         {
@@ -148,8 +148,8 @@
         }
         let commit = CommitId(self.next_id());
         self.owner.commits.insert(commit, CommitUse::Round(vec![id]));
-        if let Some(desk) = self.clusters.get_mut(&cluster) {
-            desk.asked_round = Some((self.now, commit));
+        if let Some(state) = self.clusters.get_mut(&cluster) {
+            state.asked_round = Some((self.now, commit));
         }
         let event = WatchEvent::CommitFinished { commit, term, durable: false };
         self.handle_watch(&cluster, event);
@@ -190,8 +190,8 @@
                 (age + self.now.saturating_sub(at) > limit).then_some(DeclineReason::NoProof)
             }
             ReadProof::Primary { term } => {
-                let desk = self.owner.desks.get(&work.request.database)?;
-                let view = self.clusters.get(&desk.cluster).map(|cluster| {
+                let service = self.owner.services.get(&work.request.database)?;
+                let view = self.clusters.get(&service.cluster).map(|cluster| {
                     let view = cluster.watch.view(self.now);
                     let confirmed = view.confirmed_ago.is_some_and(|ago| ago <= LEADERSHIP_AGE);
                     (view.term, view.leader, confirmed)
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -78,8 +78,8 @@
             return;
         }
         let database = backend.database.clone();
-        if let Some(desk) = self.owner.desks.get_mut(&database) {
-            desk.pool.put(self.now, connection);
+        if let Some(service) = self.owner.services.get_mut(&database) {
+            service.pool.put(self.now, connection);
         }
         self.steps.push_back(Step::Pump(database));
     }
@@ -201,9 +201,9 @@
         if let Some(backend) = self.owner.connections.get_mut(&connection) {
             backend.pin = Some(key);
         }
-        if let Some(desk) = self.owner.desks.get_mut(&database) {
-            desk.pins.insert(key);
-            desk.begins.remove(&id);
+        if let Some(service) = self.owner.services.get_mut(&database) {
+            service.pins.insert(key);
+            service.begins.remove(&id);
         }
         let pin = TransactionPin { database, connection, term, peer, work: Some(id) };
         self.owner.pins.insert(key, pin);
@@ -223,7 +223,7 @@
         let database = work.request.database.clone();
         self.owner.commits.insert(commit, CommitUse::Work(id));
         self.arm_work(id, None);
-        let cluster = self.owner.desks.get(&database).map(|desk| desk.cluster.clone());
+        let cluster = self.owner.services.get(&database).map(|service| service.cluster.clone());
         match cluster.filter(|cluster| self.clusters.contains_key(cluster)) {
             Some(cluster) => {
                 let event = WatchEvent::CommitFinished { commit, term, durable };
@@ -327,6 +327,6 @@
 
     /// Tells whether the table of request keys was made in this term.
     pub(crate) fn key_table_ready(&self, database: &Name, term: Term) -> bool {
-        self.owner.desks.get(database).is_some_and(|desk| desk.key_table == Some(term))
+        self.owner.services.get(database).is_some_and(|service| service.key_table == Some(term))
     }
 }
--- a/crates/node/tests/random.rs
+++ b/crates/node/tests/random.rs
@@ -205,14 +205,14 @@
             let dump = trial.driver.dump(node);
             prop_assert_eq!(&dump["forwarded"], 0);
             prop_assert_eq!(&dump["sessions"]["open"], 0);
-            for desk in dump["databases"].as_object().unwrap().values() {
+            for database in dump["databases"].as_object().unwrap().values() {
                 for entry in ["pinned", "busy", "waiting", "opening"] {
-                    prop_assert_eq!(&desk["pool"][entry], 0, "{} {:#}", entry, dump);
+                    prop_assert_eq!(&database["pool"][entry], 0, "{} {:#}", entry, dump);
                 }
-                prop_assert_eq!(&desk["queue"]["parked"], 0);
+                prop_assert_eq!(&database["queue"]["deferred"], 0);
                 for rank in ["urgent", "interactive", "batch"] {
-                    prop_assert_eq!(&desk["queue"]["waiting"][rank], 0, "{:#}", dump);
-                    prop_assert_eq!(&desk["queue"]["running"][rank], 0, "{:#}", dump);
+                    prop_assert_eq!(&database["queue"]["waiting"][rank], 0, "{:#}", dump);
+                    prop_assert_eq!(&database["queue"]["running"][rank], 0, "{:#}", dump);
                 }
             }
         }
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -417,19 +417,19 @@
         let dump = driver.dump(node);
         assert_eq!(dump["forwarded"], 0, "{dump:#}");
         assert_eq!(dump["sessions"]["busy"], 0, "{dump:#}");
-        for (name, desk) in dump["databases"].as_object().unwrap() {
+        for (name, database) in dump["databases"].as_object().unwrap() {
             for (part, entry) in [
                 ("pool", "pinned"),
                 ("pool", "busy"),
                 ("pool", "waiting"),
                 ("pool", "opening"),
-                ("queue", "parked"),
+                ("queue", "deferred"),
             ] {
-                assert_eq!(desk[part][entry], 0, "{name} {part} {entry}: {dump:#}");
+                assert_eq!(database[part][entry], 0, "{name} {part} {entry}: {dump:#}");
             }
             for rank in ["urgent", "interactive", "batch"] {
-                assert_eq!(desk["queue"]["waiting"][rank], 0, "{name}: {dump:#}");
-                assert_eq!(desk["queue"]["running"][rank], 0, "{name}: {dump:#}");
+                assert_eq!(database["queue"]["waiting"][rank], 0, "{name}: {dump:#}");
+                assert_eq!(database["queue"]["running"][rank], 0, "{name}: {dump:#}");
             }
         }
     }
