--- /dev/null
+++ b/crates/node/src/entry/finish.rs
@@ -0,0 +1,271 @@
+//! Replies of owners, and the end that the caller is told.
+
+use bytes::Bytes;
+use model::SessionFloor;
+use serde_json::json;
+use stats::CallerMeasure;
+
+use super::{AttemptPath, EntryAttempt, error};
+use crate::Node;
+use crate::action::NodeAction;
+use crate::frames::{OwnAnswer, own_answer};
+use crate::id::{LaneId, SessionId};
+use crate::owner::PinKey;
+use crate::session::SessionTransaction;
+use crate::step::Step;
+use crate::work::{ErrorReply, TransactionState, WorkReply};
+
+impl Node {
+    /// The owner's reply to an attempt.
+    pub(crate) fn reply_arrived(
+        &mut self,
+        id: SessionId,
+        path: AttemptPath,
+        reply: WorkReply,
+        lane: Option<LaneId>,
+    ) {
+        let now = self.now;
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(request) = session.request.as_mut() else { return };
+        let Some(attempt) = request.attempt.take_if(|attempt| attempt.path == path) else { return };
+        request.due = None;
+        let database = attempt.database.clone();
+        let cluster = session.cluster.clone();
+        match reply {
+            WorkReply::Done { transaction, floor, lost, age, wait, .. } => {
+                let led = !request.read;
+                if let Some(instead) = lost {
+                    session.token.floors.insert(cluster.clone(), instead);
+                    session.token_changed = true;
+                    session.notices.push(lost_notice(instead));
+                }
+                if let Some(floor) = floor {
+                    session.raise_floor(floor);
+                }
+                self.entry.hints.heard(now, &database, age, wait);
+                if lost.is_some() {
+                    self.count("writes.lost", 1);
+                }
+                if led {
+                    self.leader_heard(&cluster, &database);
+                }
+                self.keep_transaction(id, &attempt, transaction, lane);
+                self.finish_request(id, None, Bytes::new());
+            }
+            WorkReply::Recorded { command_tag, error, transaction, floor } => {
+                let answer = match &command_tag {
+                    Some(tag) => own_answer(&request.request, OwnAnswer::Complete { tag }),
+                    None => Bytes::new(),
+                };
+                if let Some(floor) = floor {
+                    session.raise_floor(floor);
+                }
+                self.keep_transaction(id, &attempt, transaction, lane);
+                self.finish_request(id, error, answer);
+            }
+            WorkReply::Declined { reason, age, wait } => {
+                self.entry.hints.heard(now, &database, age, wait);
+                match session.transaction.is_some() {
+                    true => self.end_transaction(id, "a statement of it was declined"),
+                    false => self.request_declined(id, &cluster, &attempt, reason, age),
+                }
+            }
+            WorkReply::RolledBack { message } => self.end_transaction(id, &message),
+            WorkReply::Unknown { message } => {
+                let retried = request.key.is_some() && session.transaction.is_none();
+                if retried {
+                    request.maybe_ran = true;
+                    self.entry.hints.clear_leader(&cluster, &database);
+                    self.count("requests.retried", 1);
+                    self.try_elsewhere(id, &database);
+                } else {
+                    self.finish_unknown(id, &message);
+                }
+            }
+            WorkReply::ReadFailed { relayed, message } => {
+                if !request.read && (request.commits || session.transaction.is_none()) {
+                    return self.finish_unknown(id, &message);
+                }
+                if session.transaction.is_some() {
+                    return self.end_transaction(id, &message);
+                }
+                request.broke_off = true;
+                let rank = request.policy.rank;
+                let cancelled = request.cancelled;
+                self.entry.hints.avoid(now, &database);
+                if !relayed && !cancelled && self.entry.budget.take_retry(now, rank) {
+                    self.count("requests.retried", 1);
+                    self.try_elsewhere(id, &database);
+                } else {
+                    let code = if cancelled { "57014" } else { "08006" };
+                    let error = error(code, format!("the read broke off: {message}"));
+                    self.finish_request(id, Some(error), Bytes::new());
+                }
+            }
+        }
+    }
+
+    /// Keeps, or ends, the session's transaction after an answer.
+    fn keep_transaction(
+        &mut self,
+        id: SessionId,
+        attempt: &EntryAttempt,
+        state: TransactionState,
+        lane: Option<LaneId>,
+    ) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let wrote = session.request.as_ref().is_some_and(|request| request.writes)
+            || session.transaction.as_ref().is_some_and(|transaction| transaction.wrote);
+        let held_lane = session.transaction.as_ref().and_then(|transaction| transaction.lane);
+        session.transaction = (state != TransactionState::Idle).then(|| SessionTransaction {
+            database: attempt.database.clone(),
+            owner: attempt.owner.clone(),
+            lane: lane.or(held_lane),
+            state,
+            wrote,
+        });
+        if state == TransactionState::Idle
+            && let Some(lane) = held_lane.or(lane)
+        {
+            self.emit(NodeAction::DropLane { lane });
+        }
+    }
+
+    /// The session's transaction was rolled back before its COMMIT was sent.
+    pub(super) fn end_transaction(&mut self, id: SessionId, message: &str) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let cancelled = session.request.as_ref().is_some_and(|request| request.cancelled);
+        if let Some(transaction) = session.transaction.take() {
+            self.drop_transaction(id, &transaction);
+        }
+        let code = if cancelled { "57014" } else { "WK004" };
+        let error = error(code, format!("the transaction was rolled back: {message}"));
+        self.refused(id);
+        self.finish_request(id, Some(error), Bytes::new());
+    }
+
+    /// A caller asks to cancel its request in progress.
+    pub(crate) fn cancel_request(&mut self, id: SessionId) {
+        let Some(request) = self.request_mut(id) else { return };
+        request.cancelled = true;
+        match request.attempt.as_ref().map(|attempt| attempt.path) {
+            None => self.steps.push_back(Step::Route(id)),
+            Some(AttemptPath::Local(work)) => self.cancel_work(work),
+            Some(AttemptPath::Remote(call)) => self.emit(NodeAction::CancelForward { call }),
+        }
+    }
+
+    /// The session is gone: whatever comes of the attempt is not wanted.
+    pub(crate) fn abandon_attempt(&mut self, attempt: &EntryAttempt) {
+        match attempt.path {
+            AttemptPath::Local(work) => self.abandon_work(work),
+            AttemptPath::Remote(call) => {
+                self.entry.calls.remove(&call);
+                self.emit(NodeAction::CancelForward { call });
+            }
+        }
+    }
+
+    /// Releases a transaction's connection, which rolls it back.
+    pub(crate) fn drop_transaction(&mut self, id: SessionId, transaction: &SessionTransaction) {
+        match transaction.lane {
+            Some(lane) => self.emit(NodeAction::DropLane { lane }),
+            None => self.close_pin(PinKey::Session(id), "its session ended the transaction"),
+        }
+    }
+
+    /// The deadline passed, or the caller cancelled, while the request was nowhere.
+    pub(super) fn finish_not_run(&mut self, id: SessionId) {
+        let Some(request) = self.request_mut(id) else { return };
+        let ran = request.maybe_ran;
+        if request.broke_off && !request.cancelled {
+            let message = "the read broke off and its deadline passed during a retry";
+            return self.finish_request(id, Some(error("08006", message)), Bytes::new());
+        }
+        let error = match (request.cancelled, request.no_primary) {
+            _ if ran => return self.finish_unknown(id, "the deadline passed during a retry"),
+            (true, _) => error("57014", "canceling statement due to user request"),
+            (false, true) => error("WK003", "not run: the cluster has no reachable primary"),
+            (false, false) => error("WK001", "not run: the deadline passed"),
+        };
+        self.refused(id);
+        self.finish_request(id, Some(error), Bytes::new());
+    }
+
+    fn finish_unknown(&mut self, id: SessionId, message: &str) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            if let Some(transaction) = session.transaction.take()
+                && let Some(lane) = transaction.lane
+            {
+                self.emit(NodeAction::DropLane { lane });
+            }
+            if let Some(session) = self.sessions.get(&id) {
+                let (caller, rank) = (session.caller.clone(), session.policy.rank);
+                let measure = CallerMeasure::OutcomeUnknown;
+                self.accounts.count(self.now, &caller, rank, measure, 1);
+            }
+        }
+        self.count("requests.unknown", 1);
+        let error = error("08007", format!("outcome unknown: {message}"));
+        self.finish_request(id, Some(error), Bytes::new());
+    }
+
+    /// Counts a request that was not run.
+    pub(super) fn refused(&mut self, id: SessionId) {
+        self.count("requests.refused", 1);
+        if let Some(session) = self.sessions.get(&id) {
+            let (caller, rank) = (session.caller.clone(), session.policy.rank);
+            self.accounts.count(self.now, &caller, rank, CallerMeasure::Refused, 1);
+        }
+    }
+
+    /// Ends the request in progress.
+    pub(crate) fn finish_request(
+        &mut self,
+        id: SessionId,
+        error: Option<ErrorReply>,
+        frames: Bytes,
+    ) {
+        let now = self.now;
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if let Some(request) = session.request.take() {
+            let outcome = error.as_ref().map_or("done", |error| error.code.as_str());
+            session.remember(json!({
+                "selector": request.policy.selector,
+                "rank": request.policy.rank,
+                "read": request.read,
+                "database": request.route.0,
+                "reason": request.route.1,
+                "milliseconds": now.saturating_sub(request.arrived).as_millis(),
+                "outcome": outcome,
+            }));
+        }
+        let cluster = session.cluster.clone();
+        let token = std::mem::take(&mut session.token_changed)
+            .then(|| session.token.sign(&self.fleet.signing_key(self.now)))
+            .flatten();
+        let notices = std::mem::take(&mut session.notices);
+        let transaction = session.transaction_state();
+        self.entry.stop_waiting(&cluster, id);
+        self.emit(NodeAction::FinishRequest {
+            session: id,
+            token,
+            notices,
+            error,
+            frames,
+            transaction,
+        });
+        self.close_if_draining(id);
+    }
+}
+
+fn lost_notice(instead: SessionFloor) -> ErrorReply {
+    error(
+        "01000",
+        format!(
+            "a write of this session may have been lost in a change of primary; reads now start \
+             at term {} position {}",
+            instead.term, instead.position
+        ),
+    )
+}
--- /dev/null
+++ b/crates/node/src/entry/retry.rs
@@ -0,0 +1,167 @@
+//! What follows when an owner declined a request or its link broke.
+
+use bytes::Bytes;
+use model::{Micros, Name};
+use stats::CallerMeasure;
+
+use super::{AttemptPath, EntryAttempt, FLOOR_PAUSE, LONGEST_BACKOFF, error};
+use crate::Node;
+use crate::action::NodeAction;
+use crate::id::{CallId, LaneId, SessionId};
+use crate::step::Step;
+use crate::work::{DeclineReason, WorkReply};
+
+impl Node {
+    /// All databases declined: waits before the next turn.
+    pub(super) fn pause_request(&mut self, id: SessionId) {
+        let Some(request) = self.request_mut(id) else { return };
+        let pause = request.backoff;
+        request.backoff = (pause + pause).min(LONGEST_BACKOFF);
+        request.tried.clear();
+        let waits = !request.read || request.primary_only;
+        let pause = self.random.jitter(pause);
+        let retry_at = self.now + pause;
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if let Some(request) = session.request.as_mut() {
+            request.retry_at = Some(retry_at);
+        }
+        if waits {
+            let cluster = session.cluster.clone();
+            self.entry.waiting.entry(cluster).or_default().insert(id);
+        }
+        self.arm_session(id);
+    }
+
+    /// Tries the next database at once.
+    pub(super) fn try_elsewhere(&mut self, id: SessionId, database: &Name) {
+        if let Some(request) = self.request_mut(id) {
+            request.attempt = None;
+            if !request.tried.contains(database) {
+                request.tried.push(database.clone());
+            }
+        }
+        self.arm_session(id);
+        self.steps.push_back(Step::Route(id));
+    }
+
+    /// A leader is known: requests that wait for one go on.
+    pub(crate) fn leader_heard(&mut self, cluster: &Name, leader: &Name) {
+        if !self.entry.hints.set_leader(self.now, cluster, leader) {
+            return;
+        }
+        for id in self.entry.waiting.remove(cluster).unwrap_or_default() {
+            if let Some(request) = self.request_mut(id) {
+                request.retry_at = None;
+                self.steps.push_back(Step::Route(id));
+            }
+        }
+    }
+
+    pub(crate) fn forward_answered(&mut self, id: CallId, reply: WorkReply, lane: Option<LaneId>) {
+        match self.entry.calls.remove(&id) {
+            Some(call) => self.reply_arrived(call.session, AttemptPath::Remote(id), reply, lane),
+            None => {
+                if let Some(lane) = lane {
+                    self.emit(NodeAction::DropLane { lane });
+                }
+            }
+        }
+    }
+
+    pub(crate) fn forward_failed(&mut self, id: CallId, sent: bool) {
+        let Some(call) = self.entry.calls.remove(&id) else { return };
+        let Some(request) = self.request_mut(call.session) else { return };
+        let (read, commits) = (request.read, request.commits);
+        let in_transaction =
+            self.sessions.get(&call.session).is_some_and(|session| session.transaction.is_some());
+        let message = format!("the link to node {} broke", call.to);
+        let reply = if in_transaction && (!sent || !commits) {
+            WorkReply::RolledBack { message }
+        } else if !sent || (!read && !commits) {
+            // Without its lane a transaction that was about to begin is rolled back by its owner.
+            let reason = DeclineReason::Unavailable;
+            WorkReply::Declined { reason, age: None, wait: Micros::ZERO }
+        } else if read {
+            WorkReply::ReadFailed { relayed: false, message }
+        } else {
+            WorkReply::Unknown { message }
+        };
+        self.reply_arrived(call.session, AttemptPath::Remote(id), reply, None);
+    }
+
+    pub(super) fn request_declined(
+        &mut self,
+        id: SessionId,
+        cluster: &Name,
+        attempt: &EntryAttempt,
+        reason: DeclineReason,
+        age: Option<Micros>,
+    ) {
+        let now = self.now;
+        let database = attempt.database.clone();
+        self.count("requests.declined", 1);
+        let Some(request) = self.request_mut(id) else { return };
+        if request.cancelled {
+            return self.finish_not_run(id);
+        }
+        let (read, rank) = (request.read, request.policy.rank);
+        request.no_primary = false;
+        match reason {
+            DeclineReason::NoProof => {
+                request.primary_only = true;
+                let max_age = request.policy.max_age;
+                let led = self.known_leader(cluster).as_ref() == Some(&database);
+                // A provable age that would do means that only this session's floor is missing, which
+                // says nothing about the reads of others. An age that would not do is a hint already.
+                match age {
+                    None => self.entry.hints.avoid(now, &database),
+                    Some(age) if age <= max_age && !led => {
+                        if let Some(session) = self.sessions.get_mut(&id) {
+                            session.primary_until = now + FLOOR_PAUSE;
+                        }
+                    }
+                    Some(_) => {}
+                }
+                if let Some(session) = self.sessions.get(&id).filter(|_| !led) {
+                    let measure = CallerMeasure::ReplicaDeclined;
+                    self.accounts.count(now, &session.caller, rank, measure, 1);
+                }
+            }
+            DeclineReason::NotLeader { leader } => {
+                request.no_primary = true;
+                self.entry.hints.clear_leader(cluster, &database);
+                if let Some(leader) = leader.filter(|leader| *leader != database) {
+                    self.leader_heard(cluster, &leader);
+                }
+            }
+            DeclineReason::Unavailable => {
+                request.no_primary = true;
+                self.entry.hints.avoid(now, &database);
+                self.entry.hints.clear_leader(cluster, &database);
+            }
+            // Members disagree for the time of a heartbeat or two.
+            DeclineReason::NotOwner { .. } | DeclineReason::Leaving => {
+                self.entry.hints.avoid(now, &database);
+            }
+            DeclineReason::QueueFull { limit } => {
+                self.entry.hints.avoid(now, &database);
+                if !read || self.known_leader(cluster).as_ref() == Some(&database) {
+                    let message = format!("not run: the queue of {limit} requests is full");
+                    self.refused(id);
+                    return self.finish_request(id, Some(error("WK002", message)), Bytes::new());
+                }
+            }
+            DeclineReason::Deadline { expected } => {
+                self.entry.hints.avoid(now, &database);
+                if !read || self.known_leader(cluster).as_ref() == Some(&database) {
+                    let message = format!(
+                        "not run: the deadline cannot be met, the expected wait is {expected}"
+                    );
+                    self.refused(id);
+                    return self.finish_request(id, Some(error("WK001", message)), Bytes::new());
+                }
+            }
+        }
+        self.try_elsewhere(id, &database);
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/pin.rs
@@ -0,0 +1,67 @@
+//! Connections that are pinned for a transaction.
+
+use admit::WorkId;
+use model::Name;
+
+use super::{PinKey, TransactionPin};
+use crate::Node;
+use crate::id::LaneId;
+use crate::step::Step;
+
+impl Node {
+    pub(crate) fn forget_pin(&mut self, key: PinKey) -> Option<TransactionPin> {
+        let pin = self.owner.pins.remove(&key)?;
+        if let Some(service) = self.owner.services.get_mut(&pin.database) {
+            service.pins.remove(&key);
+        }
+        self.steps.push_back(Step::Pump(pin.database.clone()));
+        Some(pin)
+    }
+
+    /// Ends a pinned transaction by closing its connection, and the statement in progress on it.
+    pub(crate) fn close_pin(&mut self, key: PinKey, message: &str) {
+        let Some(pin) = self.forget_pin(key) else { return };
+        self.count("transactions.dropped", 1);
+        if let Some(id) = pin.work
+            && self.owner.works.get(&id).is_some_and(|work| work.pin == Some(key))
+        {
+            self.work_lost(id, message);
+        }
+        self.close_connection(pin.connection);
+    }
+
+    /// A peer died: its transactions roll back and its queued work is dropped.
+    pub(crate) fn release_peer(&mut self, peer: &Name) {
+        let from_peer = |other: &Option<Name>| other.as_ref() == Some(peer);
+        let mut works: Vec<WorkId> = self
+            .owner
+            .works
+            .iter()
+            .filter(|(_, work)| from_peer(&work.peer))
+            .map(|(id, _)| *id)
+            .collect();
+        works.sort();
+        for id in works {
+            self.abandon_work(id);
+        }
+        let pins: Vec<PinKey> = self
+            .owner
+            .pins
+            .iter()
+            .filter(|(_, pin)| from_peer(&pin.peer))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in pins {
+            self.close_pin(key, "the peer is gone");
+        }
+    }
+
+    /// The lane that the work's connection is pinned for.
+    pub(super) fn lane_of(&self, id: WorkId) -> Option<LaneId> {
+        let key = self.owner.works.get(&id)?.pin?;
+        match key {
+            PinKey::Lane(lane) if self.owner.pins.contains_key(&key) => Some(lane),
+            _ => None,
+        }
+    }
+}
