Split long functions of the node and drop an unused reply field

check_evidence, pump_database, reply_arrived and request_declined had 60 to 95 lines; each part that stands alone is now a function.

--- a/crates/node/src/entry/finish.rs
+++ b/crates/node/src/entry/finish.rs
@@ -1,7 +1,7 @@
 //! Replies of owners, and the end that the caller is told.
 
 use bytes::Bytes;
-use model::SessionFloor;
+use model::{Name, SessionFloor};
 use serde_json::json;
 use stats::CallerMeasure;
 
@@ -83,28 +83,36 @@
                 }
             }
             WorkReply::ReadFailed { relayed, message } => {
-                if !request.read && (request.commits || session.transaction.is_none()) {
-                    return self.finish_unknown(id, &message);
-                }
-                if session.transaction.is_some() {
-                    return self.end_transaction(id, &message);
-                }
-                request.broke_off = true;
-                let rank = request.policy.rank;
-                let cancelled = request.cancelled;
-                self.entry.hints.avoid(now, &database);
-                if !relayed && !cancelled && self.entry.budget.take_retry(now, rank) {
-                    self.count("requests.retried", 1);
-                    self.try_elsewhere(id, &database);
-                } else {
-                    let code = if cancelled { "57014" } else { "08006" };
-                    let error = error(code, format!("the read broke off: {message}"));
-                    self.finish_request(id, Some(error), Bytes::new());
-                }
+                self.answer_broke_off(id, &database, relayed, &message);
             }
         }
     }
 
+    /// The answer broke off; a read of which nothing was relayed is tried again.
+    fn answer_broke_off(&mut self, id: SessionId, database: &Name, relayed: bool, message: &str) {
+        let now = self.now;
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(request) = session.request.as_mut() else { return };
+        if !request.read && (request.commits || session.transaction.is_none()) {
+            return self.finish_unknown(id, message);
+        }
+        if session.transaction.is_some() {
+            return self.end_transaction(id, message);
+        }
+        request.broke_off = true;
+        let rank = request.policy.rank;
+        let cancelled = request.cancelled;
+        self.entry.hints.avoid(now, database);
+        if !relayed && !cancelled && self.entry.budget.take_retry(now, rank) {
+            self.count("requests.retried", 1);
+            self.try_elsewhere(id, database);
+        } else {
+            let code = if cancelled { "57014" } else { "08006" };
+            let error = error(code, format!("the read broke off: {message}"));
+            self.finish_request(id, Some(error), Bytes::new());
+        }
+    }
+
     /// Keeps, or ends, the session's transaction after an answer.
     fn keep_transaction(
         &mut self,
--- a/crates/node/src/entry/retry.rs
+++ b/crates/node/src/entry/retry.rs
@@ -104,29 +104,10 @@
         if request.cancelled {
             return self.finish_not_run(id);
         }
-        let (read, rank) = (request.read, request.policy.rank);
+        let read = request.read;
         request.no_primary = false;
         match reason {
-            DeclineReason::NoProof => {
-                request.primary_only = true;
-                let max_age = request.policy.max_age;
-                let led = self.known_leader(cluster).as_ref() == Some(&database);
-                // A provable age that would do means that only this session's floor is missing, which
-                // says nothing about the reads of others. An age that would not do is a hint already.
-                match age {
-                    None => self.entry.hints.avoid(now, &database),
-                    Some(age) if age <= max_age && !led => {
-                        if let Some(session) = self.sessions.get_mut(&id) {
-                            session.primary_until = now + FLOOR_PAUSE;
-                        }
-                    }
-                    Some(_) => {}
-                }
-                if let Some(session) = self.sessions.get(&id).filter(|_| !led) {
-                    let measure = CallerMeasure::ReplicaDeclined;
-                    self.accounts.count(now, &session.caller, rank, measure, 1);
-                }
-            }
+            DeclineReason::NoProof => self.proof_missing(id, cluster, &database, age),
             DeclineReason::NotLeader { leader } => {
                 request.no_primary = true;
                 self.entry.hints.clear_leader(cluster, &database);
@@ -164,4 +145,31 @@
         }
         self.try_elsewhere(id, &database);
     }
+
+    /// The database could not prove what the read needs; the next try is at the primary.
+    fn proof_missing(
+        &mut self,
+        id: SessionId,
+        cluster: &Name,
+        database: &Name,
+        age: Option<Micros>,
+    ) {
+        let now = self.now;
+        let led = self.known_leader(cluster).as_ref() == Some(database);
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(request) = session.request.as_mut() else { return };
+        request.primary_only = true;
+        let (max_age, rank) = (request.policy.max_age, request.policy.rank);
+        // A provable age that would do means that only this session's floor is missing, which says
+        // nothing about the reads of others. An age that would not do is a hint already.
+        match age {
+            None => self.entry.hints.avoid(now, database),
+            Some(age) if age <= max_age && !led => session.primary_until = now + FLOOR_PAUSE,
+            Some(_) => {}
+        }
+        if !led {
+            let measure = CallerMeasure::ReplicaDeclined;
+            self.accounts.count(now, &session.caller, rank, measure, 1);
+        }
+    }
 }
--- a/crates/node/src/owner/admission.rs
+++ b/crates/node/src/owner/admission.rs
@@ -135,16 +135,43 @@
                 self.refuse_work(id, reason);
             }
         }
-        loop {
-            let Some(service) = self.owner.services.get_mut(database) else { return };
+        self.resume_deferred(database);
+        self.grant_slots(database);
+        let mut actions = Vec::new();
+        while let Some(service) = self.owner.services.get_mut(database) {
+            let Some(id) = service.wanting.front().copied() else { break };
+            let wanted = service.wanting.len() as u32;
+            let next = &mut self.owner.next_connection;
+            let Some(connection) = service.pool.take(now, wanted, next, &mut actions) else {
+                break;
+            };
+            service.wanting.pop_front();
+            self.dispatch_work(id, connection);
+        }
+        self.decline_without_pool(database);
+        if let Some(service) = self.owner.services.get_mut(database)
+            && !service.owned
+        {
+            service.pool.trim(now, &mut actions);
+        }
+        self.run_pool_actions(database, actions);
+    }
+
+    /// Queues work that waited until another transaction ended.
+    fn resume_deferred(&mut self, database: &Name) {
+        while let Some(service) = self.owner.services.get_mut(database) {
             if service.pins.len() + service.begins.len() >= service.transaction_limit {
                 break;
             }
             let Some((_, id)) = service.deferred.pop_first() else { break };
             self.check_work(id);
         }
-        loop {
-            let Some(service) = self.owner.services.get_mut(database) else { return };
+    }
+
+    /// Grants free slots. Work in a transaction has its connection and is sent at once.
+    fn grant_slots(&mut self, database: &Name) {
+        let now = self.now;
+        while let Some(service) = self.owner.services.get_mut(database) {
             let Some(grant) = service.queue.grant(now) else { break };
             let Some(work) = self.owner.works.get_mut(&grant.work) else {
                 service.queue.finish(now, grant.work);
@@ -165,24 +192,6 @@
                 }
             }
         }
-        let mut actions = Vec::new();
-        while let Some(service) = self.owner.services.get_mut(database) {
-            let Some(id) = service.wanting.front().copied() else { break };
-            let wanted = service.wanting.len() as u32;
-            let next = &mut self.owner.next_connection;
-            let Some(connection) = service.pool.take(now, wanted, next, &mut actions) else {
-                break;
-            };
-            service.wanting.pop_front();
-            self.dispatch_work(id, connection);
-        }
-        self.decline_without_pool(database);
-        if let Some(service) = self.owner.services.get_mut(database)
-            && !service.owned
-        {
-            service.pool.trim(now, &mut actions);
-        }
-        self.run_pool_actions(database, actions);
     }
 
     /// Declines work that waits for a connection while none is there and none is being opened, as after
--- a/crates/node/src/proof.rs
+++ b/crates/node/src/proof.rs
@@ -1,6 +1,6 @@
 //! Evidence that work needs before it is sent and before its answer is relayed.
 
-use failover::{CommitId, FloorState, WatchEvent};
+use failover::{ClusterWatch, CommitId, FloorState, WatchEvent};
 use model::{Micros, Name, Term};
 
 use crate::Node;
@@ -87,45 +87,7 @@
         if !work.request.read {
             return Evidence::Ready;
         }
-        if work.request.floor.is_none()
-            && work.sampled.is_none()
-            && let Some(ago) = work.request.arrived_ago
-        {
-            let since = work.arrived.saturating_sub(ago);
-            work.sampled = watch.confirmed_floor(since);
-            if work.sampled.is_none() {
-                return wait_or_decline(work);
-            }
-        }
-        let primary = leads && confirmed;
-        if let Some(floor) = work.lost.or(work.request.floor).or(work.sampled) {
-            let mut state = watch.floor_state(&database, floor);
-            // Terms never decrease, so this round shows that the cluster was rebuilt or the floor is
-            // not its own.
-            if floor.term > view.term && watch.confirmed_floor(work.arrived).is_some() {
-                state = FloorState::Lost { instead: watch.term_floor() };
-            }
-            if let FloorState::Lost { instead } | FloorState::Uncertain { instead } = state {
-                work.lost = Some(instead);
-                state = watch.floor_state(&database, instead);
-            }
-            match state {
-                FloorState::Met => {}
-                _ if primary => return wait_or_decline(work),
-                _ => return Evidence::Decline(DeclineReason::NoProof),
-            }
-        }
-        if primary {
-            work.proof = Some(ReadProof::Primary { term: view.term });
-            return Evidence::Ready;
-        }
-        match (work.request.max_age, watch.provable_age(now, &database)) {
-            (Some(limit), Some(age)) if age <= limit => {
-                work.proof = Some(ReadProof::Replica { age, at: now, limit });
-                Evidence::Ready
-            }
-            _ => Evidence::Decline(DeclineReason::NoProof),
-        }
+        check_read(work, watch, now, leads && confirmed)
     }
 
     /// Has the work wait for a confirmed round that begins now or later.
@@ -213,6 +175,51 @@
     }
 }
 
+/// Tells whether a read may be sent, and keeps the proof. `primary` tells that the database leads and
+/// was confirmed lately.
+fn check_read(work: &mut OwnerWork, watch: &ClusterWatch, now: Micros, primary: bool) -> Evidence {
+    let term = watch.view(now).term;
+    let database = work.request.database.clone();
+    if work.request.floor.is_none()
+        && work.sampled.is_none()
+        && let Some(ago) = work.request.arrived_ago
+    {
+        let since = work.arrived.saturating_sub(ago);
+        work.sampled = watch.confirmed_floor(since);
+        if work.sampled.is_none() {
+            return wait_or_decline(work);
+        }
+    }
+    if let Some(floor) = work.lost.or(work.request.floor).or(work.sampled) {
+        let mut state = watch.floor_state(&database, floor);
+        // Terms never decrease, so this round shows that the cluster was rebuilt or the floor is
+        // not its own.
+        if floor.term > term && watch.confirmed_floor(work.arrived).is_some() {
+            state = FloorState::Lost { instead: watch.term_floor() };
+        }
+        if let FloorState::Lost { instead } | FloorState::Uncertain { instead } = state {
+            work.lost = Some(instead);
+            state = watch.floor_state(&database, instead);
+        }
+        match state {
+            FloorState::Met => {}
+            _ if primary => return wait_or_decline(work),
+            _ => return Evidence::Decline(DeclineReason::NoProof),
+        }
+    }
+    if primary {
+        work.proof = Some(ReadProof::Primary { term });
+        return Evidence::Ready;
+    }
+    match (work.request.max_age, watch.provable_age(now, &database)) {
+        (Some(limit), Some(age)) if age <= limit => {
+            work.proof = Some(ReadProof::Replica { age, at: now, limit });
+            Evidence::Ready
+        }
+        _ => Evidence::Decline(DeclineReason::NoProof),
+    }
+}
+
 fn wait_or_decline(work: &OwnerWork) -> Evidence {
     match work.rounds < ROUND_LIMIT {
         true => Evidence::WaitRound,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -160,7 +160,7 @@
         let Some(work) = self.owner.works.get(&id) else { return };
         let (lost, floor) = (work.lost, floor.or(work.sampled));
         let (age, wait) = self.hints_of(id);
-        let reply = WorkReply::Done { transaction, floor, lost, repeated: false, age, wait };
+        let reply = WorkReply::Done { transaction, floor, lost, age, wait };
         self.reply_work(id, reply);
     }
 
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -118,8 +118,6 @@
         floor: Option<SessionFloor>,
         /// Write of the session that was lost in a change of primary; the floor to use instead.
         lost: Option<SessionFloor>,
-        /// The request key was already recorded; the first outcome was returned.
-        repeated: bool,
         /// Data age that the owner can prove now, a hint for later choices.
         age: Option<Micros>,
         /// Expected wait for a slot, a hint for later choices.
--- a/crates/rpc/src/codec.rs
+++ b/crates/rpc/src/codec.rs
@@ -269,7 +269,7 @@
 
 pub(crate) fn write_reply(mut builder: wire::reply::Builder<'_>, reply: &WorkReply) {
     match reply {
-        WorkReply::Done { transaction, floor, lost, repeated, age, wait } => {
+        WorkReply::Done { transaction, floor, lost, age, wait } => {
             let mut done = builder.init_done();
             done.set_transaction(write_transaction(*transaction));
             if let Some(floor) = floor {
@@ -278,7 +278,6 @@
             if let Some(lost) = lost {
                 write_floor(done.reborrow().init_lost(), *lost);
             }
-            done.set_repeated(*repeated);
             done.set_wait(wait.0);
             write_time(done.init_age(), *age);
         }
@@ -325,7 +324,6 @@
                 true => Some(read_floor(done.get_lost()?)),
                 false => None,
             },
-            repeated: done.get_repeated(),
             age: read_time(done.get_age()?)?,
             wait: Micros(done.get_wait()),
         },
--- a/crates/rpc/tests/peers.rs
+++ b/crates/rpc/tests/peers.rs
@@ -109,7 +109,6 @@
         transaction: TransactionState::Open,
         floor: None,
         lost: Some(SessionFloor { term: Term(2), position: LogPosition(5) }),
-        repeated: false,
         age: None,
         wait: Micros(12),
     }
