Make the promotion model's checks cheaper

The profile showed most time in searches and comparisons of whole logs for each age proof, floor and acknowledgement. An entry stands at one place in every log that has it, so one look at that place tells the same; the model now asserts the property behind it whenever it extends a log.

--- a/crates/failover/tests/support/mod.rs
+++ b/crates/failover/tests/support/mod.rs
@@ -120,6 +120,11 @@
     index: u64,
     next_id: u64,
     terms: BTreeMap<u64, TermTruth>,
+    /// Where an entry stands in each log that has it. Logs that agree at one index agree before it,
+    /// because entries of a term come from one primary, so one look replaces a search of the log.
+    places: HashMap<Entry, usize>,
+    /// The first entry of each commit.
+    commits: HashMap<u64, Entry>,
     /// Entry and arrival of the response, by commit.
     responses: HashMap<u64, u64>,
     durable: Vec<Entry>,
@@ -139,6 +144,19 @@
     Name::from(format!("{prefix}{index}"))
 }
 
+/// Length of the part that two logs share.
+fn common_length(left: &[(Entry, u64)], right: &[(Entry, u64)]) -> usize {
+    let (mut low, mut high) = (0, left.len().min(right.len()));
+    while low < high {
+        let middle = low + (high - low) / 2;
+        match left[middle].0 == right[middle].0 {
+            true => low = middle + 1,
+            false => high = middle,
+        }
+    }
+    low
+}
+
 fn index_of(name: &str) -> usize {
     name[1..].parse().unwrap()
 }
@@ -187,6 +205,8 @@
             index: 0,
             next_id: 1,
             terms: BTreeMap::new(),
+            places: HashMap::new(),
+            commits: HashMap::new(),
             responses: HashMap::new(),
             durable: Vec::new(),
             floors: Vec::new(),
@@ -512,6 +532,9 @@
                     return;
                 }
                 let entry = (database.term, id);
+                self.places.entry(entry).or_insert(database.log.len());
+                let first = self.commits.entry(id).or_insert(entry);
+                *first = (*first).min(entry);
                 Rc::make_mut(&mut database.log).push(entry);
                 database.applied = database.log.len();
                 let now = self.now;
@@ -526,7 +549,7 @@
         let log = self.databases[index].log.clone();
         // A late order may still promote a database in an older term than the entries; it leads nobody.
         let mut older = self.durable.iter().filter(|entry| entry.0 < term);
-        if let Some(lost) = older.find(|entry| !log.contains(entry)).copied() {
+        if let Some(lost) = older.find(|entry| !self.holds(&log, entry)).copied() {
             self.fail(format!("term {term} lacks the durable entry {lost:?}"));
         }
         let now = self.now;
@@ -550,6 +573,12 @@
             own.truncate(common);
             database.synced = true;
         }
+        // `places` relies on logs that agree up to where one is extended.
+        if let Some(last) = own.len().checked_sub(1)
+            && let Some(entry) = log.get(last)
+        {
+            assert_eq!(own[last], *entry, "the model extends a log that differs");
+        }
         let until = (own.len() + limit).min(log.len());
         if own.len() < until {
             own.extend_from_slice(&log[own.len()..until]);
@@ -642,14 +671,7 @@
     fn check_acknowledgement(&mut self, id: u64, floor: SessionFloor) {
         self.acknowledged += 1;
         let response = self.responses[&id];
-        let found = self.terms.values().find_map(|truth| {
-            truth
-                .log
-                .iter()
-                .find(|((_, entry), at)| *entry == id && *at > 0)
-                .map(|(entry, _)| *entry)
-        });
-        let entry = found.unwrap();
+        let entry = self.commits[&id];
         let newer = self
             .terms
             .iter()
@@ -665,7 +687,8 @@
         if id.is_multiple_of(2) {
             self.durable.push(entry);
             let lacking = self.terms.iter().find(|(term, truth)| {
-                **term > entry.0 && !truth.log.iter().any(|(other, _)| *other == entry)
+                let at = self.places[&entry];
+                **term > entry.0 && truth.log.get(at).is_none_or(|(other, _)| *other != entry)
             });
             if let Some((term, _)) = lacking {
                 let text = format!("term {term} lacks the entry {entry:?} acknowledged as durable");
@@ -674,6 +697,11 @@
         }
     }
 
+    /// Whether a log has an entry.
+    fn holds(&self, log: &[Entry], entry: &Entry) -> bool {
+        log.get(self.places[entry]) == Some(entry)
+    }
+
     /// Whether the log of `term` has the entry at the floor's position. The position may be past the
     /// write, because it is the primary's at a later round.
     fn is_position_kept(&self, floor: SessionFloor, term: u64) -> bool {
@@ -701,25 +729,15 @@
                 let since = self.now - age.0;
                 let office = self.terms.iter().rfind(|(_, truth)| truth.promoted_at < since);
                 if let Some((term, truth)) = office {
-                    let required: Vec<Entry> = truth
-                        .log
-                        .iter()
-                        .filter(|(_, at)| *at < since)
-                        .map(|(entry, _)| *entry)
-                        .collect();
-                    let current = &self.terms[&watch_term].log;
-                    let survives = required
-                        .iter()
-                        .zip(current)
-                        .take_while(|(left, (right, _))| *left == right)
-                        .count();
-                    let needed =
-                        if *term > watch_term { &required[..] } else { &required[..survives] };
-                    if !held.starts_with(needed) {
+                    let mut needed = truth.log.partition_point(|(_, at)| *at < since);
+                    if *term <= watch_term {
+                        needed = common_length(&truth.log[..needed], &self.terms[&watch_term].log);
+                    }
+                    let last = needed.checked_sub(1).map(|last| (truth.log[last].0, last));
+                    if last.is_some_and(|(entry, at)| held.get(at) != Some(&entry)) {
                         let text = format!(
                             "age {age} proved for {database} holding {applied} of term \
-                             {watch_term}, but term {term} had {} then",
-                            needed.len()
+                             {watch_term}, but term {term} had {needed} then"
                         );
                         self.fail(text);
                         return;
@@ -731,7 +749,7 @@
                 let back = self.random(count) as usize;
                 let (floor, entry) = self.floors[self.floors.len() - 1 - back];
                 match self.nodes[node].watch.floor_state(&database, floor) {
-                    FloorState::Met if !held.contains(&entry) => {
+                    FloorState::Met if !self.holds(held, &entry) => {
                         self.fail(format!("floor {floor:?} met at {database} without {entry:?}"));
                         return;
                     }
