Tell a COMMIT on an ended link from one that may have run

A statement for a lane whose link had ended counted as sent, so a COMMIT after the death of the owner gave 08007. It is now reported as not sent and the caller gets WK004.

--- /dev/null
+++ b/crates/daemon/tests/consistency.rs
@@ -0,0 +1,391 @@
+//! Sessions read their own writes, and no answer is older than the age its caller accepts.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+mod sessions;
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use common::{Proxy, rows, wait_until};
+use fake::fakedb::GroupOptions;
+use postgres::Client;
+use serde_json::json;
+use sessions::{CallerAnswer, FleetSetup, RawCaller, SessionFleet, run};
+
+/// Age that selectors of these tests accept, unless the session accepts less.
+const SELECTOR_AGE: Duration = Duration::from_secs(20);
+
+/// Time between the check of an answer's age at the first byte and the test's clock. The checks use
+/// the proxy's clock readings before that, and this machine may be busy.
+const CLOCK_SLACK: Duration = Duration::from_millis(250);
+
+/// Two data centres with a proxy each; writers are urgent and reads interactive.
+fn setup(group: GroupOptions) -> FleetSetup {
+    FleetSetup {
+        group,
+        proxies: vec!["dc1", "dc2"],
+        databases: vec!["dc1", "dc2", "dc2"],
+        selectors: json!([
+            { "name": "writes", "matches": "application=writer", "rank": "urgent",
+              "deadline_ms": 10_000, "durable": true },
+            { "name": "reads", "matches": "", "rank": "interactive", "deadline_ms": 10_000,
+              "max_age_ms": SELECTOR_AGE.as_millis() as u64, "durable": true },
+        ]),
+    }
+}
+
+fn group() -> GroupOptions {
+    GroupOptions::new("billing", 3)
+}
+
+/// Lets the replicas receive at once and apply late.
+fn set_lag(fleet: &SessionFleet, lag: Duration) {
+    for name in ["billing-2", "billing-3"] {
+        fleet.group.set_lag(name, Duration::ZERO, lag).unwrap();
+    }
+}
+
+fn writer(proxy: &Proxy) -> Client {
+    proxy.try_connect("billing", "-c application_name=writer").unwrap()
+}
+
+fn create_ticks(client: &mut Client) {
+    client.batch_execute("CREATE TABLE ticks (id bigint, n bigint)").unwrap();
+    client.batch_execute("INSERT INTO ticks VALUES (1, 0)").unwrap();
+}
+
+fn write_tick(client: &mut Client, n: i64) -> CallerAnswer {
+    run(client, &format!("UPDATE ticks SET n = {n} WHERE id = 1"))
+}
+
+fn read_tick(client: &mut Client) -> Result<i64, String> {
+    let found = rows(client, "SELECT n FROM ticks WHERE id = 1")?;
+    Ok(found[0][0].as_ref().unwrap().parse().unwrap())
+}
+
+fn token(client: &mut Client) -> String {
+    rows(client, "SHOW cicadawick.token").unwrap()[0][0].clone().unwrap()
+}
+
+fn connect_with(proxy: &Proxy, token: &str) -> Client {
+    proxy.try_connect("billing", &format!("-c cicadawick.token={token}")).unwrap()
+}
+
+#[test]
+fn own_writes_are_read_while_replicas_lag() {
+    let fleet = SessionFleet::start(setup(group()));
+    let (near, far) = (&fleet.proxies[0], &fleet.proxies[1]);
+    let mut client = near.connect();
+    create_ticks(&mut client);
+    set_lag(&fleet, Duration::from_secs(3));
+    // The round trip to the primary is longer than that to the replicas, so that a replica's answer
+    // would win any race.
+    let way = Duration::from_millis(2);
+    fleet.links.set_delay("billing-1", way, way).unwrap();
+    let mut absent = far.connect();
+    for n in 1..=60 {
+        assert_eq!(write_tick(&mut client, n), CallerAnswer::Done(1));
+        assert_eq!(read_tick(&mut client), Ok(n), "own write through the same proxy");
+        let token = token(&mut client);
+        assert_eq!(read_tick(&mut connect_with(far, &token)), Ok(n), "token at start-up");
+        let set = format!("SET cicadawick.token = '{token}'");
+        absent.batch_execute(&set).unwrap();
+        assert_eq!(read_tick(&mut absent), Ok(n), "token by SET");
+
+        // A token that cannot be trusted counts as absent; the session then sees all that was
+        // acknowledged before it arrived.
+        let mut forged = token.clone().into_bytes();
+        let at = n as usize % forged.len();
+        forged[at] = if forged[at] == b'A' { b'B' } else { b'A' };
+        let forged = String::from_utf8(forged).unwrap();
+        let cut = &token[..token.len() - 1 - n as usize % (token.len() - 1)];
+        for bad in [forged.as_str(), cut] {
+            if bad.is_empty() {
+                continue;
+            }
+            assert_eq!(read_tick(&mut connect_with(far, bad)), Ok(n), "token {bad} of {token}");
+            let mut present = far.connect();
+            present.batch_execute(&format!("SET cicadawick.token = '{bad}'")).unwrap();
+            assert_eq!(read_tick(&mut present), Ok(n), "SET of {bad}");
+        }
+        assert_eq!(read_tick(&mut far.connect()), Ok(n), "no token");
+    }
+}
+
+#[test]
+fn tokens_outlive_a_change_of_keys() {
+    let fleet = SessionFleet::start(setup(group()));
+    let (near, far) = (&fleet.proxies[0], &fleet.proxies[1]);
+    let mut client = near.connect();
+    create_ticks(&mut client);
+    set_lag(&fleet, Duration::from_secs(3));
+    assert_eq!(write_tick(&mut client, 1), CallerAnswer::Done(1));
+    let old = token(&mut client);
+    let keys = |revision: u64, ids: &[u32]| {
+        let list: Vec<_> = ids
+            .iter()
+            .map(|id| json!({ "id": id, "secret": format!("{id:02x}").repeat(32) }))
+            .map(|mut key| {
+                if key["id"] == 1 {
+                    key["secret"] = json!("5a".repeat(32));
+                }
+                key
+            })
+            .collect();
+        json!({ "revision": revision, "keys": list })
+    };
+    // With both keys the old token is valid; with the new key alone it counts as absent.
+    for (revision, ids, is_valid) in [(2, &[1, 2][..], true), (3, &[2][..], false)] {
+        let stored = fleet.platform_client().get("cicadawick/token-keys").unwrap().unwrap();
+        fleet.put_keys(&keys(revision, ids), stored.modify_index);
+        let mut changed = String::new();
+        wait_until("the keys are in force", || {
+            assert_eq!(write_tick(&mut client, 2), CallerAnswer::Done(1));
+            changed = token(&mut client);
+            let mut other = RawCaller::open(far);
+            other.query(&format!("SET cicadawick.token = '{changed}'"));
+            let accepted = !other.transcript().contains("is ignored");
+            let mut other = RawCaller::open(far);
+            other.query(&format!("SET cicadawick.token = '{old}'"));
+            accepted && changed != old && other.transcript().contains("is ignored") != is_valid
+        });
+        assert_eq!(read_tick(&mut connect_with(far, &changed)), Ok(2));
+        assert_eq!(read_tick(&mut connect_with(far, &old)), Ok(2), "{ids:?}");
+    }
+}
+
+#[test]
+fn own_writes_are_read_during_a_change_of_primary() {
+    let fleet = SessionFleet::start(setup(group()));
+    let (near, far) = (&fleet.proxies[0], &fleet.proxies[1]);
+    let mut client = near.connect();
+    create_ticks(&mut client);
+    set_lag(&fleet, Duration::from_secs(1));
+    let started = Instant::now();
+    let mut killed = None;
+    let (mut acknowledged, mut failed) = (0, 0);
+    let mut n = 0;
+    loop {
+        n += 1;
+        if killed.is_none() && started.elapsed() > Duration::from_millis(400) {
+            fleet.group.kill("billing-1").unwrap();
+            killed = Some(Instant::now());
+        }
+        let CallerAnswer::Done(_) = write_tick(&mut client, n) else {
+            failed += 1;
+            continue;
+        };
+        acknowledged += 1;
+        assert_eq!(read_tick(&mut client), Ok(n), "next read of the session");
+        let token = token(&mut client);
+        assert_eq!(read_tick(&mut connect_with(far, &token)), Ok(n), "read with the token");
+        if killed.is_some_and(|killed| killed.elapsed() > Duration::from_secs(4)) {
+            break;
+        }
+    }
+    let primary = fleet.group.primary().unwrap();
+    assert_ne!(primary, "billing-1", "no change of primary took place");
+    println!("{acknowledged} acknowledged writes were read back, {failed} writes failed");
+}
+
+/// When each tick was acknowledged; index 0 is the state before the first tick.
+#[derive(Default)]
+struct TickLog(Mutex<Vec<Instant>>);
+
+impl TickLog {
+    /// Age at `at` of an answer that shows tick `n`: the time since the first write that it lacks.
+    fn age(&self, n: i64, at: Instant) -> Duration {
+        let ticks = self.0.lock().unwrap();
+        let missing = ticks.get(usize::try_from(n).unwrap() + 1);
+        missing.map_or(Duration::ZERO, |missing| at.saturating_duration_since(*missing))
+    }
+}
+
+/// What the readers of one phase saw.
+#[derive(Default)]
+struct PhaseResult {
+    reads: u64,
+    failed: u64,
+    stale: u64,
+    oldest: Duration,
+    /// Share of the reads that got a slot at a replica.
+    replica_share: f64,
+}
+
+/// Reads granted a slot at the primary and at the replicas.
+fn granted(fleet: &SessionFleet) -> (u64, u64) {
+    let (mut primary, mut replicas) = (0, 0);
+    for proxy in &fleet.proxies {
+        let dump = proxy.get("/v1/dump");
+        for (name, database) in dump["databases"].as_object().unwrap() {
+            let count = database["queue"]["granted"]["interactive"].as_u64().unwrap_or(0);
+            if name == "billing-1" { primary += count } else { replicas += count }
+        }
+    }
+    (primary, replicas)
+}
+
+/// Reads with an accepted age from both proxies, and measures the age of each answer. Four sessions
+/// stay open; a fifth caller opens a new one for each few reads, as most callers of a fleet do. The
+/// share of replica reads is measured after `settle`, when the sessions' floors are reached, and while
+/// `disturb` runs.
+fn read_phase(
+    fleet: &SessionFleet,
+    ticks: &TickLog,
+    accepted: Duration,
+    settle: Duration,
+    disturb: impl FnOnce(),
+) -> PhaseResult {
+    let result = Mutex::new(PhaseResult::default());
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let _stop = StopGuard(&stop);
+        for number in 0..5 {
+            let (result, stop) = (&result, &stop);
+            let proxy = &fleet.proxies[number % 2];
+            scope.spawn(move || {
+                while !stop.load(Ordering::SeqCst) {
+                    let mut client = proxy.connect();
+                    let set = format!("SET cicadawick.max_age = '{}ms'", accepted.as_millis());
+                    client.batch_execute(&set).unwrap();
+                    for _ in 0..if number < 4 { usize::MAX } else { 5 } {
+                        if stop.load(Ordering::SeqCst) {
+                            return;
+                        }
+                        let read = read_tick(&mut client);
+                        let at = Instant::now();
+                        let mut result = result.lock().unwrap();
+                        match read {
+                            Ok(n) => {
+                                let age = ticks.age(n, at);
+                                result.reads += 1;
+                                result.stale += u64::from(age > accepted + CLOCK_SLACK);
+                                result.oldest = result.oldest.max(age);
+                            }
+                            Err(_) => result.failed += 1,
+                        }
+                        drop(result);
+                        std::thread::sleep(Duration::from_millis(2));
+                    }
+                }
+            });
+        }
+        std::thread::sleep(settle);
+        let before = granted(fleet);
+        disturb();
+        let after = granted(fleet);
+        let (primary, replicas) = (after.0 - before.0, after.1 - before.1);
+        result.lock().unwrap().replica_share = replicas as f64 / (primary + replicas).max(1) as f64;
+    });
+    result.into_inner().unwrap()
+}
+
+/// Measures the share of replica reads against lag, and disturbs the replicas.
+fn measure_ages(slots: u32, connections: u32, way: Duration) {
+    const ACCEPTED: Duration = Duration::from_millis(1_000);
+    let mut options = group();
+    (options.slots, options.connections) = (slots, connections);
+    let fleet = SessionFleet::start(setup(options));
+    let mut client = writer(&fleet.proxies[0]);
+    create_ticks(&mut client);
+    for name in fleet.group.names() {
+        fleet.links.set_delay(name, way, way).unwrap();
+    }
+    let ticks = TickLog(Mutex::new(vec![Instant::now()]));
+    let stop = AtomicBool::new(false);
+    let title = format!("{slots} slots, {connections} connections, {way:?} one way");
+    let mut stale = 0;
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut n = 0;
+            while !stop.load(Ordering::SeqCst) {
+                // Only the first answer counts; a tick that failed is written again.
+                while write_tick(&mut client, n + 1) != CallerAnswer::Done(1) {}
+                n += 1;
+                ticks.0.lock().unwrap().push(Instant::now());
+                std::thread::sleep(Duration::from_millis(4));
+            }
+        });
+        // Ends the writer also when an assertion fails, so that the scope does not wait forever.
+        let _stop = StopGuard(&stop);
+        let mut report = |name: &str, result: &PhaseResult| {
+            stale += result.stale;
+            println!(
+                "{title}; {name}: {} reads, {} failed, {:.0}% by replicas, oldest {:.0} ms, {} stale",
+                result.reads,
+                result.failed,
+                100.0 * result.replica_share,
+                result.oldest.as_secs_f64() * 1e3,
+                result.stale
+            );
+        };
+        for lag in [0, 100, 300, 600, 900, 2_000, 30_000] {
+            let lag = Duration::from_millis(lag);
+            set_lag(&fleet, lag);
+            // After a change of the lag replicas are first as old as before.
+            let settle = ACCEPTED + Duration::from_millis(200);
+            let measure = Duration::from_millis(400);
+            let result =
+                read_phase(&fleet, &ticks, ACCEPTED, settle, || std::thread::sleep(measure));
+            report(&format!("lag {lag:?}"), &result);
+            assert!(result.reads > 0);
+            assert_eq!(result.failed, 0, "reads failed at a lag of {lag:?}");
+            // New sessions, whose floors no replica has reached, do not keep the others away.
+            let expected = if lag <= ACCEPTED / 3 { 0.6 } else { 0.0 };
+            assert!(result.replica_share >= expected, "at a lag of {lag:?}");
+        }
+        set_lag(&fleet, Duration::from_millis(100));
+        let settle = Duration::from_millis(1_500);
+        let pause = Duration::from_millis(1_500);
+        // The freeze meets reads between dispatch and first byte.
+        let result = read_phase(&fleet, &ticks, ACCEPTED, settle, || {
+            fleet.group.freeze("billing-2").unwrap();
+            fleet.group.freeze("billing-3").unwrap();
+            std::thread::sleep(pause);
+            fleet.group.thaw("billing-2").unwrap();
+            fleet.group.thaw("billing-3").unwrap();
+            std::thread::sleep(pause / 3);
+        });
+        report("replicas frozen for 1.5 s", &result);
+        // Only the answers are held, and arrive long after the statement ran.
+        let result = read_phase(&fleet, &ticks, ACCEPTED, settle, || {
+            fleet.links.set_frozen("billing-2", true).unwrap();
+            fleet.links.set_frozen("billing-3", true).unwrap();
+            std::thread::sleep(pause);
+            fleet.links.set_frozen("billing-2", false).unwrap();
+            fleet.links.set_frozen("billing-3", false).unwrap();
+            std::thread::sleep(pause / 3);
+        });
+        report("links to the replicas frozen for 1.5 s", &result);
+        let late = Duration::from_millis(350);
+        let result = read_phase(&fleet, &ticks, ACCEPTED, settle, || {
+            for name in ["billing-2", "billing-3"] {
+                fleet.links.set_delay(name, way, late).unwrap();
+            }
+            std::thread::sleep(pause);
+        });
+        report("answers and reports of replicas 350 ms late", &result);
+    });
+    assert_eq!(stale, 0, "stale answers");
+}
+
+struct StopGuard<'a>(&'a AtomicBool);
+
+impl Drop for StopGuard<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
+#[test]
+fn answers_are_within_the_accepted_age_at_oshakati() {
+    measure_ages(2, 16, Duration::from_micros(500));
+}
+
+#[test]
+fn answers_are_within_the_accepted_age_at_piedra_jabon() {
+    measure_ages(5, 55, Duration::from_micros(1_400));
+}
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -305,7 +305,14 @@
         request.get().set_sink(sink);
         let answer = request.send().promise;
         let lane = lane.clone();
-        let connection = Ok(lane.connection.clone());
+        // Nothing can be passed on a link that ended, and the peer has released the transaction.
+        let connection = match lane.connection.ended.get() {
+            true => Err(PeerCallError::NotSent {
+                address: lane.connection.address,
+                message: "the link ended before".to_owned(),
+            }),
+            false => Ok(lane.connection.clone()),
+        };
         let answer = async move {
             let answer = answer.await?;
             let answer = answer.get()?;
