Test transactions and answers, and never run a foreign unnamed statement

A Bind of the unnamed statement in a session that had none went out unchanged and ran the statement that another session had left on the connection. A request that referred only to missing statements was answered as an empty query. Such references now go out under a name that no connection has, and the backend server answers 26000.

--- a/crates/daemon/tests/sessions/mod.rs
+++ b/crates/daemon/tests/sessions/mod.rs
@@ -5,6 +5,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -154,6 +155,15 @@
     }
 }
 
+/// Ends the loops of a scope's threads also when an assertion fails, so that the scope ends.
+pub struct StopGuard<'a>(pub &'a AtomicBool);
+
+impl Drop for StopGuard<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// What a caller was told about a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallerAnswer {
--- a/crates/pg/src/extended.rs
+++ b/crates/pg/src/extended.rs
@@ -32,6 +32,10 @@
 /// Stands for a statement that no connection has.
 const NO_STATEMENT: &str = "cicadawick_none";
 
+/// Text of a request that refers only to statements that the session does not have. The request goes
+/// to a backend server, which makes the error and fails the caller's transaction.
+const MISSING_TEXT: &str = "SELECT";
+
 /// Bounds of a session's statements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StatementLimits {
@@ -174,11 +178,14 @@
             prelude: BytesMut::new(),
             frames: BytesMut::new(),
             pending: VecDeque::new(),
+            missing: false,
         };
         for message in messages {
             rewriter.message(message)?;
         }
-        let Rewriter { overlay, texts, prelude: mut frames, frames: rest, pending, .. } = rewriter;
+        let Rewriter {
+            overlay, texts, prelude: mut frames, frames: rest, pending, missing, ..
+        } = rewriter;
         let mut after: BTreeMap<&str, &StatementText> =
             self.statements.iter().map(|(name, text)| (&**name, &**text)).collect();
         for (name, text) in &overlay {
@@ -196,7 +203,11 @@
         frames.unsplit(rest);
         put_sync(&mut frames);
         let texts: Vec<&str> = texts.iter().map(|text| &*text.query).collect();
-        Ok(ExtendedRequest { text: texts.join(";\n"), frames: frames.freeze() })
+        let text = match missing && texts.is_empty() {
+            true => MISSING_TEXT.to_owned(),
+            false => texts.join(";\n"),
+        };
+        Ok(ExtendedRequest { text, frames: frames.freeze() })
     }
 
     /// Takes note of a message that was relayed to the caller.
@@ -242,6 +253,8 @@
     prelude: BytesMut,
     frames: BytesMut,
     pending: VecDeque<PendingChange>,
+    /// The request refers to a statement that the session does not have.
+    missing: bool,
 }
 
 impl Rewriter<'_> {
@@ -337,7 +350,11 @@
         if name.is_empty() && self.parsed.iter().any(Option::is_none) {
             return String::new();
         }
-        let Some(text) = self.lookup(name) else { return guarded(name) };
+        let Some(text) = self.lookup(name) else {
+            self.missing = true;
+            // The connection's unnamed statement may be another session's.
+            return if name.is_empty() { NO_STATEMENT.to_owned() } else { guarded(name) };
+        };
         if !self.parsed.iter().flatten().any(|parsed| parsed.hashed == text.hashed) {
             put_parse(&mut self.prelude, &text.hashed, &text.query, &text.types);
             self.parsed.push(Some(text.clone()));
