--- a/crates/daemon/tests/consistency.rs
+++ b/crates/daemon/tests/consistency.rs
@@ -13,7 +13,7 @@
 use fake::fakedb::GroupOptions;
 use postgres::Client;
 use serde_json::json;
-use sessions::{CallerAnswer, FleetSetup, RawCaller, SessionFleet, run};
+use sessions::{CallerAnswer, FleetSetup, RawCaller, SessionFleet, StopGuard, run};
 
 /// Age that selectors of these tests accept, unless the session accepts less.
 const SELECTOR_AGE: Duration = Duration::from_secs(20);
@@ -372,14 +372,6 @@
     assert_eq!(stale, 0, "stale answers");
 }
 
-struct StopGuard<'a>(&'a AtomicBool);
-
-impl Drop for StopGuard<'_> {
-    fn drop(&mut self) {
-        self.0.store(true, Ordering::SeqCst);
-    }
-}
-
 #[test]
 fn answers_are_within_the_accepted_age_at_oshakati() {
     measure_ages(2, 16, Duration::from_micros(500));
