--- /dev/null
+++ b/crates/fake/src/fakedb/engine/describe.rs
@@ -0,0 +1,269 @@
+//! Infers parameter types and result fields, for the extended protocol.
+
+use std::collections::BTreeMap;
+
+use sqlparser::ast::{
+    BinaryOperator, Expr, InTarget, LimitClause, SelectItem, SetExpr, Statement, UnaryOperator,
+    Value as Literal,
+};
+
+use super::change::{
+    assignment_column, delete_from, insert_columns, insert_rows, insert_target, target_table,
+};
+use super::expr::function_args;
+use super::select::{Source, resolve};
+use super::{Field, find_table, ident_name, last_name, unsupported};
+use crate::fakedb::SqlError;
+use crate::fakedb::store::{DatabaseState, TableDef, Transaction};
+use crate::fakedb::value::ColumnType;
+
+/// Infers the type of an expression; a lone parameter is text.
+fn infer(expr: &Expr, def: Option<&TableDef>) -> ColumnType {
+    let column = |name: &str| {
+        let at = def.and_then(|def| def.column(name).ok());
+        at.zip(def).map_or(ColumnType::Text, |(at, def)| def.columns[at].kind)
+    };
+    match expr {
+        Expr::Nested(inner) => infer(inner, def),
+        Expr::Identifier(ident) => column(&ident_name(ident)),
+        Expr::CompoundIdentifier(parts) => {
+            parts.last().map_or(ColumnType::Text, |last| column(&ident_name(last)))
+        }
+        Expr::Value(literal) => match &literal.value {
+            Literal::Boolean(_) => ColumnType::Bool,
+            Literal::Number(digits, _) if digits.parse::<i32>().is_ok() => ColumnType::Int4,
+            Literal::Number(digits, _) if digits.parse::<i64>().is_ok() => ColumnType::Int8,
+            Literal::Number(..) => ColumnType::Float,
+            _ => ColumnType::Text,
+        },
+        Expr::Cast { data_type, .. } => ColumnType::from_sql(&data_type.to_string()),
+        Expr::UnaryOp { op: UnaryOperator::Not, .. } => ColumnType::Bool,
+        Expr::UnaryOp { expr, .. } => infer(expr, def),
+        Expr::BinaryOp { left, op, right } => match op {
+            BinaryOperator::StringConcat => ColumnType::Text,
+            BinaryOperator::Plus
+            | BinaryOperator::Minus
+            | BinaryOperator::Multiply
+            | BinaryOperator::Divide
+            | BinaryOperator::Modulo => match (infer(left, def), infer(right, def)) {
+                (ColumnType::Time, _) | (_, ColumnType::Time) => ColumnType::Time,
+                (ColumnType::Text, kind) | (kind, ColumnType::Text) => kind,
+                (ColumnType::Float, _) | (_, ColumnType::Float) => ColumnType::Float,
+                (ColumnType::Int8, _) | (_, ColumnType::Int8) => ColumnType::Int8,
+                (kind, _) => kind,
+            },
+            _ => ColumnType::Bool,
+        },
+        Expr::IsNull(_) | Expr::IsNotNull(_) | Expr::In { .. } | Expr::Between { .. } => {
+            ColumnType::Bool
+        }
+        Expr::Function(function) => match last_name(&function.name).as_str() {
+            "now"
+            | "current_timestamp"
+            | "clock_timestamp"
+            | "transaction_timestamp"
+            | "statement_timestamp" => ColumnType::Time,
+            "count" | "length" => ColumnType::Int8,
+            "generate_series" => ColumnType::Int4,
+            "pg_backend_pid" => ColumnType::Int4,
+            "pg_is_in_recovery" => ColumnType::Bool,
+            "pg_sleep" => ColumnType::Void,
+            "sum" => match function_args(function).first().map(|expr| infer(expr, def)) {
+                Some(ColumnType::Float) => ColumnType::Float,
+                _ => ColumnType::Int8,
+            },
+            "max" | "min" | "coalesce" => {
+                function_args(function).first().map_or(ColumnType::Text, |expr| infer(expr, def))
+            }
+            _ => ColumnType::Text,
+        },
+        _ => ColumnType::Text,
+    }
+}
+
+fn field_name(expr: &Expr) -> String {
+    match expr {
+        Expr::Identifier(ident) => ident_name(ident),
+        Expr::CompoundIdentifier(parts) => parts.last().map(ident_name).unwrap_or_default(),
+        Expr::Function(function) => last_name(&function.name),
+        Expr::Cast { expr, .. } | Expr::Nested(expr) => field_name(expr),
+        _ => "?column?".to_string(),
+    }
+}
+
+/// A projected expression and its field.
+pub(super) fn projection(
+    items: &[SelectItem],
+    def: Option<&TableDef>,
+) -> Result<Vec<(Expr, Field)>, SqlError> {
+    let mut columns = Vec::new();
+    for item in items {
+        match item {
+            SelectItem::Wildcard(_) | SelectItem::QualifiedWildcard(..) => {
+                for column in def.into_iter().flat_map(|def| &def.columns) {
+                    let expr =
+                        Expr::Identifier(sqlparser::ast::Ident::with_quote('"', &column.name));
+                    columns.push((expr, Field { name: column.name.clone(), kind: column.kind }));
+                }
+            }
+            SelectItem::UnnamedExpr(expr) => {
+                let field = Field { name: field_name(expr), kind: infer(expr, def) };
+                columns.push((expr.clone(), field));
+            }
+            SelectItem::ExprWithAlias { expr, alias } => {
+                let field = Field { name: ident_name(alias), kind: infer(expr, def) };
+                columns.push((expr.clone(), field));
+            }
+            SelectItem::ExprWithAliases { .. } => return Err(unsupported(item)),
+        }
+    }
+    Ok(columns)
+}
+
+/// Infers parameter types and result fields of a statement.
+pub(crate) fn describe(
+    state: &DatabaseState,
+    transaction: &Transaction,
+    statement: &Statement,
+) -> Result<(Vec<ColumnType>, Option<Vec<Field>>), SqlError> {
+    let mut params = BTreeMap::new();
+    let names = |columns: Vec<(Expr, Field)>| columns.into_iter().map(|(_, field)| field).collect();
+    let fields = match statement {
+        Statement::Query(query) => {
+            let SetExpr::Select(select) = &*query.body else {
+                return Err(unsupported(&query.body));
+            };
+            let source = resolve(state, transaction, &select.from)?;
+            if let Source::Function(def, args) = &source {
+                note_args(&def.name, args, &mut params);
+            }
+            for item in &select.projection {
+                if let SelectItem::UnnamedExpr(expr) | SelectItem::ExprWithAlias { expr, .. } = item
+                {
+                    note_params(expr, source.def(), None, &mut params);
+                }
+            }
+            note_all(select.selection.as_ref(), source.def(), &mut params);
+            if let Some(LimitClause::LimitOffset { limit, offset, .. }) = &query.limit_clause {
+                for expr in limit.iter().chain(offset.as_ref().map(|offset| &offset.value)) {
+                    note_params(expr, None, Some(ColumnType::Int8), &mut params);
+                }
+            }
+            Some(names(projection(&select.projection, source.def())?))
+        }
+        Statement::Insert(insert) => {
+            let def = find_table(state, transaction, &insert_target(insert)?)?;
+            let columns = insert_columns(insert, &def)?;
+            for row in insert_rows(insert)? {
+                for (expr, at) in row.iter().zip(&columns) {
+                    note_params(expr, None, Some(def.columns[*at].kind), &mut params);
+                }
+            }
+            let returning = insert.returning.as_ref();
+            returning.map(|items| projection(items, Some(&def))).transpose()?.map(names)
+        }
+        Statement::Update(update) => {
+            let def = target_table(state, transaction, std::slice::from_ref(&update.table))?;
+            for assignment in &update.assignments {
+                let at = assignment_column(&assignment.target, &def)?;
+                let kind = Some(def.columns[at].kind);
+                note_params(&assignment.value, Some(&def), kind, &mut params);
+            }
+            note_all(update.selection.as_ref(), Some(&def), &mut params);
+            let returning = update.returning.as_ref();
+            returning.map(|items| projection(items, Some(&def))).transpose()?.map(names)
+        }
+        Statement::Delete(delete) => {
+            let def = target_table(state, transaction, delete_from(delete))?;
+            note_all(delete.selection.as_ref(), Some(&def), &mut params);
+            let returning = delete.returning.as_ref();
+            returning.map(|items| projection(items, Some(&def))).transpose()?.map(names)
+        }
+        Statement::ShowVariable { variable } => {
+            let name = variable.iter().map(ident_name).collect::<Vec<_>>().join(".");
+            Some(vec![Field { name, kind: ColumnType::Text }])
+        }
+        _ => None,
+    };
+    let count = params.keys().next_back().copied().unwrap_or_default();
+    let params = (1..=count).map(|at| params.get(&at).copied().unwrap_or(ColumnType::Text));
+    Ok((params.collect(), fields))
+}
+
+fn note_all(expr: Option<&Expr>, def: Option<&TableDef>, params: &mut BTreeMap<usize, ColumnType>) {
+    if let Some(expr) = expr {
+        note_params(expr, def, None, params);
+    }
+}
+
+fn note_args(name: &str, args: &[&Expr], params: &mut BTreeMap<usize, ColumnType>) {
+    for (at, arg) in args.iter().enumerate() {
+        let kind = match (name, at) {
+            ("cicadawick_fence" | "cicadawick_promote" | "cicadawick_follow", 0) => {
+                ColumnType::Int8
+            }
+            ("generate_series", _) | ("repeat", 1) => ColumnType::Int4,
+            ("pg_sleep", _) => ColumnType::Float,
+            _ => ColumnType::Text,
+        };
+        note_params(arg, None, Some(kind), params);
+    }
+}
+
+/// Notes the types of parameters in an expression that should have the type `expected`.
+fn note_params(
+    expr: &Expr,
+    def: Option<&TableDef>,
+    expected: Option<ColumnType>,
+    params: &mut BTreeMap<usize, ColumnType>,
+) {
+    match expr {
+        Expr::Value(literal) => {
+            if let Literal::Placeholder(name) = &literal.value
+                && let Ok(at) = name.trim_start_matches('$').parse::<usize>()
+            {
+                params.entry(at).or_insert(expected.unwrap_or(ColumnType::Text));
+            }
+        }
+        Expr::Nested(inner) | Expr::UnaryOp { expr: inner, .. } => {
+            note_params(inner, def, expected, params);
+        }
+        Expr::Cast { expr, data_type, .. } => {
+            let kind = ColumnType::from_sql(&data_type.to_string());
+            note_params(expr, def, Some(kind), params);
+        }
+        Expr::BinaryOp { left, op, right } => {
+            let logical = matches!(op, BinaryOperator::And | BinaryOperator::Or);
+            let is_param = |expr: &Expr| {
+                matches!(expr, Expr::Value(literal)
+                    if matches!(literal.value, Literal::Placeholder(_)))
+            };
+            let side = |other: &Expr| {
+                if logical {
+                    None
+                } else if is_param(other) {
+                    expected
+                } else {
+                    Some(infer(other, def))
+                }
+            };
+            note_params(left, def, side(right), params);
+            note_params(right, def, side(left), params);
+        }
+        Expr::IsNull(inner) | Expr::IsNotNull(inner) => note_params(inner, def, None, params),
+        Expr::In { expr, target: InTarget::List(list), .. } => {
+            let kind = infer(expr, def);
+            note_params(expr, def, None, params);
+            list.iter().for_each(|item| note_params(item, def, Some(kind), params));
+        }
+        Expr::Between { expr, low, high, .. } => {
+            let kind = infer(expr, def);
+            note_params(low, def, Some(kind), params);
+            note_params(high, def, Some(kind), params);
+        }
+        Expr::Function(function) => {
+            note_args(&last_name(&function.name), &function_args(function), params);
+        }
+        _ => {}
+    }
+}
