--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -252,6 +252,24 @@
     }
 }
 
+/// Guards against rows that a caller gets twice: a keyed write whose rows already went out must not run
+/// again on another connection, wherever it breaks off.
+#[test]
+fn a_keyed_write_whose_rows_went_out_is_not_retried() {
+    for part in ["insert into t", "UPDATE cicadawick_requests"] {
+        let mut driver = Driver::start(2);
+        for node in [driver.owner_of("db1"), driver.other_than_owner("db1")] {
+            let session = driver.open(node, "kiosk", &[]);
+            let database = driver.databases.get_mut("db1").unwrap();
+            database.large_answers = true;
+            database.lose_next = Some((part, false));
+            let text = format!("/*request_key='k{node}'*/ insert into t values ({node}.)");
+            assert_eq!(driver.query(node, session, &text).code(), "08007", "{part}");
+            assert_eq!(driver.reached_with(&format!("{node}.")).len(), 1, "{part}");
+        }
+    }
+}
+
 /// Guards against a write outage longer than the failover, and against P2: the write of the old
 /// primary is not acknowledged.
 #[test]
@@ -399,19 +417,19 @@
         let dump = driver.dump(node);
         assert_eq!(dump["forwarded"], 0, "{dump:#}");
         assert_eq!(dump["sessions"]["busy"], 0, "{dump:#}");
-        for (name, desk) in dump["databases"].as_object().unwrap() {
+        for (name, database) in dump["databases"].as_object().unwrap() {
             for (part, entry) in [
                 ("pool", "pinned"),
                 ("pool", "busy"),
                 ("pool", "waiting"),
                 ("pool", "opening"),
-                ("queue", "parked"),
+                ("queue", "deferred"),
             ] {
-                assert_eq!(desk[part][entry], 0, "{name} {part} {entry}: {dump:#}");
+                assert_eq!(database[part][entry], 0, "{name} {part} {entry}: {dump:#}");
             }
             for rank in ["urgent", "interactive", "batch"] {
-                assert_eq!(desk["queue"]["waiting"][rank], 0, "{name}: {dump:#}");
-                assert_eq!(desk["queue"]["running"][rank], 0, "{name}: {dump:#}");
+                assert_eq!(database["queue"]["waiting"][rank], 0, "{name}: {dump:#}");
+                assert_eq!(database["queue"]["running"][rank], 0, "{name}: {dump:#}");
             }
         }
     }
@@ -505,6 +523,100 @@
     assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
 }
 
+/// Guards against a primary that stays on a backend server that leaves, against a write outage beyond
+/// its change, and against new statements at the leaving server (P7).
+#[test]
+fn the_primary_moves_away_from_a_leaving_backend() {
+    let mut driver = Driver::start(3);
+    let session = driver.open(0, "kiosk", &[]);
+    assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
+    let leaving = fleet_text("").replacen(r#""labels""#, r#""leaving": true, "labels""#, 1);
+    let start = driver.now;
+    for node in 0..3 {
+        let event = NodeEvent::DocumentArrived {
+            document: "config".into(),
+            revision: 3,
+            bytes: envelope(3, &leaving).into(),
+        };
+        driver.give(node, event);
+    }
+    let before = driver.reached_with("").iter().filter(|name| *name == "db1").count();
+    let finish = driver.query(0, session, "insert into t values (2)");
+    assert_eq!(finish.code(), "", "{}", driver.logs.join("\n"));
+    let outage = finish.at.saturating_sub(start);
+    assert!(outage < Micros::from_secs(3), "the write outage was {outage}");
+    let term = |driver: &Driver| driver.databases.values().map(|found| found.term).max();
+    assert_eq!(term(&driver), Some(2));
+    assert!(!driver.databases["db1"].primary);
+    for number in 3..40 {
+        let text = format!("insert into t values ({number})");
+        assert_eq!(driver.query(0, session, &text).code(), "");
+        let aged = driver.open(1, "phone", &[("cicadawick.labels", "kind=aged")]);
+        assert_eq!(driver.query(1, aged, "select 1").code(), "");
+        driver.advance(millis(500));
+    }
+    let after = driver.reached_with("").iter().filter(|name| *name == "db1").count();
+    assert_eq!(before, after, "new statements at the leaving backend server");
+    assert_eq!(term(&driver), Some(2), "the primary moved once");
+}
+
+/// Guards against tokens signed with a key that other nodes do not know yet.
+#[test]
+fn a_new_key_signs_only_after_other_nodes_can_know_it() {
+    let mut driver = Driver::start(3);
+    let key = |id: u8| route::TokenKey { id: u32::from(id), secret: [id; 32] };
+    let only = |id: u8| route::TokenKeys(vec![key(id)]);
+    let document = |ids: &[u8]| {
+        let keys: Vec<_> = ids
+            .iter()
+            .map(|id| serde_json::json!({ "id": id, "secret": format!("{id:02x}").repeat(32) }))
+            .collect();
+        serde_json::to_vec(&keys).unwrap()
+    };
+    let give = |driver: &mut Driver, ids: &[u8]| {
+        let revision = u64::from(*ids.iter().max().unwrap());
+        let bytes = document(ids).into();
+        let document = "token-keys".into();
+        driver.give(0, NodeEvent::DocumentArrived { document, revision, bytes });
+    };
+    let session = driver.open(0, "kiosk", &[]);
+    let signed_with = |driver: &mut Driver, id: u8| {
+        let finish = driver.query(0, session, "insert into t values (1)");
+        route::SessionToken::verify(&finish.token.unwrap(), &only(id)).is_ok()
+    };
+    assert!(signed_with(&mut driver, 1), "the only key signs at once");
+    give(&mut driver, &[1, 2]);
+    assert!(signed_with(&mut driver, 1));
+    driver.advance(Micros::from_secs(19));
+    assert!(signed_with(&mut driver, 1));
+    driver.advance(Micros::from_secs(1));
+    assert!(signed_with(&mut driver, 2));
+    give(&mut driver, &[3]);
+    assert!(signed_with(&mut driver, 3), "the only key signs at once");
+}
+
+/// Guards against reads that wait until their deadline for a term that the cluster does not have, as
+/// after it was rebuilt.
+#[test]
+fn a_floor_of_an_unknown_term_counts_as_lost() {
+    let mut driver = Driver::start(3);
+    let keys = route::TokenKeys(vec![route::TokenKey { id: 1, secret: [1; 32] }]);
+    let floor = model::SessionFloor { term: model::Term(99), position: model::LogPosition(5) };
+    let floors = [("billing".into(), floor)].into();
+    let token = route::SessionToken { floors }.sign(&keys).unwrap();
+    for node in 0..3 {
+        let session = driver.open(node, "phone", &[("cicadawick.token", &token)]);
+        let start = driver.now;
+        let finish = driver.query(node, session, "select 1");
+        assert_eq!((finish.code(), finish.notices.len()), ("", 1), "{finish:?}");
+        let wait = finish.at.saturating_sub(start);
+        assert!(wait < millis(300), "the read waited {wait}");
+        let verified = route::SessionToken::verify(&finish.token.unwrap(), &keys).unwrap();
+        assert_eq!(verified.floors["billing"].term, model::Term(1));
+        assert!(driver.query(node, session, "select 2").notices.is_empty());
+    }
+}
+
 /// Guards against an explanation that does not match what routing does.
 #[test]
 fn explain_names_labels_and_obstacles() {
