Keep the leading record's write apart from late answers

Cause: a supervisor took any successful write answer for that of its leading record.

Change: an answer counts only while this record's write awaits one. After a write was given up without an answer, the task ends only by reading the record back.

--- a/crates/failover/src/supervisor.rs
+++ b/crates/failover/src/supervisor.rs
@@ -150,6 +150,8 @@
     due: Micros,
     /// The answer to a read is awaited.
     reading: bool,
+    /// The answer to a write is awaited.
+    writing: bool,
 }
 
 /// What is known of a database that should follow.
@@ -196,6 +198,9 @@
     /// Databases whose view arrived in the current attempt.
     views: Vec<Name>,
     record_task: Option<RecordTask>,
+    /// A write was given up before its answer arrived. The answer may still come, and would look like
+    /// the one to a later write, so a task then ends only by a read.
+    write_abandoned: bool,
     leader: Option<(Term, Name)>,
     followers: Vec<FollowState>,
 }
@@ -217,6 +222,7 @@
             record_until: Micros::ZERO,
             views: Vec::new(),
             record_task: None,
+            write_abandoned: false,
             leader: None,
             followers: Vec::new(),
         }
@@ -249,6 +255,11 @@
         event: SupervisorEvent,
         actions: &mut Vec<SupervisorAction>,
     ) {
+        let answers_write = matches!(
+            event,
+            SupervisorEvent::RecordWritten { .. } | SupervisorEvent::PlatformFailed
+        );
+        let writing = self.awaits_write();
         match event {
             SupervisorEvent::PrimarySuspected { term, order } => {
                 self.see_term(term);
@@ -301,6 +312,14 @@
             SupervisorEvent::Timer => {}
         }
         self.advance(now, actions);
+        if writing && !answers_write && !self.awaits_write() {
+            self.write_abandoned = true;
+        }
+    }
+
+    fn awaits_write(&self) -> bool {
+        matches!(self.step, PromotionStep::RecordWrite { .. })
+            || self.record_task.as_ref().is_some_and(|task| task.writing)
     }
 
     /// Returns when the next [`SupervisorEvent::Timer`] is due.
@@ -485,7 +504,9 @@
                 record.is_some_and(|found| found.term > task.record.term || found == task.record);
             if settled {
                 self.record_task = None;
+                self.write_abandoned = false;
             } else {
+                task.writing = true;
                 let record = task.record.clone();
                 actions.push(SupervisorAction::WriteRecord { expected_index: index, record });
             }
@@ -500,9 +521,16 @@
                 self.step = PromotionStep::RecordRead { until };
                 actions.push(SupervisorAction::ReadRecord);
             }
-        } else if applied {
+        } else if let Some(task) = &mut self.record_task
+            && std::mem::take(&mut task.writing)
+            && applied
+        {
             // Without an answer, or on a conflict, the task reads again when it is due.
-            self.record_task = None;
+            if self.write_abandoned {
+                task.due = now;
+            } else {
+                self.record_task = None;
+            }
         }
     }
 
@@ -517,7 +545,14 @@
                 self.step = PromotionStep::RecordRead { until };
                 actions.push(SupervisorAction::ReadRecord);
             }
-            _ => {}
+            _ => {
+                // The failure may be that of an earlier call, with this write still on its way.
+                if let Some(task) = &mut self.record_task
+                    && std::mem::take(&mut task.writing)
+                {
+                    self.write_abandoned = true;
+                }
+            }
         }
     }
 
@@ -641,7 +676,7 @@
         }
         let state = RecordState::Leading { leader, start };
         let record = LeaderRecord { term: self.target, state };
-        self.record_task = Some(RecordTask { record, due: now, reading: false });
+        self.record_task = Some(RecordTask { record, due: now, reading: false, writing: false });
         self.paused_until = now + CONFIRM_PAUSE;
         self.step = PromotionStep::Idle;
     }
