--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -249,9 +249,8 @@
         let Some(used) = self.reports.remove(&id) else { return };
         if let ReportPurpose::Round(round) = used.purpose {
             let database = used.database.clone();
-            let event = WatchEvent::ReportArrived { database, round, report };
-            self.handle_watch(&used.cluster, event);
-            // Without it, a database that returns with an old term would never be told to follow.
+            self.handle_watch(&used.cluster, WatchEvent::ReportArrived { database, round, report });
+            // The supervisor orders databases that lag behind the confirmed term to follow.
             let event = SupervisorEvent::ReportSeen { database: used.database, report };
             self.handle_supervisor(&used.cluster, event);
         }
--- a/crates/node/tests/driver/mod.rs
+++ b/crates/node/tests/driver/mod.rs
@@ -23,6 +23,7 @@
     pub received: u64,
     pub applied: u64,
     pub term_start: u64,
+    pub previous_term: u64,
     /// Refuses connections and requests.
     pub down: bool,
     /// Answers nothing.
@@ -222,6 +223,7 @@
                 received: 100,
                 applied: 100,
                 term_start: 0,
+                previous_term: 0,
                 down: false,
                 frozen: false,
                 lags: false,
@@ -728,15 +730,17 @@
                 database.primary = false;
                 accepted = true;
             }
-            NodeAction::AskPromote { term, .. } if term.0 == database.term => {
+            NodeAction::AskPromote { term, .. } if term.0 == database.term && !database.primary => {
                 database.primary = true;
                 database.term_start = database.received;
+                database.previous_term = database.log_term;
                 database.log_term = database.term;
                 database.applied = database.received;
             }
-            NodeAction::AskFollow { .. } => database.primary = false,
+            NodeAction::AskFollow { term, leader, .. } => self.follow(name, term.0, leader),
             _ => {}
         }
+        let database = &self.databases[name];
         let role = if database.primary { DatabaseRole::Primary } else { DatabaseRole::Replica };
         let report = DatabaseReport {
             term: Term(database.term),
@@ -745,6 +749,7 @@
             received: LogPosition(database.received),
             applied: LogPosition(database.applied),
             term_start: LogPosition(database.term_start),
+            previous_term: Term(database.previous_term),
         };
         let event = match action {
             NodeAction::AskFence { .. } => NodeEvent::FenceAnswered { id, accepted, report },
@@ -756,6 +761,24 @@
         self.event_in(LINK, node, event);
     }
 
+    /// Takes over the leader's log, and with it the loss of entries that the leader does not have.
+    fn follow(&mut self, name: &str, term: u64, leader: &str) {
+        let source = self.databases[leader].clone();
+        let database = self.databases.get_mut(name).unwrap();
+        if term < database.term || (term == database.term && database.primary) {
+            return;
+        }
+        database.term = term;
+        database.primary = false;
+        if source.primary && source.term == term && !source.down && !source.frozen {
+            database.received = source.received;
+            database.log_term = source.log_term;
+            if !database.lags {
+                database.applied = source.received;
+            }
+        }
+    }
+
     /// Opens a session and returns its identifier.
     pub fn open(&mut self, node: usize, user: &str, extra: &[(&str, &str)]) -> SessionId {
         self.sequence += 1;
