Count the control work of one node

bench control drives one real node in virtual time at 9 to 660 members and 9 to 680 databases and counts messages, bytes as on the wire, allocations, processor time and held memory of each role, and the cost of a configuration change, a member restart and a promotion. The envelope of a call is measured on the loopback interface. Tests bound the counted parts.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,9 +1,12 @@
 //! Experiments in virtual time and capacity slopes.
 //!
 //! [`rank`] measures the service of each rank under overload, [`decision`] the processor time of single
-//! decisions, [`overhead`] the cost of the way through a proxy.
+//! decisions, [`overhead`] the cost of the way through a proxy, [`control`] the control work of one node.
 
+pub mod control;
 pub mod decision;
+pub mod meter;
 pub mod overhead;
 pub mod rank;
 mod surroundings;
+pub mod wire;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,9 @@
 
 use std::process::ExitCode;
 
+#[global_allocator]
+static ALLOCATOR: bench::meter::CountingAllocator = bench::meter::CountingAllocator;
+
 xflags::xflags! {
     /// Experiments in virtual time and capacity slopes.
     cmd bench {
@@ -15,6 +18,8 @@
             /// Decisions for each point; 1,000,000 if absent.
             optional --turns turns: usize
         }
+        /// Messages, bytes, allocations and processor time of one node's control work.
+        cmd control {}
         /// Latency, throughput and memory of one real daemon against the database alone.
         cmd overhead {
             /// Length of each load; 1 if absent.
@@ -40,6 +45,7 @@
             print!("{}", bench::decision::render_table(turns));
             Ok(())
         }
+        BenchCmd::Control(_) => bench::control::render_table().map(|table| print!("{table}")),
         BenchCmd::Overhead(flags) => {
             bench::overhead::run(flags.seconds.unwrap_or(1.0), !flags.no_idle)
         }
--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -134,7 +134,7 @@
             continue;
         }
         while callers.len() < count {
-            let caller = open_caller(surroundings.caller_address);
+            let caller = open_caller(surroundings.caller_address, CLUSTER);
             callers.push(caller.with_context(|| format!("failed at {} callers", callers.len()))?);
         }
         print_resident(surroundings, &mut points, count)?;
@@ -189,10 +189,10 @@
 }
 
 /// Connects with a bare start-up message and reads up to the first `ReadyForQuery`.
-fn open_caller(address: SocketAddr) -> anyhow::Result<TcpStream> {
+pub(crate) fn open_caller(address: SocketAddr, catalog: &str) -> anyhow::Result<TcpStream> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(5))?;
     stream.set_read_timeout(Some(Duration::from_secs(5)))?;
-    let parameters = format!("user\0bench\0database\0{CLUSTER}\0\0");
+    let parameters = format!("user\0bench\0database\0{catalog}\0\0");
     // Protocol version 3.0.
     let mut packet = Vec::from((8 + parameters.len() as u32).to_be_bytes());
     packet.extend_from_slice(&[0, 3, 0, 0]);
@@ -203,23 +203,32 @@
 }
 
 fn query(stream: &mut TcpStream, text: &str) -> anyhow::Result<()> {
+    stream.write_all(&query_packet(text))?;
+    read_until_ready(stream)?;
+    Ok(())
+}
+
+/// Returns a simple query message.
+pub(crate) fn query_packet(text: &str) -> Vec<u8> {
     let mut packet = vec![b'Q'];
     packet.extend_from_slice(&(5 + text.len() as u32).to_be_bytes());
     packet.extend_from_slice(text.as_bytes());
     packet.push(0);
-    stream.write_all(&packet)?;
-    read_until_ready(stream)
+    packet
 }
 
-fn read_until_ready(stream: &mut TcpStream) -> anyhow::Result<()> {
+/// Reads up to the next `ReadyForQuery`; returns the bytes read.
+pub(crate) fn read_until_ready(stream: &mut TcpStream) -> anyhow::Result<usize> {
+    let mut bytes = 0;
     loop {
         let mut header = [0; 5];
         stream.read_exact(&mut header)?;
         let length = u32::from_be_bytes([header[1], header[2], header[3], header[4]]);
         let mut body = vec![0; (length as usize).saturating_sub(4).min(65_536)];
         stream.read_exact(&mut body)?;
+        bytes += header.len() + body.len();
         match header[0] {
-            b'Z' => return Ok(()),
+            b'Z' => return Ok(bytes),
             b'E' => bail!("error: {}", String::from_utf8_lossy(&body).replace('\0', " ")),
             _ => {}
         }
--- /dev/null
+++ b/crates/bench/src/wire.rs
@@ -0,0 +1,195 @@
+//! Sizes of control messages as they are on the wire, measured once on the loopback interface.
+
+use std::cell::{Cell, RefCell};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use fake::fakedb::{DatabaseGroup, GroupOptions};
+use member::{Heartbeat, MemberInfo, MemberState};
+use rpc::{CallIds, PeerClients, PeerRequest, RpcStream, TaskPool, serve_peer};
+use stakker::{Fwd, Stakker};
+use stakker_mio::MioPoll;
+use stakker_mio::mio::{Events, Poll};
+
+/// Header of IPv4 and TCP without options.
+pub const PACKET_BYTES: u64 = 40;
+
+/// Calls of one measurement.
+const CALLS: u64 = 20;
+
+/// Time for one call.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time in which what follows a call arrives.
+const QUIET_TIME: Duration = Duration::from_millis(20);
+
+/// Bytes of one exchange beyond the encoded parameters and results, packet headers included.
+#[derive(Clone, Copy, Debug)]
+pub struct WireSizes {
+    /// Call and finish.
+    pub call: u64,
+    /// Return.
+    pub answer: u64,
+    /// A report request and its answer on a database connection, in full.
+    pub report_request: u64,
+    pub report_answer: u64,
+}
+
+impl WireSizes {
+    /// Measures a heartbeat between two ends of crate `rpc` and a report of the stand-in database.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket cannot be opened or a call is not answered.
+    pub fn measure() -> anyhow::Result<Self> {
+        let heartbeat = Heartbeat {
+            from: MemberInfo {
+                name: "vm-0001".into(),
+                data_centre: "north-1".into(),
+                peer_address: "10.0.0.11:7400".parse()?,
+                admin_address: "10.0.0.11:7401".parse()?,
+                incarnation: 1 << 60,
+                state: MemberState::Alive,
+            },
+            digest: u64::MAX,
+            revisions: vec![("config".into(), 1), ("token-keys".into(), 1)],
+            changes: Vec::new(),
+        };
+        let body = rpc::heartbeat_bytes(&heartbeat) as u64;
+        let (call, answer) = measure_heartbeat(&heartbeat)?;
+        let group = DatabaseGroup::start(GroupOptions::new("db", 1))?;
+        let (report_request, report_answer) = measure_report(group.addresses()[0])?;
+        Ok(WireSizes {
+            call: call.saturating_sub(body),
+            // The finish and the report's answer are acknowledged by a packet of its own, because
+            // nothing follows within the time for which TCP delays an acknowledgement.
+            answer: answer.saturating_sub(body) + PACKET_BYTES,
+            report_request: report_request + PACKET_BYTES,
+            report_answer,
+        })
+    }
+}
+
+/// Bytes and parts of one direction of a relay. Both ends write a message with one call, and the
+/// relay reads faster than a call takes, so a part stands for a packet.
+#[derive(Default)]
+struct RelayCount {
+    bytes: AtomicU64,
+    parts: AtomicU64,
+}
+
+impl RelayCount {
+    fn wire_bytes(&self) -> u64 {
+        self.bytes.load(Ordering::SeqCst) + PACKET_BYTES * self.parts.load(Ordering::SeqCst)
+    }
+
+    /// Copies until the stream ends.
+    fn relay(&self, mut from: TcpStream, mut to: TcpStream) {
+        let mut buffer = vec![0; 64 * 1024];
+        while let Ok(count @ 1..) = from.read(&mut buffer) {
+            self.bytes.fetch_add(count as u64, Ordering::SeqCst);
+            self.parts.fetch_add(1, Ordering::SeqCst);
+            if to.write_all(&buffer[..count]).is_err() {
+                break;
+            }
+        }
+        // Fails if the other side is gone, which ends the relay as well.
+        let _ = to.shutdown(std::net::Shutdown::Write);
+    }
+}
+
+/// Returns the wire bytes of one heartbeat call in each direction.
+fn measure_heartbeat(heartbeat: &Heartbeat) -> anyhow::Result<(u64, u64)> {
+    let server = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let server_address = server.local_addr()?;
+    let relay = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let relay_address = relay.local_addr()?;
+    let counts = Arc::new([RelayCount::default(), RelayCount::default()]);
+    let shared = counts.clone();
+    let relaying = std::thread::spawn(move || -> std::io::Result<()> {
+        let (caller, _) = relay.accept()?;
+        let callee = TcpStream::connect(server_address)?;
+        for stream in [&caller, &callee] {
+            stream.set_nodelay(true)?;
+        }
+        let (from, to) = (callee.try_clone()?, caller.try_clone()?);
+        let answers = shared.clone();
+        let back = std::thread::spawn(move || answers[1].relay(from, to));
+        shared[0].relay(caller, callee);
+        // A panic of the relay would show as a call without an answer.
+        let _ = back.join();
+        Ok(())
+    });
+
+    let mut stakker = Stakker::new(Instant::now());
+    let poll = MioPoll::new(&mut stakker, Poll::new()?, Events::with_capacity(64), 10)?;
+    let pool = TaskPool::new(&mut stakker);
+    let clients = PeerClients::new(pool.clone());
+    server.set_nonblocking(true)?;
+    let mut accepted = false;
+    let before = Rc::new(Cell::new((0, 0)));
+    for call in 0..=CALLS {
+        let done = Rc::new(RefCell::new(None));
+        let slot = done.clone();
+        clients.heartbeat(&mut stakker, relay_address, heartbeat, CALL_LIMIT, move |answer| {
+            *slot.borrow_mut() = Some(answer);
+        });
+        let mut quiet_at = None;
+        let end = Instant::now() + CALL_LIMIT;
+        while quiet_at.is_none_or(|at| Instant::now() < at) {
+            stakker.run(Instant::now(), false);
+            poll.poll(Duration::from_millis(1))?;
+            if !accepted && let Ok((stream, _)) = server.accept() {
+                accepted = true;
+                stream.set_nonblocking(true)?;
+                let stream = stakker_mio::mio::net::TcpStream::from_std(stream);
+                let requests = Fwd::new(|request| {
+                    if let PeerRequest::Heartbeat { heartbeat, reply } = request {
+                        // The caller waits for it.
+                        let _ = reply.send(heartbeat);
+                    }
+                });
+                let stream = RpcStream::new(&poll, stream)?;
+                serve_peer(&pool, stream, requests, CallIds::default());
+            }
+            if done.borrow().is_some() && quiet_at.is_none() {
+                quiet_at = Some(Instant::now() + QUIET_TIME);
+            }
+            if Instant::now() > end {
+                bail!("a heartbeat on the loopback interface was not answered");
+            }
+        }
+        if let Some(Err(error)) = done.take() {
+            return Err(error).context("a heartbeat on the loopback interface failed");
+        }
+        if call == 0 {
+            // The first call also sets up the connection.
+            before.set((counts[0].wire_bytes(), counts[1].wire_bytes()));
+        }
+    }
+    let (up, down) = before.get();
+    let per_call = |count: &RelayCount, before| (count.wire_bytes() - before) / CALLS;
+    let sizes = (per_call(&counts[0], up), per_call(&counts[1], down));
+    drop(clients);
+    drop(pool);
+    drop(stakker);
+    drop(poll);
+    drop(server);
+    // The relay ends with the loop's sockets; it needs no wait.
+    drop(relaying);
+    Ok(sizes)
+}
+
+/// Returns the wire bytes of a report request and its answer.
+fn measure_report(address: SocketAddr) -> anyhow::Result<(u64, u64)> {
+    let mut stream = crate::overhead::open_caller(address, "postgres")?;
+    let packet = crate::overhead::query_packet("SELECT * FROM cicadawick_report()");
+    stream.write_all(&packet)?;
+    let answer = crate::overhead::read_until_ready(&mut stream)?;
+    Ok((packet.len() as u64 + PACKET_BYTES, answer as u64 + PACKET_BYTES))
+}
--- /dev/null
+++ b/crates/bench/tests/control.rs
@@ -0,0 +1,64 @@
+//! Bounds of the counted control work. Guards against messages that grow with the fleet, and against
+//! heartbeats and reports beyond the targets for a node.
+
+#![allow(clippy::unwrap_used)]
+
+use bench::control::{ControlCount, ControlLoad, ControlRole, count_control, fleet_document};
+use bench::meter::CountingAllocator;
+use bench::wire::WireSizes;
+use model::Micros;
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+/// Target for the control work of a node.
+const BYTES_PER_SECOND: f64 = 4_096.0;
+const HELD_BYTES: i64 = 256 << 20;
+
+const TARGET: (usize, usize) = (660, 680);
+const SMALL: (usize, usize) = (94, 90);
+
+/// Seconds of a day and configuration changes in it.
+const DAY: f64 = 86_400.0;
+const CHANGES: f64 = 410.0;
+
+fn idle(wire: &WireSizes, size: (usize, usize), role: ControlRole) -> ControlCount {
+    count_control(wire, size, role, ControlLoad::default(), Micros::from_secs(120))
+}
+
+#[test]
+fn messages_do_not_grow_with_the_fleet() {
+    let wire = WireSizes::measure().unwrap();
+    for role in [ControlRole::Entry, ControlRole::Owner, ControlRole::Watcher] {
+        let (small, large) = (idle(&wire, SMALL, role), idle(&wire, TARGET, role));
+        assert_eq!(small.owned, large.owned, "{role:?}");
+        let (few, many) = (small.messages_per_second(None), large.messages_per_second(None));
+        assert!((many - few).abs() < 0.1, "{role:?}: {few} and {many} messages/s");
+        let grown = large.allocations as f64 / small.allocations as f64;
+        assert!(grown < 1.1, "{role:?}: {grown} times the allocations");
+    }
+}
+
+#[test]
+fn idle_control_work_is_within_the_targets() {
+    let wire = WireSizes::measure().unwrap();
+    for role in [ControlRole::Entry, ControlRole::Owner, ControlRole::Watcher] {
+        let count = idle(&wire, TARGET, role);
+        let sent = count.sent_per_second(None);
+        assert!(sent < BYTES_PER_SECOND, "{role:?}: {sent} bytes/s sent");
+        assert!(count.held < HELD_BYTES, "{role:?}: {} bytes held", count.held);
+    }
+}
+
+#[test]
+fn a_configuration_change_moves_one_copy_to_and_from_a_node() {
+    let wire = WireSizes::measure().unwrap();
+    let span = Micros::from_secs(100);
+    let load = ControlLoad { config_every: Some(Micros::from_secs(10)), ..ControlLoad::default() };
+    let count = count_control(&wire, TARGET, ControlRole::Entry, load, span);
+    let document = fleet_document(TARGET.1, 1).len() as f64;
+    let copies = count.sent_per_second(Some("configuration")) * count.seconds / 10.0 / document;
+    assert!((1.0..1.1).contains(&copies), "{copies} copies sent in a change");
+    let average = document * CHANGES / DAY;
+    assert!(average < BYTES_PER_SECOND, "{average} bytes/s for {CHANGES} changes a day");
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -14,12 +14,14 @@
 mod permit;
 mod pool;
 mod server;
+mod size;
 mod stream;
 
 pub use client::{CallGuard, ForwardReply, LaneHandle, PeerCallError, PeerClients};
 pub use permit::ChunkPermit;
 pub use pool::TaskPool;
 pub use server::{AnswerPart, CallIds, PeerRequest, serve_peer};
+pub use size::{heartbeat_bytes, members_bytes};
 pub use stream::RpcStream;
 
 /// Largest part of an answer in one message.
