--- a/crates/bench/src/rank.rs
+++ b/crates/bench/src/rank.rs
@@ -15,7 +15,7 @@
 /// Slots of a database of each user.
 pub const SLOT_COUNTS: [u32; 2] = [2, 5];
 /// Requests that may wait in each rank; the plain queue holds three times as many.
-const QUEUE_LIMIT: u32 = 1_024;
+pub(crate) const QUEUE_LIMIT: u32 = 1_024;
 /// Minimum shares of the experiments, in percent.
 pub const FLOORS: RankMap<u32> = RankMap([0, 15, 10]);
 
@@ -124,15 +124,17 @@
 
 /// A request of a run.
 #[derive(Clone, Debug)]
-struct ExperimentRequest {
-    arrives: Micros,
-    stream: usize,
-    caller: Name,
-    service: Micros,
+pub(crate) struct ExperimentRequest {
+    pub arrives: Micros,
+    pub stream: usize,
+    pub caller: Name,
+    /// Place of the caller among those of its stream.
+    pub caller_index: usize,
+    pub service: Micros,
 }
 
 /// Draws all requests of an experiment, in order of arrival.
-fn draw_requests(experiment: &RankExperiment) -> Vec<ExperimentRequest> {
+pub(crate) fn draw_requests(experiment: &RankExperiment) -> Vec<ExperimentRequest> {
     let mut random = RandomSource(experiment.seed);
     let mut requests = Vec::new();
     for (index, stream) in experiment.streams.iter().enumerate() {
@@ -147,10 +149,12 @@
                 break;
             }
             let half = stream.service.0 as f64 / 2.0;
+            let caller_index = (random.next() % stream.callers) as usize;
             requests.push(ExperimentRequest {
                 arrives: Micros(now as u64),
                 stream: index,
-                caller: callers[(random.next() % stream.callers) as usize].clone(),
+                caller: callers[caller_index].clone(),
+                caller_index,
                 service: Micros((half + half * random.exponential()) as u64),
             });
         }
