--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -124,7 +124,7 @@
         let BackendStart { id, address, user, catalog, pool, scratch } = start;
         let poll: MioPoll = cx.anymap_get();
         let ready = fwd_to!([cx], ready() as (Ready));
-        let socket = TcpStream::connect(address)
+        let socket = TcpStream::connect(rpc::dial_address(address))
             .and_then(|stream| BufferedSocket::new(&poll, stream, scratch, ready));
         let mut socket = match socket {
             Ok(socket) => socket,
@@ -391,6 +391,7 @@
                 && active.held.len() + bytes.len() > HELD_BYTES
             {
                 active.policy = OutputPolicy::HoldRest;
+                call!([self.hub, cx], held_rows_relayed(self.id, active.run));
                 let held = active.held.split().freeze();
                 relay(cx, active, &self.window, held);
             }
@@ -418,6 +419,7 @@
                         return Err(too_much_held());
                     }
                     active.policy = OutputPolicy::HoldCompletion;
+                    call!([self.hub, cx], held_rows_relayed(self.id, active.run));
                     let held = active.held.split().freeze();
                     relay(cx, active, &self.window, held);
                 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -804,7 +804,7 @@
         }
         let cluster = session.cluster.clone();
         let token = std::mem::take(&mut session.token_changed)
-            .then(|| session.token.sign(&self.fleet.keys))
+            .then(|| session.token.sign(&self.fleet.signing_key(self.now)))
             .flatten();
         let notices = std::mem::take(&mut session.notices);
         let transaction = session.transaction_state();
@@ -825,8 +825,8 @@
     error(
         "01000",
         format!(
-            "a write of this session was lost in a change of primary; reads now start at term {} \
-             position {}",
+            "a write of this session may have been lost in a change of primary; reads now start \
+             at term {} position {}",
             instead.term, instead.position
         ),
     )
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -11,15 +11,20 @@
 
 mod client;
 mod codec;
+mod compress;
+mod dial;
 mod permit;
 mod pool;
 mod server;
+mod size;
 mod stream;
 
 pub use client::{CallGuard, ForwardReply, LaneHandle, PeerCallError, PeerClients};
+pub use dial::dial_address;
 pub use permit::ChunkPermit;
 pub use pool::TaskPool;
 pub use server::{AnswerPart, CallIds, PeerRequest, serve_peer};
+pub use size::{document_bytes, heartbeat_bytes, members_bytes};
 pub use stream::RpcStream;
 
 /// Largest part of an answer in one message.
