--- a/crates/daemon/tests/configuration.rs
+++ b/crates/daemon/tests/configuration.rs
@@ -136,16 +136,17 @@
     }
 }
 
-/// Guards against a change that takes long to reach some node, and against calls per node.
-#[test]
-fn change_is_active_on_all_nodes_within_its_bound() {
+/// Applies changes of the selectors' deadline one after the other to nine nodes in four data centres.
+/// Returns the time of each from the client's end to the last node, and its calls to the platform.
+fn measure_changes(count: u64) -> Vec<(Duration, u64)> {
     let fleet = TestFleet::start(FleetOptions {
         data_centres: 4,
         nodes: 9,
         link_delay: Duration::from_micros(500),
         ..FleetOptions::default()
     });
-    for revision in 2..=4u64 {
+    let mut figures = Vec::new();
+    for revision in 2..2 + count {
         let deadline_ms = 5_000 + revision;
         let before = fleet.platform.counters();
         let run = apply(&fleet, deadline_ms, revision);
@@ -153,7 +154,6 @@
         wait_for_deadline(&fleet, 0..9, deadline_ms);
         let active = applied.elapsed();
         let after = fleet.platform.counters();
-        // The client reads and writes once; each data centre's watcher starts its next query.
         let CallCounters { get, put_cas, watch, total, .. } = after;
         println!(
             "revision={revision} apply={:?} active_after={active:?} get={} put_cas={} watch={} total={}",
@@ -164,14 +164,39 @@
             total - before.total
         );
         assert!(run.elapsed + active < CHANGE_BOUND, "{active:?}");
-        assert!(total - before.total <= 2 + 2 * 4, "{before:?} {after:?}");
-        let address = fleet.node(0).admin_address.to_string();
-        let status = run_client(
-            fleet.platform.address(),
-            &["rollout", "status", "--node", &address, "--all"],
-        );
-        assert_eq!(status.code, 0, "{status:?}");
+        figures.push((active, total - before.total));
     }
+    let address = fleet.node(0).admin_address.to_string();
+    let status =
+        run_client(fleet.platform.address(), &["rollout", "status", "--node", &address, "--all"]);
+    assert_eq!(status.code, 0, "{status:?}");
+    figures
+}
+
+/// Guards against a change that takes long to reach some node, and against calls per node: the client
+/// reads and writes once, and the watcher of each of the four data centres starts its next query. The
+/// bound allows for watches that end by themselves at that moment.
+#[test]
+fn change_is_active_on_all_nodes_within_its_bound() {
+    for (_, calls) in measure_changes(3) {
+        assert!(calls <= 2 + 2 * 4, "{calls} calls");
+    }
+}
+
+/// Prints the time and the calls of 20 changes. Run by hand:
+/// `cargo test -p daemon --test configuration -- --ignored --nocapture measure_changes`.
+#[test]
+#[ignore = "a measurement, run by hand"]
+fn measure_changes_of_the_configuration() {
+    let mut figures = measure_changes(20);
+    figures.sort();
+    println!(
+        "changes={} active after median={:?} worst={:?}, calls most={:?}",
+        figures.len(),
+        figures[figures.len() / 2].0,
+        figures[figures.len() - 1].0,
+        figures.iter().map(|(_, calls)| calls).max()
+    );
 }
 
 /// Guards against a lost change: both operators would believe that theirs is in force.
--- a/crates/daemon/tests/failover.rs
+++ b/crates/daemon/tests/failover.rs
@@ -55,8 +55,9 @@
             })
         });
         let check = check_history(&records, &monitor.log(), &final_rows(group, "rows"));
+        let gap = write_gap(&records, started);
         println!(
-            "acknowledged={} not_run={} unknown={} lost={} terms={} in {:?}",
+            "acknowledged={} not_run={} unknown={} lost={} terms={} gap={gap:?} in {:?}",
             check.acknowledged,
             check.not_run,
             check.unknown,
@@ -65,7 +66,7 @@
             started.elapsed()
         );
         assert_eq!(check.violations, Vec::<String>::new());
-        (check, write_gap(&records, started))
+        (check, gap)
     })
 }
 
@@ -244,7 +245,7 @@
 #[test]
 fn killed_primary_is_replaced() {
     let fleet = TestFleet::start(FleetOptions::default());
-    let (_, gap) = run_scenario(&fleet, |run| {
+    let (check, gap) = run_scenario(&fleet, |run| {
         let (old, term) = (run.primary(), run.monitor.last_term());
         fleet.groups[0].kill(&old).unwrap();
         let opened = run.wait_for_term_above(term);
@@ -252,6 +253,7 @@
         fleet.groups[0].restart(&old).unwrap();
         assert_ne!(run.primary(), old);
     });
+    assert!(check.acknowledged > 0);
     assert!(gap < OUTAGE_BOUND, "{gap:?}");
 }
 
