Test pool ownership under failure with real processes

Cause: no test drove a killed owner, two owners at once, a changing membership or a leaving backend server under load. Change: crates/daemon/tests/ownership.rs, with numbered writes and reads through every node.

--- /dev/null
+++ b/crates/daemon/tests/ownership.rs
@@ -0,0 +1,387 @@
+//! Pool ownership under failure with real processes: a killed owner, two owners at once, a changing
+//! membership and a backend server that leaves, each under load.
+//!
+//! Every caller writes and reads numbered rows. Afterwards each acknowledged write is in the log
+//! exactly once, what was refused as "not run" is absent, each answer had its request's number, the
+//! databases' limits held, and no connection or slot is left behind.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use common::fleet::{FleetOptions, TestFleet, cluster_name, link, node_name, run_client};
+use common::history::{TermLog, WriteOutcome, WriteRecord, check_history, final_rows};
+use common::{code, rows, temporary_file, wait_until};
+use postgres::NoTls;
+use serde_json::Value;
+
+/// Callers of each node. Together they keep more than the slots of a database busy.
+const CALLERS: usize = 4;
+
+/// What a caller saw.
+#[derive(Debug, Default)]
+struct CallerLog {
+    writes: Vec<WriteRecord>,
+    /// Answers that were not those of their request.
+    mixed: Vec<String>,
+    /// SQLSTATE, or `closed`, of every failed write and of every failed read.
+    write_errors: Vec<String>,
+    read_errors: Vec<String>,
+    reads: usize,
+}
+
+/// A caller that writes a row with a new number and reads it back; drop stops it.
+struct NumberedCaller {
+    node: usize,
+    log: Arc<Mutex<CallerLog>>,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+static NEXT_ID: AtomicI64 = AtomicI64::new(1);
+
+impl NumberedCaller {
+    fn start(node: usize, address: SocketAddr) -> Self {
+        let (log, stop) = (Arc::<Mutex<CallerLog>>::default(), Arc::new(AtomicBool::new(false)));
+        let (shared, flag) = (log.clone(), stop.clone());
+        let thread = std::thread::spawn(move || {
+            let mut config = postgres::Config::new();
+            config.host(&address.ip().to_string()).port(address.port()).user("vendor");
+            config.dbname(&cluster_name(0)).connect_timeout(Duration::from_secs(2));
+            let mut client = None;
+            while !flag.load(Ordering::SeqCst) {
+                let Some(open) = &mut client else {
+                    client = config.connect(NoTls).ok();
+                    std::thread::sleep(Duration::from_millis(20));
+                    continue;
+                };
+                call_once(open, node, &shared);
+                if open.is_closed() {
+                    client = None;
+                }
+                std::thread::sleep(Duration::from_millis(2));
+            }
+        });
+        NumberedCaller { node, log, stop, thread: Some(thread) }
+    }
+
+    fn acknowledged_since(&self, since: Instant) -> bool {
+        let log = self.log.lock().unwrap();
+        let mut recent = log.writes.iter().rev().take_while(|record| record.sent > since);
+        recent.any(|record| record.outcome == WriteOutcome::Acknowledged)
+    }
+
+    /// Lets the request in progress end.
+    fn finish(mut self) -> CallerLog {
+        self.stop.store(true, Ordering::SeqCst);
+        self.thread.take().unwrap().join().unwrap();
+        std::mem::take(&mut *self.log.lock().unwrap())
+    }
+}
+
+impl Drop for NumberedCaller {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+    }
+}
+
+fn call_once(client: &mut postgres::Client, node: usize, log: &Mutex<CallerLog>) {
+    let id = NEXT_ID.fetch_add(1, Ordering::SeqCst);
+    let sent = Instant::now();
+    let result = client.batch_execute(&format!("INSERT INTO rows VALUES ({id})"));
+    let outcome = match result.map_err(|error| code(&error)) {
+        Ok(()) => WriteOutcome::Acknowledged,
+        Err(code) if code.starts_with("WK") => WriteOutcome::NotRun(code),
+        Err(code) => WriteOutcome::Unknown(code),
+    };
+    let ended = Instant::now();
+    {
+        let mut log = log.lock().unwrap();
+        if let WriteOutcome::NotRun(code) | WriteOutcome::Unknown(code) = &outcome {
+            log.write_errors.push(code.clone());
+        }
+        let writer = node_name(node);
+        let outcome = outcome.clone();
+        log.writes.push(WriteRecord { id, durable: true, writer, sent, ended, outcome });
+    }
+    if outcome != WriteOutcome::Acknowledged {
+        return;
+    }
+    let read = rows(client, &format!("SELECT id FROM rows WHERE id = {id}"));
+    let mut log = log.lock().unwrap();
+    match read {
+        Ok(read) => {
+            log.reads += 1;
+            if read != [[Some(id.to_string())]] {
+                log.mixed.push(format!("request {id}: {read:?}"));
+            }
+        }
+        Err(code) => log.read_errors.push(code),
+    }
+}
+
+fn start_callers(fleet: &TestFleet, nodes: &[usize]) -> Vec<NumberedCaller> {
+    let callers = nodes.iter().flat_map(|node| {
+        let address = fleet.node(*node).caller_address;
+        (0..CALLERS).map(move |_| NumberedCaller::start(*node, address))
+    });
+    callers.collect()
+}
+
+fn create_table(fleet: &TestFleet) {
+    let setup = fleet.node(0).try_connect(&cluster_name(0), "");
+    setup.unwrap().batch_execute("CREATE TABLE rows (id bigint)").unwrap();
+}
+
+fn wait_for_writes(callers: &[NumberedCaller], since: Instant) {
+    for caller in callers {
+        wait_until("every caller's writes are acknowledged", || caller.acknowledged_since(since));
+    }
+}
+
+/// Returns the node that owns a database, as a node sees it.
+fn owner_of(fleet: &TestFleet, asked: usize, database: &str) -> usize {
+    let path = format!("/v1/explain?user=vendor&cluster={}", cluster_name(0));
+    let answer = fleet.node(asked).get(&path);
+    let owner = answer["databases"][database]["owner"].as_str().unwrap().to_owned();
+    (0..fleet.options.nodes).find(|node| node_name(*node) == owner).unwrap()
+}
+
+/// Ends the callers, checks what they saw, and that nothing is left behind. Callers of the nodes in
+/// `ended` may have seen their session end. Returns the numbers of writes with an unknown outcome that ran.
+fn check_run(mut fleet: TestFleet, callers: Vec<NumberedCaller>, ended: &[usize]) -> Vec<i64> {
+    let mut records = Vec::new();
+    let mut reads = 0;
+    let mut errors = std::collections::BTreeMap::<String, usize>::new();
+    for caller in callers {
+        let node = caller.node;
+        let log = caller.finish();
+        assert_eq!(log.mixed, Vec::<String>::new(), "answers of other requests");
+        // A write is refused or unknown. A read that began may also have broken off, which 08006 says.
+        let writes = log.write_errors.into_iter().map(|code| (code, "08007"));
+        let reads_failed = log.read_errors.into_iter().map(|code| (code, "08006"));
+        for (code, begun) in writes.chain(reads_failed) {
+            let session_ended = ended.contains(&node) && ["closed", "57P01"].contains(&&*code);
+            let told = code.starts_with("WK") || code == begun;
+            assert!(told || session_ended, "a caller of node {node} got {code}");
+            *errors.entry(code).or_default() += 1;
+        }
+        reads += log.reads;
+        records.extend(log.writes);
+    }
+    let group = &fleet.groups[0];
+    let written = final_rows(group, "rows");
+    let check = check_history(&records, &TermLog::default(), &written);
+    let is_unknown = |record: &&WriteRecord| matches!(record.outcome, WriteOutcome::Unknown(_));
+    let unknown: Vec<i64> = records.iter().filter(is_unknown).map(|record| record.id).collect();
+    println!(
+        "acknowledged={} not_run={} unknown={} reads={reads} errors={errors:?}",
+        check.acknowledged, check.not_run, check.unknown
+    );
+    assert_eq!(check.violations, Vec::<String>::new());
+    let running: Vec<usize> =
+        (0..fleet.options.nodes).filter(|node| fleet.nodes[*node].is_some()).collect();
+    wait_until("no work, pin or slot is left at any node", || {
+        running.iter().all(|node| {
+            let dump = fleet.node(*node).get("/v1/dump");
+            let databases = dump["databases"].as_object().unwrap();
+            databases.values().all(|database| {
+                let zero = |path: &str| database.pointer(path) == Some(&Value::from(0));
+                let queue = ["urgent", "interactive", "batch"].iter().all(|rank| {
+                    zero(&format!("/queue/running/{rank}"))
+                        && zero(&format!("/queue/waiting/{rank}"))
+                });
+                queue && zero("/pool/busy") && zero("/pool/pinned") && zero("/pool/waiting")
+            })
+        })
+    });
+    for node in running {
+        fleet.stop_node(node);
+    }
+    let group = &fleet.groups[0];
+    for name in group.names() {
+        wait_until("no connection or slot is left at the database", || {
+            let counters = group.counters(name).unwrap();
+            (counters.connections, counters.slots_busy, counters.waiting) == (0, 0, 0)
+        });
+        let counters = group.counters(name).unwrap();
+        println!("{name}: {counters:?}");
+        assert!(counters.slots_highest <= fleet.options.slots, "{counters:?}");
+        assert!(counters.connections_highest <= fleet.options.connections, "{counters:?}");
+    }
+    unknown.into_iter().filter(|id| written.contains(id)).collect()
+}
+
+// Guards against requests that are lost, doubled or answered with another's answer when their owner
+// dies, and against connections of the dead owner that keep slots.
+#[test]
+fn killed_owner_is_replaced_under_load() {
+    let mut fleet =
+        TestFleet::start(FleetOptions { data_centres: 1, nodes: 3, ..FleetOptions::default() });
+    create_table(&fleet);
+    let primary = fleet.groups[0].primary().unwrap();
+    let owner = owner_of(&fleet, 0, &primary);
+    let callers = start_callers(&fleet, &[0, 1, 2]);
+    wait_for_writes(&callers, Instant::now());
+    // Drop kills the process.
+    fleet.nodes[owner] = None;
+    let killed = Instant::now();
+    let (dead, alive): (Vec<_>, Vec<_>) =
+        callers.into_iter().partition(|caller| caller.node == owner);
+    wait_for_writes(&alive, killed);
+    println!("writes through all others {:?} after the kill", killed.elapsed());
+    let asked = (0..3).find(|node| *node != owner).unwrap();
+    assert_ne!(owner_of(&fleet, asked, &primary), owner);
+    check_run(fleet, alive.into_iter().chain(dead).collect(), &[owner]);
+}
+
+// Guards against harm done by two owners of one database, which a partition between nodes that both
+// reach the databases brings about.
+#[test]
+fn two_owners_at_once_keep_limits_and_answers() {
+    let fleet =
+        TestFleet::start(FleetOptions { data_centres: 2, nodes: 4, ..FleetOptions::default() });
+    create_table(&fleet);
+    let primary = fleet.groups[0].primary().unwrap();
+    let callers = start_callers(&fleet, &[0, 1, 2, 3]);
+    wait_for_writes(&callers, Instant::now());
+    let across = |cut: bool| {
+        for (node, other) in (0..4).flat_map(|node| (0..4).map(move |other| (node, other))) {
+            if fleet.centre(node) != fleet.centre(other) {
+                let name = link(node, &node_name(other));
+                fleet.links.set_cut(&name, cut, cut).unwrap();
+                if !cut {
+                    fleet.links.drop_connections(&name).unwrap();
+                }
+            }
+        }
+    };
+    let one_owner = || owner_of(&fleet, 0, &primary) == owner_of(&fleet, 1, &primary);
+    assert!(one_owner());
+    across(true);
+    wait_until("each side has an owner", || !one_owner());
+    wait_for_writes(&callers, Instant::now());
+    across(false);
+    wait_until("one owner is left", one_owner);
+    wait_for_writes(&callers, Instant::now());
+    check_run(fleet, callers, &[]);
+}
+
+// Guards against requests that are interrupted or mixed when owners move because nodes drain and start.
+#[test]
+fn changing_membership_loses_no_request() {
+    let mut fleet =
+        TestFleet::start(FleetOptions { data_centres: 1, nodes: 4, ..FleetOptions::default() });
+    create_table(&fleet);
+    let mut callers = start_callers(&fleet, &[0, 1, 2, 3]);
+    wait_for_writes(&callers, Instant::now());
+    let mut finished = Vec::new();
+    for node in [3, 2] {
+        fleet.stop_node(node);
+        let (gone, left): (Vec<_>, Vec<_>) =
+            callers.into_iter().partition(|caller| caller.node == node);
+        (finished, callers) = (finished.into_iter().chain(gone).collect(), left);
+        wait_for_writes(&callers, Instant::now());
+    }
+    for node in [2, 3] {
+        fleet.start_node(node);
+        callers.extend(start_callers(&fleet, &[node]));
+        wait_for_writes(&callers, Instant::now());
+    }
+    callers.extend(finished);
+    // A drained node answers what it has begun: sessions end between requests.
+    let interrupted = check_run(fleet, callers, &[2, 3]);
+    assert_eq!(interrupted, Vec::<i64>::new(), "writes that ran and were not answered");
+}
+
+// Guards against new work on a backend server that leaves, and against open transactions that are cut
+// off by it.
+#[test]
+fn leaving_backend_server_gets_no_new_statement() {
+    let fleet =
+        TestFleet::start(FleetOptions { data_centres: 1, nodes: 2, ..FleetOptions::default() });
+    create_table(&fleet);
+    let group = &fleet.groups[0];
+    let primary = group.primary().unwrap();
+    let replica = group.names().iter().find(|name| **name != primary).unwrap().clone();
+    let apply = |leaving: bool| {
+        let mut document: Value = serde_json::from_str(&fleet.configuration(4_000)).unwrap();
+        for database in document["clusters"][0]["databases"].as_array_mut().unwrap() {
+            let name = database["name"].as_str().unwrap();
+            let marked = leaving && (name == replica || name == primary);
+            database["leaving"] = marked.into();
+        }
+        let catalogue = serde_json::json!({
+            "name": "catalogue", "matches": "kind=catalogue", "rank": "interactive",
+            "max_age_ms": 60_000,
+        });
+        document["selectors"].as_array_mut().unwrap().insert(0, catalogue);
+        let path = temporary_file("leaving");
+        std::fs::write(&path, document.to_string()).unwrap();
+        let before = fleet.revision(0);
+        let run = run_client(fleet.platform.address(), &["apply", path.to_str().unwrap()]);
+        std::fs::remove_file(&path).unwrap();
+        assert_eq!(run.code, 0, "{run:?}");
+        wait_until("the change is active", || {
+            (0..fleet.options.nodes).all(|node| fleet.revision(node) > before)
+        });
+    };
+    apply(false);
+    let granted = |database: &str| -> u64 {
+        (0..fleet.options.nodes)
+            .filter_map(|node| {
+                let dump = fleet.node(node).get("/v1/dump");
+                let ranks = dump["databases"][database]["queue"]["granted"].as_object()?.clone();
+                Some(ranks.values().filter_map(Value::as_u64).sum::<u64>())
+            })
+            .sum()
+    };
+    let callers = start_callers(&fleet, &[0, 1]);
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for node in 0..2 {
+            let labels = "-c cicadawick.labels=kind=catalogue";
+            let mut client = fleet.node(node).try_connect(&cluster_name(0), labels).unwrap();
+            let stop = &stop;
+            scope.spawn(move || {
+                while !stop.load(Ordering::SeqCst) {
+                    let read = rows(&mut client, "SELECT 7");
+                    assert_eq!(read, Ok(vec![vec![Some("7".to_owned())]]));
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+            });
+        }
+        let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            let start = granted(&replica);
+            wait_until("the replica serves reads", || granted(&replica) > start + 50);
+            let mut client = fleet.node(0).try_connect(&cluster_name(0), "").unwrap();
+            client.batch_execute("CREATE TABLE kept (id bigint)").unwrap();
+            let mut transaction = client.transaction().unwrap();
+            transaction.batch_execute("INSERT INTO kept VALUES (1)").unwrap();
+            apply(true);
+            std::thread::sleep(Duration::from_secs(3));
+            let (replica_then, primary_then) = (granted(&replica), granted(&primary));
+            transaction.batch_execute("INSERT INTO kept VALUES (2)").unwrap();
+            transaction.commit().unwrap();
+            std::thread::sleep(Duration::from_secs(2));
+            assert_eq!(granted(&replica), replica_then, "a new statement on {replica}");
+            // The two statements of the open transaction.
+            assert_eq!(granted(&primary), primary_then + 2, "a new statement on {primary}");
+            assert_eq!(final_rows(group, "kept"), [1, 2]);
+            apply(false);
+            wait_for_writes(&callers, Instant::now());
+        }));
+        stop.store(true, Ordering::SeqCst);
+        if let Err(panic) = result {
+            std::panic::resume_unwind(panic);
+        }
+    });
+    check_run(fleet, callers, &[]);
+}
