Test the service of the ranks with real processes

Cause: rank order and minimum shares were only measured in virtual time. Change: crates/daemon/tests/ranks.rs with three proxies, 2 slots and 20 ms statements, counted at the stand-in and checked by the callers.

--- /dev/null
+++ b/crates/daemon/tests/ranks.rs
@@ -0,0 +1,238 @@
+//! Service of the ranks with real processes: three proxies in front of one database group with two slots.
+//!
+//! Every statement takes 20 ms, so the primary serves 100 statements/s. What ran is counted in the
+//! stand-in's tables, one for each rank. Callers check deadlines themselves. An urgent statement needs
+//! about 20 ms for a slot, 20 ms in it and one round of reports; its deadline of 3 s leaves more than
+//! ten times that to a busy machine.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
+use std::time::{Duration, Instant};
+
+use common::fleet::{FleetOptions, TestFleet, cluster_name, run_client};
+use common::history::final_rows;
+use common::{code, temporary_file, wait_until};
+use postgres::NoTls;
+use serde_json::{Value, json};
+
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+const SLOTS: u32 = 2;
+const URGENT_DEADLINE: Duration = Duration::from_secs(3);
+
+/// Work of one rank: label, rank, deadline in ms, minimum share in percent.
+const KINDS: [(&str, &str, u64, u64); 3] = [
+    ("token", "urgent", 3_000, 0),
+    ("balance", "interactive", 2_000, 15),
+    ("reading", "batch", 2_000, 10),
+];
+
+static NEXT_ID: AtomicI64 = AtomicI64::new(1);
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+struct CallRecord {
+    id: i64,
+    sent: Instant,
+    took: Duration,
+    /// SQLSTATE of the error.
+    failed: Option<String>,
+}
+
+fn start_fleet() -> TestFleet {
+    let fleet = TestFleet::start(FleetOptions {
+        data_centres: 1,
+        nodes: 3,
+        slots: SLOTS,
+        ..FleetOptions::default()
+    });
+    let mut setup = fleet.node(0).try_connect(&cluster_name(0), "").unwrap();
+    for (kind, ..) in KINDS {
+        setup.batch_execute(&format!("CREATE TABLE {kind} (id bigint)")).unwrap();
+    }
+    let mut document: Value = serde_json::from_str(&fleet.configuration(4_000)).unwrap();
+    let selectors = KINDS.map(|(kind, rank, deadline, _)| {
+        json!({ "name": kind, "matches": format!("kind={kind}"), "rank": rank,
+                "deadline_ms": deadline })
+    });
+    document["selectors"] = selectors.into_iter().collect();
+    let shares =
+        KINDS.map(|(_, rank, _, floor)| (rank.to_owned(), json!({ "floor_percent": floor })));
+    document["ranks"] = Value::Object(shares.into_iter().collect());
+    let path = temporary_file("ranks");
+    std::fs::write(&path, document.to_string()).unwrap();
+    let run = run_client(fleet.platform.address(), &["apply", path.to_str().unwrap()]);
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(run.code, 0, "{run:?}");
+    wait_until("the configuration is active", || (0..3).all(|node| fleet.revision(node) == 2));
+    let primary = fleet.groups[0].primary().unwrap();
+    fleet.groups[0].set_service_time(&primary, SERVICE_TIME).unwrap();
+    fleet
+}
+
+/// Sends one request each period until told to stop; a late answer delays the next one.
+fn call_until(
+    address: SocketAddr,
+    kind: &str,
+    period: Duration,
+    stop: &AtomicBool,
+) -> Vec<CallRecord> {
+    let mut config = postgres::Config::new();
+    config.host(&address.ip().to_string()).port(address.port()).user("vendor");
+    config.dbname(&cluster_name(0)).options(&format!("-c cicadawick.labels=kind={kind}"));
+    let mut client = config.connect(NoTls).unwrap();
+    let mut records = Vec::new();
+    let mut due = Instant::now();
+    while !stop.load(Ordering::SeqCst) {
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        let (id, sent) = (NEXT_ID.fetch_add(1, Ordering::SeqCst), Instant::now());
+        due = due.max(sent) + period;
+        let result = client.batch_execute(&format!("INSERT INTO {kind} VALUES ({id})"));
+        let failed = result.err().map(|error| code(&error));
+        records.push(CallRecord { id, sent, took: sent.elapsed(), failed });
+    }
+    records
+}
+
+/// Callers of one kind.
+struct CallerGroup {
+    kind: &'static str,
+    callers: u32,
+    /// Requests each second of all callers together.
+    rate: u32,
+}
+
+/// Runs groups of callers spread over the proxies, with `during` in the middle; returns their records.
+fn run_groups(
+    fleet: &TestFleet,
+    groups: &[CallerGroup],
+    during: impl FnOnce(),
+) -> Vec<Vec<CallRecord>> {
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let stop = &stop;
+        let threads: Vec<Vec<_>> = groups
+            .iter()
+            .map(|group| {
+                let period = Duration::from_secs(1) * group.callers / group.rate;
+                let start = |caller: u32| {
+                    let address = fleet.node(caller as usize % 3).caller_address;
+                    let kind = group.kind;
+                    scope.spawn(move || {
+                        std::thread::sleep(period * caller / group.callers);
+                        call_until(address, kind, period, stop)
+                    })
+                };
+                (0..group.callers).map(start).collect()
+            })
+            .collect();
+        during();
+        stop.store(true, Ordering::SeqCst);
+        let join = |group: Vec<std::thread::ScopedJoinHandle<'_, Vec<CallRecord>>>| {
+            group.into_iter().flat_map(|thread| thread.join().unwrap()).collect()
+        };
+        threads.into_iter().map(join).collect()
+    })
+}
+
+/// Checks that what was acknowledged ran once and that what was refused did not run; returns the
+/// numbers of acknowledged and refused requests.
+fn check_records(fleet: &TestFleet, kind: &str, records: &[CallRecord]) -> (usize, usize) {
+    let written = final_rows(&fleet.groups[0], kind);
+    let distinct: BTreeSet<i64> = written.iter().copied().collect();
+    assert_eq!(distinct.len(), written.len(), "a request of {kind} ran twice");
+    let (mut acknowledged, mut refused) = (0, 0);
+    for record in records {
+        match &record.failed {
+            None => {
+                assert!(distinct.contains(&record.id), "acknowledged and absent: {record:?}");
+                acknowledged += 1;
+            }
+            Some(code) => {
+                assert!(code.starts_with("WK"), "{kind}: {record:?}");
+                assert!(!distinct.contains(&record.id), "refused and present: {record:?}");
+                refused += 1;
+            }
+        }
+    }
+    let longest = records.iter().filter(|record| record.failed.is_none());
+    let longest = longest.map(|record| record.took).max().unwrap_or_default();
+    println!("{kind}: {acknowledged} acknowledged, {refused} refused, longest {longest:?}");
+    (acknowledged, refused)
+}
+
+// Guards against batch work that delays urgent work, refusals of requests that ran, and a backlog that
+// outlives its flood.
+#[test]
+fn urgent_work_meets_its_deadline_in_a_batch_flood() {
+    let fleet = start_fleet();
+    let length = Duration::from_secs(5);
+    let groups = [
+        CallerGroup { kind: "token", callers: 20, rate: 40 },
+        CallerGroup { kind: "reading", callers: 300, rate: 300 },
+    ];
+    let records = run_groups(&fleet, &groups, || std::thread::sleep(length));
+    let (_, refused) = check_records(&fleet, "token", &records[0]);
+    assert_eq!(refused, 0, "urgent requests were refused");
+    assert!(records[0].iter().all(|record| record.took <= URGENT_DEADLINE));
+    let (readings, refused) = check_records(&fleet, "reading", &records[1]);
+    assert!(refused > 0, "there was no flood");
+    // 300/s are due; callers that wait for an answer send a little less.
+    let offered = records[1].len() as u64 / length.as_secs();
+    println!("offered: {offered} readings/s");
+    assert!(offered >= 200, "{offered} readings/s are no flood");
+    // At least its minimum share of 100 statements/s.
+    assert!(readings >= 10 * length.as_secs() as usize, "{readings} readings ran");
+
+    // The flood is over when its last caller has its answer.
+    let ended = records[1].iter().map(|record| record.sent + record.took).max().unwrap();
+    let groups = [
+        CallerGroup { kind: "token", callers: 6, rate: 20 },
+        CallerGroup { kind: "balance", callers: 6, rate: 10 },
+        CallerGroup { kind: "reading", callers: 6, rate: 10 },
+    ];
+    let records = run_groups(&fleet, &groups, || std::thread::sleep(Duration::from_secs(2)));
+    println!("after the flood: {:?}", ended.elapsed());
+    for (group, records) in groups.iter().zip(&records) {
+        let (_, refused) = check_records(&fleet, group.kind, records);
+        assert_eq!(refused, 0, "{} is refused after the flood", group.kind);
+    }
+}
+
+// Guards against urgent work that takes the minimum shares of the other ranks.
+#[test]
+fn other_ranks_keep_their_floor_in_an_urgent_flood() {
+    let fleet = start_fleet();
+    let groups = [
+        CallerGroup { kind: "token", callers: 300, rate: 300 },
+        CallerGroup { kind: "balance", callers: 60, rate: 60 },
+        CallerGroup { kind: "reading", callers: 60, rate: 60 },
+    ];
+    let count = || KINDS.map(|(kind, ..)| final_rows(&fleet.groups[0], kind).len());
+    let (mut before, mut after) = ([0; 3], [0; 3]);
+    let records = run_groups(&fleet, &groups, || {
+        // Until then the queues of all ranks have filled.
+        std::thread::sleep(Duration::from_secs(2));
+        before = count();
+        std::thread::sleep(Duration::from_secs(6));
+        after = count();
+    });
+    let ran: Vec<usize> = after.iter().zip(&before).map(|(after, before)| after - before).collect();
+    let total: usize = ran.iter().sum();
+    println!("ran in 6 s: {ran:?} of {total}");
+    for (group, records) in groups.iter().zip(&records) {
+        let (_, refused) = check_records(&fleet, group.kind, records);
+        assert!(refused > 0 || group.kind != "token", "there was no flood");
+    }
+    // All statements have one length, so a share of the slot time is a share of the statements. The
+    // queue may owe a rank one statement, and each end of the count cuts through one in each slot.
+    let tolerance = 1 + 2 * SLOTS as usize;
+    for ((kind, _, _, floor), ran) in KINDS.into_iter().zip(ran) {
+        let least = (total * floor as usize / 100).saturating_sub(tolerance);
+        assert!(ran >= least, "{kind}: {ran} of {total} statements, minimum {least}");
+    }
+}
