Test the accounting table with 100,000 callers

Cause: the bound of the table was tested with at most 40 callers. Change: a test with 100,000 callers in two windows and one burst. Result: at most 4,096 rows for a capacity of 2,048; the burst is listed first.

--- a/crates/stats/tests/table.rs
+++ b/crates/stats/tests/table.rs
@@ -67,3 +67,27 @@
     let expected = vec![row(2, Rank::Batch, 11, 2), row(3, Rank::Urgent, 11, 0)];
     assert_eq!(CallerTable::merge(parts, 2), expected);
 }
+
+// Guards against a table that grows with the number of callers: 100,000 callers leave no more rows
+// than the capacity of both windows, and a caller behind a burst among them is still listed first.
+#[test]
+fn a_hundred_thousand_callers_are_bounded() {
+    const CAPACITY: usize = 2_048;
+    let mut table = CallerTable::new(CAPACITY);
+    let burst = caller(1_000_000);
+    let measure = CallerMeasure::Requests;
+    for number in 0..100_000 {
+        // Half of them count in each of two windows.
+        let now = Micros(u64::from(number) * 6_000);
+        table.count(now, &caller(number), Rank::Interactive, measure, 1);
+        if number % 50 == 0 {
+            table.count(now, &burst, Rank::Batch, measure, 5);
+        }
+    }
+    let rows = table.top(Micros::from_secs(599), measure, usize::MAX);
+    assert!(rows.len() <= 2 * CAPACITY, "{} rows", rows.len());
+    assert_eq!(rows[0].caller, burst);
+    assert!(rows[0].count - rows[0].error <= 10_000 && rows[0].count >= 10_000, "{:?}", rows[0]);
+    let others = rows.iter().skip(1).map(|row| row.count).max();
+    assert!(others < Some(rows[0].count - rows[0].error), "{others:?}");
+}
