List sessions with labels in the dump

Cause: match could not match live sessions: the dump listed sessions in progress without labels and idle ones not at all. Change: both lists of at most 100 sessions carry at most 32 labels each; match reads them and notes how many sessions are not listed.

--- a/crates/cli/src/matching.rs
+++ b/crates/cli/src/matching.rs
@@ -37,7 +37,8 @@
         .collect();
     let databases = matching_databases(&fleet, &selector);
     let answers = query.map(|query| query.get("/v1/dump", &[])).transpose()?;
-    let (sessions, unlabelled) = matching_sessions(answers.as_deref().unwrap_or(&[]), &selector);
+    let (sessions, unlabelled, unlisted) =
+        matching_sessions(answers.as_deref().unwrap_or(&[]), &selector);
     if json {
         let callers = callers
             .iter()
@@ -69,6 +70,9 @@
     if unlabelled > 0 {
         output.note(format!("sessions without labels in the dumps, not matched: {unlabelled}"));
     }
+    if unlisted > 0 {
+        output.note(format!("sessions that the dumps do not list, not matched: {unlisted}"));
+    }
     note_failures(answers.as_deref().unwrap_or(&[]), output)
 }
 
@@ -113,18 +117,26 @@
     rows
 }
 
-/// Returns the matching sessions of all dumps and the number of sessions without labels.
+/// Returns the matching sessions of all dumps, the number of sessions without labels, and the number of
+/// sessions that the dumps do not list.
 fn matching_sessions(
     answers: &[NodeAnswer],
     selector: &LabelSelector,
-) -> (Vec<Vec<String>>, usize) {
+) -> (Vec<Vec<String>>, usize, usize) {
     let mut rows = Vec::new();
-    let mut unlabelled = 0;
+    let (mut unlabelled, mut unlisted) = (0, 0);
     for answer in answers {
         let Ok(dump) = &answer.result else { continue };
-        let sessions =
-            dump.pointer("/shell/sessions").or_else(|| dump.pointer("/sessions/in_progress"));
-        for session in sessions.and_then(Value::as_array).into_iter().flatten() {
+        // A node's own lists carry the labels. A dump without them has only the shell's list.
+        let paths: &[&str] = match dump.get("sessions") {
+            Some(_) => &["/sessions/in_progress", "/sessions/idle"],
+            None => &["/shell/sessions"],
+        };
+        let lists = paths.iter().filter_map(|path| dump.pointer(path)?.as_array());
+        let sessions: Vec<&Value> = lists.flatten().collect();
+        let open = dump.pointer("/sessions/open").and_then(Value::as_u64).unwrap_or(0);
+        unlisted += (open as usize).saturating_sub(sessions.len());
+        for session in sessions {
             let labels = session.get("labels").cloned().unwrap_or_default();
             let Ok(labels) = serde_json::from_value::<LabelSet>(labels) else {
                 unlabelled += 1;
@@ -137,7 +149,7 @@
             }
         }
     }
-    (rows, unlabelled)
+    (rows, unlabelled, unlisted)
 }
 
 fn labels_text(labels: &LabelSet) -> String {
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -8,8 +8,10 @@
 use crate::event::OperatorCall;
 use crate::session::merge_labels;
 
-/// Sessions in progress that a dump lists; the count covers all.
+/// Sessions in progress, and idle ones, that a dump lists; the counts cover all.
 const DUMPED_SESSIONS: usize = 100;
+/// Labels that a dump lists for each session.
+const DUMPED_LABELS: usize = 32;
 
 impl Node {
     pub(crate) fn answer_operator(&self, now: Micros, call: &OperatorCall) -> Value {
@@ -87,7 +89,8 @@
             "sessions": {
                 "open": self.sessions.len(),
                 "busy": busy,
-                "in_progress": self.dump_sessions(),
+                "in_progress": self.dump_sessions(true),
+                "idle": self.dump_sessions(false),
             },
             "forwarded": self.entry.calls.len(),
             "counters": self.counters,
@@ -174,11 +177,12 @@
         })
     }
 
-    fn dump_sessions(&self) -> Vec<Value> {
-        let mut busy: Vec<_> =
-            self.sessions.iter().filter(|(_, session)| session.request.is_some()).collect();
-        busy.sort_by_key(|(id, _)| **id);
-        busy.into_iter()
+    fn dump_sessions(&self, busy: bool) -> Vec<Value> {
+        let mut listed: Vec<_> =
+            self.sessions.iter().filter(|(_, session)| session.request.is_some() == busy).collect();
+        listed.sort_by_key(|(id, _)| **id);
+        listed
+            .into_iter()
             .take(DUMPED_SESSIONS)
             .map(|(id, session)| {
                 let request = session.request.as_ref();
@@ -186,6 +190,13 @@
                     "session": id.0,
                     "caller": session.caller,
                     "cluster": session.cluster,
+                    "labels": session
+                        .labels
+                        .0
+                        .iter()
+                        .take(DUMPED_LABELS)
+                        .map(|(key, value)| (key.to_string(), json!(value)))
+                        .collect::<Map<String, Value>>(),
                     "selector": session.policy.selector,
                     "rank": session.policy.rank,
                     "in_transaction": session.transaction.is_some(),
