--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,9 @@
 
 use std::process::ExitCode;
 
+#[global_allocator]
+static ALLOCATOR: bench::meter::CountingAllocator = bench::meter::CountingAllocator;
+
 xflags::xflags! {
     /// Experiments in virtual time and capacity slopes.
     cmd bench {
@@ -20,6 +23,15 @@
             /// Decisions for each point; 1,000,000 if absent.
             optional --turns turns: usize
         }
+        /// Messages, bytes, allocations and processor time of one node's control work.
+        cmd control {}
+        /// Latency, throughput and memory of one real daemon against the database alone.
+        cmd overhead {
+            /// Length of each load; 1 if absent.
+            optional --seconds seconds: f64
+            /// Skip the idle callers.
+            optional --no-idle
+        }
     }
 }
 
@@ -28,13 +40,30 @@
         Ok(flags) => flags,
         Err(error) => error.exit(),
     };
-    let table = match flags.subcommand {
-        BenchCmd::Rank(flags) => bench::rank::render_table(flags.seed.unwrap_or(1)),
-        BenchCmd::Share(flags) => bench::share::render_table(flags.seed.unwrap_or(1)),
+    let result = match flags.subcommand {
+        BenchCmd::Rank(flags) => {
+            print!("{}", bench::rank::render_table(flags.seed.unwrap_or(1)));
+            Ok(())
+        }
+        BenchCmd::Share(flags) => {
+            print!("{}", bench::share::render_table(flags.seed.unwrap_or(1)));
+            Ok(())
+        }
         BenchCmd::Decision(flags) => {
-            bench::decision::render_table(flags.turns.unwrap_or(1_000_000).max(1_000))
+            let turns = flags.turns.unwrap_or(1_000_000).max(1_000);
+            print!("{}", bench::decision::render_table(turns));
+            Ok(())
+        }
+        BenchCmd::Control(_) => bench::control::render_table().map(|table| print!("{table}")),
+        BenchCmd::Overhead(flags) => {
+            bench::overhead::run(flags.seconds.unwrap_or(1.0), !flags.no_idle)
         }
     };
-    print!("{table}");
-    ExitCode::SUCCESS
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bench: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
