--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,9 @@
 
 use std::process::ExitCode;
 
+#[global_allocator]
+static ALLOCATOR: bench::meter::CountingAllocator = bench::meter::CountingAllocator;
+
 xflags::xflags! {
     /// Experiments in virtual time and capacity slopes.
     cmd bench {
@@ -10,11 +13,18 @@
             /// Seed of arrivals and service times; 1 if absent.
             optional --seed seed: u64
         }
+        /// One database shared by nine proxies in three ways.
+        cmd share {
+            /// Seed of arrivals and service times; 1 if absent.
+            optional --seed seed: u64
+        }
         /// Processor time of single decisions.
         cmd decision {
             /// Decisions for each point; 1,000,000 if absent.
             optional --turns turns: usize
         }
+        /// Messages, bytes, allocations and processor time of one node's control work.
+        cmd control {}
         /// Latency, throughput and memory of one real daemon against the database alone.
         cmd overhead {
             /// Length of each load; 1 if absent.
@@ -35,11 +45,16 @@
             print!("{}", bench::rank::render_table(flags.seed.unwrap_or(1)));
             Ok(())
         }
+        BenchCmd::Share(flags) => {
+            print!("{}", bench::share::render_table(flags.seed.unwrap_or(1)));
+            Ok(())
+        }
         BenchCmd::Decision(flags) => {
             let turns = flags.turns.unwrap_or(1_000_000).max(1_000);
             print!("{}", bench::decision::render_table(turns));
             Ok(())
         }
+        BenchCmd::Control(_) => bench::control::render_table().map(|table| print!("{table}")),
         BenchCmd::Overhead(flags) => {
             bench::overhead::run(flags.seconds.unwrap_or(1.0), !flags.no_idle)
         }
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -23,6 +23,7 @@
 use stakker_mio::mio::net::TcpStream;
 
 use crate::codec;
+use crate::compress::decompress;
 use crate::permit::ChunkPermit;
 use crate::pool::TaskPool;
 use crate::server::reader_options;
@@ -213,7 +214,7 @@
                     return Ok(None);
                 }
                 let document = answer.get_document()?;
-                Ok(Some((document.get_revision(), Arc::from(document.get_bytes()?))))
+                Ok(Some((document.get_revision(), Arc::from(decompress(document.get_bytes()?)?))))
             }
         };
         self.call(core, address, timeout, send, done);
@@ -305,7 +306,14 @@
         request.get().set_sink(sink);
         let answer = request.send().promise;
         let lane = lane.clone();
-        let connection = Ok(lane.connection.clone());
+        // Nothing can be passed on a link that ended, and the peer has released the transaction.
+        let connection = match lane.connection.ended.get() {
+            true => Err(PeerCallError::NotSent {
+                address: lane.connection.address,
+                message: "the link ended before".to_owned(),
+            }),
+            false => Ok(lane.connection.clone()),
+        };
         let answer = async move {
             let answer = answer.await?;
             let answer = answer.get()?;
