--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -81,7 +81,8 @@
             required --node address: SocketAddr
             /// Ask all members that the node knows and add the counts up.
             optional --all
-            /// requests, slot_time, refused, replica_declined, repeated_keys or outcome_unknown.
+            /// requests, slot_time, refused, replica_declined, repeated_keys, outcome_unknown, or all
+            /// for a table of each. Default: requests.
             optional --measure name: String
             /// Number of callers. Default: 20.
             optional --rows count: usize
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -113,7 +113,11 @@
     note_failures(&answers, output)
 }
 
-/// `top`: callers with the highest counts.
+/// What nodes count for callers, in the order in which `top --measure all` shows it.
+const MEASURES: [&str; 6] =
+    ["requests", "slot_time", "refused", "replica_declined", "repeated_keys", "outcome_unknown"];
+
+/// `top`: callers with the highest counts, of one measure or of each.
 pub(crate) fn top(
     query: &NodeQuery,
     measure: Option<&str>,
@@ -127,6 +131,47 @@
         let message = format!("--rows: expected a number from 1 to {MAX_ROWS}, found {shown}");
         return Err(CommandError::new(ErrorKind::Usage, message));
     }
+    if measure != "all" {
+        let (answers, rows) = top_rows(query, measure, shown)?;
+        match json {
+            true => output.json(&json!({ "measure": measure, "rows": rows })),
+            false => output.text.push_str(&top_table(measure, &rows)),
+        }
+        return note_failures(&answers, output);
+    }
+    let mut tables = Vec::new();
+    let mut least_complete: Vec<NodeAnswer> = Vec::new();
+    let failures =
+        |answers: &[NodeAnswer]| answers.iter().filter(|answer| answer.result.is_err()).count();
+    for measure in MEASURES {
+        let (answers, rows) = top_rows(query, measure, shown)?;
+        if least_complete.is_empty() || failures(&answers) > failures(&least_complete) {
+            least_complete = answers;
+        }
+        if json {
+            tables.push(json!({ "measure": measure, "rows": rows }));
+            continue;
+        }
+        if !output.text.is_empty() {
+            output.line("");
+        }
+        match rows.is_empty() {
+            true => output.line(format!("{}: none", measure.to_uppercase())),
+            false => output.text.push_str(&top_table(measure, &rows)),
+        }
+    }
+    if json {
+        output.json(&Value::Array(tables));
+    }
+    note_failures(&least_complete, output)
+}
+
+/// Asks for one measure and joins the rows of all nodes.
+fn top_rows(
+    query: &NodeQuery,
+    measure: &str,
+    shown: usize,
+) -> Result<(Vec<NodeAnswer>, Vec<CallerRow>), CommandError> {
     let asked = if query.all { (shown * ROWS_PER_ROW).min(MAX_ROWS) } else { shown };
     let call_query = [("measure", measure.to_string()), ("rows", asked.to_string())];
     let answers = query.get("/v1/top", &call_query)?;
@@ -151,25 +196,23 @@
         true => CallerTable::merge(parts, shown),
         false => parts.into_iter().flatten().collect(),
     };
-    if json {
-        output.json(&json!({ "measure": measure, "rows": rows }));
-    } else {
-        let rows: Vec<Vec<String>> = rows
-            .iter()
-            .map(|row| {
-                let at_least = row.count.saturating_sub(row.error);
-                vec![
-                    row.caller.to_string(),
-                    row.rank.to_string(),
-                    row.count.to_string(),
-                    at_least.to_string(),
-                ]
-            })
-            .collect();
-        let header = ["CALLER", "RANK", &measure.to_uppercase(), "AT LEAST"];
-        output.text.push_str(&text::table(&header, &rows));
-    }
-    note_failures(&answers, output)
+    Ok((answers, rows))
+}
+
+fn top_table(measure: &str, rows: &[CallerRow]) -> String {
+    let rows: Vec<Vec<String>> = rows
+        .iter()
+        .map(|row| {
+            let at_least = row.count.saturating_sub(row.error);
+            vec![
+                row.caller.to_string(),
+                row.rank.to_string(),
+                row.count.to_string(),
+                at_least.to_string(),
+            ]
+        })
+        .collect();
+    text::table(&["CALLER", "RANK", &measure.to_uppercase(), "AT LEAST"], &rows)
 }
 
 /// `explain`: how a node would serve a caller.
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -437,6 +437,40 @@
     assert_eq!(shown["rows"], serde_json::to_value(merged).unwrap());
 }
 
+// Guards against a measure that `all` leaves out, and against a failed node that it does not tell of.
+#[test]
+fn top_shows_all_measures() {
+    let nodes = nodes();
+    let path = |measure: &str, rows: u32| format!("GET /v1/top?measure={measure}&rows={rows}");
+    let measures = [
+        "requests",
+        "slot_time",
+        "refused",
+        "replica_declined",
+        "repeated_keys",
+        "outcome_unknown",
+    ];
+    for (number, measure) in measures.into_iter().enumerate() {
+        let row = json!({ "caller": "till", "rank": "urgent", "count": number, "error": 0 });
+        let rows = if number == 0 { json!([]) } else { json!([row]) };
+        nodes.0.route(&path(measure, 20), json!({ "node": "vm-1", "rows": rows }));
+        nodes.0.route(&path(measure, 80), json!({ "node": "vm-1", "rows": rows }));
+        nodes.1.route(&path(measure, 80), json!({ "node": "vm-2", "rows": rows }));
+    }
+    insta::assert_snapshot!(run_nodes(
+        &nodes,
+        None,
+        &["top", "--node", "NODE", "--measure", "all"]
+    ));
+    let all = ["top", "--node", "NODE", "--all", "--measure", "all", "--json"];
+    let text = run_nodes(&nodes, None, &all);
+    assert!(text.ends_with("--- exit 5\n"), "{text}");
+    let shown: Value = serde_json::from_str(text.split("--- stderr").next().unwrap()).unwrap();
+    let named: Vec<_> = shown.as_array().unwrap().iter().map(|table| &table["measure"]).collect();
+    assert_eq!(named, measures);
+    assert_eq!(shown[2]["rows"][0]["count"], 4);
+}
+
 #[test]
 fn explain_dump_and_drain() {
     let nodes = nodes();
--- a/crates/daemon/tests/accounting.rs
+++ b/crates/daemon/tests/accounting.rs
@@ -85,6 +85,13 @@
         assert!(first["count"].as_u64().unwrap() >= least, "{measure}: {top}");
     }
 
+    // One table for each measure, in one run.
+    let tables = ask(&fleet, &["top", "--node", &node, "--all", "--measure", "all"]);
+    let tables = tables.as_array().unwrap();
+    assert_eq!(tables.len(), 6, "{tables:?}");
+    let refused = tables.iter().find(|table| table["measure"] == "refused").unwrap();
+    assert!(refused["rows"][0]["caller"].as_str().unwrap().starts_with("hurried/"), "{refused}");
+
     let explain = || {
         let cluster = cluster_name(0);
         ask(&fleet, &["explain", "--node", &node, "--cluster", &cluster, "--user", "meters"])
