--- a/crates/daemon/tests/common/history.rs
+++ b/crates/daemon/tests/common/history.rs
@@ -169,8 +169,6 @@
 pub struct TermLog {
     /// When a majority was first seen in a term of which one of them is the primary.
     pub opened: BTreeMap<u64, Instant>,
-    /// Start position of each term's log.
-    pub starts: BTreeMap<u64, u64>,
     /// Databases that were primary in a term.
     pub leaders: BTreeMap<u64, BTreeSet<String>>,
 }
@@ -190,7 +188,6 @@
             let same = reports.iter().filter(|(_, other)| other.term == report.term).count();
             if same > reports.len() / 2 {
                 self.opened.entry(report.term).or_insert(now);
-                self.starts.entry(report.term).or_insert(report.term_start);
             }
         }
     }
