--- a/crates/failover/tests/record.rs
+++ b/crates/failover/tests/record.rs
@@ -49,6 +49,7 @@
             received: LogPosition(100),
             applied: LogPosition(100),
             term_start: LogPosition(0),
+            previous_term: Term(0),
         };
         for database in ["a", "b", "c"] {
             let database = database.into();
--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -18,9 +18,13 @@
 /// it as failed.
 const REQUEST_LIFE: Micros = Micros::from_secs(10);
 
+/// Age of the last confirmed round up to which a planned change of primary is begun; beyond it, the
+/// primary is suspected instead.
+const LEADER_FRESH: Micros = Micros::from_secs(1);
+
 /// A watched cluster.
 #[derive(Debug)]
-pub(crate) struct ClusterDesk {
+pub(crate) struct ClusterState {
     pub config: ClusterConfig,
     pub watch: ClusterWatch,
     pub supervisor: Supervisor,
@@ -45,7 +49,12 @@
     Follow,
 }
 
-impl ClusterDesk {
+fn leaving_databases(config: &ClusterConfig) -> Vec<Name> {
+    let leaving = config.databases.iter().filter(|database| database.leaving);
+    leaving.map(|database| database.name.clone()).collect()
+}
+
+impl ClusterState {
     fn address(&self, database: &str) -> Option<SocketAddress> {
         let mut databases = self.config.databases.iter();
         databases.find(|config| &*config.name == database).map(|config| config.address)
@@ -58,22 +67,22 @@
         let databases: Vec<Name> =
             config.databases.iter().map(|database| database.name.clone()).collect();
         match self.clusters.get_mut(&config.name) {
-            Some(desk) => {
-                if desk.config != *config {
-                    desk.watch.set_databases(databases.clone());
-                    desk.supervisor.set_databases(databases);
-                    desk.config = config.clone();
+            Some(state) => {
+                if state.config != *config {
+                    state.watch.set_databases(databases.clone());
+                    state.supervisor.set_databases(databases);
+                    state.supervisor.set_leaving(leaving_databases(config));
+                    state.config = config.clone();
                 }
             }
             None => {
                 let seed = self.random.next();
-                let desk = ClusterDesk {
-                    config: config.clone(),
-                    watch: ClusterWatch::new(WatchConfig::default(), databases.clone()),
-                    supervisor: Supervisor::new(self.settings.name.clone(), databases, seed),
-                    asked_round: None,
-                };
-                self.clusters.insert(config.name.clone(), desk);
+                let watch = ClusterWatch::new(WatchConfig::default(), databases.clone());
+                let mut supervisor = Supervisor::new(self.settings.name.clone(), databases, seed);
+                supervisor.set_leaving(leaving_databases(config));
+                let state =
+                    ClusterState { config: config.clone(), watch, supervisor, asked_round: None };
+                self.clusters.insert(config.name.clone(), state);
                 // Starts the first round.
                 self.handle_watch(&config.name, WatchEvent::Timer);
             }
@@ -93,9 +102,9 @@
     }
 
     pub(crate) fn handle_watch(&mut self, cluster: &Name, event: WatchEvent) {
-        let Some(desk) = self.clusters.get_mut(cluster) else { return };
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
         let mut actions = Vec::new();
-        desk.watch.handle(self.now, event, &mut actions);
+        state.watch.handle(self.now, event, &mut actions);
         for action in actions {
             self.run_watch_action(cluster, action);
         }
@@ -121,8 +130,8 @@
                 self.handle_supervisor(cluster, event);
             }
             WatchAction::PrimarySuspected { term } => {
-                let Some(desk) = self.clusters.get(cluster) else { return };
-                let supervisors = self.supervisors(&desk.config);
+                let Some(state) = self.clusters.get(cluster) else { return };
+                let supervisors = self.supervisors(&state.config);
                 let place = supervisors.iter().position(|node| *node == self.settings.name);
                 if let Some(place) = place {
                     let order = u32::try_from(place).unwrap_or(u32::MAX);
@@ -146,8 +155,8 @@
             .filter(|(_, work)| work.pin.is_none() && !work.request.read)
             .filter(|(_, work)| work.request.database != *leader)
             .filter(|(_, work)| {
-                let desk = self.owner.desks.get(&work.request.database);
-                desk.is_some_and(|desk| desk.cluster == *cluster)
+                let service = self.owner.services.get(&work.request.database);
+                service.is_some_and(|service| service.cluster == *cluster)
             })
             .filter(|(_, work)| work.connection.is_none() && !work.is_acknowledging())
             .map(|(id, _)| *id)
@@ -166,7 +175,7 @@
         purpose: ReportPurpose,
         action: impl FnOnce(ReportId, Name, SocketAddress) -> NodeAction,
     ) {
-        let Some(address) = self.clusters.get(cluster).and_then(|desk| desk.address(database))
+        let Some(address) = self.clusters.get(cluster).and_then(|state| state.address(database))
         else {
             return;
         };
@@ -178,11 +187,11 @@
     }
 
     pub(crate) fn handle_supervisor(&mut self, cluster: &Name, event: SupervisorEvent) {
-        let Some(desk) = self.clusters.get_mut(cluster) else { return };
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
         let mut actions = Vec::new();
-        let before = desk.supervisor.step();
-        desk.supervisor.handle(self.now, event, &mut actions);
-        let after = desk.supervisor.step();
+        let before = state.supervisor.step();
+        state.supervisor.handle(self.now, event, &mut actions);
+        let after = state.supervisor.step();
         if before != after {
             let text = format!("supervisor of cluster {cluster}: {before} to {after}");
             self.log(LogLevel::Info, text);
@@ -195,8 +204,8 @@
     fn run_supervisor_action(&mut self, cluster: &Name, action: SupervisorAction) {
         match action {
             SupervisorAction::AskViews => {
-                let Some(desk) = self.clusters.get(cluster) else { return };
-                for name in self.supervisors(&desk.config) {
+                let Some(state) = self.clusters.get(cluster) else { return };
+                for name in self.supervisors(&state.config) {
                     if name == self.settings.name {
                         continue;
                     }
@@ -318,15 +327,38 @@
         let names: Vec<Name> = self.clusters.keys().cloned().collect();
         for name in names {
             let due = |next: Option<Micros>| next.is_some_and(|next| next <= now);
-            if self.clusters.get(&name).is_some_and(|desk| due(desk.watch.next_timer())) {
+            if self.clusters.get(&name).is_some_and(|state| due(state.watch.next_timer())) {
                 self.handle_watch(&name, WatchEvent::Timer);
             }
-            if self.clusters.get(&name).is_some_and(|desk| due(desk.supervisor.next_timer())) {
+            if self.clusters.get(&name).is_some_and(|state| due(state.supervisor.next_timer())) {
                 self.handle_supervisor(&name, SupervisorEvent::Timer);
             }
         }
     }
 
+    /// Has the primary of each cluster moved away from a database that is leaving, if this node is the
+    /// first supervisor.
+    pub(crate) fn move_leaders(&mut self) {
+        let mut moves = Vec::new();
+        for (name, state) in &self.clusters {
+            let view = state.watch.view(self.now);
+            let leaving =
+                state.config.databases.iter().any(|database| {
+                    database.leaving && view.leader.as_ref() == Some(&database.name)
+                });
+            let confirmed = view.confirmed_ago.is_some_and(|ago| ago < LEADER_FRESH);
+            if leaving
+                && confirmed
+                && self.supervisors(&state.config).first() == Some(&self.settings.name)
+            {
+                moves.push((name.clone(), view.term));
+            }
+        }
+        for (name, term) in moves {
+            self.handle_supervisor(&name, SupervisorEvent::LeaderLeaving { term });
+        }
+    }
+
     /// Forgets requests that the shell never answered.
     pub(crate) fn forget_reports(&mut self) {
         let oldest = self.now.saturating_sub(REQUEST_LIFE);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -8,8 +8,10 @@
 use crate::event::OperatorCall;
 use crate::session::merge_labels;
 
-/// Sessions in progress that a dump lists; the count covers all.
+/// Sessions in progress, and idle ones, that a dump lists; the counts cover all.
 const DUMPED_SESSIONS: usize = 100;
+/// Labels that a dump lists for each session.
+const DUMPED_LABELS: usize = 32;
 
 impl Node {
     pub(crate) fn answer_operator(&self, now: Micros, call: &OperatorCall) -> Value {
@@ -68,10 +70,10 @@
             .keys()
             .map(|name| (name.to_string(), self.dump_cluster(now, name)))
             .collect();
-        let mut desks: Vec<&Name> = self.owner.desks.keys().collect();
-        desks.sort();
+        let mut services: Vec<&Name> = self.owner.services.keys().collect();
+        services.sort();
         let databases: Map<String, Value> =
-            desks.iter().map(|name| (name.to_string(), self.dump_desk(now, name))).collect();
+            services.iter().map(|name| (name.to_string(), self.dump_database(now, name))).collect();
         let busy = self.sessions.values().filter(|session| session.request.is_some()).count();
         json!({
             "node": self.settings.name,
@@ -87,7 +89,8 @@
             "sessions": {
                 "open": self.sessions.len(),
                 "busy": busy,
-                "in_progress": self.dump_sessions(),
+                "in_progress": self.dump_sessions(true),
+                "idle": self.dump_sessions(false),
             },
             "forwarded": self.entry.calls.len(),
             "counters": self.counters,
@@ -95,11 +98,11 @@
     }
 
     fn dump_cluster(&self, now: Micros, name: &Name) -> Value {
-        let Some(desk) = self.clusters.get(name) else { return Value::Null };
-        let view = desk.watch.view(now);
-        let reports = desk.config.databases.iter().map(|database| {
+        let Some(state) = self.clusters.get(name) else { return Value::Null };
+        let view = state.watch.view(now);
+        let reports = state.config.databases.iter().map(|database| {
             let (age, report) =
-                (desk.watch.provable_age(now, &database.name), desk.watch.report(&database.name));
+                (state.watch.provable_age(now, &database.name), state.watch.report(&database.name));
             let lag = report.map(|(_, report)| {
                 json!({
                     "term": report.term,
@@ -121,8 +124,8 @@
             "term": view.term,
             "leader": view.leader,
             "confirmed_ms_ago": view.confirmed_ago.map(Micros::as_millis),
-            "supervisor": desk.supervisor.step(),
-            "supervisors": self.supervisors(&desk.config),
+            "supervisor": state.supervisor.step(),
+            "supervisors": self.supervisors(&state.config),
             "databases": reports.collect::<Map<String, Value>>(),
         })
     }
@@ -136,9 +139,9 @@
         Some(led.applied.0.saturating_sub(report.applied.0))
     }
 
-    fn dump_desk(&self, now: Micros, name: &Name) -> Value {
-        let Some(desk) = self.owner.desks.get(name) else { return Value::Null };
-        let stats = desk.queue.stats();
+    fn dump_database(&self, now: Micros, name: &Name) -> Value {
+        let Some(service) = self.owner.services.get(name) else { return Value::Null };
+        let stats = service.queue.stats();
         let connections =
             self.owner.connections.values().filter(|backend| backend.database == *name);
         let (mut open, mut opening, mut busy) = (0, 0, 0);
@@ -149,12 +152,12 @@
             }
             busy += u32::from(backend.work.is_some());
         }
-        let waits = RankMap(Rank::ALL.map(|rank| desk.queue.expected_wait(now, rank)));
+        let waits = RankMap(Rank::ALL.map(|rank| service.queue.expected_wait(now, rank)));
         json!({
-            "cluster": desk.cluster,
-            "owned": desk.owned,
-            "leaving": desk.config.leaving,
-            "slots": desk.config.slots,
+            "cluster": service.cluster,
+            "owned": service.owned,
+            "leaving": service.config.leaving,
+            "slots": service.config.slots,
             "queue": {
                 "waiting": by_rank(&stats.waiting),
                 "running": by_rank(&stats.running),
@@ -162,23 +165,24 @@
                 "refused": by_rank(&stats.refused),
                 "slot_time_us": by_rank(&stats.slot_time),
                 "expected_wait_us": by_rank(&waits),
-                "parked": desk.parked.len(),
+                "deferred": service.deferred.len(),
             },
             "pool": {
                 "open": open,
                 "opening": opening,
                 "busy": busy,
-                "pinned": desk.pins.len(),
-                "waiting": desk.wanting.len(),
+                "pinned": service.pins.len(),
+                "waiting": service.wanting.len(),
             },
         })
     }
 
-    fn dump_sessions(&self) -> Vec<Value> {
-        let mut busy: Vec<_> =
-            self.sessions.iter().filter(|(_, session)| session.request.is_some()).collect();
-        busy.sort_by_key(|(id, _)| **id);
-        busy.into_iter()
+    fn dump_sessions(&self, busy: bool) -> Vec<Value> {
+        let mut listed: Vec<_> =
+            self.sessions.iter().filter(|(_, session)| session.request.is_some() == busy).collect();
+        listed.sort_by_key(|(id, _)| **id);
+        listed
+            .into_iter()
             .take(DUMPED_SESSIONS)
             .map(|(id, session)| {
                 let request = session.request.as_ref();
@@ -186,6 +190,13 @@
                     "session": id.0,
                     "caller": session.caller,
                     "cluster": session.cluster,
+                    "labels": session
+                        .labels
+                        .0
+                        .iter()
+                        .take(DUMPED_LABELS)
+                        .map(|(key, value)| (key.to_string(), json!(value)))
+                        .collect::<Map<String, Value>>(),
                     "selector": session.policy.selector,
                     "rank": session.policy.rank,
                     "in_transaction": session.transaction.is_some(),
--- a/crates/route/src/classify.rs
+++ b/crates/route/src/classify.rs
@@ -77,6 +77,10 @@
     "pg_wal_replay_",
 ];
 
+/// Tokens for which a statement's list has room at first; growing from nothing costs several
+/// allocations for each statement.
+const COMMON_TOKENS: usize = 32;
+
 /// Classifies the text of one simple query, which may hold several statements: the whole text is a
 /// read only if each part is. Also returns a request key given as a `/*request_key='K'*/` comment.
 ///
@@ -89,7 +93,7 @@
 /// ```
 pub fn classify(text: &str) -> (StatementClass, Option<Name>) {
     let mut stream = TokenStream::new(text);
-    let mut statements: Vec<Vec<Token<'_>>> = vec![Vec::new()];
+    let mut statements = vec![Vec::with_capacity(COMMON_TOKENS)];
     for token in stream.by_ref() {
         let in_atomic_body = statements.last().is_some_and(|statement| has_atomic_body(statement));
         match token {
@@ -269,12 +273,22 @@
     }
 }
 
-/// Refuses names that would let a caller change the cluster's leadership or a pooled connection.
+/// Refuses names that would let a caller change the cluster's leadership or a pooled connection. A
+/// session-level lock would stay with a connection that other sessions use next.
 fn reserved_name(tokens: &[Token<'_>]) -> Option<&'static str> {
     Words(tokens).names().find_map(|name| match name.as_str() {
         "cicadawick_fence" | "cicadawick_promote" | "cicadawick_follow" => {
             Some("only the proxy itself orders promotions")
         }
+        "pg_advisory_lock"
+        | "pg_advisory_lock_shared"
+        | "pg_advisory_unlock"
+        | "pg_advisory_unlock_all"
+        | "pg_advisory_unlock_shared"
+        | "pg_try_advisory_lock"
+        | "pg_try_advisory_lock_shared" => {
+            Some("a session-level lock stays with one connection; use pg_advisory_xact_lock")
+        }
         "pg_temp" => Some("a temporary object belongs to one connection"),
         "set_config" => Some("a pool cannot keep this parameter; use SET LOCAL in a transaction"),
         _ => None,
