Check for debug assertions at run time in test fleets

Cause: clippy rejects an assertion on a constant, and a constant one would break release builds of all tests of the daemon. Change: a plain condition with a panic.

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -151,7 +151,9 @@
 
     /// Starts everything but the nodes.
     pub fn prepare(options: FleetOptions) -> Self {
-        assert!(cfg!(debug_assertions), "daemons without debug assertions use no relays");
+        if !cfg!(debug_assertions) {
+            panic!("daemons without debug assertions use no relays");
+        }
         let permit = FleetPermit::wait();
         let platform = FakePlatform::start(0).unwrap();
         let groups: Vec<DatabaseGroup> = (0..options.clusters)
