--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -13,6 +13,11 @@
             /// Seed of arrivals and service times; 1 if absent.
             optional --seed seed: u64
         }
+        /// One database shared by nine proxies in three ways.
+        cmd share {
+            /// Seed of arrivals and service times; 1 if absent.
+            optional --seed seed: u64
+        }
         /// Processor time of single decisions.
         cmd decision {
             /// Decisions for each point; 1,000,000 if absent.
@@ -40,6 +45,10 @@
             print!("{}", bench::rank::render_table(flags.seed.unwrap_or(1)));
             Ok(())
         }
+        BenchCmd::Share(flags) => {
+            print!("{}", bench::share::render_table(flags.seed.unwrap_or(1)));
+            Ok(())
+        }
         BenchCmd::Decision(flags) => {
             let turns = flags.turns.unwrap_or(1_000_000).max(1_000);
             print!("{}", bench::decision::render_table(turns));
--- a/crates/node/src/proof.rs
+++ b/crates/node/src/proof.rs
@@ -1,6 +1,6 @@
 //! Evidence that work needs before it is sent and before its answer is relayed.
 
-use failover::{CommitId, FloorState, WatchEvent};
+use failover::{ClusterWatch, CommitId, FloorState, WatchEvent};
 use model::{Micros, Name, Term};
 
 use crate::Node;
@@ -45,13 +45,13 @@
             return Evidence::Decline(DeclineReason::Unavailable);
         };
         let database = work.request.database.clone();
-        let Some(desk) = self.owner.desks.get(&database) else {
+        let Some(service) = self.owner.services.get(&database) else {
             if work.pin.is_some() {
                 return Evidence::RollBack("the database is gone".to_string());
             }
             return Evidence::Decline(not_owner(&self.fleet, &self.members, &database));
         };
-        let watch = self.clusters.get(&desk.cluster).map(|cluster| &cluster.watch);
+        let watch = self.clusters.get(&service.cluster).map(|cluster| &cluster.watch);
         let view = watch.map(|watch| watch.view(now));
         if let Some(key) = work.pin {
             let Some(pin) = self.owner.pins.get(&key) else {
@@ -64,13 +64,13 @@
             }
             return Evidence::Ready;
         }
-        if !desk.owned {
+        if !service.owned {
             return Evidence::Decline(not_owner(&self.fleet, &self.members, &database));
         }
         let (Some(watch), Some(view)) = (watch, view) else {
             return Evidence::Decline(DeclineReason::Unavailable);
         };
-        if desk.config.leaving {
+        if service.config.leaving {
             return Evidence::Decline(DeclineReason::Unavailable);
         }
         work.term = view.term;
@@ -87,40 +87,7 @@
         if !work.request.read {
             return Evidence::Ready;
         }
-        if work.request.floor.is_none()
-            && work.sampled.is_none()
-            && let Some(ago) = work.request.arrived_ago
-        {
-            let since = work.arrived.saturating_sub(ago);
-            work.sampled = watch.confirmed_floor(since);
-            if work.sampled.is_none() {
-                return wait_or_decline(work);
-            }
-        }
-        let primary = leads && confirmed;
-        if let Some(floor) = work.lost.or(work.request.floor).or(work.sampled) {
-            let mut state = watch.floor_state(&database, floor);
-            if let FloorState::Lost { instead } | FloorState::Uncertain { instead } = state {
-                work.lost = Some(instead);
-                state = watch.floor_state(&database, instead);
-            }
-            match state {
-                FloorState::Met => {}
-                _ if primary => return wait_or_decline(work),
-                _ => return Evidence::Decline(DeclineReason::NoProof),
-            }
-        }
-        if primary {
-            work.proof = Some(ReadProof::Primary { term: view.term });
-            return Evidence::Ready;
-        }
-        match (work.request.max_age, watch.provable_age(now, &database)) {
-            (Some(limit), Some(age)) if age <= limit => {
-                work.proof = Some(ReadProof::Replica { age, at: now, limit });
-                Evidence::Ready
-            }
-            _ => Evidence::Decline(DeclineReason::NoProof),
-        }
+        check_read(work, watch, now, leads && confirmed)
     }
 
     /// Has the work wait for a confirmed round that begins now or later.
@@ -130,11 +97,11 @@
         work.stage = WorkStage::Round;
         let deadline = work.deadline;
         let term = work.term;
-        let Some(desk) = self.owner.desks.get(&work.request.database) else { return };
-        let cluster = desk.cluster.clone();
+        let Some(service) = self.owner.services.get(&work.request.database) else { return };
+        let cluster = service.cluster.clone();
         self.arm_work(id, Some(deadline));
         // A round that began for others in this very step serves as well.
-        if let Some((at, commit)) = self.clusters.get(&cluster).and_then(|desk| desk.asked_round)
+        if let Some((at, commit)) = self.clusters.get(&cluster).and_then(|state| state.asked_round)
             && at == self.now
             && let Some(CommitUse::Round(works)) = self.owner.commits.get_mut(&commit)
         {
@@ -143,8 +110,8 @@
         }
         let commit = CommitId(self.next_id());
         self.owner.commits.insert(commit, CommitUse::Round(vec![id]));
-        if let Some(desk) = self.clusters.get_mut(&cluster) {
-            desk.asked_round = Some((self.now, commit));
+        if let Some(state) = self.clusters.get_mut(&cluster) {
+            state.asked_round = Some((self.now, commit));
         }
         let event = WatchEvent::CommitFinished { commit, term, durable: false };
         self.handle_watch(&cluster, event);
@@ -185,8 +152,8 @@
                 (age + self.now.saturating_sub(at) > limit).then_some(DeclineReason::NoProof)
             }
             ReadProof::Primary { term } => {
-                let desk = self.owner.desks.get(&work.request.database)?;
-                let view = self.clusters.get(&desk.cluster).map(|cluster| {
+                let service = self.owner.services.get(&work.request.database)?;
+                let view = self.clusters.get(&service.cluster).map(|cluster| {
                     let view = cluster.watch.view(self.now);
                     let confirmed = view.confirmed_ago.is_some_and(|ago| ago <= LEADERSHIP_AGE);
                     (view.term, view.leader, confirmed)
@@ -208,6 +175,51 @@
     }
 }
 
+/// Tells whether a read may be sent, and keeps the proof. `primary` tells that the database leads and
+/// was confirmed lately.
+fn check_read(work: &mut OwnerWork, watch: &ClusterWatch, now: Micros, primary: bool) -> Evidence {
+    let term = watch.view(now).term;
+    let database = work.request.database.clone();
+    if work.request.floor.is_none()
+        && work.sampled.is_none()
+        && let Some(ago) = work.request.arrived_ago
+    {
+        let since = work.arrived.saturating_sub(ago);
+        work.sampled = watch.confirmed_floor(since);
+        if work.sampled.is_none() {
+            return wait_or_decline(work);
+        }
+    }
+    if let Some(floor) = work.lost.or(work.request.floor).or(work.sampled) {
+        let mut state = watch.floor_state(&database, floor);
+        // Terms never decrease, so this round shows that the cluster was rebuilt or the floor is
+        // not its own.
+        if floor.term > term && watch.confirmed_floor(work.arrived).is_some() {
+            state = FloorState::Lost { instead: watch.term_floor() };
+        }
+        if let FloorState::Lost { instead } | FloorState::Uncertain { instead } = state {
+            work.lost = Some(instead);
+            state = watch.floor_state(&database, instead);
+        }
+        match state {
+            FloorState::Met => {}
+            _ if primary => return wait_or_decline(work),
+            _ => return Evidence::Decline(DeclineReason::NoProof),
+        }
+    }
+    if primary {
+        work.proof = Some(ReadProof::Primary { term });
+        return Evidence::Ready;
+    }
+    match (work.request.max_age, watch.provable_age(now, &database)) {
+        (Some(limit), Some(age)) if age <= limit => {
+            work.proof = Some(ReadProof::Replica { age, at: now, limit });
+            Evidence::Ready
+        }
+        _ => Evidence::Decline(DeclineReason::NoProof),
+    }
+}
+
 fn wait_or_decline(work: &OwnerWork) -> Evidence {
     match work.rounds < ROUND_LIMIT {
         true => Evidence::WaitRound,
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -118,8 +118,6 @@
         floor: Option<SessionFloor>,
         /// Write of the session that was lost in a change of primary; the floor to use instead.
         lost: Option<SessionFloor>,
-        /// The request key was already recorded; the first outcome was returned.
-        repeated: bool,
         /// Data age that the owner can prove now, a hint for later choices.
         age: Option<Micros>,
         /// Expected wait for a slot, a hint for later choices.
@@ -142,6 +140,7 @@
     RolledBack { message: String },
     /// The outcome is not known.
     Unknown { message: String },
-    /// A read broke off; `relayed` tells whether a part of the answer went out.
+    /// An answer broke off; `relayed` tells whether a part of it went out. For a write, whose outcome
+    /// is then unknown, it always did: the write must not be tried again, not even with a request key.
     ReadFailed { relayed: bool, message: String },
 }
