--- a/crates/daemon/tests/payments.rs
+++ b/crates/daemon/tests/payments.rs
@@ -279,6 +279,62 @@
     });
 }
 
+/// Starts purchases without a key, disturbs them in the middle and checks what each caller was told.
+fn disturb_without_keys(disturbance: impl FnOnce(&mut SessionFleet)) {
+    const COUNT: usize = 60;
+    let mut fleet = SessionFleet::start(FleetSetup::new(3));
+    let mut caller = fleet.proxies[0].connect();
+    caller.batch_execute("CREATE TABLE purchases (id bigint, meter text)").unwrap();
+    let way = Duration::from_millis(15);
+    fleet.links.set_delay("billing-1", way, way).unwrap();
+    let requests: Vec<_> = (0..COUNT)
+        .map(|number| {
+            let mut client = fleet.proxies[number % 3].connect();
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(5 * number as u64));
+                run(&mut client, &purchase(number, false))
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(150));
+    disturbance(&mut fleet);
+    fleet.links.set_delay("billing-1", Duration::ZERO, Duration::ZERO).unwrap();
+    let answers: Vec<CallerAnswer> =
+        requests.into_iter().map(|request| request.join().unwrap()).collect();
+    // Statements of connections that ended have ended by now.
+    std::thread::sleep(Duration::from_millis(200));
+    let counts = purchases(&fleet);
+    let mut tally: BTreeMap<String, usize> = BTreeMap::new();
+    for (number, answer) in answers.iter().enumerate() {
+        let rows = counts.get(&number).copied().unwrap_or(0);
+        match answer {
+            CallerAnswer::Done(count) => assert_eq!((*count, rows), (1, 1), "{number}"),
+            answer if answer.is_not_run() => assert_eq!(rows, 0, "{number} {answer:?}"),
+            answer => assert!(answer.is_unknown() && rows <= 1, "{number} {answer:?}: {rows}"),
+        }
+        *tally.entry(format!("{answer:?} with {rows} rows")).or_default() += 1;
+    }
+    println!("without keys: {tally:?}");
+}
+
+#[test]
+fn callers_without_a_key_are_told_the_truth_after_the_death_of_the_owner() {
+    disturb_without_keys(|fleet| {
+        let at = owner(fleet);
+        kill_proxy(fleet, at);
+    });
+}
+
+#[test]
+fn callers_without_a_key_are_told_the_truth_after_a_change_of_primary() {
+    disturb_without_keys(|fleet| {
+        fleet.group.kill("billing-1").unwrap();
+        wait_until("another database leads", || {
+            fleet.group.primary().is_some_and(|primary| primary != "billing-1")
+        });
+    });
+}
+
 #[test]
 fn concurrent_requests_with_one_key_run_once() {
     let fleet = SessionFleet::start(FleetSetup::new(2));
