Guard missing statement references in a unit test

A Bind of the unnamed statement in a session without one must fail, also beside a Parse, and a request of missing references only must not look empty.

--- a/crates/pg/tests/statements.rs
+++ b/crates/pg/tests/statements.rs
@@ -209,3 +209,15 @@
     let shared = backend.names[0].0.clone();
     assert_eq!(request(&mut other, &mut backend, &[bind(&shared)]), "E");
 }
+
+#[test]
+fn missing_unnamed_statement_is_not_that_of_another_session() {
+    let (mut one, mut other) = (StatementTable::default(), StatementTable::default());
+    let mut backend = Backend::new(256);
+    assert_eq!(request(&mut one, &mut backend, &[parse("", "SELECT 1")]), "1");
+    assert_eq!(request(&mut other, &mut backend, &[bind(""), execute()]), "E");
+    assert_eq!(request(&mut other, &mut backend, &[parse("s", "SELECT 2"), bind("")]), "1E");
+    assert!(backend.executed.is_empty());
+    // The text is not empty, so that the request is not answered as an empty query.
+    assert_eq!(other.rewrite(&[bind("missing")]).unwrap().text, "SELECT");
+}
