Let open transactions at a leaving primary finish

Cause: the planned change of primary fenced the leader under open transactions, whose next statement got 25006; the first supervisor could not know of them. Ruled out: a count in the view message, because the leader's owner knows its transactions and can begin the change itself. Change: the owner of the leading database begins the change once no transaction is open, at most 5 s after it saw the mark; it serves other statements meanwhile and begins no transaction. Transactions that are still open then are rolled back (WK004).

--- a/crates/daemon/tests/ownership.rs
+++ b/crates/daemon/tests/ownership.rs
@@ -401,7 +401,6 @@
 
 // Guards against an open transaction that is cut off because its backend server, the primary, leaves.
 #[test]
-#[ignore = "known red: the planned change fences the primary under an open transaction"]
 fn open_transaction_of_a_leaving_primary_finishes() {
     let fleet = leaving_fleet();
     let primary = fleet.groups[0].primary().unwrap();
--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -12,6 +12,7 @@
 use crate::action::{LogLevel, NodeAction};
 use crate::event::PlatformAnswer;
 use crate::id::ReportId;
+use crate::owner::PinKey;
 use crate::record::{read_record, write_record};
 
 /// Time after which the purpose of an unanswered request is forgotten; the machines have long counted
@@ -336,26 +337,27 @@
         }
     }
 
-    /// Has the primary of each cluster moved away from a database that is leaving, if this node is the
-    /// first supervisor.
+    /// Has the primary moved away from each leaving database that this node owns, once its open
+    /// transactions have ended or their time is up.
     pub(crate) fn move_leaders(&mut self) {
         let mut moves = Vec::new();
-        for (name, state) in &self.clusters {
+        for (name, service) in &self.owner.services {
+            if !service.owned || !service.config.leaving || service.is_draining(self.now) {
+                continue;
+            }
+            let Some(state) = self.clusters.get(&service.cluster) else { continue };
             let view = state.watch.view(self.now);
-            let leaving =
-                state.config.databases.iter().any(|database| {
-                    database.leaving && view.leader.as_ref() == Some(&database.name)
-                });
             let confirmed = view.confirmed_ago.is_some_and(|ago| ago < LEADER_FRESH);
-            if leaving
-                && confirmed
-                && self.supervisors(&state.config).first() == Some(&self.settings.name)
-            {
-                moves.push((name.clone(), view.term));
+            if confirmed && view.leader.as_ref() == Some(name) {
+                let pins: Vec<PinKey> = service.pins.iter().copied().collect();
+                moves.push((service.cluster.clone(), view.term, pins));
             }
         }
-        for (name, term) in moves {
-            self.handle_supervisor(&name, SupervisorEvent::LeaderLeaving { term });
+        for (cluster, term, pins) in moves {
+            for key in pins {
+                self.close_pin(key, "the primary moves away from a leaving backend server");
+            }
+            self.handle_supervisor(&cluster, SupervisorEvent::LeaderLeaving { term });
         }
     }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -35,6 +35,9 @@
 /// Time between a cancel request and the close of the connection, if the statement does not end.
 const CANCEL_GRACE: Micros = Micros::from_secs(1);
 
+/// Time for which transactions that are open at a leaving primary may go on.
+const LEAVE_TIMEOUT: Micros = Micros::from_secs(5);
+
 /// Who waits for the reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WorkOrigin {
@@ -161,6 +164,8 @@
     pub transaction_limit: usize,
     /// Term in which the table of request keys was made.
     pub key_table: Option<Term>,
+    /// When this node first saw the database marked as leaving.
+    leaving_since: Option<Micros>,
     deferred_limit: usize,
 }
 
@@ -214,6 +219,13 @@
         self.pool.next_retry().filter(|_| !self.wanting.is_empty())
     }
 
+    /// Tells whether the database is leaving and waits for open transactions. A primary serves other
+    /// statements meanwhile, so that one slow transaction does not stop the writes of all callers.
+    pub(crate) fn is_draining(&self, now: Micros) -> bool {
+        let open = !self.pins.is_empty() || !self.begins.is_empty();
+        open && self.leaving_since.is_some_and(|since| now < since + LEAVE_TIMEOUT)
+    }
+
     pub(crate) fn is_unused(&self) -> bool {
         self.pins.is_empty() && self.begins.is_empty() && self.wanting.is_empty()
     }
@@ -233,6 +245,7 @@
         let pool = DatabaseService::limits(cluster, config, owned, owners);
         let deferred_limit = Rank::ALL.iter().map(|rank| fleet.ranks[*rank].queue_limit as usize);
         let deferred_limit = deferred_limit.max().unwrap_or(0);
+        let leaving_since = config.leaving.then_some(self.now);
         let transaction_limit = DatabaseService::transaction_limit(config, pool);
         match self.owner.services.get_mut(&config.name) {
             Some(service) => {
@@ -245,6 +258,7 @@
                 service.queue.reconfigure(queue);
                 service.pool.reconfigure(pool);
                 service.transaction_limit = transaction_limit;
+                service.leaving_since = leaving_since.and(service.leaving_since.or(leaving_since));
                 service.deferred_limit = deferred_limit;
             }
             None if owned => {
@@ -260,6 +274,7 @@
                     begins: FastSet::default(),
                     transaction_limit,
                     key_table: None,
+                    leaving_since,
                     deferred_limit,
                 };
                 self.owner.services.insert(config.name.clone(), service);
--- a/crates/node/src/proof.rs
+++ b/crates/node/src/proof.rs
@@ -70,11 +70,12 @@
         let (Some(watch), Some(view)) = (watch, view) else {
             return Evidence::Decline(DeclineReason::Unavailable);
         };
-        if service.config.leaving {
+        let leads = view.leader.as_ref() == Some(&database);
+        let served = leads && service.is_draining(now) && !work.begins();
+        if service.config.leaving && !served {
             return Evidence::Decline(DeclineReason::Unavailable);
         }
         work.term = view.term;
-        let leads = view.leader.as_ref() == Some(&database);
         let confirmed = view.confirmed_ago.is_some_and(|ago| ago <= LEADERSHIP_AGE);
         if !work.request.read || work.request.max_age.is_none() {
             if !leads {
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -12,6 +12,18 @@
     Micros::from_millis(count)
 }
 
+/// Gives a revision of the configuration to every node.
+fn give_configuration(driver: &mut Driver, revision: u64, text: &str) {
+    for node in 0..driver.nodes.len() {
+        let event = NodeEvent::DocumentArrived {
+            document: "config".into(),
+            revision,
+            bytes: envelope(revision, text).into(),
+        };
+        driver.give(node, event);
+    }
+}
+
 /// Guards against an acknowledgement without evidence that the primary still leads.
 #[test]
 fn a_write_is_held_until_acknowledged() {
@@ -495,30 +507,20 @@
 #[test]
 fn configuration_changes_take_effect() {
     let mut driver = Driver::start(2);
-    let give = |driver: &mut Driver, revision: u64, text: &str| {
-        for node in 0..2 {
-            let event = NodeEvent::DocumentArrived {
-                document: "config".into(),
-                revision,
-                bytes: envelope(revision, text).into(),
-            };
-            driver.give(node, event);
-        }
-    };
     let revision = |driver: &Driver| {
         driver.nodes[0].answer(driver.now, &OperatorCall::Rollout)["revision"].clone()
     };
     let leaving = fleet_text("").replacen(r#""labels""#, r#""leaving": true, "labels""#, 1);
-    give(&mut driver, 3, &leaving);
-    give(&mut driver, 2, &fleet_text(""));
+    give_configuration(&mut driver, 3, &leaving);
+    give_configuration(&mut driver, 2, &fleet_text(""));
     assert_eq!(revision(&driver), 3);
     let session = driver.open(0, "phone", &[("cicadawick.labels", "kind=short")]);
     assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "WK003");
     assert!(driver.reached_with("insert").is_empty());
-    give(&mut driver, 4, "{ broken");
+    give_configuration(&mut driver, 4, "{ broken");
     assert_eq!(revision(&driver), 3);
     assert_eq!(driver.dump(0)["rejected"], 4);
-    give(&mut driver, 5, &fleet_text(""));
+    give_configuration(&mut driver, 5, &fleet_text(""));
     assert_eq!(revision(&driver), 5);
     assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
 }
@@ -532,14 +534,7 @@
     assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
     let leaving = fleet_text("").replacen(r#""labels""#, r#""leaving": true, "labels""#, 1);
     let start = driver.now;
-    for node in 0..3 {
-        let event = NodeEvent::DocumentArrived {
-            document: "config".into(),
-            revision: 3,
-            bytes: envelope(3, &leaving).into(),
-        };
-        driver.give(node, event);
-    }
+    give_configuration(&mut driver, 3, &leaving);
     let before = driver.reached_with("").iter().filter(|name| *name == "db1").count();
     let finish = driver.query(0, session, "insert into t values (2)");
     assert_eq!(finish.code(), "", "{}", driver.logs.join("\n"));
@@ -560,6 +555,30 @@
     assert_eq!(term(&driver), Some(2), "the primary moved once");
 }
 
+/// Guards against an open transaction that is cut off because its primary leaves, against writes that
+/// stop meanwhile, and against a transaction that keeps the primary for ever.
+#[test]
+fn open_transactions_at_a_leaving_backend_may_finish_in_time() {
+    let mut driver = Driver::start(3);
+    let session = driver.open(0, "kiosk", &[]);
+    assert_eq!(driver.query(0, session, "begin").code(), "");
+    assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
+    let slow = driver.open(0, "report", &[]);
+    assert_eq!(driver.query(0, slow, "begin").code(), "");
+    let leaving = fleet_text("").replacen(r#""labels""#, r#""leaving": true, "labels""#, 1);
+    give_configuration(&mut driver, 3, &leaving);
+    driver.advance(Micros::from_secs(3));
+    let other = driver.open(0, "kiosk", &[]);
+    assert_eq!(driver.query(0, other, "insert into t values (2)").code(), "");
+    assert!(driver.databases["db1"].primary);
+    assert_eq!(driver.query(0, session, "insert into t values (3)").code(), "");
+    assert_eq!(driver.query(0, session, "commit").code(), "");
+    driver.advance(Micros::from_secs(4));
+    assert!(!driver.databases["db1"].primary, "the slow transaction kept the primary");
+    assert_eq!(driver.query(0, slow, "insert into t values (4)").code(), "WK004");
+    assert_eq!(driver.query(0, other, "insert into t values (5)").code(), "");
+}
+
 /// Guards against tokens signed with a key that other nodes do not know yet.
 #[test]
 fn a_new_key_signs_only_after_other_nodes_can_know_it() {
