--- a/crates/daemon/tests/consistency.rs
+++ b/crates/daemon/tests/consistency.rs
@@ -373,11 +373,11 @@
 }
 
 #[test]
-fn answers_are_within_the_accepted_age_at_oshakati() {
+fn answers_are_within_the_accepted_age_with_2_slots() {
     measure_ages(2, 16, Duration::from_micros(500));
 }
 
 #[test]
-fn answers_are_within_the_accepted_age_at_piedra_jabon() {
+fn answers_are_within_the_accepted_age_with_5_slots() {
     measure_ages(5, 55, Duration::from_micros(1_400));
 }
