--- a/crates/daemon/tests/configuration.rs
+++ b/crates/daemon/tests/configuration.rs
@@ -122,6 +122,13 @@
         self.addresses.lock().unwrap().remove(&node);
     }
 
+    /// Waits until every node was polled often enough for [`RevisionMonitor::check`].
+    fn wait_for_samples(&self) {
+        wait_until("every node was polled", || {
+            self.samples.lock().unwrap().values().all(|count| *count > 20)
+        });
+    }
+
     fn check(self, fleet: &TestFleet) {
         for node in 0..fleet.options.nodes {
             assert!(self.samples.lock().unwrap()[&node] > 20, "node {node} was hardly polled");
@@ -267,6 +274,27 @@
     monitor.check(&fleet);
 }
 
+/// Guards against nodes that go back together with a platform that lost its latest change.
+#[test]
+fn platform_that_returns_to_an_older_value_changes_no_node() {
+    const KEY: &str = "cicadawick/config";
+    let fleet = TestFleet::start(FleetOptions::default());
+    let (older, _) = fleet.platform.value(KEY).unwrap();
+    apply(&fleet, 6_003, 2);
+    wait_for_deadline(&fleet, 0..5, 6_003);
+    let monitor = RevisionMonitor::start(&fleet);
+    let (_, index) = fleet.platform.value(KEY).unwrap();
+    let before = fleet.platform.counters().watch;
+    let client = platform::PlatformClient::new(fleet.platform.address(), Duration::from_secs(1));
+    assert!(client.put(KEY, &older, index).unwrap());
+    wait_until("every watcher has the older value and watches again", || {
+        fleet.platform.counters().watch >= before + fleet.options.data_centres as u64
+    });
+    monitor.wait_for_samples();
+    wait_for_deadline(&fleet, 0..5, 6_003);
+    monitor.check(&fleet);
+}
+
 /// Guards against an old revision that spreads from a data centre that was cut off.
 #[test]
 fn partitioned_data_centre_never_shows_a_lower_revision() {
@@ -342,8 +370,6 @@
         assert!((0..5).all(|node| fleet.revision(node) == revision));
         fleet.platform.set_outage(OutageMode::None).unwrap();
     }
-    wait_until("the last node was polled", || {
-        monitor.samples.lock().unwrap().values().all(|count| *count > 20)
-    });
+    monitor.wait_for_samples();
     monitor.check(&fleet);
 }
