--- a/crates/failover/src/supervisor.rs
+++ b/crates/failover/src/supervisor.rs
@@ -744,7 +744,7 @@
         }
     }
 
-    /// Orders a database to follow the confirmed leader if its report shows that it does not.
+    /// Takes a report of a round, which may show that the database does not follow the leader.
     fn take_report(
         &mut self,
         now: Micros,
@@ -759,55 +759,53 @@
             // Another supervisor fenced a higher term; the order would be refused.
             self.back_off(now);
         }
-        let index = self.followers.iter().position(|follower| follower.database == database);
-        let follower = match index {
-            Some(index) => {
-                let follower = &mut self.followers[index];
-                if follower.report.received != report.received {
-                    follower.moved_at = now;
-                }
-                follower.report = report;
-                follower
-            }
-            None => {
-                if !self.databases.contains(&database) {
-                    return;
-                }
-                self.followers.push(FollowState {
-                    database: database.clone(),
-                    report,
-                    moved_at: now,
-                    ordered_at: None,
-                });
-                let last = self.followers.len() - 1;
-                &mut self.followers[last]
+        if self.databases.contains(&database) {
+            let index = self.note_report(now, &database, report);
+            self.order_follow(now, index, actions);
+        }
+    }
+
+    /// Keeps the report and when its log last grew; returns the place in the list of followers.
+    fn note_report(&mut self, now: Micros, database: &Name, report: DatabaseReport) -> usize {
+        let known = self.followers.iter().position(|follower| follower.database == *database);
+        if let Some(index) = known {
+            let follower = &mut self.followers[index];
+            if follower.report.received != report.received {
+                follower.moved_at = now;
             }
-        };
-        let ordered_at = follower.ordered_at;
-        let still = now.saturating_sub(follower.moved_at) >= FOLLOW_INTERVAL;
+            follower.report = report;
+            return index;
+        }
+        self.followers.push(FollowState {
+            database: database.clone(),
+            report,
+            moved_at: now,
+            ordered_at: None,
+        });
+        self.followers.len() - 1
+    }
+
+    /// Orders a database to follow the confirmed leader if its report shows that it does not.
+    fn order_follow(&mut self, now: Micros, index: usize, actions: &mut Vec<SupervisorAction>) {
         let Some((term, leader)) = self.leader.clone() else { return };
+        let FollowState { database, report, moved_at, ordered_at } = self.followers[index].clone();
         if leader == database || report.term > term || self.step != PromotionStep::Idle {
             return;
         }
-        let head = self
-            .followers
-            .iter()
-            .find(|follower| follower.database == leader && follower.report.term == term);
+        let mut followers = self.followers.iter();
+        let head = followers.find(|other| other.database == leader && other.report.term == term);
         // Behind without progress: the follow order was lost. Longer than the leader's log: it holds
         // entries that it should have discarded.
+        let still = now.saturating_sub(moved_at) >= FOLLOW_INTERVAL;
         let stuck = head.is_some_and(|head| {
             let behind =
                 report.log_term < head.report.log_term || report.received < head.report.received;
-            (behind && still)
-                || (report.received > head.report.received && report.log_term < term && still)
+            let ahead = report.received > head.report.received && report.log_term < term;
+            still && (behind || ahead)
         });
         let due = ordered_at.is_none_or(|at| now >= at + FOLLOW_INTERVAL);
         if (report.term < term || stuck) && due {
-            for follower in &mut self.followers {
-                if follower.database == database {
-                    follower.ordered_at = Some(now);
-                }
-            }
+            self.followers[index].ordered_at = Some(now);
             actions.push(SupervisorAction::Follow { database, term, leader });
         }
     }
--- a/crates/node/src/entry/finish.rs
+++ b/crates/node/src/entry/finish.rs
@@ -1,7 +1,7 @@
 //! Replies of owners, and the end that the caller is told.
 
 use bytes::Bytes;
-use model::{Name, SessionFloor};
+use model::Name;
 use serde_json::json;
 use stats::CallerMeasure;
 
@@ -32,16 +32,9 @@
         let database = attempt.database.clone();
         let cluster = session.cluster.clone();
         match reply {
-            WorkReply::Done { transaction, floor, lost, age, wait, .. } => {
+            WorkReply::Done { transaction, floor, lost, age, wait } => {
                 let led = !request.read;
-                if let Some(instead) = lost {
-                    session.token.floors.insert(cluster.clone(), instead);
-                    session.token_changed = true;
-                    session.notices.push(lost_notice(instead));
-                }
-                if let Some(floor) = floor {
-                    session.raise_floor(floor);
-                }
+                session.take_floors(floor, lost);
                 self.entry.hints.heard(now, &database, age, wait);
                 if lost.is_some() {
                     self.count("writes.lost", 1);
@@ -71,23 +64,26 @@
                 }
             }
             WorkReply::RolledBack { message } => self.end_transaction(id, &message),
-            WorkReply::Unknown { message } => {
-                let retried = request.key.is_some() && session.transaction.is_none();
-                if retried {
-                    request.maybe_ran = true;
-                    self.entry.hints.clear_leader(&cluster, &database);
-                    self.count("requests.retried", 1);
-                    self.try_elsewhere(id, &database);
-                } else {
-                    self.finish_unknown(id, &message);
-                }
-            }
+            WorkReply::Unknown { message } => self.write_outcome_unknown(id, &database, &message),
             WorkReply::ReadFailed { relayed, message } => {
                 self.answer_broke_off(id, &database, relayed, &message);
             }
         }
     }
 
+    /// A write with a key is sent again; for any other the caller learns that its outcome is unknown.
+    fn write_outcome_unknown(&mut self, id: SessionId, database: &Name, message: &str) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(request) = session.request.as_mut() else { return };
+        if request.key.is_none() || session.transaction.is_some() {
+            return self.finish_unknown(id, message);
+        }
+        request.maybe_ran = true;
+        self.entry.hints.clear_leader(&session.cluster, database);
+        self.count("requests.retried", 1);
+        self.try_elsewhere(id, database);
+    }
+
     /// The answer broke off; a read of which nothing was relayed is tried again.
     fn answer_broke_off(&mut self, id: SessionId, database: &Name, relayed: bool, message: &str) {
         let now = self.now;
@@ -266,14 +262,3 @@
         self.close_if_draining(id);
     }
 }
-
-fn lost_notice(instead: SessionFloor) -> ErrorReply {
-    error(
-        "01000",
-        format!(
-            "a write of this session may have been lost in a change of primary; reads now start \
-             at term {} position {}",
-            instead.term, instead.position
-        ),
-    )
-}
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -90,6 +90,18 @@
         }
     }
 
+    /// Takes over the floor that a reply brought. A lost write lowers the floor and is told to the caller.
+    pub(crate) fn take_floors(&mut self, floor: Option<SessionFloor>, lost: Option<SessionFloor>) {
+        if let Some(instead) = lost {
+            self.token.floors.insert(self.cluster.clone(), instead);
+            self.token_changed = true;
+            self.notices.push(lost_notice(instead));
+        }
+        if let Some(floor) = floor {
+            self.raise_floor(floor);
+        }
+    }
+
     pub(crate) fn transaction_state(&self) -> TransactionState {
         self.transaction.as_ref().map(|transaction| transaction.state).unwrap_or_default()
     }
@@ -113,6 +125,56 @@
     ErrorReply { code: code.into(), message: message.into() }
 }
 
+fn lost_notice(instead: SessionFloor) -> ErrorReply {
+    error(
+        "01000",
+        format!(
+            "a write of this session may have been lost in a change of primary; reads now start \
+             at term {} position {}",
+            instead.term, instead.position
+        ),
+    )
+}
+
+fn find_parameter<'a>(start: &'a SessionStart, key: &str) -> Option<&'a str> {
+    let mut parameters = start.parameters.iter();
+    parameters.find(|(name, _)| name.eq_ignore_ascii_case(key)).map(|(_, value)| value.as_str())
+}
+
+fn required_parameter(start: &SessionStart, key: &str) -> Result<Name, ErrorReply> {
+    find_parameter(start, key)
+        .filter(|value| !value.is_empty())
+        .map(Name::from)
+        .ok_or_else(|| error("28000", format!("start-up parameter {key:?} is missing")))
+}
+
+fn application_name(start: &SessionStart) -> &str {
+    find_parameter(start, "application_name").unwrap_or_default()
+}
+
+/// Attributes of a caller that are known; the others are absent, so that `!application` matches.
+fn caller_attributes(start: &SessionStart, user: &str, cluster: &str) -> LabelSet {
+    let attributes = [
+        ("user", user),
+        ("application", application_name(start)),
+        ("address", start.address.as_str()),
+        ("database", cluster),
+    ];
+    LabelSet::from_pairs(attributes.into_iter().filter(|(_, value)| !value.is_empty()))
+}
+
+/// Checks a start-up parameter that is not the proxy's own.
+fn check_parameter(name: &str, lower: &str, value: &str) -> Result<(), ErrorReply> {
+    if !ACCEPTED_PARAMETERS.contains(&lower) {
+        return Err(error("42704", format!("unrecognized configuration parameter {name:?}")));
+    }
+    let encoding = value.trim_matches(['\'', '"']).to_ascii_lowercase();
+    if lower == "client_encoding" && !["utf8", "utf-8", "unicode"].contains(&encoding.as_str()) {
+        return Err(error("0A000", "the pool's connections use client_encoding UTF8"));
+    }
+    Ok(())
+}
+
 impl Node {
     pub(crate) fn open_session(&mut self, id: SessionId, start: &SessionStart) {
         match self.start_session(start) {
@@ -132,39 +194,19 @@
         if self.drain.is_draining() {
             return Err(error("57P03", "the proxy is shutting down"));
         }
-        let find =
-            |key: &str| start.parameters.iter().find(|(name, _)| name.eq_ignore_ascii_case(key));
-        let required = |key: &str| {
-            find(key)
-                .filter(|(_, value)| !value.is_empty())
-                .map(|(_, value)| Name::from(value.as_str()))
-                .ok_or_else(|| error("28000", format!("start-up parameter {key:?} is missing")))
-        };
-        let user = required("user")?;
-        let cluster = required("database")?;
+        let user = required_parameter(start, "user")?;
+        let cluster = required_parameter(start, "database")?;
         let Some(fleet) = self.fleet.active.clone() else {
             return Err(error("57P03", "the proxy has not received a configuration yet"));
         };
         if fleet.cluster(&cluster).is_none() {
             return Err(error("3D000", format!("database {cluster:?} does not exist")));
         }
-        let application =
-            find("application_name").map(|(_, value)| value.as_str()).unwrap_or_default();
-        let attributes = LabelSet::from_pairs(
-            [
-                ("user", user.as_str()),
-                ("application", application),
-                ("address", start.address.as_str()),
-                ("database", cluster.as_str()),
-            ]
-            .into_iter()
-            .filter(|(_, value)| !value.is_empty()),
-        );
         let mut session = Session {
-            caller: format!("{user}/{application}/{}", start.address).into(),
+            caller: format!("{user}/{}/{}", application_name(start), start.address).into(),
+            attributes: caller_attributes(start, &user, &cluster),
             cluster,
             user,
-            attributes,
             session_labels: LabelSet::default(),
             max_age: None,
             request_key: None,
@@ -185,14 +227,8 @@
             let lower = name.to_ascii_lowercase();
             if lower.starts_with("cicadawick.") {
                 self.set_parameter(&mut session, &lower, value)?;
-            } else if !ACCEPTED_PARAMETERS.contains(&lower.as_str()) {
-                let message = format!("unrecognized configuration parameter {name:?}");
-                return Err(error("42704", message));
-            } else if lower == "client_encoding"
-                && !["utf8", "utf-8", "unicode"]
-                    .contains(&value.trim_matches(['\'', '"']).to_ascii_lowercase().as_str())
-            {
-                return Err(error("0A000", "the pool's connections use client_encoding UTF8"));
+            } else {
+                check_parameter(name, &lower, value)?;
             }
         }
         self.refresh_labels(&mut session);
@@ -201,12 +237,7 @@
 
     /// Parameters that PostgreSQL reports at start-up and drivers rely on.
     fn accepted_parameters(&self, session: &Session, start: &SessionStart) -> Vec<(Name, String)> {
-        let application = start
-            .parameters
-            .iter()
-            .find(|(name, _)| name.as_str() == "application_name")
-            .map(|(_, value)| value.as_str())
-            .unwrap_or_default();
+        let application = application_name(start);
         [
             ("server_version", "16.0"),
             ("server_encoding", "UTF8"),
