Publish the first configuration of a stand-in fleet in one place

Cause: the demo, the overhead bench and two test harnesses each wrote the same envelope, token key and list of databases. Change: fake::cluster_entry and fake::publish_configuration.

--- a/crates/bench/src/surroundings.rs
+++ b/crates/bench/src/surroundings.rs
@@ -6,10 +6,8 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
-use config::ChangeEnvelope;
 use fake::fakedb::{DatabaseGroup, GroupOptions};
 use fake::fakeplatform::FakePlatform;
-use platform::PlatformClient;
 
 /// Name of the cluster, and the database name that callers connect to.
 pub const CLUSTER: &str = "billing";
@@ -160,34 +158,12 @@
     options: &GroupOptions,
     platform: SocketAddr,
 ) -> anyhow::Result<()> {
-    let databases: Vec<serde_json::Value> = group
-        .names()
-        .iter()
-        .zip(group.addresses())
-        .map(|(name, address)| {
-            serde_json::json!({
-                "name": name, "data_centre": "dc1", "address": address.to_string(),
-                "slots": options.slots, "connections": options.connections,
-            })
-        })
-        .collect();
-    let text = serde_json::json!({
-        "clusters": [{ "name": CLUSTER, "databases": databases }],
+    let fleet = serde_json::json!({
+        "clusters": [fake::cluster_entry(CLUSTER, "dc1", group, options)],
         "selectors": [
             { "name": "durable", "matches": "kind=durable", "rank": "urgent", "durable": true },
             { "name": "other", "matches": "", "rank": "interactive" },
         ],
     });
-    let envelope = ChangeEnvelope {
-        revision: 1,
-        change_id: "bench".to_owned(),
-        author: "bench".to_owned(),
-        written_at: 0,
-        text: text.to_string(),
-    };
-    let client = PlatformClient::new(platform, Duration::from_secs(2));
-    let keys = serde_json::json!([{ "id": 1, "secret": "5a".repeat(32) }]).to_string();
-    client.put("cicadawick/config", &envelope.to_bytes(), 0)?;
-    client.put("cicadawick/token-keys", keys.as_bytes(), 0)?;
-    Ok(())
+    fake::publish_configuration(platform, &fleet.to_string())
 }
--- a/crates/daemon/examples/demo.rs
+++ b/crates/daemon/examples/demo.rs
@@ -9,13 +9,11 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
-use config::ChangeEnvelope;
 use daemon::{ReadyAddresses, RunOptions, StopHandle};
 use fake::fakedb::{DatabaseGroup, GroupOptions};
 use fake::fakeplatform::FakePlatform;
 use fake::loadgen::{LoadKind, LoadMix, LoadOptions, LoadReport};
 use model::{Micros, NodeSettings};
-use platform::PlatformClient;
 
 mod flags {
     xflags::xflags! {
@@ -115,19 +113,8 @@
     options: &GroupOptions,
     platform: SocketAddr,
 ) -> anyhow::Result<()> {
-    let databases: Vec<serde_json::Value> = group
-        .names()
-        .iter()
-        .zip(group.addresses())
-        .map(|(name, address)| {
-            serde_json::json!({
-                "name": name, "data_centre": "north-1", "address": address.to_string(),
-                "slots": options.slots, "connections": options.connections,
-            })
-        })
-        .collect();
-    let text = serde_json::json!({
-        "clusters": [{ "name": CLUSTER, "databases": databases }],
+    let fleet = serde_json::json!({
+        "clusters": [fake::cluster_entry(CLUSTER, "north-1", group, options)],
         "selectors": [
             { "name": "purchases", "matches": "kind=vendor", "rank": "urgent", "durable": true },
             { "name": "balances", "matches": "kind=kiosk", "rank": "interactive",
@@ -135,21 +122,7 @@
             { "name": "readings", "matches": "", "rank": "batch" },
         ],
     });
-    let envelope = ChangeEnvelope {
-        revision: 1,
-        change_id: "demo".to_owned(),
-        author: "demo".to_owned(),
-        written_at: 0,
-        text: text.to_string(),
-    };
-    let client = PlatformClient::new(platform, Duration::from_secs(2));
-    let keys = serde_json::json!([{ "id": 1, "secret": "5a".repeat(32) }]).to_string();
-    if !client.put("cicadawick/config", &envelope.to_bytes(), 0)?
-        || !client.put("cicadawick/token-keys", keys.as_bytes(), 0)?
-    {
-        bail!("failed to write the configuration: the platform holds one already");
-    }
-    Ok(())
+    fake::publish_configuration(platform, &fleet.to_string())
 }
 
 /// The daemon's event loop in a thread of its own.
--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -10,11 +10,9 @@
 use std::sync::{Condvar, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
-use config::ChangeEnvelope;
 use fake::fakedb::{DatabaseGroup, GroupOptions};
 use fake::fakeplatform::{FakePlatform, FakeVm};
 use fake::faultproxy::FaultProxy;
-use platform::PlatformClient;
 use serde_json::{Value, json};
 
 use super::{Proxy, start_proxy_with, temporary_file, wait_until};
@@ -219,17 +217,8 @@
             dial_files,
             _permit: permit,
         };
-        let envelope = ChangeEnvelope {
-            revision: 1,
-            change_id: "first".to_owned(),
-            author: "test".to_owned(),
-            written_at: 0,
-            text: fleet.configuration(4_000),
-        };
-        let client = PlatformClient::new(fleet.platform.address(), Duration::from_secs(2));
-        assert!(client.put("cicadawick/config", &envelope.to_bytes(), 0).unwrap());
-        let keys = json!([{ "id": 1, "secret": "5a".repeat(32) }]).to_string();
-        assert!(client.put("cicadawick/token-keys", keys.as_bytes(), 0).unwrap());
+        let text = fleet.configuration(4_000);
+        fake::publish_configuration(fleet.platform.address(), &text).unwrap();
         fleet
     }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -11,10 +11,8 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-use config::ChangeEnvelope;
 use fake::fakedb::{DatabaseGroup, GroupOptions};
 use fake::fakeplatform::FakePlatform;
-use platform::PlatformClient;
 use postgres::{Client, NoTls, SimpleQueryMessage};
 
 pub const WAIT: Duration = Duration::from_secs(20);
@@ -108,32 +106,12 @@
     pub fn start_with(proxies: usize, options: GroupOptions) -> Self {
         let group = DatabaseGroup::start(options.clone()).unwrap();
         let platform = FakePlatform::start(0).unwrap();
-        let databases: Vec<serde_json::Value> = group
-            .names()
-            .iter()
-            .zip(group.addresses())
-            .map(|(name, address)| {
-                serde_json::json!({
-                    "name": name, "data_centre": "dc1", "address": address.to_string(),
-                    "slots": options.slots, "connections": options.connections,
-                })
-            })
-            .collect();
-        let text = serde_json::json!({
-            "clusters": [{ "name": "billing", "databases": databases }],
+        let cluster = fake::cluster_entry("billing", "dc1", &group, &options);
+        let configuration = serde_json::json!({
+            "clusters": [cluster],
             "selectors": [{ "name": "all", "matches": "", "rank": "urgent", "deadline_ms": 10_000 }],
         });
-        let envelope = ChangeEnvelope {
-            revision: 1,
-            change_id: "first".to_owned(),
-            author: "test".to_owned(),
-            written_at: 0,
-            text: text.to_string(),
-        };
-        let client = PlatformClient::new(platform.address(), Duration::from_secs(2));
-        assert!(client.put("cicadawick/config", &envelope.to_bytes(), 0).unwrap());
-        let keys = serde_json::json!([{ "id": 1, "secret": "5a".repeat(32) }]).to_string();
-        assert!(client.put("cicadawick/token-keys", keys.as_bytes(), 0).unwrap());
+        fake::publish_configuration(platform.address(), &configuration.to_string()).unwrap();
         let mut fleet = Fleet { group, platform, proxies: Vec::new() };
         for _ in 0..proxies {
             fleet.add_proxy();
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -14,6 +14,9 @@
 pub mod faultproxy;
 mod http;
 pub mod loadgen;
+mod setup;
+
+pub use setup::{cluster_entry, publish_configuration};
 
 /// Prints where a tool listens, in one write. A reader that closes the pipe after the first line
 /// must not end the tool, so a failed write is ignored.
--- /dev/null
+++ b/crates/fake/src/setup.rs
@@ -0,0 +1,61 @@
+//! First configuration of a fleet in front of a stand-in database group.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::ensure;
+use config::ChangeEnvelope;
+use platform::PlatformClient;
+use serde_json::{Value, json};
+
+use crate::fakedb::{DatabaseGroup, GroupOptions};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Returns a cluster entry of the configuration with all databases of a group.
+///
+/// ```
+/// use fake::fakedb::{DatabaseGroup, GroupOptions};
+/// let options = GroupOptions::new("billing", 3);
+/// let group = DatabaseGroup::start(options.clone())?;
+/// let cluster = fake::cluster_entry("billing", "north-1", &group, &options);
+/// assert_eq!(cluster["databases"][2]["name"], "billing-3");
+/// # Ok::<(), anyhow::Error>(())
+/// ```
+pub fn cluster_entry(
+    cluster: &str,
+    data_centre: &str,
+    group: &DatabaseGroup,
+    options: &GroupOptions,
+) -> Value {
+    let databases = group.names().iter().zip(group.addresses()).map(|(name, address)| {
+        json!({
+            "name": name, "data_centre": data_centre, "address": address.to_string(),
+            "slots": options.slots, "connections": options.connections,
+        })
+    });
+    json!({ "name": cluster, "databases": databases.collect::<Vec<Value>>() })
+}
+
+/// Writes a text as revision 1 of the configuration, and a token key to a platform that holds neither.
+///
+/// # Errors
+///
+/// Fails if the platform cannot be reached or already holds one of them.
+pub fn publish_configuration(platform: SocketAddr, text: &str) -> anyhow::Result<()> {
+    let envelope = ChangeEnvelope {
+        revision: 1,
+        change_id: "first".to_owned(),
+        author: "setup".to_owned(),
+        written_at: 0,
+        text: text.to_owned(),
+    };
+    let keys = json!([{ "id": 1, "secret": "5a".repeat(32) }]).to_string();
+    let client = PlatformClient::new(platform, CALL_TIMEOUT);
+    let values =
+        [("cicadawick/config", envelope.to_bytes()), ("cicadawick/token-keys", keys.into_bytes())];
+    for (key, bytes) in values {
+        ensure!(client.put(key, &bytes, 0)?, "the platform holds {key} already");
+    }
+    Ok(())
+}
