Split the hub of the daemon by neighbour, and state the limits of request keys

Cause: one file of 1,032 lines held the work for callers, backend servers, peers and operators; the design page promised a retention of keys that is not built. Change: a module for each neighbour, without a change of behaviour; docs.

--- /dev/null
+++ b/crates/daemon/src/hub/callers.rs
@@ -0,0 +1,124 @@
+//! Callers: accepting connections, passing their requests on, and closing sessions.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::SocketAddress;
+use node::{AnswerTarget, CallerRequest, NodeEvent, SessionId};
+use stakker::{CX, actor, after, call, ret_nop};
+use stakker_mio::Ready;
+use stakker_mio::mio::net::TcpStream;
+
+use super::{
+    ACCEPT_PAUSE, Hub, KEEPALIVE, KEEPALIVE_INTERVAL, REFUSED_LIMIT, SessionEntry, is_transient,
+    process_of, session_candidates,
+};
+use crate::session::{Session, SessionSetup};
+
+impl Hub {
+    pub(super) fn accept_callers(&mut self, cx: CX![], _: Ready) {
+        self.accept_waiting_callers(cx);
+    }
+
+    pub(super) fn accept_waiting_callers(&mut self, cx: CX![]) {
+        loop {
+            let Some(listener) = &self.callers else { return };
+            match listener.accept() {
+                Ok((stream, address)) => self.add_session(cx, stream, address),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(error) if is_transient(&error) => {}
+                Err(error) => {
+                    log::warn!("failed to accept a caller error={error}");
+                    after!(ACCEPT_PAUSE, [cx], accept_waiting_callers());
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(super) fn add_session(&mut self, cx: CX![], stream: TcpStream, address: SocketAddress) {
+        let limit = self.settings.caller_limit as usize;
+        if self.sessions.len() >= limit + REFUSED_LIMIT {
+            self.counters.add("sessions.refused", 1);
+            return;
+        }
+        let mut secret = [0; 4];
+        if let Err(error) = getrandom::fill(&mut secret) {
+            log::error!("failed to get random bytes error={error}");
+            return;
+        }
+        let secret = i32::from_be_bytes(secret);
+        // Finds callers whose VM vanished without closing the connection.
+        let keepalive =
+            socket2::TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE_INTERVAL);
+        if let Err(error) = socket2::SockRef::from(&stream).set_tcp_keepalive(&keepalive) {
+            log::debug!("failed to set keepalive address={address} error={error}");
+        }
+        let id = SessionId(self.next_session);
+        self.next_session += 1;
+        self.counters.add("sessions.opened", 1);
+        let setup = SessionSetup {
+            id,
+            stream,
+            address: address.ip().to_string().into(),
+            process: process_of(id),
+            secret,
+            request_limit: self.settings.request_limit_bytes as usize,
+            refused: self.sessions.len() >= limit,
+            scratch: self.scratch.clone(),
+        };
+        let hub = cx.this().clone();
+        let session = actor!(cx, Session::init(hub, setup), ret_nop!());
+        self.sessions.insert(id, SessionEntry { session, secret, request: 0 });
+    }
+
+    /// A caller sent its next request.
+    pub(crate) fn request_arrived(
+        &mut self,
+        cx: CX![],
+        session: SessionId,
+        number: u64,
+        request: CallerRequest,
+    ) {
+        if let Some(entry) = self.sessions.get_mut(&session) {
+            entry.request = number;
+            self.node_event(cx, NodeEvent::RequestArrived { session, request });
+        }
+    }
+
+    /// A cancel request arrived. One that does not match a session's secret is ignored.
+    pub(crate) fn cancel_arrived(&mut self, cx: CX![], process: i32, secret: Bytes) {
+        let session = session_candidates(process, self.next_session).find(|id| {
+            self.sessions.get(id).is_some_and(|entry| secret[..] == entry.secret.to_be_bytes())
+        });
+        match session {
+            Some(session) => {
+                self.counters.add("cancels.accepted", 1);
+                self.node_event(cx, NodeEvent::CancelArrived { session });
+            }
+            None => self.counters.add("cancels.ignored", 1),
+        }
+    }
+
+    /// A caller's connection is over.
+    pub(crate) fn session_ended(&mut self, cx: CX![], session: SessionId) {
+        if self.sessions.remove(&session).is_some() {
+            self.counters.add("sessions.closed", 1);
+            self.drop_held(AnswerTarget::Session(session));
+            self.node_event(cx, NodeEvent::SessionClosed { session });
+            self.finish_if_empty(cx);
+        }
+    }
+
+    pub(super) fn close_session(
+        &mut self,
+        cx: CX![],
+        session: SessionId,
+        error: Option<node::ErrorReply>,
+    ) {
+        self.drop_held(AnswerTarget::Session(session));
+        if let Some(entry) = self.sessions.get(&session) {
+            call!([entry.session, cx], close(error));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/hub/control.rs
@@ -0,0 +1,144 @@
+//! Platform answers, operators' requests, and the end of the process.
+
+use std::time::Duration;
+
+use node::NodeEvent;
+use serde_json::json;
+use stakker::{Actor, CX, StopCause, after, call};
+
+use super::{DRAIN_GRACE, DUMP_ROWS, Hub, LAST_FLUSH};
+use crate::admin::{AdminCall, AdminRequest};
+use crate::platform_link::RecordCall;
+
+impl Hub {
+    pub(super) fn record(&mut self, cx: CX![], request: RecordCall) {
+        let hub = cx.this().clone();
+        if let Err(cluster) = self.platform.record(cx, &hub, request) {
+            let event = NodeEvent::PlatformAnswered(node::PlatformAnswer::RecordFailed { cluster });
+            call!([cx], node_event(event));
+        }
+    }
+
+    /// A call about a record was answered.
+    pub(crate) fn record_answered(&mut self, cx: CX![], answer: node::PlatformAnswer) {
+        self.platform.record_answered();
+        self.platform_answered(cx, answer);
+    }
+
+    /// A watch returned.
+    pub(crate) fn platform_answered(&mut self, cx: CX![], answer: node::PlatformAnswer) {
+        self.node_event(cx, NodeEvent::PlatformAnswered(answer));
+    }
+
+    // Operators and the process.
+
+    pub(super) fn admin_request(&mut self, cx: CX![], request: AdminRequest) {
+        let AdminRequest { call, reply } = request;
+        let answer = match call {
+            AdminCall::Node(call) => self.node.answer(self.now(cx), &call),
+            AdminCall::Health => json!({
+                "node": self.settings.name,
+                "status": if self.draining { "draining" } else { "ready" },
+                "sessions": self.sessions.len(),
+            }),
+            AdminCall::Drain => {
+                self.drain(cx);
+                json!({ "node": self.settings.name, "status": "draining" })
+            }
+            AdminCall::Dump => {
+                self.dump(cx, reply);
+                return;
+            }
+        };
+        // The operator's connection may have timed out.
+        let _ = reply.send(answer);
+    }
+
+    /// Collects the descriptions of other actors, then answers.
+    pub(super) fn dump(&mut self, cx: CX![], reply: std::sync::mpsc::Sender<serde_json::Value>) {
+        let rows = std::rc::Rc::new(std::cell::RefCell::new((Vec::new(), Vec::new())));
+        for entry in self.sessions.values().take(DUMP_ROWS) {
+            let session = Actor::clone(&entry.session);
+            let rows = rows.clone();
+            cx.defer(move |stakker| {
+                if let Some(row) = session.query(stakker, |session, _| session.describe()) {
+                    rows.borrow_mut().0.push(row);
+                }
+            });
+        }
+        for backend in self.backends.values().take(DUMP_ROWS) {
+            let backend = Actor::clone(backend);
+            let rows = rows.clone();
+            cx.defer(move |stakker| {
+                if let Some(row) = backend.query(stakker, |backend, _| backend.describe()) {
+                    rows.borrow_mut().1.push(row);
+                }
+            });
+        }
+        let mut dump = self.node.answer(self.now(cx), &node::OperatorCall::Dump);
+        let shell = json!({
+            "uptime_ms": self.now(cx).as_millis(),
+            "draining": self.draining,
+            "session_count": self.sessions.len(),
+            "backend_count": self.backends.len(),
+            "run_count": self.runs.len(),
+            "held_answers": self.held.len(),
+            "held_bytes": self.held.values().map(|entry| entry.answer.bytes.len()).sum::<usize>(),
+            "report_connections": self.reports.len(),
+            "peer_connections": self.clients.connection_count(),
+            "peer_tasks": self.pool.len(),
+            "calls_received": self.calls.len(),
+            "calls_sent": self.forwards.len(),
+            "lanes": self.lanes.len(),
+            "platform_watches": self.platform.watch_count(),
+            "counters": self.counters.values(),
+        });
+        cx.defer(move |_| {
+            let (sessions, backends) = rows.take();
+            let mut shell = shell;
+            shell["sessions"] = sessions.into();
+            shell["backends"] = backends.into();
+            if !dump.is_object() {
+                dump = json!({ "node": dump });
+            }
+            dump["shell"] = shell;
+            let _ = reply.send(dump);
+        });
+    }
+
+    /// Begins a graceful shutdown.
+    pub(crate) fn drain(&mut self, cx: CX![]) {
+        if self.draining {
+            return;
+        }
+        self.draining = true;
+        log::info!("draining sessions={}", self.sessions.len());
+        let limit = Duration::from_micros(self.settings.drain_timeout.0) + DRAIN_GRACE;
+        after!(limit, [cx], drain_timed_out());
+        self.node_event(cx, NodeEvent::DrainRequested);
+    }
+
+    pub(super) fn drain_timed_out(&mut self, cx: CX![]) {
+        log::warn!("drain timed out sessions={} runs={}", self.sessions.len(), self.runs.len());
+        cx.shutdown(StopCause::Stopped);
+    }
+
+    pub(super) fn shutdown_complete(&mut self, cx: CX![]) {
+        self.finished = true;
+        // Closes the port, so that new callers go to another node.
+        self.callers = None;
+        after!(LAST_FLUSH, [cx], last_flush_over());
+        call!([cx], finish_if_empty());
+    }
+
+    pub(super) fn last_flush_over(&mut self, cx: CX![]) {
+        cx.shutdown(StopCause::Stopped);
+    }
+
+    pub(super) fn finish_if_empty(&mut self, cx: CX![]) {
+        if self.finished && self.sessions.is_empty() {
+            self.counters.flush();
+            cx.shutdown(StopCause::Stopped);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/hub/peers.rs
@@ -0,0 +1,231 @@
+//! Peers: accepting their connections, calls to them, and calls that arrive.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::SocketAddress;
+use node::{
+    AnswerTarget, CallId, LaneId, NodeAction, NodeEvent, SessionId, WorkReply, WorkRequest,
+};
+use rpc::{AnswerPart, ChunkPermit, ForwardReply, PeerCallError, PeerRequest, RpcStream};
+use stakker::{CX, after, call, fwd_to};
+use stakker_mio::{MioPoll, Ready};
+
+use super::{
+    ACCEPT_PAUSE, FORWARD_GRACE, HEARTBEAT_TIMEOUT, Hub, PULL_TIMEOUT, VIEW_TIMEOUT, is_transient,
+    reply_to,
+};
+
+impl Hub {
+    pub(super) fn accept_peers(&mut self, cx: CX![], _: Ready) {
+        self.accept_waiting_peers(cx);
+    }
+
+    pub(super) fn accept_waiting_peers(&mut self, cx: CX![]) {
+        loop {
+            match self.peers.accept() {
+                Ok((stream, address)) => {
+                    let poll: MioPoll = cx.anymap_get();
+                    match RpcStream::new(&poll, stream) {
+                        Ok(stream) => {
+                            let requests = fwd_to!([cx], peer_request() as (PeerRequest));
+                            rpc::serve_peer(&self.pool, stream, requests, self.call_ids.clone());
+                        }
+                        Err(error) => {
+                            log::warn!("failed to serve a peer address={address} error={error}");
+                        }
+                    }
+                }
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(error) if is_transient(&error) => {}
+                Err(error) => {
+                    log::warn!("failed to accept a peer error={error}");
+                    after!(ACCEPT_PAUSE, [cx], accept_waiting_peers());
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(super) fn act_on_peer(&mut self, cx: CX![], action: NodeAction) {
+        let hub = cx.this().clone();
+        match action {
+            NodeAction::SendHeartbeat { to, heartbeat } => {
+                let name = to.name;
+                let address = to.peer_address;
+                let done = reply_to(hub, move |answer| match answer {
+                    Ok(heartbeat) => Some(NodeEvent::HeartbeatAnswered(heartbeat)),
+                    Err(_) => Some(NodeEvent::HeartbeatFailed { to: name }),
+                });
+                self.clients.heartbeat(cx, address, &heartbeat, HEARTBEAT_TIMEOUT, done);
+            }
+            NodeAction::PullTable { from } => {
+                let done =
+                    reply_to(hub, |table: Result<_, _>| table.ok().map(NodeEvent::TableArrived));
+                self.clients.pull_table(cx, from.peer_address, PULL_TIMEOUT, done);
+            }
+            NodeAction::PullDocument { from, document } => {
+                let name = document.clone();
+                let done = reply_to(hub, move |pulled: Result<Option<_>, _>| {
+                    let (revision, bytes) = pulled.ok()??;
+                    Some(NodeEvent::DocumentArrived { document, revision, bytes })
+                });
+                self.clients.pull_document(cx, from.peer_address, &name, PULL_TIMEOUT, done);
+            }
+            NodeAction::AskView { to, cluster } => {
+                let name = cluster.clone();
+                let from = to.name;
+                let done = reply_to(hub, move |view: Result<Option<_>, _>| {
+                    Some(NodeEvent::ViewAnswered { cluster, from, view: view.unwrap_or(None) })
+                });
+                self.clients.view(cx, to.peer_address, &name, VIEW_TIMEOUT, done);
+            }
+            NodeAction::Forward { call, session, to, lane, work } => {
+                self.forward(cx, call, session, to.peer_address, lane, &work);
+            }
+            NodeAction::CancelForward { call } => {
+                if let Some((guard, _)) = self.forwards.get(&call) {
+                    guard.cancel();
+                }
+            }
+            NodeAction::AnswerForward { call, reply, lane } => {
+                self.drop_held(AnswerTarget::Call(call));
+                if let Some(answers) = self.calls.remove(&call) {
+                    // Fails if the peer gave up, which the node learns on its own.
+                    let _ = answers.unbounded_send(AnswerPart::End(reply, lane));
+                }
+            }
+            NodeAction::DropLane { lane } => {
+                self.lanes.remove(&lane);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn forward(
+        &mut self,
+        cx: CX![],
+        call: CallId,
+        session: SessionId,
+        address: SocketAddress,
+        lane: Option<LaneId>,
+        work: &WorkRequest,
+    ) {
+        let sink = self.sink(AnswerTarget::Session(session));
+        let deferrer = cx.deferrer();
+        let relayed = Rc::new(Cell::new(false));
+        let chunk_relayed = relayed.clone();
+        let chunks = move |bytes: Bytes, permit: ChunkPermit| {
+            chunk_relayed.set(true);
+            if let Some(sink) = sink.clone() {
+                deferrer.defer(move |stakker| sink.send(stakker, bytes, permit));
+            }
+        };
+        let hub = cx.this().clone();
+        let done = move |result: Result<ForwardReply, PeerCallError>| {
+            let deferred = hub.clone();
+            hub.defer(move |stakker| {
+                call!([deferred, stakker], forward_answered(call, lane, result))
+            });
+        };
+        let timeout = Duration::from_micros(work.time_left.0.min(3_600_000_000)) + FORWARD_GRACE;
+        let guard = match lane {
+            None => {
+                let name = self.settings.name.clone();
+                self.clients.execute(cx, address, &name, work, timeout, chunks, done)
+            }
+            Some(lane) => match self.lanes.get(&lane) {
+                Some(lane) => self.clients.execute_on_lane(cx, lane, work, timeout, chunks, done),
+                None => {
+                    let event = NodeEvent::ForwardFailed { call, sent: false };
+                    call!([cx], node_event(event));
+                    return;
+                }
+            },
+        };
+        self.forwards.insert(call, (guard, relayed));
+    }
+
+    pub(super) fn forward_answered(
+        &mut self,
+        cx: CX![],
+        call: CallId,
+        lane: Option<LaneId>,
+        result: Result<ForwardReply, PeerCallError>,
+    ) {
+        let Some((_guard, relayed)) = self.forwards.remove(&call) else { return };
+        match result {
+            Ok(ForwardReply { reply, lane: handle }) => {
+                let lane = match (lane, handle) {
+                    (Some(lane), Some(_)) => Some(lane),
+                    (None, Some(handle)) => {
+                        let lane = LaneId(self.call_ids.next());
+                        self.lanes.insert(lane, handle);
+                        Some(lane)
+                    }
+                    (Some(lane), None) => {
+                        self.lanes.remove(&lane);
+                        None
+                    }
+                    (None, None) => None,
+                };
+                self.node_event(cx, NodeEvent::ForwardAnswered { call, reply, lane });
+            }
+            Err(error) => {
+                log::debug!("failed to forward a request error={:?}", error.to_string());
+                self.counters.add("forwards.failed", 1);
+                if let Some(lane) = lane {
+                    self.lanes.remove(&lane);
+                }
+                let event = if relayed.get() {
+                    let reply = WorkReply::ReadFailed { relayed: true, message: error.to_string() };
+                    NodeEvent::ForwardAnswered { call, reply, lane: None }
+                } else {
+                    NodeEvent::ForwardFailed { call, sent: error.may_have_arrived() }
+                };
+                self.node_event(cx, event);
+            }
+        }
+    }
+
+    pub(super) fn peer_request(&mut self, cx: CX![], request: PeerRequest) {
+        match request {
+            PeerRequest::Heartbeat { heartbeat, reply } => {
+                self.node_event(cx, NodeEvent::HeartbeatArrived(heartbeat));
+                if let Some(heartbeat) = self.node.heartbeat() {
+                    // The peer may have given up; then there is nobody to answer.
+                    let _ = reply.send(heartbeat);
+                }
+            }
+            PeerRequest::PullTable { reply } => {
+                let _ = reply.send(self.node.members());
+            }
+            PeerRequest::PullDocument { document, reply } => {
+                let _ = reply.send(self.node.document(&document));
+            }
+            PeerRequest::View { cluster, reply } => {
+                let _ = reply.send(self.node.view(self.now(cx), &cluster));
+            }
+            PeerRequest::Execute { call, from, lane, work, answers } => {
+                self.calls.insert(call, answers);
+                self.node_event(cx, NodeEvent::ForwardArrived { call, from, lane, work });
+            }
+            PeerRequest::Cancelled { call } => {
+                if self.calls.contains_key(&call) {
+                    self.node_event(cx, NodeEvent::ForwardCancelled { call });
+                }
+            }
+            PeerRequest::Dropped { call } => {
+                if self.calls.remove(&call).is_some() {
+                    self.drop_held(AnswerTarget::Call(call));
+                    self.node_event(cx, NodeEvent::ForwardCancelled { call });
+                }
+            }
+            PeerRequest::LaneDropped { lane } => {
+                self.node_event(cx, NodeEvent::LaneDropped { lane });
+            }
+        }
+    }
+}
