--- a/crates/failover/src/supervisor.rs
+++ b/crates/failover/src/supervisor.rs
@@ -96,7 +96,7 @@
     PrimarySuspected { term: Term, order: u32 },
     /// The suspicion is over.
     SuspicionCleared,
-    /// The confirmed leader of `term` is leaving and this node is the first supervisor. May be
+    /// The confirmed leader of `term` is leaving and this node owns its database. May be
     /// repeated; see [`Supervisor::set_leaving`].
     LeaderLeaving { term: Term },
     /// Another owner's view arrived, or `None` if it could not be asked.
