--- a/crates/bench/src/surroundings.rs
+++ b/crates/bench/src/surroundings.rs
@@ -68,7 +68,7 @@
             files: [settings_file, ready_file],
         };
         surroundings.caller_address = surroundings.wait_for_address()?;
-        surroundings.wait_until_served()?;
+        fake::wait_until_served(surroundings.caller_address, CLUSTER, START_LIMIT)?;
         Ok(surroundings)
     }
 
@@ -113,29 +113,6 @@
         }
         bail!("the daemon was not ready within {START_LIMIT:?}");
     }
-
-    fn wait_until_served(&self) -> anyhow::Result<()> {
-        let end = Instant::now() + START_LIMIT;
-        let mut config = postgres::Config::new();
-        config
-            .host(&self.caller_address.ip().to_string())
-            .port(self.caller_address.port())
-            .user("bench")
-            .dbname(CLUSTER)
-            .connect_timeout(Duration::from_secs(1));
-        loop {
-            let attempt = config.connect(postgres::NoTls).and_then(|mut client| {
-                client.batch_execute("CREATE TABLE IF NOT EXISTS ready (id bigint)")
-            });
-            match attempt {
-                Ok(()) => return Ok(()),
-                Err(error) if Instant::now() >= end => {
-                    return Err(error).context("the proxy serves no write");
-                }
-                Err(_) => std::thread::sleep(Duration::from_millis(20)),
-            }
-        }
-    }
 }
 
 impl Drop for ProxySurroundings {
--- a/crates/daemon/examples/demo.rs
+++ b/crates/daemon/examples/demo.rs
@@ -6,7 +6,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::{Context, bail};
 use daemon::{ReadyAddresses, RunOptions, StopHandle};
@@ -64,7 +64,7 @@
     let platform = FakePlatform::start(0)?;
     write_config(&group, &options, platform.address())?;
     let proxy = ProxyThread::start(platform.address())?;
-    wait_until_served(proxy.addresses.caller_address)?;
+    fake::wait_until_served(proxy.addresses.caller_address, CLUSTER, START_LIMIT)?;
 
     let caller = proxy.addresses.caller_address;
     println!("proxy     postgresql://vendor@{caller}/{CLUSTER}");
@@ -175,30 +175,6 @@
     }
 }
 
-/// Waits until the proxy has found the primary and serves a write.
-fn wait_until_served(caller: SocketAddr) -> anyhow::Result<()> {
-    let end = Instant::now() + START_LIMIT;
-    let mut config = postgres::Config::new();
-    config
-        .host(&caller.ip().to_string())
-        .port(caller.port())
-        .user("vendor")
-        .dbname(CLUSTER)
-        .connect_timeout(Duration::from_secs(1));
-    loop {
-        let attempt = config.connect(postgres::NoTls).and_then(|mut client| {
-            client.batch_execute("CREATE TABLE IF NOT EXISTS ready (id bigint)")
-        });
-        match attempt {
-            Ok(()) => return Ok(()),
-            Err(error) if Instant::now() >= end => {
-                return Err(error).context("the proxy serves no write");
-            }
-            Err(_) => std::thread::sleep(Duration::from_millis(20)),
-        }
-    }
-}
-
 /// Sums of what the loads checked.
 #[derive(Default)]
 struct CheckTable {
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod loadgen;
 mod setup;
 
-pub use setup::{cluster_entry, publish_configuration};
+pub use setup::{cluster_entry, publish_configuration, wait_until_served};
 
 /// Prints where a tool listens, in one write. A reader that closes the pipe after the first line
 /// must not end the tool, so a failed write is ignored.
--- a/crates/fake/src/setup.rs
+++ b/crates/fake/src/setup.rs
@@ -1,9 +1,9 @@
 //! First configuration of a fleet in front of a stand-in database group.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use anyhow::ensure;
+use anyhow::{Context, ensure};
 use config::ChangeEnvelope;
 use platform::PlatformClient;
 use serde_json::{Value, json};
@@ -11,6 +11,7 @@
 use crate::fakedb::{DatabaseGroup, GroupOptions};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Returns a cluster entry of the configuration with all databases of a group.
 ///
@@ -59,3 +60,31 @@
     }
     Ok(())
 }
+
+/// Waits until a proxy has found the primary of a cluster and serves a write.
+///
+/// # Errors
+///
+/// Fails with the proxy's last error if it serves none within `limit`.
+pub fn wait_until_served(caller: SocketAddr, cluster: &str, limit: Duration) -> anyhow::Result<()> {
+    let end = Instant::now() + limit;
+    let mut config = postgres::Config::new();
+    config
+        .host(&caller.ip().to_string())
+        .port(caller.port())
+        .user("setup")
+        .dbname(cluster)
+        .connect_timeout(Duration::from_secs(1));
+    loop {
+        let attempt = config.connect(postgres::NoTls).and_then(|mut client| {
+            client.batch_execute("CREATE TABLE IF NOT EXISTS ready (id bigint)")
+        });
+        match attempt {
+            Ok(()) => return Ok(()),
+            Err(error) if Instant::now() >= end => {
+                return Err(error).context("the proxy serves no write");
+            }
+            Err(_) => std::thread::sleep(RETRY_PAUSE),
+        }
+    }
+}
