--- /dev/null
+++ b/crates/edge/src/clock.rs
@@ -0,0 +1,12 @@
+//! The clock of all decisions.
+
+use model::Micros;
+use rustix::time::{ClockId, clock_gettime};
+
+/// Reads the steady clock that also counts the time for which the VM was suspended.
+pub(crate) fn now() -> Micros {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+    Micros(seconds * 1_000_000 + nanos / 1_000)
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,143 @@
+//! The shell that feeds a [`gate::Gate`] from sockets, timers and the platform's store.
+//!
+//! One thread runs a stakker loop with the hub actor, which owns the gate and all sockets. Calls to the store
+//! block and have threads of their own, as have readiness probes, metrics and the log. What is spoken on the
+//! wire and how the store is called is behind the traits [`WireCodec`] and [`StoreClient`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gate::GateSettings;
+use stakker::sync::Channel;
+use stakker::{ActorOwn, Stakker, StopCause, actor, ret_shutdown};
+use stakker_mio::MioPoll;
+use stakker_mio::mio::{Events, Poll};
+
+mod clock;
+mod codec;
+mod hub;
+mod logging;
+mod metrics;
+mod socket;
+mod store;
+
+pub use codec::{BackendMessage, ClientMessage, CodecError, WireCodec};
+pub use logging::start_logging;
+pub use store::{StoreArea, StoreChange, StoreClient, StoreError, StoreItem};
+
+use hub::Hub;
+use metrics::SharedStatus;
+
+/// Longest time that the loop sleeps.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// Events that one poll of the sockets takes.
+const EVENT_CAPACITY: usize = 1_024;
+
+/// The platform that a process runs on.
+pub trait Platform: 'static {
+    type Codec: WireCodec + 'static;
+    type Store: StoreClient;
+
+    /// Returns a client of the store.
+    fn store(&self) -> Self::Store;
+
+    /// Reads the settings again; returns what changed, for the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings cannot be read; the old ones stay in force.
+    fn reload(&mut self) -> anyhow::Result<String>;
+}
+
+/// What a process is started with.
+pub struct EdgeSetup<P> {
+    pub gate: GateSettings,
+    pub client_address: SocketAddr,
+    pub ready_address: SocketAddr,
+    /// Address of the metrics page, if wanted.
+    pub metrics_address: Option<SocketAddr>,
+    /// Clients at once; more are closed at once.
+    pub client_limit: usize,
+    pub platform: P,
+}
+
+/// Orders of the operating system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProcessOrder {
+    Drain,
+    Reload,
+}
+
+/// Why a process could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum EdgeError {
+    #[error("failed to listen on {address}: {source}")]
+    Listen { address: SocketAddr, source: std::io::Error },
+    #[error("failed to start: {0}")]
+    Start(#[from] std::io::Error),
+    #[error("failed to serve readiness: {0:#}")]
+    Ready(anyhow::Error),
+    #[error("the event loop failed: {0}")]
+    Loop(String),
+}
+
+/// Runs a process until it was shut down gracefully.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound or the loop cannot be set up.
+pub fn run<P: Platform>(setup: EdgeSetup<P>) -> Result<(), EdgeError> {
+    let address = setup.client_address;
+    let listener =
+        socket::listen(address).map_err(|source| EdgeError::Listen { address, source })?;
+    let status = Arc::new(SharedStatus::default());
+    metrics::serve(setup.ready_address, status.clone()).map_err(EdgeError::Ready)?;
+    if let Some(address) = setup.metrics_address
+        && let Err(error) = metrics::serve(address, status.clone())
+    {
+        // Serving clients does not depend on being watched.
+        let error = serde_json::Value::from(format!("{error:#}"));
+        log::warn!("\"event\":\"metrics_unavailable\",\"error\":{error}");
+    }
+    log::info!("\"event\":\"started\",\"node\":\"{}\",\"clients\":\"{address}\"", setup.gate.node);
+
+    let mut stakker = Stakker::new(Instant::now());
+    let stakker = &mut stakker;
+    let events = Events::with_capacity(EVENT_CAPACITY);
+    let poll = MioPoll::new(stakker, Poll::new()?, events, 10)?;
+    let hub: ActorOwn<Hub<P>> =
+        actor!(stakker, <Hub<P>>::init(setup, listener, status), ret_shutdown!(stakker));
+    let mut idle_pending = stakker.run(Instant::now(), false);
+    let mut io_pending = false;
+    let mut activity;
+    while stakker.not_shutdown() {
+        let wait = stakker.next_wait_max(Instant::now(), MAX_WAIT, idle_pending || io_pending);
+        (activity, io_pending) = poll.poll(wait)?;
+        idle_pending = stakker.run(Instant::now(), !activity);
+    }
+    let cause = stakker.shutdown_reason();
+    drop(hub);
+    stakker.run(Instant::now(), false);
+    match cause {
+        None | Some(StopCause::Stopped | StopCause::Dropped) => {
+            log::info!("\"event\":\"stopped\"");
+            Ok(())
+        }
+        Some(cause) => Err(EdgeError::Loop(cause.to_string())),
+    }
+}
+
+/// Waits for signals on a thread of its own.
+pub(crate) fn start_signals(orders: Channel<ProcessOrder>) -> std::io::Result<()> {
+    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    std::thread::spawn(move || {
+        for signal in signals.forever() {
+            let order = if signal == SIGHUP { ProcessOrder::Reload } else { ProcessOrder::Drain };
+            orders.send(order);
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/edge/src/store.rs
@@ -0,0 +1,356 @@
+//! The platform's store, and the threads that talk to it because its calls block.
+//!
+//! Each watched area has a thread that lists it once and then waits for changes. One thread keeps this
+//! node's registration alive. Calls of a promotion are rare and get a thread each, so that none waits behind
+//! another.
+
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use gate::{
+    Document, GateEvent, ListedDatabase, PromoteResult, RouteTable, StoredDocument, WriteResult,
+};
+use model::Name;
+use stakker::sync::Channel;
+
+/// Time that a watch waits at the store. A connection that went silent is noticed this late, which must
+/// leave time for a configuration to be in force within the platform's shortest bound (3 s after 4 s of
+/// undisturbed contact).
+const WATCH_WAIT: Duration = Duration::from_millis(4_500);
+
+/// Pause after a failed call, so that an outage does not cause a burst of calls.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest pause after repeated failures. Recovery has to be noticed within a second.
+const RETRY_PAUSE_LONGEST: Duration = Duration::from_millis(700);
+
+/// Time to live of this node's registration.
+const REGISTRATION_TTL: Duration = Duration::from_millis(6_000);
+
+/// Interval of renewing it: two attempts may fail before it lapses.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_900);
+
+/// Registrations that wait to be published.
+const PUBLISH_QUEUE: usize = 16;
+
+/// Parts of the store that a node watches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreArea {
+    /// The operators' configuration.
+    Routes,
+    /// The list of databases.
+    Databases,
+    /// This project's own documents.
+    Documents,
+}
+
+/// A stored item.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreItem {
+    Routes(Box<RouteTable>),
+    Database(ListedDatabase),
+    Document(StoredDocument),
+    /// An entry of a database that cannot be read; it names no database to use.
+    UnreadableDatabase(Name),
+    /// Anything else.
+    Unknown,
+}
+
+/// A change of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreChange {
+    Set(StoreItem),
+    DatabaseRemoved(Name),
+    DocumentRemoved(Document),
+}
+
+/// Why a call to the store failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// No whole answer; a write may have taken effect or may yet.
+    #[error("no answer from the store: {0}")]
+    Unreachable(String),
+    /// Nothing was done.
+    #[error("the store refused the call with status {0}")]
+    Refused(u16),
+    /// The history that a watch needs is no longer there.
+    #[error("the store has dropped this part of its history")]
+    HistoryGone,
+    #[error("the lease has ended")]
+    LeaseEnded,
+    #[error("the store sent an answer that cannot be read: {0}")]
+    Unreadable(String),
+}
+
+/// Calls to the store. They block, with time limits.
+pub trait StoreClient: Clone + Send + 'static {
+    /// Lists an area, and returns the revision from which to watch it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer in time or refuses.
+    fn list(&self, area: StoreArea) -> Result<(Vec<StoreItem>, u64), StoreError>;
+
+    /// Waits for changes after a revision; returns them and the next revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer in time, refuses, or no longer has the history.
+    fn watch(
+        &self,
+        area: StoreArea,
+        after: u64,
+        wait: Duration,
+    ) -> Result<(Vec<StoreChange>, u64), StoreError>;
+
+    /// Writes the duty's document if its revision is `expected`; `Ok(None)` means that it is not.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer in time or refuses.
+    fn write_duty(&self, expected: u64, bytes: &[u8]) -> Result<Option<u64>, StoreError>;
+
+    /// Writes a node's registration under a lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer in time or refuses, or if the lease has ended.
+    fn write_registration(&self, node: &Name, bytes: &[u8], lease: u64) -> Result<(), StoreError>;
+
+    /// Opens a lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer in time or refuses.
+    fn open_lease(&self, ttl: Duration) -> Result<u64, StoreError>;
+
+    /// Renews a lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer in time or refuses, or if the lease has ended.
+    fn renew_lease(&self, lease: u64) -> Result<(), StoreError>;
+
+    /// Ends a lease; its registration goes with it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer in time or refuses.
+    fn end_lease(&self, lease: u64) -> Result<(), StoreError>;
+
+    /// Asks the platform to promote a database. The call must not arrive after it returned.
+    fn promote(&self, cluster: &Name, database: &Name, holder: &Name, number: u64)
+    -> PromoteResult;
+}
+
+/// The threads of one process.
+pub(crate) struct StoreThreads<S> {
+    client: S,
+    events: Channel<GateEvent>,
+    publish: SyncSender<PublishOrder>,
+}
+
+enum PublishOrder {
+    Record(Vec<u8>),
+    End,
+}
+
+impl<S: StoreClient> StoreThreads<S> {
+    /// Starts the watches.
+    pub(crate) fn start(client: S, node: Name, events: Channel<GateEvent>) -> Self {
+        for area in [StoreArea::Routes, StoreArea::Databases, StoreArea::Documents] {
+            let (client, events) = (client.clone(), events.clone());
+            thread::spawn(move || watch_area(&client, area, &events));
+        }
+        let (publish, orders) = sync_channel(PUBLISH_QUEUE);
+        let registrar = client.clone();
+        thread::spawn(move || keep_registration(&registrar, &node, &orders));
+        StoreThreads { client, events, publish }
+    }
+
+    pub(crate) fn publish(&self, bytes: Vec<u8>) {
+        match self.publish.try_send(PublishOrder::Record(bytes)) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                log::warn!("\"event\":\"registration_dropped\"");
+            }
+        }
+    }
+
+    /// Ends the registration; a full queue leaves it to its time to live.
+    pub(crate) fn end_registration(&self) {
+        let _ = self.publish.try_send(PublishOrder::End);
+    }
+
+    pub(crate) fn write_duty(&self, attempt: u64, expected: u64, bytes: Vec<u8>) {
+        let (client, events) = (self.client.clone(), self.events.clone());
+        thread::spawn(move || {
+            let result = match client.write_duty(expected, &bytes) {
+                Ok(Some(revision)) => WriteResult::Written { revision },
+                Ok(None) => WriteResult::Conflict,
+                Err(error) => {
+                    log_failure("write_duty", &error);
+                    WriteResult::Failed
+                }
+            };
+            events.send(GateEvent::DutyWritten { attempt, result });
+        });
+    }
+
+    pub(crate) fn read_databases(&self) {
+        let (client, events) = (self.client.clone(), self.events.clone());
+        thread::spawn(move || {
+            let databases = match client.list(StoreArea::Databases) {
+                Ok((items, _)) => Some(items.into_iter().filter_map(listed_database).collect()),
+                Err(error) => {
+                    log_failure("read_databases", &error);
+                    None
+                }
+            };
+            events.send(GateEvent::DatabasesRead { databases });
+        });
+    }
+
+    pub(crate) fn promote(&self, cluster: Name, database: Name, holder: Name, number: u64) {
+        let (client, events) = (self.client.clone(), self.events.clone());
+        thread::spawn(move || {
+            let result = client.promote(&cluster, &database, &holder, number);
+            events.send(GateEvent::PromoteAnswered { cluster, result });
+        });
+    }
+}
+
+fn listed_database(item: StoreItem) -> Option<ListedDatabase> {
+    match item {
+        StoreItem::Database(database) => Some(database),
+        _ => None,
+    }
+}
+
+fn log_failure(call: &'static str, error: &StoreError) {
+    let text = serde_json::Value::from(error.to_string());
+    log::warn!("\"event\":\"store_call_failed\",\"call\":\"{call}\",\"error\":{text}");
+}
+
+/// Lists an area and follows its changes for as long as the process runs.
+fn watch_area<S: StoreClient>(client: &S, area: StoreArea, events: &Channel<GateEvent>) {
+    let mut after = None;
+    let mut failures = 0_u32;
+    loop {
+        let result = match after {
+            None => client.list(area).map(|(items, revision)| {
+                send_list(area, items, events);
+                revision
+            }),
+            Some(revision) => client.watch(area, revision, WATCH_WAIT).map(|(changes, next)| {
+                for change in changes {
+                    send_change(change, events);
+                }
+                next
+            }),
+        };
+        match result {
+            Ok(revision) => {
+                if failures > 0 {
+                    events.send(GateEvent::StoreReachable(true));
+                }
+                failures = 0;
+                after = Some(revision);
+            }
+            Err(StoreError::HistoryGone) => after = None,
+            Err(error) => {
+                if failures == 0 {
+                    log_failure("watch", &error);
+                    events.send(GateEvent::StoreReachable(false));
+                }
+                thread::sleep((RETRY_PAUSE * (failures + 1)).min(RETRY_PAUSE_LONGEST));
+                failures = failures.saturating_add(1);
+            }
+        }
+    }
+}
+
+fn send_list(area: StoreArea, items: Vec<StoreItem>, events: &Channel<GateEvent>) {
+    match area {
+        StoreArea::Routes => {
+            for item in items {
+                send_change(StoreChange::Set(item), events);
+            }
+        }
+        StoreArea::Databases => {
+            let list = items.into_iter().filter_map(listed_database).collect();
+            events.send(GateEvent::DatabasesListed(list));
+        }
+        StoreArea::Documents => {
+            let list = items.into_iter().filter_map(|item| match item {
+                StoreItem::Document(document) => Some(document),
+                _ => None,
+            });
+            events.send(GateEvent::DocumentsListed(list.collect()));
+        }
+    }
+}
+
+fn send_change(change: StoreChange, events: &Channel<GateEvent>) {
+    let event = match change {
+        StoreChange::Set(StoreItem::Routes(table)) => GateEvent::RoutesChanged(table),
+        StoreChange::Set(StoreItem::Database(database)) => GateEvent::DatabaseChanged(database),
+        StoreChange::Set(StoreItem::Document(document)) => GateEvent::DocumentChanged(document),
+        StoreChange::Set(StoreItem::UnreadableDatabase(id)) | StoreChange::DatabaseRemoved(id) => {
+            GateEvent::DatabaseUnlisted { id }
+        }
+        StoreChange::Set(StoreItem::Unknown) => return,
+        StoreChange::DocumentRemoved(document) => GateEvent::DocumentRemoved(document),
+    };
+    events.send(event);
+}
+
+/// Publishes this node's registration and keeps its lease.
+fn keep_registration<S: StoreClient>(client: &S, node: &Name, orders: &Receiver<PublishOrder>) {
+    let mut lease = None;
+    let mut record = None;
+    let mut dirty = false;
+    let mut renewed = Instant::now();
+    loop {
+        let wait = if dirty { RETRY_PAUSE } else { RENEWAL_INTERVAL };
+        match orders.recv_timeout(wait) {
+            Ok(PublishOrder::Record(bytes)) => {
+                record = Some(bytes);
+                dirty = true;
+            }
+            Ok(PublishOrder::End) => {
+                if let Some(lease) = lease.take()
+                    && let Err(error) = client.end_lease(lease)
+                {
+                    log_failure("end_lease", &error);
+                }
+                return;
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        let Some(bytes) = &record else { continue };
+        let result = match (lease, dirty) {
+            (None, _) => client.open_lease(REGISTRATION_TTL).and_then(|opened| {
+                lease = Some(opened);
+                renewed = Instant::now();
+                client.write_registration(node, bytes, opened)
+            }),
+            (Some(id), true) => client.write_registration(node, bytes, id),
+            (Some(id), false) if renewed.elapsed() >= RENEWAL_INTERVAL => {
+                renewed = Instant::now();
+                client.renew_lease(id)
+            }
+            (Some(_), false) => Ok(()),
+        };
+        match result {
+            Ok(()) => dirty = false,
+            Err(StoreError::LeaseEnded) => {
+                lease = None;
+                dirty = true;
+            }
+            Err(error) => log_failure("registration", &error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/action.rs
@@ -0,0 +1,98 @@
+//! What a gate asks its shell to do.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use model::Name;
+
+use crate::backend::BackendCommand;
+use crate::event::{LinkId, SessionId};
+use crate::statement::{ErrorCode, SessionState};
+
+/// Answer to a client's request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClientReply {
+    /// Rows and the database's signature, or neither for statements that the proxy answers itself.
+    Done { rows: Vec<Bytes>, signature: Option<Bytes> },
+    Failed { code: ErrorCode, text: String },
+}
+
+/// An action; the shell carries actions out in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GateAction {
+    // Clients.
+    AcceptSession { session: SessionId },
+    /// Send the error and close.
+    RefuseSession { session: SessionId, code: ErrorCode, text: String },
+    Reply { session: SessionId, reply: ClientReply, state: SessionState },
+    CloseSession { session: SessionId },
+
+    // Connections to databases.
+    OpenLink { link: LinkId, cluster: Name, database: Name, address: SocketAddr },
+    CloseLink { link: LinkId },
+    /// Send commands; each is answered in order.
+    Send { link: LinkId, commands: Vec<BackendCommand> },
+
+    // The platform.
+    /// Write the duty's document if its revision is still `expected` (0: it does not exist).
+    WriteDuty { attempt: u64, expected: u64, bytes: Vec<u8> },
+    /// Publish this node's registration.
+    PublishNode { bytes: Vec<u8> },
+    /// Read the current list of databases.
+    ReadDatabases,
+    Promote { cluster: Name, database: Name, holder: Name, number: u64 },
+
+    // The process.
+    SetReady(bool),
+    ShutdownComplete,
+    Log(LogRecord),
+    Count { counter: &'static str, amount: u64 },
+    /// Time from a request's arrival to its reply.
+    Observe { histogram: &'static str, micros: u64 },
+}
+
+/// A structured log line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LogRecord {
+    pub event: &'static str,
+    pub fields: Vec<(&'static str, LogValue)>,
+}
+
+/// A value of a log line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LogValue {
+    Text(Name),
+    Fixed(&'static str),
+    Number(u64),
+    Flag(bool),
+}
+
+impl From<&Name> for LogValue {
+    fn from(name: &Name) -> Self {
+        LogValue::Text(name.clone())
+    }
+}
+
+impl From<String> for LogValue {
+    fn from(text: String) -> Self {
+        LogValue::Text(text.into())
+    }
+}
+
+impl From<&'static str> for LogValue {
+    fn from(text: &'static str) -> Self {
+        LogValue::Fixed(text)
+    }
+}
+
+impl From<u64> for LogValue {
+    fn from(number: u64) -> Self {
+        LogValue::Number(number)
+    }
+}
+
+impl From<bool> for LogValue {
+    fn from(flag: bool) -> Self {
+        LogValue::Flag(flag)
+    }
+}
--- /dev/null
+++ b/crates/gate/src/backend.rs
@@ -0,0 +1,83 @@
+//! What passes between the core and a database: commands, answers, reports.
+
+use bytes::Bytes;
+use model::{Micros, Name, Term};
+
+use crate::statement::{ErrorCode, SessionState, StatementAccess};
+
+/// A position in a cluster's log, ordered by term first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LogPoint {
+    pub term: Term,
+    pub number: u64,
+}
+
+impl std::fmt::Display for LogPoint {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}.{}", self.term, self.number)
+    }
+}
+
+/// A command to a database.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BackendCommand {
+    /// A client's statement, unchanged. With `after`, only on a log that holds this position.
+    Run { id: Name, text: Name, after: Option<LogPoint> },
+    /// A client's execution of a prepared statement, by this proxy's name for it.
+    Execute { id: Name, prepared: Name, arguments: Name, after: Option<LogPoint> },
+    /// Ends the open transaction without keeping anything.
+    Rollback,
+    /// Clears session values and prepared statements.
+    Reset,
+    Set { name: Name, value: Name },
+    Prepare { name: Name, access: StatementAccess, shape: Name },
+    /// Asks for a report.
+    Report,
+    /// Stops a replica from receiving log until a change of primary; answered with a report.
+    Fence { term: Term },
+    /// Lifts a fence.
+    Unfence,
+    /// Makes a primary of a lower term a replica; answered with a report.
+    Demote { term: Term },
+}
+
+/// A database's answer to one command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendAnswer {
+    pub rows: Vec<Bytes>,
+    pub end: AnswerEnd,
+    pub state: SessionState,
+    /// Log position that the database has applied.
+    pub point: Option<LogPoint>,
+    /// Set for answers to commands that ask for a report.
+    pub report: Option<DatabaseReport>,
+}
+
+/// How an answer ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// The database's signature, which clients verify.
+    Done(Bytes),
+    Failed { code: ErrorCode, text: String },
+}
+
+/// Role that a database reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DatabaseRole {
+    Primary,
+    Replica,
+}
+
+/// What a database reports of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DatabaseReport {
+    pub role: DatabaseRole,
+    pub term: Term,
+    /// End of the log that it has received.
+    pub received: LogPoint,
+    /// Term of the fence in force, zero without one.
+    pub fence: Term,
+    pub lag: Micros,
+    /// Connections from all nodes.
+    pub connections: u32,
+}
--- /dev/null
+++ b/crates/gate/src/cluster.rs
@@ -0,0 +1,380 @@
+//! Clusters: their databases, evidence about their leader, and requests that wait for it.
+
+use model::{FastSet, Micros, Name};
+
+use crate::backend::{BackendAnswer, BackendCommand};
+use crate::database::{CommandPurpose, Database};
+use crate::event::{LinkId, ListedDatabase};
+use crate::evidence::LeadEvidence;
+use crate::work::{WorkId, WorkStage};
+use crate::{Gate, fields};
+
+/// Time within which a change of primary is expected to be over; requests wait for it this long and are
+/// refused at once after it. Detection, one round of fences and one promotion.
+pub(crate) const CHANGE_TIME: Micros = Micros::from_millis(2_500);
+
+/// Interval of positions of the leader, while requests arrive.
+const SAMPLE_INTERVAL: Micros = Micros::from_millis(400);
+
+/// Interval while none arrive; failures must be noticed all the same.
+const IDLE_SAMPLE_INTERVAL: Micros = Micros::from_millis(1_000);
+
+/// Time without requests after which a cluster counts as unused.
+const UNUSED_AFTER: Micros = Micros::from_secs(5);
+
+/// Interval of asking every database while no leader is known.
+const SEARCH_INTERVAL: Micros = Micros::from_millis(60);
+
+/// Time for which a database without an entry is kept. Entries that lapse while the store is away are back
+/// two seconds after its return; the platform allows seven seconds of use after an entry is gone.
+pub(crate) const UNLISTED_TIME: Micros = Micros::from_millis(4_000);
+
+/// Time after which a leaving database gets no new request; the platform allows seven seconds.
+pub(crate) const LEAVING_TIME: Micros = Micros::from_millis(5_500);
+
+/// What a node knows of one cluster.
+#[derive(Debug, Default)]
+pub(crate) struct ClusterState {
+    pub(crate) members: Vec<Name>,
+    pub(crate) evidence: LeadEvidence,
+    /// Requests that wait for a leader.
+    pub(crate) parked: Vec<WorkId>,
+    /// Answered reads that wait for proof.
+    pub(crate) proving: Vec<WorkId>,
+    /// Since when no usable leader is known, while requests need one.
+    pub(crate) leader_missed: Option<Micros>,
+    /// Latest time that a proof is needed for.
+    pub(crate) proof_need: Option<Micros>,
+    next_sample: Micros,
+    next_replica: usize,
+    pub(crate) demanded: Option<Micros>,
+}
+
+impl Gate {
+    /// Replaces the whole list of databases.
+    pub(crate) fn databases_listed(&mut self, list: Vec<ListedDatabase>) {
+        let listed: FastSet<Name> = list.iter().map(|database| database.id.clone()).collect();
+        let missing: Vec<Name> =
+            self.databases.keys().filter(|name| !listed.contains(*name)).cloned().collect();
+        for name in missing {
+            self.database_unlisted(&name);
+        }
+        for database in list {
+            self.database_listed(database);
+        }
+    }
+
+    pub(crate) fn database_listed(&mut self, listed: ListedDatabase) {
+        let now = self.now;
+        let name = listed.id.clone();
+        let cluster = listed.cluster.clone();
+        let state = self.clusters.entry(cluster.clone()).or_default();
+        if !state.members.contains(&name) {
+            state.members.push(name.clone());
+            state.members.sort();
+        }
+        let known = self.databases.get(&name).map(|database| database.listed.clone());
+        if let Some(known) = &known
+            && (known.address != listed.address || known.cluster != listed.cluster)
+        {
+            self.remove_database(&name);
+            let state = self.clusters.entry(cluster.clone()).or_default();
+            state.members.push(name.clone());
+            state.members.sort();
+        }
+        let database =
+            self.databases.entry(name.clone()).or_insert_with(|| Database::new(listed.clone()));
+        let role_changed = database.listed.claimed_role != listed.claimed_role;
+        database.unlisted = None;
+        if listed.leaving {
+            database.leaving_since.get_or_insert(now);
+        } else {
+            database.leaving_since = None;
+        }
+        let changed = known.as_ref() != Some(&listed);
+        database.listed = listed;
+        if changed {
+            let database = &self.databases[&name].listed;
+            let record = fields![
+                "database" => &name,
+                "cluster" => &cluster,
+                "leaving" => database.leaving,
+                "claims" => database.claimed_role.map_or("none", |role| match role {
+                    crate::DatabaseRole::Primary => "primary",
+                    crate::DatabaseRole::Replica => "replica",
+                })
+            ];
+            self.log("database_listed", record);
+        }
+        if role_changed || known.is_none() {
+            self.ask_report(&name);
+        }
+        self.open_links(&name);
+    }
+
+    pub(crate) fn database_unlisted(&mut self, name: &Name) {
+        let now = self.now;
+        if let Some(database) = self.databases.get_mut(name)
+            && database.unlisted.is_none()
+        {
+            database.unlisted = Some(now);
+            self.log("database_unlisted", fields!["database" => name]);
+        }
+    }
+
+    fn remove_database(&mut self, name: &Name) {
+        let Some(database) = self.databases.get(name) else { return };
+        let (links, cluster) = (database.links.clone(), database.listed.cluster.clone());
+        for link in links {
+            self.drop_link(link, "database removed");
+        }
+        self.databases.remove(name);
+        if let Some(state) = self.clusters.get_mut(&cluster) {
+            state.members.retain(|member| member != name);
+            state.evidence.distrust(name);
+        }
+        let queued: Vec<WorkId> = self
+            .works
+            .iter()
+            .filter(|(_, work)| {
+                work.stage == WorkStage::Queued && work.database.as_ref() == Some(name)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in queued {
+            self.route_work(id);
+        }
+        self.log("database_removed", fields!["database" => name]);
+    }
+
+    /// Removes the databases whose entries stayed away.
+    pub(crate) fn remove_unlisted(&mut self) {
+        let now = self.now;
+        let gone: Vec<Name> = self
+            .databases
+            .iter()
+            .filter(|(_, database)| {
+                database.unlisted.is_some_and(|since| now >= since + UNLISTED_TIME)
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            self.remove_database(&name);
+        }
+    }
+
+    /// Asks for proof that the leader still leads, for a request that began at `need`.
+    pub(crate) fn want_proof(&mut self, cluster: &Name, need: Micros) {
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        state.demanded = Some(self.now);
+        if state.evidence.confirmed_at() >= Some(need) {
+            return;
+        }
+        state.proof_need = state.proof_need.max(Some(need));
+        let leader = state.evidence.leader().cloned();
+        let members = state.members.clone();
+        let own = &self.settings.data_centre;
+        let mut best: Option<(bool, bool, u32, Name)> = None;
+        for name in members {
+            let Some(database) = self.databases.get(&name) else { continue };
+            if Some(&name) == leader.as_ref() || database.unlisted.is_some() {
+                continue;
+            }
+            if database.report_asked >= Some(need) && database.is_responsive(self.now) {
+                return;
+            }
+            if database.report_asked.is_some() || database.listed.leaving {
+                continue;
+            }
+            let far = database.listed.data_centre != *own;
+            let busy = database.idle.is_empty() || !database.is_responsive(self.now);
+            let rank = (busy, far, database.load(), name);
+            if best.as_ref().is_none_or(|best| rank < *best) {
+                best = Some(rank);
+            }
+        }
+        if let Some((_, _, _, name)) = best {
+            self.ask_report(&name);
+        }
+    }
+
+    /// Asks a database for a report as soon as a connection is free.
+    pub(crate) fn ask_report(&mut self, name: &Name) {
+        let Some(database) = self.databases.get_mut(name) else { return };
+        database.report_wanted = true;
+        self.send_wanted_report(name);
+    }
+
+    /// Asks every database of a cluster.
+    pub(crate) fn ask_all(&mut self, cluster: &Name) {
+        let Some(state) = self.clusters.get(cluster) else { return };
+        for name in state.members.clone() {
+            self.ask_report(&name);
+        }
+    }
+
+    pub(crate) fn send_wanted_report(&mut self, name: &Name) {
+        let now = self.now;
+        let Some(database) = self.databases.get_mut(name) else { return };
+        if !database.report_wanted || database.report_asked.is_some() {
+            return;
+        }
+        let Some(link) = database.idle.pop() else {
+            self.open_links(name);
+            return;
+        };
+        database.report_wanted = false;
+        database.report_asked = Some(now);
+        self.send(link, vec![BackendCommand::Report], CommandPurpose::Report);
+    }
+
+    /// Takes in a database's report of itself.
+    pub(crate) fn report_answered(&mut self, link: LinkId, asked: Micros, answer: &BackendAnswer) {
+        let Some(state) = self.links.get(&link) else { return };
+        let (name, cluster) = (state.database.clone(), state.cluster.clone());
+        let Some(database) = self.databases.get_mut(&name) else { return };
+        if database.report_asked == Some(asked) {
+            database.report_asked = None;
+        }
+        let Some(report) = answer.report else {
+            // Busy; another replica may answer, or this one later.
+            if let Some(need) = self.clusters.get(&cluster).and_then(|state| state.proof_need) {
+                self.want_proof(&cluster, need);
+            }
+            return;
+        };
+        database.report = Some(report);
+        let Some(state) = self.clusters.get_mut(&cluster) else { return };
+        let changed = state.evidence.report(&name, asked, &report);
+        if state.evidence.confirmed_at() >= state.proof_need {
+            state.proof_need = None;
+        }
+        if changed {
+            let (term, leader) = (state.evidence.term(), state.evidence.leader().cloned());
+            self.log(
+                "leader_changed",
+                fields![
+                    "cluster" => &cluster,
+                    "term" => term.0,
+                    "leader" => leader.clone().unwrap_or_default().to_string(),
+                    "reported_by" => &name,
+                    "position" => report.received.to_string()
+                ],
+            );
+            if leader.is_none() {
+                self.ask_all(&cluster);
+            }
+        }
+        self.wake_proving(&cluster);
+        self.wake_parked(&cluster);
+        if let Some(need) = self.clusters.get(&cluster).and_then(|state| state.proof_need) {
+            self.want_proof(&cluster, need);
+        }
+    }
+
+    /// Delivers the reads that are proved now, and sends those of a replaced leader elsewhere.
+    pub(crate) fn wake_proving(&mut self, cluster: &Name) {
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        for id in std::mem::take(&mut state.proving) {
+            let Some(work) = self.works.get_mut(&id) else { continue };
+            let (Some(database), Some(need)) = (work.database.clone(), work.need) else { continue };
+            let Some(state) = self.clusters.get_mut(cluster) else { continue };
+            if state.evidence.proves(&database, need) {
+                if let Some(answer) = work.answer.take() {
+                    self.deliver(id, answer);
+                }
+            } else if state.evidence.leader().is_some_and(|leader| *leader != database) {
+                self.leader_replaced(id);
+            } else {
+                state.proving.push(id);
+            }
+        }
+    }
+
+    /// The leader that answered a read was replaced before it was proved.
+    fn leader_replaced(&mut self, id: WorkId) {
+        let Some(work) = self.works.get(&id) else { return };
+        match work.kind {
+            crate::work::WorkKind::Read => self.retry_work(id, None, crate::ErrorCode::Busy),
+            _ => self.fail_transaction(
+                id,
+                crate::ErrorCode::Aborted,
+                "rolled back, the primary was replaced",
+            ),
+        }
+    }
+
+    /// Routes the requests that waited for a leader.
+    pub(crate) fn wake_parked(&mut self, cluster: &Name) {
+        if self.usable_leader(cluster).is_none() {
+            return;
+        }
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        state.leader_missed = None;
+        for id in std::mem::take(&mut state.parked) {
+            if self.works.get(&id).is_some_and(|work| work.stage == WorkStage::Parked) {
+                self.route_work(id);
+            }
+        }
+    }
+
+    /// Asks for positions, looks for leaders, and refuses what has waited too long.
+    pub(crate) fn tend_clusters(&mut self) {
+        let names: Vec<Name> = self.clusters.keys().cloned().collect();
+        for cluster in names {
+            self.tend_cluster(&cluster);
+        }
+    }
+
+    fn tend_cluster(&mut self, cluster: &Name) {
+        let now = self.now;
+        self.wake_parked(cluster);
+        let usable = self.usable_leader(cluster).is_some();
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        if !usable && state.leader_missed.is_some_and(|since| now >= since + CHANGE_TIME) {
+            for id in std::mem::take(&mut state.parked) {
+                if self.works.get(&id).is_some_and(|work| work.stage == WorkStage::Parked) {
+                    self.refuse(
+                        id,
+                        crate::ErrorCode::Busy,
+                        "not run, the cluster has no primary, retry after 1 s",
+                    );
+                }
+            }
+        }
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        if now < state.next_sample {
+            return;
+        }
+        let used = state.demanded.is_some_and(|at| now < at + UNUSED_AFTER);
+        let searching = state.evidence.leader().is_none() || state.evidence.fenced_at().is_some();
+        state.next_sample = now
+            + match (searching, used) {
+                (true, _) => SEARCH_INTERVAL,
+                (false, true) => SAMPLE_INTERVAL,
+                (false, false) => IDLE_SAMPLE_INTERVAL,
+            };
+        if searching {
+            return self.ask_all(cluster);
+        }
+        state.next_replica = state.next_replica.wrapping_add(1);
+        let (turn, leader) = (state.next_replica, state.evidence.leader().cloned());
+        let replicas: Vec<Name> = state
+            .members
+            .iter()
+            .filter(|name| {
+                Some(*name) != leader.as_ref()
+                    && self.databases.get(*name).is_some_and(|database| {
+                        database.is_usable(now) && !database.listed.leaving
+                    })
+            })
+            .cloned()
+            .collect();
+        if let Some(leader) = leader {
+            self.ask_report(&leader);
+        }
+        if !replicas.is_empty() {
+            self.ask_report(&replicas[turn % replicas.len()]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/database.rs
@@ -0,0 +1,213 @@
+//! Databases of the clusters and the connections to them.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use admit::{QueueConfig, SlotQueue};
+use model::{FastMap, Micros, Name, RankConfig, RankMap};
+
+use crate::backend::{BackendCommand, DatabaseReport, LogPoint};
+use crate::event::{LinkId, ListedDatabase, SessionId};
+use crate::statement::StatementAccess;
+use crate::work::WorkId;
+
+/// Shares of the ranks in percent of slot time, and waiting requests for each. The floors are those of
+/// the project's own example configuration.
+pub(crate) const RANKS: RankMap<RankConfig> = RankMap([
+    RankConfig { floor_percent: 0, queue_limit: 256 },
+    RankConfig { floor_percent: 20, queue_limit: 256 },
+    RankConfig { floor_percent: 10, queue_limit: 256 },
+]);
+
+/// Silence of a database after which new requests go elsewhere. Far above a round trip between data
+/// centres, below what a queue of 16 statements takes only in rare cases.
+pub(crate) const UNRESPONSIVE: Micros = Micros::from_millis(350);
+
+/// Connections kept free for reports and for other nodes' needs.
+const SPARE_CONNECTIONS: u32 = 3;
+
+/// Connections beyond the equal share that a node opens while the database has spare ones.
+const EXTRA_CONNECTIONS: u32 = 3;
+
+/// A database, as listed and as found.
+#[derive(Debug)]
+pub(crate) struct Database {
+    pub(crate) listed: ListedDatabase,
+    /// Since when the entry is gone, if it is.
+    pub(crate) unlisted: Option<Micros>,
+    /// Since when it is leaving.
+    pub(crate) leaving_since: Option<Micros>,
+    pub(crate) queue: SlotQueue,
+    /// Open connections and those being opened.
+    pub(crate) links: Vec<LinkId>,
+    pub(crate) idle: Vec<LinkId>,
+    pub(crate) opening: u32,
+    pub(crate) report: Option<DatabaseReport>,
+    pub(crate) applied: Option<LogPoint>,
+    /// Since when an attempt to reach it is without an answer.
+    pub(crate) trying_since: Option<Micros>,
+    pub(crate) answered: Option<Micros>,
+    pub(crate) retry_open: Micros,
+    pub(crate) open_failures: u32,
+    /// When the report in flight was asked for.
+    pub(crate) report_asked: Option<Micros>,
+    pub(crate) report_wanted: bool,
+}
+
+impl Database {
+    pub(crate) fn new(listed: ListedDatabase) -> Self {
+        Database {
+            listed,
+            unlisted: None,
+            leaving_since: None,
+            queue: SlotQueue::new(QueueConfig { slots: 1, ranks: RANKS }),
+            links: Vec::new(),
+            idle: Vec::new(),
+            opening: 0,
+            report: None,
+            applied: None,
+            trying_since: None,
+            answered: None,
+            retry_open: Micros::ZERO,
+            open_failures: 0,
+            report_asked: None,
+            report_wanted: false,
+        }
+    }
+
+    /// Tells whether new requests may be sent here.
+    pub(crate) fn is_usable(&self, now: Micros) -> bool {
+        self.unlisted.is_none() && self.is_responsive(now)
+    }
+
+    pub(crate) fn is_responsive(&self, now: Micros) -> bool {
+        self.trying_since.is_none_or(|since| now < since + UNRESPONSIVE)
+    }
+
+    /// Returns the requests that wait or run.
+    pub(crate) fn load(&self) -> u32 {
+        let waiting: u32 = self.queue.stats().waiting.0.iter().sum();
+        let busy = self.links.len() - self.idle.len();
+        waiting + u32::try_from(busy).unwrap_or(u32::MAX).saturating_sub(self.opening)
+    }
+
+    /// Returns how many connections this node may have, given the limit for all nodes together.
+    pub(crate) fn link_limit(&self, connections: u32, nodes: u32) -> u32 {
+        let share = (connections.saturating_sub(SPARE_CONNECTIONS) / nodes.max(1)).max(1);
+        let used = self.report.map_or(connections, |report| report.connections);
+        if used + SPARE_CONNECTIONS < connections { share + EXTRA_CONNECTIONS } else { share }
+    }
+
+    /// Notes an attempt that needs an answer.
+    pub(crate) fn attempt(&mut self, now: Micros) {
+        self.trying_since.get_or_insert(now);
+    }
+}
+
+/// What a command on a connection was sent for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CommandPurpose {
+    Setup,
+    Begin(WorkId),
+    Run(WorkId),
+    Rollback,
+    Report,
+    Fence,
+    Control,
+}
+
+/// A command without an answer yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingCommand {
+    pub(crate) purpose: CommandPurpose,
+    pub(crate) sent: Micros,
+}
+
+/// A connection to a database.
+#[derive(Debug)]
+pub(crate) struct Link {
+    pub(crate) database: Name,
+    pub(crate) cluster: Name,
+    pub(crate) open: bool,
+    pub(crate) opened_at: Micros,
+    pub(crate) pending: VecDeque<PendingCommand>,
+    /// The session whose transaction is open here.
+    pub(crate) pinned: Option<SessionId>,
+    /// The connection's state is in doubt; it is closed once nothing is in flight.
+    pub(crate) doomed: bool,
+    pub(crate) used: Micros,
+    values: BTreeMap<Name, Name>,
+    prepared: FastMap<(StatementAccess, Name), Name>,
+    prepared_count: u64,
+}
+
+/// Prepared statements that are kept on one connection before it is reset.
+const PREPARED_LIMIT: usize = 256;
+
+impl Link {
+    pub(crate) fn new(database: Name, cluster: Name, now: Micros) -> Self {
+        Link {
+            database,
+            cluster,
+            open: false,
+            opened_at: now,
+            pending: VecDeque::new(),
+            pinned: None,
+            doomed: false,
+            used: now,
+            values: BTreeMap::new(),
+            prepared: FastMap::default(),
+            prepared_count: 0,
+        }
+    }
+
+    /// Tells whether a session's values can be set without a reset.
+    pub(crate) fn fits(&self, values: &BTreeMap<Name, Name>) -> bool {
+        self.values.keys().all(|name| values.contains_key(name))
+    }
+
+    /// Returns the number of values that differ from the session's.
+    pub(crate) fn distance(&self, values: &BTreeMap<Name, Name>) -> usize {
+        let differing = values.iter().filter(|(name, value)| self.values.get(*name) != Some(value));
+        let reset = if self.fits(values) { 0 } else { values.len() + 1 };
+        differing.count() + reset
+    }
+
+    /// Returns the commands that give the connection exactly the session's values.
+    pub(crate) fn adopt(&mut self, values: &BTreeMap<Name, Name>) -> Vec<BackendCommand> {
+        let mut commands = Vec::new();
+        if !self.fits(values) || self.prepared.len() >= PREPARED_LIMIT {
+            self.values.clear();
+            self.prepared.clear();
+            commands.push(BackendCommand::Reset);
+        }
+        for (name, value) in values {
+            if self.values.get(name) != Some(value) {
+                self.values.insert(name.clone(), value.clone());
+                commands.push(BackendCommand::Set { name: name.clone(), value: value.clone() });
+            }
+        }
+        commands
+    }
+
+    /// Returns the connection's name for a prepared statement, preparing it if necessary.
+    pub(crate) fn prepare(
+        &mut self,
+        access: StatementAccess,
+        shape: &Name,
+        commands: &mut Vec<BackendCommand>,
+    ) -> Name {
+        if let Some(name) = self.prepared.get(&(access, shape.clone())) {
+            return name.clone();
+        }
+        self.prepared_count += 1;
+        let name = Name::from(format!("p{}", self.prepared_count));
+        self.prepared.insert((access, shape.clone()), name.clone());
+        commands.push(BackendCommand::Prepare { name: name.clone(), access, shape: shape.clone() });
+        name
+    }
+
+    /// Forgets the prepared statements, which the database no longer knows.
+    pub(crate) fn forget_prepared(&mut self) {
+        self.prepared.clear();
+    }
+}
--- /dev/null
+++ b/crates/gate/src/drain.rs
@@ -0,0 +1,81 @@
+//! Graceful shutdown.
+//!
+//! The node reports that it is not ready at once and goes on serving, since the platform's balancer needs
+//! two probes to take it out. Then it closes sessions between requests, ends open transactions by half of
+//! the time that it has, and exits once the last session is closed.
+
+use model::Micros;
+
+use crate::session::Transaction;
+use crate::statement::SessionState;
+use crate::{Gate, GateAction, fields};
+
+/// Time after which the balancer has taken the node out: two probes, a second apart, and one interval.
+const BALANCER_TIME: Micros = Micros::from_millis(2_300);
+
+/// Time kept back for exiting.
+const EXIT_MARGIN: Micros = Micros::from_millis(500);
+
+/// Progress of a shutdown.
+#[derive(Debug, Default)]
+pub(crate) struct DrainState {
+    pub(crate) since: Option<Micros>,
+    grace: Micros,
+    complete: bool,
+}
+
+impl DrainState {
+    /// Tells whether new transactions would not have the time to end.
+    pub(crate) fn refuses_transactions(&self, now: Micros) -> bool {
+        self.since.is_some_and(|since| now >= since + Micros(self.grace.0 / 2))
+    }
+}
+
+impl Gate {
+    pub(crate) fn drain(&mut self) {
+        if self.drain.since.is_some() {
+            return;
+        }
+        self.drain.since = Some(self.now);
+        self.drain.grace = self.settings.grace;
+        let sessions = u64::try_from(self.sessions.len()).unwrap_or(u64::MAX);
+        self.log("drain_started", fields!["sessions" => sessions]);
+        self.update_ready();
+    }
+
+    pub(crate) fn tend_drain(&mut self) {
+        let Some(since) = self.drain.since else { return };
+        let now = self.now;
+        if self.drain.complete {
+            return;
+        }
+        let grace = self.settings.grace;
+        if now >= since + Micros(grace.0 / 2) {
+            let open: Vec<_> = self
+                .sessions
+                .iter()
+                .filter(|(_, session)| {
+                    session.work.is_none() && session.state() == SessionState::Open
+                })
+                .map(|(id, _)| *id)
+                .collect();
+            for id in open {
+                self.abort_transaction(id, "shutting down");
+                if let Some(session) = self.sessions.get_mut(&id) {
+                    session.transaction = Transaction::Failed;
+                }
+            }
+        }
+        if now >= since + BALANCER_TIME.min(Micros(grace.0 / 2)) {
+            self.close_idle_sessions();
+        }
+        if self.sessions.is_empty() && now >= since + BALANCER_TIME
+            || now + EXIT_MARGIN >= since + grace
+        {
+            self.drain.complete = true;
+            let sessions = u64::try_from(self.sessions.len()).unwrap_or(u64::MAX);
+            self.log("drain_complete", fields!["sessions" => sessions]);
+            self.out.push(GateAction::ShutdownComplete);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/duty.rs
@@ -0,0 +1,180 @@
+//! The duty to order promotions: one holder at a time, with numbers that only grow.
+//!
+//! The holder is named in one document of the platform's store, changed by compare-and-swap only. It may
+//! act for [`ACT_TIME`] after it *sent* the last write that succeeded, on a clock that also counts suspended
+//! time. Another node takes over only after it has seen the document unchanged for [`TAKEOVER_WAIT`], or
+//! marked as idle by its holder. Leases of the store are not used: they may end early while it is away.
+
+use model::{Micros, Name};
+use serde::{Deserialize, Serialize};
+
+/// Time that a holder may act after it sent its last successful write. Two round trips to the platform,
+/// slowed as in its slow phases, and the call itself.
+pub const ACT_TIME: Micros = Micros::from_millis(1_500);
+
+/// Time for one promotion call; it is reset after this.
+pub const CALL_TIME: Micros = Micros::from_millis(600);
+
+/// Time for which a document must stay unchanged before another node takes over: [`ACT_TIME`], one call
+/// that began at its end, and half a second for timers that fire late.
+pub const TAKEOVER_WAIT: Micros = Micros::from_millis(2_600);
+
+/// Remaining time below which the holder writes again before it acts.
+const RENEW_BELOW: Micros = Micros::from_millis(700);
+
+/// Time after which a write without an answer is given up.
+const WRITE_TIME: Micros = Micros::from_millis(1_200);
+
+/// The stored document.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyRecord {
+    pub holder: String,
+    /// Grows with every change of holder.
+    pub number: u64,
+    /// Distinguishes writes, and the processes that used one name.
+    pub write: u64,
+    /// The holder has nothing in flight.
+    pub idle: bool,
+}
+
+/// This node's part in the duty.
+#[derive(Debug)]
+pub struct DutyState {
+    node: Name,
+    /// Distinguishes this process from earlier ones of the same name.
+    process: u64,
+    record: DutyRecord,
+    revision: u64,
+    /// When the record was last seen to change; `None` until it was read.
+    changed: Option<Micros>,
+    attempt: u64,
+    pending: Option<PendingWrite>,
+    /// Number held and until when it may be used.
+    held: Option<(u64, Micros)>,
+}
+
+#[derive(Debug)]
+struct PendingWrite {
+    attempt: u64,
+    sent: Micros,
+    record: DutyRecord,
+}
+
+/// A write that the shell has to make.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyWrite {
+    pub attempt: u64,
+    pub expected: u64,
+    pub bytes: Vec<u8>,
+}
+
+impl DutyState {
+    /// Creates the state of a process that knows nothing yet.
+    pub fn new(node: Name, process: u64) -> Self {
+        DutyState {
+            node,
+            process,
+            record: DutyRecord::default(),
+            revision: 0,
+            changed: None,
+            attempt: 0,
+            pending: None,
+            held: None,
+        }
+    }
+
+    /// Takes in the stored record; `None` if there is none.
+    pub fn observe(&mut self, now: Micros, stored: Option<(u64, &[u8])>) {
+        let (revision, record) = match stored {
+            None => (0, DutyRecord::default()),
+            Some((revision, bytes)) => {
+                (revision, serde_json::from_slice(bytes).unwrap_or_default())
+            }
+        };
+        if self.changed.is_some() && revision <= self.revision {
+            return;
+        }
+        if record.holder != self.node.as_str() || record.number != self.held_number() {
+            self.held = None;
+        }
+        self.revision = revision;
+        self.record = record;
+        self.changed = Some(now);
+    }
+
+    fn held_number(&self) -> u64 {
+        self.held.map_or(0, |(number, _)| number)
+    }
+
+    /// Returns the number that may be used now.
+    pub fn number(&self, now: Micros) -> Option<u64> {
+        self.held.filter(|(_, until)| now < *until).map(|(number, _)| number)
+    }
+
+    /// Tells whether the number should be renewed before it is used again.
+    pub fn wants_renewal(&self, now: Micros) -> bool {
+        self.held.is_none_or(|(_, until)| now + RENEW_BELOW >= until)
+    }
+
+    /// Tells whether another node holds the duty and may be acting.
+    pub fn is_taken(&self, now: Micros) -> bool {
+        let waited = self.changed.is_some_and(|changed| now >= changed + TAKEOVER_WAIT);
+        self.held.is_none() && self.revision != 0 && !self.record.idle && !waited
+    }
+
+    /// Returns the write that claims or renews the duty, if one is allowed now.
+    pub fn claim(&mut self, now: Micros) -> Option<DutyWrite> {
+        self.changed?;
+        if self.is_taken(now) {
+            return None;
+        }
+        let number = match self.held {
+            Some((number, _)) => number,
+            None => self.record.number + 1,
+        };
+        self.write(now, number, false)
+    }
+
+    /// Returns the write that gives the duty up.
+    pub fn release(&mut self, now: Micros) -> Option<DutyWrite> {
+        let (number, _) = self.held.take()?;
+        self.write(now, number, true)
+    }
+
+    fn write(&mut self, now: Micros, number: u64, idle: bool) -> Option<DutyWrite> {
+        if self.pending.as_ref().is_some_and(|pending| now < pending.sent + WRITE_TIME) {
+            return None;
+        }
+        self.attempt += 1;
+        let record = DutyRecord {
+            holder: self.node.to_string(),
+            number,
+            write: self.process.wrapping_add(self.attempt),
+            idle,
+        };
+        let bytes = serde_json::to_vec(&record).ok()?;
+        self.pending = Some(PendingWrite { attempt: self.attempt, sent: now, record });
+        Some(DutyWrite { attempt: self.attempt, expected: self.revision, bytes })
+    }
+
+    /// Takes in the result of a write. Returns true if this node now may act.
+    pub fn written(&mut self, now: Micros, attempt: u64, revision: Option<u64>) -> bool {
+        let Some(pending) = self.pending.take_if(|pending| pending.attempt == attempt) else {
+            return false;
+        };
+        let Some(revision) = revision else {
+            self.held = None;
+            return false;
+        };
+        if revision < self.revision {
+            return false;
+        }
+        let idle = pending.record.idle;
+        let until = pending.sent + ACT_TIME;
+        self.held = (!idle && now < until).then_some((pending.record.number, until));
+        self.revision = revision;
+        self.record = pending.record;
+        self.changed = Some(now);
+        self.held.is_some()
+    }
+}
--- /dev/null
+++ b/crates/gate/src/evidence.rs
@@ -0,0 +1,176 @@
+//! Evidence that a primary leads, and how old data is.
+//!
+//! Every change of primary fences *all* replicas that count before it names a new one. So a report of one
+//! replica, asked for at time `t`, of term `T` and without a fence above `T`, proves that no change beyond
+//! `T` had begun at `t`: all commits acknowledged before `t` are in the log of the primary of `T`. With one
+//! synchronous replica an acknowledged commit proves the same for the time at which it was sent, because a
+//! fenced replica does not receive.
+//!
+//! A position that the primary of `T` reported for a request sent at `u`, with such a proof for `t >= u`,
+//! covers every commit acknowledged before `u`. A replica that holds the position can serve reads whose
+//! accepted age reaches back to `u`.
+
+use std::collections::VecDeque;
+
+use model::{Micros, Name, Term};
+
+use crate::backend::{DatabaseReport, DatabaseRole, LogPoint};
+
+/// Positions of the primary that are kept; at one each [`SAMPLE_SPACING`] they reach back 4 s, beyond the
+/// accepted ages of the configurations.
+const SAMPLE_LIMIT: usize = 40;
+
+/// Least time between two positions that are kept.
+const SAMPLE_SPACING: Micros = Micros::from_millis(100);
+
+/// A position and the time before which every acknowledged commit is covered by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct DataSample {
+    since: Micros,
+    point: LogPoint,
+}
+
+/// What a node knows about the leadership of one cluster.
+///
+/// ```
+/// use gate::{DatabaseReport, DatabaseRole, LeadEvidence, LogPoint};
+/// use model::{Micros, Name, Term};
+///
+/// let (primary, replica) = (Name::from("a"), Name::from("b"));
+/// let point = LogPoint { term: Term(3), number: 7 };
+/// let report = |role| DatabaseReport {
+///     role, term: Term(3), received: point, fence: Term(0), lag: Micros::ZERO, connections: 1,
+/// };
+/// let mut evidence = LeadEvidence::default();
+/// evidence.report(&primary, Micros(10), &report(DatabaseRole::Primary));
+/// assert!(!evidence.proves(&primary, Micros(5)));
+/// evidence.report(&replica, Micros(20), &report(DatabaseRole::Replica));
+/// assert!(evidence.proves(&primary, Micros(20)));
+/// assert_eq!(evidence.sample(Micros(10)), Some(point));
+/// ```
+#[derive(Debug, Default)]
+pub struct LeadEvidence {
+    term: Term,
+    leader: Option<Name>,
+    /// No change beyond `term` had begun at this time.
+    confirmed: Option<Micros>,
+    fenced: Option<Micros>,
+    unproved: VecDeque<DataSample>,
+    proved: VecDeque<DataSample>,
+}
+
+impl LeadEvidence {
+    /// Returns the highest term seen.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Returns the database that reported to lead the highest term.
+    pub fn leader(&self) -> Option<&Name> {
+        self.leader.as_ref()
+    }
+
+    /// Returns when a fence above the term was last seen.
+    pub fn fenced_at(&self) -> Option<Micros> {
+        self.fenced
+    }
+
+    /// Takes in a report that was asked for at `asked`. Returns true if the leader changed.
+    pub fn report(&mut self, database: &Name, asked: Micros, report: &DatabaseReport) -> bool {
+        if report.term < self.term {
+            return false;
+        }
+        let before = (self.term, self.leader.clone());
+        if report.term > self.term {
+            self.term = report.term;
+            self.leader = None;
+            self.confirmed = None;
+            self.fenced = None;
+            self.unproved.clear();
+        }
+        match report.role {
+            DatabaseRole::Primary => {
+                self.leader = Some(database.clone());
+                self.point_seen(database, asked, report.received);
+            }
+            DatabaseRole::Replica => {
+                if self.leader.as_ref() == Some(database) {
+                    self.leader = None;
+                }
+                if report.fence > self.term {
+                    self.fenced = self.fenced.max(Some(asked));
+                } else {
+                    self.confirm(asked);
+                }
+            }
+        }
+        before != (self.term, self.leader.clone())
+    }
+
+    /// Takes in the end of the log that a database sent in answer to a command sent at `sent`.
+    pub fn point_seen(&mut self, database: &Name, sent: Micros, point: LogPoint) {
+        if self.leader.as_ref() != Some(database) {
+            return;
+        }
+        let last = self.unproved.back().or(self.proved.back());
+        if last.is_some_and(|last| sent < last.since + SAMPLE_SPACING) {
+            return;
+        }
+        self.unproved.push_back(DataSample { since: sent, point });
+        if self.unproved.len() > SAMPLE_LIMIT {
+            self.unproved.pop_front();
+        }
+        self.settle();
+    }
+
+    /// Takes in a commit, sent at `sent`, that the leader acknowledged with a synchronous replica.
+    pub fn commit_acknowledged(&mut self, database: &Name, sent: Micros) {
+        if self.leader.as_ref() == Some(database) {
+            self.confirm(sent);
+        }
+    }
+
+    fn confirm(&mut self, at: Micros) {
+        self.confirmed = self.confirmed.max(Some(at));
+        if self.fenced.is_some_and(|fenced| fenced <= at) {
+            self.fenced = None;
+        }
+        self.settle();
+    }
+
+    /// Moves the positions that the newest proof covers.
+    fn settle(&mut self) {
+        while let Some(sample) = self.unproved.front().copied()
+            && self.confirmed >= Some(sample.since)
+        {
+            self.unproved.pop_front();
+            self.proved.push_back(sample);
+            if self.proved.len() > SAMPLE_LIMIT {
+                self.proved.pop_front();
+            }
+        }
+    }
+
+    /// Tells whether the database's log holds every commit acknowledged before `since`.
+    pub fn proves(&self, database: &Name, since: Micros) -> bool {
+        self.leader.as_ref() == Some(database) && self.confirmed >= Some(since)
+    }
+
+    /// Returns the time up to which the leader is proved.
+    pub fn confirmed_at(&self) -> Option<Micros> {
+        self.confirmed
+    }
+
+    /// Returns the oldest proved position that covers every commit acknowledged before `since`. The
+    /// oldest one is met by the most replicas.
+    pub fn sample(&self, since: Micros) -> Option<LogPoint> {
+        self.proved.iter().find(|sample| sample.since >= since).map(|sample| sample.point)
+    }
+
+    /// Forgets the leader, as after an error that only a replaced primary sends.
+    pub fn distrust(&mut self, database: &Name) {
+        if self.leader.as_ref() == Some(database) {
+            self.leader = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,234 @@
+//! The core of a node on the platform: sessions, routing, evidence, connections, changes of primary.
+//!
+//! [`Gate`] is a state machine without clock, socket or thread. The shell passes it [`GateEvent`]s with the
+//! time and carries out the [`GateAction`]s. All time is one clock that also counts while the VM is
+//! suspended, since proofs and the promotion duty depend on it.
+//!
+//! The modules: `session` for clients, `work` for the way of one request, `link` and `database` for
+//! connections, `cluster` and `evidence` for what is known of primaries, `takeover`, `duty` and `roster` for
+//! changing them, `drain` for shutdown.
+
+mod action;
+mod backend;
+mod cluster;
+mod database;
+mod drain;
+mod duty;
+mod event;
+mod evidence;
+mod link;
+mod ready;
+mod roster;
+mod route;
+mod session;
+mod settings;
+mod statement;
+mod takeover;
+mod work;
+
+use model::{FastMap, Micros, Name};
+
+pub use action::{ClientReply, GateAction, LogRecord, LogValue};
+pub use backend::{
+    AnswerEnd, BackendAnswer, BackendCommand, DatabaseReport, DatabaseRole, LogPoint,
+};
+pub use duty::{ACT_TIME, CALL_TIME, DutyRecord, DutyState, DutyWrite, TAKEOVER_WAIT};
+pub use event::{
+    Document, GateEvent, LinkId, ListedDatabase, PromoteResult, SessionId, StoredDocument,
+    WriteResult, rank_of_priority,
+};
+pub use evidence::LeadEvidence;
+pub use roster::{NodeRecord, NodeRoster};
+pub use route::{ClusterLimits, Freshness, RouteConfig, RouteTable};
+pub use settings::GateSettings;
+pub use statement::{ClientRequest, ErrorCode, SessionState, Statement, StatementAccess};
+
+use cluster::ClusterState;
+use database::{Database, Link};
+use drain::DrainState;
+use ready::ReadyState;
+use roster::PublishedRecord;
+use session::Session;
+use takeover::TakeoverState;
+use work::{Work, WorkId};
+
+/// Builds the fields of a log line.
+macro_rules! fields {
+    ($($name:expr => $value:expr),* $(,)?) => {
+        vec![$(($name, $crate::LogValue::from($value))),*]
+    };
+}
+pub(crate) use fields;
+
+/// Interval of [`GateEvent::Timer`]. Time limits are met to within this; it is a fifth of the shortest
+/// latency objective of the configurations.
+pub const TICK: Micros = Micros::from_millis(20);
+
+/// The decisions of one process.
+#[derive(Debug)]
+pub struct Gate {
+    settings: GateSettings,
+    now: Micros,
+    out: Vec<GateAction>,
+    last_id: u64,
+    table: RouteTable,
+    sessions: FastMap<SessionId, Session>,
+    works: FastMap<WorkId, Work>,
+    paused: Vec<WorkId>,
+    clusters: FastMap<Name, ClusterState>,
+    databases: FastMap<Name, Database>,
+    links: FastMap<LinkId, Link>,
+    roster: NodeRoster,
+    duty: DutyState,
+    published: PublishedRecord,
+    takeovers: TakeoverState,
+    drain: DrainState,
+    ready: ReadyState,
+}
+
+impl Gate {
+    /// Creates a gate that knows only its settings.
+    ///
+    /// ```
+    /// use gate::{Gate, GateEvent, GateSettings};
+    /// use model::Micros;
+    ///
+    /// let mut gate = Gate::new(GateSettings {
+    ///     node: "n1".into(),
+    ///     data_centre: "dc1".into(),
+    ///     process: 1,
+    ///     grace: Micros::from_secs(6),
+    /// });
+    /// let mut actions = Vec::new();
+    /// gate.handle(Micros::ZERO, GateEvent::Timer, &mut actions);
+    /// ```
+    pub fn new(settings: GateSettings) -> Self {
+        Gate {
+            roster: NodeRoster::new(settings.node.clone()),
+            duty: DutyState::new(settings.node.clone(), settings.process),
+            now: Micros::ZERO,
+            out: Vec::new(),
+            last_id: 0,
+            table: RouteTable::default(),
+            sessions: FastMap::default(),
+            works: FastMap::default(),
+            paused: Vec::new(),
+            clusters: FastMap::default(),
+            databases: FastMap::default(),
+            links: FastMap::default(),
+            published: PublishedRecord::default(),
+            takeovers: TakeoverState::default(),
+            drain: DrainState::default(),
+            ready: ReadyState::default(),
+            settings,
+        }
+    }
+
+    /// Handles an event at the time `now`, which never goes back, and appends what the shell has to do
+    /// to `actions`, in order.
+    pub fn handle(&mut self, now: Micros, event: GateEvent, actions: &mut Vec<GateAction>) {
+        self.now = self.now.max(now);
+        std::mem::swap(&mut self.out, actions);
+        self.dispatch(event);
+        std::mem::swap(&mut self.out, actions);
+    }
+
+    fn dispatch(&mut self, event: GateEvent) {
+        match event {
+            GateEvent::SessionOpened { session, database } => self.open_session(session, database),
+            GateEvent::RequestArrived { session, request } => {
+                self.request_arrived(session, request);
+            }
+            GateEvent::SessionClosed { session } => self.close_session(session),
+            GateEvent::LinkOpened { link, point } => self.link_opened(link, point),
+            GateEvent::LinkRefused { link, code } => self.link_refused(link, code),
+            GateEvent::LinkLost { link } => self.link_lost(link),
+            GateEvent::LinkAnswered { link, answer } => self.link_answered(link, *answer),
+            GateEvent::RoutesChanged(table) => self.routes_changed(*table),
+            GateEvent::DatabasesListed(list) => self.databases_listed(list),
+            GateEvent::DatabaseChanged(listed) => self.database_listed(listed),
+            GateEvent::DatabaseUnlisted { id } => self.database_unlisted(&id),
+            GateEvent::DocumentsListed(documents) => self.documents_listed(documents),
+            GateEvent::DocumentChanged(stored) => self.document_changed(stored),
+            GateEvent::DocumentRemoved(document) => match document {
+                Document::Duty => {}
+                Document::Node(name) => self.roster.remove(&name),
+            },
+            GateEvent::DutyWritten { attempt, result } => self.duty_written(attempt, result),
+            GateEvent::DatabasesRead { databases } => self.databases_read(databases),
+            GateEvent::PromoteAnswered { cluster, result } => {
+                self.promote_answered(&cluster, result);
+            }
+            GateEvent::StoreReachable(reachable) => {
+                self.log("store", fields!["reachable" => reachable]);
+            }
+            GateEvent::DrainRequested => self.drain(),
+            GateEvent::Timer => self.tick(),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.check_works();
+        self.tend_links();
+        self.tend_clusters();
+        self.remove_unlisted();
+        self.end_idle_transactions();
+        self.tend_takeovers();
+        self.tend_drain();
+        self.update_ready();
+    }
+
+    fn routes_changed(&mut self, table: RouteTable) {
+        if table.version <= self.table.version {
+            return;
+        }
+        let routes = u64::try_from(table.routes.len()).unwrap_or(u64::MAX);
+        self.log("configuration", fields!["version" => table.version, "routes" => routes]);
+        for cluster in table.clusters.keys() {
+            self.clusters.entry(cluster.clone()).or_default();
+        }
+        self.table = table;
+        self.update_ready();
+    }
+
+    fn documents_listed(&mut self, documents: Vec<StoredDocument>) {
+        self.roster.clear();
+        if !documents.iter().any(|stored| stored.document == Document::Duty) {
+            self.duty.observe(self.now, None);
+        }
+        for stored in documents {
+            self.document_changed(stored);
+        }
+    }
+
+    fn document_changed(&mut self, stored: StoredDocument) {
+        match stored.document {
+            Document::Duty => self.duty.observe(self.now, Some((stored.revision, &stored.bytes))),
+            Document::Node(name) => self.roster.set(name, &stored.bytes),
+        }
+    }
+
+    fn duty_written(&mut self, attempt: u64, result: WriteResult) {
+        let revision = match result {
+            WriteResult::Written { revision } => Some(revision),
+            WriteResult::Conflict | WriteResult::Failed => None,
+        };
+        let held = self.duty.written(self.now, attempt, revision);
+        let number = self.duty.number(self.now).unwrap_or_default();
+        self.log("duty_written", fields!["held" => held, "number" => number]);
+        self.tend_takeovers();
+    }
+
+    fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    fn count(&mut self, counter: &'static str) {
+        self.out.push(GateAction::Count { counter, amount: 1 });
+    }
+
+    fn log(&mut self, event: &'static str, fields: Vec<(&'static str, LogValue)>) {
+        self.out.push(GateAction::Log(LogRecord { event, fields }));
+    }
+}
--- /dev/null
+++ b/crates/gate/src/link.rs
@@ -0,0 +1,336 @@
+//! Connections to databases: opening, answers, loss, and giving them back.
+
+use model::{Micros, Name};
+
+use crate::action::GateAction;
+use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, LogPoint};
+use crate::cluster::LEAVING_TIME;
+use crate::database::{CommandPurpose, Link, PendingCommand};
+use crate::event::LinkId;
+use crate::statement::{ErrorCode, SessionState};
+use crate::work::WorkId;
+use crate::{Gate, fields};
+
+/// Time for opening a connection: the handshake behind a full queue.
+const OPEN_TIME: Micros = Micros::from_millis(1_000);
+
+/// Time for the answer to a report. Reports take a slot, behind a queue of 16 statements.
+const REPORT_TIME: Micros = Micros::from_millis(800);
+
+/// Time that a statement without a waiting request may take before its connection is closed.
+const ORPHAN_TIME: Micros = Micros::from_millis(2_000);
+
+/// Pause after a failed attempt to open a connection; doubles up to the longest pause.
+const OPEN_PAUSE: Micros = Micros::from_millis(60);
+const OPEN_PAUSE_LONGEST: Micros = Micros::from_millis(500);
+
+/// Pause after a database refused a connection for its limit.
+const FULL_PAUSE: Micros = Micros::from_millis(250);
+
+/// Time after which an unused connection beyond the equal share is closed.
+const SURPLUS_TIME: Micros = Micros::from_millis(2_000);
+
+/// Connections that a database without a known limit gets.
+const DEFAULT_CONNECTIONS: u32 = 8;
+
+impl Gate {
+    fn connection_limit(&self, cluster: &Name) -> u32 {
+        self.table.clusters.get(cluster).map_or(DEFAULT_CONNECTIONS, |limits| limits.connections)
+    }
+
+    /// Opens connections for waiting requests, and the first one of each database.
+    pub(crate) fn open_links(&mut self, name: &Name) {
+        let now = self.now;
+        let nodes = self.roster.live();
+        let Some(database) = self.databases.get(name) else { return };
+        let limit = self.connection_limit(&database.listed.cluster);
+        let Some(database) = self.databases.get_mut(name) else { return };
+        let closed = database.unlisted.is_some()
+            || database.leaving_since.is_some_and(|since| now >= since + LEAVING_TIME);
+        if now < database.retry_open || closed {
+            return;
+        }
+        let waiting: u32 = database.queue.stats().waiting.0.iter().sum();
+        let wanted = waiting + u32::from(database.report_wanted);
+        let links = u32::try_from(database.links.len()).unwrap_or(u32::MAX);
+        let limit = database.link_limit(limit, nodes);
+        let first = links == 0;
+        if !first && (database.opening >= wanted || links >= limit || database.opening >= 2) {
+            return;
+        }
+        let link = LinkId(self.next_id());
+        let Some(database) = self.databases.get_mut(name) else { return };
+        database.links.push(link);
+        database.opening += 1;
+        database.attempt(now);
+        let (cluster, address) = (database.listed.cluster.clone(), database.listed.address);
+        self.links.insert(link, Link::new(name.clone(), cluster.clone(), now));
+        self.out.push(GateAction::OpenLink { link, cluster, database: name.clone(), address });
+        self.count("links_opened");
+    }
+
+    pub(crate) fn link_opened(&mut self, link: LinkId, point: Option<LogPoint>) {
+        let now = self.now;
+        let Some(state) = self.links.get_mut(&link) else { return };
+        if state.open {
+            return;
+        }
+        state.open = true;
+        state.used = now;
+        let name = state.database.clone();
+        let Some(database) = self.databases.get_mut(&name) else { return };
+        database.opening -= 1;
+        database.open_failures = 0;
+        database.applied = point.max(database.applied);
+        database.idle.push(link);
+        if database.report.is_none() {
+            database.report_wanted = true;
+        }
+        self.answered(&name);
+        self.pump(&name);
+    }
+
+    pub(crate) fn link_refused(&mut self, link: LinkId, code: ErrorCode) {
+        let now = self.now;
+        let Some(state) = self.links.get(&link) else { return };
+        let name = state.database.clone();
+        self.log("link_refused", fields!["database" => &name, "code" => code.name()]);
+        if code == ErrorCode::TooManyConnections {
+            self.answered(&name);
+        }
+        self.remove_link(link);
+        if let Some(database) = self.databases.get_mut(&name) {
+            database.retry_open = now + FULL_PAUSE;
+        }
+    }
+
+    pub(crate) fn link_lost(&mut self, link: LinkId) {
+        let now = self.now;
+        let Some(state) = self.links.get(&link) else { return };
+        let name = state.database.clone();
+        let opening = !state.open;
+        if let Some(database) = self.databases.get_mut(&name) {
+            database.attempt(now);
+            if opening {
+                let pause = OPEN_PAUSE.0 << database.open_failures.min(4);
+                database.open_failures += 1;
+                database.retry_open = now + Micros(pause).min(OPEN_PAUSE_LONGEST);
+            }
+        }
+        self.count("links_lost");
+        self.log("link_lost", fields!["database" => &name, "link" => link.0, "opening" => opening]);
+        self.remove_link(link);
+        self.open_links(&name);
+    }
+
+    /// Closes a connection and ends what was on it.
+    pub(crate) fn drop_link(&mut self, link: LinkId, reason: &'static str) {
+        if !self.links.contains_key(&link) {
+            return;
+        }
+        self.out.push(GateAction::CloseLink { link });
+        self.count("links_closed");
+        self.log("link_closed", fields!["link" => link.0, "reason" => reason]);
+        self.remove_link(link);
+    }
+
+    fn remove_link(&mut self, link: LinkId) {
+        let Some(state) = self.links.remove(&link) else { return };
+        if let Some(database) = self.databases.get_mut(&state.database) {
+            database.links.retain(|other| *other != link);
+            database.idle.retain(|other| *other != link);
+            if !state.open {
+                database.opening -= 1;
+            }
+        }
+        for pending in &state.pending {
+            match pending.purpose {
+                CommandPurpose::Begin(work) => self.work_lost(work, false),
+                CommandPurpose::Run(work) => self.work_lost(work, true),
+                CommandPurpose::Report | CommandPurpose::Fence => {
+                    if let Some(database) = self.databases.get_mut(&state.database)
+                        && database.report_asked == Some(pending.sent)
+                    {
+                        database.report_asked = None;
+                    }
+                }
+                CommandPurpose::Setup | CommandPurpose::Rollback | CommandPurpose::Control => {}
+            }
+        }
+        if let Some(session) = state.pinned {
+            self.abort_transaction(session, "connection lost");
+        }
+    }
+
+    /// Sends commands on a connection and notes what their answers are for.
+    pub(crate) fn send(
+        &mut self,
+        link: LinkId,
+        commands: Vec<BackendCommand>,
+        purpose: CommandPurpose,
+    ) {
+        let now = self.now;
+        if commands.is_empty() {
+            return;
+        }
+        let Some(state) = self.links.get_mut(&link) else { return };
+        state.used = now;
+        for _ in &commands {
+            state.pending.push_back(PendingCommand { purpose, sent: now });
+        }
+        if let Some(database) = self.databases.get_mut(&state.database) {
+            database.attempt(now);
+        }
+        self.out.push(GateAction::Send { link, commands });
+    }
+
+    /// Notes that a database answered.
+    fn answered(&mut self, name: &Name) {
+        let now = self.now;
+        let Some(database) = self.databases.get(name) else { return };
+        let waiting = database.links.iter().any(|link| {
+            self.links.get(link).is_some_and(|link| !link.open || !link.pending.is_empty())
+        });
+        let Some(database) = self.databases.get_mut(name) else { return };
+        database.answered = Some(now);
+        database.trying_since = waiting.then_some(now);
+    }
+
+    pub(crate) fn link_answered(&mut self, link: LinkId, answer: BackendAnswer) {
+        let now = self.now;
+        let Some(state) = self.links.get_mut(&link) else { return };
+        let (name, cluster) = (state.database.clone(), state.cluster.clone());
+        let Some(pending) = state.pending.pop_front() else {
+            return self.drop_link(link, "answer without a command");
+        };
+        state.used = now;
+        self.answered(&name);
+        if let Some(point) = answer.point {
+            if let Some(database) = self.databases.get_mut(&name) {
+                database.applied = Some(point);
+            }
+            if let Some(state) = self.clusters.get_mut(&cluster) {
+                state.evidence.point_seen(&name, pending.sent, point);
+            }
+        }
+        match pending.purpose {
+            CommandPurpose::Setup => {
+                if let AnswerEnd::Failed { code, .. } = &answer.end {
+                    let record = fields!["database" => &name, "code" => code.name()];
+                    self.log("setup_failed", record);
+                    if let Some(state) = self.links.get_mut(&link) {
+                        state.doomed = true;
+                    }
+                }
+            }
+            CommandPurpose::Begin(work) if self.works.contains_key(&work) => {
+                self.begin_answered(work, link, &answer);
+            }
+            CommandPurpose::Run(work) if self.works.contains_key(&work) => {
+                self.statement_answered(work, link, answer);
+            }
+            CommandPurpose::Begin(_) | CommandPurpose::Run(_) => self.orphan_answered(link, &answer),
+            CommandPurpose::Report => self.report_answered(link, pending.sent, &answer),
+            CommandPurpose::Fence => self.fence_answered(link, pending.sent, &answer),
+            CommandPurpose::Rollback | CommandPurpose::Control => {}
+        }
+        self.settle_link(link);
+    }
+
+    /// The request of an answer was given up. What it left open is rolled back.
+    fn orphan_answered(&mut self, link: LinkId, answer: &BackendAnswer) {
+        let Some(state) = self.links.get_mut(&link) else { return };
+        state.pinned = None;
+        if answer.state != SessionState::Idle && state.pending.is_empty() {
+            self.send(link, vec![BackendCommand::Rollback], CommandPurpose::Rollback);
+        }
+    }
+
+    /// Gives a connection back once nothing is in flight on it.
+    fn settle_link(&mut self, link: LinkId) {
+        let Some(state) = self.links.get(&link) else { return };
+        if !state.pending.is_empty() || state.pinned.is_some() {
+            return;
+        }
+        if state.doomed {
+            return self.drop_link(link, "state in doubt");
+        }
+        let name = state.database.clone();
+        let Some(database) = self.databases.get_mut(&name) else { return };
+        if !database.idle.contains(&link) {
+            database.idle.push(link);
+        }
+        self.pump(&name);
+    }
+
+    /// Returns a connection for a command that does not belong to a client, if one is open.
+    pub(crate) fn control_link(&mut self, name: &Name) -> Option<LinkId> {
+        let database = self.databases.get_mut(name)?;
+        if let Some(link) = database.idle.pop() {
+            return Some(link);
+        }
+        let links = &self.links;
+        database
+            .links
+            .iter()
+            .filter_map(|id| links.get(id).map(|link| (id, link)))
+            .filter(|(_, link)| link.open && link.pinned.is_none())
+            .min_by_key(|(_, link)| link.pending.len())
+            .map(|(id, _)| *id)
+    }
+
+    /// Closes connections that are silent, in doubt or unused.
+    pub(crate) fn tend_links(&mut self) {
+        let now = self.now;
+        let nodes = self.roster.live();
+        let mut silent = Vec::new();
+        let mut surplus: Vec<(Name, LinkId)> = Vec::new();
+        for (id, link) in &self.links {
+            if !link.open {
+                if now >= link.opened_at + OPEN_TIME {
+                    silent.push(*id);
+                }
+                continue;
+            }
+            let Some(pending) = link.pending.front() else {
+                if link.pinned.is_none() && now >= link.used + SURPLUS_TIME {
+                    surplus.push((link.database.clone(), *id));
+                }
+                continue;
+            };
+            let limit = match pending.purpose {
+                CommandPurpose::Begin(work) | CommandPurpose::Run(work) => {
+                    if self.is_waited_for(work, *id) { Micros::MAX } else { ORPHAN_TIME }
+                }
+                CommandPurpose::Report
+                | CommandPurpose::Fence
+                | CommandPurpose::Setup
+                | CommandPurpose::Control
+                | CommandPurpose::Rollback => REPORT_TIME,
+            };
+            if now >= pending.sent.saturating_add(limit) {
+                silent.push(*id);
+            }
+        }
+        for link in silent {
+            self.out.push(GateAction::CloseLink { link });
+            self.link_lost(link);
+        }
+        for (name, link) in surplus {
+            let Some(database) = self.databases.get(&name) else { continue };
+            let limit = self.connection_limit(&database.listed.cluster);
+            let share = usize::try_from((limit / nodes.max(1)).max(1)).unwrap_or(1);
+            if database.links.len() > share {
+                self.drop_link(link, "unused");
+            }
+        }
+        let names: Vec<Name> = self.databases.keys().cloned().collect();
+        for name in names {
+            self.pump(&name);
+        }
+    }
+
+    fn is_waited_for(&self, work: WorkId, link: LinkId) -> bool {
+        self.works.get(&work).is_some_and(|work| work.link == Some(link))
+    }
+}
--- /dev/null
+++ b/crates/gate/src/ready.rs
@@ -0,0 +1,65 @@
+//! Readiness: whether the balancer should send clients here.
+//!
+//! A node that cannot reach the primaries says so, and closes sessions between requests, so that clients
+//! come back through the balancer to a node that can.
+
+use model::Micros;
+
+use crate::{Gate, GateAction, fields};
+
+/// Time without any usable primary after which a node is not ready: longer than a change of primary.
+const CUT_OFF_TIME: Micros = Micros::from_millis(1_500);
+
+/// Time after which a node that is cut off closes idle sessions: the balancer's two probes have taken it
+/// out by then.
+const CLOSE_AFTER: Micros = Micros::from_millis(2_200);
+
+/// Readiness of a node.
+#[derive(Debug, Default)]
+pub(crate) struct ReadyState {
+    ready: bool,
+    announced: bool,
+    /// Since when no primary is usable.
+    cut_off: Option<Micros>,
+}
+
+impl Gate {
+    pub(crate) fn update_ready(&mut self) {
+        let now = self.now;
+        let routed = self.table.clusters.keys().filter(|cluster| {
+            self.table.routes.values().any(|route| route.cluster == **cluster)
+        });
+        let (mut clusters, mut usable) = (0_u32, 0_u32);
+        for cluster in routed {
+            clusters += 1;
+            usable += u32::from(self.usable_leader(cluster).is_some());
+        }
+        if usable * 2 >= clusters {
+            self.ready.cut_off = None;
+        } else {
+            self.ready.cut_off.get_or_insert(now);
+        }
+        let cut_off = self.ready.cut_off;
+        let was_ready = self.ready.ready;
+        let kept = was_ready && cut_off.is_some_and(|since| now < since + CUT_OFF_TIME);
+        let ready =
+            clusters > 0 && self.drain.since.is_none() && (cut_off.is_none() || kept);
+        if ready != was_ready || !self.ready.announced {
+            self.ready.ready = ready;
+            self.ready.announced = true;
+            self.out.push(GateAction::SetReady(ready));
+            self.log(
+                "ready",
+                fields![
+                    "ready" => ready,
+                    "clusters" => u64::from(clusters),
+                    "usable" => u64::from(usable)
+                ],
+            );
+        }
+        let long = cut_off.is_some_and(|since| now >= since + CUT_OFF_TIME + CLOSE_AFTER);
+        if !ready && long && clusters > 0 {
+            self.close_idle_sessions();
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/roster.rs
@@ -0,0 +1,88 @@
+//! Nodes of the system and which clusters they find without a working primary.
+//!
+//! Each node registers itself in the store. The registration tells how many nodes share the databases'
+//! connections, and carries the node's complaints, so that one node's own trouble does not move a primary
+//! that the others reach.
+
+use std::collections::BTreeSet;
+
+use model::{FastMap, Micros, Name};
+use serde::{Deserialize, Serialize};
+
+/// A node's registration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Distinguishes processes that ran under the same name.
+    pub process: u64,
+    /// Clusters whose primary the node cannot use.
+    pub complaints: BTreeSet<String>,
+}
+
+/// The registered nodes.
+#[derive(Debug)]
+pub struct NodeRoster {
+    own: Name,
+    nodes: FastMap<Name, NodeRecord>,
+}
+
+impl NodeRoster {
+    /// Creates a roster that knows only this node.
+    pub fn new(own: Name) -> Self {
+        NodeRoster { own, nodes: FastMap::default() }
+    }
+
+    /// Takes in a registration; one that cannot be read counts as one without complaints.
+    pub fn set(&mut self, node: Name, bytes: &[u8]) {
+        self.nodes.insert(node, serde_json::from_slice(bytes).unwrap_or_default());
+    }
+
+    /// Removes a node.
+    pub fn remove(&mut self, node: &Name) {
+        self.nodes.remove(node);
+    }
+
+    /// Removes all nodes.
+    pub fn clear(&mut self) {
+        self.nodes.clear();
+    }
+
+    /// Returns the number of nodes, this one included.
+    pub fn live(&self) -> u32 {
+        let others = self.nodes.keys().filter(|name| **name != self.own).count();
+        u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
+    /// Returns the nodes that complain about a cluster, in the order in which they should act.
+    pub fn complaining(&self, cluster: &Name) -> Vec<Name> {
+        let mut nodes: Vec<Name> = self
+            .nodes
+            .iter()
+            .filter(|(_, record)| record.complaints.contains(cluster.as_str()))
+            .map(|(name, _)| name.clone())
+            .collect();
+        nodes.sort_by_key(|name| order_key(cluster, name));
+        nodes
+    }
+
+    /// Returns this node's place among all nodes for work on a cluster.
+    pub fn place(&self, cluster: &Name) -> u64 {
+        let own = order_key(cluster, &self.own);
+        let before = self.nodes.keys().filter(|name| order_key(cluster, name) < own).count();
+        u64::try_from(before).unwrap_or(u64::MAX)
+    }
+}
+
+/// Spreads the clusters' work over the nodes (FNV-1a).
+fn order_key(cluster: &Name, node: &Name) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let bytes = cluster.bytes().chain([0]).chain(node.bytes());
+    bytes.fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
+}
+
+/// Complaints that the node last published, and when.
+#[derive(Debug, Default)]
+pub(crate) struct PublishedRecord {
+    pub(crate) record: Option<NodeRecord>,
+    pub(crate) at: Micros,
+}
--- /dev/null
+++ b/crates/gate/src/route.rs
@@ -0,0 +1,49 @@
+//! The operators' configuration of the platform interface: which client database is served how.
+
+use std::sync::Arc;
+
+use model::{FastMap, Micros, Name, Rank};
+
+/// How recent the data of a read must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// Every commit acknowledged before the read began.
+    Latest,
+    /// Every commit acknowledged longer ago than this.
+    Bounded(Micros),
+    /// As `Bounded`, and every commit of the same session.
+    Session(Micros),
+}
+
+/// How requests for one client database are served.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteConfig {
+    pub name: Name,
+    pub database: Name,
+    pub cluster: Name,
+    pub freshness: Freshness,
+    /// Limit of a single statement.
+    pub timeout: Micros,
+    pub rank: Rank,
+}
+
+/// Limits of the databases of one cluster.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClusterLimits {
+    pub name: Name,
+    /// Connections that each database accepts from all nodes together.
+    pub connections: u32,
+    /// Replicas that must have received a commit before it is acknowledged.
+    pub sync_replicas: u32,
+}
+
+/// One accepted version of the configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RouteTable {
+    pub version: u64,
+    /// By client database.
+    pub routes: FastMap<Name, Arc<RouteConfig>>,
+    pub clusters: FastMap<Name, ClusterLimits>,
+    /// Time after which an idle transaction may be ended.
+    pub idle_transaction: Option<Micros>,
+}
--- /dev/null
+++ b/crates/gate/src/session.rs
@@ -0,0 +1,322 @@
+//! Sessions of clients: values, prepared names, transactions, positions of own writes.
+//!
+//! The proxy answers `SET`, `PREPARE`, `DEALLOC` and `BEGIN` itself and carries them out on a connection
+//! when the first statement needs one. So an idle session or transaction holds no connection.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use model::{FastMap, Micros, Name};
+
+use crate::action::{ClientReply, GateAction};
+use crate::backend::{BackendCommand, LogPoint};
+use crate::database::CommandPurpose;
+use crate::event::{LinkId, SessionId};
+use crate::route::{Freshness, RouteConfig};
+use crate::statement::{ClientRequest, ErrorCode, SessionState, Statement, StatementAccess};
+use crate::work::{WorkId, WorkKind};
+use crate::{Gate, fields};
+
+/// Prepared statements and values that one session may hold; more are refused.
+const SESSION_NAMES_LIMIT: usize = 256;
+
+/// A transaction of a session.
+#[derive(Clone, Debug)]
+pub(crate) enum Transaction {
+    None,
+    /// `BEGIN` was answered; no database knows of it yet.
+    Pending { begin: ClientRequest, read_only: bool, begun: Micros, route: Arc<RouteConfig> },
+    Open(OpenTransaction),
+    Failed,
+}
+
+/// A transaction that is open at a database.
+#[derive(Clone, Debug)]
+pub(crate) struct OpenTransaction {
+    pub(crate) link: LinkId,
+    pub(crate) route: Arc<RouteConfig>,
+    /// The leader must be proved for this time before rows are passed on.
+    pub(crate) need: Option<Micros>,
+    pub(crate) wrote: bool,
+    /// When the last statement ended.
+    pub(crate) idle_since: Micros,
+}
+
+/// A client's session.
+#[derive(Debug)]
+pub(crate) struct Session {
+    pub(crate) database: Name,
+    pub(crate) values: BTreeMap<Name, Name>,
+    pub(crate) prepared: FastMap<Name, (StatementAccess, Name)>,
+    /// Position of the session's last commit, by cluster.
+    pub(crate) floors: FastMap<Name, LogPoint>,
+    pub(crate) transaction: Transaction,
+    pub(crate) work: Option<WorkId>,
+}
+
+impl Session {
+    pub(crate) fn state(&self) -> SessionState {
+        match self.transaction {
+            Transaction::None => SessionState::Idle,
+            Transaction::Pending { .. } | Transaction::Open(_) => SessionState::Open,
+            Transaction::Failed => SessionState::Failed,
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.work.is_none() && matches!(self.transaction, Transaction::None)
+    }
+}
+
+impl Gate {
+    pub(crate) fn open_session(&mut self, session: SessionId, database: Name) {
+        let refusal = if self.table.version == 0 {
+            Some((ErrorCode::Busy, "no configuration yet"))
+        } else if !self.table.routes.contains_key(&database) {
+            Some((ErrorCode::NoDatabase, "no route for this database"))
+        } else {
+            None
+        };
+        if let Some((code, text)) = refusal {
+            self.count("sessions_refused");
+            self.log(
+                "session_refused",
+                fields![
+                    "database" => &database,
+                    "version" => self.table.version,
+                    "code" => code.name()
+                ],
+            );
+            self.out.push(GateAction::RefuseSession { session, code, text: text.to_string() });
+            return;
+        }
+        self.count("sessions_opened");
+        let state = Session {
+            database,
+            values: BTreeMap::new(),
+            prepared: FastMap::default(),
+            floors: FastMap::default(),
+            transaction: Transaction::None,
+            work: None,
+        };
+        self.sessions.insert(session, state);
+        self.out.push(GateAction::AcceptSession { session });
+    }
+
+    pub(crate) fn close_session(&mut self, id: SessionId) {
+        let Some(session) = self.sessions.remove(&id) else { return };
+        if let Some(work) = session.work {
+            self.abandon_work(work);
+        }
+        if let Transaction::Open(open) = session.transaction {
+            self.release_pin(open.link, id);
+        }
+    }
+
+    /// Rolls back what is open on a pinned connection and gives it back. One with a statement in flight
+    /// is closed, which rolls back too.
+    pub(crate) fn release_pin(&mut self, link: LinkId, session: SessionId) {
+        let Some(state) = self.links.get_mut(&link) else { return };
+        if state.pinned != Some(session) {
+            return;
+        }
+        state.pinned = None;
+        if state.pending.is_empty() {
+            self.send(link, vec![BackendCommand::Rollback], CommandPurpose::Rollback);
+        } else {
+            self.drop_link(link, "transaction abandoned");
+        }
+    }
+
+    pub(crate) fn request_arrived(&mut self, id: SessionId, request: ClientRequest) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if session.work.is_some() {
+            return;
+        }
+        let state = session.state();
+        if state == SessionState::Failed
+            && !matches!(request.statement, Statement::Commit | Statement::Rollback)
+        {
+            return self.reply_error(id, ErrorCode::Malformed, "the transaction has failed");
+        }
+        match &request.statement {
+            Statement::Set { name, value } => {
+                if session.values.len() >= SESSION_NAMES_LIMIT {
+                    return self.reply_error(id, ErrorCode::TooBig, "too many session values");
+                }
+                session.values.insert(name.clone(), value.clone());
+                self.reply_done(id);
+            }
+            Statement::Prepare { name, access, shape } => {
+                if session.prepared.len() >= SESSION_NAMES_LIMIT {
+                    return self.reply_error(id, ErrorCode::TooBig, "too many prepared statements");
+                }
+                session.prepared.insert(name.clone(), (*access, shape.clone()));
+                self.reply_done(id);
+            }
+            Statement::Deallocate { name } => match session.prepared.remove(name) {
+                Some(_) => self.reply_done(id),
+                None => self.reply_error(id, ErrorCode::NoStatement, "no such prepared statement"),
+            },
+            Statement::Begin { read_only } => {
+                let read_only = *read_only;
+                self.begin(id, request, read_only);
+            }
+            Statement::Rollback => self.roll_back(id),
+            Statement::Commit => self.commit(id, request),
+            Statement::Read => self.start_work(id, request, StatementAccess::Read),
+            Statement::Write => self.start_work(id, request, StatementAccess::Write),
+            Statement::Execute { name, .. } => match session.prepared.get(name) {
+                Some((access, _)) => {
+                    let access = *access;
+                    self.start_work(id, request, access);
+                }
+                None => self.reply_error(id, ErrorCode::NoStatement, "no such prepared statement"),
+            },
+        }
+    }
+
+    /// Returns the route of a session's next transaction, or answers that there is none.
+    fn current_route(&mut self, id: SessionId) -> Option<Arc<RouteConfig>> {
+        let session = self.sessions.get(&id)?;
+        let route = self.table.routes.get(&session.database).cloned();
+        if route.is_none() {
+            self.reply_error(id, ErrorCode::NoDatabase, "no route for this database");
+        }
+        route
+    }
+
+    fn begin(&mut self, id: SessionId, request: ClientRequest, read_only: bool) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        if session.state() != SessionState::Idle {
+            return self.reply_error(id, ErrorCode::Malformed, "a transaction is open already");
+        }
+        let Some(route) = self.current_route(id) else { return };
+        if self.drain.refuses_transactions(self.now) {
+            return self.reply_error(id, ErrorCode::Busy, "not run, this node is shutting down");
+        }
+        let begun = self.now;
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.transaction = Transaction::Pending { begin: request, read_only, begun, route };
+        }
+        self.reply_done(id);
+    }
+
+    fn roll_back(&mut self, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        match std::mem::replace(&mut session.transaction, Transaction::None) {
+            Transaction::Open(open) => self.release_pin(open.link, id),
+            Transaction::None | Transaction::Pending { .. } | Transaction::Failed => {}
+        }
+        self.reply_done(id);
+    }
+
+    fn commit(&mut self, id: SessionId, request: ClientRequest) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        match session.transaction {
+            Transaction::None => {
+                self.reply_error(id, ErrorCode::Malformed, "no transaction is open");
+            }
+            Transaction::Failed => {
+                session.transaction = Transaction::None;
+                self.reply_error(id, ErrorCode::Aborted, "the transaction was rolled back");
+            }
+            Transaction::Pending { .. } | Transaction::Open(_) => {
+                self.start_work(id, request, StatementAccess::Read);
+            }
+        }
+    }
+
+    fn start_work(&mut self, id: SessionId, request: ClientRequest, access: StatementAccess) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let now = self.now;
+        let (kind, route, begun) = match session.transaction.clone() {
+            Transaction::Open(open) => (WorkKind::Continue, open.route, now),
+            Transaction::Pending { begin, read_only, begun, route } => {
+                (WorkKind::Begin { begin, read_only }, route, begun)
+            }
+            Transaction::None | Transaction::Failed => {
+                let Some(route) = self.current_route(id) else { return };
+                let kind = match access {
+                    StatementAccess::Read => WorkKind::Read,
+                    StatementAccess::Write => WorkKind::Write,
+                };
+                (kind, route, now)
+            }
+        };
+        let work = self.new_work(id, request, access, kind, route, begun);
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.work = Some(work);
+        }
+        self.route_work(work);
+    }
+
+    pub(crate) fn reply_done(&mut self, session: SessionId) {
+        let reply = ClientReply::Done { rows: Vec::new(), signature: None };
+        self.reply(session, reply);
+    }
+
+    pub(crate) fn reply_error(&mut self, session: SessionId, code: ErrorCode, text: &str) {
+        self.reply(session, ClientReply::Failed { code, text: text.to_string() });
+    }
+
+    pub(crate) fn reply(&mut self, id: SessionId, reply: ClientReply) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let state = session.state();
+        self.out.push(GateAction::Reply { session: id, reply, state });
+    }
+
+    /// Ends transactions that were idle for too long, so that they do not hold connections.
+    pub(crate) fn end_idle_transactions(&mut self) {
+        let Some(limit) = self.table.idle_transaction else { return };
+        let now = self.now;
+        let expired: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| match &session.transaction {
+                Transaction::Open(open) => {
+                    session.work.is_none() && now >= open.idle_since + limit
+                }
+                _ => false,
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in expired {
+            self.abort_transaction(id, "idle for too long");
+        }
+    }
+
+    /// Rolls an open transaction back; its next statement is told so.
+    pub(crate) fn abort_transaction(&mut self, id: SessionId, reason: &'static str) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Transaction::Open(open) = &session.transaction else { return };
+        let link = open.link;
+        session.transaction = Transaction::Failed;
+        self.count("transactions_aborted");
+        self.log("transaction_aborted", fields!["session" => id.0, "reason" => reason]);
+        self.release_pin(link, id);
+    }
+
+    /// Closes the sessions that are between requests and outside transactions.
+    pub(crate) fn close_idle_sessions(&mut self) {
+        let idle: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.is_idle())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in idle {
+            self.sessions.remove(&id);
+            self.out.push(GateAction::CloseSession { session: id });
+        }
+    }
+}
+
+/// Returns the time that data must cover for a request that began at `begun`, or `None` if only the
+/// leader's current data will do.
+pub(crate) fn covered_since(freshness: Freshness, begun: Micros) -> Option<Micros> {
+    match freshness {
+        Freshness::Latest => None,
+        Freshness::Bounded(age) | Freshness::Session(age) => Some(begun.saturating_sub(age)),
+    }
+}
--- /dev/null
+++ b/crates/gate/src/settings.rs
@@ -0,0 +1,14 @@
+//! What a gate knows of its own process.
+
+use model::{Micros, Name};
+
+/// Settings of one gate.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GateSettings {
+    pub node: Name,
+    pub data_centre: Name,
+    /// Distinguishes processes that ran under the same name.
+    pub process: u64,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Micros,
+}
--- /dev/null
+++ b/crates/gate/src/takeover.rs
@@ -0,0 +1,630 @@
+//! Changes of primary.
+//!
+//! 1. Claim the duty, so that one node acts and its number is the highest.
+//! 2. Read the current list of databases from the store.
+//! 3. Fence every replica of the cluster, leaving ones included. From the last fence on, the old primary can
+//!    acknowledge no commit, because no replica receives it.
+//! 4. Read the list again; fence replicas that are new.
+//! 5. Promote the replica with the longest log. What any acknowledged commit needs is in it, because every
+//!    such commit is at one fenced replica at least.
+//! 6. Wait until it reports to lead, and demote the old primary if it can be reached.
+//!
+//! A replica that cannot be fenced may hold the only copy of a commit and may go on acknowledging. The change
+//! waits for it until its entry is gone, and is given up with the fences lifted if that takes too long.
+
+use model::{FastMap, Micros, Name, Term};
+
+use crate::action::GateAction;
+use crate::backend::{BackendAnswer, BackendCommand, DatabaseReport, DatabaseRole};
+use crate::database::CommandPurpose;
+use crate::event::{LinkId, ListedDatabase, PromoteResult};
+use crate::roster::NodeRecord;
+use crate::work::WorkStage;
+use crate::{Gate, fields};
+
+/// Silence of a primary after which a node complains: above the longest queue seen at a database, below
+/// half of the time within which a write is of use.
+const SILENCE: Micros = Micros::from_millis(600);
+
+/// Time after which a commit without an answer means that the primary has lost its replicas, if the primary
+/// answers reports meanwhile.
+const COMMIT_STALL: Micros = Micros::from_millis(900);
+
+/// Time without a primary after which a node complains, at a start too.
+const LEADERLESS: Micros = Micros::from_millis(1_200);
+
+/// A node complains only if a replica answered within this time; otherwise it is itself cut off.
+const REPLICA_HEARD: Micros = Micros::from_millis(900);
+
+/// One node in this many has to complain before a primary is replaced.
+const COMPLAINT_SHARE: u32 = 3;
+
+/// Time between the moments at which successive nodes would act.
+const STAGGER: Micros = Micros::from_millis(600);
+
+/// Time after which a change is given up.
+const TAKEOVER_TIME: Micros = Micros::from_millis(6_000);
+
+/// Pause between fences to the same replica, and between promotion calls.
+const STEP_PAUSE: Micros = Micros::from_millis(250);
+
+/// Pause before this node tries the same cluster again after it gave up.
+const GIVE_UP_PAUSE: Micros = Micros::from_millis(1_000);
+
+/// Least time between two publications of this node's registration.
+const PUBLISH_INTERVAL: Micros = Micros::from_millis(150);
+
+/// Where a change of primary stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TakeoverStage {
+    Claiming,
+    Listing,
+    Fencing,
+    Relisting,
+    Promoting,
+    /// The call was accepted; the new primary has not reported yet.
+    Opening,
+}
+
+impl TakeoverStage {
+    const fn name(self) -> &'static str {
+        match self {
+            TakeoverStage::Claiming => "claiming",
+            TakeoverStage::Listing => "listing",
+            TakeoverStage::Fencing => "fencing",
+            TakeoverStage::Relisting => "relisting",
+            TakeoverStage::Promoting => "promoting",
+            TakeoverStage::Opening => "opening",
+        }
+    }
+}
+
+/// One change of primary that this node carries out.
+#[derive(Debug)]
+pub(crate) struct Takeover {
+    stage: TakeoverStage,
+    old: Option<Name>,
+    term: Term,
+    started: Micros,
+    /// When the last step that needs an answer was taken.
+    stepped: Micros,
+    in_flight: bool,
+    replicas: Vec<Name>,
+    fenced: FastMap<Name, DatabaseReport>,
+    asked: FastMap<Name, Micros>,
+    chosen: Option<Name>,
+    /// The replica list is as the store had it after the last fence.
+    relisted: bool,
+}
+
+/// Changes of primary and what leads to them.
+#[derive(Debug, Default)]
+pub(crate) struct TakeoverState {
+    running: FastMap<Name, Takeover>,
+    /// Since when the conditions for a change hold, by cluster.
+    due: FastMap<Name, Micros>,
+    /// Clusters that this node leaves alone until then.
+    paused: FastMap<Name, Micros>,
+    leaderless: FastMap<Name, Micros>,
+}
+
+impl Gate {
+    /// Returns why a cluster's primary should be replaced, as far as this node can tell alone.
+    fn complaint(&mut self, cluster: &Name) -> Option<&'static str> {
+        let now = self.now;
+        let state = self.clusters.get(cluster)?;
+        let leader = state.evidence.leader().cloned();
+        let heard = state.members.iter().any(|name| {
+            Some(name) != leader.as_ref()
+                && self.databases.get(name).is_some_and(|database| {
+                    database.answered.is_some_and(|at| now < at + REPLICA_HEARD)
+                })
+        });
+        if !heard {
+            return None;
+        }
+        let Some(leader) = leader else {
+            let since = *self.takeovers.leaderless.entry(cluster.clone()).or_insert(now);
+            return (now >= since + LEADERLESS).then_some("no primary");
+        };
+        self.takeovers.leaderless.remove(cluster);
+        let Some(database) = self.databases.get(&leader) else { return Some("primary gone") };
+        if database.trying_since.is_some_and(|since| now >= since + SILENCE) {
+            return Some("primary silent");
+        }
+        let stalled = self.works.values().any(|work| {
+            work.stage == WorkStage::Sent
+                && work.may_take_effect()
+                && work.database.as_ref() == Some(&leader)
+                && work.sent.is_some_and(|sent| {
+                    now >= sent + COMMIT_STALL
+                        || (now >= sent + Micros(COMMIT_STALL.0 / 2) && now >= work.deadline)
+                })
+        });
+        if stalled {
+            return Some("commits stalled");
+        }
+        let fenced = state.evidence.fenced_at();
+        let since = state.leader_missed;
+        if fenced.is_some() && since.is_some_and(|since| now >= since + LEADERLESS) {
+            return Some("replicas fenced");
+        }
+        None
+    }
+
+    /// Tells whether a cluster's primary is leaving and another database can replace it.
+    fn leaving_primary(&self, cluster: &Name) -> bool {
+        let Some(state) = self.clusters.get(cluster) else { return false };
+        let Some(leader) = state.evidence.leader() else { return false };
+        let leaving = self.databases.get(leader).is_some_and(|database| database.listed.leaving);
+        leaving
+            && state.members.iter().any(|name| {
+                name != leader
+                    && self.databases.get(name).is_some_and(|database| {
+                        !database.listed.leaving && database.is_usable(self.now)
+                    })
+            })
+    }
+
+    /// Publishes complaints, starts changes that are due, and moves on those that run.
+    pub(crate) fn tend_takeovers(&mut self) {
+        let now = self.now;
+        let clusters: Vec<Name> = self.clusters.keys().cloned().collect();
+        let mut record =
+            NodeRecord { process: self.settings.process, complaints: Default::default() };
+        for cluster in &clusters {
+            let complaint = self.complaint(cluster);
+            if let Some(reason) = complaint {
+                let known = self
+                    .published
+                    .record
+                    .as_ref()
+                    .is_some_and(|record| record.complaints.contains(cluster.as_str()));
+                if !known {
+                    let record = fields!["cluster" => cluster, "reason" => reason];
+                    self.log("primary_suspected", record);
+                }
+                record.complaints.insert(cluster.to_string());
+            }
+            self.start_if_due(cluster, complaint);
+        }
+        if self.published.record.as_ref() != Some(&record)
+            && (self.published.record.is_none() || now >= self.published.at + PUBLISH_INTERVAL)
+        {
+            if let Ok(bytes) = serde_json::to_vec(&record) {
+                self.out.push(GateAction::PublishNode { bytes });
+            }
+            self.published.record = Some(record);
+            self.published.at = now;
+        }
+        for cluster in clusters {
+            self.step_takeover(&cluster);
+        }
+        self.tend_duty();
+    }
+
+    fn start_if_due(&mut self, cluster: &Name, complaint: Option<&'static str>) {
+        let now = self.now;
+        if self.takeovers.running.contains_key(cluster)
+            || self.takeovers.paused.get(cluster).is_some_and(|until| now < *until)
+            || self.drain.since.is_some()
+        {
+            return;
+        }
+        let (reason, place) = if self.leaving_primary(cluster) {
+            ("primary leaving", self.roster.place(cluster))
+        } else if let Some(reason) = complaint {
+            let nodes = self.roster.complaining(cluster);
+            let needed = (self.roster.live() / COMPLAINT_SHARE).max(1) as usize;
+            let place = nodes.iter().position(|name| *name == self.settings.node);
+            match place {
+                Some(place) if nodes.len() >= needed => (reason, place as u64),
+                _ => {
+                    self.takeovers.due.remove(cluster);
+                    return;
+                }
+            }
+        } else {
+            self.takeovers.due.remove(cluster);
+            return;
+        };
+        let due = *self.takeovers.due.entry(cluster.clone()).or_insert(now);
+        if now < due + Micros(STAGGER.0 * place) || self.duty.is_taken(now) {
+            return;
+        }
+        let Some(state) = self.clusters.get(cluster) else { return };
+        let old = state.evidence.leader().cloned();
+        let highest = state
+            .members
+            .iter()
+            .filter_map(|name| self.databases.get(name)?.report)
+            .map(|report| report.term.max(report.fence))
+            .max()
+            .unwrap_or_default();
+        let term = state.evidence.term().next().max(highest);
+        self.log(
+            "takeover_started",
+            fields![
+                "cluster" => cluster,
+                "reason" => reason,
+                "old" => old.clone().unwrap_or_default().to_string(),
+                "term" => term.0
+            ],
+        );
+        self.count("takeovers_started");
+        self.takeovers.running.insert(
+            cluster.clone(),
+            Takeover {
+                stage: TakeoverStage::Claiming,
+                old,
+                term,
+                started: now,
+                stepped: now,
+                in_flight: false,
+                replicas: Vec::new(),
+                fenced: FastMap::default(),
+                asked: FastMap::default(),
+                chosen: None,
+                relisted: false,
+            },
+        );
+    }
+
+    /// Renews the duty while changes run, and gives it up after the last.
+    fn tend_duty(&mut self) {
+        let now = self.now;
+        let write = if self.takeovers.running.is_empty() {
+            self.duty.release(now)
+        } else if self.duty.wants_renewal(now) {
+            self.duty.claim(now)
+        } else {
+            None
+        };
+        if let Some(write) = write {
+            self.out.push(GateAction::WriteDuty {
+                attempt: write.attempt,
+                expected: write.expected,
+                bytes: write.bytes,
+            });
+        }
+    }
+
+    fn step_takeover(&mut self, cluster: &Name) {
+        let now = self.now;
+        let Some(takeover) = self.takeovers.running.get(cluster) else { return };
+        let (stage, in_flight) = (takeover.stage, takeover.in_flight);
+        let repeat = now >= takeover.stepped + STEP_PAUSE;
+        if now >= takeover.started + TAKEOVER_TIME && !(in_flight && self.is_calling(cluster)) {
+            return self.give_up(cluster, "takes too long");
+        }
+        if self.is_settled(cluster) {
+            return self.complete(cluster);
+        }
+        if self.duty.number(now).is_none() && stage != TakeoverStage::Claiming {
+            // The claim is renewed by `tend_duty`; nothing is done without it.
+            if self.duty.is_taken(now) {
+                self.give_up(cluster, "another node holds the duty");
+            }
+            return;
+        }
+        match stage {
+            TakeoverStage::Claiming if self.duty.number(now).is_some() => {
+                self.set_stage(cluster, TakeoverStage::Listing);
+                self.step_takeover(cluster);
+            }
+            TakeoverStage::Claiming if self.duty.is_taken(now) => {
+                self.give_up(cluster, "another node holds the duty");
+            }
+            TakeoverStage::Claiming => {}
+            TakeoverStage::Listing | TakeoverStage::Relisting => {
+                if !in_flight || repeat {
+                    self.mark_step(cluster);
+                    self.out.push(GateAction::ReadDatabases);
+                }
+            }
+            TakeoverStage::Fencing => self.fence_replicas(cluster),
+            TakeoverStage::Promoting => {
+                if !in_flight && repeat {
+                    self.call_promote(cluster);
+                }
+            }
+            TakeoverStage::Opening => {
+                if repeat && let Some(chosen) = self.chosen(cluster) {
+                    self.mark_step(cluster);
+                    self.ask_report(&chosen);
+                }
+            }
+        }
+    }
+
+    fn is_calling(&self, cluster: &Name) -> bool {
+        self.takeovers
+            .running
+            .get(cluster)
+            .is_some_and(|takeover| takeover.stage == TakeoverStage::Promoting)
+    }
+
+    fn chosen(&self, cluster: &Name) -> Option<Name> {
+        self.takeovers.running.get(cluster)?.chosen.clone()
+    }
+
+    fn set_stage(&mut self, cluster: &Name, stage: TakeoverStage) {
+        let now = self.now;
+        if let Some(takeover) = self.takeovers.running.get_mut(cluster) {
+            takeover.stage = stage;
+            takeover.in_flight = false;
+            takeover.stepped = now;
+        }
+        self.log("takeover_stage", fields!["cluster" => cluster, "stage" => stage.name()]);
+    }
+
+    fn mark_step(&mut self, cluster: &Name) {
+        let now = self.now;
+        if let Some(takeover) = self.takeovers.running.get_mut(cluster) {
+            takeover.in_flight = true;
+            takeover.stepped = now;
+        }
+    }
+
+    /// Tells whether a primary of a newer term reports, whoever made it one.
+    fn is_settled(&self, cluster: &Name) -> bool {
+        let (Some(takeover), Some(state)) =
+            (self.takeovers.running.get(cluster), self.clusters.get(cluster))
+        else {
+            return false;
+        };
+        let evidence = &state.evidence;
+        evidence.leader().is_some()
+            && evidence.leader() != takeover.old.as_ref()
+            && evidence.term() >= takeover.term
+    }
+
+    /// Takes in the list of databases that the store had when it was asked.
+    pub(crate) fn databases_read(&mut self, databases: Option<Vec<ListedDatabase>>) {
+        let clusters: Vec<Name> = self.takeovers.running.keys().cloned().collect();
+        let Some(databases) = databases else {
+            for takeover in self.takeovers.running.values_mut() {
+                if matches!(takeover.stage, TakeoverStage::Listing | TakeoverStage::Relisting) {
+                    takeover.in_flight = false;
+                }
+            }
+            return;
+        };
+        for listed in &databases {
+            if !self.databases.contains_key(&listed.id) {
+                self.database_listed(listed.clone());
+            }
+        }
+        for cluster in clusters {
+            let now = self.now;
+            let Some(takeover) = self.takeovers.running.get_mut(&cluster) else { continue };
+            let waits =
+                matches!(takeover.stage, TakeoverStage::Listing | TakeoverStage::Relisting);
+            if !waits || !takeover.in_flight {
+                continue;
+            }
+            let mut replicas: Vec<Name> = databases
+                .iter()
+                .filter(|listed| listed.cluster == cluster)
+                .map(|listed| listed.id.clone())
+                .filter(|name| Some(name) != takeover.old.as_ref())
+                .collect();
+            // Entries may lapse while their database lives; such a one is fenced if it answers.
+            for (name, database) in &self.databases {
+                if database.listed.cluster == cluster
+                    && Some(name) != takeover.old.as_ref()
+                    && !replicas.contains(name)
+                    && database.is_responsive(now)
+                    && !database.links.is_empty()
+                {
+                    replicas.push(name.clone());
+                }
+            }
+            takeover.relisted = takeover.stage == TakeoverStage::Relisting;
+            takeover.replicas = replicas;
+            self.set_stage(&cluster, TakeoverStage::Fencing);
+            self.step_takeover(&cluster);
+        }
+    }
+
+    fn fence_replicas(&mut self, cluster: &Name) {
+        let now = self.now;
+        let Some(takeover) = self.takeovers.running.get_mut(cluster) else { return };
+        let term = takeover.term;
+        let missing: Vec<Name> = takeover
+            .replicas
+            .iter()
+            .filter(|name| !takeover.fenced.contains_key(*name))
+            .cloned()
+            .collect();
+        if missing.is_empty() {
+            if takeover.replicas.is_empty() {
+                return self.give_up(cluster, "no replica is listed");
+            }
+            if takeover.relisted {
+                return self.choose(cluster);
+            }
+            return self.set_stage(cluster, TakeoverStage::Relisting);
+        }
+        let due: Vec<Name> = missing
+            .into_iter()
+            .filter(|name| takeover.asked.get(name).is_none_or(|at| now >= *at + STEP_PAUSE))
+            .collect();
+        let mut asked = false;
+        for name in due {
+            let Some(link) = self.control_link(&name) else {
+                if let Some(database) = self.databases.get_mut(&name) {
+                    database.report_wanted = true;
+                }
+                self.open_links(&name);
+                continue;
+            };
+            self.send(link, vec![BackendCommand::Fence { term }], CommandPurpose::Fence);
+            if let Some(takeover) = self.takeovers.running.get_mut(cluster) {
+                takeover.asked.insert(name, now);
+            }
+            asked = true;
+        }
+        // A replica that does not answer may be gone; the list tells.
+        let repeat = self
+            .takeovers
+            .running
+            .get(cluster)
+            .is_some_and(|takeover| now >= takeover.stepped + Micros(STEP_PAUSE.0 * 4));
+        if !asked && repeat {
+            self.set_stage(cluster, TakeoverStage::Listing);
+        }
+    }
+
+    /// Takes in the report that answers a fence.
+    pub(crate) fn fence_answered(&mut self, link: LinkId, sent: Micros, answer: &BackendAnswer) {
+        let Some(state) = self.links.get(&link) else { return };
+        let (name, cluster) = (state.database.clone(), state.cluster.clone());
+        let Some(takeover) = self.takeovers.running.get_mut(&cluster) else { return };
+        takeover.asked.remove(&name);
+        let Some(report) = answer.report else {
+            let text = format!("{:?}", answer.end);
+            return self.log("fence_failed", fields!["database" => &name, "answer" => text]);
+        };
+        let term = takeover.term;
+        let fenced = report.fence >= term && report.role == DatabaseRole::Replica;
+        if fenced {
+            takeover.fenced.insert(name.clone(), report);
+        }
+        self.log(
+            "fence_answered",
+            fields![
+                "cluster" => &cluster,
+                "database" => &name,
+                "fence" => report.fence.0,
+                "term" => report.term.0,
+                "position" => report.received.to_string(),
+                "fenced" => fenced
+            ],
+        );
+        if report.fence > term
+            && let Some(takeover) = self.takeovers.running.get_mut(&cluster)
+        {
+            takeover.term = report.fence;
+            takeover.fenced.clear();
+        }
+        if let Some(state) = self.clusters.get_mut(&cluster) {
+            state.evidence.report(&name, sent, &report);
+        }
+        self.step_takeover(&cluster);
+    }
+
+    /// Chooses the replica with the longest log; among equals one that stays, then one close by.
+    fn choose(&mut self, cluster: &Name) {
+        let Some(takeover) = self.takeovers.running.get(cluster) else { return };
+        let best = takeover
+            .fenced
+            .iter()
+            .filter(|(name, _)| takeover.replicas.contains(name))
+            .max_by_key(|(name, report)| {
+                let database = self.databases.get(*name);
+                let stays = database.is_some_and(|database| {
+                    !database.listed.leaving && database.unlisted.is_none()
+                });
+                (report.received, stays, std::cmp::Reverse((*name).clone()))
+            })
+            .map(|(name, report)| (name.clone(), report.received));
+        let Some((name, position)) = best else {
+            return self.give_up(cluster, "no replica is fenced");
+        };
+        if let Some(takeover) = self.takeovers.running.get_mut(cluster) {
+            takeover.chosen = Some(name.clone());
+        }
+        self.log(
+            "takeover_chosen",
+            fields![
+                "cluster" => cluster,
+                "database" => &name,
+                "position" => position.to_string()
+            ],
+        );
+        self.set_stage(cluster, TakeoverStage::Promoting);
+        self.call_promote(cluster);
+    }
+
+    fn call_promote(&mut self, cluster: &Name) {
+        let now = self.now;
+        let Some(number) = self.duty.number(now) else { return };
+        let Some(database) = self.chosen(cluster) else { return };
+        self.mark_step(cluster);
+        self.log(
+            "promote_sent",
+            fields!["cluster" => cluster, "database" => &database, "number" => number],
+        );
+        self.out.push(GateAction::Promote {
+            cluster: cluster.clone(),
+            database,
+            holder: self.settings.node.clone(),
+            number,
+        });
+    }
+
+    pub(crate) fn promote_answered(&mut self, cluster: &Name, result: PromoteResult) {
+        let outcome = match result {
+            PromoteResult::Accepted => "accepted",
+            PromoteResult::Rejected => "rejected",
+            PromoteResult::Failed => "failed",
+        };
+        self.log("promote_answered", fields!["cluster" => cluster, "outcome" => outcome]);
+        let Some(takeover) = self.takeovers.running.get_mut(cluster) else { return };
+        takeover.in_flight = false;
+        match result {
+            PromoteResult::Accepted => self.set_stage(cluster, TakeoverStage::Opening),
+            PromoteResult::Failed => {}
+            PromoteResult::Rejected => {
+                takeover.fenced.clear();
+                self.set_stage(cluster, TakeoverStage::Listing);
+            }
+        }
+    }
+
+    fn complete(&mut self, cluster: &Name) {
+        let Some(takeover) = self.takeovers.running.remove(cluster) else { return };
+        let Some(state) = self.clusters.get(cluster) else { return };
+        let term = state.evidence.term();
+        let leader = state.evidence.leader().cloned().unwrap_or_default();
+        let took = self.now.saturating_sub(takeover.started);
+        self.count("takeovers_completed");
+        self.log(
+            "takeover_completed",
+            fields![
+                "cluster" => cluster,
+                "leader" => &leader,
+                "term" => term.0,
+                "took_ms" => took.as_millis()
+            ],
+        );
+        self.takeovers.due.remove(cluster);
+        if let Some(old) = takeover.old
+            && let Some(link) = self.control_link(&old)
+        {
+            self.send(link, vec![BackendCommand::Demote { term }], CommandPurpose::Control);
+        }
+    }
+
+    fn give_up(&mut self, cluster: &Name, reason: &'static str) {
+        let now = self.now;
+        let Some(takeover) = self.takeovers.running.remove(cluster) else { return };
+        self.count("takeovers_given_up");
+        self.log(
+            "takeover_given_up",
+            fields!["cluster" => cluster, "stage" => takeover.stage.name(), "reason" => reason],
+        );
+        self.takeovers.due.remove(cluster);
+        self.takeovers.paused.insert(cluster.clone(), now + GIVE_UP_PAUSE);
+        let called = matches!(takeover.stage, TakeoverStage::Promoting | TakeoverStage::Opening);
+        if called {
+            return;
+        }
+        for name in takeover.fenced.keys() {
+            if let Some(link) = self.control_link(name) {
+                self.send(link, vec![BackendCommand::Unfence], CommandPurpose::Control);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/work.rs
@@ -0,0 +1,782 @@
+//! The way of one request: choice of database, queue, connection, answer.
+//!
+//! Writes, transactions that may write, and reads of current data go to the leader. Other reads go to a
+//! replica that holds a proved position which is recent enough, else to the leader. A request is sent again
+//! only if the database said that it did not run, or if it is a read outside a transaction.
+
+use std::sync::Arc;
+
+use admit::{RefusalReason, WorkTicket};
+use model::{Micros, Name};
+
+use crate::action::{ClientReply, GateAction};
+use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, LogPoint};
+use crate::database::CommandPurpose;
+use crate::event::{LinkId, SessionId};
+use crate::route::{Freshness, RouteConfig};
+use crate::session::{OpenTransaction, Transaction, covered_since};
+use crate::statement::{ClientRequest, ErrorCode, SessionState, Statement, StatementAccess};
+use crate::{Gate, fields};
+
+pub(crate) use admit::WorkId;
+
+/// Times that one request is sent at most.
+const TRY_LIMIT: u32 = 4;
+
+/// Pause before a request that a full database refused is sent again: about one statement.
+const BUSY_PAUSE: Micros = Micros::from_millis(15);
+
+/// Time kept back from a request's limit for the way to the client.
+const REPLY_MARGIN: Micros = Micros::from_millis(20);
+
+/// Time without an answer after which a read is sent to another database: well above a full queue of
+/// the databases in their normal state.
+const READ_PATIENCE: Micros = Micros::from_millis(400);
+
+/// A read goes to the leader if every replica has this many requests more than the leader.
+const LEADER_ASSISTS_AT: u32 = 3;
+
+/// What a request is within its session.
+#[derive(Clone, Debug)]
+pub(crate) enum WorkKind {
+    Read,
+    Write,
+    /// The first statement of a transaction, which has to be opened first.
+    Begin {
+        begin: ClientRequest,
+        read_only: bool,
+    },
+    /// A statement of an open transaction.
+    Continue,
+}
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WorkStage {
+    /// Waits for a leader.
+    Parked,
+    /// Waits until it may be tried again.
+    Paused(Micros),
+    /// Waits for a connection.
+    Queued,
+    /// Sent; not answered yet.
+    Sent,
+    /// Answered; waits for proof that the leader led.
+    Proving,
+}
+
+/// One request.
+#[derive(Debug)]
+pub(crate) struct Work {
+    pub(crate) session: SessionId,
+    pub(crate) request: ClientRequest,
+    pub(crate) access: StatementAccess,
+    pub(crate) kind: WorkKind,
+    pub(crate) route: Arc<RouteConfig>,
+    pub(crate) arrived: Micros,
+    /// When the statement, or its transaction, began.
+    pub(crate) begun: Micros,
+    pub(crate) deadline: Micros,
+    pub(crate) stage: WorkStage,
+    pub(crate) database: Option<Name>,
+    pub(crate) link: Option<LinkId>,
+    pub(crate) after: Option<LogPoint>,
+    /// The leader must be proved for this time.
+    pub(crate) need: Option<Micros>,
+    pub(crate) sent: Option<Micros>,
+    pub(crate) tries: u32,
+    pub(crate) avoided: Vec<Name>,
+    pub(crate) answer: Option<BackendAnswer>,
+}
+
+impl Work {
+    fn is_commit(&self) -> bool {
+        matches!(self.request.statement, Statement::Commit)
+    }
+
+    /// Tells whether the request may have an effect once it was sent.
+    pub(crate) fn may_take_effect(&self) -> bool {
+        matches!(self.kind, WorkKind::Write) || self.is_commit()
+    }
+
+    fn needs_leader(&self) -> bool {
+        match &self.kind {
+            WorkKind::Write | WorkKind::Continue => true,
+            WorkKind::Begin { read_only: false, .. } => true,
+            WorkKind::Read | WorkKind::Begin { read_only: true, .. } => {
+                self.route.freshness == Freshness::Latest
+            }
+        }
+    }
+}
+
+impl Gate {
+    pub(crate) fn new_work(
+        &mut self,
+        session: SessionId,
+        request: ClientRequest,
+        access: StatementAccess,
+        kind: WorkKind,
+        route: Arc<RouteConfig>,
+        begun: Micros,
+    ) -> WorkId {
+        let id = WorkId(self.next_id());
+        let work = Work {
+            session,
+            request,
+            access,
+            kind,
+            arrived: self.now,
+            begun,
+            deadline: self.now + route.timeout.saturating_sub(REPLY_MARGIN),
+            route,
+            stage: WorkStage::Queued,
+            database: None,
+            link: None,
+            after: None,
+            need: None,
+            sent: None,
+            tries: 0,
+            avoided: Vec::new(),
+            answer: None,
+        };
+        self.works.insert(id, work);
+        id
+    }
+
+    /// Chooses a database for a request and queues it there.
+    pub(crate) fn route_work(&mut self, id: WorkId) {
+        let Some(work) = self.works.get(&id) else { return };
+        if matches!(work.kind, WorkKind::Continue) {
+            return self.continue_transaction(id);
+        }
+        let (route, begun) = (work.route.clone(), work.begun);
+        let Some(cluster) = self.clusters.get(&route.cluster) else {
+            return self.refuse(id, ErrorCode::Busy, "no database is known for the route");
+        };
+        let since = covered_since(route.freshness, begun);
+        if !work.needs_leader()
+            && let Some(since) = since
+        {
+            let floor = match route.freshness {
+                Freshness::Session(_) => self
+                    .sessions
+                    .get(&work.session)
+                    .and_then(|session| session.floors.get(&route.cluster).copied()),
+                Freshness::Latest | Freshness::Bounded(_) => None,
+            };
+            if let Some(point) = cluster.evidence.sample(since) {
+                let after = Some(point).max(floor);
+                if let Some(replica) = self.choose_replica(id, &route.cluster, after) {
+                    return self.queue_at(id, replica, after, None);
+                }
+            }
+        }
+        let need = match &work.kind {
+            WorkKind::Write => None,
+            WorkKind::Begin { read_only: false, .. } if work.access == StatementAccess::Write => {
+                None
+            }
+            _ => Some(since.unwrap_or(begun)),
+        };
+        match self.usable_leader(&route.cluster) {
+            Some(leader) => self.queue_at(id, leader, None, need),
+            None => self.park(id),
+        }
+    }
+
+    /// Returns the leader if requests that need it can be expected to be served.
+    pub(crate) fn usable_leader(&self, cluster: &Name) -> Option<Name> {
+        let state = self.clusters.get(cluster)?;
+        if state.evidence.fenced_at().is_some() {
+            return None;
+        }
+        let leader = state.evidence.leader()?;
+        let database = self.databases.get(leader)?;
+        database.is_responsive(self.now).then(|| leader.clone())
+    }
+
+    /// Chooses the least loaded replica that is known or likely to hold the position.
+    fn choose_replica(
+        &self,
+        id: WorkId,
+        cluster: &Name,
+        after: Option<LogPoint>,
+    ) -> Option<Name> {
+        let work = self.works.get(&id)?;
+        let state = self.clusters.get(cluster)?;
+        let leader = state.evidence.leader();
+        let own = &self.settings.data_centre;
+        let mut best: Option<(u32, u64, Name)> = None;
+        for name in &state.members {
+            let Some(database) = self.databases.get(name) else { continue };
+            if Some(name) == leader
+                || !database.is_usable(self.now)
+                || database.listed.leaving
+                || work.avoided.contains(name)
+                || database.applied.is_some_and(|applied| Some(applied) < after)
+                || database.links.len() == database.opening as usize
+            {
+                continue;
+            }
+            let distance = u32::from(database.listed.data_centre != *own);
+            let rotation = id.0.wrapping_mul(0x9E37_79B9) ^ database.listed.address.port() as u64;
+            let rank = (database.load() * 2 + distance, rotation % 7, name.clone());
+            if best.as_ref().is_none_or(|best| rank < *best) {
+                best = Some(rank);
+            }
+        }
+        let (load, _, name) = best?;
+        if let Some(leader) = self.usable_leader(cluster)
+            && let Some(database) = self.databases.get(&leader)
+            && load / 2 >= database.load() + LEADER_ASSISTS_AT
+        {
+            return None;
+        }
+        Some(name)
+    }
+
+    fn queue_at(
+        &mut self,
+        id: WorkId,
+        name: Name,
+        after: Option<LogPoint>,
+        need: Option<Micros>,
+    ) {
+        let now = self.now;
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let Some(database) = self.databases.get_mut(&name) else { return };
+        work.database = Some(name.clone());
+        work.after = after;
+        work.need = need;
+        work.stage = WorkStage::Queued;
+        let ticket = WorkTicket {
+            work: id,
+            rank: work.route.rank,
+            caller: Name::from(format!("s{}", work.session.0)),
+            deadline: work.deadline,
+            selector: work.route.name.clone(),
+            in_transaction: false,
+        };
+        let (cluster, reads) = (work.route.cluster.clone(), need.is_some());
+        if let Err(reason) = database.queue.enqueue(now, ticket) {
+            return self.refuse_queued(id, reason);
+        }
+        if reads && let Some(need) = need {
+            self.want_proof(&cluster, need);
+        }
+        self.pump(&name);
+    }
+
+    fn refuse_queued(&mut self, id: WorkId, reason: RefusalReason) {
+        let text = match reason {
+            RefusalReason::QueueFull { .. } => "not run, the queue is full, retry after 200 ms",
+            RefusalReason::DeadlineUnreachable { .. } => {
+                "not run, the time limit cannot be met, retry after 200 ms"
+            }
+            RefusalReason::DeadlinePassed => "not run, the time limit passed in the queue",
+        };
+        self.refuse(id, ErrorCode::Busy, text);
+    }
+
+    /// Keeps a request until a leader is known.
+    pub(crate) fn park(&mut self, id: WorkId) {
+        let now = self.now;
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let cluster = work.route.cluster.clone();
+        work.stage = WorkStage::Parked;
+        work.database = None;
+        let Some(state) = self.clusters.get_mut(&cluster) else { return };
+        state.leader_missed.get_or_insert(now);
+        if now >= state.leader_missed.unwrap_or(now) + crate::cluster::CHANGE_TIME {
+            return self.refuse(
+                id,
+                ErrorCode::Busy,
+                "not run, the cluster has no primary, retry after 1 s",
+            );
+        }
+        state.parked.push(id);
+    }
+
+    /// Grants idle connections of a database to waiting requests and opens connections as needed.
+    pub(crate) fn pump(&mut self, name: &Name) {
+        let now = self.now;
+        let Some(database) = self.databases.get_mut(name) else { return };
+        for (id, reason) in database.queue.expire(now) {
+            self.refuse_queued(id, reason);
+        }
+        self.send_wanted_report(name);
+        while let Some(database) = self.databases.get_mut(name) {
+            if database.idle.is_empty() {
+                break;
+            }
+            let Some(grant) = database.queue.grant(now) else { break };
+            let Some(work) = self.works.get(&grant.work) else {
+                database.queue.finish(now, grant.work);
+                continue;
+            };
+            let values = self.sessions.get(&work.session).map(|session| &session.values);
+            let best = (0..database.idle.len()).min_by_key(|index| {
+                let link = self.links.get(&database.idle[*index]);
+                match (link, values) {
+                    (Some(link), Some(values)) => link.distance(values),
+                    _ => usize::MAX,
+                }
+            });
+            let Some(index) = best else { break };
+            let link = database.idle.swap_remove(index);
+            self.dispatch_work(grant.work, link);
+        }
+        self.open_links(name);
+    }
+
+    /// Sends a request on a connection that is free.
+    fn dispatch_work(&mut self, id: WorkId, link: LinkId) {
+        let now = self.now;
+        let Some(work) = self.works.get_mut(&id) else { return };
+        work.link = Some(link);
+        work.sent = Some(now);
+        work.tries += 1;
+        work.stage = WorkStage::Sent;
+        match work.kind.clone() {
+            WorkKind::Begin { begin, .. } => {
+                let after = work.after;
+                let session = work.session;
+                let Some(setup) = self.setup_commands(session, link) else { return };
+                self.send(link, setup, CommandPurpose::Setup);
+                if let Some(state) = self.links.get_mut(&link) {
+                    state.pinned = Some(session);
+                }
+                let command = BackendCommand::Run { id: begin.id, text: begin.text, after };
+                self.send(link, vec![command], CommandPurpose::Begin(id));
+            }
+            WorkKind::Read | WorkKind::Write | WorkKind::Continue => {
+                self.send_statement(id, link, true);
+            }
+        }
+    }
+
+    fn setup_commands(&mut self, session: SessionId, link: LinkId) -> Option<Vec<BackendCommand>> {
+        let session = self.sessions.get(&session)?;
+        Some(self.links.get_mut(&link)?.adopt(&session.values))
+    }
+
+    /// Sends the statement itself, behind the commands that give the connection the session's state.
+    fn send_statement(&mut self, id: WorkId, link: LinkId, outside: bool) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        work.sent = Some(self.now);
+        work.stage = WorkStage::Sent;
+        let after = if outside { work.after } else { None };
+        let (session, request) = (work.session, work.request.clone());
+        let Some(mut setup) = self.setup_commands(session, link) else { return };
+        let command = match &request.statement {
+            Statement::Execute { name, arguments } => {
+                let prepared = self.sessions.get(&session).and_then(|s| s.prepared.get(name));
+                let (Some((access, shape)), Some(state)) = (prepared, self.links.get_mut(&link))
+                else {
+                    return;
+                };
+                let prepared = state.prepare(*access, shape, &mut setup);
+                let arguments = arguments.clone();
+                BackendCommand::Execute { id: request.id, prepared, arguments, after }
+            }
+            _ => BackendCommand::Run { id: request.id, text: request.text, after },
+        };
+        self.send(link, setup, CommandPurpose::Setup);
+        self.send(link, vec![command], CommandPurpose::Run(id));
+    }
+
+    fn continue_transaction(&mut self, id: WorkId) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let Some(session) = self.sessions.get(&work.session) else { return };
+        let Transaction::Open(open) = &session.transaction else { return };
+        let (link, need) = (open.link, open.need);
+        let lost = match self.links.get(&link) {
+            Some(state) => state.doomed || !state.open,
+            None => true,
+        };
+        work.link = Some(link);
+        work.need = need;
+        work.database = self.links.get(&link).map(|link| link.database.clone());
+        if lost {
+            return self.fail_transaction(id, ErrorCode::Aborted, "the connection was lost");
+        }
+        work.tries += 1;
+        self.send_statement(id, link, false);
+    }
+
+    /// Returns the slot that a request holds at its database.
+    fn release_slot(&mut self, id: WorkId) {
+        let Some(work) = self.works.get(&id) else { return };
+        if let Some(database) = work.database.as_ref().and_then(|name| self.databases.get_mut(name))
+        {
+            database.queue.cancel(id);
+            database.queue.finish(self.now, id);
+        }
+    }
+
+    /// Tries a request again that did not run, or a read whose answer is of no use.
+    pub(crate) fn retry_work(&mut self, id: WorkId, pause: Option<Micros>, code: ErrorCode) {
+        self.release_slot(id);
+        let now = self.now;
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let paused = now + pause.unwrap_or(Micros::ZERO);
+        work.link = None;
+        work.answer = None;
+        if work.tries >= TRY_LIMIT || paused >= work.deadline {
+            return self.refuse(id, code, "not run, no database could serve it, retry after 200 ms");
+        }
+        let fields = fields![
+            "request" => &work.request.id,
+            "database" => work.database.clone().unwrap_or_default().to_string(),
+            "tries" => u64::from(work.tries),
+            "cause" => code.name()
+        ];
+        match pause {
+            Some(_) => {
+                work.stage = WorkStage::Paused(paused);
+                self.paused.push(id);
+            }
+            None => work.stage = WorkStage::Queued,
+        }
+        self.count("requests_retried");
+        self.log("request_retried", fields);
+        if pause.is_none() {
+            self.route_work(id);
+        }
+    }
+
+    /// Handles the answer to `BEGIN`.
+    pub(crate) fn begin_answered(&mut self, id: WorkId, link: LinkId, answer: &BackendAnswer) {
+        let Some(work) = self.works.get(&id) else { return };
+        match &answer.end {
+            AnswerEnd::Done(_) => {
+                let open = OpenTransaction {
+                    link,
+                    route: work.route.clone(),
+                    need: work.need,
+                    wrote: false,
+                    idle_since: self.now,
+                };
+                if let Some(session) = self.sessions.get_mut(&work.session) {
+                    session.transaction = Transaction::Open(open);
+                }
+                self.release_slot(id);
+                self.send_statement(id, link, false);
+            }
+            AnswerEnd::Failed { code, .. } => {
+                let code = *code;
+                if let Some(state) = self.links.get_mut(&link) {
+                    state.pinned = None;
+                }
+                self.not_run(id, code);
+            }
+        }
+    }
+
+    /// A database said that a request outside an open transaction did not run.
+    fn not_run(&mut self, id: WorkId, code: ErrorCode) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let Some(database) = work.database.clone() else { return };
+        let cluster = work.route.cluster.clone();
+        match code {
+            ErrorCode::ReadOnly => {
+                if let Some(state) = self.clusters.get_mut(&cluster) {
+                    state.evidence.distrust(&database);
+                }
+                self.ask_all(&cluster);
+                self.retry_work(id, None, ErrorCode::Busy);
+            }
+            ErrorCode::Lagging => {
+                work.avoided.push(database);
+                self.retry_work(id, None, ErrorCode::Busy);
+            }
+            ErrorCode::NoStatement => {
+                if let Some(link) = work.link.and_then(|link| self.links.get_mut(&link)) {
+                    link.forget_prepared();
+                }
+                self.retry_work(id, None, ErrorCode::Busy);
+            }
+            _ => self.retry_work(id, Some(BUSY_PAUSE), ErrorCode::Busy),
+        }
+    }
+
+    /// Handles the answer to a client's statement.
+    pub(crate) fn statement_answered(&mut self, id: WorkId, link: LinkId, answer: BackendAnswer) {
+        let Some(work) = self.works.get(&id) else { return };
+        let in_transaction = matches!(work.kind, WorkKind::Begin { .. } | WorkKind::Continue);
+        let commit = work.is_commit();
+        if commit
+            && answer.state == SessionState::Idle
+            && let Some(state) = self.links.get_mut(&link)
+        {
+            state.pinned = None;
+        }
+        match &answer.end {
+            AnswerEnd::Done(_) => self.statement_succeeded(id, answer),
+            AnswerEnd::Failed { code, text } => {
+                let (code, text) = (*code, text.clone());
+                if in_transaction {
+                    self.fail_transaction(id, code, &text);
+                } else if code.promises_not_run() {
+                    self.not_run(id, code);
+                } else if work.access == StatementAccess::Read && work.tries < TRY_LIMIT - 1 {
+                    let database = work.database.clone();
+                    if let Some(work) = self.works.get_mut(&id) {
+                        work.avoided.extend(database);
+                    }
+                    self.retry_work(id, None, code);
+                } else {
+                    self.refuse(id, code, &text);
+                }
+            }
+        }
+    }
+
+    fn statement_succeeded(&mut self, id: WorkId, answer: BackendAnswer) {
+        let now = self.now;
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let (cluster, database) = (work.route.cluster.clone(), work.database.clone());
+        let Some(database) = database else { return };
+        let sent = work.sent.unwrap_or(now);
+        let wrote = match (&work.kind, self.sessions.get_mut(&work.session)) {
+            (WorkKind::Write, _) => true,
+            (WorkKind::Begin { .. } | WorkKind::Continue, Some(session)) => {
+                match &mut session.transaction {
+                    Transaction::Open(open) => {
+                        open.wrote |= work.access == StatementAccess::Write;
+                        work.is_commit() && open.wrote
+                    }
+                    _ => false,
+                }
+            }
+            _ => false,
+        };
+        if wrote {
+            if let (Some(session), Some(point)) =
+                (self.sessions.get_mut(&work.session), answer.point)
+            {
+                let floor = session.floors.entry(cluster.clone()).or_default();
+                *floor = point.max(*floor);
+            }
+            if self.table.clusters.get(&cluster).is_some_and(|limits| limits.sync_replicas > 0) {
+                let state = self.clusters.get_mut(&cluster);
+                if let Some(state) = state {
+                    state.evidence.commit_acknowledged(&database, sent);
+                }
+                self.wake_proving(&cluster);
+            }
+        }
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let reads = work.access == StatementAccess::Read && !work.is_commit();
+        let proved = match work.need {
+            Some(need) if reads => self
+                .clusters
+                .get(&cluster)
+                .is_some_and(|state| state.evidence.proves(&database, need)),
+            _ => true,
+        };
+        if proved {
+            return self.deliver(id, answer);
+        }
+        work.answer = Some(answer);
+        work.stage = WorkStage::Proving;
+        let need = work.need.unwrap_or(now);
+        // The connection of a single read is free again; only the proof is missing.
+        self.release_slot(id);
+        if let Some(state) = self.clusters.get_mut(&cluster) {
+            state.proving.push(id);
+        }
+        self.want_proof(&cluster, need);
+    }
+
+    /// Passes a successful answer on.
+    pub(crate) fn deliver(&mut self, id: WorkId, answer: BackendAnswer) {
+        let AnswerEnd::Done(signature) = answer.end else { return };
+        let reply = ClientReply::Done { rows: answer.rows, signature: Some(signature) };
+        let commit = self.works.get(&id).is_some_and(Work::is_commit);
+        self.finish_work(id, reply, "served", commit);
+    }
+
+    /// Answers a request that failed or is given up, outside an open transaction.
+    pub(crate) fn refuse(&mut self, id: WorkId, code: ErrorCode, text: &str) {
+        let reply = ClientReply::Failed { code, text: text.to_string() };
+        if let Some(work) = self.works.get(&id)
+            && matches!(work.kind, WorkKind::Begin { .. } | WorkKind::Continue)
+            && let Some(session) = self.sessions.get_mut(&work.session)
+            && !matches!(session.transaction, Transaction::None)
+        {
+            session.transaction = Transaction::Failed;
+        }
+        self.finish_work(id, reply, code.name(), false);
+    }
+
+    /// Answers a statement whose transaction cannot go on. What is open is rolled back.
+    pub(crate) fn fail_transaction(&mut self, id: WorkId, code: ErrorCode, text: &str) {
+        let Some(work) = self.works.get(&id) else { return };
+        let (session_id, commit) = (work.session, work.is_commit());
+        if let Some(session) = self.sessions.get_mut(&session_id) {
+            let state = if commit { Transaction::None } else { Transaction::Failed };
+            let transaction = std::mem::replace(&mut session.transaction, state);
+            if let Transaction::Open(open) = transaction {
+                self.release_pin(open.link, session_id);
+            }
+        }
+        let reply = ClientReply::Failed { code, text: text.to_string() };
+        self.finish_work(id, reply, code.name(), false);
+    }
+
+    fn finish_work(
+        &mut self,
+        id: WorkId,
+        reply: ClientReply,
+        outcome: &'static str,
+        committed: bool,
+    ) {
+        self.release_slot(id);
+        let Some(work) = self.works.remove(&id) else { return };
+        let now = self.now;
+        let took = now.saturating_sub(work.arrived);
+        if let Some(session) = self.sessions.get_mut(&work.session) {
+            session.work = None;
+            if committed {
+                session.transaction = Transaction::None;
+            } else if let Transaction::Open(open) = &mut session.transaction {
+                open.idle_since = now;
+            }
+        }
+        self.count(match reply {
+            ClientReply::Done { .. } => "requests_served",
+            ClientReply::Failed { .. } => "requests_failed",
+        });
+        self.out.push(GateAction::Observe { histogram: "request_time", micros: took.0 });
+        let evidence = self.clusters.get(&work.route.cluster).map(|state| &state.evidence);
+        let proof_age = evidence
+            .and_then(|evidence| evidence.confirmed_at())
+            .map_or(u64::MAX, |at| now.saturating_sub(at).as_millis());
+        self.log(
+            "request",
+            fields![
+                "request" => &work.request.id,
+                "session" => work.session.0,
+                "route" => &work.route.name,
+                "database" => work.database.clone().unwrap_or_default().to_string(),
+                "after" => work.after.map_or_else(String::new, |point| point.to_string()),
+                "version" => self.table.version,
+                "term" => evidence.map_or(0, |evidence| evidence.term().0),
+                "proof_age_ms" => proof_age,
+                "tries" => u64::from(work.tries),
+                "took_ms" => took.as_millis(),
+                "outcome" => outcome
+            ],
+        );
+        self.reply(work.session, reply);
+        if let Some(name) = work.database {
+            self.pump(&name);
+        }
+    }
+
+    /// Forgets a request whose client is gone.
+    pub(crate) fn abandon_work(&mut self, id: WorkId) {
+        self.release_slot(id);
+        self.works.remove(&id);
+    }
+
+    /// A connection was lost while the request was on it.
+    pub(crate) fn work_lost(&mut self, id: WorkId, begun: bool) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        if begun && work.may_take_effect() {
+            let code = ErrorCode::Unknown;
+            let text = "the connection was lost, the outcome is not known";
+            if matches!(work.kind, WorkKind::Write) {
+                return self.refuse(id, code, text);
+            }
+            return self.fail_transaction(id, code, text);
+        }
+        if matches!(work.kind, WorkKind::Continue)
+            || (begun && matches!(work.kind, WorkKind::Begin { .. }))
+        {
+            return self.fail_transaction(id, ErrorCode::Aborted, "the connection was lost");
+        }
+        work.avoided.extend(work.database.clone());
+        self.retry_work(id, None, ErrorCode::Busy);
+    }
+
+    /// Acts on requests whose time is up.
+    pub(crate) fn check_works(&mut self) {
+        let now = self.now;
+        let due: Vec<WorkId> = self
+            .paused
+            .iter()
+            .copied()
+            .filter(|id| match self.works.get(id).map(|work| work.stage) {
+                Some(WorkStage::Paused(until)) => now >= until,
+                _ => true,
+            })
+            .collect();
+        self.paused.retain(|id| !due.contains(id));
+        for id in due {
+            if matches!(self.works.get(&id).map(|work| work.stage), Some(WorkStage::Paused(_))) {
+                self.route_work(id);
+            }
+        }
+        let late: Vec<WorkId> = self
+            .works
+            .iter()
+            .filter(|(_, work)| now >= work.deadline || work.is_impatient(now))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.work_late(id);
+        }
+    }
+
+    fn work_late(&mut self, id: WorkId) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let late = self.now >= work.deadline;
+        match work.stage {
+            WorkStage::Parked | WorkStage::Paused(_) | WorkStage::Queued => {
+                self.refuse(id, ErrorCode::Busy, "not run, the time limit passed, retry at once");
+            }
+            WorkStage::Proving => match work.kind {
+                WorkKind::Begin { .. } | WorkKind::Continue => {
+                    let text = "rolled back, the primary could not be proved to lead";
+                    self.fail_transaction(id, ErrorCode::Aborted, text);
+                }
+                WorkKind::Read | WorkKind::Write => {
+                    let text = "the primary could not be proved to lead, nothing is kept";
+                    self.refuse(id, ErrorCode::Busy, text);
+                }
+            },
+            WorkStage::Sent if matches!(work.kind, WorkKind::Read) && !late => {
+                work.avoided.extend(work.database.clone());
+                self.retry_work(id, None, ErrorCode::Timeout);
+            }
+            WorkStage::Sent if matches!(work.kind, WorkKind::Read) => {
+                self.refuse(id, ErrorCode::Timeout, "the time limit passed");
+            }
+            WorkStage::Sent if matches!(work.kind, WorkKind::Write) => {
+                let text = "the time limit passed, the outcome is not known";
+                self.refuse(id, ErrorCode::Unknown, text);
+            }
+            WorkStage::Sent if work.is_commit() => {
+                let text = "the time limit passed, the outcome is not known";
+                self.fail_transaction(id, ErrorCode::Unknown, text);
+            }
+            WorkStage::Sent => {
+                let text = "rolled back, the time limit passed";
+                self.fail_transaction(id, ErrorCode::Aborted, text);
+            }
+        }
+    }
+}
+
+impl Work {
+    /// Tells whether a read should go elsewhere.
+    fn is_impatient(&self, now: Micros) -> bool {
+        self.stage == WorkStage::Sent
+            && matches!(self.kind, WorkKind::Read)
+            && self.tries < TRY_LIMIT - 1
+            && self.sent.is_some_and(|sent| now >= sent + READ_PATIENCE)
+    }
+}
