Keep connections for a restart of all nodes, and lift fences that a dead node left

Ruled out: closing idle connections to the primary, as each new one takes 12 ms of a slot. Change: one preferred replica a node, extra connections closed after 0.6 s and none in the first 3 s, refusal at once where no connection can be had; complaints only from nodes in touch with the store for 0.8 s; leftover fences are lifted under the duty; no change of a primary that answers.

--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -6,7 +6,7 @@
 
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gate::{
     Document, GateEvent, ListedDatabase, PromoteResult, RouteTable, StoreState, StoredDocument, WriteResult,
@@ -16,10 +16,9 @@
 
 use crate::clock;
 
-/// Time that a watch waits at the store. A connection that went silent is noticed this late, which must
-/// leave time for a configuration to be in force within the platform's shortest bound (3 s after 4 s of
-/// undisturbed contact).
-const WATCH_WAIT: Duration = Duration::from_millis(4_500);
+/// Time that a watch waits at the store. Each return is a call. Connections that went silent are found by the
+/// client's keep-alive probes, long before this.
+const WATCH_WAIT: Duration = Duration::from_millis(10_000);
 
 /// Pause after a failed call, so that an outage does not cause a burst of calls.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -346,8 +345,9 @@
     let mut lease = None;
     let mut record = None;
     let mut dirty = false;
+    let mut renew_at = Instant::now();
     loop {
-        match orders.recv_timeout(RENEWAL_INTERVAL) {
+        match orders.recv_timeout(renew_at.saturating_duration_since(Instant::now())) {
             Ok(PublishOrder::Record(bytes)) => {
                 record = Some(bytes);
                 dirty = true;
@@ -360,7 +360,7 @@
                 }
                 return;
             }
-            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Timeout) => renew_at = Instant::now() + RENEWAL_INTERVAL,
             Err(RecvTimeoutError::Disconnected) => return,
         }
         let Some(bytes) = &record else { continue };
@@ -368,15 +368,23 @@
         let result = match (lease, dirty) {
             (Some(id), true) => client.write_registration(node, bytes, id),
             (Some(id), false) => client.renew_lease(id),
-            (None, _) => client.open_lease(REGISTRATION_TTL).and_then(|opened| {
-                client.write_registration(node, bytes, opened).map(|()| lease = Some(opened))
-            }),
+            (None, _) => {
+                dirty = true;
+                client.open_lease(REGISTRATION_TTL).and_then(|opened| {
+                    client.write_registration(node, bytes, opened)?;
+                    lease = Some(opened);
+                    // The permit begins with the first renewal sent after the registration is stored.
+                    renew_at = Instant::now();
+                    Ok(())
+                })
+            }
         };
         match result {
-            // A write of the registration does not renew its lease.
-            Ok(()) if dirty && lease.is_some() => dirty = false,
             Ok(()) => {
-                events.send(GateEvent::PermitRenewed { sent });
+                // A write of the registration alone does not renew its lease.
+                if !std::mem::take(&mut dirty) {
+                    events.send(GateEvent::PermitRenewed { sent });
+                }
             }
             Err(error) => {
                 log_failure("registration", &error);
--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use model::{FastSet, Micros, Name, Term};
 
-use crate::backend::{BackendAnswer, BackendCommand};
+use crate::backend::{BackendAnswer, BackendCommand, DatabaseRole};
 use crate::database::{CommandPurpose, Database};
 use crate::event::{LinkId, ListedDatabase};
 use crate::evidence::LeadEvidence;
@@ -13,9 +13,15 @@
 /// refused at once after it. Detection, one round of fences and one promotion.
 pub(crate) const CHANGE_TIME: Micros = Micros::from_millis(2_500);
 
+/// Pause after a report that proved nothing, such as one of a fenced replica.
+const PROOF_PAUSE: Micros = Micros::from_millis(100);
+
 /// Interval of asking every database while no leader is known. A new primary's entry changes at once, so
 /// this is only for changes that the store does not show.
-const SEARCH_INTERVAL: Micros = Micros::from_millis(300);
+const SEARCH_INTERVAL: Micros = Micros::from_millis(500);
+
+/// Interval while a leader is known but does not answer.
+const DOUBT_INTERVAL: Micros = Micros::from_millis(1_500);
 
 /// Time for which a database without an entry is kept. Entries that lapse while the store is away are back
 /// two seconds after its return; the platform allows seven seconds of use after an entry is gone.
@@ -41,9 +47,34 @@
     pub(crate) demanded: Option<Micros>,
     /// Term at which a change of primary was announced.
     pub(crate) announced_term: Option<Term>,
+    /// When a report last failed to prove the leader.
+    proof_failed: Option<Micros>,
 }
 
 impl Gate {
+    /// Returns the replica that this node sends reads to while it is not loaded: one in its own data centre,
+    /// else one by the nodes' order. So a replica has connections from about half of the nodes.
+    pub(crate) fn preferred_replica<'a>(&self, state: &'a ClusterState) -> Option<&'a Name> {
+        let leader = state.evidence.leader();
+        let usable: Vec<&Name> = state
+            .members
+            .iter()
+            .filter(|name| {
+                Some(*name) != leader
+                    && self.databases.get(*name).is_some_and(|database| {
+                        database.is_usable(self.now) && !database.listed.leaving
+                    })
+            })
+            .collect();
+        let near = usable.iter().find(|name| {
+            self.databases
+                .get(**name)
+                .is_some_and(|database| database.listed.data_centre == self.settings.data_centre)
+        });
+        let turn = self.roster.turn(usable.len());
+        near.or_else(|| usable.get(turn)).copied()
+    }
+
     /// Replaces the whole list of databases.
     pub(crate) fn databases_listed(&mut self, list: Vec<ListedDatabase>) {
         let listed: FastSet<Name> = list.iter().map(|database| database.id.clone()).collect();
@@ -93,13 +124,15 @@
                 "cluster" => &cluster,
                 "leaving" => database.leaving,
                 "claims" => database.claimed_role.map_or("none", |role| match role {
-                    crate::DatabaseRole::Primary => "primary",
-                    crate::DatabaseRole::Replica => "replica",
+                    DatabaseRole::Primary => "primary",
+                    DatabaseRole::Replica => "replica",
                 })
             ];
             self.log("database_listed", record);
         }
-        if role_changed || known.is_none() {
+        let claims_primary =
+            self.databases[&name].listed.claimed_role == Some(DatabaseRole::Primary);
+        if claims_primary && (role_changed || known.is_none()) {
             self.ask_report(&name);
         }
         self.open_links(&name);
@@ -165,6 +198,9 @@
             return;
         }
         state.proof_need = state.proof_need.max(Some(need));
+        if state.proof_failed.is_some_and(|at| self.now < at + PROOF_PAUSE) {
+            return;
+        }
         let leader = state.evidence.leader().cloned();
         let members = state.members.clone();
         let own = &self.settings.data_centre;
@@ -219,6 +255,7 @@
         };
         database.report_wanted = false;
         database.report_asked = Some(now);
+        self.count("reports_asked");
         self.send(link, vec![BackendCommand::Report], CommandPurpose::Report);
     }
 
@@ -242,6 +279,9 @@
         let changed = state.evidence.report(&name, asked, &report);
         if state.evidence.confirmed_at() >= state.proof_need {
             state.proof_need = None;
+            state.proof_failed = None;
+        } else if report.role == DatabaseRole::Replica {
+            state.proof_failed = Some(self.now);
         }
         if changed {
             let (term, leader) = (state.evidence.term(), state.evidence.leader().cloned());
@@ -309,6 +349,9 @@
 
     fn tend_cluster(&mut self, cluster: &Name) {
         let now = self.now;
+        if let Some(need) = self.clusters.get(cluster).and_then(|state| state.proof_need) {
+            self.want_proof(cluster, need);
+        }
         self.wake_proving(cluster);
         self.wake_parked(cluster);
         let usable = self.usable_leader(cluster).is_some();
@@ -325,12 +368,16 @@
             }
         }
         let Some(state) = self.clusters.get_mut(cluster) else { return };
-        let searching = state.evidence.leader().is_none()
-            || state.evidence.fenced_at().is_some()
-            || state.leader_missed.is_some();
-        if searching && now >= state.next_search {
+        let unknown = state.evidence.leader().is_none();
+        let doubtful = !state.proving.is_empty() || state.leader_missed.is_some();
+        if now >= state.next_search {
+            if unknown || doubtful {
+                let interval = if unknown { SEARCH_INTERVAL } else { DOUBT_INTERVAL };
+                state.next_search = now + interval;
+                return self.ask_all(cluster);
+            }
+            // The first search waits one interval for what a listed primary reports.
             state.next_search = now + SEARCH_INTERVAL;
-            return self.ask_all(cluster);
         }
         self.witness_for_permit(cluster);
     }
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -22,11 +22,12 @@
 /// centres, below what a queue of 16 statements takes only in rare cases.
 pub(crate) const UNRESPONSIVE: Micros = Micros::from_millis(350);
 
-/// Connections kept free for reports and for other nodes' needs.
-const SPARE_CONNECTIONS: u32 = 3;
+/// Part of a database's connections that the nodes use together in a steady state. After all VMs lost power
+/// the databases keep the old connections for seconds, and the new processes need the other half.
+const STEADY_PART: u32 = 2;
 
 /// Time after a refusal for the limit in which a node keeps to its equal share.
-const FULL_TIME: Micros = Micros::from_millis(2_000);
+const FULL_TIME: Micros = Micros::from_millis(1_000);
 
 /// Time for which an applied position is believed; a replica that catches up gains on it.
 const APPLIED_TIME: Micros = Micros::from_millis(150);
@@ -103,9 +104,18 @@
 
     /// Returns how many connections this node may have, given the limit for all nodes together.
     pub(crate) fn link_limit(&self, now: Micros, connections: u32, nodes: u32) -> u32 {
-        let share = (connections.saturating_sub(SPARE_CONNECTIONS) / nodes.max(1)).max(1);
-        let full = self.full_at.is_some_and(|at| now < at + FULL_TIME);
-        if full { share } else { share + EXTRA_CONNECTIONS }
+        let share = steady_share(connections, nodes).max(1);
+        if self.is_full(now) { share } else { share + EXTRA_CONNECTIONS }
+    }
+
+    /// Tells whether it refused a connection for its limit a short while ago.
+    pub(crate) fn is_full(&self, now: Micros) -> bool {
+        self.full_at.is_some_and(|at| now < at + FULL_TIME)
+    }
+
+    /// Tells whether it has no connection for this node and will not get one soon.
+    pub(crate) fn is_closed(&self, now: Micros) -> bool {
+        self.is_full(now) && self.links.len() == self.opening as usize
     }
 
     /// Tells whether it was found to lack a position, recently enough to believe it still does.
@@ -120,6 +130,11 @@
     }
 }
 
+/// Returns the connections that each node may keep open, zero if there are fewer than nodes.
+pub(crate) fn steady_share(connections: u32, nodes: u32) -> u32 {
+    connections / STEADY_PART / nodes.max(1)
+}
+
 /// What a command on a connection was sent for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CommandPurpose {
--- a/crates/gate/src/evidence.rs
+++ b/crates/gate/src/evidence.rs
@@ -17,7 +17,7 @@
 
 use std::collections::VecDeque;
 
-use model::{Micros, Name, Term};
+use model::{FastMap, Micros, Name, Term};
 
 use crate::backend::{DatabaseReport, DatabaseRole, LogPoint};
 
@@ -61,7 +61,8 @@
     confirmed: Option<Micros>,
     /// As `confirmed`, by a report or a commit and not by a permit.
     witnessed: Option<Micros>,
-    fenced: Option<Micros>,
+    /// Replicas with a fence above `term`, and since when.
+    fenced: FastMap<Name, Micros>,
     unproved: VecDeque<DataSample>,
     proved: VecDeque<DataSample>,
 }
@@ -77,9 +78,14 @@
         self.leader.as_ref()
     }
 
-    /// Returns when a fence above the term was last seen.
-    pub fn fenced_at(&self) -> Option<Micros> {
-        self.fenced
+    /// Returns since when a replica has had a fence above the term.
+    pub fn fenced_since(&self) -> Option<Micros> {
+        self.fenced.values().min().copied()
+    }
+
+    /// Returns the replicas with a fence above the term.
+    pub fn fenced_replicas(&self) -> Vec<Name> {
+        self.fenced.keys().cloned().collect()
     }
 
     /// Takes in a report that was asked for at `asked`. Returns true if the leader changed.
@@ -93,7 +99,7 @@
             self.leader = None;
             self.confirmed = None;
             self.witnessed = None;
-            self.fenced = None;
+            self.fenced.clear();
             self.unproved.clear();
         }
         match report.role {
@@ -106,8 +112,9 @@
                     self.leader = None;
                 }
                 if report.fence > self.term {
-                    self.fenced = self.fenced.max(Some(asked));
+                    self.fenced.entry(database.clone()).or_insert(asked);
                 } else {
+                    self.fenced.remove(database);
                     self.witness(asked);
                 }
             }
@@ -157,9 +164,6 @@
 
     fn confirm(&mut self, at: Micros) {
         self.confirmed = self.confirmed.max(Some(at));
-        if self.fenced.is_some_and(|fenced| fenced <= at) {
-            self.fenced = None;
-        }
         self.settle();
     }
 
@@ -194,6 +198,7 @@
 
     /// Forgets the leader, as after an error that only a replaced primary sends.
     pub fn distrust(&mut self, database: &Name) {
+        self.fenced.remove(database);
         if self.leader.as_ref() == Some(database) {
             self.leader = None;
         }
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -3,9 +3,9 @@
 use model::{Micros, Name};
 
 use crate::action::GateAction;
-use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, LogPoint};
+use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, DatabaseRole, LogPoint};
 use crate::cluster::LEAVING_TIME;
-use crate::database::{CommandPurpose, Link, PendingCommand};
+use crate::database::{CommandPurpose, Link, PendingCommand, steady_share};
 use crate::event::LinkId;
 use crate::statement::{ErrorCode, SessionState};
 use crate::work::WorkId;
@@ -25,10 +25,15 @@
 const OPEN_PAUSE_LONGEST: Micros = Micros::from_millis(500);
 
 /// Pause after a database refused a connection for its limit.
-const FULL_PAUSE: Micros = Micros::from_millis(250);
+const FULL_PAUSE: Micros = Micros::from_millis(150);
 
-/// Time after which an unused connection beyond the equal share is closed.
-const SURPLUS_TIME: Micros = Micros::from_millis(2_000);
+/// Time after which an unused connection beyond the equal share is closed: long against the pauses within a
+/// burst of requests, and against the 12 ms that a new connection takes.
+const SURPLUS_TIME: Micros = Micros::from_millis(600);
+
+/// Time after its start in which a node opens one connection to each database. Databases drop the connections
+/// of VMs that lost power within 3 s.
+const START_TIME: Micros = Micros::from_millis(3_000);
 
 /// Connections that a database without a known limit gets.
 const DEFAULT_CONNECTIONS: u32 = 8;
@@ -54,7 +59,10 @@
         let wanted = waiting + u32::from(database.report_wanted);
         let links = u32::try_from(database.links.len()).unwrap_or(u32::MAX);
         let limit = database.link_limit(now, limit, nodes);
-        let first = links == 0;
+        // A node that has just started leaves the rest to the others that started with it.
+        let limit = if now < self.started + START_TIME { 1 } else { limit };
+        let first = links == 0 && self.keeps_link(name);
+        let Some(database) = self.databases.get(name) else { return };
         if !first && (database.opening >= wanted || links >= limit || database.opening >= 2) {
             return;
         }
@@ -69,6 +77,17 @@
         self.count("links_opened");
     }
 
+    /// Tells whether a connection to the database is kept without requests: to the leader, and to the
+    /// replica that this node prefers.
+    fn keeps_link(&self, name: &Name) -> bool {
+        let Some(database) = self.databases.get(name) else { return false };
+        let Some(state) = self.clusters.get(&database.listed.cluster) else { return false };
+        match state.evidence.leader() {
+            Some(leader) => leader == name || self.preferred_replica(state) == Some(name),
+            None => true,
+        }
+    }
+
     pub(crate) fn link_opened(&mut self, link: LinkId, point: Option<LogPoint>) {
         let now = self.now;
         let Some(state) = self.links.get_mut(&link) else { return };
@@ -84,7 +103,7 @@
         database.applied = point.max(database.applied);
         database.applied_at = now;
         database.idle.push(link);
-        if database.report.is_none() {
+        if database.report.is_none() && database.listed.claimed_role == Some(DatabaseRole::Primary) {
             database.report_wanted = true;
         }
         self.answered(&name);
@@ -325,8 +344,8 @@
         for (name, link) in surplus {
             let Some(database) = self.databases.get(&name) else { continue };
             let limit = self.connection_limit(&database.listed.cluster);
-            let share = usize::try_from((limit / nodes.max(1)).max(1)).unwrap_or(1);
-            if database.links.len() > share {
+            let share = usize::try_from(steady_share(limit, nodes).max(1)).unwrap_or(1);
+            if database.links.len() > share || !self.keeps_link(&name) {
                 self.drop_link(link, "unused");
             }
         }
--- a/crates/gate/src/permit.rs
+++ b/crates/gate/src/permit.rs
@@ -12,11 +12,17 @@
 /// times slower than usual (4 ms).
 pub const PERMIT_TIME: Micros = Micros::from_millis(800);
 
+/// Time in touch with the store after which a node may complain about others. A node that was cut off needs
+/// it to reach the databases again.
+const STEADY_TIME: Micros = Micros::from_millis(800);
+
 /// A node's permit.
 #[derive(Debug, Default)]
 pub(crate) struct PermitState {
     acquired: Option<Micros>,
     until: Micros,
+    /// Since when it was valid without a gap.
+    steady_since: Micros,
     /// Revision of the newest announcement that was acted on.
     pub(crate) seen: u64,
     announced: Vec<String>,
@@ -28,9 +34,17 @@
             self.permit.acquired = Some(sent);
             self.log("permit", fields!["held" => true]);
         }
+        if self.permit.until < self.now {
+            self.permit.steady_since = self.now;
+        }
         self.permit.until = self.permit.until.max(sent + PERMIT_TIME);
     }
 
+    /// Tells whether this node has been in touch with the store for a while.
+    pub(crate) fn is_steady(&self) -> bool {
+        self.permit().is_some() && self.now >= self.permit.steady_since + STEADY_TIME
+    }
+
     pub(crate) fn permit_lost(&mut self) {
         self.permit = PermitState {
             seen: self.permit.seen,
@@ -79,10 +93,13 @@
         }
         self.permit.seen = revision;
         self.permit.announced = changing.clone();
+        let ended = changing.is_empty();
         self.log(
             "announcement_seen",
             fields!["revision" => revision, "clusters" => changing.join(",")],
         );
-        self.publish_registration();
+        if !ended {
+            self.publish_registration();
+        }
     }
 }
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -85,6 +85,12 @@
         nodes
     }
 
+    /// Spreads the nodes evenly over a number of choices.
+    pub fn turn(&self, choices: usize) -> usize {
+        let before = self.nodes.keys().filter(|name| **name < self.own).count();
+        before.checked_rem(choices).unwrap_or_default()
+    }
+
     /// Returns this node's place among all nodes for work on a cluster.
     pub fn place(&self, cluster: &Name) -> u64 {
         let own = order_key(cluster, &self.own);
--- a/crates/gate/src/takeover.rs
+++ b/crates/gate/src/takeover.rs
@@ -32,13 +32,21 @@
 /// answers reports meanwhile.
 const COMMIT_STALL: Micros = Micros::from_millis(900);
 
-/// Time without a primary after which a node complains, at a start too.
+/// Time without a primary after which a node complains.
 const LEADERLESS: Micros = Micros::from_millis(1_200);
 
+/// The same while a database that claims to lead can be reached but has not reported yet, as when all its
+/// connections are taken: the databases drop those of dead nodes after 3 s.
+const UNREPORTED: Micros = Micros::from_millis(4_500);
+
+/// Time after which a fence that no announced change explains is lifted.
+const LEFT_FENCED: Micros = Micros::from_millis(700);
+
 /// A node complains only if a replica answered within this time; otherwise it is itself cut off.
 const REPLICA_HEARD: Micros = Micros::from_millis(900);
 
-/// One node in this many has to complain before a primary is replaced.
+/// More than one node in this many has to complain before a primary is replaced, so that the nodes of one
+/// data centre that is cut off cannot move it.
 const COMPLAINT_SHARE: u32 = 3;
 
 /// Time between the moments at which successive nodes would act.
@@ -104,6 +112,8 @@
     chosen: Option<Name>,
     /// The replica list is as the store had it after the last fence.
     relisted: bool,
+    /// Only lifts fences that another node left behind.
+    lifts: bool,
     /// Revision of the announcement.
     announced: u64,
     /// Nodes whose acknowledgement is missing, and the leases that their permits depend on.
@@ -130,6 +140,8 @@
     /// Clusters that this node leaves alone until then.
     paused: FastMap<Name, Micros>,
     leaderless: FastMap<Name, Micros>,
+    /// Clusters that this node complains about, and why.
+    suspected: FastMap<Name, &'static str>,
 }
 
 impl Gate {
@@ -144,12 +156,19 @@
                     database.answered.is_some_and(|at| now < at + REPLICA_HEARD)
                 })
         });
-        if !heard {
+        if !heard || !self.is_steady() {
             return None;
         }
         let Some(leader) = leader else {
             let since = *self.takeovers.leaderless.entry(cluster.clone()).or_insert(now);
-            return (now >= since + LEADERLESS).then_some("no primary");
+            let claimed = state.members.iter().any(|name| {
+                self.databases.get(name).is_some_and(|database| {
+                    database.listed.claimed_role == Some(DatabaseRole::Primary)
+                        && database.is_usable(now)
+                })
+            });
+            let limit = if claimed { UNREPORTED } else { LEADERLESS };
+            return (now >= since + limit).then_some("no primary");
         };
         self.takeovers.leaderless.remove(cluster);
         let Some(database) = self.databases.get(&leader) else { return Some("primary gone") };
@@ -168,14 +187,19 @@
         if stalled {
             return Some("commits stalled");
         }
-        let fenced = state.evidence.fenced_at();
-        let since = state.leader_missed;
-        if fenced.is_some() && since.is_some_and(|since| now >= since + LEADERLESS) {
-            return Some("replicas fenced");
-        }
         None
     }
 
+    /// Tells whether replicas are fenced although no change is announced, as after the death of the node that
+    /// fenced them.
+    fn left_fenced(&self, cluster: &Name) -> bool {
+        let Some(state) = self.clusters.get(cluster) else { return false };
+        let since = state.evidence.fenced_since();
+        since.is_some_and(|since| self.now >= since + LEFT_FENCED)
+            && !self.is_announced(cluster)
+            && self.usable_leader(cluster).is_some()
+    }
+
     /// Tells whether a cluster's primary is leaving and another database can replace it.
     fn leaving_primary(&self, cluster: &Name) -> bool {
         let Some(state) = self.clusters.get(cluster) else { return false };
@@ -218,16 +242,13 @@
         for cluster in &clusters {
             let complaint = self.complaint(cluster);
             if let Some(reason) = complaint {
-                let known = self
-                    .published
-                    .record
-                    .as_ref()
-                    .is_some_and(|record| record.complaints.contains(cluster.as_str()));
-                if !known {
+                if self.takeovers.suspected.insert(cluster.clone(), reason) != Some(reason) {
                     let record = fields!["cluster" => cluster, "reason" => reason];
                     self.log("primary_suspected", record);
                 }
                 record.complaints.insert(cluster.to_string());
+            } else {
+                self.takeovers.suspected.remove(cluster);
             }
             self.start_if_due(cluster, complaint);
         }
@@ -250,11 +271,14 @@
         {
             return;
         }
-        let (reason, place) = if self.leaving_primary(cluster) {
+        let lifts = self.left_fenced(cluster) && complaint.is_none();
+        let (reason, place) = if lifts {
+            ("fences left", self.roster.place(cluster))
+        } else if self.leaving_primary(cluster) {
             ("primary leaving", self.roster.place(cluster))
         } else if let Some(reason) = complaint {
             let nodes = self.roster.complaining(cluster);
-            let needed = (self.roster.live() / COMPLAINT_SHARE).max(1) as usize;
+            let needed = (self.roster.live() / COMPLAINT_SHARE + 1) as usize;
             let place = nodes.iter().position(|name| *name == self.settings.node);
             match place {
                 Some(place) if nodes.len() >= needed => (reason, place as u64),
@@ -305,6 +329,7 @@
                 asked: FastMap::default(),
                 chosen: None,
                 relisted: false,
+                lifts,
                 announced: 0,
                 unacknowledged: FastMap::default(),
                 clear_at: now,
@@ -315,8 +340,15 @@
     /// Renews the duty while changes run, and gives it up after the last.
     fn tend_duty(&mut self) {
         let now = self.now;
+        let (_, record) = self.duty.record();
+        let abandoned = !record.changing.is_empty() && !self.duty.is_taken(now);
         let write = if self.takeovers.running.is_empty() {
-            self.duty.release(now)
+            if abandoned && self.duty.number(now).is_none() && self.is_steady() {
+                // The announcement of a holder that died is cleared by claiming and releasing.
+                self.duty.claim(now, Vec::new())
+            } else {
+                self.duty.release(now)
+            }
         } else if self.duty.wants_renewal(now) || self.announcement_missing() {
             let changing = self.takeovers.running.keys().map(ToString::to_string).collect();
             self.duty.claim(now, changing)
@@ -481,11 +513,33 @@
                 takeover.clear_at = departed.max(self.started) + PERMIT_TIME;
             }
             takeover.replicas = replicas;
+            if takeover.lifts {
+                self.lift_fences(&cluster);
+                continue;
+            }
             self.set_stage(&cluster, TakeoverStage::Fencing);
             self.step_takeover(&cluster);
         }
     }
 
+    /// Lifts fences under the duty, which excludes that another node is setting them.
+    fn lift_fences(&mut self, cluster: &Name) {
+        let Some(state) = self.clusters.get(cluster) else { return };
+        for name in state.evidence.fenced_replicas() {
+            self.unfence(&name);
+        }
+        self.takeovers.running.remove(cluster);
+        self.takeovers.due.remove(cluster);
+        self.log("fences_lifted", fields!["cluster" => cluster]);
+        self.ask_all(cluster);
+    }
+
+    fn unfence(&mut self, name: &Name) {
+        if let Some(link) = self.control_link(name) {
+            self.send(link, vec![BackendCommand::Unfence], CommandPurpose::Control);
+        }
+    }
+
     fn fence_replicas(&mut self, cluster: &Name) {
         let now = self.now;
         let Some(takeover) = self.takeovers.running.get_mut(cluster) else { return };
@@ -540,7 +594,6 @@
         let Some(state) = self.links.get(&link) else { return };
         let (name, cluster) = (state.database.clone(), state.cluster.clone());
         let Some(takeover) = self.takeovers.running.get_mut(&cluster) else { return };
-        takeover.asked.remove(&name);
         let Some(report) = answer.report else {
             let text = format!("{:?}", answer.end);
             return self.log("fence_failed", fields!["database" => &name, "answer" => text]);
@@ -561,6 +614,9 @@
                 "fenced" => fenced
             ],
         );
+        if report.role == DatabaseRole::Primary && report.term.next() == term {
+            return self.give_up(&cluster, "the primary answers");
+        }
         if report.fence > term
             && let Some(takeover) = self.takeovers.running.get_mut(&cluster)
         {
@@ -718,9 +774,7 @@
             return;
         }
         for name in takeover.fenced.keys() {
-            if let Some(link) = self.control_link(name) {
-                self.send(link, vec![BackendCommand::Unfence], CommandPurpose::Control);
-            }
+            self.unfence(name);
         }
     }
 }
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -33,6 +33,9 @@
 /// the databases in their normal state.
 const READ_PATIENCE: Micros = Micros::from_millis(400);
 
+/// A read goes to another replica than the preferred one if that has so many requests less.
+const DETOUR: u32 = 2;
+
 /// A read goes to the leader if every replica has this many requests more than the leader.
 const LEADER_ASSISTS_AT: u32 = 3;
 
@@ -175,6 +178,10 @@
             _ => Some(since.unwrap_or(begun)),
         };
         let Some(leader) = self.usable_leader(&route.cluster) else { return self.park(id) };
+        if self.databases.get(&leader).is_some_and(|database| database.is_closed(self.now)) {
+            let text = "not run, no connection to the primary is free, retry after 150 ms";
+            return self.refuse(id, ErrorCode::Busy, text);
+        }
         self.apply_permit(&route.cluster);
         if need.is_none_or(|need| self.is_proved(&route.cluster, &leader, need)) {
             return self.queue_at(id, leader, None, need);
@@ -198,7 +205,7 @@
     pub(crate) fn usable_leader(&self, cluster: &Name) -> Option<Name> {
         let state = self.clusters.get(cluster)?;
         let replaced = state.announced_term.is_some_and(|term| state.evidence.term() > term);
-        if state.evidence.fenced_at().is_some() || (self.is_announced(cluster) && !replaced) {
+        if self.is_announced(cluster) && !replaced {
             return None;
         }
         let leader = state.evidence.leader()?;
@@ -216,8 +223,8 @@
         let work = self.works.get(&id)?;
         let state = self.clusters.get(cluster)?;
         let leader = state.evidence.leader();
-        let own = &self.settings.data_centre;
-        let mut best: Option<(u32, u64, Name)> = None;
+        let preferred = self.preferred_replica(state);
+        let mut best: Option<(u32, Name)> = None;
         for name in &state.members {
             let Some(database) = self.databases.get(name) else { continue };
             if Some(name) == leader
@@ -225,21 +232,20 @@
                 || database.listed.leaving
                 || work.avoided.contains(name)
                 || database.lacks(self.now, after)
-                || database.links.len() == database.opening as usize
+                || database.is_closed(self.now)
             {
                 continue;
             }
-            let distance = u32::from(database.listed.data_centre != *own);
-            let rotation = id.0.wrapping_mul(0x9E37_79B9) ^ database.listed.address.port() as u64;
-            let rank = (database.load() * 2 + distance, rotation % 7, name.clone());
+            let detour = if Some(name) == preferred { 0 } else { DETOUR };
+            let rank = (database.load() + detour, name.clone());
             if best.as_ref().is_none_or(|best| rank < *best) {
                 best = Some(rank);
             }
         }
-        let (load, _, name) = best?;
+        let (load, name) = best?;
         if let Some(leader) = self.usable_leader(cluster)
             && let Some(database) = self.databases.get(&leader)
-            && load / 2 >= database.load() + LEADER_ASSISTS_AT
+            && load >= database.load() + LEADER_ASSISTS_AT
         {
             return None;
         }
@@ -298,6 +304,14 @@
         work.database = None;
         let Some(state) = self.clusters.get_mut(&cluster) else { return };
         state.leader_missed.get_or_insert(now);
+        let closed = !state.members.is_empty()
+            && state.members.iter().all(|name| {
+                self.databases.get(name).is_some_and(|database| database.is_closed(now))
+            });
+        if closed {
+            let text = "not run, no connection to the databases is free, retry after 150 ms";
+            return self.refuse(id, ErrorCode::Busy, text);
+        }
         if now >= state.leader_missed.unwrap_or(now) + crate::cluster::CHANGE_TIME {
             return self.refuse(
                 id,
