Witness the leader anew after an announced change, and leave the rotation when cut off

Ruled out: the lease wait, all leases had ended in the log. Change: what was witnessed before the end of a change counts no more. Isolated nodes are not ready after 0.2 s without permit and primaries; requests wait 0.3 s for a leader, since another node may serve their retry.

--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -16,9 +16,9 @@
 
 use crate::clock;
 
-/// Time that a watch waits at the store. Each return is a call. Connections that went silent are found by the
-/// client's keep-alive probes, long before this.
-const WATCH_WAIT: Duration = Duration::from_millis(10_000);
+/// Time that a watch waits at the store. Each return is a call. A watch may be dropped by the store without a
+/// word, and then nothing is heard for as long.
+const WATCH_WAIT: Duration = Duration::from_millis(4_000);
 
 /// Pause after a failed call, so that an outage does not cause a burst of calls.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -47,6 +47,8 @@
     pub(crate) demanded: Option<Micros>,
     /// Term at which a change of primary was announced.
     pub(crate) announced_term: Option<Term>,
+    /// When the last announced change was over; what was witnessed before counts no more.
+    pub(crate) settled: Micros,
     /// When a report last failed to prove the leader.
     proof_failed: Option<Micros>,
 }
@@ -387,10 +389,11 @@
         let Some(acquired) = self.permit() else { return };
         let Some(state) = self.clusters.get(cluster) else { return };
         if state.evidence.leader().is_some()
-            && state.evidence.needs_witness(acquired)
+            && state.evidence.needs_witness(acquired.max(state.settled))
             && !self.is_announced(cluster)
         {
-            self.want_proof(cluster, acquired);
+            let since = acquired.max(state.settled);
+            self.want_proof(cluster, since);
         }
     }
 }
--- a/crates/gate/src/permit.rs
+++ b/crates/gate/src/permit.rs
@@ -73,7 +73,7 @@
         if let Some(acquired) = self.permit()
             && let Some(state) = self.clusters.get_mut(cluster)
         {
-            state.evidence.permit_holds(acquired, now);
+            state.evidence.permit_holds(acquired.max(state.settled), now);
         }
     }
 
@@ -91,6 +91,12 @@
                 state.announced_term = Some(state.evidence.term());
             }
         }
+        // A report from before the end of the change may be of the old primary's term.
+        for name in self.permit.announced.iter().filter(|name| !changing.contains(name)) {
+            if let Some(state) = self.clusters.get_mut(name.as_str()) {
+                state.settled = self.now;
+            }
+        }
         self.permit.seen = revision;
         self.permit.announced = changing.clone();
         let ended = changing.is_empty();
--- a/crates/gate/src/ready.rs
+++ b/crates/gate/src/ready.rs
@@ -7,20 +7,25 @@
 
 use crate::{Gate, GateAction, fields};
 
-/// Time without any usable primary after which a node is not ready: longer than a change of primary.
+/// Time without the primaries after which a node is not ready: longer than a change of primary.
 const CUT_OFF_TIME: Micros = Micros::from_millis(1_500);
 
-/// Time after which a node that is cut off closes idle sessions: the balancer's two probes have taken it
+/// The same for a node that has lost the store too, and so is itself cut off.
+const ISOLATED_TIME: Micros = Micros::from_millis(200);
+
+/// Time after which a node that is not ready closes idle sessions: the balancer's two probes have taken it
 /// out by then.
-const CLOSE_AFTER: Micros = Micros::from_millis(2_200);
+const CLOSE_AFTER: Micros = Micros::from_millis(2_100);
 
 /// Readiness of a node.
 #[derive(Debug, Default)]
 pub(crate) struct ReadyState {
     ready: bool,
     announced: bool,
-    /// Since when no primary is usable.
+    /// Since when most primaries are not usable.
     cut_off: Option<Micros>,
+    /// Since when the node is not ready.
+    unready: Option<Micros>,
 }
 
 impl Gate {
@@ -41,12 +46,14 @@
         }
         let cut_off = self.ready.cut_off;
         let was_ready = self.ready.ready;
-        let kept = was_ready && cut_off.is_some_and(|since| now < since + CUT_OFF_TIME);
+        let patience = if self.permit().is_some() { CUT_OFF_TIME } else { ISOLATED_TIME };
+        let kept = was_ready && cut_off.is_some_and(|since| now < since + patience);
         let ready =
             clusters > 0 && self.drain.since.is_none() && (cut_off.is_none() || kept);
         if ready != was_ready || !self.ready.announced {
             self.ready.ready = ready;
             self.ready.announced = true;
+            self.ready.unready = (!ready).then_some(now);
             self.out.push(GateAction::SetReady(ready));
             self.log(
                 "ready",
@@ -57,8 +64,8 @@
                 ],
             );
         }
-        let long = cut_off.is_some_and(|since| now >= since + CUT_OFF_TIME + CLOSE_AFTER);
-        if !ready && long && clusters > 0 {
+        let long = self.ready.unready.is_some_and(|since| now >= since + CLOSE_AFTER);
+        if cut_off.is_some() && long && clusters > 0 {
             self.close_idle_sessions();
         }
     }
--- a/crates/gate/src/takeover.rs
+++ b/crates/gate/src/takeover.rs
@@ -26,7 +26,7 @@
 
 /// Silence of a primary after which a node complains: above the longest queue seen at a database, below
 /// half of the time within which a write is of use.
-const SILENCE: Micros = Micros::from_millis(600);
+const SILENCE: Micros = Micros::from_millis(500);
 
 /// Time after which a commit without an answer means that the primary has lost its replicas, if the primary
 /// answers reports meanwhile.
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -29,6 +29,10 @@
 /// Time kept back from a request's limit for the way to the client.
 const REPLY_MARGIN: Micros = Micros::from_millis(20);
 
+/// Time that a request waits for a leader or for proof of one. Another node may be able to serve it, and the
+/// client's tries have to fit into its time.
+const HOLD_TIME: Micros = Micros::from_millis(300);
+
 /// Time without an answer after which a read is sent to another database: well above a full queue of
 /// the databases in their normal state.
 const READ_PATIENCE: Micros = Micros::from_millis(400);
@@ -731,7 +735,9 @@
         let late: Vec<WorkId> = self
             .works
             .iter()
-            .filter(|(_, work)| now >= work.deadline || work.is_impatient(now))
+            .filter(|(_, work)| {
+                now >= work.deadline || work.is_impatient(now) || work.is_held_long(now)
+            })
             .map(|(id, _)| *id)
             .collect();
         for id in late {
@@ -744,7 +750,7 @@
         let late = self.now >= work.deadline;
         match work.stage {
             WorkStage::Parked | WorkStage::Paused(_) | WorkStage::Queued => {
-                self.refuse(id, ErrorCode::Busy, "not run, the time limit passed, retry at once");
+                self.refuse(id, ErrorCode::Busy, "not run, no primary within the time, retry at once");
             }
             WorkStage::Proving => {
                 let text = "not run, the primary could not be proved to lead, retry after 500 ms";
@@ -774,6 +780,12 @@
 }
 
 impl Work {
+    /// Tells whether the request has waited long enough for a leader or for proof of one.
+    fn is_held_long(&self, now: Micros) -> bool {
+        matches!(self.stage, WorkStage::Parked | WorkStage::Proving)
+            && now >= self.arrived + HOLD_TIME
+    }
+
     /// Tells whether a read should go elsewhere.
     fn is_impatient(&self, now: Micros) -> bool {
         self.stage == WorkStage::Sent
