--- a/crates/edge/src/codec.rs
+++ b/crates/edge/src/codec.rs
@@ -49,14 +49,26 @@
     /// Fails if the input cannot be the start of a message.
     fn read_client(input: &mut BytesMut) -> Result<Option<ClientMessage>, CodecError>;
 
+    /// Reads a message of another node, which speaks as to a database.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the input cannot be the start of a message.
+    fn read_peer(input: &mut BytesMut) -> Result<Option<ClientMessage>, CodecError>;
+
     /// Writes the acceptance of a session.
     fn write_accept(output: &mut BytesMut);
 
     /// Writes an error that ends a session before or instead of a reply.
     fn write_refusal(code: ErrorCode, text: &str, output: &mut BytesMut);
 
-    /// Writes the answer to a request.
-    fn write_reply(reply: &ClientReply, state: SessionState, output: &mut BytesMut);
+    /// Writes the answer to a request; `point` is for other nodes only.
+    fn write_reply(
+        reply: &ClientReply,
+        state: SessionState,
+        point: Option<LogPoint>,
+        output: &mut BytesMut,
+    );
 
     /// Writes the first message on a connection to a database.
     fn write_startup(cluster: &Name, node: &Name, database: &Name, output: &mut BytesMut);
--- a/crates/edge/src/hub.rs
+++ b/crates/edge/src/hub.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use gate::{
     AnswerEnd, BackendAnswer, BackendCommand, ErrorCode, Gate, GateAction, GateEvent, LinkId,
-    SessionId, SessionState, TICK,
+    SessionId, SessionOrigin, SessionState, TICK,
 };
 use model::{FastMap, Name};
 use stakker::sync::{Channel, ChannelGuard};
@@ -45,6 +45,7 @@
 struct ClientSocket {
     socket: BufferedSocket,
     started: bool,
+    origin: SessionOrigin,
     /// A request is in progress; the next one is not read yet.
     busy: bool,
     /// Close once the output is written.
@@ -69,6 +70,7 @@
     platform: P,
     poll: MioPoll,
     listener: MioSource<TcpListener>,
+    peer_listener: Option<MioSource<TcpListener>>,
     clients: FastMap<u64, ClientSocket>,
     backends: FastMap<u64, BackendSocket>,
     next_client: u64,
@@ -90,9 +92,21 @@
         cx: CX![],
         setup: EdgeSetup<P>,
         listener: TcpListener,
+        peer_listener: Option<TcpListener>,
         status: Arc<SharedStatus>,
     ) -> Option<Self> {
         let poll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], peers_waiting() as (Ready));
+        let peer_listener = peer_listener
+            .map(|listener| poll.add(listener, Interest::READABLE, 10, ready))
+            .transpose();
+        let peer_listener = match peer_listener {
+            Ok(listener) => listener,
+            Err(error) => {
+                stakker::fail!(cx, error);
+                return None;
+            }
+        };
         let ready = fwd_to!([cx], clients_waiting() as (Ready));
         let listener = match poll.add(listener, Interest::READABLE, 10, ready) {
             Ok(listener) => listener,
@@ -117,6 +131,7 @@
             platform: setup.platform,
             poll,
             listener,
+            peer_listener,
             clients: FastMap::default(),
             backends: FastMap::default(),
             next_client: 0,
@@ -204,9 +219,10 @@
                     self.dirty_clients.push(session.0);
                 }
             }
-            GateAction::Reply { session, reply, state } => {
+            GateAction::Reply { session, reply, state, point } => {
                 if let Some(client) = self.clients.get_mut(&session.0) {
-                    P::Codec::write_reply(&reply, state, &mut client.socket.output);
+                    let point = point.filter(|_| client.origin == SessionOrigin::Peer);
+                    P::Codec::write_reply(&reply, state, point, &mut client.socket.output);
                     client.state = state;
                     client.busy = false;
                     self.dirty_clients.push(session.0);
@@ -269,8 +285,21 @@
     // Clients.
 
     fn clients_waiting(&mut self, cx: CX![], _: Ready) {
+        self.accept(cx, SessionOrigin::Client);
+    }
+
+    fn peers_waiting(&mut self, cx: CX![], _: Ready) {
+        self.accept(cx, SessionOrigin::Peer);
+    }
+
+    fn accept(&mut self, cx: CX![], origin: SessionOrigin) {
         loop {
-            let stream = match self.listener.accept() {
+            let listener = match (origin, &self.peer_listener) {
+                (SessionOrigin::Peer, Some(listener)) => listener,
+                (SessionOrigin::Peer, None) => return,
+                (SessionOrigin::Client, _) => &self.listener,
+            };
+            let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => continue,
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
@@ -294,6 +323,7 @@
                     let client = ClientSocket {
                         socket,
                         started: false,
+                        origin,
                         busy: false,
                         closing: false,
                         state: SessionState::Idle,
@@ -354,7 +384,12 @@
             if client.busy || client.closing {
                 return;
             }
-            let message = match P::Codec::read_client(&mut client.socket.input) {
+            let input = &mut client.socket.input;
+            let message = match client.origin {
+                SessionOrigin::Client => P::Codec::read_client(input),
+                SessionOrigin::Peer => P::Codec::read_peer(input),
+            };
+            let message = match message {
                 Ok(Some(message)) => message,
                 Ok(None) => return,
                 Err(error) => {
@@ -370,7 +405,8 @@
                 (ClientMessage::Startup { database }, false) => {
                     client.started = true;
                     client.busy = true;
-                    self.handle(cx, GateEvent::SessionOpened { session, database });
+                    let origin = client.origin;
+                    self.handle(cx, GateEvent::SessionOpened { session, database, origin });
                 }
                 (ClientMessage::Request(request), true) => {
                     client.busy = true;
@@ -378,7 +414,8 @@
                 }
                 (ClientMessage::Invalid { code, text }, true) => {
                     let reply = gate::ClientReply::Failed { code, text };
-                    P::Codec::write_reply(&reply, client.state, &mut client.socket.output);
+                    let output = &mut client.socket.output;
+                    P::Codec::write_reply(&reply, client.state, None, output);
                     self.metrics.add("requests_malformed", 1);
                     self.dirty_clients.push(id);
                 }
@@ -411,8 +448,8 @@
     ) {
         let id = link.0;
         let ready = fwd_to!([cx], backend_ready(id) as (Ready));
-        let socket = connect(address)
-            .and_then(|stream| BufferedSocket::new(&self.poll, stream, ready));
+        let socket =
+            connect(address).and_then(|stream| BufferedSocket::new(&self.poll, stream, ready));
         match socket {
             Ok(mut socket) => {
                 P::Codec::write_startup(cluster, &self.node, database, &mut socket.output);
@@ -510,4 +547,3 @@
         BackendCommand::Report | BackendCommand::Fence { .. } | BackendCommand::Demote { .. }
     )
 }
-
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -92,6 +92,12 @@
     let address = setup.client_address;
     let listener =
         socket::listen(address).map_err(|source| EdgeError::Listen { address, source })?;
+    let peer_listener = match setup.gate.peer_address {
+        Some(address) => {
+            Some(socket::listen(address).map_err(|source| EdgeError::Listen { address, source })?)
+        }
+        None => None,
+    };
     let status = Arc::new(SharedStatus::default());
     metrics::serve(setup.ready_address, status.clone()).map_err(EdgeError::Ready)?;
     if let Some(address) = setup.metrics_address
@@ -107,8 +113,11 @@
     let stakker = &mut stakker;
     let events = Events::with_capacity(EVENT_CAPACITY);
     let poll = MioPoll::new(stakker, Poll::new()?, events, 10)?;
-    let hub: ActorOwn<Hub<P>> =
-        actor!(stakker, <Hub<P>>::init(setup, listener, status), ret_shutdown!(stakker));
+    let hub: ActorOwn<Hub<P>> = actor!(
+        stakker,
+        <Hub<P>>::init(setup, listener, peer_listener, status),
+        ret_shutdown!(stakker)
+    );
     let mut idle_pending = stakker.run(Instant::now(), false);
     let mut io_pending = false;
     let mut activity;
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -113,8 +113,7 @@
         // EINPROGRESS has no stable kind of its own.
         Err(error)
             if error.kind() == ErrorKind::WouldBlock
-                || error.raw_os_error()
-                    == Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {}
+                || error.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {}
         Err(error) => return Err(error),
     }
     Ok(TcpStream::from_std(socket.into()))
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -9,7 +9,8 @@
 use std::time::{Duration, Instant};
 
 use gate::{
-    Document, GateEvent, ListedDatabase, PromoteResult, RouteTable, StoreState, StoredDocument, WriteResult,
+    Document, GateEvent, ListedDatabase, PromoteResult, RouteTable, StoreState, StoredDocument,
+    WriteResult,
 };
 use model::Name;
 use stakker::sync::Channel;
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use model::Name;
 
-use crate::backend::BackendCommand;
+use crate::backend::{BackendCommand, LogPoint};
 use crate::event::{LinkId, SessionId};
 use crate::statement::{ErrorCode, SessionState};
 
@@ -13,44 +13,94 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClientReply {
     /// Rows and the database's signature, or neither for statements that the proxy answers itself.
-    Done { rows: Vec<Bytes>, signature: Option<Bytes> },
-    Failed { code: ErrorCode, text: String },
+    Done {
+        rows: Vec<Bytes>,
+        signature: Option<Bytes>,
+    },
+    Failed {
+        code: ErrorCode,
+        text: String,
+    },
 }
 
 /// An action; the shell carries actions out in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum GateAction {
     // Clients.
-    AcceptSession { session: SessionId },
+    AcceptSession {
+        session: SessionId,
+    },
     /// Send the error and close.
-    RefuseSession { session: SessionId, code: ErrorCode, text: String },
-    Reply { session: SessionId, reply: ClientReply, state: SessionState },
-    CloseSession { session: SessionId },
+    RefuseSession {
+        session: SessionId,
+        code: ErrorCode,
+        text: String,
+    },
+    Reply {
+        session: SessionId,
+        reply: ClientReply,
+        state: SessionState,
+        /// Position of the session's last commit, for other nodes.
+        point: Option<LogPoint>,
+    },
+    CloseSession {
+        session: SessionId,
+    },
 
     // Connections to databases.
-    OpenLink { link: LinkId, cluster: Name, database: Name, address: SocketAddr },
-    CloseLink { link: LinkId },
+    OpenLink {
+        link: LinkId,
+        cluster: Name,
+        database: Name,
+        address: SocketAddr,
+    },
+    CloseLink {
+        link: LinkId,
+    },
     /// Send commands; each is answered in order.
-    Send { link: LinkId, commands: Vec<BackendCommand> },
+    Send {
+        link: LinkId,
+        commands: Vec<BackendCommand>,
+    },
 
     // The platform.
     /// Write the duty's document if its revision is still `expected` (0: it does not exist).
-    WriteDuty { attempt: u64, expected: u64, bytes: Vec<u8> },
+    WriteDuty {
+        attempt: u64,
+        expected: u64,
+        bytes: Vec<u8>,
+    },
     /// Publish this node's registration.
-    PublishNode { bytes: Vec<u8> },
+    PublishNode {
+        bytes: Vec<u8>,
+    },
     /// Read the current lists of databases and documents.
     ReadState,
     /// End the lease of another node's registration.
-    EndLease { node: Name, lease: u64 },
-    Promote { cluster: Name, database: Name, holder: Name, number: u64 },
+    EndLease {
+        node: Name,
+        lease: u64,
+    },
+    Promote {
+        cluster: Name,
+        database: Name,
+        holder: Name,
+        number: u64,
+    },
 
     // The process.
     SetReady(bool),
     ShutdownComplete,
     Log(LogRecord),
-    Count { counter: &'static str, amount: u64 },
+    Count {
+        counter: &'static str,
+        amount: u64,
+    },
     /// Time from a request's arrival to its reply.
-    Observe { histogram: &'static str, micros: u64 },
+    Observe {
+        histogram: &'static str,
+        micros: u64,
+    },
 }
 
 /// A structured log line.
--- a/crates/gate/src/backend.rs
+++ b/crates/gate/src/backend.rs
@@ -22,23 +22,43 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BackendCommand {
     /// A client's statement, unchanged. With `after`, only on a log that holds this position.
-    Run { id: Name, text: Name, after: Option<LogPoint> },
+    Run {
+        id: Name,
+        text: Name,
+        after: Option<LogPoint>,
+    },
     /// A client's execution of a prepared statement, by this proxy's name for it.
-    Execute { id: Name, prepared: Name, arguments: Name, after: Option<LogPoint> },
+    Execute {
+        id: Name,
+        prepared: Name,
+        arguments: Name,
+        after: Option<LogPoint>,
+    },
     /// Ends the open transaction without keeping anything.
     Rollback,
     /// Clears session values and prepared statements.
     Reset,
-    Set { name: Name, value: Name },
-    Prepare { name: Name, access: StatementAccess, shape: Name },
+    Set {
+        name: Name,
+        value: Name,
+    },
+    Prepare {
+        name: Name,
+        access: StatementAccess,
+        shape: Name,
+    },
     /// Asks for a report.
     Report,
     /// Stops a replica from receiving log until a change of primary; answered with a report.
-    Fence { term: Term },
+    Fence {
+        term: Term,
+    },
     /// Lifts a fence.
     Unfence,
     /// Makes a primary of a lower term a replica; answered with a report.
-    Demote { term: Term },
+    Demote {
+        term: Term,
+    },
 }
 
 /// A database's answer to one command.
@@ -58,7 +78,10 @@
 pub enum AnswerEnd {
     /// The database's signature, which clients verify.
     Done(Bytes),
-    Failed { code: ErrorCode, text: String },
+    Failed {
+        code: ErrorCode,
+        text: String,
+    },
 }
 
 /// Role that a database reports.
--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -80,8 +80,12 @@
     /// Replaces the whole list of databases.
     pub(crate) fn databases_listed(&mut self, list: Vec<ListedDatabase>) {
         let listed: FastSet<Name> = list.iter().map(|database| database.id.clone()).collect();
-        let missing: Vec<Name> =
-            self.databases.keys().filter(|name| !listed.contains(*name)).cloned().collect();
+        let missing: Vec<Name> = self
+            .databases
+            .iter()
+            .filter(|(name, database)| database.peer.is_none() && !listed.contains(*name))
+            .map(|(name, _)| name.clone())
+            .collect();
         for name in missing {
             self.database_unlisted(&name);
         }
@@ -150,7 +154,7 @@
         }
     }
 
-    fn remove_database(&mut self, name: &Name) {
+    pub(crate) fn remove_database(&mut self, name: &Name) {
         let Some(database) = self.databases.get(name) else { return };
         let (links, cluster) = (database.links.clone(), database.listed.cluster.clone());
         for link in links {
@@ -161,17 +165,7 @@
             state.members.retain(|member| member != name);
             state.evidence.distrust(name);
         }
-        let queued: Vec<WorkId> = self
-            .works
-            .iter()
-            .filter(|(_, work)| {
-                work.stage == WorkStage::Queued && work.database.as_ref() == Some(name)
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in queued {
-            self.route_work(id);
-        }
+        self.reroute_queued(name);
         self.log("database_removed", fields!["database" => name]);
     }
 
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -38,6 +38,8 @@
 /// A database, as listed and as found.
 #[derive(Debug)]
 pub(crate) struct Database {
+    /// Set if this stands for another node that serves one client database.
+    pub(crate) peer: Option<Name>,
     pub(crate) listed: ListedDatabase,
     /// Since when the entry is gone, if it is.
     pub(crate) unlisted: Option<Micros>,
@@ -66,6 +68,7 @@
 impl Database {
     pub(crate) fn new(listed: ListedDatabase) -> Self {
         Database {
+            peer: None,
             listed,
             unlisted: None,
             leaving_since: None,
@@ -238,6 +241,12 @@
         name
     }
 
+    /// Tells whether the connection cannot be given the state of any session again: another node has no
+    /// command that clears it.
+    pub(crate) fn is_spent(&self) -> bool {
+        !self.values.is_empty() || self.prepared.len() >= PREPARED_LIMIT
+    }
+
     /// Forgets the prepared statements, which the database no longer knows.
     pub(crate) fn forget_prepared(&mut self) {
         self.prepared.clear();
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -12,6 +12,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SessionId(pub u64);
 
+/// Who opened a session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SessionOrigin {
+    Client,
+    /// Another node, which forwards requests that it cannot serve.
+    Peer,
+}
+
 /// A connection to a database.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinkId(pub u64);
@@ -81,17 +89,37 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum GateEvent {
     // Clients.
-    SessionOpened { session: SessionId, database: Name },
+    SessionOpened {
+        session: SessionId,
+        database: Name,
+        origin: SessionOrigin,
+    },
     /// The next request; the shell sends one at a time.
-    RequestArrived { session: SessionId, request: ClientRequest },
-    SessionClosed { session: SessionId },
+    RequestArrived {
+        session: SessionId,
+        request: ClientRequest,
+    },
+    SessionClosed {
+        session: SessionId,
+    },
 
     // Connections to databases.
-    LinkOpened { link: LinkId, point: Option<LogPoint> },
+    LinkOpened {
+        link: LinkId,
+        point: Option<LogPoint>,
+    },
     /// The database refused the connection.
-    LinkRefused { link: LinkId, code: ErrorCode },
-    LinkLost { link: LinkId },
-    LinkAnswered { link: LinkId, answer: Box<BackendAnswer> },
+    LinkRefused {
+        link: LinkId,
+        code: ErrorCode,
+    },
+    LinkLost {
+        link: LinkId,
+    },
+    LinkAnswered {
+        link: LinkId,
+        answer: Box<BackendAnswer>,
+    },
 
     // The platform.
     RoutesChanged(Box<RouteTable>),
@@ -99,21 +127,36 @@
     DatabasesListed(Vec<ListedDatabase>),
     DatabaseChanged(ListedDatabase),
     /// The entry is gone or unusable.
-    DatabaseUnlisted { id: Name },
+    DatabaseUnlisted {
+        id: Name,
+    },
     /// All documents of this project.
     DocumentsListed(Vec<StoredDocument>),
     DocumentChanged(StoredDocument),
     DocumentRemoved(Document),
-    DutyWritten { attempt: u64, result: WriteResult },
+    DutyWritten {
+        attempt: u64,
+        result: WriteResult,
+    },
     /// The current state that a promotion asked for; `None` if the store did not answer.
-    StateRead { state: Option<StoreState> },
+    StateRead {
+        state: Option<StoreState>,
+    },
     /// Another node's lease has ended, or the call failed.
-    LeaseEnded { node: Name, ended: bool },
+    LeaseEnded {
+        node: Name,
+        ended: bool,
+    },
     /// This node's registration is stored and its lease was renewed by a call sent at `sent`.
-    PermitRenewed { sent: Micros },
+    PermitRenewed {
+        sent: Micros,
+    },
     /// The lease is gone; a new one is acquired with the next renewal.
     PermitLost,
-    PromoteAnswered { cluster: Name, result: PromoteResult },
+    PromoteAnswered {
+        cluster: Name,
+        result: PromoteResult,
+    },
     /// The store answers again, or no longer does.
     StoreReachable(bool),
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -17,6 +17,7 @@
 mod event;
 mod evidence;
 mod link;
+mod peer;
 mod permit;
 mod ready;
 mod roster;
@@ -35,8 +36,8 @@
 };
 pub use duty::{ACT_TIME, CALL_TIME, DutyRecord, DutyState, DutyWrite, TAKEOVER_WAIT};
 pub use event::{
-    Document, GateEvent, LinkId, ListedDatabase, PromoteResult, SessionId, StoreState,
-    StoredDocument, WriteResult, rank_of_priority,
+    Document, GateEvent, LinkId, ListedDatabase, PromoteResult, SessionId, SessionOrigin,
+    StoreState, StoredDocument, WriteResult, rank_of_priority,
 };
 pub use evidence::LeadEvidence;
 pub use permit::PERMIT_TIME;
@@ -48,6 +49,7 @@
 use cluster::ClusterState;
 use database::{Database, Link};
 use drain::DrainState;
+use peer::PeerState;
 use permit::PermitState;
 use ready::ReadyState;
 use roster::PublishedRecord;
@@ -90,6 +92,7 @@
     drain: DrainState,
     ready: ReadyState,
     permit: PermitState,
+    peers: PeerState,
 }
 
 impl Gate {
@@ -102,6 +105,7 @@
     /// let mut gate = Gate::new(GateSettings {
     ///     node: "n1".into(),
     ///     data_centre: "dc1".into(),
+    ///     peer_address: None,
     ///     process: 1,
     ///     grace: Micros::from_secs(6),
     /// });
@@ -128,6 +132,7 @@
             drain: DrainState::default(),
             ready: ReadyState::default(),
             permit: PermitState::default(),
+            peers: PeerState::default(),
             settings,
         }
     }
@@ -144,7 +149,9 @@
 
     fn dispatch(&mut self, event: GateEvent) {
         match event {
-            GateEvent::SessionOpened { session, database } => self.open_session(session, database),
+            GateEvent::SessionOpened { session, database, origin } => {
+                self.open_session(session, database, origin);
+            }
             GateEvent::RequestArrived { session, request } => {
                 self.request_arrived(session, request);
             }
@@ -182,6 +189,7 @@
     fn tick(&mut self) {
         self.check_works();
         self.tend_links();
+        self.tend_peers();
         self.tend_clusters();
         self.remove_unlisted();
         self.end_idle_transactions();
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -31,6 +31,9 @@
 /// burst of requests, and against the 12 ms that a new connection takes.
 const SURPLUS_TIME: Micros = Micros::from_millis(600);
 
+/// Connections to another node for one client database.
+const PEER_LINKS: u32 = 8;
+
 /// Time after its start in which a node opens one connection to each database. Databases drop the connections
 /// of VMs that lost power within 3 s.
 const START_TIME: Micros = Micros::from_millis(3_000);
@@ -58,9 +61,11 @@
         let waiting: u32 = database.queue.stats().waiting.0.iter().sum();
         let wanted = waiting + u32::from(database.report_wanted);
         let links = u32::try_from(database.links.len()).unwrap_or(u32::MAX);
-        let limit = database.link_limit(now, limit, nodes);
-        // A node that has just started leaves the rest to the others that started with it.
-        let limit = if now < self.started + START_TIME { 1 } else { limit };
+        let limit = match database.peer {
+            Some(_) => PEER_LINKS,
+            None if now < self.started + START_TIME => 1,
+            None => database.link_limit(now, limit, nodes),
+        };
         let first = links == 0 && self.keeps_link(name);
         let Some(database) = self.databases.get(name) else { return };
         if !first && (database.opening >= wanted || links >= limit || database.opening >= 2) {
@@ -103,7 +108,8 @@
         database.applied = point.max(database.applied);
         database.applied_at = now;
         database.idle.push(link);
-        if database.report.is_none() && database.listed.claimed_role == Some(DatabaseRole::Primary) {
+        if database.report.is_none() && database.listed.claimed_role == Some(DatabaseRole::Primary)
+        {
             database.report_wanted = true;
         }
         self.answered(&name);
@@ -125,6 +131,7 @@
                 database.full_at = Some(now);
             }
         }
+        self.reroute_queued(&name);
     }
 
     pub(crate) fn link_lost(&mut self, link: LinkId) {
@@ -143,6 +150,9 @@
         self.count("links_lost");
         self.log("link_lost", fields!["database" => &name, "link" => link.0, "opening" => opening]);
         self.remove_link(link);
+        if opening {
+            self.reroute_queued(&name);
+        }
         self.open_links(&name);
     }
 
@@ -254,7 +264,9 @@
             CommandPurpose::Run(work) if self.works.contains_key(&work) => {
                 self.statement_answered(work, link, answer);
             }
-            CommandPurpose::Begin(_) | CommandPurpose::Run(_) => self.orphan_answered(link, &answer),
+            CommandPurpose::Begin(_) | CommandPurpose::Run(_) => {
+                self.orphan_answered(link, &answer)
+            }
             CommandPurpose::Report => self.report_answered(link, pending.sent, &answer),
             CommandPurpose::Fence => self.fence_answered(link, pending.sent, &answer),
             CommandPurpose::Rollback | CommandPurpose::Control => {}
@@ -281,6 +293,10 @@
             return self.drop_link(link, "state in doubt");
         }
         let name = state.database.clone();
+        let spent = state.is_spent();
+        if spent && self.databases.get(&name).is_some_and(|database| database.peer.is_some()) {
+            return self.drop_link(link, "bound to one session");
+        }
         let Some(database) = self.databases.get_mut(&name) else { return };
         if !database.idle.contains(&link) {
             database.idle.push(link);
--- /dev/null
+++ b/crates/gate/src/peer.rs
@@ -0,0 +1,139 @@
+//! Forwarding to other nodes.
+//!
+//! A node forwards a request that it cannot serve itself: it reaches no primary or no proof of one, the
+//! databases give it no connection, or there are more nodes than connections and others hold them. Another node
+//! is used like a database: it takes the same commands, holds the session's state on the connection, and
+//! answers with the position of commits. It never forwards again, and refuses at once what it cannot serve.
+
+use model::{FastMap, Micros, Name};
+
+use crate::Gate;
+use crate::database::Database;
+use crate::event::{ListedDatabase, SessionOrigin};
+use crate::work::WorkId;
+
+/// Time for which a node that refused requests of a cluster is not asked again.
+const REFUSED_TIME: Micros = Micros::from_millis(300);
+
+/// Time after which an unused entry of a node is removed.
+const UNUSED_TIME: Micros = Micros::from_millis(5_000);
+
+/// Connections that a node needs for one database to run transactions beside other requests.
+const HOLDER_LINKS: u32 = 3;
+
+/// What is known of other nodes.
+#[derive(Debug, Default)]
+pub(crate) struct PeerState {
+    /// When a node last refused requests of a cluster.
+    refused: FastMap<(Name, Name), Micros>,
+}
+
+impl Gate {
+    /// Tells whether this node holds connections to a cluster's databases.
+    pub(crate) fn holds_links(&self, cluster: &Name) -> bool {
+        self.is_holder(cluster, &self.settings.node)
+    }
+
+    fn is_holder(&self, cluster: &Name, node: &Name) -> bool {
+        let nodes = self.roster.live();
+        let Some(limits) = self.table.clusters.get(cluster) else { return true };
+        if nodes <= limits.connections {
+            return true;
+        }
+        let holders = (limits.connections / 2 / HOLDER_LINKS).max(2);
+        self.roster.place_of(cluster, node) < u64::from(holders)
+    }
+
+    pub(crate) fn is_forwarded(&self, id: WorkId) -> bool {
+        self.works
+            .get(&id)
+            .and_then(|work| self.sessions.get(&work.session))
+            .is_some_and(|session| session.origin == SessionOrigin::Peer)
+    }
+
+    /// Chooses a node that may be able to serve a request; returns the entry that stands for it.
+    pub(crate) fn choose_peer(&mut self, id: WorkId) -> Option<Name> {
+        if self.is_forwarded(id) {
+            return None;
+        }
+        let work = self.works.get(&id)?;
+        let (cluster, client_database) = (work.route.cluster.clone(), work.route.database.clone());
+        let own = self.settings.data_centre.as_str();
+        let mut best = None;
+        for (node, record) in self.roster.others() {
+            let Some(address) = record.peer_address else { continue };
+            let name = entry_name(node, &client_database);
+            let refused = self.peers.refused.get(&(node.clone(), cluster.clone()));
+            if record.complaints.contains(cluster.as_str())
+                || refused.is_some_and(|at| self.now < *at + REFUSED_TIME)
+                || work.avoided.contains(&name)
+                || !self.is_holder(&cluster, node)
+            {
+                continue;
+            }
+            let entry = self.databases.get(&name);
+            if entry.is_some_and(|entry| !entry.is_responsive(self.now)) {
+                continue;
+            }
+            let far = record.data_centre != own;
+            let load = entry.map_or(0, Database::load);
+            let rank = (load, far, self.roster.place_of(&cluster, node), name, address);
+            if best.as_ref().is_none_or(|best| rank < *best) {
+                best = Some(rank);
+            }
+        }
+        let (_, _, _, name, address) = best?;
+        if !self.databases.contains_key(&name) {
+            let listed = ListedDatabase {
+                id: name.clone(),
+                cluster: client_database,
+                address,
+                data_centre: Name::default(),
+                slots: 1,
+                leaving: false,
+                claimed_role: None,
+            };
+            let mut entry = Database::new(listed);
+            entry.peer = name.split('/').next().map(Name::from);
+            entry.answered = Some(self.now);
+            self.databases.insert(name.clone(), entry);
+        }
+        self.count("requests_forwarded");
+        Some(name)
+    }
+
+    /// Notes that an entry refused a request; returns false if it does not stand for a node.
+    pub(crate) fn peer_refused(&mut self, entry: &Name, cluster: &Name) -> bool {
+        let node = self.databases.get(entry).and_then(|database| database.peer.clone());
+        let Some(node) = node else { return false };
+        self.peers.refused.insert((node, cluster.clone()), self.now);
+        true
+    }
+
+    /// Removes the entries of nodes that are gone or were not used for a while.
+    pub(crate) fn tend_peers(&mut self) {
+        let now = self.now;
+        let unused: Vec<Name> = self
+            .databases
+            .iter()
+            .filter(|(_, entry)| match &entry.peer {
+                Some(node) => {
+                    let idle = entry.load() == 0
+                        && entry.answered.is_none_or(|at| now >= at + UNUSED_TIME);
+                    idle || self.roster.get(node).is_none()
+                }
+                None => false,
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in unused {
+            self.remove_database(&name);
+        }
+        self.peers.refused.retain(|_, at| now < *at + REFUSED_TIME);
+    }
+}
+
+/// Names the entry of a node for one client database.
+fn entry_name(node: &Name, client_database: &Name) -> Name {
+    Name::from(format!("{node}/{client_database}"))
+}
--- a/crates/gate/src/ready.rs
+++ b/crates/gate/src/ready.rs
@@ -31,9 +31,10 @@
 impl Gate {
     pub(crate) fn update_ready(&mut self) {
         let now = self.now;
-        let routed = self.table.clusters.keys().filter(|cluster| {
-            self.table.routes.values().any(|route| route.cluster == **cluster)
-        });
+        let routed =
+            self.table.clusters.keys().filter(|cluster| {
+                self.table.routes.values().any(|route| route.cluster == **cluster)
+            });
         let (mut clusters, mut usable) = (0_u32, 0_u32);
         for cluster in routed {
             clusters += 1;
@@ -48,8 +49,7 @@
         let was_ready = self.ready.ready;
         let patience = if self.permit().is_some() { CUT_OFF_TIME } else { ISOLATED_TIME };
         let kept = was_ready && cut_off.is_some_and(|since| now < since + patience);
-        let ready =
-            clusters > 0 && self.drain.since.is_none() && (cut_off.is_none() || kept);
+        let ready = clusters > 0 && self.drain.since.is_none() && (cut_off.is_none() || kept);
         if ready != was_ready || !self.ready.announced {
             self.ready.ready = ready;
             self.ready.announced = true;
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -5,6 +5,7 @@
 //! that the others reach.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use model::{FastMap, Micros, Name};
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,11 @@
     /// Revision of the newest announcement of changes that the node acts on.
     #[serde(default)]
     pub seen: u64,
+    /// Where the node takes forwarded requests.
+    #[serde(default)]
+    pub peer_address: Option<SocketAddr>,
+    #[serde(default)]
+    pub data_centre: String,
 }
 
 /// The registered nodes.
@@ -68,6 +74,16 @@
         u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
     }
 
+    /// Returns the other nodes.
+    pub fn others(&self) -> impl Iterator<Item = (&Name, &NodeRecord)> {
+        self.nodes.iter().filter(|(name, _)| **name != self.own)
+    }
+
+    /// Returns a node's record.
+    pub fn get(&self, node: &Name) -> Option<&NodeRecord> {
+        self.nodes.get(node)
+    }
+
     /// Tells whether a node has acknowledged an announcement.
     pub fn has_seen(&self, node: &Name, announced: u64) -> bool {
         self.nodes.get(node).is_some_and(|record| record.seen >= announced)
@@ -93,7 +109,12 @@
 
     /// Returns this node's place among all nodes for work on a cluster.
     pub fn place(&self, cluster: &Name) -> u64 {
-        let own = order_key(cluster, &self.own);
+        self.place_of(cluster, &self.own)
+    }
+
+    /// Returns a node's place among all nodes for work on a cluster.
+    pub fn place_of(&self, cluster: &Name, node: &Name) -> u64 {
+        let own = order_key(cluster, node);
         let before = self.nodes.keys().filter(|name| order_key(cluster, name) < own).count();
         u64::try_from(before).unwrap_or(u64::MAX)
     }
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -11,7 +11,7 @@
 use crate::action::{ClientReply, GateAction};
 use crate::backend::{BackendCommand, LogPoint};
 use crate::database::CommandPurpose;
-use crate::event::{LinkId, SessionId};
+use crate::event::{LinkId, SessionId, SessionOrigin};
 use crate::route::{Freshness, RouteConfig};
 use crate::statement::{ClientRequest, ErrorCode, SessionState, Statement, StatementAccess};
 use crate::work::{WorkId, WorkKind};
@@ -25,7 +25,12 @@
 pub(crate) enum Transaction {
     None,
     /// `BEGIN` was answered; no database knows of it yet.
-    Pending { begin: ClientRequest, read_only: bool, begun: Micros, route: Arc<RouteConfig> },
+    Pending {
+        begin: ClientRequest,
+        read_only: bool,
+        begun: Micros,
+        route: Arc<RouteConfig>,
+    },
     Open(OpenTransaction),
     Failed,
 }
@@ -50,6 +55,7 @@
     pub(crate) floors: FastMap<Name, LogPoint>,
     pub(crate) transaction: Transaction,
     pub(crate) work: Option<WorkId>,
+    pub(crate) origin: SessionOrigin,
 }
 
 impl Session {
@@ -67,7 +73,12 @@
 }
 
 impl Gate {
-    pub(crate) fn open_session(&mut self, session: SessionId, database: Name) {
+    pub(crate) fn open_session(
+        &mut self,
+        session: SessionId,
+        database: Name,
+        origin: SessionOrigin,
+    ) {
         let refusal = if self.table.version == 0 {
             Some((ErrorCode::Busy, "no configuration yet"))
         } else if !self.table.routes.contains_key(&database) {
@@ -96,6 +107,7 @@
             floors: FastMap::default(),
             transaction: Transaction::None,
             work: None,
+            origin,
         };
         self.sessions.insert(session, state);
         self.out.push(GateAction::AcceptSession { session });
@@ -251,17 +263,17 @@
 
     pub(crate) fn reply_done(&mut self, session: SessionId) {
         let reply = ClientReply::Done { rows: Vec::new(), signature: None };
-        self.reply(session, reply);
+        self.reply(session, reply, None);
     }
 
     pub(crate) fn reply_error(&mut self, session: SessionId, code: ErrorCode, text: &str) {
-        self.reply(session, ClientReply::Failed { code, text: text.to_string() });
+        self.reply(session, ClientReply::Failed { code, text: text.to_string() }, None);
     }
 
-    pub(crate) fn reply(&mut self, id: SessionId, reply: ClientReply) {
+    pub(crate) fn reply(&mut self, id: SessionId, reply: ClientReply, point: Option<LogPoint>) {
         let Some(session) = self.sessions.get(&id) else { return };
         let state = session.state();
-        self.out.push(GateAction::Reply { session: id, reply, state });
+        self.out.push(GateAction::Reply { session: id, reply, state, point });
     }
 
     /// Ends transactions that were idle for too long, so that they do not hold connections.
@@ -272,9 +284,7 @@
             .sessions
             .iter()
             .filter(|(_, session)| match &session.transaction {
-                Transaction::Open(open) => {
-                    session.work.is_none() && now >= open.idle_since + limit
-                }
+                Transaction::Open(open) => session.work.is_none() && now >= open.idle_since + limit,
                 _ => false,
             })
             .map(|(id, _)| *id)
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -1,5 +1,7 @@
 //! What a gate knows of its own process.
 
+use std::net::SocketAddr;
+
 use model::{Micros, Name};
 
 /// Settings of one gate.
@@ -7,6 +9,8 @@
 pub struct GateSettings {
     pub node: Name,
     pub data_centre: Name,
+    /// Where other nodes forward requests to.
+    pub peer_address: Option<SocketAddr>,
     /// Distinguishes processes that ran under the same name.
     pub process: u64,
     /// Time between SIGTERM and SIGKILL.
--- a/crates/gate/src/statement.rs
+++ b/crates/gate/src/statement.rs
@@ -2,6 +2,8 @@
 
 use model::Name;
 
+use crate::backend::LogPoint;
+
 /// Whether a prepared statement reads or writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum StatementAccess {
@@ -12,16 +14,30 @@
 /// A statement, as every codec hands it to the core.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Statement {
-    Begin { read_only: bool },
+    Begin {
+        read_only: bool,
+    },
     Commit,
     Rollback,
     Read,
     Write,
-    Set { name: Name, value: Name },
-    Prepare { name: Name, access: StatementAccess, shape: Name },
+    Set {
+        name: Name,
+        value: Name,
+    },
+    Prepare {
+        name: Name,
+        access: StatementAccess,
+        shape: Name,
+    },
     /// `arguments` is everything behind the prepared name.
-    Execute { name: Name, arguments: Name },
-    Deallocate { name: Name },
+    Execute {
+        name: Name,
+        arguments: Name,
+    },
+    Deallocate {
+        name: Name,
+    },
 }
 
 /// One request of a session.
@@ -32,6 +48,8 @@
     /// The statement as the client wrote it; passed on unchanged except for prepared names.
     pub text: Name,
     pub statement: Statement,
+    /// Position that a read needs; only other nodes send one.
+    pub after: Option<LogPoint>,
 }
 
 /// Transaction state that a client is told with each reply.
--- a/crates/gate/src/takeover.rs
+++ b/crates/gate/src/takeover.rs
@@ -219,6 +219,8 @@
         let mut record = self.published.record.clone().unwrap_or_default();
         record.process = self.settings.process;
         record.seen = self.permit.seen;
+        record.peer_address = self.settings.peer_address;
+        record.data_centre = self.settings.data_centre.to_string();
         self.publish(record);
     }
 
@@ -238,6 +240,8 @@
             process: self.settings.process,
             complaints: Default::default(),
             seen: self.permit.seen,
+            peer_address: self.settings.peer_address,
+            data_centre: self.settings.data_centre.to_string(),
         };
         for cluster in &clusters {
             let complaint = self.complaint(cluster);
@@ -483,8 +487,7 @@
         for cluster in clusters {
             let now = self.now;
             let Some(takeover) = self.takeovers.running.get_mut(&cluster) else { continue };
-            let waits =
-                matches!(takeover.stage, TakeoverStage::Listing | TakeoverStage::Relisting);
+            let waits = matches!(takeover.stage, TakeoverStage::Listing | TakeoverStage::Relisting);
             if !waits || !takeover.in_flight {
                 continue;
             }
@@ -634,9 +637,9 @@
         let now = self.now;
         let Some(takeover) = self.takeovers.running.get_mut(cluster) else { return };
         let (announced, roster) = (takeover.announced, &self.roster);
-        takeover.unacknowledged.retain(|node, wait| {
-            *wait == LeaseWait::Ended || !roster.has_seen(node, announced)
-        });
+        takeover
+            .unacknowledged
+            .retain(|node, wait| *wait == LeaseWait::Ended || !roster.has_seen(node, announced));
         let mut ends = Vec::new();
         for (node, wait) in &mut takeover.unacknowledged {
             if let LeaseWait::Held { lease, asked } = wait
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -155,34 +155,40 @@
         if matches!(work.kind, WorkKind::Continue) {
             return self.continue_transaction(id);
         }
-        let (route, begun) = (work.route.clone(), work.begun);
+        let (route, begun, for_leader) = (work.route.clone(), work.begun, work.needs_leader());
+        let writes = matches!(work.kind, WorkKind::Write);
+        if !self.holds_links(&route.cluster)
+            && let Some(peer) = self.choose_peer(id)
+        {
+            return self.queue_at(id, peer, self.session_floor(id), None);
+        }
         let Some(cluster) = self.clusters.get(&route.cluster) else {
             return self.refuse(id, ErrorCode::Busy, "no database is known for the route");
         };
         let since = covered_since(route.freshness, begun);
-        if !work.needs_leader()
+        if !for_leader
             && let Some(since) = since
         {
-            let floor = match route.freshness {
-                Freshness::Session(_) => self
-                    .sessions
-                    .get(&work.session)
-                    .and_then(|session| session.floors.get(&route.cluster).copied()),
-                Freshness::Latest | Freshness::Bounded(_) => None,
-            };
             if let Some(point) = cluster.evidence.sample(since) {
-                let after = Some(point).max(floor);
+                let after = Some(point).max(self.session_floor(id));
                 if let Some(replica) = self.choose_replica(id, &route.cluster, after) {
                     return self.queue_at(id, replica, after, None);
                 }
             }
         }
-        let need = match &work.kind {
-            WorkKind::Write => None,
-            _ => Some(since.unwrap_or(begun)),
+        let need = if writes { None } else { Some(since.unwrap_or(begun)) };
+        let Some(leader) = self.usable_leader(&route.cluster) else {
+            if !self.is_announced(&route.cluster)
+                && let Some(peer) = self.choose_peer(id)
+            {
+                return self.queue_at(id, peer, self.session_floor(id), None);
+            }
+            return self.park(id);
         };
-        let Some(leader) = self.usable_leader(&route.cluster) else { return self.park(id) };
         if self.databases.get(&leader).is_some_and(|database| database.is_closed(self.now)) {
+            if let Some(peer) = self.choose_peer(id) {
+                return self.queue_at(id, peer, self.session_floor(id), None);
+            }
             let text = "not run, no connection to the primary is free, retry after 150 ms";
             return self.refuse(id, ErrorCode::Busy, text);
         }
@@ -190,6 +196,12 @@
         if need.is_none_or(|need| self.is_proved(&route.cluster, &leader, need)) {
             return self.queue_at(id, leader, None, need);
         }
+        if self.permit().is_none()
+            && !self.can_witness(&route.cluster)
+            && let Some(peer) = self.choose_peer(id)
+        {
+            return self.queue_at(id, peer, self.session_floor(id), None);
+        }
         if let Some(work) = self.works.get_mut(&id) {
             work.stage = WorkStage::Proving;
             work.need = need;
@@ -201,6 +213,30 @@
         self.want_proof(&route.cluster, need.unwrap_or(begun));
     }
 
+    /// Returns the position that a read needs for what its session has written, or another node asks for.
+    fn session_floor(&self, id: WorkId) -> Option<LogPoint> {
+        let work = self.works.get(&id)?;
+        let own = match work.route.freshness {
+            Freshness::Session(_) => {
+                self.sessions.get(&work.session)?.floors.get(&work.route.cluster)
+            }
+            Freshness::Latest | Freshness::Bounded(_) => None,
+        };
+        own.copied().max(work.request.after)
+    }
+
+    /// Tells whether a replica could prove that the leader leads.
+    fn can_witness(&self, cluster: &Name) -> bool {
+        let Some(state) = self.clusters.get(cluster) else { return false };
+        let leader = state.evidence.leader();
+        state.members.iter().any(|name| {
+            Some(name) != leader
+                && self.databases.get(name).is_some_and(|database| {
+                    database.is_usable(self.now) && !database.is_closed(self.now)
+                })
+        })
+    }
+
     fn is_proved(&self, cluster: &Name, database: &Name, need: Micros) -> bool {
         self.clusters.get(cluster).is_some_and(|state| state.evidence.proves(database, need))
     }
@@ -218,12 +254,7 @@
     }
 
     /// Chooses the least loaded replica that is known or likely to hold the position.
-    fn choose_replica(
-        &self,
-        id: WorkId,
-        cluster: &Name,
-        after: Option<LogPoint>,
-    ) -> Option<Name> {
+    fn choose_replica(&self, id: WorkId, cluster: &Name, after: Option<LogPoint>) -> Option<Name> {
         let work = self.works.get(&id)?;
         let state = self.clusters.get(cluster)?;
         let leader = state.evidence.leader();
@@ -256,13 +287,7 @@
         Some(name)
     }
 
-    fn queue_at(
-        &mut self,
-        id: WorkId,
-        name: Name,
-        after: Option<LogPoint>,
-        need: Option<Micros>,
-    ) {
+    fn queue_at(&mut self, id: WorkId, name: Name, after: Option<LogPoint>, need: Option<Micros>) {
         let now = self.now;
         let Some(work) = self.works.get_mut(&id) else { return };
         let Some(database) = self.databases.get_mut(&name) else { return };
@@ -308,6 +333,11 @@
         work.database = None;
         let Some(state) = self.clusters.get_mut(&cluster) else { return };
         state.leader_missed.get_or_insert(now);
+        if self.is_forwarded(id) {
+            let text = "not run, this node reaches no primary, retry at once";
+            return self.refuse(id, ErrorCode::Busy, text);
+        }
+        let Some(state) = self.clusters.get_mut(&cluster) else { return };
         let closed = !state.members.is_empty()
             && state.members.iter().all(|name| {
                 self.databases.get(name).is_some_and(|database| database.is_closed(now))
@@ -459,7 +489,11 @@
         let paused = now + pause.unwrap_or(Micros::ZERO);
         work.link = None;
         if work.tries >= TRY_LIMIT || paused >= work.deadline {
-            return self.refuse(id, code, "not run, no database could serve it, retry after 200 ms");
+            return self.refuse(
+                id,
+                code,
+                "not run, no database could serve it, retry after 200 ms",
+            );
         }
         let fields = fields![
             "request" => &work.request.id,
@@ -531,6 +565,12 @@
                 }
                 self.retry_work(id, None, ErrorCode::Busy);
             }
+            _ if self.peer_refused(&database, &cluster) => {
+                if let Some(work) = self.works.get_mut(&id) {
+                    work.avoided.push(database);
+                }
+                self.retry_work(id, None, ErrorCode::Busy);
+            }
             _ => self.retry_work(id, Some(BUSY_PAUSE), ErrorCode::Busy),
         }
     }
@@ -550,7 +590,11 @@
             AnswerEnd::Done(_) => self.statement_succeeded(id, answer),
             AnswerEnd::Failed { code, text } => {
                 let (code, text) = (*code, text.clone());
-                if in_transaction {
+                let first = matches!(work.kind, WorkKind::Begin { .. });
+                if first && code.promises_not_run() && work.tries < TRY_LIMIT {
+                    self.reopen_transaction(id, link);
+                    self.not_run(id, code);
+                } else if in_transaction {
                     self.fail_transaction(id, code, &text);
                 } else if code.promises_not_run() {
                     self.not_run(id, code);
@@ -567,6 +611,17 @@
         }
     }
 
+    /// Takes back a transaction of which no statement has run.
+    fn reopen_transaction(&mut self, id: WorkId, link: LinkId) {
+        let Some(work) = self.works.get(&id) else { return };
+        let WorkKind::Begin { begin, read_only } = work.kind.clone() else { return };
+        let (session_id, begun, route) = (work.session, work.begun, work.route.clone());
+        if let Some(session) = self.sessions.get_mut(&session_id) {
+            session.transaction = Transaction::Pending { begin, read_only, begun, route };
+        }
+        self.release_pin(link, session_id);
+    }
+
     fn statement_succeeded(&mut self, id: WorkId, answer: BackendAnswer) {
         let now = self.now;
         let Some(work) = self.works.get_mut(&id) else { return };
@@ -607,7 +662,8 @@
         let AnswerEnd::Done(signature) = answer.end else { return };
         let reply = ClientReply::Done { rows: answer.rows, signature: Some(signature) };
         let commit = self.works.get(&id).is_some_and(Work::is_commit);
-        self.finish_work(id, reply, "served", commit);
+        let point = answer.point;
+        self.finish_work(id, reply, "served", commit, point);
     }
 
     /// Answers a request that failed or is given up, outside an open transaction.
@@ -620,7 +676,7 @@
         {
             session.transaction = Transaction::Failed;
         }
-        self.finish_work(id, reply, code.name(), false);
+        self.finish_work(id, reply, code.name(), false, None);
     }
 
     /// Answers a statement whose transaction cannot go on. What is open is rolled back.
@@ -635,7 +691,7 @@
             }
         }
         let reply = ClientReply::Failed { code, text: text.to_string() };
-        self.finish_work(id, reply, code.name(), false);
+        self.finish_work(id, reply, code.name(), false, None);
     }
 
     fn finish_work(
@@ -644,6 +700,7 @@
         reply: ClientReply,
         outcome: &'static str,
         committed: bool,
+        point: Option<LogPoint>,
     ) {
         self.release_slot(id);
         let Some(work) = self.works.remove(&id) else { return };
@@ -682,12 +739,35 @@
                 "outcome" => outcome
             ],
         );
-        self.reply(work.session, reply);
+        self.reply(work.session, reply, point);
         if let Some(name) = work.database {
             self.pump(&name);
         }
     }
 
+    /// Routes the requests that wait at a database which gives no connection.
+    pub(crate) fn reroute_queued(&mut self, name: &Name) {
+        let Some(database) = self.databases.get(name) else { return };
+        if database.links.len() > database.opening as usize {
+            return;
+        }
+        let queued: Vec<WorkId> = self
+            .works
+            .iter()
+            .filter(|(_, work)| {
+                work.stage == WorkStage::Queued && work.database.as_ref() == Some(name)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in queued {
+            if let Some(work) = self.works.get_mut(&id) {
+                work.avoided.push(name.clone());
+            }
+            self.release_slot(id);
+            self.route_work(id);
+        }
+    }
+
     /// Forgets a request whose client is gone.
     pub(crate) fn abandon_work(&mut self, id: WorkId) {
         self.release_slot(id);
@@ -750,7 +830,11 @@
         let late = self.now >= work.deadline;
         match work.stage {
             WorkStage::Parked | WorkStage::Paused(_) | WorkStage::Queued => {
-                self.refuse(id, ErrorCode::Busy, "not run, no primary within the time, retry at once");
+                self.refuse(
+                    id,
+                    ErrorCode::Busy,
+                    "not run, no primary within the time, retry at once",
+                );
             }
             WorkStage::Proving => {
                 let text = "not run, the primary could not be proved to lead, retry after 500 ms";
--- /dev/null
+++ b/crates/gate/tests/leadership.rs
@@ -0,0 +1,214 @@
+//! Proof of the leader and changes of primary, in virtual time.
+
+mod support;
+
+use gate::{DatabaseRole, ErrorCode};
+use model::{Micros, Term};
+use support::{BOUNDED, LATEST, SESSION, World};
+
+fn millis(time: u64) -> Micros {
+    Micros::from_millis(time)
+}
+
+/// Reads of current data on every node every 20 ms, as in a steady load.
+fn load(world: &mut World, time: Micros) {
+    let end = world.now + time;
+    let mut turn = 0;
+    while world.now < end {
+        for gate in 0..world.gates.len() {
+            if world.stopped.contains(&gate) {
+                continue;
+            }
+            let session = world.open(gate, LATEST);
+            turn += 1;
+            world.ask(gate, session, &format!("load{turn}-{}", world.now.0), "READ 1");
+            let session = world.open(gate, BOUNDED);
+            world.ask(gate, session, &format!("view{turn}-{}", world.now.0), "READ 1");
+        }
+        world.run(millis(20));
+    }
+}
+
+#[test]
+fn reads_of_current_data_run_at_the_primary_without_a_report_each() {
+    let mut world = World::start(3);
+    let before = world.databases["b"].reports + world.databases["c"].reports;
+    for turn in 0..50 {
+        let session = world.open(0, LATEST);
+        world.ask(0, session, &format!("r{turn}"), "READ 1");
+        world.run(millis(20));
+        assert_eq!(world.outcome(session), "served");
+        assert!(world.ran_at("a", &format!("r{turn}")));
+    }
+    let after = world.databases["b"].reports + world.databases["c"].reports;
+    assert_eq!(after, before, "the permit proves the primary");
+}
+
+#[test]
+fn without_the_store_each_read_is_proved_by_a_report_before_it_runs() {
+    let mut world = World::start(3);
+    world.storeless.insert(0);
+    world.run(millis(1_000));
+    let before = world.databases["b"].reports + world.databases["c"].reports;
+    let session = world.open(0, LATEST);
+    world.ask(0, session, "r", "READ 1");
+    world.run(millis(40));
+    assert_eq!(world.outcome(session), "served");
+    let after = world.databases["b"].reports + world.databases["c"].reports;
+    assert!(after > before);
+}
+
+#[test]
+fn a_node_alone_with_the_primary_runs_no_read_there() {
+    let mut world = World::start(3);
+    world.storeless.insert(0);
+    world.cut(0, "b");
+    world.cut(0, "c");
+    world.run(millis(1_000));
+    let session = world.open(0, LATEST);
+    world.ask(0, session, "r", "READ 1");
+    world.run(millis(1_000));
+    assert_eq!(world.outcome(session), ErrorCode::Busy.name());
+    assert!(!world.ran_at("a", "r"));
+}
+
+#[test]
+fn a_dark_primary_is_replaced_and_writes_go_on() {
+    let mut world = World::start(4);
+    load(&mut world, millis(500));
+    world.database("a").dark = true;
+    let dark = world.now;
+    load(&mut world, millis(2_500));
+    let (at, _, number) = world.promotions[0].clone();
+    assert_eq!(world.promotions.len(), 1);
+    assert_eq!(number, 1);
+    assert!(at < dark + millis(1_500), "promoted {} after the failure", at - dark);
+    let session = world.open(1, LATEST);
+    world.ask(1, session, "w", "WRITE 1 x");
+    world.run(millis(50));
+    assert_eq!(world.outcome(session), "served");
+}
+
+#[test]
+fn the_replica_with_the_longest_log_is_promoted() {
+    let mut world = World::start(4);
+    load(&mut world, millis(300));
+    world.database("b").deaf = true;
+    for turn in 0..5 {
+        let session = world.open(0, LATEST);
+        world.ask(0, session, &format!("w{turn}"), "WRITE 1 x");
+        world.run(millis(20));
+        assert_eq!(world.outcome(session), "served");
+    }
+    world.database("a").dark = true;
+    load(&mut world, millis(2_500));
+    assert_eq!(&*world.promotions[0].1, "c");
+    assert_eq!(world.databases["c"].received.number, 15);
+}
+
+/// A third of the nodes loses the primary, as the nodes of one data centre do in a cut.
+#[test]
+fn a_third_of_the_nodes_does_not_move_a_primary() {
+    let mut world = World::start(6);
+    world.cut(0, "a");
+    world.cut(1, "a");
+    load(&mut world, millis(3_000));
+    assert_eq!(world.promotions, []);
+    assert!(world.logged("primary_suspected") > 0);
+}
+
+/// An announcement is over before one node has heard of the new primary. Its permit is valid all the
+/// time, and the old primary still answers it.
+#[test]
+fn a_permit_does_not_outlive_an_announced_change() {
+    let mut world = World::start(4);
+    load(&mut world, millis(300));
+    // Nodes 1 to 3 lose the primary. Node 0 keeps it, loses the replicas and hears of no list change.
+    for gate in 1..4 {
+        world.cut(gate, "a");
+    }
+    world.cut(0, "b");
+    world.cut(0, "c");
+    world.unlisted_for.insert(0);
+    load(&mut world, millis(3_000));
+    assert_eq!(world.promotions.len(), 1);
+    let session = world.open(1, LATEST);
+    world.ask(1, session, "w", "WRITE 1 x");
+    world.run(millis(50));
+    assert_eq!(world.outcome(session), "served");
+    let session = world.open(0, LATEST);
+    world.ask(0, session, "late", "READ 1");
+    world.run(millis(500));
+    assert!(!world.ran_at("a", "late"), "the replaced primary lacks the commit");
+}
+
+/// A node that hears of no announcement keeps its permit until its lease is ended.
+#[test]
+fn a_promotion_waits_for_the_permit_of_a_node_that_did_not_acknowledge() {
+    let mut world = World::start(4);
+    load(&mut world, millis(300));
+    world.unheard.insert(0);
+    for gate in 1..4 {
+        world.cut(gate, "a");
+    }
+    let end = world.now + millis(4_000);
+    while world.now < end && world.promotions.is_empty() {
+        load(&mut world, millis(20));
+    }
+    let promoted = world.promotions[0].0;
+    let ended = world.logs.iter().find(|(_, _, record)| record.event == "lease_ended");
+    let (ended, ..) = ended.expect("the lease of node 0 is ended");
+    assert!(promoted >= *ended + gate::PERMIT_TIME);
+}
+
+#[test]
+fn fences_of_a_node_that_died_are_lifted() {
+    let mut world = World::start(4);
+    load(&mut world, millis(300));
+    world.database("b").fence = Term(2);
+    world.database("c").fence = Term(2);
+    for name in ["b", "c"] {
+        // Any report shows the fence; here each node asks again for a witness.
+        world.unheard.clear();
+        world.renewing.clear();
+        assert_eq!(world.databases[name].role, DatabaseRole::Replica);
+    }
+    world.run(millis(1_200));
+    world.renewing = (0..4).collect();
+    load(&mut world, millis(4_000));
+    assert_eq!(world.databases["b"].fence.max(world.databases["c"].fence), Term(0));
+    let session = world.open(2, LATEST);
+    world.ask(2, session, "w", "WRITE 1 x");
+    world.run(millis(50));
+    assert_eq!(world.outcome(session), "served");
+}
+
+#[test]
+fn a_leaving_primary_is_replaced_by_one_that_stays() {
+    let mut world = World::start(4);
+    load(&mut world, millis(300));
+    world.database("a").leaving = true;
+    world.database("b").leaving = true;
+    world.publish_database("a");
+    world.publish_database("b");
+    load(&mut world, millis(1_500));
+    assert_eq!(&*world.promotions[0].1, "c");
+    let session = world.open(0, SESSION);
+    world.ask(0, session, "w", "WRITE 1 x");
+    world.run(millis(50));
+    assert_eq!(world.outcome(session), "served");
+}
+
+#[test]
+fn a_session_reads_its_own_write_and_lagging_replicas_are_left_out() {
+    let mut world = World::start(2);
+    load(&mut world, millis(300));
+    world.database("b").deaf = true;
+    let session = world.open(0, SESSION);
+    world.ask(0, session, "w", "WRITE 1 x");
+    world.run(millis(30));
+    world.ask(0, session, "r", "READ 1");
+    world.run(millis(60));
+    assert_eq!(world.outcome(session), "served");
+    assert!(!world.ran_at("b", "r"));
+}
--- /dev/null
+++ b/crates/gate/tests/support/mod.rs
@@ -0,0 +1,573 @@
+//! A small world in virtual time: gates, databases with replication and terms, and the platform's store.
+//!
+//! Links can be cut per pair of node and database, and a node can be cut from the store. Everything that is
+//! sent takes [`HOP`]; what meets a cut is lost.
+
+#![allow(dead_code)] // Each test program uses a part of it.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use gate::*;
+use model::{Micros, Name, Rank, Term};
+
+/// One way between any two parties.
+pub const HOP: Micros = Micros::from_millis(1);
+
+/// Time that a database takes for a statement.
+const WORK: Micros = Micros::from_millis(3);
+
+/// Time from the call to a promotion's effect.
+const PROMOTE: Micros = Micros::from_millis(300);
+
+pub const CLUSTER: &str = "billing";
+
+/// Client databases, by the freshness that their route asks for.
+pub const LATEST: &str = "sales";
+pub const BOUNDED: &str = "balances";
+pub const SESSION: &str = "readings";
+
+#[derive(Clone, Debug)]
+pub struct FakeDatabase {
+    pub role: DatabaseRole,
+    pub term: Term,
+    pub received: LogPoint,
+    pub fence: Term,
+    pub dark: bool,
+    /// Receives no log, and is not a synchronous replica meanwhile.
+    pub deaf: bool,
+    pub leaving: bool,
+    pub full: bool,
+    /// Statements in the order in which they ran, with the position of the log.
+    pub ran: Vec<(Name, LogPoint)>,
+    pub reports: usize,
+}
+
+#[derive(Clone, Debug)]
+enum Delivery {
+    Gate(usize, GateEvent),
+    Command { gate: usize, link: LinkId, database: Name, command: BackendCommand },
+    Answer { gate: usize, link: LinkId, database: Name, answer: Box<BackendAnswer> },
+    Promoted { database: Name },
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Scheduled {
+    at: Micros,
+    sequence: u64,
+}
+
+/// What a client was answered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answered {
+    pub at: Micros,
+    pub session: SessionId,
+    pub reply: ClientReply,
+}
+
+pub struct World {
+    pub now: Micros,
+    pub gates: Vec<Gate>,
+    pub names: Vec<Name>,
+    pub databases: BTreeMap<Name, FakeDatabase>,
+    /// Pairs of node and database that cannot reach each other.
+    pub cuts: BTreeSet<(usize, Name)>,
+    /// Nodes without the store.
+    pub storeless: BTreeSet<usize>,
+    /// Nodes that hear nothing of changes of documents, while their calls are answered.
+    pub unheard: BTreeSet<usize>,
+    /// Nodes that do not get list changes of databases.
+    pub unlisted_for: BTreeSet<usize>,
+    pub answers: Vec<Answered>,
+    pub logs: Vec<(Micros, usize, LogRecord)>,
+    pub ready: Vec<bool>,
+    pub promotions: Vec<(Micros, Name, u64)>,
+    pub renewing: BTreeSet<usize>,
+    pub stopped: BTreeSet<usize>,
+    pub closed: BTreeSet<SessionId>,
+    links: BTreeMap<(usize, LinkId), Name>,
+    documents: BTreeMap<String, StoredDocument>,
+    revision: u64,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    deliveries: BTreeMap<u64, Delivery>,
+    sequence: u64,
+    next_session: u64,
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn document_key(document: &Document) -> String {
+    match document {
+        Document::Duty => "duty".to_string(),
+        Document::Node(name) => format!("nodes/{name}"),
+    }
+}
+
+pub fn route_table(connections: u32) -> RouteTable {
+    let mut table = RouteTable { version: 1, ..RouteTable::default() };
+    let limits = ClusterLimits { name: CLUSTER.into(), connections, sync_replicas: 1 };
+    table.clusters.insert(CLUSTER.into(), limits);
+    let ages = [
+        (LATEST, Freshness::Latest, Rank::Urgent),
+        (BOUNDED, Freshness::Bounded(Micros::from_millis(1_500)), Rank::Batch),
+        (SESSION, Freshness::Session(Micros::from_millis(2_500)), Rank::Interactive),
+    ];
+    for (database, freshness, rank) in ages {
+        let route = RouteConfig {
+            name: database.into(),
+            database: database.into(),
+            cluster: CLUSTER.into(),
+            freshness,
+            timeout: Micros::from_millis(800),
+            rank,
+        };
+        table.routes.insert(database.into(), Arc::new(route));
+    }
+    table.idle_transaction = Some(Micros::from_millis(3_000));
+    table
+}
+
+impl World {
+    /// Starts nodes before one cluster of three databases `a` (the primary), `b` and `c`, and lets them
+    /// settle.
+    pub fn start(nodes: usize) -> World {
+        let mut world = World::empty(nodes);
+        world.run(Micros::from_secs(2));
+        world.logs.clear();
+        world
+    }
+
+    pub fn empty(nodes: usize) -> World {
+        let names: Vec<Name> = (0..nodes).map(|index| format!("n{index}").into()).collect();
+        let gates = names
+            .iter()
+            .map(|name| {
+                Gate::new(GateSettings {
+                    node: name.clone(),
+                    data_centre: "east".into(),
+                    peer_address: None,
+                    process: 1,
+                    grace: Micros::from_secs(6),
+                })
+            })
+            .collect();
+        let mut databases = BTreeMap::new();
+        for name in ["a", "b", "c"] {
+            let role = if name == "a" { DatabaseRole::Primary } else { DatabaseRole::Replica };
+            let database = FakeDatabase {
+                role,
+                term: Term(1),
+                received: LogPoint { term: Term(1), number: 10 },
+                fence: Term(0),
+                dark: false,
+                deaf: false,
+                leaving: false,
+                full: false,
+                ran: Vec::new(),
+                reports: 0,
+            };
+            databases.insert(Name::from(name), database);
+        }
+        let mut world = World {
+            now: Micros::ZERO,
+            ready: vec![false; nodes],
+            gates,
+            names,
+            databases,
+            cuts: BTreeSet::new(),
+            storeless: BTreeSet::new(),
+            unheard: BTreeSet::new(),
+            unlisted_for: BTreeSet::new(),
+            answers: Vec::new(),
+            logs: Vec::new(),
+            promotions: Vec::new(),
+            renewing: (0..nodes).collect(),
+            stopped: BTreeSet::new(),
+            closed: BTreeSet::new(),
+            links: BTreeMap::new(),
+            documents: BTreeMap::new(),
+            revision: 1,
+            queue: BinaryHeap::new(),
+            deliveries: BTreeMap::new(),
+            sequence: 0,
+            next_session: 0,
+        };
+        for gate in 0..nodes {
+            world.event(gate, GateEvent::RoutesChanged(Box::new(route_table(16))));
+            let list = world.listed();
+            world.event(gate, GateEvent::DatabasesListed(list));
+            world.event(gate, GateEvent::DocumentsListed(Vec::new()));
+        }
+        world
+    }
+
+    pub fn listed(&self) -> Vec<ListedDatabase> {
+        self.databases.keys().map(|name| self.listed_one(name)).collect()
+    }
+
+    fn listed_one(&self, name: &Name) -> ListedDatabase {
+        let database = &self.databases[name];
+        ListedDatabase {
+            id: name.clone(),
+            cluster: CLUSTER.into(),
+            address: address(1_000 + u16::from(name.as_bytes()[0])),
+            data_centre: "east".into(),
+            slots: 2,
+            leaving: database.leaving,
+            claimed_role: Some(database.role),
+        }
+    }
+
+    /// Tells every node with the store what the list says of a database now.
+    pub fn publish_database(&mut self, name: &str) {
+        let listed = self.listed_one(&name.into());
+        for gate in 0..self.gates.len() {
+            if !self.storeless.contains(&gate) && !self.unlisted_for.contains(&gate) {
+                let event = GateEvent::DatabaseChanged(listed.clone());
+                self.schedule(HOP, Delivery::Gate(gate, event));
+            }
+        }
+    }
+
+    pub fn database(&mut self, name: &str) -> &mut FakeDatabase {
+        self.databases.get_mut(name).expect("the database exists")
+    }
+
+    pub fn cut(&mut self, gate: usize, database: &str) {
+        self.cuts.insert((gate, database.into()));
+    }
+
+    fn schedule(&mut self, delay: Micros, delivery: Delivery) {
+        self.sequence += 1;
+        self.deliveries.insert(self.sequence, delivery);
+        self.queue.push(Reverse(Scheduled { at: self.now + delay, sequence: self.sequence }));
+    }
+
+    /// Runs for a time, with ticks, renewals of permits and everything that is on its way.
+    pub fn run(&mut self, time: Micros) {
+        let end = self.now + time;
+        while self.now < end {
+            let tick = self.now + TICK;
+            while let Some(Reverse(next)) = self.queue.peek()
+                && next.at <= tick
+            {
+                let Reverse(next) = self.queue.pop().expect("the queue is not empty");
+                self.now = self.now.max(next.at);
+                let delivery = self.deliveries.remove(&next.sequence).expect("it is scheduled");
+                self.deliver(delivery);
+            }
+            self.now = tick;
+            let renews = (tick.0 / TICK.0).is_multiple_of(15);
+            for gate in 0..self.gates.len() {
+                if self.stopped.contains(&gate) {
+                    continue;
+                }
+                if renews && self.renewing.contains(&gate) && !self.storeless.contains(&gate) {
+                    let sent = self.now;
+                    self.event(gate, GateEvent::PermitRenewed { sent });
+                }
+                self.event(gate, GateEvent::Timer);
+            }
+        }
+    }
+
+    pub fn event(&mut self, gate: usize, event: GateEvent) {
+        let mut actions = Vec::new();
+        self.gates[gate].handle(self.now, event, &mut actions);
+        for action in actions {
+            self.carry_out(gate, action);
+        }
+    }
+
+    fn carry_out(&mut self, gate: usize, action: GateAction) {
+        match action {
+            GateAction::OpenLink { link, database, .. } => {
+                self.links.insert((gate, link), database.clone());
+                let Some(state) = self.databases.get(&database) else { return };
+                if self.cuts.contains(&(gate, database)) || state.dark {
+                    return;
+                }
+                let event = if state.full {
+                    GateEvent::LinkRefused { link, code: ErrorCode::TooManyConnections }
+                } else {
+                    GateEvent::LinkOpened { link, point: Some(state.received) }
+                };
+                self.schedule(Micros::from_millis(14), Delivery::Gate(gate, event));
+            }
+            GateAction::CloseLink { link } => {
+                self.links.remove(&(gate, link));
+            }
+            GateAction::Send { link, commands } => {
+                let Some(database) = self.links.get(&(gate, link)).cloned() else { return };
+                for command in commands {
+                    let database = database.clone();
+                    self.schedule(HOP, Delivery::Command { gate, link, database, command });
+                }
+            }
+            GateAction::Reply { session, reply, .. } => {
+                self.answers.push(Answered { at: self.now, session, reply });
+            }
+            GateAction::CloseSession { session } => {
+                self.closed.insert(session);
+            }
+            GateAction::WriteDuty { attempt, expected, bytes } => {
+                if self.storeless.contains(&gate) {
+                    return;
+                }
+                let current = self.documents.get("duty").map_or(0, |stored| stored.revision);
+                let result = if current == expected {
+                    let revision = self.store(Document::Duty, bytes);
+                    WriteResult::Written { revision }
+                } else {
+                    WriteResult::Conflict
+                };
+                let event = GateEvent::DutyWritten { attempt, result };
+                self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
+            }
+            GateAction::PublishNode { bytes } => {
+                if !self.storeless.contains(&gate) {
+                    self.store(Document::Node(self.names[gate].clone()), bytes);
+                }
+            }
+            GateAction::ReadState => {
+                if !self.storeless.contains(&gate) {
+                    let documents = self.documents.values().cloned().collect();
+                    let state = Some(StoreState { databases: self.listed(), documents });
+                    let event = GateEvent::StateRead { state };
+                    self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
+                }
+            }
+            GateAction::EndLease { node, .. } => {
+                if let Some(index) = self.names.iter().position(|name| *name == node) {
+                    self.renewing.remove(&index);
+                }
+                let event = GateEvent::LeaseEnded { node, ended: true };
+                self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
+            }
+            GateAction::Promote { cluster, database, number, .. } => {
+                self.promotions.push((self.now, database.clone(), number));
+                self.schedule(PROMOTE, Delivery::Promoted { database });
+                let event =
+                    GateEvent::PromoteAnswered { cluster, result: PromoteResult::Accepted };
+                self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
+            }
+            GateAction::SetReady(ready) => self.ready[gate] = ready,
+            GateAction::ShutdownComplete => {
+                self.stopped.insert(gate);
+            }
+            GateAction::Log(record) => self.logs.push((self.now, gate, record)),
+            GateAction::AcceptSession { .. }
+            | GateAction::RefuseSession { .. }
+            | GateAction::Count { .. }
+            | GateAction::Observe { .. } => {}
+        }
+    }
+
+    fn store(&mut self, document: Document, bytes: Vec<u8>) -> u64 {
+        self.revision += 1;
+        let stored = StoredDocument { document, revision: self.revision, lease: 1, bytes };
+        self.documents.insert(document_key(&stored.document), stored.clone());
+        for gate in 0..self.gates.len() {
+            if !self.storeless.contains(&gate) && !self.unheard.contains(&gate) {
+                let event = GateEvent::DocumentChanged(stored.clone());
+                self.schedule(HOP, Delivery::Gate(gate, event));
+            }
+        }
+        self.revision
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Gate(gate, event) => {
+                if !self.stopped.contains(&gate) {
+                    self.event(gate, event);
+                }
+            }
+            Delivery::Promoted { database } => self.promoted(&database),
+            Delivery::Command { gate, link, database, command } => {
+                if self.cuts.contains(&(gate, database.clone())) || self.databases[&database].dark {
+                    return;
+                }
+                if let Some(answer) = self.execute(&database, &command) {
+                    let answer = Box::new(answer);
+                    let delivery = Delivery::Answer { gate, link, database, answer };
+                    self.schedule(WORK, delivery);
+                }
+            }
+            Delivery::Answer { gate, link, database, answer } => {
+                let lost = self.cuts.contains(&(gate, database.clone()))
+                    || self.databases[&database].dark
+                    || !self.links.contains_key(&(gate, link));
+                if !lost {
+                    self.event(gate, GateEvent::LinkAnswered { link, answer });
+                }
+            }
+        }
+    }
+
+    fn promoted(&mut self, name: &Name) {
+        let term = self.databases.values().map(|database| database.term).max().unwrap().next();
+        let start = self.databases[name].received;
+        for (other, database) in &mut self.databases {
+            if database.dark {
+                continue;
+            }
+            // The old primary learns of it only from the new one.
+            if other != name && database.role == DatabaseRole::Primary {
+                continue;
+            }
+            database.term = term;
+            database.fence = Term(0);
+            database.received = start.min(database.received);
+            if other == name {
+                database.role = DatabaseRole::Primary;
+            }
+        }
+        let names: Vec<Name> = self.databases.keys().cloned().collect();
+        for name in names {
+            self.publish_database(&name);
+        }
+    }
+
+    /// Runs a command; `None` if it hangs, as a commit does that no replica receives.
+    fn execute(&mut self, name: &Name, command: &BackendCommand) -> Option<BackendAnswer> {
+        let done = |rows: Vec<Bytes>| (rows, AnswerEnd::Done(Bytes::from_static(b"sig")));
+        let failed =
+            |code| (Vec::new(), AnswerEnd::Failed { code, text: "refused".to_string() });
+        let state = self.databases[name].clone();
+        let mut report = None;
+        let (rows, end) = match command {
+            BackendCommand::Run { id, text, after } => {
+                if after.is_some_and(|point| point > state.received) {
+                    failed(ErrorCode::Lagging)
+                } else if text.starts_with("WRITE") || text.starts_with("COMMIT") {
+                    if state.role == DatabaseRole::Replica {
+                        failed(ErrorCode::ReadOnly)
+                    } else {
+                        self.commit(name)?;
+                        let received = self.databases[name].received;
+                        self.database(name).ran.push((id.clone(), received));
+                        done(Vec::new())
+                    }
+                } else {
+                    self.database(name).ran.push((id.clone(), state.received));
+                    done(vec![Bytes::from(state.received.to_string())])
+                }
+            }
+            BackendCommand::Report => {
+                self.database(name).reports += 1;
+                report = Some(self.report(name));
+                done(Vec::new())
+            }
+            BackendCommand::Fence { term } => {
+                if state.role == DatabaseRole::Replica && *term > state.term {
+                    self.database(name).fence = *term;
+                }
+                report = Some(self.report(name));
+                done(Vec::new())
+            }
+            BackendCommand::Unfence => {
+                self.database(name).fence = Term(0);
+                done(Vec::new())
+            }
+            BackendCommand::Demote { term } => {
+                if state.term < *term {
+                    let database = self.database(name);
+                    database.role = DatabaseRole::Replica;
+                    database.term = *term;
+                }
+                report = Some(self.report(name));
+                done(Vec::new())
+            }
+            _ => done(Vec::new()),
+        };
+        let point = Some(self.databases[name].received);
+        Some(BackendAnswer { rows, end, state: SessionState::Idle, point, report })
+    }
+
+    /// Commits at a primary if a replica of its term receives it.
+    fn commit(&mut self, name: &Name) -> Option<()> {
+        let term = self.databases[name].term;
+        let point = LogPoint { term, number: self.databases[name].received.number + 1 };
+        let mut received = false;
+        for (other, database) in &mut self.databases {
+            let follows = other != name
+                && !database.dark
+                && !database.deaf
+                && database.fence <= database.term
+                && database.term == term;
+            if follows {
+                database.received = point;
+                received = true;
+            }
+        }
+        received.then(|| self.database(name).received = point)
+    }
+
+    pub fn report(&self, name: &Name) -> DatabaseReport {
+        let database = &self.databases[name];
+        DatabaseReport {
+            role: database.role,
+            term: database.term,
+            received: database.received,
+            fence: database.fence,
+            lag: Micros::ZERO,
+            connections: 3,
+        }
+    }
+
+    /// Opens a session at a node.
+    pub fn open(&mut self, gate: usize, database: &str) -> SessionId {
+        self.open_as(gate, database, SessionOrigin::Client)
+    }
+
+    pub fn open_as(&mut self, gate: usize, database: &str, origin: SessionOrigin) -> SessionId {
+        self.next_session += 1;
+        let session = SessionId(self.next_session);
+        let database = database.into();
+        self.event(gate, GateEvent::SessionOpened { session, database, origin });
+        session
+    }
+
+    /// Sends a request; the answer is found with [`World::answer`].
+    pub fn ask(&mut self, gate: usize, session: SessionId, id: &str, text: &str) {
+        let statement = match text.split(' ').next().unwrap() {
+            "BEGIN" => Statement::Begin { read_only: text.ends_with("READ") },
+            "COMMIT" => Statement::Commit,
+            "ROLLBACK" => Statement::Rollback,
+            "WRITE" => Statement::Write,
+            _ => Statement::Read,
+        };
+        let request = ClientRequest { id: id.into(), text: text.into(), statement, after: None };
+        self.event(gate, GateEvent::RequestArrived { session, request });
+    }
+
+    /// Returns the last answer of a session.
+    pub fn answer(&self, session: SessionId) -> Option<&Answered> {
+        self.answers.iter().rev().find(|answered| answered.session == session)
+    }
+
+    /// Returns `served`, or the code of the last answer of a session.
+    pub fn outcome(&self, session: SessionId) -> &'static str {
+        match self.answer(session).map(|answered| &answered.reply) {
+            None => "none",
+            Some(ClientReply::Done { .. }) => "served",
+            Some(ClientReply::Failed { code, .. }) => code.name(),
+        }
+    }
+
+    /// Tells whether a request ran at a database.
+    pub fn ran_at(&self, database: &str, id: &str) -> bool {
+        self.databases[database].ran.iter().any(|(ran, _)| &**ran == id)
+    }
+
+    /// Returns the events logged since the start or the last clearing.
+    pub fn logged(&self, event: &str) -> usize {
+        self.logs.iter().filter(|(_, _, record)| record.event == event).count()
+    }
+}
