Choose databases by expected time, give up lost answers early, and never promote a log known to be short

Change: smoothed latency decides between replicas and leader; statements that can be repeated are given up after six times the usual time, and their connection closed; the queue learns nothing from them; a promotion refuses a replica short of what replicas and acknowledged commits have shown, for 9 s, and keeps the duty until lifted fences are answered.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -628,8 +628,48 @@
 
     /// Returns a slot. Does nothing for a request that holds none.
     pub fn finish(&mut self, now: Micros, work: WorkId) {
+        let Some((running, time)) = self.release(now, work) else { return };
+        let queue = &mut self.ranks[running.rank];
+        queue.mean = queue.mean - queue.mean / 16 + time / 16;
+        queue.longest = queue.longest.max(time as f64);
+        if let Some(estimate) = self.estimates.get_mut(&running.selector) {
+            estimate.observe(time);
+        } else if self.estimates.len() < ESTIMATE_LIMIT {
+            let estimate = ServiceEstimate { mean: time, deviation: time / 2 };
+            self.estimates.insert(running.selector, estimate);
+        }
+    }
+
+    /// Returns the slot of a request that was given up, such as one whose answer was lost. How long it took
+    /// says nothing of how long others take.
+    ///
+    /// ```
+    /// use admit::{QueueConfig, SlotQueue, WorkId, WorkTicket};
+    /// use model::{Micros, Rank, RankConfig, RankMap};
+    ///
+    /// let ranks = RankMap([RankConfig { floor_percent: 0, queue_limit: 8 }; 3]);
+    /// let mut queue = SlotQueue::new(QueueConfig { slots: 1, ranks });
+    /// let ticket = |work| WorkTicket {
+    ///     work: WorkId(work),
+    ///     rank: Rank::Urgent,
+    ///     caller: "caller".into(),
+    ///     deadline: Micros::from_secs(9),
+    ///     selector: "sales".into(),
+    ///     in_transaction: false,
+    /// };
+    /// queue.enqueue(Micros(0), ticket(1)).expect("there is room");
+    /// queue.grant(Micros(0)).expect("a slot is free");
+    /// let before = queue.service_time("sales");
+    /// queue.abandon(Micros::from_secs(1), WorkId(1));
+    /// assert_eq!(queue.service_time("sales"), before);
+    /// ```
+    pub fn abandon(&mut self, now: Micros, work: WorkId) {
+        self.release(now, work);
+    }
+
+    fn release(&mut self, now: Micros, work: WorkId) -> Option<(RunningWork, u64)> {
         self.account(now);
-        let Some(running) = self.running.remove(&work) else { return };
+        let running = self.running.remove(&work)?;
         let time = now.saturating_sub(running.started).0;
         let queue = &mut self.ranks[running.rank];
         queue.running -= 1;
@@ -637,16 +677,9 @@
         queue.started -= running.started.0;
         queue.caller(running.caller).running -= 1;
         queue.charge(running.caller, time, running.charged);
-        queue.mean = queue.mean - queue.mean / 16 + time / 16;
-        queue.longest = queue.longest.max(time as f64);
         queue.forget_idle();
         self.running_long -= u32::from(running.long);
-        if let Some(estimate) = self.estimates.get_mut(&running.selector) {
-            estimate.observe(time);
-        } else if self.estimates.len() < ESTIMATE_LIMIT {
-            let estimate = ServiceEstimate { mean: time, deviation: time / 2 };
-            self.estimates.insert(running.selector, estimate);
-        }
+        Some((running, time))
     }
 
     /// Removes the requests whose deadline can no longer be met, and returns them together with those
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -35,6 +35,40 @@
 /// Connections beyond the equal share that a node opens while the database has spare ones.
 const EXTRA_CONNECTIONS: u32 = 3;
 
+/// The same where the share itself is several connections.
+const AMPLE_EXTRA_CONNECTIONS: u32 = 2;
+
+/// Time in which an estimate without new answers halves, so that a database that was slow is tried again.
+const LATENCY_HALF_LIFE: Micros = Micros::from_millis(400);
+
+/// Least estimate; below it differences come from the network.
+const LATENCY_LEAST: Micros = Micros::from_millis(2);
+
+/// Smoothed time from sending a statement to its answer, the database's own queue included.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LatencyEstimate {
+    smoothed: Micros,
+    observed: Micros,
+}
+
+impl LatencyEstimate {
+    /// Rises faster than it falls: a queue that builds up matters at once.
+    pub(crate) fn observe(&mut self, now: Micros, sample: Micros) {
+        let current = self.value(now);
+        self.smoothed = if sample > current {
+            Micros(current.0 + (sample.0 - current.0) / 4)
+        } else {
+            Micros(current.0 - (current.0 - sample.0) / 8)
+        };
+        self.observed = now;
+    }
+
+    pub(crate) fn value(&self, now: Micros) -> Micros {
+        let idle = now.saturating_sub(self.observed).0 / LATENCY_HALF_LIFE.0;
+        Micros(self.smoothed.0 >> idle.min(20)).max(LATENCY_LEAST)
+    }
+}
+
 /// A database, as listed and as found.
 #[derive(Debug)]
 pub(crate) struct Database {
@@ -58,6 +92,7 @@
     /// Since when an attempt to reach it is without an answer.
     pub(crate) trying_since: Option<Micros>,
     pub(crate) answered: Option<Micros>,
+    pub(crate) latency: LatencyEstimate,
     pub(crate) retry_open: Micros,
     pub(crate) open_failures: u32,
     /// When the report in flight was asked for.
@@ -82,6 +117,7 @@
             full_at: None,
             trying_since: None,
             answered: None,
+            latency: LatencyEstimate::default(),
             retry_open: Micros::ZERO,
             open_failures: 0,
             report_asked: None,
@@ -108,7 +144,8 @@
     /// Returns how many connections this node may have, given the limit for all nodes together.
     pub(crate) fn link_limit(&self, now: Micros, connections: u32, nodes: u32) -> u32 {
         let share = steady_share(connections, nodes).max(1);
-        if self.is_full(now) { share } else { share + EXTRA_CONNECTIONS }
+        let extra = if share > 1 { AMPLE_EXTRA_CONNECTIONS } else { EXTRA_CONNECTIONS };
+        if self.is_full(now) { share } else { share + extra }
     }
 
     /// Tells whether it refused a connection for its limit a short while ago.
@@ -127,6 +164,11 @@
             && self.applied.is_some_and(|applied| Some(applied) < point)
     }
 
+    /// Returns the time that a further request may expect to take.
+    pub(crate) fn expected_time(&self, now: Micros) -> Micros {
+        Micros(self.latency.value(now).0 * u64::from(self.load() + 1))
+    }
+
     /// Notes an attempt that needs an answer.
     pub(crate) fn attempt(&mut self, now: Micros) {
         self.trying_since.get_or_insert(now);
@@ -147,6 +189,8 @@
     Rollback,
     Report,
     Fence,
+    /// Lifts a fence; the duty is kept until it is answered.
+    Unfence,
     Control,
 }
 
--- a/crates/gate/src/evidence.rs
+++ b/crates/gate/src/evidence.rs
@@ -63,6 +63,8 @@
     witnessed: Option<Micros>,
     /// Replicas with a fence above `term`, and since when.
     fenced: FastMap<Name, Micros>,
+    /// Highest position that a replica held or that a commit was acknowledged at.
+    held: LogPoint,
     unproved: VecDeque<DataSample>,
     proved: VecDeque<DataSample>,
 }
@@ -93,6 +95,9 @@
         if report.term < self.term {
             return false;
         }
+        if report.role == DatabaseRole::Replica {
+            self.point_held(database, report.received);
+        }
         let before = (self.term, self.leader.clone());
         if report.term > self.term {
             self.term = report.term;
@@ -100,6 +105,8 @@
             self.confirmed = None;
             self.witnessed = None;
             self.fenced.clear();
+            // Replicas roll back what the new primary lacks.
+            self.held = LogPoint::default();
             self.unproved.clear();
         }
         match report.role {
@@ -138,9 +145,23 @@
         self.settle();
     }
 
-    /// Takes in a commit, sent at `sent`, that the leader acknowledged with a synchronous replica.
-    pub fn commit_acknowledged(&mut self, database: &Name, sent: Micros) {
+    /// Takes in a position that a replica holds. A commit may have been acknowledged because of it.
+    pub fn point_held(&mut self, database: &Name, point: LogPoint) {
+        if self.leader.as_ref() != Some(database) {
+            self.held = self.held.max(point);
+        }
+    }
+
+    /// Returns the position that a new primary has to hold so that no acknowledged commit is lost, as far
+    /// as this node knows.
+    pub fn held(&self) -> LogPoint {
+        self.held
+    }
+
+    /// Takes in a commit at `point`, sent at `sent`, that the leader acknowledged with a synchronous replica.
+    pub fn commit_acknowledged(&mut self, database: &Name, sent: Micros, point: Option<LogPoint>) {
         if self.leader.as_ref() == Some(database) {
+            self.held = self.held.max(point.unwrap_or_default());
             self.witness(sent);
         }
     }
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -32,12 +32,12 @@
 const SURPLUS_TIME: Micros = Micros::from_millis(600);
 
 /// The same where each node may keep several, so that keeping one more takes little from the others.
-const AMPLE_SURPLUS_TIME: Micros = Micros::from_millis(8_000);
+const AMPLE_SURPLUS_TIME: Micros = Micros::from_millis(3_000);
 
 /// Connections to another node for one client database.
 const PEER_LINKS: u32 = 8;
 
-/// Time after its start in which a node opens one connection to each database. Databases drop the connections
+/// Time after its start in which a node keeps to its equal share of connections. Databases drop the connections
 /// of VMs that lost power within 3 s.
 const START_TIME: Micros = Micros::from_millis(3_000);
 
@@ -66,7 +66,7 @@
         let links = u32::try_from(database.links.len()).unwrap_or(u32::MAX);
         let limit = match database.peer {
             Some(_) => PEER_LINKS,
-            None if now < self.started + START_TIME => 1,
+            None if now < self.started + START_TIME => steady_share(limit, nodes).max(1),
             None => database.link_limit(now, limit, nodes),
         };
         let first = links == 0 && self.keeps_link(name);
@@ -190,7 +190,10 @@
                         database.report_asked = None;
                     }
                 }
-                CommandPurpose::Setup | CommandPurpose::Rollback | CommandPurpose::Control => {}
+                CommandPurpose::Setup
+                | CommandPurpose::Rollback
+                | CommandPurpose::Unfence
+                | CommandPurpose::Control => {}
             }
         }
         if let Some(session) = state.pinned {
@@ -241,6 +244,11 @@
         };
         state.used = now;
         self.answered(&name);
+        if let CommandPurpose::Run(_) = pending.purpose
+            && let Some(database) = self.databases.get_mut(&name)
+        {
+            database.latency.observe(now, now.saturating_sub(pending.sent));
+        }
         if let Some(point) = answer.point {
             if let Some(database) = self.databases.get_mut(&name) {
                 database.applied = Some(point);
@@ -249,6 +257,7 @@
             self.apply_permit(&cluster);
             if let Some(state) = self.clusters.get_mut(&cluster) {
                 state.evidence.point_seen(&name, pending.sent, point);
+                state.evidence.point_held(&name, point);
             }
         }
         match pending.purpose {
@@ -272,7 +281,7 @@
             }
             CommandPurpose::Report => self.report_answered(link, pending.sent, &answer),
             CommandPurpose::Fence => self.fence_answered(link, pending.sent, &answer),
-            CommandPurpose::Rollback | CommandPurpose::Control => {}
+            CommandPurpose::Rollback | CommandPurpose::Unfence | CommandPurpose::Control => {}
         }
         self.settle_link(link);
     }
@@ -349,6 +358,7 @@
                 CommandPurpose::Report
                 | CommandPurpose::Fence
                 | CommandPurpose::Setup
+                | CommandPurpose::Unfence
                 | CommandPurpose::Control
                 | CommandPurpose::Rollback => REPORT_TIME,
             };
--- a/crates/gate/src/takeover.rs
+++ b/crates/gate/src/takeover.rs
@@ -39,6 +39,10 @@
 /// connections are taken: the databases drop those of dead nodes after 3 s.
 const UNREPORTED: Micros = Micros::from_millis(4_500);
 
+/// Time that a change waits for a database with the known log to come back. Crashed databases return with
+/// their log; one that stays away longer is given up with what it held.
+const SHORT_LOG_TIME: Micros = Micros::from_millis(9_000);
+
 /// Time after which a fence that no announced change explains is lifted.
 const LEFT_FENCED: Micros = Micros::from_millis(700);
 
@@ -140,6 +144,8 @@
     /// Clusters that this node leaves alone until then.
     paused: FastMap<Name, Micros>,
     leaderless: FastMap<Name, Micros>,
+    /// Since when no replica holds the log that is known to exist.
+    short: FastMap<Name, Micros>,
     /// Clusters that this node complains about, and why.
     suspected: FastMap<Name, &'static str>,
 }
@@ -347,7 +353,10 @@
         let now = self.now;
         let (_, record) = self.duty.record();
         let abandoned = !record.changing.is_empty() && !self.duty.is_taken(now);
-        let write = if self.takeovers.running.is_empty() {
+        let lifting = self.links.values().any(|link| {
+            link.pending.iter().any(|pending| pending.purpose == CommandPurpose::Unfence)
+        });
+        let write = if self.takeovers.running.is_empty() && !lifting {
             if abandoned && self.duty.number(now).is_none() && self.is_steady() {
                 // The announcement of a holder that died is cleared by claiming and releasing.
                 self.duty.claim(now, Vec::new())
@@ -537,7 +546,7 @@
 
     fn unfence(&mut self, name: &Name) {
         if let Some(link) = self.control_link(name) {
-            self.send(link, vec![BackendCommand::Unfence], CommandPurpose::Control);
+            self.send(link, vec![BackendCommand::Unfence], CommandPurpose::Unfence);
         }
     }
 
@@ -685,6 +694,23 @@
         let Some((name, position)) = best else {
             return self.give_up(cluster, "no replica is fenced");
         };
+        let held =
+            self.clusters.get(cluster).map(|state| state.evidence.held()).unwrap_or_default();
+        if position < held {
+            let since = *self.takeovers.short.entry(cluster.clone()).or_insert(self.now);
+            if self.now < since + SHORT_LOG_TIME {
+                self.log(
+                    "log_too_short",
+                    fields![
+                        "cluster" => cluster,
+                        "database" => &name,
+                        "position" => position.to_string(),
+                        "known" => held.to_string()
+                    ],
+                );
+                return self.give_up(cluster, "no replica holds the known log");
+            }
+        }
         if let Some(takeover) = self.takeovers.running.get_mut(cluster) {
             takeover.chosen = Some(name.clone());
         }
@@ -753,6 +779,7 @@
             ],
         );
         self.takeovers.due.remove(cluster);
+        self.takeovers.short.remove(cluster);
         if let Some(old) = takeover.old
             && let Some(link) = self.control_link(&old)
         {
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -33,15 +33,16 @@
 /// client's tries have to fit into its time.
 const HOLD_TIME: Micros = Micros::from_millis(300);
 
-/// Time without an answer after which a read is sent to another database: well above a full queue of
-/// the databases in their normal state.
-const READ_PATIENCE: Micros = Micros::from_millis(400);
+/// Time without an answer after which a read is sent to another database: this many times what the database
+/// usually takes, within the bounds below. An answer can be lost while the connection stays.
+const READ_PATIENCE_FACTOR: u64 = 6;
+const READ_PATIENCE_LEAST: Micros = Micros::from_millis(120);
+const READ_PATIENCE_MOST: Micros = Micros::from_millis(400);
 
-/// A read goes to another replica than the preferred one if that has so many requests less.
-const DETOUR: u32 = 2;
-
-/// A read goes to the leader if every replica has this many requests more than the leader.
-const LEADER_ASSISTS_AT: u32 = 3;
+/// Expected time in percent that a detour from the preferred replica, or to the leader, counts as. The leader is
+/// kept free for what only it can do.
+const DETOUR_PERCENT: u64 = 150;
+const LEADER_PERCENT: u64 = 250;
 
 /// What a request is within its session.
 #[derive(Clone, Debug)]
@@ -166,9 +167,7 @@
             return self.refuse(id, ErrorCode::Busy, "no database is known for the route");
         };
         let since = covered_since(route.freshness, begun);
-        if !for_leader
-            && let Some(since) = since
-        {
+        if !for_leader && let Some(since) = since {
             if let Some(point) = cluster.evidence.sample(since) {
                 let after = Some(point).max(self.session_floor(id));
                 if let Some(replica) = self.choose_replica(id, &route.cluster, after) {
@@ -259,7 +258,7 @@
         let state = self.clusters.get(cluster)?;
         let leader = state.evidence.leader();
         let preferred = self.preferred_replica(state);
-        let mut best: Option<(u32, Name)> = None;
+        let mut best: Option<(u64, Name)> = None;
         for name in &state.members {
             let Some(database) = self.databases.get(name) else { continue };
             if Some(name) == leader
@@ -271,16 +270,16 @@
             {
                 continue;
             }
-            let detour = if Some(name) == preferred { 0 } else { DETOUR };
-            let rank = (database.load() + detour, name.clone());
+            let percent = if Some(name) == preferred { 100 } else { DETOUR_PERCENT };
+            let rank = (database.expected_time(self.now).0 * percent, name.clone());
             if best.as_ref().is_none_or(|best| rank < *best) {
                 best = Some(rank);
             }
         }
-        let (load, name) = best?;
+        let (time, name) = best?;
         if let Some(leader) = self.usable_leader(cluster)
             && let Some(database) = self.databases.get(&leader)
-            && load >= database.load() + LEADER_ASSISTS_AT
+            && time > database.expected_time(self.now).0 * LEADER_PERCENT
         {
             return None;
         }
@@ -481,6 +480,15 @@
         }
     }
 
+    /// Returns the slot of a request whose answer is overdue or lost.
+    fn abandon_slot(&mut self, id: WorkId) {
+        let Some(work) = self.works.get(&id) else { return };
+        if let Some(database) = work.database.as_ref().and_then(|name| self.databases.get_mut(name))
+        {
+            database.queue.abandon(self.now, id);
+        }
+    }
+
     /// Tries a request again that did not run, or a read whose answer is of no use.
     pub(crate) fn retry_work(&mut self, id: WorkId, pause: Option<Micros>, code: ErrorCode) {
         self.release_slot(id);
@@ -651,7 +659,7 @@
             if self.table.clusters.get(&cluster).is_some_and(|limits| limits.sync_replicas > 0)
                 && let Some(state) = self.clusters.get_mut(&cluster)
             {
-                state.evidence.commit_acknowledged(&database, sent);
+                state.evidence.commit_acknowledged(&database, sent, answer.point);
             }
         }
         self.deliver(id, answer);
@@ -770,12 +778,14 @@
 
     /// Forgets a request whose client is gone.
     pub(crate) fn abandon_work(&mut self, id: WorkId) {
+        self.abandon_slot(id);
         self.release_slot(id);
         self.works.remove(&id);
     }
 
     /// A connection was lost while the request was on it.
     pub(crate) fn work_lost(&mut self, id: WorkId, begun: bool) {
+        self.abandon_slot(id);
         let Some(work) = self.works.get_mut(&id) else { return };
         if begun && work.may_take_effect() {
             let code = ErrorCode::Unknown;
@@ -816,7 +826,9 @@
             .works
             .iter()
             .filter(|(_, work)| {
-                now >= work.deadline || work.is_impatient(now) || work.is_held_long(now)
+                now >= work.deadline
+                    || work.is_held_long(now)
+                    || work.is_impatient(now, self.patience(work))
             })
             .map(|(id, _)| *id)
             .collect();
@@ -825,9 +837,26 @@
         }
     }
 
+    /// Returns how long a request should wait for its database.
+    fn patience(&self, work: &Work) -> Micros {
+        let database = work.database.as_ref().and_then(|name| self.databases.get(name));
+        let usual = database.map_or(Micros::ZERO, |database| database.latency.value(self.now));
+        Micros(usual.0 * READ_PATIENCE_FACTOR).clamp(READ_PATIENCE_LEAST, READ_PATIENCE_MOST)
+    }
+
     fn work_late(&mut self, id: WorkId) {
         let Some(work) = self.works.get_mut(&id) else { return };
         let late = self.now >= work.deadline;
+        if work.stage == WorkStage::Sent {
+            let link = work.link;
+            self.abandon_slot(id);
+            self.sent_work_late(id, late);
+            // The answer may still come, or never; the next request must not wait for it.
+            if let Some(link) = link {
+                self.drop_link(link, "answer overdue");
+            }
+            return;
+        }
         match work.stage {
             WorkStage::Parked | WorkStage::Paused(_) | WorkStage::Queued => {
                 self.refuse(
@@ -840,23 +869,26 @@
                 let text = "not run, the primary could not be proved to lead, retry after 500 ms";
                 self.refuse(id, ErrorCode::Busy, text);
             }
-            WorkStage::Sent if matches!(work.kind, WorkKind::Read) && !late => {
+            WorkStage::Sent => {}
+        }
+    }
+
+    /// Acts on a request whose answer is overdue.
+    fn sent_work_late(&mut self, id: WorkId, late: bool) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let unknown = "the time limit passed, the outcome is not known";
+        match work.kind {
+            WorkKind::Read if !late => {
                 work.avoided.extend(work.database.clone());
                 self.retry_work(id, None, ErrorCode::Timeout);
             }
-            WorkStage::Sent if matches!(work.kind, WorkKind::Read) => {
-                self.refuse(id, ErrorCode::Timeout, "the time limit passed");
-            }
-            WorkStage::Sent if matches!(work.kind, WorkKind::Write) => {
-                let text = "the time limit passed, the outcome is not known";
-                self.refuse(id, ErrorCode::Unknown, text);
+            WorkKind::Read => self.refuse(id, ErrorCode::Timeout, "the time limit passed"),
+            WorkKind::Write => self.refuse(id, ErrorCode::Unknown, unknown),
+            WorkKind::Begin { .. } | WorkKind::Continue if work.is_commit() => {
+                self.fail_transaction(id, ErrorCode::Unknown, unknown);
             }
-            WorkStage::Sent if work.is_commit() => {
-                let text = "the time limit passed, the outcome is not known";
-                self.fail_transaction(id, ErrorCode::Unknown, text);
-            }
-            WorkStage::Sent => {
-                let text = "rolled back, the time limit passed";
+            WorkKind::Begin { .. } | WorkKind::Continue => {
+                let text = "rolled back, the database did not answer in time, retry at once";
                 self.fail_transaction(id, ErrorCode::Aborted, text);
             }
         }
@@ -870,11 +902,16 @@
             && now >= self.arrived + HOLD_TIME
     }
 
-    /// Tells whether a read should go elsewhere.
-    fn is_impatient(&self, now: Micros) -> bool {
+    /// Tells whether a request should be given up here because it can be repeated.
+    fn is_impatient(&self, now: Micros, patience: Micros) -> bool {
+        let repeatable = match self.kind {
+            WorkKind::Read => self.tries < TRY_LIMIT - 1,
+            WorkKind::Write => false,
+            // Nothing of a transaction is kept before its commit was sent.
+            WorkKind::Begin { .. } | WorkKind::Continue => !self.is_commit(),
+        };
         self.stage == WorkStage::Sent
-            && matches!(self.kind, WorkKind::Read)
-            && self.tries < TRY_LIMIT - 1
-            && self.sent.is_some_and(|sent| now >= sent + READ_PATIENCE)
+            && repeatable
+            && self.sent.is_some_and(|sent| now >= sent + patience)
     }
 }
--- a/crates/gate/tests/leadership.rs
+++ b/crates/gate/tests/leadership.rs
@@ -245,3 +245,32 @@
     load(&mut world, millis(5_000));
     assert!(world.promotions[0].0 >= back + millis(2_000));
 }
+
+/// The primary and the only replica with a commit fail together; the primary returns with its log.
+#[test]
+fn a_replica_that_lacks_a_known_commit_is_not_promoted() {
+    let mut world = World::start(4);
+    load(&mut world, millis(1_000));
+    world.database("c").deaf = true;
+    for gate in 0..4 {
+        let session = world.open(gate, LATEST);
+        world.ask(gate, session, &format!("w{gate}"), "WRITE 1 x");
+        world.run(millis(50));
+        assert_eq!(world.outcome(session), "served");
+    }
+    world.database("a").dark = true;
+    world.database("b").dark = true;
+    world.hidden.insert("b".into());
+    for gate in 0..4 {
+        world.event(gate, gate::GateEvent::DatabaseUnlisted { id: "b".into() });
+    }
+    load(&mut world, millis(7_000));
+    assert_eq!(world.promotions, []);
+    world.database("a").dark = false;
+    load(&mut world, millis(3_000));
+    let session = world.open(1, LATEST);
+    world.database("c").deaf = false;
+    world.ask(1, session, "w", "WRITE 1 x");
+    world.run(millis(50));
+    assert_eq!(world.outcome(session), "served");
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -356,8 +356,7 @@
             GateAction::Promote { cluster, database, number, .. } => {
                 self.promotions.push((self.now, database.clone(), number));
                 self.schedule(PROMOTE, Delivery::Promoted { database });
-                let event =
-                    GateEvent::PromoteAnswered { cluster, result: PromoteResult::Accepted };
+                let event = GateEvent::PromoteAnswered { cluster, result: PromoteResult::Accepted };
                 self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
             }
             GateAction::SetReady(ready) => self.ready[gate] = ready,
@@ -441,8 +440,7 @@
     /// Runs a command; `None` if it hangs, as a commit does that no replica receives.
     fn execute(&mut self, name: &Name, command: &BackendCommand) -> Option<BackendAnswer> {
         let done = |rows: Vec<Bytes>| (rows, AnswerEnd::Done(Bytes::from_static(b"sig")));
-        let failed =
-            |code| (Vec::new(), AnswerEnd::Failed { code, text: "refused".to_string() });
+        let failed = |code| (Vec::new(), AnswerEnd::Failed { code, text: "refused".to_string() });
         let state = self.databases[name].clone();
         let mut report = None;
         let (rows, end) = match command {
