Pass a forwarded transaction's position on, and notice databases that hang

A primary that accepts connections and answers nothing was not noticed, as opening one counted as an answer (process test, red before). Change: the position of BEGIN counts for its first statement; overdue statements and commits are evidence of their own.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -49,6 +49,8 @@
     pub(crate) announced_term: Option<Term>,
     /// When the last announced change was over; what was witnessed before counts no more.
     pub(crate) settled: Micros,
+    /// When a commit was sent that is overdue, with none acknowledged since.
+    pub(crate) commit_overdue: Option<Micros>,
     /// When a report last failed to prove the leader.
     proof_failed: Option<Micros>,
 }
@@ -348,6 +350,7 @@
         if let Some(need) = self.clusters.get(cluster).and_then(|state| state.proof_need) {
             self.want_proof(cluster, need);
         }
+        self.probe_overdue(cluster);
         self.wake_proving(cluster);
         self.wake_parked(cluster);
         let usable = self.usable_leader(cluster).is_some();
@@ -378,6 +381,18 @@
         self.witness_for_permit(cluster);
     }
 
+    /// Asks databases whose answers are overdue for a report, since no request goes there until they answer.
+    fn probe_overdue(&mut self, cluster: &Name) {
+        let Some(state) = self.clusters.get(cluster) else { return };
+        for name in state.members.clone() {
+            let Some(database) = self.databases.get(&name) else { continue };
+            let silent = !database.is_responsive(self.now) && database.overdue_since.is_some();
+            if silent && database.report_asked.is_none() && database.unlisted.is_none() {
+                self.ask_report(&name);
+            }
+        }
+    }
+
     /// Asks for one report if the permit needs it to prove anything.
     fn witness_for_permit(&mut self, cluster: &Name) {
         let Some(acquired) = self.permit() else { return };
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -92,6 +92,10 @@
     /// Since when an attempt to reach it is without an answer.
     pub(crate) trying_since: Option<Micros>,
     pub(crate) answered: Option<Micros>,
+    /// When it last answered a command; opening a connection is none.
+    pub(crate) command_answered: Option<Micros>,
+    /// When a statement was sent whose answer is overdue, with no answer to any command since.
+    pub(crate) overdue_since: Option<Micros>,
     pub(crate) latency: LatencyEstimate,
     pub(crate) retry_open: Micros,
     pub(crate) open_failures: u32,
@@ -117,6 +121,8 @@
             full_at: None,
             trying_since: None,
             answered: None,
+            command_answered: None,
+            overdue_since: None,
             latency: LatencyEstimate::default(),
             retry_open: Micros::ZERO,
             open_failures: 0,
@@ -131,7 +137,15 @@
     }
 
     pub(crate) fn is_responsive(&self, now: Micros) -> bool {
-        self.trying_since.is_none_or(|since| now < since + UNRESPONSIVE)
+        self.silent_since().is_none_or(|since| now < since + UNRESPONSIVE)
+    }
+
+    /// Returns since when attempts to reach it or statements are without an answer.
+    pub(crate) fn silent_since(&self) -> Option<Micros> {
+        match (self.trying_since, self.overdue_since) {
+            (Some(trying), Some(overdue)) => Some(trying.min(overdue)),
+            (trying, overdue) => trying.or(overdue),
+        }
     }
 
     /// Returns the requests that wait or run.
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -244,6 +244,10 @@
         };
         state.used = now;
         self.answered(&name);
+        if let Some(database) = self.databases.get_mut(&name) {
+            database.overdue_since = None;
+            database.command_answered = Some(now);
+        }
         if let CommandPurpose::Run(_) = pending.purpose
             && let Some(database) = self.databases.get_mut(&name)
         {
--- a/crates/gate/src/takeover.rs
+++ b/crates/gate/src/takeover.rs
@@ -21,7 +21,6 @@
 use crate::event::{Document, LinkId, PromoteResult, StoreState, StoredDocument};
 use crate::permit::PERMIT_TIME;
 use crate::roster::NodeRecord;
-use crate::work::WorkStage;
 use crate::{Gate, fields};
 
 /// Silence of a primary after which a node complains: above the longest queue seen at a database, below
@@ -178,19 +177,10 @@
         };
         self.takeovers.leaderless.remove(cluster);
         let Some(database) = self.databases.get(&leader) else { return Some("primary gone") };
-        if database.trying_since.is_some_and(|since| now >= since + SILENCE) {
+        if database.silent_since().is_some_and(|since| now >= since + SILENCE) {
             return Some("primary silent");
         }
-        let stalled = self.works.values().any(|work| {
-            work.stage == WorkStage::Sent
-                && work.may_take_effect()
-                && work.database.as_ref() == Some(&leader)
-                && work.sent.is_some_and(|sent| {
-                    now >= sent + COMMIT_STALL
-                        || (now >= sent + Micros(COMMIT_STALL.0 / 2) && now >= work.deadline)
-                })
-        });
-        if stalled {
+        if state.commit_overdue.is_some_and(|since| now >= since + COMMIT_STALL) {
             return Some("commits stalled");
         }
         None
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -221,7 +221,11 @@
             }
             Freshness::Latest | Freshness::Bounded(_) => None,
         };
-        own.copied().max(work.request.after)
+        let begun = match &work.kind {
+            WorkKind::Begin { begin, .. } => begin.after,
+            WorkKind::Read | WorkKind::Write | WorkKind::Continue => None,
+        };
+        own.copied().max(work.request.after).max(begun)
     }
 
     /// Tells whether a replica could prove that the leader leads.
@@ -650,6 +654,9 @@
             _ => false,
         };
         if wrote {
+            if let Some(state) = self.clusters.get_mut(&cluster) {
+                state.commit_overdue = None;
+            }
             if let (Some(session), Some(point)) =
                 (self.sessions.get_mut(&work.session), answer.point)
             {
@@ -849,6 +856,7 @@
         let late = self.now >= work.deadline;
         if work.stage == WorkStage::Sent {
             let link = work.link;
+            self.note_overdue(id);
             self.abandon_slot(id);
             self.sent_work_late(id, late);
             // The answer may still come, or never; the next request must not wait for it.
@@ -873,6 +881,22 @@
         }
     }
 
+    /// Notes that a database owes an answer.
+    fn note_overdue(&mut self, id: WorkId) {
+        let Some(work) = self.works.get(&id) else { return };
+        let (Some(sent), Some(name)) = (work.sent, work.database.clone()) else { return };
+        if work.may_take_effect()
+            && let Some(state) = self.clusters.get_mut(&work.route.cluster)
+        {
+            state.commit_overdue.get_or_insert(sent);
+        }
+        if let Some(database) = self.databases.get_mut(&name)
+            && database.command_answered.is_none_or(|answered| answered < sent)
+        {
+            database.overdue_since.get_or_insert(sent);
+        }
+    }
+
     /// Acts on a request whose answer is overdue.
     fn sent_work_late(&mut self, id: WorkId, late: bool) {
         let Some(work) = self.works.get_mut(&id) else { return };
--- a/crates/gate/tests/leadership.rs
+++ b/crates/gate/tests/leadership.rs
@@ -274,3 +274,33 @@
     world.run(millis(50));
     assert_eq!(world.outcome(session), "served");
 }
+
+/// The primary accepts connections and answers nothing.
+#[test]
+fn a_primary_that_hangs_is_replaced() {
+    let mut world = World::start(4);
+    load(&mut world, millis(300));
+    world.database("a").hung = true;
+    load(&mut world, millis(3_000));
+    assert_eq!(world.promotions.len(), 1);
+}
+
+/// The primary is cut off from its replicas: it answers reads and reports, and no commit ends.
+#[test]
+fn a_primary_whose_commits_hang_is_replaced() {
+    let mut world = World::start(4);
+    load(&mut world, millis(300));
+    world.database("b").deaf = true;
+    world.database("c").deaf = true;
+    for turn in 0..60 {
+        for gate in 0..4 {
+            let session = world.open(gate, LATEST);
+            world.ask(gate, session, &format!("w{turn}-{gate}"), "WRITE 1 x");
+        }
+        world.run(millis(40));
+        if !world.promotions.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(world.promotions.len(), 1);
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -37,6 +37,8 @@
     pub received: LogPoint,
     pub fence: Term,
     pub dark: bool,
+    /// Accepts connections and answers nothing.
+    pub hung: bool,
     /// Receives no log, and is not a synchronous replica meanwhile.
     pub deaf: bool,
     pub leaving: bool,
@@ -167,6 +169,7 @@
                 received: LogPoint { term: Term(1), number: 10 },
                 fence: Term(0),
                 dark: false,
+                hung: false,
                 deaf: false,
                 leaving: false,
                 full: false,
@@ -393,7 +396,8 @@
             }
             Delivery::Promoted { database } => self.promoted(&database),
             Delivery::Command { gate, link, database, command } => {
-                if self.cuts.contains(&(gate, database.clone())) || self.databases[&database].dark {
+                let state = &self.databases[&database];
+                if self.cuts.contains(&(gate, database.clone())) || state.dark || state.hung {
                     return;
                 }
                 if let Some(answer) = self.execute(&database, &command) {
@@ -538,6 +542,18 @@
 
     /// Sends a request; the answer is found with [`World::answer`].
     pub fn ask(&mut self, gate: usize, session: SessionId, id: &str, text: &str) {
+        self.ask_after(gate, session, id, text, None);
+    }
+
+    /// Sends a request that needs a position, as another node does.
+    pub fn ask_after(
+        &mut self,
+        gate: usize,
+        session: SessionId,
+        id: &str,
+        text: &str,
+        after: Option<LogPoint>,
+    ) {
         let statement = match text.split(' ').next().unwrap() {
             "BEGIN" => Statement::Begin { read_only: text.ends_with("READ") },
             "COMMIT" => Statement::Commit,
@@ -545,7 +561,7 @@
             "WRITE" => Statement::Write,
             _ => Statement::Read,
         };
-        let request = ClientRequest { id: id.into(), text: text.into(), statement, after: None };
+        let request = ClientRequest { id: id.into(), text: text.into(), statement, after };
         self.event(gate, GateEvent::RequestArrived { session, request });
     }
 
