Do not replace a new primary for commits that hung at the old one

The guard of the last commit was reset with the term. Ruled out: entry lapses and late lifts, neither in the logs. Change: a change of leader clears overdue commits, the guard starts at the new primary's first position, and a change is given up after 1.5 s and never with a short log while the old primary answers. The test is red without it.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -282,6 +282,7 @@
             state.proof_failed = Some(self.now);
         }
         if changed {
+            state.commit_overdue = None;
             let (term, leader) = (state.evidence.term(), state.evidence.leader().cloned());
             self.log(
                 "leader_changed",
--- a/crates/gate/src/evidence.rs
+++ b/crates/gate/src/evidence.rs
@@ -111,6 +111,10 @@
         }
         match report.role {
             DatabaseRole::Primary => {
+                if before.0 != self.term {
+                    // What was acknowledged before is in the log with which it began.
+                    self.held = report.received;
+                }
                 self.leader = Some(database.clone());
                 self.point_seen(database, asked, report.received);
             }
--- a/crates/gate/src/takeover.rs
+++ b/crates/gate/src/takeover.rs
@@ -58,11 +58,14 @@
 /// Time after which a change is given up.
 const TAKEOVER_TIME: Micros = Micros::from_millis(6_000);
 
+/// The same while the primary still answers and may be able to commit once the fences are lifted.
+const BRIEF_TAKEOVER_TIME: Micros = Micros::from_millis(1_500);
+
 /// Pause between fences to the same replica, and between promotion calls.
 const STEP_PAUSE: Micros = Micros::from_millis(250);
 
 /// Pause before this node tries the same cluster again after it gave up.
-const GIVE_UP_PAUSE: Micros = Micros::from_millis(1_000);
+const GIVE_UP_PAUSE: Micros = Micros::from_millis(1_500);
 
 /// Time that nodes get to acknowledge an announcement before their leases are ended: a watch's event and a
 /// write, each within 10 ms when the store is well.
@@ -378,7 +381,11 @@
         let Some(takeover) = self.takeovers.running.get(cluster) else { return };
         let (stage, in_flight) = (takeover.stage, takeover.in_flight);
         let repeat = now >= takeover.stepped + STEP_PAUSE;
-        if now >= takeover.started + TAKEOVER_TIME && !(in_flight && self.is_calling(cluster)) {
+        let limit = if self.old_answers(cluster) { BRIEF_TAKEOVER_TIME } else { TAKEOVER_TIME };
+        let Some(takeover) = self.takeovers.running.get(cluster) else { return };
+        let called = matches!(stage, TakeoverStage::Promoting | TakeoverStage::Opening);
+        let limit = if called { TAKEOVER_TIME } else { limit };
+        if now >= takeover.started + limit && !(in_flight && self.is_calling(cluster)) {
             return self.give_up(cluster, "takes too long");
         }
         if self.is_settled(cluster) {
@@ -426,6 +433,14 @@
         }
     }
 
+    /// Tells whether the primary to be replaced still answers, so that giving up is better than fences that
+    /// keep it from committing.
+    fn old_answers(&self, cluster: &Name) -> bool {
+        let old = self.takeovers.running.get(cluster).and_then(|takeover| takeover.old.as_ref());
+        old.and_then(|old| self.databases.get(old))
+            .is_some_and(|database| !database.listed.leaving && database.is_responsive(self.now))
+    }
+
     fn is_calling(&self, cluster: &Name) -> bool {
         self.takeovers
             .running
@@ -688,7 +703,7 @@
             self.clusters.get(cluster).map(|state| state.evidence.held()).unwrap_or_default();
         if position < held {
             let since = *self.takeovers.short.entry(cluster.clone()).or_insert(self.now);
-            if self.now < since + SHORT_LOG_TIME {
+            if self.now < since + SHORT_LOG_TIME || self.old_answers(cluster) {
                 self.log(
                     "log_too_short",
                     fields![
--- a/crates/gate/tests/leadership.rs
+++ b/crates/gate/tests/leadership.rs
@@ -304,3 +304,33 @@
     }
     assert_eq!(world.promotions.len(), 1);
 }
+
+/// Commits that hung at the replaced primary say nothing of its successor. The other replica is deaf and
+/// lacks commits, so a second change would lose them.
+#[test]
+fn a_new_primary_is_not_replaced_for_what_hung_at_the_old_one() {
+    let mut world = World::start(4);
+    load(&mut world, millis(1_000));
+    world.database("c").deaf = true;
+    for turn in 0..10 {
+        let session = world.open(turn % 4, LATEST);
+        world.ask(turn % 4, session, &format!("w{turn}"), "WRITE 1 x");
+        world.run(millis(20));
+        assert_eq!(world.outcome(session), "served");
+    }
+    world.database("a").dark = true;
+    for turn in 0..300 {
+        let session = world.open(turn % 4, LATEST);
+        world.ask(turn % 4, session, &format!("v{turn}"), "WRITE 1 x");
+        if turn == 150 {
+            // The old primary's entry is gone for good.
+            world.hidden.insert("a".into());
+            for gate in 0..4 {
+                world.event(gate, gate::GateEvent::DatabaseUnlisted { id: "a".into() });
+            }
+        }
+        world.run(millis(40));
+    }
+    let promoted: Vec<&str> = world.promotions.iter().map(|(_, name, _)| name.as_str()).collect();
+    assert_eq!(promoted, ["b"]);
+}
