--- a/crates/edge/src/hub.rs
+++ b/crates/edge/src/hub.rs
@@ -362,9 +362,8 @@
     fn flush_client(&mut self, cx: CX![], id: u64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         let lost = client.socket.flush().is_err() || client.socket.output.len() > OUTPUT_LIMIT;
-        if lost {
-            self.end_client(cx, id);
-        } else if client.closing && client.socket.output.is_empty() {
+        let done = client.closing && client.socket.output.is_empty();
+        if lost || done {
             self.end_client(cx, id);
         }
     }
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -167,12 +167,13 @@
             return self.refuse(id, ErrorCode::Busy, "no database is known for the route");
         };
         let since = covered_since(route.freshness, begun);
-        if !for_leader && let Some(since) = since {
-            if let Some(point) = cluster.evidence.sample(since) {
-                let after = Some(point).max(self.session_floor(id));
-                if let Some(replica) = self.choose_replica(id, &route.cluster, after) {
-                    return self.queue_at(id, replica, after, None);
-                }
+        if !for_leader
+            && let Some(since) = since
+            && let Some(point) = cluster.evidence.sample(since)
+        {
+            let after = Some(point).max(self.session_floor(id));
+            if let Some(replica) = self.choose_replica(id, &route.cluster, after) {
+                return self.queue_at(id, replica, after, None);
             }
         }
         let need = if writes { None } else { Some(since.unwrap_or(begun)) };
