--- a/crates/edge/src/hub.rs
+++ b/crates/edge/src/hub.rs
@@ -162,6 +162,9 @@
             ];
             self.metrics.publish(&self.status, &gauges);
         }
+        if self.status.wants_dump() {
+            self.status.set_dump(self.gate.dump().to_string());
+        }
         after!(Duration::from_micros(TICK.0), [cx], tick());
     }
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use tiny_http::{Response, Server};
@@ -12,6 +13,10 @@
 /// Largest value of a histogram: one minute, far beyond any time limit.
 const LARGEST_MICROS: u64 = 60_000_000;
 
+/// Time that a request for a dump waits for the event loop, in parts. The loop looks every 20 ms.
+const DUMP_WAIT: Duration = Duration::from_millis(10);
+const DUMP_WAITS: u32 = 50;
+
 /// Prefix of the metrics' names.
 const METRIC_PREFIX: &str = "cicadawick";
 
@@ -20,6 +25,9 @@
 pub(crate) struct SharedStatus {
     ready: AtomicBool,
     metrics: Mutex<String>,
+    /// A state dump was asked for and is not written yet.
+    dump_wanted: AtomicBool,
+    dump: Mutex<String>,
 }
 
 impl SharedStatus {
@@ -27,6 +35,28 @@
         self.ready.store(ready, Ordering::Release);
     }
 
+    /// Tells whether a dump is wanted.
+    pub(crate) fn wants_dump(&self) -> bool {
+        self.dump_wanted.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_dump(&self, text: String) {
+        *self.dump.lock().unwrap_or_else(PoisonError::into_inner) = text;
+        self.dump_wanted.store(false, Ordering::Release);
+    }
+
+    /// Asks the event loop for a dump and waits for it.
+    fn dump(&self) -> Option<String> {
+        self.dump_wanted.store(true, Ordering::Release);
+        for _ in 0..DUMP_WAITS {
+            std::thread::sleep(DUMP_WAIT);
+            if !self.wants_dump() {
+                return Some(self.dump.lock().unwrap_or_else(PoisonError::into_inner).clone());
+            }
+        }
+        None
+    }
+
     fn set_metrics(&self, text: String) {
         *self.metrics.lock().unwrap_or_else(PoisonError::into_inner) = text;
     }
@@ -78,7 +108,8 @@
     }
 }
 
-/// Serves an address on a thread: `/ready` answers 200 or 503, everything else is the metrics page.
+/// Serves an address on a thread: `/ready` answers 200 or 503, `/dump` the state as JSON, everything else is
+/// the metrics page.
 ///
 /// # Errors
 ///
@@ -91,6 +122,12 @@
             let response = if request.url() == "/ready" {
                 let ready = status.ready.load(Ordering::Acquire);
                 Response::from_string("").with_status_code(if ready { 200 } else { 503 })
+            } else if request.url() == "/dump" {
+                match status.dump() {
+                    Some(dump) => Response::from_string(dump),
+                    None => Response::from_string("the event loop does not answer")
+                        .with_status_code(503),
+                }
             } else {
                 let metrics = status.metrics.lock().unwrap_or_else(PoisonError::into_inner);
                 Response::from_string(metrics.as_str())
--- /dev/null
+++ b/crates/gate/src/dump.rs
@@ -0,0 +1,78 @@
+//! The state dump.
+
+use serde_json::{Value, json};
+
+use crate::Gate;
+
+/// Rows of each table in the dump.
+const DUMP_ROWS: usize = 200;
+
+impl Gate {
+    /// Returns what the gate believes and holds, for operators.
+    ///
+    /// ```
+    /// # let settings = gate::GateSettings {
+    /// #     node: "n1".into(), data_centre: "dc1".into(), peer_address: None, process: 1,
+    /// #     grace: model::Micros::from_secs(6),
+    /// # };
+    /// let gate = gate::Gate::new(settings);
+    /// assert_eq!(gate.dump()["node"], "n1");
+    /// ```
+    pub fn dump(&self) -> Value {
+        let now = self.now;
+        let (duty_revision, duty) = self.duty.record();
+        let clusters: Vec<Value> = self
+            .clusters
+            .iter()
+            .map(|(name, state)| {
+                json!({
+                    "cluster": name,
+                    "term": state.evidence.term(),
+                    "leader": state.evidence.leader(),
+                    "leader_usable": self.usable_leader(name).is_some(),
+                    "proof_age_ms": state
+                        .evidence
+                        .confirmed_at()
+                        .map(|at| now.saturating_sub(at).as_millis()),
+                    "change_announced": self.is_announced(name),
+                    "waiting_for_leader": state.parked.len(),
+                    "waiting_for_proof": state.proving.len(),
+                })
+            })
+            .collect();
+        let databases: Vec<Value> = self
+            .databases
+            .iter()
+            .take(DUMP_ROWS)
+            .map(|(name, database)| {
+                json!({
+                    "database": name,
+                    "cluster": database.listed.cluster,
+                    "node": database.peer,
+                    "leaving": database.listed.leaving,
+                    "listed": database.unlisted.is_none(),
+                    "responsive": database.is_responsive(now),
+                    "links": database.links.len(),
+                    "idle_links": database.idle.len(),
+                    "load": database.load(),
+                    "latency_ms": database.latency.value(now).as_millis(),
+                    "applied": database.applied.map(|point| point.to_string()),
+                })
+            })
+            .collect();
+        json!({
+            "node": self.settings.node,
+            "data_centre": self.settings.data_centre,
+            "configuration": self.table.version,
+            "sessions": self.sessions.len(),
+            "requests": self.works.len(),
+            "nodes": self.roster.live(),
+            "permit_held": self.permit().is_some(),
+            "draining": self.drain.since.is_some(),
+            "duty": { "revision": duty_revision, "holder": duty.holder, "number": duty.number,
+                "idle": duty.idle },
+            "clusters": clusters,
+            "databases": databases,
+        })
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,6 +13,7 @@
 mod cluster;
 mod database;
 mod drain;
+mod dump;
 mod duty;
 mod event;
 mod evidence;
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -445,7 +445,13 @@
     }
 
     fn promoted(&mut self, name: &Name) {
-        let term = self.databases.values().map(|database| database.term).max().unwrap().next();
+        let term = self
+            .databases
+            .values()
+            .map(|database| database.term)
+            .max()
+            .expect("there are databases")
+            .next();
         let start = self.databases[name].received;
         for (other, database) in &mut self.databases {
             if database.dark {
@@ -581,7 +587,7 @@
         text: &str,
         after: Option<LogPoint>,
     ) {
-        let statement = match text.split(' ').next().unwrap() {
+        let statement = match text.split(' ').next().unwrap_or_default() {
             "BEGIN" => Statement::Begin { read_only: text.ends_with("READ") },
             "COMMIT" => Statement::Commit,
             "ROLLBACK" => Statement::Rollback,
