--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -276,6 +276,8 @@
                     log_failure("watch", &error);
                     events.send(GateEvent::StoreReachable(false));
                 }
+                // A list is over sooner than a watch if the store is still silent.
+                after = None;
                 thread::sleep((RETRY_PAUSE * (failures + 1)).min(RETRY_PAUSE_LONGEST));
                 failures = failures.saturating_add(1);
             }
