--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -12,7 +12,7 @@
     Document, GateEvent, ListedDatabase, PromoteResult, RouteTable, StoreState, StoredDocument,
     WriteResult,
 };
-use model::Name;
+use model::{FastSet, Name};
 use stakker::sync::Channel;
 
 use crate::clock;
@@ -21,6 +21,16 @@
 /// word, and then nothing is heard for as long.
 const WATCH_WAIT: Duration = Duration::from_millis(4_000);
 
+/// Pause before a watch is repeated, for each registered node, so that a series of registrations is one
+/// return of the watch and not one each. A few nodes make no pause worth mentioning.
+const PAUSE_PER_NODE: Duration = Duration::from_millis(3);
+
+/// Longest such pause; an announced change of primary waits for it.
+const PAUSE_LONGEST: Duration = Duration::from_millis(250);
+
+/// Nodes up to which there is none.
+const FEW_NODES: usize = 16;
+
 /// Pause after a failed call, so that an outage does not cause a burst of calls.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -249,16 +259,29 @@
 fn watch_store<S: StoreClient>(client: &S, events: &Channel<GateEvent>) {
     let mut after = None;
     let mut failures = 0_u32;
+    let mut nodes: FastSet<Name> = FastSet::default();
     loop {
         let result = match after {
             None => client.list().map(|(items, revision)| {
+                nodes = items.iter().filter_map(registered_node).collect();
                 send_list(items, events);
                 revision
             }),
             Some(revision) => client.watch(revision, WATCH_WAIT).map(|(changes, next)| {
                 for change in changes {
+                    match &change {
+                        StoreChange::Set(item) => nodes.extend(registered_node(item)),
+                        StoreChange::DocumentRemoved(Document::Node(node)) => {
+                            nodes.remove(node);
+                        }
+                        _ => {}
+                    }
                     send_change(change, events);
                 }
+                if nodes.len() > FEW_NODES {
+                    let pause = PAUSE_PER_NODE * u32::try_from(nodes.len()).unwrap_or(u32::MAX);
+                    thread::sleep(pause.min(PAUSE_LONGEST));
+                }
                 next
             }),
         };
@@ -285,6 +308,15 @@
     }
 }
 
+fn registered_node(item: &StoreItem) -> Option<Name> {
+    match item {
+        StoreItem::Document(StoredDocument { document: Document::Node(node), .. }) => {
+            Some(node.clone())
+        }
+        _ => None,
+    }
+}
+
 fn send_list(items: Vec<StoreItem>, events: &Channel<GateEvent>) {
     let (state, routes) = store_state(items);
     if let Some(table) = routes {
--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -140,7 +140,8 @@
         }
         let claims_primary =
             self.databases[&name].listed.claimed_role == Some(DatabaseRole::Primary);
-        if claims_primary && (role_changed || known.is_none()) {
+        let holds = self.holds_links(&cluster);
+        if holds && claims_primary && (role_changed || known.is_none()) {
             self.ask_report(&name);
         }
         self.open_links(&name);
@@ -349,6 +350,7 @@
 
     fn tend_cluster(&mut self, cluster: &Name) {
         let now = self.now;
+        let holds = self.holds_links(cluster);
         if let Some(need) = self.clusters.get(cluster).and_then(|state| state.proof_need) {
             self.want_proof(cluster, need);
         }
@@ -372,7 +374,7 @@
         let unknown = state.evidence.leader().is_none();
         let doubtful = !state.proving.is_empty() || state.leader_missed.is_some();
         if now >= state.next_search {
-            if unknown || doubtful {
+            if holds && (unknown || doubtful) {
                 let interval = if unknown { SEARCH_INTERVAL } else { DOUBT_INTERVAL };
                 state.next_search = now + interval;
                 return self.ask_all(cluster);
@@ -380,7 +382,9 @@
             // The first search waits one interval for what a listed primary reports.
             state.next_search = now + SEARCH_INTERVAL;
         }
-        self.witness_for_permit(cluster);
+        if holds {
+            self.witness_for_permit(cluster);
+        }
     }
 
     /// Asks databases whose answers are overdue for a report, since no request goes there until they answer.
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -52,8 +52,8 @@
     /// Opens connections for waiting requests, and the first one of each database.
     pub(crate) fn open_links(&mut self, name: &Name) {
         let now = self.now;
-        let nodes = self.roster.live();
         let Some(database) = self.databases.get(name) else { return };
+        let nodes = self.holder_count(&database.listed.cluster);
         let limit = self.connection_limit(&database.listed.cluster);
         let Some(database) = self.databases.get_mut(name) else { return };
         let closed = database.unlisted.is_some()
@@ -90,6 +90,9 @@
     fn keeps_link(&self, name: &Name) -> bool {
         let Some(database) = self.databases.get(name) else { return false };
         let Some(state) = self.clusters.get(&database.listed.cluster) else { return false };
+        if !self.holds_links(&database.listed.cluster) {
+            return false;
+        }
         match state.evidence.leader() {
             Some(leader) => leader == name || self.preferred_replica(state) == Some(name),
             None => true,
@@ -350,7 +353,6 @@
     /// Closes connections that are silent, in doubt or unused.
     pub(crate) fn tend_links(&mut self) {
         let now = self.now;
-        let nodes = self.roster.live();
         let mut silent = Vec::new();
         let mut surplus: Vec<(Name, LinkId, Micros)> = Vec::new();
         for (id, link) in &self.links {
@@ -388,6 +390,7 @@
         }
         for (name, link, used) in surplus {
             let Some(database) = self.databases.get(&name) else { continue };
+            let nodes = self.holder_count(&database.listed.cluster);
             let limit = self.connection_limit(&database.listed.cluster);
             let share = usize::try_from(steady_share(limit, nodes).max(1)).unwrap_or(1);
             if share > 1 && now < used + AMPLE_SURPLUS_TIME {
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -21,6 +21,16 @@
 /// Connections that a node needs for one database to run transactions beside other requests.
 const HOLDER_LINKS: u32 = 3;
 
+/// Up to this many nodes each holds connections, even if it is only one.
+const FEW_NODES: u32 = 16;
+
+/// Nodes that hold connections to one cluster at most. More would only share its load further, and each needs
+/// proofs of its own.
+const MOST_HOLDERS: u32 = 10;
+
+/// Requests in progress that a node of another data centre counts as having more.
+const DETOUR_LOAD: u32 = 2;
+
 /// What is known of other nodes.
 #[derive(Debug, Default)]
 pub(crate) struct PeerState {
@@ -35,13 +45,30 @@
     }
 
     fn is_holder(&self, cluster: &Name, node: &Name) -> bool {
+        let holders = self.holder_count(cluster);
+        holders >= self.roster.live() || self.roster.place_of(cluster, node) < u64::from(holders)
+    }
+
+    /// Returns how many nodes hold connections to a cluster.
+    pub(crate) fn holder_count(&self, cluster: &Name) -> u32 {
         let nodes = self.roster.live();
-        let Some(limits) = self.table.clusters.get(cluster) else { return true };
-        if nodes <= limits.connections {
-            return true;
+        let Some(limits) = self.table.clusters.get(cluster) else { return nodes };
+        if nodes <= FEW_NODES || nodes * HOLDER_LINKS <= limits.connections {
+            return nodes;
         }
-        let holders = (limits.connections / 2 / HOLDER_LINKS).max(2);
-        self.roster.place_of(cluster, node) < u64::from(holders)
+        (limits.connections / 2 / HOLDER_LINKS).clamp(2, MOST_HOLDERS)
+    }
+
+    /// Tells whether requests of a cluster can be expected to be served, here or by a node that holds
+    /// connections.
+    pub(crate) fn reaches_cluster(&self, cluster: &Name) -> bool {
+        if self.holds_links(cluster) {
+            return self.usable_leader(cluster).is_some();
+        }
+        self.permit().is_some()
+            && self.roster.others().any(|(node, record)| {
+                self.is_holder(cluster, node) && !record.complaints.contains(cluster.as_str())
+            })
     }
 
     pub(crate) fn is_forwarded(&self, id: WorkId) -> bool {
@@ -77,12 +104,14 @@
             }
             let far = record.data_centre != own;
             let load = entry.map_or(0, Database::load);
-            let rank = (load, far, self.roster.place_of(&cluster, node), name, address);
+            let detour = if far { DETOUR_LOAD } else { 0 };
+            let place = self.roster.place_of(&cluster, node);
+            let rank = (load + detour, place, name, address);
             if best.as_ref().is_none_or(|best| rank < *best) {
                 best = Some(rank);
             }
         }
-        let (_, _, _, name, address) = best?;
+        let (_, _, name, address) = best?;
         if !self.databases.contains_key(&name) {
             let listed = ListedDatabase {
                 id: name.clone(),
--- a/crates/gate/src/ready.rs
+++ b/crates/gate/src/ready.rs
@@ -38,7 +38,7 @@
         let (mut clusters, mut usable) = (0_u32, 0_u32);
         for cluster in routed {
             clusters += 1;
-            usable += u32::from(self.usable_leader(cluster).is_some());
+            usable += u32::from(self.reaches_cluster(cluster));
         }
         if usable * 2 >= clusters {
             self.ready.cut_off = None;
--- a/crates/gate/src/takeover.rs
+++ b/crates/gate/src/takeover.rs
@@ -192,6 +192,9 @@
     /// Returns why a cluster's primary should be replaced, as far as this node can tell alone.
     fn complaint(&mut self, cluster: &Name) -> Option<&'static str> {
         let now = self.now;
+        if !self.holds_links(cluster) {
+            return None;
+        }
         let state = self.clusters.get(cluster)?;
         let leader = state.evidence.leader().cloned();
         let heard = state.members.iter().any(|name| {
@@ -318,7 +321,7 @@
             ("primary leaving", self.roster.place(cluster))
         } else if let Some(reason) = complaint {
             let nodes = self.roster.complaining(cluster);
-            let needed = (self.roster.live() / COMPLAINT_SHARE + 1) as usize;
+            let needed = (self.holder_count(cluster) / COMPLAINT_SHARE + 1) as usize;
             let place = nodes.iter().position(|name| *name == self.settings.node);
             match place {
                 Some(place) if nodes.len() >= needed => (reason, place as u64),
