Send a database more than one request of a node at once

Cause: the queue of each database was set up with one slot, so a node sent one request at a time outside transactions; at pj, where one node takes a quarter of the clients and a statement 33 ms, requests waited and were refused. Ruled out: as many as connections, which fills the databases' own queues, where ranks do not count. Change: all nodes together send twice what a database executes at once, and each one more.

--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -22,6 +22,9 @@
 /// centres, below what a queue of 16 statements takes only in rare cases.
 pub(crate) const UNRESPONSIVE: Micros = Micros::from_millis(350);
 
+/// Requests that all nodes together send to a database for each statement that it executes at once.
+const SENT_PER_SLOT: u32 = 2;
+
 /// Part of a database's connections that the nodes use together in a steady state. After all VMs lost power
 /// the databases keep the old connections for seconds, and the new processes need the other half.
 const STEADY_PART: u32 = 2;
@@ -80,6 +83,8 @@
     /// Since when it is leaving.
     pub(crate) leaving_since: Option<Micros>,
     pub(crate) queue: SlotQueue,
+    /// Requests that this node sends at once.
+    slots: u32,
     /// Open connections and those being opened.
     pub(crate) links: Vec<LinkId>,
     pub(crate) idle: Vec<LinkId>,
@@ -113,6 +118,7 @@
             unlisted: None,
             leaving_since: None,
             queue: SlotQueue::new(QueueConfig { slots: 1, ranks: RANKS }),
+            slots: 1,
             links: Vec::new(),
             idle: Vec::new(),
             opening: 0,
@@ -150,6 +156,17 @@
         }
     }
 
+    /// Sets how many requests this node sends at once, outside transactions. All nodes together send twice
+    /// what executes at once, so that no slot waits for a node; the rest waits here, in the order of ranks.
+    pub(crate) fn set_concurrency(&mut self, nodes: u32) {
+        let together = self.listed.slots.max(1) * SENT_PER_SLOT;
+        let slots = together.div_ceil(nodes.max(1)) + 1;
+        if slots != self.slots {
+            self.slots = slots;
+            self.queue.reconfigure(QueueConfig { slots, ranks: RANKS });
+        }
+    }
+
     /// Returns the requests that wait or run.
     pub(crate) fn load(&self) -> u32 {
         let waiting: u32 = self.queue.stats().waiting.0.iter().sum();
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -28,6 +28,9 @@
 /// proofs of its own.
 const MOST_HOLDERS: u32 = 10;
 
+/// Statements that another node is expected to run at once for this one.
+const PEER_SLOTS: u32 = 3;
+
 /// Requests in progress that a node of another data centre counts as having more.
 const DETOUR_LOAD: u32 = 2;
 
@@ -118,7 +121,7 @@
                 cluster: client_database,
                 address,
                 data_centre: Name::default(),
-                slots: 1,
+                slots: PEER_SLOTS,
                 leaving: false,
                 claimed_role: None,
             };
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -363,7 +363,13 @@
     /// Grants idle connections of a database to waiting requests and opens connections as needed.
     pub(crate) fn pump(&mut self, name: &Name) {
         let now = self.now;
+        let Some(database) = self.databases.get(name) else { return };
+        let nodes = match database.peer {
+            Some(_) => 1,
+            None => self.holder_count(&database.listed.cluster),
+        };
         let Some(database) = self.databases.get_mut(name) else { return };
+        database.set_concurrency(nodes);
         for (id, reason) in database.queue.expire(now) {
             self.refuse_queued(id, reason);
         }
