--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -44,7 +44,6 @@
     /// Latest time that a proof is needed for.
     pub(crate) proof_need: Option<Micros>,
     next_search: Micros,
-    pub(crate) demanded: Option<Micros>,
     /// Term at which a change of primary was announced.
     pub(crate) announced_term: Option<Term>,
     /// When the last announced change was over; what was witnessed before counts no more.
@@ -192,7 +191,6 @@
     pub(crate) fn want_proof(&mut self, cluster: &Name, need: Micros) {
         self.apply_permit(cluster);
         let Some(state) = self.clusters.get_mut(cluster) else { return };
-        state.demanded = Some(self.now);
         if state.evidence.confirmed_at() >= Some(need) {
             return;
         }
--- /dev/null
+++ b/crates/gate/src/dispatch.rs
@@ -0,0 +1,138 @@
+//! Sending requests: granting connections, and giving a connection the session's state first.
+
+use model::Name;
+
+use crate::Gate;
+use crate::backend::BackendCommand;
+use crate::database::CommandPurpose;
+use crate::event::{LinkId, SessionId};
+use crate::session::Transaction;
+use crate::statement::{ErrorCode, Statement};
+use crate::work::{WorkId, WorkKind, WorkStage};
+
+impl Gate {
+    /// Grants idle connections of a database to waiting requests and opens connections as needed.
+    pub(crate) fn pump(&mut self, name: &Name) {
+        let now = self.now;
+        let Some(database) = self.databases.get(name) else { return };
+        let nodes = match database.peer {
+            Some(_) => 1,
+            None => self.holder_count(&database.listed.cluster),
+        };
+        let Some(database) = self.databases.get_mut(name) else { return };
+        database.set_concurrency(nodes);
+        for (id, reason) in database.queue.expire(now) {
+            self.refuse_queued(id, reason);
+        }
+        self.send_wanted_report(name);
+        while let Some(database) = self.databases.get_mut(name) {
+            if database.idle.is_empty() {
+                break;
+            }
+            let Some(grant) = database.queue.grant(now) else { break };
+            let id = grant.work;
+            let Some(work) = self.works.get(&id) else {
+                database.queue.finish(now, id);
+                continue;
+            };
+            let (session, cluster, need) = (work.session, work.route.cluster.clone(), work.need);
+            if need.is_some_and(|need| !self.is_proved(&cluster, name, need)) {
+                // The leader was replaced while the request waited.
+                self.release_slot(id);
+                self.route_work(id);
+                continue;
+            }
+            let Some(database) = self.databases.get_mut(name) else { return };
+            let values = self.sessions.get(&session).map(|session| &session.values);
+            let best = (0..database.idle.len()).min_by_key(|index| {
+                let link = self.links.get(&database.idle[*index]);
+                match (link, values) {
+                    (Some(link), Some(values)) => link.distance(values),
+                    _ => usize::MAX,
+                }
+            });
+            let Some(index) = best else { break };
+            let link = database.idle.swap_remove(index);
+            self.dispatch_work(id, link);
+        }
+        self.open_links(name);
+    }
+
+    /// Sends a request on a connection that is free.
+    pub(crate) fn dispatch_work(&mut self, id: WorkId, link: LinkId) {
+        let now = self.now;
+        let Some(work) = self.works.get_mut(&id) else { return };
+        work.link = Some(link);
+        work.sent = Some(now);
+        work.tries += 1;
+        work.stage = WorkStage::Sent;
+        match work.kind.clone() {
+            WorkKind::Begin { begin, .. } => {
+                let after = work.after;
+                let session = work.session;
+                let Some(setup) = self.setup_commands(session, link) else { return };
+                self.send(link, setup, CommandPurpose::Setup);
+                if let Some(state) = self.links.get_mut(&link) {
+                    state.pinned = Some(session);
+                }
+                let command = BackendCommand::Run { id: begin.id, text: begin.text, after };
+                self.send(link, vec![command], CommandPurpose::Begin(id));
+            }
+            WorkKind::Read | WorkKind::Write | WorkKind::Continue => {
+                self.send_statement(id, link, true);
+            }
+        }
+    }
+
+    pub(crate) fn setup_commands(
+        &mut self,
+        session: SessionId,
+        link: LinkId,
+    ) -> Option<Vec<BackendCommand>> {
+        let session = self.sessions.get(&session)?;
+        Some(self.links.get_mut(&link)?.adopt(&session.values))
+    }
+
+    /// Sends the statement itself, behind the commands that give the connection the session's state.
+    pub(crate) fn send_statement(&mut self, id: WorkId, link: LinkId, outside: bool) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        work.sent = Some(self.now);
+        work.stage = WorkStage::Sent;
+        let after = if outside { work.after } else { None };
+        let (session, request) = (work.session, work.request.clone());
+        let Some(mut setup) = self.setup_commands(session, link) else { return };
+        let command = match &request.statement {
+            Statement::Execute { name, arguments } => {
+                let prepared = self.sessions.get(&session).and_then(|s| s.prepared.get(name));
+                let (Some((access, shape)), Some(state)) = (prepared, self.links.get_mut(&link))
+                else {
+                    return;
+                };
+                let prepared = state.prepare(*access, shape, &mut setup);
+                let arguments = arguments.clone();
+                BackendCommand::Execute { id: request.id, prepared, arguments, after }
+            }
+            _ => BackendCommand::Run { id: request.id, text: request.text, after },
+        };
+        self.send(link, setup, CommandPurpose::Setup);
+        self.send(link, vec![command], CommandPurpose::Run(id));
+    }
+
+    pub(crate) fn continue_transaction(&mut self, id: WorkId) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let Some(session) = self.sessions.get(&work.session) else { return };
+        let Transaction::Open(open) = &session.transaction else { return };
+        let link = open.link;
+        let lost = match self.links.get(&link) {
+            Some(state) => state.doomed || !state.open,
+            None => true,
+        };
+        work.link = Some(link);
+        work.database = self.links.get(&link).map(|link| link.database.clone());
+        if lost {
+            return self.fail_transaction(id, ErrorCode::Aborted, "the connection was lost");
+        }
+        work.tries += 1;
+        self.send_statement(id, link, false);
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -4,20 +4,24 @@
 //! time and carries out the [`GateAction`]s. All time is one clock that also counts while the VM is
 //! suspended, since proofs and the promotion duty depend on it.
 //!
-//! The modules: `session` for clients, `work` for the way of one request, `link` and `database` for
-//! connections, `cluster` and `evidence` for what is known of primaries, `takeover`, `duty` and `roster` for
-//! changing them, `drain` for shutdown.
+//! The modules: `session` for clients; `work`, `dispatch` and `outcome` for the way of one request; `peer` for
+//! forwarding; `link` and `database` for connections; `cluster`, `evidence` and `permit` for what is known of
+//! primaries; `suspicion`, `takeover`, `fencing`, `duty` and `roster` for changing them; `ready` and `drain` for
+//! what the balancer sees.
 
 mod action;
 mod backend;
 mod cluster;
 mod database;
+mod dispatch;
 mod drain;
 mod dump;
 mod duty;
 mod event;
 mod evidence;
+mod fencing;
 mod link;
+mod outcome;
 mod peer;
 mod permit;
 mod ready;
@@ -26,6 +30,7 @@
 mod session;
 mod settings;
 mod statement;
+mod suspicion;
 mod takeover;
 mod work;
 
--- /dev/null
+++ b/crates/gate/src/suspicion.rs
@@ -0,0 +1,234 @@
+//! When a primary should be replaced: what one node suspects, what nodes complain about together, and which of
+//! them acts.
+
+use model::{FastMap, Micros, Name};
+
+use crate::action::GateAction;
+use crate::backend::DatabaseRole;
+use crate::roster::NodeRecord;
+use crate::takeover::{Takeover, TakeoverStage};
+use crate::{Gate, fields};
+
+/// Silence of a primary after which a node complains: above the longest queue seen at a database, below
+/// half of the time within which a write is of use.
+const SILENCE: Micros = Micros::from_millis(500);
+
+/// Time after which a commit without an answer means that the primary has lost its replicas, if the primary
+/// answers reports meanwhile.
+const COMMIT_STALL: Micros = Micros::from_millis(900);
+
+/// Time without a primary after which a node complains.
+const LEADERLESS: Micros = Micros::from_millis(1_200);
+
+/// The same while a database that claims to lead can be reached but has not reported yet, as when all its
+/// connections are taken: the databases drop those of dead nodes after 3 s.
+const UNREPORTED: Micros = Micros::from_millis(4_500);
+
+/// Time after which a fence that no announced change explains is lifted.
+const LEFT_FENCED: Micros = Micros::from_millis(700);
+
+/// A node complains only if a replica answered within this time; otherwise it is itself cut off.
+const REPLICA_HEARD: Micros = Micros::from_millis(900);
+
+/// More than one node in this many has to complain before a primary is replaced, so that the nodes of one
+/// data centre that is cut off cannot move it.
+const COMPLAINT_SHARE: u32 = 3;
+
+/// Time between the moments at which successive nodes would act.
+const STAGGER: Micros = Micros::from_millis(600);
+
+/// Least time between two publications of this node's registration.
+const PUBLISH_INTERVAL: Micros = Micros::from_millis(150);
+
+impl Gate {
+    /// Returns why a cluster's primary should be replaced, as far as this node can tell alone.
+    pub(crate) fn complaint(&mut self, cluster: &Name) -> Option<&'static str> {
+        let now = self.now;
+        if !self.holds_links(cluster) {
+            return None;
+        }
+        let state = self.clusters.get(cluster)?;
+        let leader = state.evidence.leader().cloned();
+        let heard = state.members.iter().any(|name| {
+            Some(name) != leader.as_ref()
+                && self.databases.get(name).is_some_and(|database| {
+                    database.answered.is_some_and(|at| now < at + REPLICA_HEARD)
+                })
+        });
+        if !heard || !self.is_steady() {
+            return None;
+        }
+        let Some(leader) = leader else {
+            let since = *self.takeovers.leaderless.entry(cluster.clone()).or_insert(now);
+            let claimed = state.members.iter().any(|name| {
+                self.databases.get(name).is_some_and(|database| {
+                    database.listed.claimed_role == Some(DatabaseRole::Primary)
+                        && database.is_usable(now)
+                })
+            });
+            let limit = if claimed { UNREPORTED } else { LEADERLESS };
+            return (now >= since + limit).then_some("no primary");
+        };
+        self.takeovers.leaderless.remove(cluster);
+        let Some(database) = self.databases.get(&leader) else { return Some("primary gone") };
+        if database.silent_since().is_some_and(|since| now >= since + SILENCE) {
+            return Some("primary silent");
+        }
+        if state.commit_overdue.is_some_and(|since| now >= since + COMMIT_STALL) {
+            return Some("commits stalled");
+        }
+        None
+    }
+
+    /// Tells whether replicas are fenced although no change is announced, as after the death of the node that
+    /// fenced them.
+    pub(crate) fn left_fenced(&self, cluster: &Name) -> bool {
+        let Some(state) = self.clusters.get(cluster) else { return false };
+        let since = state.evidence.fenced_since();
+        since.is_some_and(|since| self.now >= since + LEFT_FENCED)
+            && !self.is_announced(cluster)
+            && self.usable_leader(cluster).is_some()
+    }
+
+    /// Tells whether a cluster's primary is leaving and another database can replace it.
+    pub(crate) fn leaving_primary(&self, cluster: &Name) -> bool {
+        let Some(state) = self.clusters.get(cluster) else { return false };
+        let Some(leader) = state.evidence.leader() else { return false };
+        let leaving = self.databases.get(leader).is_some_and(|database| database.listed.leaving);
+        leaving
+            && state.members.iter().any(|name| {
+                name != leader
+                    && self.databases.get(name).is_some_and(|database| {
+                        !database.listed.leaving && database.is_usable(self.now)
+                    })
+            })
+    }
+
+    /// Publishes the registration now, as it acknowledges an announcement.
+    pub(crate) fn publish_registration(&mut self) {
+        let mut record = self.published.record.clone().unwrap_or_default();
+        record.process = self.settings.process;
+        record.seen = self.permit.seen;
+        record.peer_address = self.settings.peer_address;
+        record.data_centre = self.settings.data_centre.to_string();
+        self.publish(record);
+    }
+
+    pub(crate) fn publish(&mut self, record: NodeRecord) {
+        if let Ok(bytes) = serde_json::to_vec(&record) {
+            self.out.push(GateAction::PublishNode { bytes });
+        }
+        self.published.record = Some(record);
+        self.published.at = self.now;
+    }
+
+    /// Publishes complaints, starts changes that are due, and moves on those that run.
+    pub(crate) fn tend_takeovers(&mut self) {
+        let now = self.now;
+        let clusters: Vec<Name> = self.clusters.keys().cloned().collect();
+        let mut record = NodeRecord {
+            process: self.settings.process,
+            complaints: Default::default(),
+            seen: self.permit.seen,
+            peer_address: self.settings.peer_address,
+            data_centre: self.settings.data_centre.to_string(),
+        };
+        for cluster in &clusters {
+            let complaint = self.complaint(cluster);
+            if let Some(reason) = complaint {
+                if self.takeovers.suspected.insert(cluster.clone(), reason) != Some(reason) {
+                    let record = fields!["cluster" => cluster, "reason" => reason];
+                    self.log("primary_suspected", record);
+                }
+                record.complaints.insert(cluster.to_string());
+            } else {
+                self.takeovers.suspected.remove(cluster);
+            }
+            self.start_if_due(cluster, complaint);
+        }
+        if self.published.record.as_ref() != Some(&record)
+            && (self.published.record.is_none() || now >= self.published.at + PUBLISH_INTERVAL)
+        {
+            self.publish(record);
+        }
+        for cluster in clusters {
+            self.step_takeover(&cluster);
+        }
+        self.tend_duty();
+    }
+
+    pub(crate) fn start_if_due(&mut self, cluster: &Name, complaint: Option<&'static str>) {
+        let now = self.now;
+        if self.takeovers.running.contains_key(cluster)
+            || self.takeovers.paused.get(cluster).is_some_and(|until| now < *until)
+            || self.drain.since.is_some()
+            || !self.knows_list()
+        {
+            return;
+        }
+        let lifts = self.left_fenced(cluster) && complaint.is_none();
+        let (reason, place) = if lifts {
+            ("fences left", self.roster.place(cluster))
+        } else if self.leaving_primary(cluster) {
+            ("primary leaving", self.roster.place(cluster))
+        } else if let Some(reason) = complaint {
+            let nodes = self.roster.complaining(cluster);
+            let needed = (self.holder_count(cluster) / COMPLAINT_SHARE + 1) as usize;
+            let place = nodes.iter().position(|name| *name == self.settings.node);
+            match place {
+                Some(place) if nodes.len() >= needed => (reason, place as u64),
+                _ => {
+                    self.takeovers.due.remove(cluster);
+                    return;
+                }
+            }
+        } else {
+            self.takeovers.due.remove(cluster);
+            return;
+        };
+        let due = *self.takeovers.due.entry(cluster.clone()).or_insert(now);
+        if now < due + Micros(STAGGER.0 * place) || self.duty.is_taken(now) {
+            return;
+        }
+        let Some(state) = self.clusters.get(cluster) else { return };
+        let old = state.evidence.leader().cloned();
+        let highest = state
+            .members
+            .iter()
+            .filter_map(|name| self.databases.get(name)?.report)
+            .map(|report| report.term.max(report.fence))
+            .max()
+            .unwrap_or_default();
+        let term = state.evidence.term().next().max(highest);
+        self.log(
+            "takeover_started",
+            fields![
+                "cluster" => cluster,
+                "reason" => reason,
+                "old" => old.clone().unwrap_or_default().to_string(),
+                "term" => term.0
+            ],
+        );
+        self.count("takeovers_started");
+        self.takeovers.running.insert(
+            cluster.clone(),
+            Takeover {
+                stage: TakeoverStage::Claiming,
+                old,
+                term,
+                started: now,
+                stepped: now,
+                in_flight: false,
+                replicas: Vec::new(),
+                fenced: FastMap::default(),
+                asked: FastMap::default(),
+                chosen: None,
+                relisted: false,
+                lifts,
+                announced: 0,
+                unacknowledged: FastMap::default(),
+                clear_at: now,
+            },
+        );
+    }
+}
