Let a former primary be no witness of its own term

Ruled out: the permit, which the store had ended, and a commit acknowledged late. Change: such a report ends the term.

--- a/crates/gate/src/evidence.rs
+++ b/crates/gate/src/evidence.rs
@@ -57,6 +57,10 @@
 pub struct LeadEvidence {
     term: Term,
     leader: Option<Name>,
+    /// The database that last reported to lead `term`.
+    led: Option<Name>,
+    /// That database has become a replica, so the term is over.
+    over: bool,
     /// No change beyond `term` had begun at this time.
     confirmed: Option<Micros>,
     /// As `confirmed`, by a report or a commit and not by a permit.
@@ -102,6 +106,8 @@
         if report.term > self.term {
             self.term = report.term;
             self.leader = None;
+            self.led = None;
+            self.over = false;
             self.confirmed = None;
             self.witnessed = None;
             self.fenced.clear();
@@ -116,11 +122,15 @@
                     self.held = report.received;
                 }
                 self.leader = Some(database.clone());
+                self.led = Some(database.clone());
+                self.over = false;
                 self.point_seen(database, asked, report.received);
             }
             DatabaseRole::Replica => {
-                if self.leader.as_ref() == Some(database) {
+                if self.led.as_ref() == Some(database) {
                     self.leader = None;
+                    self.over = true;
+                    self.unproved.clear();
                 }
                 if report.fence > self.term {
                     self.fenced.entry(database.clone()).or_insert(asked);
@@ -183,6 +193,9 @@
     }
 
     fn witness(&mut self, at: Micros) {
+        if self.over {
+            return;
+        }
         self.witnessed = self.witnessed.max(Some(at));
         self.confirm(at);
     }
