Give each cluster one owner of connections in a data centre

Change: above 16 nodes, one node in each data centre (three at least) owns the connections of a cluster; the strongest nodes share the clusters evenly. A request waits at another node as long as that node answers, if need be a new connection as a probe. Retries are logged with what the database said. The owners' hash is the one of crate member; the node's registration is built in one place.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -139,7 +139,7 @@
         }
         let claims_primary =
             self.databases[&name].listed.claimed_role == Some(DatabaseRole::Primary);
-        let holds = self.holds_links(&cluster);
+        let holds = self.owns_links(&cluster);
         if holds && claims_primary && (role_changed || known.is_none()) {
             self.ask_report(&name);
         }
@@ -348,7 +348,7 @@
 
     fn tend_cluster(&mut self, cluster: &Name) {
         let now = self.now;
-        let holds = self.holds_links(cluster);
+        let holds = self.owns_links(cluster);
         if let Some(need) = self.clusters.get(cluster).and_then(|state| state.proof_need) {
             self.want_proof(cluster, need);
         }
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -22,6 +22,13 @@
 /// centres, below what a queue of 16 statements takes only in rare cases.
 pub(crate) const UNRESPONSIVE: Micros = Micros::from_millis(350);
 
+/// Silence of another node after which a further connection to it is opened to see whether it answers. Its
+/// requests may wait in a queue for longer.
+const PEER_PROBE: Micros = Micros::from_millis(250);
+
+/// Silence of another node, the probe included, after which its requests are sent elsewhere.
+const PEER_SILENCE: Micros = Micros::from_millis(500);
+
 /// Requests that all nodes together send to a database for each statement that it executes at once.
 const SENT_PER_SLOT: u32 = 2;
 
@@ -148,6 +155,19 @@
         self.silent_since().is_none_or(|since| now < since + UNRESPONSIVE)
     }
 
+    /// Tells whether it stands for another node that owes answers and should be probed.
+    pub(crate) fn wants_probe(&self, now: Micros) -> bool {
+        self.peer.is_some()
+            && self.opening == 0
+            && now >= self.retry_open
+            && self.silent_since().is_some_and(|since| now >= since + PEER_PROBE)
+    }
+
+    /// Tells whether it stands for another node that answers nothing, not even a probe.
+    pub(crate) fn is_silent_peer(&self, now: Micros) -> bool {
+        self.silent_since().is_some_and(|since| now >= since + PEER_SILENCE)
+    }
+
     /// Returns since when attempts to reach it or statements are without an answer.
     pub(crate) fn silent_since(&self) -> Option<Micros> {
         match (self.trying_since, self.overdue_since) {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -4,7 +4,7 @@
 //! time and carries out the [`GateAction`]s. All time is one clock that also counts while the VM is
 //! suspended, since proofs and the promotion duty depend on it.
 //!
-//! The modules: `session` for clients; `work`, `dispatch` and `outcome` for the way of one request; `peer` for
+//! The modules: `session` for clients; `work`, `dispatch` and `outcome` for the way of one request; `owners` and `peer` for
 //! forwarding; `link` and `database` for connections; `cluster`, `evidence` and `permit` for what is known of
 //! primaries; `suspicion`, `takeover`, `fencing`, `duty` and `roster` for changing them; `ready` and `drain` for
 //! what the balancer sees.
@@ -22,6 +22,7 @@
 mod fencing;
 mod link;
 mod outcome;
+mod owners;
 mod peer;
 mod permit;
 mod ready;
@@ -46,6 +47,7 @@
     StoreState, StoredDocument, WriteResult, rank_of_priority,
 };
 pub use evidence::LeadEvidence;
+pub use owners::{OwnerInput, OwnerTable};
 pub use permit::PERMIT_TIME;
 pub use roster::{NodeRecord, NodeRoster};
 pub use route::{ClusterLimits, Freshness, RouteConfig, RouteTable};
@@ -99,6 +101,7 @@
     ready: ReadyState,
     permit: PermitState,
     peers: PeerState,
+    owners: OwnerTable,
 }
 
 impl Gate {
@@ -111,6 +114,7 @@
     /// let mut gate = Gate::new(GateSettings {
     ///     node: "n1".into(),
     ///     data_centre: "dc1".into(),
+    ///     capacity: 250,
     ///     peer_address: None,
     ///     process: 1,
     ///     grace: Micros::from_secs(6),
@@ -139,6 +143,7 @@
             ready: ReadyState::default(),
             permit: PermitState::default(),
             peers: PeerState::default(),
+            owners: OwnerTable::default(),
             settings,
         }
     }
@@ -174,7 +179,10 @@
             GateEvent::DocumentChanged(stored) => self.document_changed(stored),
             GateEvent::DocumentRemoved(document) => match document {
                 Document::Duty => {}
-                Document::Node(name) => self.roster.remove(self.now, &name),
+                Document::Node(name) => {
+                    self.roster.remove(self.now, &name);
+                    self.update_owners();
+                }
             },
             GateEvent::DutyWritten { attempt, result } => self.duty_written(attempt, result),
             GateEvent::StateRead { state } => self.state_read(state),
@@ -214,6 +222,7 @@
             self.clusters.entry(cluster.clone()).or_default();
         }
         self.table = table;
+        self.update_owners();
         self.update_ready();
     }
 
@@ -232,6 +241,7 @@
         for stored in documents {
             self.document_changed(stored);
         }
+        self.update_owners();
     }
 
     fn document_changed(&mut self, stored: StoredDocument) {
@@ -240,7 +250,10 @@
                 self.duty.observe(self.now, Some((stored.revision, &stored.bytes)));
                 self.announcement_seen();
             }
-            Document::Node(name) => self.roster.set(name, &stored.bytes),
+            Document::Node(name) => {
+                self.roster.set(name, &stored.bytes);
+                self.update_owners();
+            }
         }
     }
 
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -53,7 +53,7 @@
     pub(crate) fn open_links(&mut self, name: &Name) {
         let now = self.now;
         let Some(database) = self.databases.get(name) else { return };
-        let nodes = self.holder_count(&database.listed.cluster);
+        let nodes = self.owner_count(&database.listed.cluster);
         let limit = self.connection_limit(&database.listed.cluster);
         let Some(database) = self.databases.get_mut(name) else { return };
         let closed = database.unlisted.is_some()
@@ -74,6 +74,12 @@
         if !first && (database.opening >= wanted || links >= limit || database.opening >= 2) {
             return;
         }
+        self.open_link(name);
+    }
+
+    /// Opens a connection.
+    pub(crate) fn open_link(&mut self, name: &Name) {
+        let now = self.now;
         let link = LinkId(self.next_id());
         let Some(database) = self.databases.get_mut(name) else { return };
         database.links.push(link);
@@ -90,7 +96,7 @@
     fn keeps_link(&self, name: &Name) -> bool {
         let Some(database) = self.databases.get(name) else { return false };
         let Some(state) = self.clusters.get(&database.listed.cluster) else { return false };
-        if !self.holds_links(&database.listed.cluster) {
+        if !self.owns_links(&database.listed.cluster) {
             return false;
         }
         match state.evidence.leader() {
@@ -390,7 +396,7 @@
         }
         for (name, link, used) in surplus {
             let Some(database) = self.databases.get(&name) else { continue };
-            let nodes = self.holder_count(&database.listed.cluster);
+            let nodes = self.owner_count(&database.listed.cluster);
             let limit = self.connection_limit(&database.listed.cluster);
             let share = usize::try_from(steady_share(limit, nodes).max(1)).unwrap_or(1);
             if share > 1 && now < used + AMPLE_SURPLUS_TIME {
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -44,7 +44,15 @@
     }
 
     /// Tries a request again that did not run, or a read whose answer is of no use.
-    pub(crate) fn retry_work(&mut self, id: WorkId, pause: Option<Micros>, code: ErrorCode) {
+    ///
+    /// `cause` is what the database said; the client is told `code` if this was the last try.
+    pub(crate) fn retry_work(
+        &mut self,
+        id: WorkId,
+        pause: Option<Micros>,
+        cause: ErrorCode,
+        code: ErrorCode,
+    ) {
         self.release_slot(id);
         let now = self.now;
         let Some(work) = self.works.get_mut(&id) else { return };
@@ -61,7 +69,7 @@
             "request" => &work.request.id,
             "database" => work.database.clone().unwrap_or_default().to_string(),
             "tries" => u64::from(work.tries),
-            "cause" => code.name()
+            "cause" => cause.name()
         ];
         match pause {
             Some(_) => {
@@ -115,25 +123,25 @@
                     state.evidence.distrust(&database);
                 }
                 self.ask_all(&cluster);
-                self.retry_work(id, None, ErrorCode::Busy);
+                self.retry_work(id, None, code, ErrorCode::Busy);
             }
             ErrorCode::Lagging => {
                 work.avoided.push(database);
-                self.retry_work(id, None, ErrorCode::Busy);
+                self.retry_work(id, None, code, ErrorCode::Busy);
             }
             ErrorCode::NoStatement => {
                 if let Some(link) = work.link.and_then(|link| self.links.get_mut(&link)) {
                     link.forget_prepared();
                 }
-                self.retry_work(id, None, ErrorCode::Busy);
+                self.retry_work(id, None, code, ErrorCode::Busy);
             }
             _ if self.peer_refused(&database, &cluster) => {
                 if let Some(work) = self.works.get_mut(&id) {
                     work.avoided.push(database);
                 }
-                self.retry_work(id, None, ErrorCode::Busy);
+                self.retry_work(id, None, code, ErrorCode::Busy);
             }
-            _ => self.retry_work(id, Some(BUSY_PAUSE), ErrorCode::Busy),
+            _ => self.retry_work(id, Some(BUSY_PAUSE), code, ErrorCode::Busy),
         }
     }
 
@@ -165,7 +173,7 @@
                     if let Some(work) = self.works.get_mut(&id) {
                         work.avoided.extend(database);
                     }
-                    self.retry_work(id, None, code);
+                    self.retry_work(id, None, code, code);
                 } else {
                     self.refuse(id, code, &text);
                 }
@@ -358,7 +366,7 @@
             return self.fail_transaction(id, ErrorCode::Aborted, "the connection was lost");
         }
         work.avoided.extend(work.database.clone());
-        self.retry_work(id, None, ErrorCode::Busy);
+        self.retry_work(id, None, ErrorCode::Unknown, ErrorCode::Busy);
     }
 
     /// Acts on requests whose time is up.
@@ -395,8 +403,14 @@
     }
 
     /// Returns how long a request should wait for its database.
+    ///
+    /// Another node sends a request again itself and knows its queue, so a second one elsewhere would only
+    /// add to the load. Only its silence counts.
     pub(crate) fn patience(&self, work: &Work) -> Micros {
         let database = work.database.as_ref().and_then(|name| self.databases.get(name));
+        if let Some(peer) = database.filter(|database| database.peer.is_some()) {
+            return if peer.is_silent_peer(self.now) { READ_PATIENCE_MOST } else { Micros::MAX };
+        }
         let usual = database.map_or(Micros::ZERO, |database| database.latency.value(self.now));
         Micros(usual.0 * READ_PATIENCE_FACTOR).clamp(READ_PATIENCE_LEAST, READ_PATIENCE_MOST)
     }
@@ -459,7 +473,7 @@
         match work.kind {
             WorkKind::Read if !late => {
                 work.avoided.extend(work.database.clone());
-                self.retry_work(id, None, ErrorCode::Timeout);
+                self.retry_work(id, None, ErrorCode::Timeout, ErrorCode::Timeout);
             }
             WorkKind::Read => self.refuse(id, ErrorCode::Timeout, "the time limit passed"),
             WorkKind::Write => self.refuse(id, ErrorCode::Unknown, unknown),
--- /dev/null
+++ b/crates/gate/src/owners.rs
@@ -0,0 +1,125 @@
+//! Which nodes keep connections to a cluster's databases.
+//!
+//! While there are few nodes, each does. Beyond that a database has fewer connections than there are nodes, and
+//! many nodes with a request each would overrun its queue, so one node in each data centre owns the
+//! connections of a cluster there and the others forward to it. Every node computes the same owners from the
+//! registrations. The strongest nodes of a data centre share the clusters evenly.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use member::owner_score;
+use model::{FastMap, Name};
+
+/// Up to this many nodes each owns connections: the smallest size at which forwarding was better on the
+/// users' bench lies above it, and one connection for each node is within every known limit.
+const FEW_NODES: usize = 16;
+
+/// Owners of one cluster at least, so that the loss of one leaves a choice.
+const LEAST_OWNERS: usize = 3;
+
+/// Clusters for each owning node of a data centre. More would put too much of the traffic on a VM of an eighth
+/// of a core, fewer would keep more permits renewed.
+const CLUSTERS_PER_NODE: usize = 4;
+
+/// Connections that an owner needs for one database to run transactions beside other requests.
+const OWNER_LINKS: u32 = 3;
+
+/// What the choice of owners depends on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OwnerInput {
+    /// Data centre and capacity of each node.
+    pub nodes: BTreeMap<Name, (Name, u32)>,
+    /// Connections that each cluster's databases take.
+    pub clusters: BTreeMap<Name, u32>,
+}
+
+/// The owners of all clusters.
+#[derive(Debug, Default)]
+pub struct OwnerTable {
+    input: OwnerInput,
+    /// Owners by cluster; empty if every node is one.
+    owners: FastMap<Name, Vec<Name>>,
+}
+
+impl OwnerTable {
+    /// Chooses the owners anew if what they depend on has changed; tells whether it has.
+    pub fn update(&mut self, input: OwnerInput) -> bool {
+        if input == self.input {
+            return false;
+        }
+        self.owners = choose_owners(&input);
+        self.input = input;
+        true
+    }
+
+    /// Returns the owners of a cluster, or `None` if every node is one.
+    pub fn of(&self, cluster: &Name) -> Option<&[Name]> {
+        self.owners.get(cluster).map(Vec::as_slice)
+    }
+
+    /// Returns a node's place among the owners of a cluster.
+    pub fn place(&self, cluster: &Name, node: &Name) -> Option<usize> {
+        let owners = self.of(cluster);
+        match owners {
+            Some(owners) => owners.iter().position(|owner| owner == node),
+            None => {
+                let score = owner_score(cluster, node);
+                let nodes = self.input.nodes.keys().filter(|other| *other != node);
+                Some(nodes.filter(|other| owner_score(cluster, other) > score).count())
+            }
+        }
+    }
+}
+
+fn choose_owners(input: &OwnerInput) -> FastMap<Name, Vec<Name>> {
+    let mut owners = FastMap::<Name, Vec<Name>>::default();
+    if input.nodes.len() <= FEW_NODES {
+        return owners;
+    }
+    let mut centres = BTreeMap::<&Name, Vec<(&Name, u32)>>::new();
+    for (node, (centre, capacity)) in &input.nodes {
+        centres.entry(centre).or_default().push((node, *capacity));
+    }
+    let each = LEAST_OWNERS.div_ceil(centres.len());
+    for nodes in centres.values_mut() {
+        nodes.sort_by_key(|(node, capacity)| (Reverse(*capacity), owner_score("owners", node)));
+        let wanted = (input.clusters.len() * each).div_ceil(CLUSTERS_PER_NODE);
+        nodes.truncate(wanted.max(each));
+        for (cluster, owner) in share_clusters(nodes, input.clusters.keys(), each) {
+            owners.entry(cluster.clone()).or_default().push(owner.clone());
+        }
+    }
+    for (cluster, chosen) in &mut owners {
+        chosen.sort_by_key(|node| Reverse(owner_score(cluster, node)));
+        let connections = input.clusters.get(cluster).copied().unwrap_or_default();
+        let most = usize::try_from(connections / 2 / OWNER_LINKS).unwrap_or(usize::MAX);
+        chosen.truncate(most.max(1));
+    }
+    owners
+}
+
+/// Gives each cluster its best scored nodes among those that have not had their share yet, so that a change
+/// of one node moves little else.
+fn share_clusters<'a>(
+    nodes: &[(&'a Name, u32)],
+    clusters: impl ExactSizeIterator<Item = &'a Name>,
+    each: usize,
+) -> Vec<(&'a Name, &'a Name)> {
+    let share = (clusters.len() * each).div_ceil(nodes.len().max(1));
+    let mut taken = BTreeMap::<&Name, usize>::new();
+    let mut chosen = Vec::new();
+    for cluster in clusters {
+        let mut owners = BTreeSet::new();
+        for _ in 0..each {
+            let free = nodes.iter().map(|(node, _)| *node).filter(|node| {
+                !owners.contains(node) && taken.get(node).copied().unwrap_or_default() < share
+            });
+            let Some(best) = free.max_by_key(|node| owner_score(cluster, node)) else { break };
+            owners.insert(best);
+            *taken.entry(best).or_default() += 1;
+            chosen.push((cluster, best));
+        }
+    }
+    chosen
+}
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -1,16 +1,17 @@
 //! Forwarding to other nodes.
 //!
 //! A node forwards a request that it cannot serve itself: it reaches no primary or no proof of one, the
-//! databases give it no connection, or there are more nodes than connections and others hold them. Another node
+//! databases give it no connection, or there are many nodes and others own the connections. Another node
 //! is used like a database: it takes the same commands, holds the session's state on the connection, and
 //! answers with the position of commits. It never forwards again, and refuses at once what it cannot serve.
 
 use model::{FastMap, Micros, Name};
 
-use crate::Gate;
 use crate::database::Database;
 use crate::event::{ListedDatabase, SessionOrigin};
+use crate::owners::OwnerInput;
 use crate::work::WorkId;
+use crate::{Gate, fields};
 
 /// Time for which a node that refused requests of a cluster is not asked again.
 const REFUSED_TIME: Micros = Micros::from_millis(300);
@@ -18,16 +19,6 @@
 /// Time after which an unused entry of a node is removed.
 const UNUSED_TIME: Micros = Micros::from_millis(5_000);
 
-/// Connections that a node needs for one database to run transactions beside other requests.
-const HOLDER_LINKS: u32 = 3;
-
-/// Up to this many nodes each holds connections, even if it is only one.
-const FEW_NODES: u32 = 16;
-
-/// Nodes that hold connections to one cluster at most. More would only share its load further, and each needs
-/// proofs of its own.
-const MOST_HOLDERS: u32 = 10;
-
 /// Statements that another node is expected to run at once for this one.
 const PEER_SLOTS: u32 = 3;
 
@@ -42,35 +33,55 @@
 }
 
 impl Gate {
-    /// Tells whether this node holds connections to a cluster's databases.
-    pub(crate) fn holds_links(&self, cluster: &Name) -> bool {
-        self.is_holder(cluster, &self.settings.node)
+    /// Chooses the owners of connections anew if the nodes or the clusters have changed.
+    pub(crate) fn update_owners(&mut self) {
+        let (centre, capacity) = (&self.settings.data_centre, self.settings.capacity);
+        let nodes = self.roster.members(centre, capacity);
+        let clusters = self.table.clusters.iter();
+        let clusters = clusters.map(|(name, limits)| (name.clone(), limits.connections)).collect();
+        if !self.owners.update(OwnerInput { nodes, clusters }) {
+            return;
+        }
+        let all: Vec<Name> = self.table.clusters.keys().cloned().collect();
+        let owned = all.iter().filter(|cluster| self.owns_links(cluster)).count();
+        let record = fields![
+            "nodes" => u64::from(self.roster.live()),
+            "clusters" => u64::try_from(all.len()).unwrap_or(u64::MAX),
+            "owned" => u64::try_from(owned).unwrap_or(u64::MAX)
+        ];
+        self.log("owners_chosen", record);
     }
 
-    fn is_holder(&self, cluster: &Name, node: &Name) -> bool {
-        let holders = self.holder_count(cluster);
-        holders >= self.roster.live() || self.roster.place_of(cluster, node) < u64::from(holders)
+    /// Tells whether this node keeps connections to a cluster's databases.
+    pub(crate) fn owns_links(&self, cluster: &Name) -> bool {
+        self.is_owner(cluster, &self.settings.node)
     }
 
-    /// Returns how many nodes hold connections to a cluster.
-    pub(crate) fn holder_count(&self, cluster: &Name) -> u32 {
-        let nodes = self.roster.live();
-        let Some(limits) = self.table.clusters.get(cluster) else { return nodes };
-        if nodes <= FEW_NODES || nodes * HOLDER_LINKS <= limits.connections {
-            return nodes;
-        }
-        (limits.connections / 2 / HOLDER_LINKS).clamp(2, MOST_HOLDERS)
+    fn is_owner(&self, cluster: &Name, node: &Name) -> bool {
+        self.owners.of(cluster).is_none_or(|owners| owners.contains(node))
+    }
+
+    /// Returns how many nodes keep connections to a cluster's databases.
+    pub(crate) fn owner_count(&self, cluster: &Name) -> u32 {
+        let owners = self.owners.of(cluster).map(<[Name]>::len);
+        owners.map_or(self.roster.live(), |count| u32::try_from(count).unwrap_or(u32::MAX))
+    }
+
+    /// Returns this node's place among the owners of a cluster, for work that one of them does.
+    pub(crate) fn owner_place(&self, cluster: &Name) -> u64 {
+        let place = self.owners.place(cluster, &self.settings.node);
+        place.map_or(u64::from(self.roster.live()), |place| place as u64)
     }
 
-    /// Tells whether requests of a cluster can be expected to be served, here or by a node that holds
+    /// Tells whether requests of a cluster can be expected to be served, here or by a node that owns
     /// connections.
     pub(crate) fn reaches_cluster(&self, cluster: &Name) -> bool {
-        if self.holds_links(cluster) {
+        if self.owns_links(cluster) {
             return self.usable_leader(cluster).is_some();
         }
         self.permit().is_some()
             && self.roster.others().any(|(node, record)| {
-                self.is_holder(cluster, node) && !record.complaints.contains(cluster.as_str())
+                self.is_owner(cluster, node) && !record.complaints.contains(cluster.as_str())
             })
     }
 
@@ -97,7 +108,7 @@
             if record.complaints.contains(cluster.as_str())
                 || refused.is_some_and(|at| self.now < *at + REFUSED_TIME)
                 || work.avoided.contains(&name)
-                || !self.is_holder(&cluster, node)
+                || !self.is_owner(&cluster, node)
             {
                 continue;
             }
@@ -108,7 +119,7 @@
             let far = record.data_centre != own;
             let load = entry.map_or(0, Database::load);
             let detour = if far { DETOUR_LOAD } else { 0 };
-            let place = self.roster.place_of(&cluster, node);
+            let place = self.owners.place(&cluster, node);
             let rank = (load + detour, place, name, address);
             if best.as_ref().is_none_or(|best| rank < *best) {
                 best = Some(rank);
@@ -142,9 +153,25 @@
         true
     }
 
+    /// Probes nodes that owe answers, so that a node that waits is told from one that is gone.
+    fn probe_peers(&mut self) {
+        let now = self.now;
+        let probed: Vec<Name> = self
+            .databases
+            .iter()
+            .filter(|(_, entry)| entry.wants_probe(now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in probed {
+            self.count("peers_probed");
+            self.open_link(&name);
+        }
+    }
+
     /// Removes the entries of nodes that are gone or were not used for a while.
     pub(crate) fn tend_peers(&mut self) {
         let now = self.now;
+        self.probe_peers();
         let unused: Vec<Name> = self
             .databases
             .iter()
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -4,9 +4,11 @@
 //! connections, and carries the node's complaints, so that one node's own trouble does not move a primary
 //! that the others reach.
 
-use std::collections::BTreeSet;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use member::owner_score;
 use model::{FastMap, Micros, Name};
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +27,9 @@
     pub peer_address: Option<SocketAddr>,
     #[serde(default)]
     pub data_centre: String,
+    /// Processor share of its VM, in thousandths of a core.
+    #[serde(default)]
+    pub capacity: u32,
 }
 
 /// The registered nodes.
@@ -84,6 +89,18 @@
         self.nodes.get(node)
     }
 
+    /// Returns the data centre and capacity of each node; those of this one are given.
+    pub(crate) fn members(&self, centre: &Name, capacity: u32) -> BTreeMap<Name, (Name, u32)> {
+        let others = self.others();
+        let mut members: BTreeMap<Name, (Name, u32)> = others
+            .map(|(name, node)| {
+                (name.clone(), (Name::from(node.data_centre.as_str()), node.capacity))
+            })
+            .collect();
+        members.insert(self.own.clone(), (centre.clone(), capacity));
+        members
+    }
+
     /// Tells whether a node has acknowledged an announcement.
     pub fn has_seen(&self, node: &Name, announced: u64) -> bool {
         self.nodes.get(node).is_some_and(|record| record.seen >= announced)
@@ -97,7 +114,7 @@
             .filter(|(_, record)| record.complaints.contains(cluster.as_str()))
             .map(|(name, _)| name.clone())
             .collect();
-        nodes.sort_by_key(|name| order_key(cluster, name));
+        nodes.sort_by_key(|name| Reverse(owner_score(cluster, name)));
         nodes
     }
 
@@ -106,26 +123,6 @@
         let before = self.nodes.keys().filter(|name| **name < self.own).count();
         before.checked_rem(choices).unwrap_or_default()
     }
-
-    /// Returns this node's place among all nodes for work on a cluster.
-    pub fn place(&self, cluster: &Name) -> u64 {
-        self.place_of(cluster, &self.own)
-    }
-
-    /// Returns a node's place among all nodes for work on a cluster.
-    pub fn place_of(&self, cluster: &Name, node: &Name) -> u64 {
-        let own = order_key(cluster, node);
-        let before = self.nodes.keys().filter(|name| order_key(cluster, name) < own).count();
-        u64::try_from(before).unwrap_or(u64::MAX)
-    }
-}
-
-/// Spreads the clusters' work over the nodes (FNV-1a).
-fn order_key(cluster: &Name, node: &Name) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let bytes = cluster.bytes().chain([0]).chain(node.bytes());
-    bytes.fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
 }
 
 /// Complaints that the node last published, and when.
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -9,6 +9,8 @@
 pub struct GateSettings {
     pub node: Name,
     pub data_centre: Name,
+    /// Processor share of the VM, in thousandths of a core.
+    pub capacity: u32,
     /// Where other nodes forward requests to.
     pub peer_address: Option<SocketAddr>,
     /// Distinguishes processes that ran under the same name.
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -44,7 +44,7 @@
     /// Returns why a cluster's primary should be replaced, as far as this node can tell alone.
     pub(crate) fn complaint(&mut self, cluster: &Name) -> Option<&'static str> {
         let now = self.now;
-        if !self.holds_links(cluster) {
+        if !self.owns_links(cluster) {
             return None;
         }
         let state = self.clusters.get(cluster)?;
@@ -104,13 +104,22 @@
             })
     }
 
+    /// Returns this node's registration with the complaints of the last one.
+    fn registration(&self) -> NodeRecord {
+        let published = self.published.record.as_ref();
+        NodeRecord {
+            process: self.settings.process,
+            complaints: published.map(|record| record.complaints.clone()).unwrap_or_default(),
+            seen: self.permit.seen,
+            peer_address: self.settings.peer_address,
+            data_centre: self.settings.data_centre.to_string(),
+            capacity: self.settings.capacity,
+        }
+    }
+
     /// Publishes the registration now, as it acknowledges an announcement.
     pub(crate) fn publish_registration(&mut self) {
-        let mut record = self.published.record.clone().unwrap_or_default();
-        record.process = self.settings.process;
-        record.seen = self.permit.seen;
-        record.peer_address = self.settings.peer_address;
-        record.data_centre = self.settings.data_centre.to_string();
+        let record = self.registration();
         self.publish(record);
     }
 
@@ -126,13 +135,8 @@
     pub(crate) fn tend_takeovers(&mut self) {
         let now = self.now;
         let clusters: Vec<Name> = self.clusters.keys().cloned().collect();
-        let mut record = NodeRecord {
-            process: self.settings.process,
-            complaints: Default::default(),
-            seen: self.permit.seen,
-            peer_address: self.settings.peer_address,
-            data_centre: self.settings.data_centre.to_string(),
-        };
+        let mut record = self.registration();
+        record.complaints.clear();
         for cluster in &clusters {
             let complaint = self.complaint(cluster);
             if let Some(reason) = complaint {
@@ -168,12 +172,12 @@
         }
         let lifts = self.left_fenced(cluster) && complaint.is_none();
         let (reason, place) = if lifts {
-            ("fences left", self.roster.place(cluster))
+            ("fences left", self.owner_place(cluster))
         } else if self.leaving_primary(cluster) {
-            ("primary leaving", self.roster.place(cluster))
+            ("primary leaving", self.owner_place(cluster))
         } else if let Some(reason) = complaint {
             let nodes = self.roster.complaining(cluster);
-            let needed = (self.holder_count(cluster) / COMPLAINT_SHARE + 1) as usize;
+            let needed = (self.owner_count(cluster) / COMPLAINT_SHARE + 1) as usize;
             let place = nodes.iter().position(|name| *name == self.settings.node);
             match place {
                 Some(place) if nodes.len() >= needed => (reason, place as u64),
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -146,7 +146,7 @@
         }
         let (route, begun, for_leader) = (work.route.clone(), work.begun, work.needs_leader());
         let writes = matches!(work.kind, WorkKind::Write);
-        if !self.holds_links(&route.cluster)
+        if !self.owns_links(&route.cluster)
             && let Some(peer) = self.choose_peer(id)
         {
             return self.queue_at(id, peer, self.session_floor(id), None);
--- /dev/null
+++ b/crates/gate/tests/owners.rs
@@ -0,0 +1,85 @@
+//! The choice of the nodes that keep connections to a cluster's databases.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use gate::{OwnerInput, OwnerTable};
+use model::Name;
+use proptest::prelude::*;
+
+/// Processor shares of the users' large deployments, in thousandths of a core.
+const CAPACITIES: [u32; 2] = [120, 500];
+
+fn input(centres: usize, nodes: usize, clusters: usize, connections: u32) -> OwnerInput {
+    let nodes = (0..nodes).map(|index| {
+        let centre = Name::from(format!("dc{}", index % centres));
+        let capacity = CAPACITIES[usize::from(index / centres < 2)];
+        (Name::from(format!("vm-{index}")), (centre, capacity))
+    });
+    let clusters = (0..clusters).map(|index| (Name::from(format!("db-{index}")), connections));
+    OwnerInput { nodes: nodes.collect(), clusters: clusters.collect() }
+}
+
+fn choose(input: &OwnerInput) -> BTreeMap<Name, Vec<Name>> {
+    let mut table = OwnerTable::default();
+    table.update(input.clone());
+    let clusters = input.clusters.keys();
+    clusters.map(|name| (name.clone(), table.of(name).unwrap().to_vec())).collect()
+}
+
+#[test]
+fn every_node_of_a_small_deployment_is_an_owner() {
+    let mut table = OwnerTable::default();
+    assert!(table.update(input(4, 9, 3, 16)));
+    assert_eq!(table.of(&"db-0".into()), None);
+    assert!(!table.update(input(4, 9, 3, 16)), "the same nodes need no new choice");
+}
+
+/// The users' large deployment: 77 nodes, eight clusters of databases that take 181 connections.
+#[test]
+fn the_strong_nodes_of_each_data_centre_share_the_clusters() {
+    let input = input(5, 77, 8, 181);
+    let mut served = BTreeMap::<Name, usize>::new();
+    for owners in choose(&input).values() {
+        let mut centres: Vec<_> = owners.iter().map(|node| &input.nodes[node].0).collect();
+        centres.sort();
+        centres.dedup();
+        assert_eq!((owners.len(), centres.len()), (5, 5), "{owners:?}");
+        for node in owners {
+            assert_eq!(input.nodes[node].1, CAPACITIES[1], "{node} is one of the weak nodes");
+            *served.entry(node.clone()).or_default() += 1;
+        }
+    }
+    assert!(served.values().all(|clusters| *clusters == 4), "{served:?}");
+}
+
+#[test]
+fn few_connections_have_few_owners() {
+    let owners = choose(&input(4, 71, 8, 16));
+    assert!(owners.values().all(|owners| owners.len() == 2), "{owners:?}");
+}
+
+proptest! {
+    /// Other clusters keep their owners when a node leaves that owns nothing, and each cluster always has some.
+    #[test]
+    fn a_node_without_clusters_leaves_unnoticed(
+        centres in 1_usize..8,
+        nodes in 24_usize..80,
+        clusters in 1_usize..20,
+        gone in 0_usize..80,
+    ) {
+        let before = input(centres, nodes, clusters, 100);
+        let owners = choose(&before);
+        prop_assert!(owners.values().all(|owners| !owners.is_empty()));
+        let gone = Name::from(format!("vm-{}", gone % nodes));
+        let mut after = before.clone();
+        after.nodes.remove(&gone);
+        if owners.values().all(|owners| !owners.contains(&gone)) {
+            prop_assert_eq!(choose(&after), owners);
+        } else {
+            let kept = choose(&after);
+            prop_assert!(kept.values().all(|owners| !owners.is_empty() && !owners.contains(&gone)));
+        }
+    }
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -160,6 +160,7 @@
                 Gate::new(GateSettings {
                     node: name.clone(),
                     data_centre: "east".into(),
+                    capacity: 250,
                     peer_address: None,
                     process: 1,
                     grace: Micros::from_secs(6),
