--- a/crates/edge/src/hub.rs
+++ b/crates/edge/src/hub.rs
@@ -256,7 +256,9 @@
             GateAction::WriteDuty { attempt, expected, bytes } => {
                 self.store.write_duty(attempt, expected, bytes);
             }
-            GateAction::PublishNode { bytes } => self.store.publish(bytes),
+            GateAction::PublishNode { role, registration, bytes } => {
+                self.store.publish(role, registration, bytes);
+            }
             GateAction::ReadState => self.store.read_state(),
             GateAction::EndLease { node, lease } => self.store.end_lease(node, lease),
             GateAction::Promote { cluster, database, holder, number } => {
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -4,13 +4,15 @@
 //! thread keeps this node's registration alive. Calls of a promotion are rare and get a thread each, so that none waits behind
 //! another.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use gate::{
-    Document, GateEvent, ListedDatabase, PromoteResult, RouteTable, StoreState, StoredDocument,
-    WriteResult,
+    Document, GateEvent, ListedDatabase, NodeRole, PromoteResult, RouteTable, StoreState,
+    StoredDocument, WriteResult,
 };
 use model::{FastSet, Name};
 use stakker::sync::Channel;
@@ -21,12 +23,17 @@
 /// word, and then nothing is heard for as long.
 const WATCH_WAIT: Duration = Duration::from_millis(4_000);
 
-/// Pause before a watch is repeated, for each registered node, so that a series of registrations is one
-/// return of the watch and not one each. A few nodes make no pause worth mentioning.
-const PAUSE_PER_NODE: Duration = Duration::from_millis(3);
+/// The same at a node that only forwards and needs little more than the configuration: with its margin and the
+/// call after it, below the time that a node gets to be in touch and the shortest bound of a configuration in the
+/// users' large deployments together, 5 s each.
+const STANDBY_WATCH_WAIT: Duration = Duration::from_millis(8_000);
 
-/// Longest such pause; an announced change of primary waits for it.
-const PAUSE_LONGEST: Duration = Duration::from_millis(250);
+/// Pause before a watch is repeated after changes of registrations, so that a series of them is one return of the
+/// watch and not one each. An announced change of primary may wait for it.
+const OWNER_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause after any change at a node that only forwards; a fifth of the time that a configuration may take.
+const STANDBY_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Nodes up to which there is none.
 const FEW_NODES: usize = 16;
@@ -43,6 +50,9 @@
 /// Interval of renewing it: two renewals within the time of a read permit.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(330);
 
+/// The same without a permit: two renewals within the time to live.
+const STANDBY_RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Registrations that wait to be published.
 const PUBLISH_QUEUE: usize = 16;
 
@@ -107,12 +117,18 @@
     /// Fails if the store does not answer in time or refuses.
     fn write_duty(&self, expected: u64, bytes: &[u8]) -> Result<Option<u64>, StoreError>;
 
-    /// Writes a node's registration under a lease.
+    /// Writes a node's registration in a role under a lease.
     ///
     /// # Errors
     ///
     /// Fails if the store does not answer in time or refuses, or if the lease has ended.
-    fn write_registration(&self, node: &Name, bytes: &[u8], lease: u64) -> Result<(), StoreError>;
+    fn write_registration(
+        &self,
+        role: NodeRole,
+        node: &Name,
+        bytes: &[u8],
+        lease: u64,
+    ) -> Result<(), StoreError>;
 
     /// Opens a lease.
     ///
@@ -145,27 +161,39 @@
     client: S,
     events: Channel<GateEvent>,
     publish: SyncSender<PublishOrder>,
+    /// Whether this node only forwards.
+    standby: Arc<AtomicBool>,
+}
+
+/// A registration as the gate wants it.
+struct RegistrationOrder {
+    role: NodeRole,
+    number: u64,
+    bytes: Vec<u8>,
 }
 
 enum PublishOrder {
-    Record(Vec<u8>),
+    Record(RegistrationOrder),
     End,
 }
 
 impl<S: StoreClient> StoreThreads<S> {
     /// Starts the watch and the registration.
     pub(crate) fn start(client: S, node: Name, events: Channel<GateEvent>) -> Self {
-        let (watcher, changes) = (client.clone(), events.clone());
-        thread::spawn(move || watch_store(&watcher, &changes));
+        let standby = Arc::new(AtomicBool::new(true));
+        let (watcher, changes, role) = (client.clone(), events.clone(), standby.clone());
+        thread::spawn(move || watch_store(&watcher, &changes, &role));
         let (publish, orders) = sync_channel(PUBLISH_QUEUE);
         let registrar = client.clone();
         let renewals = events.clone();
         thread::spawn(move || keep_registration(&registrar, &node, &orders, &renewals));
-        StoreThreads { client, events, publish }
+        StoreThreads { client, events, publish, standby }
     }
 
-    pub(crate) fn publish(&self, bytes: Vec<u8>) {
-        match self.publish.try_send(PublishOrder::Record(bytes)) {
+    pub(crate) fn publish(&self, role: NodeRole, number: u64, bytes: Vec<u8>) {
+        self.standby.store(role == NodeRole::Standby, Ordering::Relaxed);
+        let order = RegistrationOrder { role, number, bytes };
+        match self.publish.try_send(PublishOrder::Record(order)) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 log::warn!("\"event\":\"registration_dropped\"");
@@ -256,22 +284,28 @@
 }
 
 /// Lists the store and follows its changes for as long as the process runs.
-fn watch_store<S: StoreClient>(client: &S, events: &Channel<GateEvent>) {
+fn watch_store<S: StoreClient>(client: &S, events: &Channel<GateEvent>, standby: &AtomicBool) {
     let mut after = None;
     let mut failures = 0_u32;
     let mut nodes: FastSet<Name> = FastSet::default();
     loop {
+        let forwards = nodes.len() > FEW_NODES && standby.load(Ordering::Relaxed);
+        let wait = if forwards { STANDBY_WATCH_WAIT } else { WATCH_WAIT };
         let result = match after {
             None => client.list().map(|(items, revision)| {
                 nodes = items.iter().filter_map(registered_node).collect();
                 send_list(items, events);
                 revision
             }),
-            Some(revision) => client.watch(revision, WATCH_WAIT).map(|(changes, next)| {
+            Some(revision) => client.watch(revision, wait).map(|(changes, next)| {
+                let changed = !changes.is_empty();
+                let registered = changes.iter().any(changes_registration);
                 for change in changes {
                     match &change {
                         StoreChange::Set(item) => nodes.extend(registered_node(item)),
-                        StoreChange::DocumentRemoved(Document::Node(node)) => {
+                        StoreChange::DocumentRemoved(
+                            Document::Node(node) | Document::Standby(node),
+                        ) => {
                             nodes.remove(node);
                         }
                         _ => {}
@@ -279,8 +313,11 @@
                     send_change(change, events);
                 }
                 if nodes.len() > FEW_NODES {
-                    let pause = PAUSE_PER_NODE * u32::try_from(nodes.len()).unwrap_or(u32::MAX);
-                    thread::sleep(pause.min(PAUSE_LONGEST));
+                    if changed && standby.load(Ordering::Relaxed) {
+                        thread::sleep(STANDBY_PAUSE);
+                    } else if registered {
+                        thread::sleep(OWNER_PAUSE);
+                    }
                 }
                 next
             }),
@@ -310,13 +347,22 @@
 
 fn registered_node(item: &StoreItem) -> Option<Name> {
     match item {
-        StoreItem::Document(StoredDocument { document: Document::Node(node), .. }) => {
-            Some(node.clone())
-        }
+        StoreItem::Document(StoredDocument {
+            document: Document::Node(node) | Document::Standby(node),
+            ..
+        }) => Some(node.clone()),
         _ => None,
     }
 }
 
+fn changes_registration(change: &StoreChange) -> bool {
+    match change {
+        StoreChange::Set(item) => registered_node(item).is_some(),
+        StoreChange::DocumentRemoved(document) => *document != Document::Duty,
+        StoreChange::DatabaseRemoved(_) => false,
+    }
+}
+
 fn send_list(items: Vec<StoreItem>, events: &Channel<GateEvent>) {
     let (state, routes) = store_state(items);
     if let Some(table) = routes {
@@ -340,47 +386,60 @@
     events.send(event);
 }
 
-/// Publishes this node's registration and keeps its lease, which is the node's read permit.
+/// A registration that is stored.
+struct StoredRegistration {
+    role: NodeRole,
+    lease: u64,
+}
+
+/// Publishes this node's registration and keeps its lease, which is an owner's read permit.
 fn keep_registration<S: StoreClient>(
     client: &S,
     node: &Name,
     orders: &Receiver<PublishOrder>,
     events: &Channel<GateEvent>,
 ) {
-    let mut lease = None;
-    let mut record = None;
+    let mut stored: Option<StoredRegistration> = None;
+    let mut wanted: Option<RegistrationOrder> = None;
     let mut dirty = false;
     let mut renew_at = Instant::now();
     loop {
         match orders.recv_timeout(renew_at.saturating_duration_since(Instant::now())) {
-            Ok(PublishOrder::Record(bytes)) => {
-                record = Some(bytes);
+            Ok(PublishOrder::Record(order)) => {
+                wanted = Some(order);
                 dirty = true;
             }
             Ok(PublishOrder::End) => {
-                if let Some(lease) = lease.take()
-                    && let Err(error) = client.end_lease(lease)
-                {
-                    log_failure("end_lease", &error);
+                if let Some(stored) = stored.take() {
+                    end_registration(client, &stored);
                 }
                 return;
             }
-            Err(RecvTimeoutError::Timeout) => renew_at = Instant::now() + RENEWAL_INTERVAL,
+            Err(RecvTimeoutError::Timeout) => {
+                let role = wanted.as_ref().map(|order| order.role);
+                let interval = match role {
+                    Some(NodeRole::Standby) => STANDBY_RENEWAL_INTERVAL,
+                    Some(NodeRole::Owner) | None => RENEWAL_INTERVAL,
+                };
+                renew_at = Instant::now() + interval;
+            }
             Err(RecvTimeoutError::Disconnected) => return,
         }
-        let Some(bytes) = &record else { continue };
+        let Some(order) = &wanted else { continue };
         let sent = clock::now();
-        let result = match (lease, dirty) {
-            (Some(id), true) => client.write_registration(node, bytes, id),
-            (Some(id), false) => client.renew_lease(id),
-            (None, _) => {
+        let result = match &stored {
+            Some(stored) if stored.role == order.role && dirty => {
+                client.write_registration(order.role, node, &order.bytes, stored.lease)
+            }
+            Some(stored) if stored.role == order.role => client.renew_lease(stored.lease),
+            _ => {
                 dirty = true;
-                client.open_lease(REGISTRATION_TTL).and_then(|opened| {
-                    client.write_registration(node, bytes, opened)?;
-                    lease = Some(opened);
+                open_registration(client, node, order).map(|opened| {
+                    if let Some(former) = stored.replace(opened) {
+                        end_registration(client, &former);
+                    }
                     // The permit begins with the first renewal sent after the registration is stored.
                     renew_at = Instant::now();
-                    Ok(())
                 })
             }
         };
@@ -388,13 +447,18 @@
             Ok(()) => {
                 // A write of the registration alone does not renew its lease.
                 if !std::mem::take(&mut dirty) {
-                    events.send(GateEvent::PermitRenewed { sent });
+                    events.send(match order.role {
+                        NodeRole::Owner => {
+                            GateEvent::PermitRenewed { sent, registration: order.number }
+                        }
+                        NodeRole::Standby => GateEvent::ContactRenewed { sent },
+                    });
                 }
             }
             Err(error) => {
                 log_failure("registration", &error);
                 if error == StoreError::LeaseEnded {
-                    lease = None;
+                    stored = None;
                     dirty = true;
                     events.send(GateEvent::PermitLost);
                 }
@@ -402,3 +466,19 @@
         }
     }
 }
+
+fn open_registration<S: StoreClient>(
+    client: &S,
+    node: &Name,
+    order: &RegistrationOrder,
+) -> Result<StoredRegistration, StoreError> {
+    let lease = client.open_lease(REGISTRATION_TTL)?;
+    client.write_registration(order.role, node, &order.bytes, lease)?;
+    Ok(StoredRegistration { role: order.role, lease })
+}
+
+fn end_registration<S: StoreClient>(client: &S, stored: &StoredRegistration) {
+    if let Err(error) = client.end_lease(stored.lease) {
+        log_failure("end_lease", &error);
+    }
+}
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod faultproxy;
 mod http;
 pub mod loadgen;
+pub mod port;
 mod setup;
 
 pub use setup::{cluster_entry, publish_configuration, wait_until_served};
--- /dev/null
+++ b/crates/fake/src/port.rs
@@ -0,0 +1,42 @@
+//! Ports for processes that tests start.
+
+use std::net::SocketAddr;
+
+use socket2::{Domain, Socket, Type};
+
+/// A bound socket that does not listen. It keeps the kernel from giving its port to others, and lets a process
+/// listen there, because both set `SO_REUSEADDR`. A listener that is closed just before the process starts does
+/// not do: processes started at that moment by other threads inherit it, and a connection may take its port.
+///
+/// ```
+/// let reservation = fake::port::PortReservation::new()?;
+/// let listener = std::net::TcpListener::bind(reservation.address()?)?;
+/// assert_eq!(listener.local_addr()?, reservation.address()?);
+/// # Ok::<(), std::io::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct PortReservation(Socket);
+
+impl PortReservation {
+    /// Reserves a free port of the loopback address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the kernel has no free port.
+    pub fn new() -> std::io::Result<Self> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+        Ok(PortReservation(socket))
+    }
+
+    /// Returns the reserved address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the kernel does not tell it.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        let address = self.0.local_addr()?;
+        address.as_socket().ok_or_else(|| std::io::Error::other("not an IP address"))
+    }
+}
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -6,7 +6,7 @@
 use model::Name;
 
 use crate::backend::{BackendCommand, LogPoint};
-use crate::event::{LinkId, SessionId};
+use crate::event::{LinkId, NodeRole, SessionId};
 use crate::statement::{ErrorCode, SessionState};
 
 /// Answer to a client's request.
@@ -70,8 +70,11 @@
         expected: u64,
         bytes: Vec<u8>,
     },
-    /// Publish this node's registration.
+    /// Publish this node's registration; if it had another role, that registration ends. `registration`
+    /// numbers its changes of role.
     PublishNode {
+        role: NodeRole,
+        registration: u64,
         bytes: Vec<u8>,
     },
     /// Read the current lists of databases and documents.
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -7,6 +7,7 @@
 
 use crate::backend::{BackendCommand, DatabaseReport, LogPoint};
 use crate::event::{LinkId, ListedDatabase, SessionId};
+use crate::route::RouteConfig;
 use crate::statement::StatementAccess;
 use crate::work::WorkId;
 
@@ -32,6 +33,10 @@
 /// Requests that all nodes together send to a database for each statement that it executes at once.
 const SENT_PER_SLOT: u32 = 2;
 
+/// Slots for each further request that the only node of a database sends, so that a slot that becomes free has
+/// the next request at once: a round trip is a small part of a statement.
+const SLOTS_PER_SPARE: u32 = 4;
+
 /// Part of a database's connections that the nodes use together in a steady state. After all VMs lost power
 /// the databases keep the old connections for seconds, and the new processes need the other half.
 const STEADY_PART: u32 = 2;
@@ -48,6 +53,12 @@
 /// The same where the share itself is several connections.
 const AMPLE_EXTRA_CONNECTIONS: u32 = 2;
 
+/// Time since its last answer for which a database counts as going on: several statements of the slowest kind.
+const MOVING_TIME: Micros = Micros::from_millis(150);
+
+/// Part of an expected wait that is added to it, as statements take unevenly long.
+const WAIT_MARGIN_PART: u64 = 3;
+
 /// Time in which an estimate without new answers halves, so that a database that was slow is tried again.
 const LATENCY_HALF_LIFE: Micros = Micros::from_millis(400);
 
@@ -176,11 +187,16 @@
         }
     }
 
-    /// Sets how many requests this node sends at once, outside transactions. All nodes together send twice
-    /// what executes at once, so that no slot waits for a node; the rest waits here, in the order of ranks.
+    /// Sets how many requests this node sends at once, outside transactions. Nodes that share a database
+    /// together send twice what executes at once, so that no slot waits for a node; one that has it for itself
+    /// sends little more than executes. The rest waits here, in the order of ranks.
     pub(crate) fn set_concurrency(&mut self, nodes: u32) {
-        let together = self.listed.slots.max(1) * SENT_PER_SLOT;
-        let slots = together.div_ceil(nodes.max(1)) + 1;
+        let executed = self.listed.slots.max(1);
+        let slots = if nodes <= 1 && self.peer.is_none() {
+            executed + executed.div_ceil(SLOTS_PER_SPARE)
+        } else {
+            (executed * SENT_PER_SLOT).div_ceil(nodes.max(1)) + 1
+        };
         if slots != self.slots {
             self.slots = slots;
             self.queue.reconfigure(QueueConfig { slots, ranks: RANKS });
@@ -217,6 +233,18 @@
             && self.applied.is_some_and(|applied| Some(applied) < point)
     }
 
+    /// Tells whether a further request of a route would wait too long for its latency objective although the
+    /// database goes on answering. While it does not, requests wait: what comes next is not known.
+    pub(crate) fn is_overloaded(&self, now: Micros, route: &RouteConfig) -> bool {
+        let moving = self.command_answered.is_some_and(|at| now < at + MOVING_TIME);
+        if self.peer.is_some() || !moving {
+            return false;
+        }
+        let wait = self.queue.expected_wait(now, route.rank);
+        let service = self.queue.service_time(&route.name);
+        wait + Micros(wait.0 / WAIT_MARGIN_PART) + service > route.target && wait > service
+    }
+
     /// Returns the time that a further request may expect to take.
     pub(crate) fn expected_time(&self, now: Micros) -> Micros {
         Micros(self.latency.value(now).0 * u64::from(self.load() + 1))
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -17,7 +17,7 @@
         let Some(database) = self.databases.get(name) else { return };
         let nodes = match database.peer {
             Some(_) => 1,
-            None => self.owner_count(&database.listed.cluster),
+            None => self.sharing_nodes(&database.listed.cluster),
         };
         let Some(database) = self.databases.get_mut(name) else { return };
         database.set_concurrency(nodes);
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -43,8 +43,20 @@
 pub enum Document {
     /// Holder of the promotion duty.
     Duty,
-    /// Registration of a node.
+    /// Registration of a node that may hold a read permit.
     Node(Name),
+    /// Registration of a node that holds none.
+    Standby(Name),
+}
+
+/// What a node is registered as.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum NodeRole {
+    /// Forwards every request. Changes of primary need not wait for it.
+    #[default]
+    Standby,
+    /// Owns connections; its lease is its read permit.
+    Owner,
 }
 
 /// A stored document.
@@ -147,9 +159,15 @@
         node: Name,
         ended: bool,
     },
-    /// This node's registration is stored and its lease was renewed by a call sent at `sent`.
+    /// This node's registration of this number as an owner is stored, and its lease was renewed by a call
+    /// sent at `sent`.
     PermitRenewed {
         sent: Micros,
+        registration: u64,
+    },
+    /// The same of its registration as a standby.
+    ContactRenewed {
+        sent: Micros,
     },
     /// The lease is gone; a new one is acquired with the next renewal.
     PermitLost,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! The modules: `session` for clients; `work`, `dispatch` and `outcome` for the way of one request; `owners` and `peer` for
 //! forwarding; `link` and `database` for connections; `cluster`, `evidence` and `permit` for what is known of
-//! primaries; `suspicion`, `takeover`, `fencing`, `duty` and `roster` for changing them; `ready` and `drain` for
+//! primaries; `registration` and `roster` for the nodes; `suspicion`, `takeover`, `fencing` and `duty` for changing them; `ready` and `drain` for
 //! what the balancer sees.
 
 mod action;
@@ -26,6 +26,7 @@
 mod peer;
 mod permit;
 mod ready;
+mod registration;
 mod roster;
 mod route;
 mod session;
@@ -35,7 +36,7 @@
 mod takeover;
 mod work;
 
-use model::{FastMap, Micros, Name};
+use model::{FastMap, FastSet, Micros, Name};
 
 pub use action::{ClientReply, GateAction, LogRecord, LogValue};
 pub use backend::{
@@ -43,7 +44,7 @@
 };
 pub use duty::{ACT_TIME, CALL_TIME, DutyRecord, DutyState, DutyWrite, TAKEOVER_WAIT};
 pub use event::{
-    Document, GateEvent, LinkId, ListedDatabase, PromoteResult, SessionId, SessionOrigin,
+    Document, GateEvent, LinkId, ListedDatabase, NodeRole, PromoteResult, SessionId, SessionOrigin,
     StoreState, StoredDocument, WriteResult, rank_of_priority,
 };
 pub use evidence::LeadEvidence;
@@ -60,7 +61,7 @@
 use peer::PeerState;
 use permit::PermitState;
 use ready::ReadyState;
-use roster::PublishedRecord;
+use registration::RegistrationState;
 use session::Session;
 use takeover::TakeoverState;
 use work::{Work, WorkId};
@@ -95,7 +96,7 @@
     links: FastMap<LinkId, Link>,
     roster: NodeRoster,
     duty: DutyState,
-    published: PublishedRecord,
+    registration: RegistrationState,
     takeovers: TakeoverState,
     drain: DrainState,
     ready: ReadyState,
@@ -137,7 +138,7 @@
             clusters: FastMap::default(),
             databases: FastMap::default(),
             links: FastMap::default(),
-            published: PublishedRecord::default(),
+            registration: RegistrationState::default(),
             takeovers: TakeoverState::default(),
             drain: DrainState::default(),
             ready: ReadyState::default(),
@@ -179,15 +180,16 @@
             GateEvent::DocumentChanged(stored) => self.document_changed(stored),
             GateEvent::DocumentRemoved(document) => match document {
                 Document::Duty => {}
-                Document::Node(name) => {
-                    self.roster.remove(self.now, &name);
-                    self.update_owners();
-                }
+                Document::Node(name) => self.node_removed(NodeRole::Owner, &name),
+                Document::Standby(name) => self.node_removed(NodeRole::Standby, &name),
             },
             GateEvent::DutyWritten { attempt, result } => self.duty_written(attempt, result),
             GateEvent::StateRead { state } => self.state_read(state),
             GateEvent::LeaseEnded { node, ended } => self.lease_ended(&node, ended),
-            GateEvent::PermitRenewed { sent } => self.permit_renewed(sent),
+            GateEvent::PermitRenewed { sent, registration } => {
+                self.permit_renewed(sent, registration);
+            }
+            GateEvent::ContactRenewed { sent } => self.contact_renewed(sent),
             GateEvent::PermitLost => self.permit_lost(),
             GateEvent::PromoteAnswered { cluster, result } => {
                 self.promote_answered(&cluster, result);
@@ -227,10 +229,11 @@
     }
 
     fn documents_listed(&mut self, documents: Vec<StoredDocument>) {
-        let nodes: Vec<Name> = documents
+        let nodes: FastSet<(NodeRole, Name)> = documents
             .iter()
             .filter_map(|stored| match &stored.document {
-                Document::Node(name) => Some(name.clone()),
+                Document::Node(name) => Some((NodeRole::Owner, name.clone())),
+                Document::Standby(name) => Some((NodeRole::Standby, name.clone())),
                 Document::Duty => None,
             })
             .collect();
@@ -242,6 +245,17 @@
             self.document_changed(stored);
         }
         self.update_owners();
+        self.nodes_listed();
+    }
+
+    fn node_removed(&mut self, role: NodeRole, node: &Name) {
+        self.roster.remove(self.now, role, node);
+        self.update_owners();
+    }
+
+    fn node_changed(&mut self, role: NodeRole, node: Name, bytes: &[u8]) {
+        self.roster.set(role, node, bytes);
+        self.update_owners();
     }
 
     fn document_changed(&mut self, stored: StoredDocument) {
@@ -250,10 +264,8 @@
                 self.duty.observe(self.now, Some((stored.revision, &stored.bytes)));
                 self.announcement_seen();
             }
-            Document::Node(name) => {
-                self.roster.set(name, &stored.bytes);
-                self.update_owners();
-            }
+            Document::Node(name) => self.node_changed(NodeRole::Owner, name, &stored.bytes),
+            Document::Standby(name) => self.node_changed(NodeRole::Standby, name, &stored.bytes),
         }
     }
 
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -34,6 +34,9 @@
 /// The same where each node may keep several, so that keeping one more takes little from the others.
 const AMPLE_SURPLUS_TIME: Micros = Micros::from_millis(3_000);
 
+/// The same for connections to other nodes, which have many: the entry of an unused node is kept as long.
+const PEER_SURPLUS_TIME: Micros = Micros::from_millis(5_000);
+
 /// Connections to another node for one client database.
 const PEER_LINKS: u32 = 8;
 
@@ -53,7 +56,7 @@
     pub(crate) fn open_links(&mut self, name: &Name) {
         let now = self.now;
         let Some(database) = self.databases.get(name) else { return };
-        let nodes = self.owner_count(&database.listed.cluster);
+        let nodes = self.sharing_nodes(&database.listed.cluster);
         let limit = self.connection_limit(&database.listed.cluster);
         let Some(database) = self.databases.get_mut(name) else { return };
         let closed = database.unlisted.is_some()
@@ -396,7 +399,13 @@
         }
         for (name, link, used) in surplus {
             let Some(database) = self.databases.get(&name) else { continue };
-            let nodes = self.owner_count(&database.listed.cluster);
+            if database.peer.is_some() {
+                if now >= used + PEER_SURPLUS_TIME {
+                    self.drop_link(link, "unused");
+                }
+                continue;
+            }
+            let nodes = self.sharing_nodes(&database.listed.cluster);
             let limit = self.connection_limit(&database.listed.cluster);
             let share = usize::try_from(steady_share(limit, nodes).max(1)).unwrap_or(1);
             if share > 1 && now < used + AMPLE_SURPLUS_TIME {
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -135,7 +135,15 @@
                 }
                 self.retry_work(id, None, code, ErrorCode::Busy);
             }
-            _ if self.peer_refused(&database, &cluster) => {
+            // The owner sees all requests of the cluster; another one would send to the same databases.
+            ErrorCode::Busy if self.is_peer(&database) && self.owners.of(&cluster).is_some() => {
+                let text = "not run, the database is overloaded, retry after 200 ms";
+                self.refuse(id, code, text);
+            }
+            _ if self.is_peer(&database) => {
+                if code == ErrorCode::Misrouted {
+                    self.peer_refused(&database, &cluster);
+                }
                 if let Some(work) = self.works.get_mut(&id) {
                     work.avoided.push(database);
                 }
@@ -439,7 +447,7 @@
             }
             WorkStage::Proving => {
                 let text = "not run, the primary could not be proved to lead, retry after 500 ms";
-                self.refuse(id, ErrorCode::Busy, text);
+                self.refuse(id, self.unable_code(id), text);
             }
             WorkStage::Sent => {}
         }
--- a/crates/gate/src/owners.rs
+++ b/crates/gate/src/owners.rs
@@ -1,8 +1,9 @@
 //! Which nodes keep connections to a cluster's databases.
 //!
 //! While there are few nodes, each does. Beyond that a database has fewer connections than there are nodes, and
-//! many nodes with a request each would overrun its queue, so one node in each data centre owns the
-//! connections of a cluster there and the others forward to it. Every node computes the same owners from the
+//! many nodes with a request each would overrun its queue, so one node in each data centre owns connections of a
+//! cluster. All requests go to the first owner that can be reached: it sees the whole load, so it can keep the
+//! database's own queue short and serve the ranks in order. Every node computes the same owners from the
 //! registrations. The strongest nodes of a data centre share the clusters evenly.
 
 use std::cmp::Reverse;
@@ -53,7 +54,8 @@
         true
     }
 
-    /// Returns the owners of a cluster, or `None` if every node is one.
+    /// Returns the owners of a cluster in the order in which requests go to them, or `None` if every node is
+    /// one and serves its own clients.
     pub fn of(&self, cluster: &Name) -> Option<&[Name]> {
         self.owners.get(cluster).map(Vec::as_slice)
     }
@@ -90,8 +92,15 @@
             owners.entry(cluster.clone()).or_default().push(owner.clone());
         }
     }
-    for (cluster, chosen) in &mut owners {
-        chosen.sort_by_key(|node| Reverse(owner_score(cluster, node)));
+    let mut first = BTreeMap::<Name, usize>::new();
+    for cluster in input.clusters.keys() {
+        let Some(chosen) = owners.get_mut(cluster) else { continue };
+        chosen.sort_by_key(|node| {
+            (first.get(node).copied().unwrap_or_default(), Reverse(owner_score(cluster, node)))
+        });
+        if let Some(node) = chosen.first() {
+            *first.entry(node.clone()).or_default() += 1;
+        }
         let connections = input.clusters.get(cluster).copied().unwrap_or_default();
         let most = usize::try_from(connections / 2 / OWNER_LINKS).unwrap_or(usize::MAX);
         chosen.truncate(most.max(1));
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -7,13 +7,13 @@
 
 use model::{FastMap, Micros, Name};
 
+use crate::Gate;
 use crate::database::Database;
 use crate::event::{ListedDatabase, SessionOrigin};
-use crate::owners::OwnerInput;
-use crate::work::WorkId;
-use crate::{Gate, fields};
+use crate::work::{OWNER_PAUSE, WorkId};
 
-/// Time for which a node that refused requests of a cluster is not asked again.
+/// Time for which a node that could not serve requests of a cluster is not asked again, where every node is an
+/// owner.
 const REFUSED_TIME: Micros = Micros::from_millis(300);
 
 /// Time after which an unused entry of a node is removed.
@@ -33,25 +33,6 @@
 }
 
 impl Gate {
-    /// Chooses the owners of connections anew if the nodes or the clusters have changed.
-    pub(crate) fn update_owners(&mut self) {
-        let (centre, capacity) = (&self.settings.data_centre, self.settings.capacity);
-        let nodes = self.roster.members(centre, capacity);
-        let clusters = self.table.clusters.iter();
-        let clusters = clusters.map(|(name, limits)| (name.clone(), limits.connections)).collect();
-        if !self.owners.update(OwnerInput { nodes, clusters }) {
-            return;
-        }
-        let all: Vec<Name> = self.table.clusters.keys().cloned().collect();
-        let owned = all.iter().filter(|cluster| self.owns_links(cluster)).count();
-        let record = fields![
-            "nodes" => u64::from(self.roster.live()),
-            "clusters" => u64::try_from(all.len()).unwrap_or(u64::MAX),
-            "owned" => u64::try_from(owned).unwrap_or(u64::MAX)
-        ];
-        self.log("owners_chosen", record);
-    }
-
     /// Tells whether this node keeps connections to a cluster's databases.
     pub(crate) fn owns_links(&self, cluster: &Name) -> bool {
         self.is_owner(cluster, &self.settings.node)
@@ -61,6 +42,13 @@
         self.owners.of(cluster).is_none_or(|owners| owners.contains(node))
     }
 
+    /// Returns among how many nodes the connections to a cluster's databases are shared. The first owner has the
+    /// share of all nodes that forward to it.
+    pub(crate) fn sharing_nodes(&self, cluster: &Name) -> u32 {
+        let first = self.owners.of(cluster).and_then(<[Name]>::first);
+        if first == Some(&self.settings.node) { 1 } else { self.owner_count(cluster) }
+    }
+
     /// Returns how many nodes keep connections to a cluster's databases.
     pub(crate) fn owner_count(&self, cluster: &Name) -> u32 {
         let owners = self.owners.of(cluster).map(<[Name]>::len);
@@ -76,10 +64,11 @@
     /// Tells whether requests of a cluster can be expected to be served, here or by a node that owns
     /// connections.
     pub(crate) fn reaches_cluster(&self, cluster: &Name) -> bool {
-        if self.owns_links(cluster) {
-            return self.usable_leader(cluster).is_some();
+        if self.owns_links(cluster) && self.usable_leader(cluster).is_some() {
+            return true;
         }
-        self.permit().is_some()
+        self.owners.of(cluster).is_some()
+            && self.is_in_touch()
             && self.roster.others().any(|(node, record)| {
                 self.is_owner(cluster, node) && !record.complaints.contains(cluster.as_str())
             })
@@ -92,21 +81,35 @@
             .is_some_and(|session| session.origin == SessionOrigin::Peer)
     }
 
+    /// Chooses a node that comes before this one among the owners of the request's cluster.
+    pub(crate) fn choose_owner(&mut self, id: WorkId) -> Option<Name> {
+        let cluster = &self.works.get(&id)?.route.cluster;
+        let owners = self.owners.of(cluster)?;
+        let own = owners.iter().position(|node| *node == self.settings.node);
+        self.choose_before(id, own.unwrap_or(owners.len()))
+    }
+
     /// Chooses a node that may be able to serve a request; returns the entry that stands for it.
     pub(crate) fn choose_peer(&mut self, id: WorkId) -> Option<Name> {
+        self.choose_before(id, usize::MAX)
+    }
+
+    fn choose_before(&mut self, id: WorkId, end: usize) -> Option<Name> {
         if self.is_forwarded(id) {
             return None;
         }
         let work = self.works.get(&id)?;
         let (cluster, client_database) = (work.route.cluster.clone(), work.route.database.clone());
         let own = self.settings.data_centre.as_str();
+        let shared = self.owners.of(&cluster).is_none();
+        let refused_time = if shared { REFUSED_TIME } else { OWNER_PAUSE };
         let mut best = None;
         for (node, record) in self.roster.others() {
             let Some(address) = record.peer_address else { continue };
             let name = entry_name(node, &client_database);
             let refused = self.peers.refused.get(&(node.clone(), cluster.clone()));
             if record.complaints.contains(cluster.as_str())
-                || refused.is_some_and(|at| self.now < *at + REFUSED_TIME)
+                || refused.is_some_and(|at| self.now < *at + refused_time)
                 || work.avoided.contains(&name)
                 || !self.is_owner(&cluster, node)
             {
@@ -116,11 +119,13 @@
             if entry.is_some_and(|entry| !entry.is_responsive(self.now)) {
                 continue;
             }
-            let far = record.data_centre != own;
-            let load = entry.map_or(0, Database::load);
-            let detour = if far { DETOUR_LOAD } else { 0 };
-            let place = self.owners.place(&cluster, node);
-            let rank = (load + detour, place, name, address);
+            let place = self.owners.place(&cluster, node).unwrap_or(usize::MAX);
+            if place >= end {
+                continue;
+            }
+            let detour = if record.data_centre == own { 0 } else { DETOUR_LOAD };
+            let cost = if shared { entry.map_or(0, Database::load) + detour } else { 0 };
+            let rank = (cost, place, name, address);
             if best.as_ref().is_none_or(|best| rank < *best) {
                 best = Some(rank);
             }
@@ -145,12 +150,17 @@
         Some(name)
     }
 
-    /// Notes that an entry refused a request; returns false if it does not stand for a node.
-    pub(crate) fn peer_refused(&mut self, entry: &Name, cluster: &Name) -> bool {
+    /// Tells whether an entry stands for a node.
+    pub(crate) fn is_peer(&self, entry: &Name) -> bool {
+        self.databases.get(entry).is_some_and(|database| database.peer.is_some())
+    }
+
+    /// Notes that the node of an entry cannot serve a cluster.
+    pub(crate) fn peer_refused(&mut self, entry: &Name, cluster: &Name) {
         let node = self.databases.get(entry).and_then(|database| database.peer.clone());
-        let Some(node) = node else { return false };
-        self.peers.refused.insert((node, cluster.clone()), self.now);
-        true
+        if let Some(node) = node {
+            self.peers.refused.insert((node, cluster.clone()), self.now);
+        }
     }
 
     /// Probes nodes that owe answers, so that a node that waits is told from one that is gone.
--- a/crates/gate/src/permit.rs
+++ b/crates/gate/src/permit.rs
@@ -6,6 +6,7 @@
 
 use model::{Micros, Name};
 
+use crate::event::NodeRole;
 use crate::{Gate, fields};
 
 /// Time for which a renewal permits reads at a primary. Two renewals fit in, also while the store answers 60
@@ -20,6 +21,10 @@
 /// it to reach the databases again.
 const STEADY_TIME: Micros = Micros::from_millis(800);
 
+/// Time after a renewal as a standby for which a node counts as in touch with the store: two renewals, as one
+/// answer may be lost, and the time of a slow answer.
+const CONTACT_TIME: Micros = Micros::from_millis(2_300);
+
 /// A node's permit.
 #[derive(Debug, Default)]
 pub(crate) struct PermitState {
@@ -30,10 +35,16 @@
     /// Revision of the newest announcement that was acted on.
     pub(crate) seen: u64,
     announced: Vec<String>,
+    /// When the last renewal as a standby was sent.
+    contact: Option<Micros>,
 }
 
 impl Gate {
-    pub(crate) fn permit_renewed(&mut self, sent: Micros) {
+    pub(crate) fn permit_renewed(&mut self, sent: Micros, registration: u64) {
+        let state = &self.registration;
+        if state.role != NodeRole::Owner || state.number != registration {
+            return;
+        }
         if self.permit.acquired.is_none() {
             self.permit.acquired = Some(sent);
             self.log("permit", fields!["held" => true]);
@@ -57,12 +68,23 @@
     pub(crate) fn permit_lost(&mut self) {
         self.permit = PermitState {
             seen: self.permit.seen,
+            contact: self.permit.contact,
             announced: std::mem::take(&mut self.permit.announced),
             ..PermitState::default()
         };
         self.log("permit", fields!["held" => false]);
     }
 
+    pub(crate) fn contact_renewed(&mut self, sent: Micros) {
+        self.permit.contact = self.permit.contact.max(Some(sent));
+    }
+
+    /// Tells whether the store answered this node a short while ago.
+    pub(crate) fn is_in_touch(&self) -> bool {
+        let contact = self.permit.contact;
+        self.permit().is_some() || contact.is_some_and(|at| self.now < at + CONTACT_TIME)
+    }
+
     /// Returns since when the permit is held, if it is valid now.
     pub(crate) fn permit(&self) -> Option<Micros> {
         self.permit.acquired.filter(|_| self.now < self.permit.until)
@@ -114,7 +136,7 @@
             fields!["revision" => revision, "clusters" => changing.join(",")],
         );
         if !ended {
-            self.publish_registration();
+            self.acknowledge_announcement();
         }
     }
 }
--- a/crates/gate/src/ready.rs
+++ b/crates/gate/src/ready.rs
@@ -47,7 +47,7 @@
         }
         let cut_off = self.ready.cut_off;
         let was_ready = self.ready.ready;
-        let patience = if self.permit().is_some() { CUT_OFF_TIME } else { ISOLATED_TIME };
+        let patience = if self.is_in_touch() { CUT_OFF_TIME } else { ISOLATED_TIME };
         let kept = was_ready && cut_off.is_some_and(|since| now < since + patience);
         let ready = clusters > 0 && self.drain.since.is_none() && (cut_off.is_none() || kept);
         if ready != was_ready || !self.ready.announced {
--- /dev/null
+++ b/crates/gate/src/registration.rs
@@ -0,0 +1,117 @@
+//! This node's registration in the store.
+//!
+//! A node that owns connections registers under a lease that is its read permit, and changes of primary wait for
+//! its acknowledgement. A node that only forwards registers apart, renews more rarely, and nobody waits for it.
+//! The two registrations are different documents under different leases, so a write that takes effect late
+//! cannot make an owner look like a standby.
+
+use std::collections::BTreeSet;
+
+use model::{Micros, Name};
+
+use crate::action::GateAction;
+use crate::event::NodeRole;
+use crate::roster::NodeRecord;
+use crate::{Gate, fields};
+
+/// Least time between two publications of this node's registration.
+const PUBLISH_INTERVAL: Micros = Micros::from_millis(150);
+
+/// Time after the first list for which a node that found no other stays a standby. Nodes that start together
+/// register meanwhile; otherwise each of many would own connections for a moment.
+const SETTLE_TIME: Micros = Micros::from_millis(1_000);
+
+/// What this node last published.
+#[derive(Debug, Default)]
+pub(crate) struct RegistrationState {
+    record: Option<NodeRecord>,
+    published: Micros,
+    pub(crate) role: NodeRole,
+    /// Counts the changes of role, so that renewals of an ended registration are told apart.
+    pub(crate) number: u64,
+    /// When the list of nodes was first read, and whether it named others.
+    listed: Option<(Micros, bool)>,
+}
+
+impl Gate {
+    /// Notes that the list of nodes was read.
+    pub(crate) fn nodes_listed(&mut self) {
+        let others = self.roster.others().next().is_some();
+        self.registration.listed.get_or_insert((self.now, others));
+    }
+
+    /// Publishes the registration if it has changed.
+    pub(crate) fn tend_registration(&mut self, complaints: BTreeSet<String>) {
+        let now = self.now;
+        let Some((listed, others)) = self.registration.listed else { return };
+        let settled = others || now >= listed + SETTLE_TIME;
+        let owns = self.table.clusters.keys().any(|cluster| self.owns_links(cluster));
+        let role = if owns && settled { NodeRole::Owner } else { NodeRole::Standby };
+        if role != self.registration.role {
+            self.registration.role = role;
+            self.registration.number += 1;
+            self.registration.record = None;
+            self.permit_lost();
+            self.log("role", fields!["owner" => role == NodeRole::Owner]);
+        }
+        let record = self.node_record(complaints);
+        let state = &self.registration;
+        let due = state.record.is_none() || now >= state.published + PUBLISH_INTERVAL;
+        if due && state.record.as_ref() != Some(&record) {
+            self.publish(record);
+        }
+    }
+
+    /// Publishes the registration now, as it acknowledges an announcement.
+    pub(crate) fn acknowledge_announcement(&mut self) {
+        let last = self.registration.record.as_ref();
+        if let Some(complaints) = last.map(|record| record.complaints.clone())
+            && self.registration.role == NodeRole::Owner
+        {
+            let record = self.node_record(complaints);
+            self.publish(record);
+        }
+    }
+
+    fn node_record(&self, complaints: BTreeSet<String>) -> NodeRecord {
+        NodeRecord {
+            process: self.settings.process,
+            complaints,
+            seen: match self.registration.role {
+                NodeRole::Owner => self.permit.seen,
+                NodeRole::Standby => 0,
+            },
+            peer_address: self.settings.peer_address,
+            data_centre: self.settings.data_centre.to_string(),
+            capacity: self.settings.capacity,
+        }
+    }
+
+    fn publish(&mut self, record: NodeRecord) {
+        if let Ok(bytes) = serde_json::to_vec(&record) {
+            let (role, registration) = (self.registration.role, self.registration.number);
+            self.out.push(GateAction::PublishNode { role, registration, bytes });
+        }
+        self.registration.record = Some(record);
+        self.registration.published = self.now;
+    }
+
+    /// Chooses the owners of connections anew if the nodes or the clusters have changed.
+    pub(crate) fn update_owners(&mut self) {
+        let (centre, capacity) = (&self.settings.data_centre, self.settings.capacity);
+        let nodes = self.roster.members(centre, capacity);
+        let clusters = self.table.clusters.iter();
+        let clusters = clusters.map(|(name, limits)| (name.clone(), limits.connections)).collect();
+        if !self.owners.update(crate::owners::OwnerInput { nodes, clusters }) {
+            return;
+        }
+        let all: Vec<Name> = self.table.clusters.keys().cloned().collect();
+        let owned = all.iter().filter(|cluster| self.owns_links(cluster)).count();
+        let record = fields![
+            "nodes" => u64::from(self.roster.live()),
+            "clusters" => u64::try_from(all.len()).unwrap_or(u64::MAX),
+            "owned" => u64::try_from(owned).unwrap_or(u64::MAX)
+        ];
+        self.log("owners_chosen", record);
+    }
+}
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -9,9 +9,11 @@
 use std::net::SocketAddr;
 
 use member::owner_score;
-use model::{FastMap, Micros, Name};
+use model::{FastMap, FastSet, Micros, Name};
 use serde::{Deserialize, Serialize};
 
+use crate::event::NodeRole;
+
 /// A node's registration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
@@ -36,34 +38,48 @@
 #[derive(Debug)]
 pub struct NodeRoster {
     own: Name,
-    nodes: FastMap<Name, NodeRecord>,
-    /// When nodes were last seen to leave; they may still hold a permit.
+    /// Nodes that may hold a permit.
+    owners: FastMap<Name, NodeRecord>,
+    standbys: FastMap<Name, NodeRecord>,
+    /// When owners were last seen to leave; they may still hold a permit.
     departed: Option<Micros>,
 }
 
 impl NodeRoster {
     /// Creates a roster that knows only this node.
     pub fn new(own: Name) -> Self {
-        NodeRoster { own, nodes: FastMap::default(), departed: None }
+        NodeRoster { own, owners: FastMap::default(), standbys: FastMap::default(), departed: None }
     }
 
     /// Takes in a registration; one that cannot be read counts as one without complaints.
-    pub fn set(&mut self, node: Name, bytes: &[u8]) {
-        self.nodes.insert(node, serde_json::from_slice(bytes).unwrap_or_default());
+    pub fn set(&mut self, role: NodeRole, node: Name, bytes: &[u8]) {
+        let nodes = match role {
+            NodeRole::Owner => &mut self.owners,
+            NodeRole::Standby => &mut self.standbys,
+        };
+        nodes.insert(node, serde_json::from_slice(bytes).unwrap_or_default());
     }
 
-    /// Removes a node.
-    pub fn remove(&mut self, now: Micros, node: &Name) {
-        if self.nodes.remove(node).is_some() {
-            self.departed = Some(now);
+    /// Removes a registration.
+    pub fn remove(&mut self, now: Micros, role: NodeRole, node: &Name) {
+        match role {
+            NodeRole::Owner => {
+                if self.owners.remove(node).is_some() {
+                    self.departed = Some(now);
+                }
+            }
+            NodeRole::Standby => {
+                self.standbys.remove(node);
+            }
         }
     }
 
-    /// Removes the nodes that a list does not name.
-    pub fn retain(&mut self, now: Micros, listed: &[Name]) {
-        let before = self.nodes.len();
-        self.nodes.retain(|name, _| listed.contains(name));
-        if self.nodes.len() < before {
+    /// Removes the registrations that a list does not name.
+    pub fn retain(&mut self, now: Micros, listed: &FastSet<(NodeRole, Name)>) {
+        let before = self.owners.len();
+        self.owners.retain(|name, _| listed.contains(&(NodeRole::Owner, name.clone())));
+        self.standbys.retain(|name, _| listed.contains(&(NodeRole::Standby, name.clone())));
+        if self.owners.len() < before {
             self.departed = Some(now);
         }
     }
@@ -75,18 +91,19 @@
 
     /// Returns the number of nodes, this one included.
     pub fn live(&self) -> u32 {
-        let others = self.nodes.keys().filter(|name| **name != self.own).count();
+        let others = self.others().count();
         u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
     }
 
     /// Returns the other nodes.
     pub fn others(&self) -> impl Iterator<Item = (&Name, &NodeRecord)> {
-        self.nodes.iter().filter(|(name, _)| **name != self.own)
+        let standbys = self.standbys.iter().filter(|(name, _)| !self.owners.contains_key(*name));
+        self.owners.iter().chain(standbys).filter(|(name, _)| **name != self.own)
     }
 
     /// Returns a node's record.
     pub fn get(&self, node: &Name) -> Option<&NodeRecord> {
-        self.nodes.get(node)
+        self.owners.get(node).or_else(|| self.standbys.get(node))
     }
 
     /// Returns the data centre and capacity of each node; those of this one are given.
@@ -103,13 +120,13 @@
 
     /// Tells whether a node has acknowledged an announcement.
     pub fn has_seen(&self, node: &Name, announced: u64) -> bool {
-        self.nodes.get(node).is_some_and(|record| record.seen >= announced)
+        self.owners.get(node).is_some_and(|record| record.seen >= announced)
     }
 
     /// Returns the nodes that complain about a cluster, in the order in which they should act.
     pub fn complaining(&self, cluster: &Name) -> Vec<Name> {
         let mut nodes: Vec<Name> = self
-            .nodes
+            .owners
             .iter()
             .filter(|(_, record)| record.complaints.contains(cluster.as_str()))
             .map(|(name, _)| name.clone())
@@ -120,14 +137,7 @@
 
     /// Spreads the nodes evenly over a number of choices.
     pub fn turn(&self, choices: usize) -> usize {
-        let before = self.nodes.keys().filter(|name| **name < self.own).count();
+        let before = self.owners.keys().filter(|name| **name < self.own).count();
         before.checked_rem(choices).unwrap_or_default()
     }
 }
-
-/// Complaints that the node last published, and when.
-#[derive(Debug, Default)]
-pub(crate) struct PublishedRecord {
-    pub(crate) record: Option<NodeRecord>,
-    pub(crate) at: Micros,
-}
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -24,6 +24,8 @@
     pub freshness: Freshness,
     /// Limit of a single statement.
     pub timeout: Micros,
+    /// Latency objective of a whole operation.
+    pub target: Micros,
     pub rank: Rank,
 }
 
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -1,11 +1,11 @@
 //! When a primary should be replaced: what one node suspects, what nodes complain about together, and which of
 //! them acts.
 
+use std::collections::BTreeSet;
+
 use model::{FastMap, Micros, Name};
 
-use crate::action::GateAction;
 use crate::backend::DatabaseRole;
-use crate::roster::NodeRecord;
 use crate::takeover::{Takeover, TakeoverStage};
 use crate::{Gate, fields};
 
@@ -37,9 +37,6 @@
 /// Time between the moments at which successive nodes would act.
 const STAGGER: Micros = Micros::from_millis(600);
 
-/// Least time between two publications of this node's registration.
-const PUBLISH_INTERVAL: Micros = Micros::from_millis(150);
-
 impl Gate {
     /// Returns why a cluster's primary should be replaced, as far as this node can tell alone.
     pub(crate) fn complaint(&mut self, cluster: &Name) -> Option<&'static str> {
@@ -104,39 +101,10 @@
             })
     }
 
-    /// Returns this node's registration with the complaints of the last one.
-    fn registration(&self) -> NodeRecord {
-        let published = self.published.record.as_ref();
-        NodeRecord {
-            process: self.settings.process,
-            complaints: published.map(|record| record.complaints.clone()).unwrap_or_default(),
-            seen: self.permit.seen,
-            peer_address: self.settings.peer_address,
-            data_centre: self.settings.data_centre.to_string(),
-            capacity: self.settings.capacity,
-        }
-    }
-
-    /// Publishes the registration now, as it acknowledges an announcement.
-    pub(crate) fn publish_registration(&mut self) {
-        let record = self.registration();
-        self.publish(record);
-    }
-
-    pub(crate) fn publish(&mut self, record: NodeRecord) {
-        if let Ok(bytes) = serde_json::to_vec(&record) {
-            self.out.push(GateAction::PublishNode { bytes });
-        }
-        self.published.record = Some(record);
-        self.published.at = self.now;
-    }
-
     /// Publishes complaints, starts changes that are due, and moves on those that run.
     pub(crate) fn tend_takeovers(&mut self) {
-        let now = self.now;
         let clusters: Vec<Name> = self.clusters.keys().cloned().collect();
-        let mut record = self.registration();
-        record.complaints.clear();
+        let mut complaints = BTreeSet::new();
         for cluster in &clusters {
             let complaint = self.complaint(cluster);
             if let Some(reason) = complaint {
@@ -144,17 +112,13 @@
                     let record = fields!["cluster" => cluster, "reason" => reason];
                     self.log("primary_suspected", record);
                 }
-                record.complaints.insert(cluster.to_string());
+                complaints.insert(cluster.to_string());
             } else {
                 self.takeovers.suspected.remove(cluster);
             }
             self.start_if_due(cluster, complaint);
         }
-        if self.published.record.as_ref() != Some(&record)
-            && (self.published.record.is_none() || now >= self.published.at + PUBLISH_INTERVAL)
-        {
-            self.publish(record);
-        }
+        self.tend_registration(complaints);
         for cluster in clusters {
             self.step_takeover(&cluster);
         }
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -27,6 +27,10 @@
 /// client's tries have to fit into its time.
 const HOLD_TIME: Micros = Micros::from_millis(300);
 
+/// Pause before the owners of a cluster are asked again after none could serve a request: a third of the time
+/// that it is held.
+pub(crate) const OWNER_PAUSE: Micros = Micros::from_millis(100);
+
 /// Expected time in percent that a detour from the preferred replica, or to the leader, counts as. The leader is
 /// kept free for what only it can do.
 const DETOUR_PERCENT: u64 = 150;
@@ -146,13 +150,14 @@
         }
         let (route, begun, for_leader) = (work.route.clone(), work.begun, work.needs_leader());
         let writes = matches!(work.kind, WorkKind::Write);
-        if !self.owns_links(&route.cluster)
-            && let Some(peer) = self.choose_peer(id)
-        {
+        if let Some(peer) = self.choose_owner(id) {
             return self.queue_at(id, peer, self.session_floor(id), None);
         }
+        if !self.owns_links(&route.cluster) {
+            return self.await_owner(id);
+        }
         let Some(cluster) = self.clusters.get(&route.cluster) else {
-            return self.refuse(id, ErrorCode::Busy, "no database is known for the route");
+            return self.refuse(id, self.unable_code(id), "no database is known for the route");
         };
         let since = covered_since(route.freshness, begun);
         if !for_leader
@@ -178,7 +183,7 @@
                 return self.queue_at(id, peer, self.session_floor(id), None);
             }
             let text = "not run, no connection to the primary is free, retry after 150 ms";
-            return self.refuse(id, ErrorCode::Busy, text);
+            return self.refuse(id, self.unable_code(id), text);
         }
         self.apply_permit(&route.cluster);
         if need.is_none_or(|need| self.is_proved(&route.cluster, &leader, need)) {
@@ -201,6 +206,26 @@
         self.want_proof(&route.cluster, need.unwrap_or(begun));
     }
 
+    /// Keeps a request at a node that only forwards until an owner may be able to serve it.
+    fn await_owner(&mut self, id: WorkId) {
+        let now = self.now;
+        let Some(work) = self.works.get_mut(&id) else { return };
+        if now >= work.arrived + HOLD_TIME {
+            let text = "not run, no other node reaches a primary, retry after 200 ms";
+            return self.refuse(id, ErrorCode::Busy, text);
+        }
+        work.avoided.clear();
+        work.tries = 0;
+        work.database = None;
+        work.stage = WorkStage::Paused(now + OWNER_PAUSE);
+        self.paused.push(id);
+    }
+
+    /// Returns the code for a request that this node cannot serve: another node is told to go elsewhere.
+    pub(crate) fn unable_code(&self, id: WorkId) -> ErrorCode {
+        if self.is_forwarded(id) { ErrorCode::Misrouted } else { ErrorCode::Busy }
+    }
+
     /// Returns the position that a read needs for what its session has written, or another node asks for.
     pub(crate) fn session_floor(&self, id: WorkId) -> Option<LogPoint> {
         let work = self.works.get(&id)?;
@@ -301,6 +326,11 @@
             selector: work.route.name.clone(),
             in_transaction: false,
         };
+        if database.is_overloaded(now, &work.route) {
+            self.count("requests_shed");
+            let text = "not run, the database is overloaded, retry after 200 ms";
+            return self.refuse(id, ErrorCode::Busy, text);
+        }
         if let Err(reason) = database.queue.enqueue(now, ticket) {
             return self.refuse_queued(id, reason);
         }
@@ -329,7 +359,7 @@
         state.leader_missed.get_or_insert(now);
         if self.is_forwarded(id) {
             let text = "not run, this node reaches no primary, retry at once";
-            return self.refuse(id, ErrorCode::Busy, text);
+            return self.refuse(id, ErrorCode::Misrouted, text);
         }
         let Some(state) = self.clusters.get_mut(&cluster) else { return };
         let closed = !state.members.is_empty()
--- a/crates/gate/tests/heavy.rs
+++ b/crates/gate/tests/heavy.rs
@@ -98,6 +98,43 @@
     assert_eq!(world.outcome(session), "served", "recovery is quick once connections are free");
 }
 
+/// Pattern: for seconds more requests of one kind than the databases can do. What is served is served within its
+/// latency objective, and the rest is refused at once, so that it may come back when there is room.
+#[test]
+fn an_overload_is_refused_at_once_and_not_served_late() {
+    let mut world = World::start(1);
+    warm(&mut world);
+    for name in ["a", "b", "c"] {
+        world.database(name).work = millis(30);
+    }
+    let begun = world.now;
+    let mut sessions = Vec::new();
+    for turn in 0..150 {
+        for copy in 0..3 {
+            let session = world.open(0, LATEST);
+            sessions.push((session, world.now));
+            world.ask(0, session, &format!("flood{turn}-{copy}"), "READ 1");
+        }
+        world.run(millis(20));
+    }
+    world.run(millis(800));
+    let settled = begun + millis(1_000);
+    let (mut late, mut count) = (0, 0);
+    for (session, asked) in sessions.into_iter().filter(|(_, asked)| *asked > settled) {
+        let answer = world.answer(session).unwrap();
+        let took = answer.at - asked;
+        if world.outcome(session) == "served" {
+            count += 1;
+            late += usize::from(took > millis(400));
+        } else {
+            assert!(took <= millis(20), "refused after {took:?}");
+        }
+    }
+    // One slot of 30 ms is busy for the two seconds after the first.
+    assert!(count >= 55, "{count} served");
+    assert!(late * 20 <= count, "{late} of {count} served late");
+}
+
 /// Pattern: one kind floods in (`burst`) at a single usable database. Urgent requests keep their time.
 #[test]
 fn urgent_requests_are_served_in_a_flood_of_others() {
