Keep the number of nodes in the store and check complaints

- After all VMs lost power each node took the first registrations for the whole deployment and connected to every database: 9,980 connections over the databases' limits.
The same would follow a lapse of all leases.
The number of nodes is now kept in the store, owners are chosen when four fifths of them are registered, and what was chosen stays for 3 s.
- A standby in a data centre that was cut off stayed ready for 2 s, as the owners that it had never asked counted as reachable.
- Only the first owner has requests, so only it noticed a silent primary; the second complaint came 0.9 s later, or never without a retry.
Owners now check a complaint with a report.
The holder of the duty starts further changes without waiting for its turn.

--- a/crates/edge/src/hub.rs
+++ b/crates/edge/src/hub.rs
@@ -259,6 +259,7 @@
             GateAction::PublishNode { role, registration, bytes } => {
                 self.store.publish(role, registration, bytes);
             }
+            GateAction::WriteFleet { bytes } => self.store.write_fleet(bytes),
             GateAction::ReadState => self.store.read_state(),
             GateAction::EndLease { node, lease } => self.store.end_lease(node, lease),
             GateAction::Promote { cluster, database, holder, number } => {
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -117,6 +117,13 @@
     /// Fails if the store does not answer in time or refuses.
     fn write_duty(&self, expected: u64, bytes: &[u8]) -> Result<Option<u64>, StoreError>;
 
+    /// Writes the number of nodes, whatever is stored.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer in time or refuses.
+    fn write_fleet(&self, bytes: &[u8]) -> Result<(), StoreError>;
+
     /// Writes a node's registration in a role under a lease.
     ///
     /// # Errors
@@ -221,6 +228,16 @@
         });
     }
 
+    /// Writes the number of nodes; the gate tries again if that fails.
+    pub(crate) fn write_fleet(&self, bytes: Vec<u8>) {
+        let client = self.client.clone();
+        thread::spawn(move || {
+            if let Err(error) = client.write_fleet(&bytes) {
+                log_failure("write_fleet", &error);
+            }
+        });
+    }
+
     pub(crate) fn read_state(&self) {
         let (client, events) = (self.client.clone(), self.events.clone());
         thread::spawn(move || {
@@ -358,8 +375,9 @@
 fn changes_registration(change: &StoreChange) -> bool {
     match change {
         StoreChange::Set(item) => registered_node(item).is_some(),
-        StoreChange::DocumentRemoved(document) => *document != Document::Duty,
-        StoreChange::DatabaseRemoved(_) => false,
+        StoreChange::DocumentRemoved(Document::Node(_) | Document::Standby(_)) => true,
+        StoreChange::DocumentRemoved(Document::Duty | Document::Fleet)
+        | StoreChange::DatabaseRemoved(_) => false,
     }
 }
 
@@ -368,8 +386,9 @@
     if let Some(table) = routes {
         events.send(GateEvent::RoutesChanged(table));
     }
-    events.send(GateEvent::DatabasesListed(state.databases));
+    // The nodes decide which databases this one connects to.
     events.send(GateEvent::DocumentsListed(state.documents));
+    events.send(GateEvent::DatabasesListed(state.databases));
 }
 
 fn send_change(change: StoreChange, events: &Channel<GateEvent>) {
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -77,6 +77,10 @@
         registration: u64,
         bytes: Vec<u8>,
     },
+    /// Store the number of nodes.
+    WriteFleet {
+        bytes: Vec<u8>,
+    },
     /// Read the current lists of databases and documents.
     ReadState,
     /// End the lease of another node's registration.
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -43,6 +43,8 @@
 pub enum Document {
     /// Holder of the promotion duty.
     Duty,
+    /// Number of nodes of a large deployment.
+    Fleet,
     /// Registration of a node that may hold a read permit.
     Node(Name),
     /// Registration of a node that holds none.
--- /dev/null
+++ b/crates/gate/src/fleet.rs
@@ -0,0 +1,94 @@
+//! The number of nodes of a large deployment, kept in the store.
+//!
+//! After all VMs lost power, or when the store has let the leases of all nodes lapse, the registrations come back
+//! one by one. A node that took the first few for the whole deployment would own connections to every database,
+//! as each would. With the number of nodes known, the owners are chosen when most of them are registered.
+
+use model::Micros;
+use serde::{Deserialize, Serialize};
+
+use crate::action::GateAction;
+use crate::event::NodeRole;
+use crate::owners::FEW_NODES;
+use crate::{Gate, fields};
+
+/// Part of the known nodes that has to be registered.
+const COMPLETE_PERCENT: u32 = 80;
+
+/// Time that the others get to register; after it they count as gone. The time to live of a registration, and
+/// within the users' shortest bound of a recovery (12 s).
+const REGISTER_TIME: Micros = Micros::from_millis(3_000);
+
+/// Time for which the number has to differ before it is stored: longer than a restart.
+const DIFFERS_TIME: Micros = Micros::from_millis(5_000);
+
+/// The stored record.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetRecord {
+    pub nodes: u32,
+}
+
+/// What is known of the number of nodes.
+#[derive(Debug, Default)]
+pub(crate) struct FleetState {
+    known: u32,
+    /// Since when fewer nodes than known are registered.
+    incomplete: Option<Micros>,
+    differs: Option<Micros>,
+}
+
+impl FleetState {
+    /// Tells whether the store holds the number of nodes.
+    pub(crate) fn is_known(&self) -> bool {
+        self.known > 0
+    }
+
+    /// Tells whether more nodes are expected to register soon.
+    fn awaits_nodes(&mut self, now: Micros, live: u32) -> bool {
+        let complete = live * 100 >= self.known * COMPLETE_PERCENT;
+        if self.known as usize <= FEW_NODES || complete {
+            self.incomplete = None;
+            return false;
+        }
+        let since = *self.incomplete.get_or_insert(now);
+        now < since + REGISTER_TIME
+    }
+}
+
+impl Gate {
+    /// Takes in the stored record; one that cannot be read says nothing.
+    pub(crate) fn fleet_changed(&mut self, bytes: &[u8]) {
+        let record: FleetRecord = serde_json::from_slice(bytes).unwrap_or_default();
+        self.fleet.known = record.nodes;
+        self.update_owners();
+    }
+
+    pub(crate) fn awaits_nodes(&mut self) -> bool {
+        let live = self.roster.live();
+        self.fleet.awaits_nodes(self.now, live)
+    }
+
+    /// Ends the wait for nodes, and stores their number if it has changed for long. One node does.
+    pub(crate) fn tend_fleet(&mut self) {
+        let now = self.now;
+        if self.fleet.incomplete.is_some() {
+            self.update_owners();
+        }
+        let (live, known) = (self.roster.live(), self.fleet.known);
+        let large = live.max(known) as usize > FEW_NODES;
+        if !large || live.abs_diff(known) * 100 <= known * (100 - COMPLETE_PERCENT) {
+            self.fleet.differs = None;
+            return;
+        }
+        let since = *self.fleet.differs.get_or_insert(now);
+        let first = self.table.clusters.keys().min();
+        let writes = first.is_some_and(|cluster| self.owner_place(cluster) == 0);
+        if writes && self.registration.role == NodeRole::Owner && now >= since + DIFFERS_TIME {
+            self.fleet.differs = Some(now);
+            self.log("fleet_counted", fields!["nodes" => u64::from(live)]);
+            if let Ok(bytes) = serde_json::to_vec(&FleetRecord { nodes: live }) {
+                self.out.push(GateAction::WriteFleet { bytes });
+            }
+        }
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! The modules: `session` for clients; `work`, `dispatch` and `outcome` for the way of one request; `owners` and `peer` for
 //! forwarding; `link` and `database` for connections; `cluster`, `evidence` and `permit` for what is known of
-//! primaries; `registration` and `roster` for the nodes; `suspicion`, `takeover`, `fencing` and `duty` for changing them; `ready` and `drain` for
+//! primaries; `registration`, `roster` and `fleet` for the nodes; `suspicion`, `takeover`, `fencing` and `duty` for changing them; `ready` and `drain` for
 //! what the balancer sees.
 
 mod action;
@@ -20,6 +20,7 @@
 mod event;
 mod evidence;
 mod fencing;
+mod fleet;
 mod link;
 mod outcome;
 mod owners;
@@ -48,6 +49,7 @@
     StoreState, StoredDocument, WriteResult, rank_of_priority,
 };
 pub use evidence::LeadEvidence;
+pub use fleet::FleetRecord;
 pub use owners::{OwnerInput, OwnerTable};
 pub use permit::PERMIT_TIME;
 pub use roster::{NodeRecord, NodeRoster};
@@ -58,6 +60,7 @@
 use cluster::ClusterState;
 use database::{Database, Link};
 use drain::DrainState;
+use fleet::FleetState;
 use peer::PeerState;
 use permit::PermitState;
 use ready::ReadyState;
@@ -103,6 +106,7 @@
     permit: PermitState,
     peers: PeerState,
     owners: OwnerTable,
+    fleet: FleetState,
 }
 
 impl Gate {
@@ -145,6 +149,7 @@
             permit: PermitState::default(),
             peers: PeerState::default(),
             owners: OwnerTable::default(),
+            fleet: FleetState::default(),
             settings,
         }
     }
@@ -179,7 +184,7 @@
             GateEvent::DocumentsListed(documents) => self.documents_listed(documents),
             GateEvent::DocumentChanged(stored) => self.document_changed(stored),
             GateEvent::DocumentRemoved(document) => match document {
-                Document::Duty => {}
+                Document::Duty | Document::Fleet => {}
                 Document::Node(name) => self.node_removed(NodeRole::Owner, &name),
                 Document::Standby(name) => self.node_removed(NodeRole::Standby, &name),
             },
@@ -206,6 +211,7 @@
         self.check_works();
         self.tend_links();
         self.tend_peers();
+        self.tend_fleet();
         self.tend_clusters();
         self.remove_unlisted();
         self.end_idle_transactions();
@@ -234,7 +240,7 @@
             .filter_map(|stored| match &stored.document {
                 Document::Node(name) => Some((NodeRole::Owner, name.clone())),
                 Document::Standby(name) => Some((NodeRole::Standby, name.clone())),
-                Document::Duty => None,
+                Document::Duty | Document::Fleet => None,
             })
             .collect();
         self.roster.retain(self.now, &nodes);
@@ -244,7 +250,6 @@
         for stored in documents {
             self.document_changed(stored);
         }
-        self.update_owners();
         self.nodes_listed();
     }
 
@@ -264,6 +269,7 @@
                 self.duty.observe(self.now, Some((stored.revision, &stored.bytes)));
                 self.announcement_seen();
             }
+            Document::Fleet => self.fleet_changed(&stored.bytes),
             Document::Node(name) => self.node_changed(NodeRole::Owner, name, &stored.bytes),
             Document::Standby(name) => self.node_changed(NodeRole::Standby, name, &stored.bytes),
         }
--- a/crates/gate/src/owners.rs
+++ b/crates/gate/src/owners.rs
@@ -14,7 +14,7 @@
 
 /// Up to this many nodes each owns connections: the smallest size at which forwarding was better on the
 /// users' bench lies above it, and one connection for each node is within every known limit.
-const FEW_NODES: usize = 16;
+pub(crate) const FEW_NODES: usize = 16;
 
 /// Owners of one cluster at least, so that the loss of one leaves a choice.
 const LEAST_OWNERS: usize = 3;
@@ -54,6 +54,13 @@
         true
     }
 
+    /// Leaves the clusters without owners, as long as nothing else was chosen.
+    pub fn await_nodes(&mut self, clusters: impl Iterator<Item = Name>) {
+        if self.input == OwnerInput::default() {
+            self.owners.extend(clusters.map(|cluster| (cluster, Vec::new())));
+        }
+    }
+
     /// Returns the owners of a cluster in the order in which requests go to them, or `None` if every node is
     /// one and serves its own clients.
     pub fn of(&self, cluster: &Name) -> Option<&[Name]> {
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -5,11 +5,12 @@
 //! is used like a database: it takes the same commands, holds the session's state on the connection, and
 //! answers with the position of commits. It never forwards again, and refuses at once what it cannot serve.
 
-use model::{FastMap, Micros, Name};
+use model::{FastMap, FastSet, Micros, Name};
 
 use crate::Gate;
-use crate::database::Database;
+use crate::database::{Database, UNRESPONSIVE};
 use crate::event::{ListedDatabase, SessionOrigin};
+use crate::roster::NodeRecord;
 use crate::work::{OWNER_PAUSE, WorkId};
 
 /// Time for which a node that could not serve requests of a cluster is not asked again, where every node is an
@@ -32,6 +33,23 @@
     refused: FastMap<(Name, Name), Micros>,
 }
 
+/// Which nodes answer.
+#[derive(Debug, Default)]
+pub(crate) struct PeerContacts {
+    /// Nodes that owe answers for long.
+    silent: FastSet<Name>,
+    /// Nodes of other data centres answer.
+    hears_others: bool,
+}
+
+impl PeerContacts {
+    /// Tells whether this node is probably cut off from the other data centres: several nodes are silent, and
+    /// none of another data centre answers.
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.silent.len() >= 2 && !self.hears_others
+    }
+}
+
 impl Gate {
     /// Tells whether this node keeps connections to a cluster's databases.
     pub(crate) fn owns_links(&self, cluster: &Name) -> bool {
@@ -63,17 +81,41 @@
 
     /// Tells whether requests of a cluster can be expected to be served, here or by a node that owns
     /// connections.
-    pub(crate) fn reaches_cluster(&self, cluster: &Name) -> bool {
+    pub(crate) fn reaches_cluster(&self, cluster: &Name, contacts: &PeerContacts) -> bool {
         if self.owns_links(cluster) && self.usable_leader(cluster).is_some() {
             return true;
         }
-        self.owners.of(cluster).is_some()
-            && self.is_in_touch()
-            && self.roster.others().any(|(node, record)| {
-                self.is_owner(cluster, node) && !record.complaints.contains(cluster.as_str())
+        let Some(owners) = self.owners.of(cluster) else { return false };
+        self.is_in_touch()
+            && !contacts.is_isolated()
+            && owners.iter().any(|node| {
+                let record = self.roster.last_known(node);
+                *node != self.settings.node
+                    && record.is_some_and(|record| !record.complaints.contains(cluster.as_str()))
+                    && !contacts.silent.contains(node)
+                    && !self.peers.refused.contains_key(&(node.clone(), cluster.clone()))
             })
     }
 
+    /// Returns which nodes answer what this one sends them.
+    pub(crate) fn peer_contacts(&self) -> PeerContacts {
+        let now = self.now;
+        let mut contacts = PeerContacts::default();
+        let mut heard = FastSet::<Name>::default();
+        for entry in self.databases.values() {
+            let Some(node) = &entry.peer else { continue };
+            if entry.answered.is_some_and(|at| now < at + UNRESPONSIVE) {
+                heard.insert(node.clone());
+                let centre = self.roster.get(node).map(|record| record.data_centre.as_str());
+                contacts.hears_others |= centre != Some(self.settings.data_centre.as_str());
+            } else if !entry.is_responsive(now) {
+                contacts.silent.insert(node.clone());
+            }
+        }
+        contacts.silent.retain(|node| !heard.contains(node));
+        contacts
+    }
+
     pub(crate) fn is_forwarded(&self, id: WorkId) -> bool {
         self.works
             .get(&id)
@@ -104,14 +146,21 @@
         let shared = self.owners.of(&cluster).is_none();
         let refused_time = if shared { REFUSED_TIME } else { OWNER_PAUSE };
         let mut best = None;
-        for (node, record) in self.roster.others() {
+        let candidates: Vec<(&Name, &NodeRecord)> = match self.owners.of(&cluster) {
+            Some(owners) => owners
+                .iter()
+                .filter(|node| **node != self.settings.node)
+                .filter_map(|node| Some((node, self.roster.last_known(node)?)))
+                .collect(),
+            None => self.roster.others().collect(),
+        };
+        for (node, record) in candidates {
             let Some(address) = record.peer_address else { continue };
             let name = entry_name(node, &client_database);
             let refused = self.peers.refused.get(&(node.clone(), cluster.clone()));
             if record.complaints.contains(cluster.as_str())
                 || refused.is_some_and(|at| self.now < *at + refused_time)
                 || work.avoided.contains(&name)
-                || !self.is_owner(&cluster, node)
             {
                 continue;
             }
@@ -189,7 +238,7 @@
                 Some(node) => {
                     let idle = entry.load() == 0
                         && entry.answered.is_none_or(|at| now >= at + UNUSED_TIME);
-                    idle || self.roster.get(node).is_none()
+                    idle || self.roster.last_known(node).is_none()
                 }
                 None => false,
             })
--- a/crates/gate/src/ready.rs
+++ b/crates/gate/src/ready.rs
@@ -10,7 +10,7 @@
 /// Time without the primaries after which a node is not ready: longer than a change of primary.
 const CUT_OFF_TIME: Micros = Micros::from_millis(1_500);
 
-/// The same for a node that has lost the store too, and so is itself cut off.
+/// The same for a node that has lost the store or the other data centres too, and so is itself cut off.
 const ISOLATED_TIME: Micros = Micros::from_millis(200);
 
 /// Time after which a node that is not ready closes idle sessions: the balancer's two probes have taken it
@@ -35,10 +35,11 @@
             self.table.clusters.keys().filter(|cluster| {
                 self.table.routes.values().any(|route| route.cluster == **cluster)
             });
+        let contacts = self.peer_contacts();
         let (mut clusters, mut usable) = (0_u32, 0_u32);
         for cluster in routed {
             clusters += 1;
-            usable += u32::from(self.reaches_cluster(cluster));
+            usable += u32::from(self.reaches_cluster(cluster, &contacts));
         }
         if usable * 2 >= clusters {
             self.ready.cut_off = None;
@@ -47,7 +48,8 @@
         }
         let cut_off = self.ready.cut_off;
         let was_ready = self.ready.ready;
-        let patience = if self.is_in_touch() { CUT_OFF_TIME } else { ISOLATED_TIME };
+        let isolated = contacts.is_isolated() || !self.is_in_touch();
+        let patience = if isolated { ISOLATED_TIME } else { CUT_OFF_TIME };
         let kept = was_ready && cut_off.is_some_and(|since| now < since + patience);
         let ready = clusters > 0 && self.drain.since.is_none() && (cut_off.is_none() || kept);
         if ready != was_ready || !self.ready.announced {
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -38,13 +38,14 @@
     pub(crate) fn nodes_listed(&mut self) {
         let others = self.roster.others().next().is_some();
         self.registration.listed.get_or_insert((self.now, others));
+        self.update_owners();
     }
 
     /// Publishes the registration if it has changed.
     pub(crate) fn tend_registration(&mut self, complaints: BTreeSet<String>) {
         let now = self.now;
         let Some((listed, others)) = self.registration.listed else { return };
-        let settled = others || now >= listed + SETTLE_TIME;
+        let settled = others || self.fleet.is_known() || now >= listed + SETTLE_TIME;
         let owns = self.table.clusters.keys().any(|cluster| self.owns_links(cluster));
         let role = if owns && settled { NodeRole::Owner } else { NodeRole::Standby };
         if role != self.registration.role {
@@ -98,6 +99,9 @@
 
     /// Chooses the owners of connections anew if the nodes or the clusters have changed.
     pub(crate) fn update_owners(&mut self) {
+        if self.registration.listed.is_none() || self.awaits_nodes() {
+            return self.owners.await_nodes(self.table.clusters.keys().cloned());
+        }
         let (centre, capacity) = (&self.settings.data_centre, self.settings.capacity);
         let nodes = self.roster.members(centre, capacity);
         let clusters = self.table.clusters.iter();
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -14,6 +14,9 @@
 
 use crate::event::NodeRole;
 
+/// Time for which the record of a node that left is kept: longer than its owners are kept after a lapse.
+const FORMER_TIME: Micros = Micros::from_millis(10_000);
+
 /// A node's registration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
@@ -43,12 +46,20 @@
     standbys: FastMap<Name, NodeRecord>,
     /// When owners were last seen to leave; they may still hold a permit.
     departed: Option<Micros>,
+    /// Last records of nodes that left, and when. Their leases may have ended while they run.
+    former: FastMap<Name, (Micros, NodeRecord)>,
 }
 
 impl NodeRoster {
     /// Creates a roster that knows only this node.
     pub fn new(own: Name) -> Self {
-        NodeRoster { own, owners: FastMap::default(), standbys: FastMap::default(), departed: None }
+        NodeRoster {
+            own,
+            owners: FastMap::default(),
+            standbys: FastMap::default(),
+            departed: None,
+            former: FastMap::default(),
+        }
     }
 
     /// Takes in a registration; one that cannot be read counts as one without complaints.
@@ -57,6 +68,7 @@
             NodeRole::Owner => &mut self.owners,
             NodeRole::Standby => &mut self.standbys,
         };
+        self.former.remove(&node);
         nodes.insert(node, serde_json::from_slice(bytes).unwrap_or_default());
     }
 
@@ -64,23 +76,27 @@
     pub fn remove(&mut self, now: Micros, role: NodeRole, node: &Name) {
         match role {
             NodeRole::Owner => {
-                if self.owners.remove(node).is_some() {
+                if let Some(record) = self.owners.remove(node) {
                     self.departed = Some(now);
+                    self.former.insert(node.clone(), (now, record));
                 }
             }
             NodeRole::Standby => {
-                self.standbys.remove(node);
+                if let Some(record) = self.standbys.remove(node) {
+                    self.former.insert(node.clone(), (now, record));
+                }
             }
         }
+        self.former.retain(|_, (left, _)| now < *left + FORMER_TIME);
     }
 
     /// Removes the registrations that a list does not name.
     pub fn retain(&mut self, now: Micros, listed: &FastSet<(NodeRole, Name)>) {
-        let before = self.owners.len();
-        self.owners.retain(|name, _| listed.contains(&(NodeRole::Owner, name.clone())));
-        self.standbys.retain(|name, _| listed.contains(&(NodeRole::Standby, name.clone())));
-        if self.owners.len() < before {
-            self.departed = Some(now);
+        let owners = self.owners.keys().map(|name| (NodeRole::Owner, name.clone()));
+        let standbys = self.standbys.keys().map(|name| (NodeRole::Standby, name.clone()));
+        let gone: Vec<_> = owners.chain(standbys).filter(|node| !listed.contains(node)).collect();
+        for (role, node) in gone {
+            self.remove(now, role, &node);
         }
     }
 
@@ -101,6 +117,11 @@
         self.owners.iter().chain(standbys).filter(|(name, _)| **name != self.own)
     }
 
+    /// Returns a node's last record, also if it has left a short while ago.
+    pub fn last_known(&self, node: &Name) -> Option<&NodeRecord> {
+        self.get(node).or_else(|| self.former.get(node).map(|(_, record)| record))
+    }
+
     /// Returns a node's record.
     pub fn get(&self, node: &Name) -> Option<&NodeRecord> {
         self.owners.get(node).or_else(|| self.standbys.get(node))
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -24,6 +24,9 @@
 /// connections are taken: the databases drop those of dead nodes after 3 s.
 const UNREPORTED: Micros = Micros::from_millis(4_500);
 
+/// Time since a primary's last answer after which another node's complaint about it is checked.
+const COMPLAINT_CHECK: Micros = Micros::from_millis(100);
+
 /// Time after which a fence that no announced change explains is lifted.
 const LEFT_FENCED: Micros = Micros::from_millis(700);
 
@@ -77,6 +80,31 @@
         None
     }
 
+    /// Asks a primary that other nodes complain about for a report, and a replica, since only a node that hears one
+    /// complains. The first owner notices a primary's silence by the requests; the others send none.
+    fn check_complaint(&mut self, cluster: &Name) {
+        let now = self.now;
+        let Some(state) = self.clusters.get(cluster) else { return };
+        let Some(leader) = state.evidence.leader() else { return };
+        let quiet = |name: &Name| {
+            self.databases.get(name).is_some_and(|database| {
+                database.report_asked.is_none()
+                    && database.answered.is_none_or(|at| now >= at + COMPLAINT_CHECK)
+            })
+        };
+        if !quiet(leader)
+            || !self.owns_links(cluster)
+            || self.roster.complaining(cluster).is_empty()
+        {
+            return;
+        }
+        let replica = self.preferred_replica(state).filter(|name| quiet(name));
+        let asked: Vec<Name> = replica.into_iter().chain([leader]).cloned().collect();
+        for name in asked {
+            self.ask_report(&name);
+        }
+    }
+
     /// Tells whether replicas are fenced although no change is announced, as after the death of the node that
     /// fenced them.
     pub(crate) fn left_fenced(&self, cluster: &Name) -> bool {
@@ -106,6 +134,7 @@
         let clusters: Vec<Name> = self.clusters.keys().cloned().collect();
         let mut complaints = BTreeSet::new();
         for cluster in &clusters {
+            self.check_complaint(cluster);
             let complaint = self.complaint(cluster);
             if let Some(reason) = complaint {
                 if self.takeovers.suspected.insert(cluster.clone(), reason) != Some(reason) {
@@ -155,6 +184,8 @@
             return;
         };
         let due = *self.takeovers.due.entry(cluster.clone()).or_insert(now);
+        // Nobody else can act while this node holds the duty.
+        let place = if self.duty.number(now).is_some() { 0 } else { place };
         if now < due + Micros(STAGGER.0 * place) || self.duty.is_taken(now) {
             return;
         }
--- a/crates/gate/tests/leadership.rs
+++ b/crates/gate/tests/leadership.rs
@@ -371,3 +371,24 @@
     assert_eq!(world.databases["c"].fence, Term(0));
     assert_eq!(world.promotions, []);
 }
+
+/// All requests of a cluster go through one node. The others see no silence of the primary unless they ask.
+#[test]
+fn nodes_without_requests_confirm_a_complaint() {
+    let mut world = World::start(6);
+    let session = world.open(0, LATEST);
+    world.ask(0, session, "warm", "READ 1");
+    world.run(millis(500));
+    world.database("a").dark = true;
+    let begun = world.now;
+    for turn in 0..150 {
+        let session = world.open(0, LATEST);
+        world.ask(0, session, &format!("w{turn}"), "WRITE 1 x");
+        let session = world.open(0, BOUNDED);
+        world.ask(0, session, &format!("r{turn}"), "READ 1");
+        world.run(millis(20));
+    }
+    let promoted = world.promotions.first().expect("the primary is replaced");
+    // Two silences of half a second, one after the other, one promotion duty and its steps.
+    assert!(promoted.0 - begun < millis(2_000), "after {:?}", promoted.0 - begun);
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -115,6 +115,7 @@
 fn document_key(document: &Document) -> String {
     match document {
         Document::Duty => "duty".to_string(),
+        Document::Fleet => "fleet".to_string(),
         Document::Node(name) => format!("nodes/{name}"),
         Document::Standby(name) => format!("standbys/{name}"),
     }
@@ -371,6 +372,11 @@
                     self.store(document, bytes);
                 }
             }
+            GateAction::WriteFleet { bytes } => {
+                if !self.storeless.contains(&gate) {
+                    self.store(Document::Fleet, bytes);
+                }
+            }
             GateAction::ReadState => {
                 if !self.storeless.contains(&gate) {
                     let documents = self.documents.values().cloned().collect();
