Leave a silent owner before a connection opens

A request that waited for a connection to a silent owner stayed there to its limit, since only requests on an open connection were moved. And a standby in the cut data centre took an owner that it had just chosen for one that answers, so it stayed ready for 2 s.

Change: what waits for a silent node is sent to the next one. A node counts as silent after 350 ms, 200 ms of them with a probe (500 and 250 before). Only databases and connections with something to do are looked at each tick.

Ruled out: the changes of primary (both over 2.7 s after the cut).

--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -25,10 +25,10 @@
 
 /// Silence of another node after which a further connection to it is opened to see whether it answers. Its
 /// requests may wait in a queue for longer.
-const PEER_PROBE: Micros = Micros::from_millis(250);
+const PEER_PROBE: Micros = Micros::from_millis(150);
 
 /// Silence of another node, the probe included, after which its requests are sent elsewhere.
-const PEER_SILENCE: Micros = Micros::from_millis(500);
+const PEER_SILENCE: Micros = Micros::from_millis(350);
 
 /// Requests that all nodes together send to a database for each statement that it executes at once.
 const SENT_PER_SLOT: u32 = 2;
@@ -116,6 +116,8 @@
     /// Since when an attempt to reach it is without an answer.
     pub(crate) trying_since: Option<Micros>,
     pub(crate) answered: Option<Micros>,
+    /// When an entry that stands for a node was made.
+    pub(crate) chosen: Micros,
     /// When it last answered a command; opening a connection is none.
     pub(crate) command_answered: Option<Micros>,
     /// When a statement was sent whose answer is overdue, with no answer to any command since.
@@ -147,6 +149,7 @@
             full_at: None,
             trying_since: None,
             answered: None,
+            chosen: Micros::ZERO,
             command_answered: None,
             overdue_since: None,
             latency: LatencyEstimate::default(),
@@ -203,6 +206,12 @@
         }
     }
 
+    /// Tells whether time alone may let it send something or open a connection.
+    pub(crate) fn is_due(&self) -> bool {
+        let waits = self.queue.stats().waiting.0.iter().any(|waiting| *waiting > 0);
+        waits || self.report_wanted || self.links.is_empty()
+    }
+
     /// Returns the requests that wait or run.
     pub(crate) fn load(&self) -> u32 {
         let waiting: u32 = self.queue.stats().waiting.0.iter().sum();
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -415,8 +415,13 @@
                 self.drop_link(link, "unused");
             }
         }
-        let names: Vec<Name> = self.databases.keys().cloned().collect();
-        for name in names {
+        let due: Vec<Name> = self
+            .databases
+            .iter()
+            .filter(|(_, database)| database.is_due())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
             self.pump(&name);
         }
     }
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -332,6 +332,11 @@
         if database.links.len() > database.opening as usize {
             return;
         }
+        self.move_queued(name);
+    }
+
+    /// Routes the requests that wait at a database again, to others.
+    pub(crate) fn move_queued(&mut self, name: &Name) {
         let queued: Vec<WorkId> = self
             .works
             .iter()
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -192,7 +192,7 @@
             };
             let mut entry = Database::new(listed);
             entry.peer = name.split('/').next().map(Name::from);
-            entry.answered = Some(self.now);
+            entry.chosen = self.now;
             self.databases.insert(name.clone(), entry);
         }
         self.count("requests_forwarded");
@@ -227,17 +227,34 @@
         }
     }
 
+    /// Sends what waits for a node that answers nothing to others.
+    fn leave_silent_peers(&mut self) {
+        let now = self.now;
+        let silent: Vec<Name> = self
+            .databases
+            .iter()
+            .filter(|(_, entry)| {
+                entry.peer.is_some() && entry.load() > 0 && entry.is_silent_peer(now)
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in silent {
+            self.move_queued(&name);
+        }
+    }
+
     /// Removes the entries of nodes that are gone or were not used for a while.
     pub(crate) fn tend_peers(&mut self) {
         let now = self.now;
         self.probe_peers();
+        self.leave_silent_peers();
         let unused: Vec<Name> = self
             .databases
             .iter()
             .filter(|(_, entry)| match &entry.peer {
                 Some(node) => {
-                    let idle = entry.load() == 0
-                        && entry.answered.is_none_or(|at| now >= at + UNUSED_TIME);
+                    let used = entry.answered.unwrap_or_default().max(entry.chosen);
+                    let idle = entry.load() == 0 && now >= used + UNUSED_TIME;
                     idle || self.roster.last_known(node).is_none()
                 }
                 None => false,
--- a/crates/gate/tests/fleet.rs
+++ b/crates/gate/tests/fleet.rs
@@ -22,6 +22,7 @@
     gate: Gate,
     now: Micros,
     actions: Vec<GateAction>,
+    told: bool,
 }
 
 fn registration(index: u16) -> StoredDocument {
@@ -54,7 +55,7 @@
             process: 1,
             grace: Micros::from_secs(6),
         });
-        let mut fleet = LargeFleet { gate, now: millis(0), actions: Vec::new() };
+        let mut fleet = LargeFleet { gate, now: millis(0), actions: Vec::new(), told: false };
         fleet.event(GateEvent::RoutesChanged(Box::new(support::route_table(46))));
         fleet.event(GateEvent::DocumentsListed(documents));
         let databases = ["a", "b", "c"].map(|name| ListedDatabase {
@@ -96,6 +97,17 @@
         opened.collect()
     }
 
+    /// Returns what the balancer was last told; connections that were opened are forgotten.
+    fn ready(&mut self) -> bool {
+        let actions = std::mem::take(&mut self.actions).into_iter();
+        let told = actions.filter_map(|action| match action {
+            GateAction::SetReady(ready) => Some(ready),
+            _ => None,
+        });
+        self.told = told.last().unwrap_or(self.told);
+        self.told
+    }
+
     /// Returns the node that a new request goes to.
     fn target(&mut self, number: u64) -> Option<Name> {
         let session = SessionId(number);
@@ -151,3 +163,33 @@
     let after = fleet.target(2).unwrap();
     assert_eq!(before, after);
 }
+
+/// A request that waits for a connection to a silent owner goes to the next one in time.
+#[test]
+fn a_request_does_not_wait_for_a_connection_to_a_silent_owner() {
+    let mut fleet = LargeFleet::start((1..NODES).map(registration).collect());
+    let first = fleet.target(1).unwrap();
+    fleet.run(millis(560));
+    let opened = fleet.opened();
+    assert!(opened.iter().any(|name| *name != first), "{opened:?}");
+}
+
+/// Pattern: a data centre is cut off. Its nodes that only forward hear of it by the silence of the others.
+#[test]
+fn a_standby_that_hears_no_other_data_centre_is_not_ready() {
+    let weak = |mut stored: StoredDocument| {
+        // Every other node is stronger than `n0`.
+        let mut record: NodeRecord = serde_json::from_slice(&stored.bytes).unwrap();
+        record.capacity = 1_000;
+        stored.bytes = serde_json::to_vec(&record).unwrap();
+        stored
+    };
+    let mut fleet = LargeFleet::start((1..NODES).map(registration).map(weak).collect());
+    fleet.event(GateEvent::ContactRenewed { sent: millis(0) });
+    fleet.run(millis(40));
+    assert!(fleet.ready(), "in touch with the store and with owners");
+    // The first owner is silent, and then the one that the request is sent to instead.
+    fleet.target(1).unwrap();
+    fleet.run(millis(1_000));
+    assert!(!fleet.ready());
+}
