Pass over owners that stop or have just started

Change: owners are chosen when half of the nodes are registered. A node registers as an owner once it knows most primaries (0.5 s at most), requests go to standbys last, and a node that shuts down says so and is no owner.

--- a/crates/gate/src/drain.rs
+++ b/crates/gate/src/drain.rs
@@ -40,6 +40,7 @@
         self.drain.grace = self.settings.grace;
         let sessions = u64::try_from(self.sessions.len()).unwrap_or(u64::MAX);
         self.log("drain_started", fields!["sessions" => sessions]);
+        self.update_owners();
         self.update_ready();
     }
 
--- a/crates/gate/src/fleet.rs
+++ b/crates/gate/src/fleet.rs
@@ -12,8 +12,12 @@
 use crate::owners::FEW_NODES;
 use crate::{Gate, fields};
 
-/// Part of the known nodes that has to be registered.
-const COMPLETE_PERCENT: u32 = 80;
+/// Part of the known nodes that has to be registered. The loss of a data centre and a rolling restart at the same
+/// time leave more.
+const COMPLETE_PERCENT: u32 = 50;
+
+/// Part by which the number has to differ from the stored one.
+const DIFFERS_PERCENT: u32 = 20;
 
 /// Time that the others get to register; after it they count as gone. The time to live of a registration, and
 /// within the users' shortest bound of a recovery (12 s).
@@ -76,7 +80,7 @@
         }
         let (live, known) = (self.roster.live(), self.fleet.known);
         let large = live.max(known) as usize > FEW_NODES;
-        if !large || live.abs_diff(known) * 100 <= known * (100 - COMPLETE_PERCENT) {
+        if !large || live.abs_diff(known) * 100 <= known * DIFFERS_PERCENT {
             self.fleet.differs = None;
             return;
         }
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -9,7 +9,7 @@
 
 use crate::Gate;
 use crate::database::{Database, UNRESPONSIVE};
-use crate::event::{ListedDatabase, SessionOrigin};
+use crate::event::{ListedDatabase, NodeRole, SessionOrigin};
 use crate::roster::NodeRecord;
 use crate::work::{OWNER_PAUSE, WorkId};
 
@@ -128,7 +128,8 @@
         let cluster = &self.works.get(&id)?.route.cluster;
         let owners = self.owners.of(cluster)?;
         let own = owners.iter().position(|node| *node == self.settings.node);
-        self.choose_before(id, own.unwrap_or(owners.len()))
+        let warm = self.registration.role == NodeRole::Owner;
+        self.choose_before(id, own.filter(|_| warm).unwrap_or(owners.len()))
     }
 
     /// Chooses a node that may be able to serve a request; returns the entry that stands for it.
@@ -174,12 +175,14 @@
             }
             let detour = if record.data_centre == own { 0 } else { DETOUR_LOAD };
             let cost = if shared { entry.map_or(0, Database::load) + detour } else { 0 };
-            let rank = (cost, place, name, address);
+            // An owner that has just started has no connections yet.
+            let cold = !shared && self.roster.is_standby(node);
+            let rank = (cold, cost, place, name, address);
             if best.as_ref().is_none_or(|best| rank < *best) {
                 best = Some(rank);
             }
         }
-        let (_, _, name, address) = best?;
+        let (_, _, _, name, address) = best?;
         if !self.databases.contains_key(&name) {
             let listed = ListedDatabase {
                 id: name.clone(),
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -21,6 +21,9 @@
 /// register meanwhile; otherwise each of many would own connections for a moment.
 const SETTLE_TIME: Micros = Micros::from_millis(1_000);
 
+/// Time after which an owner of connections registers as one although it knows no primary: others may not either.
+const WARM_TIME: Micros = Micros::from_millis(500);
+
 /// What this node last published.
 #[derive(Debug, Default)]
 pub(crate) struct RegistrationState {
@@ -29,6 +32,8 @@
     pub(crate) role: NodeRole,
     /// Counts the changes of role, so that renewals of an ended registration are told apart.
     pub(crate) number: u64,
+    /// Since when this node owns connections.
+    owning: Option<Micros>,
     /// When the list of nodes was first read, and whether it named others.
     listed: Option<(Micros, bool)>,
 }
@@ -47,7 +52,13 @@
         let Some((listed, others)) = self.registration.listed else { return };
         let settled = others || self.fleet.is_known() || now >= listed + SETTLE_TIME;
         let owns = self.table.clusters.keys().any(|cluster| self.owns_links(cluster));
-        let role = if owns && settled { NodeRole::Owner } else { NodeRole::Standby };
+        let warm = self.registration.role == NodeRole::Owner || self.is_warm();
+        let role = match self.registration.role {
+            // What is in flight still needs the permit.
+            role if self.drain.since.is_some() => role,
+            _ if owns && settled && warm => NodeRole::Owner,
+            _ => NodeRole::Standby,
+        };
         if role != self.registration.role {
             self.registration.role = role;
             self.registration.number += 1;
@@ -63,6 +74,22 @@
         }
     }
 
+    /// Tells whether this node can serve most clusters that it owns connections of, or has tried for long.
+    fn is_warm(&mut self) -> bool {
+        let owned = self.table.clusters.keys().filter(|cluster| self.owns_links(cluster));
+        let (mut count, mut usable) = (0, 0);
+        for cluster in owned {
+            count += 1;
+            usable += usize::from(self.usable_leader(cluster).is_some());
+        }
+        if count == 0 {
+            self.registration.owning = None;
+            return false;
+        }
+        let since = *self.registration.owning.get_or_insert(self.now);
+        usable * 2 > count || self.now >= since + WARM_TIME
+    }
+
     /// Publishes the registration now, as it acknowledges an announcement.
     pub(crate) fn acknowledge_announcement(&mut self) {
         let last = self.registration.record.as_ref();
@@ -84,6 +111,7 @@
             },
             peer_address: self.settings.peer_address,
             data_centre: self.settings.data_centre.to_string(),
+            leaving: self.drain.since.is_some(),
             capacity: self.settings.capacity,
         }
     }
@@ -103,7 +131,8 @@
             return self.owners.await_nodes(self.table.clusters.keys().cloned());
         }
         let (centre, capacity) = (&self.settings.data_centre, self.settings.capacity);
-        let nodes = self.roster.members(centre, capacity);
+        let leaving = self.drain.since.is_some();
+        let nodes = self.roster.members(centre, capacity, leaving);
         let clusters = self.table.clusters.iter();
         let clusters = clusters.map(|(name, limits)| (name.clone(), limits.connections)).collect();
         if !self.owners.update(crate::owners::OwnerInput { nodes, clusters }) {
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -32,6 +32,9 @@
     pub peer_address: Option<SocketAddr>,
     #[serde(default)]
     pub data_centre: String,
+    /// It shuts down and takes no more work of others.
+    #[serde(default)]
+    pub leaving: bool,
     /// Processor share of its VM, in thousandths of a core.
     #[serde(default)]
     pub capacity: u32,
@@ -117,6 +120,11 @@
         self.owners.iter().chain(standbys).filter(|(name, _)| **name != self.own)
     }
 
+    /// Tells whether a node is registered as one that holds no permit.
+    pub fn is_standby(&self, node: &Name) -> bool {
+        self.standbys.contains_key(node) && !self.owners.contains_key(node)
+    }
+
     /// Returns a node's last record, also if it has left a short while ago.
     pub fn last_known(&self, node: &Name) -> Option<&NodeRecord> {
         self.get(node).or_else(|| self.former.get(node).map(|(_, record)| record))
@@ -127,15 +135,22 @@
         self.owners.get(node).or_else(|| self.standbys.get(node))
     }
 
-    /// Returns the data centre and capacity of each node; those of this one are given.
-    pub(crate) fn members(&self, centre: &Name, capacity: u32) -> BTreeMap<Name, (Name, u32)> {
-        let others = self.others();
+    /// Returns the data centre and capacity of each node that stays; those of this one are given.
+    pub(crate) fn members(
+        &self,
+        centre: &Name,
+        capacity: u32,
+        leaving: bool,
+    ) -> BTreeMap<Name, (Name, u32)> {
+        let others = self.others().filter(|(_, node)| !node.leaving);
         let mut members: BTreeMap<Name, (Name, u32)> = others
             .map(|(name, node)| {
                 (name.clone(), (Name::from(node.data_centre.as_str()), node.capacity))
             })
             .collect();
-        members.insert(self.own.clone(), (centre.clone(), capacity));
+        if !leaving {
+            members.insert(self.own.clone(), (centre.clone(), capacity));
+        }
         members
     }
 
