Use an owner again once it answers a probe

One node refused all requests of a route for 20 s beside an owner that served the other routes. Databases are asked for a report then; nodes are probed by connections, so an open connection ends it now.

--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -120,6 +120,10 @@
         let Some(database) = self.databases.get_mut(&name) else { return };
         database.opening -= 1;
         database.open_failures = 0;
+        if database.peer.is_some() {
+            // Another node is probed by connections, as it has no command of its own.
+            database.overdue_since = None;
+        }
         database.applied = point.max(database.applied);
         database.applied_at = now;
         database.idle.push(link);
--- a/crates/gate/tests/forwarding.rs
+++ b/crates/gate/tests/forwarding.rs
@@ -157,3 +157,28 @@
     assert_eq!(opened.len(), 1, "{opened:?}");
     assert_ne!(opened[0].1, owner);
 }
+
+/// Found by seed 3 of the soak: the owner's late answer kept it out of use for good, as no command was sent to it.
+#[test]
+fn an_owner_that_answers_a_probe_again_is_used_again() {
+    let mut forwarder = Forwarder::start();
+    let owner = forwarder.send_read();
+    forwarder.run(millis(340));
+    let probes = forwarder.opened();
+    forwarder.run(millis(80));
+    assert_ne!(forwarder.opened()[0].1, owner, "the read leaves");
+    for (link, _) in probes {
+        forwarder.event(GateEvent::LinkOpened { link, point: None });
+    }
+    forwarder.run(millis(20));
+    forwarder.opened();
+    let session = SessionId(2);
+    let (database, origin) = (BOUNDED.into(), SessionOrigin::Client);
+    forwarder.event(GateEvent::SessionOpened { session, database, origin });
+    let text = Name::from("READ 1");
+    let request = ClientRequest { id: "r2".into(), text, statement: Statement::Read, after: None };
+    forwarder.actions.clear();
+    forwarder.event(GateEvent::RequestArrived { session, request });
+    let sent = forwarder.actions.iter().any(|action| matches!(action, GateAction::Send { .. }));
+    assert!(sent, "on the connection of the probe");
+}
