--- a/crates/edge/src/hub.rs
+++ b/crates/edge/src/hub.rs
@@ -13,6 +13,7 @@
     SessionId, SessionOrigin, SessionState, TICK,
 };
 use model::{FastMap, Name};
+use signal_hook::iterator::Signals;
 use stakker::sync::{Channel, ChannelGuard};
 use stakker::{CX, after, fwd_to, stop};
 use stakker_mio::mio::Interest;
@@ -91,6 +92,7 @@
     pub(crate) fn init(
         cx: CX![],
         setup: EdgeSetup<P>,
+        signals: Signals,
         listener: TcpListener,
         peer_listener: Option<TcpListener>,
         status: Arc<SharedStatus>,
@@ -119,10 +121,7 @@
         let (events, store_guard) = Channel::new(cx, event);
         let order = fwd_to!([cx], order() as (ProcessOrder));
         let (orders, order_guard) = Channel::new(cx, order);
-        if let Err(error) = crate::start_signals(orders) {
-            stakker::fail!(cx, error);
-            return None;
-        }
+        crate::start_signals(signals, orders);
         let node = setup.gate.node.clone();
         let store = StoreThreads::start(setup.platform.store(), node.clone(), events);
         let mut hub = Hub {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,8 @@
 use std::time::{Duration, Instant};
 
 use gate::GateSettings;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use stakker::sync::Channel;
 use stakker::{ActorOwn, Stakker, StopCause, actor, ret_shutdown};
 use stakker_mio::MioPoll;
@@ -89,6 +91,8 @@
 ///
 /// Fails if an address cannot be bound or the loop cannot be set up.
 pub fn run<P: Platform>(setup: EdgeSetup<P>) -> Result<(), EdgeError> {
+    // First, as a signal ends the process until then.
+    let signals = register_signals()?;
     let address = setup.client_address;
     let listener =
         socket::listen(address).map_err(|source| EdgeError::Listen { address, source })?;
@@ -115,7 +119,7 @@
     let poll = MioPoll::new(stakker, Poll::new()?, events, 10)?;
     let hub: ActorOwn<Hub<P>> = actor!(
         stakker,
-        <Hub<P>>::init(setup, listener, peer_listener, status),
+        <Hub<P>>::init(setup, signals, listener, peer_listener, status),
         ret_shutdown!(stakker)
     );
     let mut idle_pending = stakker.run(Instant::now(), false);
@@ -138,15 +142,17 @@
     }
 }
 
+/// Takes over the signals that are orders. They are kept until a thread waits for them.
+fn register_signals() -> std::io::Result<Signals> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP])
+}
+
 /// Waits for signals on a thread of its own.
-pub(crate) fn start_signals(orders: Channel<ProcessOrder>) -> std::io::Result<()> {
-    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+pub(crate) fn start_signals(mut signals: Signals, orders: Channel<ProcessOrder>) {
     std::thread::spawn(move || {
         for signal in signals.forever() {
             let order = if signal == SIGHUP { ProcessOrder::Reload } else { ProcessOrder::Drain };
             orders.send(order);
         }
     });
-    Ok(())
 }
