Bound a standby's watch by the shortest bounds and gather the owners' code

A watch of 8 s with its margin is longer than the 7 s of the smaller deployments' bounds (4 s until a node is in touch, 3 s for a configuration), so a connection that went silent could have delayed a configuration there. It is 5.5 s now. The choice of owners and what asks for it stand in one module.

--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -23,16 +23,16 @@
 /// word, and then nothing is heard for as long.
 const WATCH_WAIT: Duration = Duration::from_millis(4_000);
 
-/// The same at a node that only forwards and needs little more than the configuration: with its margin and the
-/// call after it, below the time that a node gets to be in touch and the shortest bound of a configuration in the
-/// users' large deployments together, 5 s each.
-const STANDBY_WATCH_WAIT: Duration = Duration::from_millis(8_000);
+/// The same at a node that only forwards and needs little more than the configuration. A connection to the store
+/// that went silent is noticed within it and its margin, which is below the users' shortest time until a node is
+/// in touch (4 s) and their shortest bound of a configuration (3 s) together.
+const STANDBY_WATCH_WAIT: Duration = Duration::from_millis(5_500);
 
 /// Pause before a watch is repeated after changes of registrations, so that a series of them is one return of the
 /// watch and not one each. An announced change of primary may wait for it.
 const OWNER_PAUSE: Duration = Duration::from_millis(50);
 
-/// Pause after any change at a node that only forwards; a fifth of the time that a configuration may take.
+/// Pause after any change at a node that only forwards: a third of the shortest bound of a configuration.
 const STANDBY_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Nodes up to which there is none.
--- a/crates/gate/src/owners.rs
+++ b/crates/gate/src/owners.rs
@@ -12,6 +12,8 @@
 use member::owner_score;
 use model::{FastMap, Name};
 
+use crate::{Gate, fields};
+
 /// Up to this many nodes each owns connections: the smallest size at which forwarding was better on the
 /// users' bench lies above it, and one connection for each node is within every known limit.
 pub(crate) const FEW_NODES: usize = 16;
@@ -139,3 +141,56 @@
     }
     chosen
 }
+
+impl Gate {
+    /// Chooses the owners of connections anew if the nodes or the clusters have changed.
+    pub(crate) fn update_owners(&mut self) {
+        if self.registration.listed.is_none() || self.awaits_nodes() {
+            return self.owners.await_nodes(self.table.clusters.keys().cloned());
+        }
+        let (centre, capacity) = (&self.settings.data_centre, self.settings.capacity);
+        let leaving = self.drain.since.is_some();
+        let nodes = self.roster.members(centre, capacity, leaving);
+        let clusters = self.table.clusters.iter();
+        let clusters = clusters.map(|(name, limits)| (name.clone(), limits.connections)).collect();
+        if !self.owners.update(OwnerInput { nodes, clusters }) {
+            return;
+        }
+        let all: Vec<Name> = self.table.clusters.keys().cloned().collect();
+        let owned = all.iter().filter(|cluster| self.owns_links(cluster)).count();
+        let record = fields![
+            "nodes" => u64::from(self.roster.live()),
+            "clusters" => u64::try_from(all.len()).unwrap_or(u64::MAX),
+            "owned" => u64::try_from(owned).unwrap_or(u64::MAX)
+        ];
+        self.log("owners_chosen", record);
+    }
+
+    /// Tells whether this node keeps connections to a cluster's databases.
+    pub(crate) fn owns_links(&self, cluster: &Name) -> bool {
+        self.is_owner(cluster, &self.settings.node)
+    }
+
+    fn is_owner(&self, cluster: &Name, node: &Name) -> bool {
+        self.owners.of(cluster).is_none_or(|owners| owners.contains(node))
+    }
+
+    /// Returns among how many nodes the connections to a cluster's databases are shared. The first owner has the
+    /// share of all nodes that forward to it.
+    pub(crate) fn sharing_nodes(&self, cluster: &Name) -> u32 {
+        let first = self.owners.of(cluster).and_then(<[Name]>::first);
+        if first == Some(&self.settings.node) { 1 } else { self.owner_count(cluster) }
+    }
+
+    /// Returns how many nodes keep connections to a cluster's databases.
+    pub(crate) fn owner_count(&self, cluster: &Name) -> u32 {
+        let owners = self.owners.of(cluster).map(<[Name]>::len);
+        owners.map_or(self.roster.live(), |count| u32::try_from(count).unwrap_or(u32::MAX))
+    }
+
+    /// Returns this node's place among the owners of a cluster, for work that one of them does.
+    pub(crate) fn owner_place(&self, cluster: &Name) -> u64 {
+        let place = self.owners.place(cluster, &self.settings.node);
+        place.map_or(u64::from(self.roster.live()), |place| place as u64)
+    }
+}
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -51,34 +51,6 @@
 }
 
 impl Gate {
-    /// Tells whether this node keeps connections to a cluster's databases.
-    pub(crate) fn owns_links(&self, cluster: &Name) -> bool {
-        self.is_owner(cluster, &self.settings.node)
-    }
-
-    fn is_owner(&self, cluster: &Name, node: &Name) -> bool {
-        self.owners.of(cluster).is_none_or(|owners| owners.contains(node))
-    }
-
-    /// Returns among how many nodes the connections to a cluster's databases are shared. The first owner has the
-    /// share of all nodes that forward to it.
-    pub(crate) fn sharing_nodes(&self, cluster: &Name) -> u32 {
-        let first = self.owners.of(cluster).and_then(<[Name]>::first);
-        if first == Some(&self.settings.node) { 1 } else { self.owner_count(cluster) }
-    }
-
-    /// Returns how many nodes keep connections to a cluster's databases.
-    pub(crate) fn owner_count(&self, cluster: &Name) -> u32 {
-        let owners = self.owners.of(cluster).map(<[Name]>::len);
-        owners.map_or(self.roster.live(), |count| u32::try_from(count).unwrap_or(u32::MAX))
-    }
-
-    /// Returns this node's place among the owners of a cluster, for work that one of them does.
-    pub(crate) fn owner_place(&self, cluster: &Name) -> u64 {
-        let place = self.owners.place(cluster, &self.settings.node);
-        place.map_or(u64::from(self.roster.live()), |place| place as u64)
-    }
-
     /// Tells whether requests of a cluster can be expected to be served, here or by a node that owns
     /// connections.
     pub(crate) fn reaches_cluster(&self, cluster: &Name, contacts: &PeerContacts) -> bool {
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeSet;
 
-use model::{Micros, Name};
+use model::Micros;
 
 use crate::action::GateAction;
 use crate::event::NodeRole;
@@ -35,7 +35,7 @@
     /// Since when this node owns connections.
     owning: Option<Micros>,
     /// When the list of nodes was first read, and whether it named others.
-    listed: Option<(Micros, bool)>,
+    pub(crate) listed: Option<(Micros, bool)>,
 }
 
 impl Gate {
@@ -124,27 +124,4 @@
         self.registration.record = Some(record);
         self.registration.published = self.now;
     }
-
-    /// Chooses the owners of connections anew if the nodes or the clusters have changed.
-    pub(crate) fn update_owners(&mut self) {
-        if self.registration.listed.is_none() || self.awaits_nodes() {
-            return self.owners.await_nodes(self.table.clusters.keys().cloned());
-        }
-        let (centre, capacity) = (&self.settings.data_centre, self.settings.capacity);
-        let leaving = self.drain.since.is_some();
-        let nodes = self.roster.members(centre, capacity, leaving);
-        let clusters = self.table.clusters.iter();
-        let clusters = clusters.map(|(name, limits)| (name.clone(), limits.connections)).collect();
-        if !self.owners.update(crate::owners::OwnerInput { nodes, clusters }) {
-            return;
-        }
-        let all: Vec<Name> = self.table.clusters.keys().cloned().collect();
-        let owned = all.iter().filter(|cluster| self.owns_links(cluster)).count();
-        let record = fields![
-            "nodes" => u64::from(self.roster.live()),
-            "clusters" => u64::try_from(all.len()).unwrap_or(u64::MAX),
-            "owned" => u64::try_from(owned).unwrap_or(u64::MAX)
-        ];
-        self.log("owners_chosen", record);
-    }
 }
