--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -31,8 +31,8 @@
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Time between an answer and the fatal error that ends the session, unless the caller sends its next message
-/// before. Drivers that read both at once report the error instead of the answer, and beside load a caller
-/// reads an answer late: with 200 ms, 4 of 30 runs of the drain test lost one.
+/// before. Drivers that read both at once report the error instead of the answer; 200 ms were too short for
+/// callers beside load.
 const CLOSE_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Time that a closing connection has to take its last message.
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use gate::{
-    Document, GateEvent, ListedDatabase, NodeRole, PromoteResult, RouteTable, StoreState,
-    StoredDocument, WriteResult,
+    Document, FEW_NODES, GateEvent, ListedDatabase, NodeRole, PromoteResult, RouteTable,
+    StoreState, StoredDocument, WriteResult,
 };
 use model::{FastSet, Name};
 use stakker::sync::Channel;
@@ -28,16 +28,13 @@
 /// in touch (4 s) and their shortest bound of a configuration (3 s) together.
 const STANDBY_WATCH_WAIT: Duration = Duration::from_millis(5_500);
 
-/// Pause before a watch is repeated after changes of registrations, so that a series of them is one return of the
-/// watch and not one each. An announced change of primary may wait for it.
+/// Pause before a watch is repeated after changes of registrations where there are many nodes, so that a series of
+/// them is one return of the watch and not one each. An announced change of primary may wait for it.
 const OWNER_PAUSE: Duration = Duration::from_millis(50);
 
 /// Pause after any change at a node that only forwards: a third of the shortest bound of a configuration.
 const STANDBY_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Nodes up to which there is none.
-const FEW_NODES: usize = 16;
-
 /// Pause after a failed call, so that an outage does not cause a burst of calls.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -50,7 +50,7 @@
 };
 pub use evidence::LeadEvidence;
 pub use fleet::FleetRecord;
-pub use owners::{OwnerInput, OwnerTable};
+pub use owners::{FEW_NODES, OwnerInput, OwnerTable};
 pub use permit::PERMIT_TIME;
 pub use roster::{NodeRecord, NodeRoster};
 pub use route::{ClusterLimits, Freshness, RouteConfig, RouteTable};
--- a/crates/gate/src/owners.rs
+++ b/crates/gate/src/owners.rs
@@ -14,9 +14,8 @@
 
 use crate::{Gate, fields};
 
-/// Up to this many nodes each owns connections: the smallest size at which forwarding was better on the
-/// users' bench lies above it, and one connection for each node is within every known limit.
-pub(crate) const FEW_NODES: usize = 16;
+/// Up to this many nodes each owns connections: the smallest limit of a database's connections that is known.
+pub const FEW_NODES: usize = 16;
 
 /// Owners of one cluster at least, so that the loss of one leaves a choice.
 const LEAST_OWNERS: usize = 3;
@@ -38,6 +37,17 @@
 }
 
 /// The owners of all clusters.
+///
+/// ```
+/// use gate::{OwnerInput, OwnerTable};
+///
+/// let nodes = (0..30).map(|index| (format!("vm-{index}").into(), ("dc1".into(), 250)));
+/// let clusters = [("billing".into(), 46)];
+/// let input = OwnerInput { nodes: nodes.collect(), clusters: clusters.into() };
+/// let mut table = OwnerTable::default();
+/// assert!(table.update(input));
+/// assert_eq!(table.of(&"billing".into()).map(<[_]>::len), Some(3));
+/// ```
 #[derive(Debug, Default)]
 pub struct OwnerTable {
     input: OwnerInput,
