Expect the end of each call in the tests of peers

The server reports a call whose answer is complete since the drain waits for it; the tests of crate rpc took the report for the next request. They expect it now, after each call that was answered or dropped.

--- a/crates/rpc/tests/peers.rs
+++ b/crates/rpc/tests/peers.rs
@@ -70,6 +70,11 @@
         requests.borrow_mut().remove(0)
     }
 
+    /// Expects the report that a call's answer is complete, or that the call is over without one.
+    fn expect_finished(&mut self) {
+        assert!(matches!(self.next_request(), PeerRequest::Finished));
+    }
+
     fn next_execute(
         &mut self,
     ) -> (CallId, Option<LaneId>, WorkRequest, UnboundedSender<AnswerPart>) {
@@ -216,12 +221,14 @@
     let answer = forwarded.answer.clone();
     rig.run_until(|| answer.borrow().is_some());
     assert!(answer.take().unwrap().is_ok());
+    rig.expect_finished();
     drop(forwarded.guard.take());
 
     let mut forwarded = forward(&mut rig, None);
     let (call, _, _, _answers) = rig.next_execute();
     drop(forwarded.guard.take());
     assert!(matches!(rig.next_request(), PeerRequest::Dropped { call: id } if id == call));
+    rig.expect_finished();
     assert!(forwarded.answer.borrow().is_none());
 }
 
@@ -236,6 +243,7 @@
         let answer = forwarded.answer.clone();
         rig.run_until(|| answer.borrow().is_some());
         let lane = answer.take().unwrap().ok().unwrap().lane.unwrap();
+        rig.expect_finished();
         let second = forward(&mut rig, Some(&lane));
         let (_, on, _, answers) = rig.next_execute();
         assert_eq!(on, Some(LaneId(4)));
