--- a/crates/bench/src/rank.rs
+++ b/crates/bench/src/rank.rs
@@ -10,7 +10,7 @@
 use std::fmt::Write;
 
 use admit::{QueueConfig, SlotQueue, WorkId, WorkTicket};
-use model::{Micros, Name, Rank, RankConfig, RankMap};
+use model::{Micros, Name, Rank, RankConfig, RankMap, SeededRandom};
 
 /// Slots of a database of each user.
 pub const SLOT_COUNTS: [u32; 2] = [2, 5];
@@ -103,23 +103,9 @@
     }
 }
 
-/// SplitMix64.
-struct RandomSource(u64);
-
-impl RandomSource {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^ (mixed >> 31)
-    }
-
-    /// Exponential with mean 1.
-    fn exponential(&mut self) -> f64 {
-        let unit = (self.next() >> 11) as f64 / (1u64 << 53) as f64;
-        -(1.0 - unit).ln()
-    }
+/// Exponential with mean 1.
+fn exponential(random: &mut SeededRandom) -> f64 {
+    -(1.0 - random.unit()).ln()
 }
 
 /// A request of a run.
@@ -135,7 +121,7 @@
 
 /// Draws all requests of an experiment, in order of arrival.
 pub(crate) fn draw_requests(experiment: &RankExperiment) -> Vec<ExperimentRequest> {
-    let mut random = RandomSource(experiment.seed);
+    let mut random = SeededRandom::new(experiment.seed);
     let mut requests = Vec::new();
     for (index, stream) in experiment.streams.iter().enumerate() {
         let callers: Vec<Name> = (0..stream.callers)
@@ -144,18 +130,18 @@
         let gap = stream.service.0 as f64 / (stream.load * f64::from(experiment.slots));
         let mut now = stream.from.0 as f64;
         loop {
-            now += gap * random.exponential();
+            now += gap * exponential(&mut random);
             if now >= stream.until.0 as f64 {
                 break;
             }
             let half = stream.service.0 as f64 / 2.0;
-            let caller_index = (random.next() % stream.callers) as usize;
+            let caller_index = random.below(stream.callers) as usize;
             requests.push(ExperimentRequest {
                 arrives: Micros(now as u64),
                 stream: index,
                 caller: callers[caller_index].clone(),
                 caller_index,
-                service: Micros((half + half * random.exponential()) as u64),
+                service: Micros((half + half * exponential(&mut random)) as u64),
             });
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,14 +10,12 @@
 //! a malformed message closes only the connection that it came from.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use model::NodeSettings;
 use stakker::sync::Channel;
-use stakker::{ActorOwn, Stakker, StopCause, actor, call, ret_shutdown};
-use stakker_mio::MioPoll;
+use stakker::{ActorOwn, Stakker, actor, call, ret_shutdown};
 use stakker_mio::mio::net::TcpListener;
-use stakker_mio::mio::{Events, Poll};
 
 mod admin;
 mod backend;
@@ -38,12 +36,6 @@
 
 pub use logging::start_logging;
 
-/// Longest time that the loop sleeps.
-const MAX_WAIT: Duration = Duration::from_secs(60);
-
-/// Events that one poll of the sockets takes.
-const EVENT_CAPACITY: usize = 1_024;
-
 /// The addresses that a daemon listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadyAddresses {
@@ -131,14 +123,13 @@
         peers,
         admin,
         counters,
-        incarnation: wall_clock_micros(),
+        incarnation: shell::process_number(),
         seed: u64::from_le_bytes(seed),
     };
 
     let mut stakker = Stakker::new(Instant::now());
     let stakker = &mut stakker;
-    let events = Events::with_capacity(EVENT_CAPACITY);
-    let poll = MioPoll::new(stakker, Poll::new()?, events, 10)?;
+    let poll = shell::new_poll(stakker)?;
     let hub: ActorOwn<Hub> = actor!(stakker, Hub::init(setup), ret_shutdown!(stakker));
 
     let stop_hub = hub.clone();
@@ -153,58 +144,29 @@
         false => None,
     };
 
-    let mut idle_pending = stakker.run(Instant::now(), false);
+    let idle_pending = stakker.run(Instant::now(), false);
     if stakker.not_shutdown() {
         log::info!("{ready}");
         if let Some(call) = options.ready {
             call(ready, StopHandle { channel });
         }
     }
-    let mut io_pending = false;
-    let mut activity;
-    while stakker.not_shutdown() {
-        let wait = stakker.next_wait_max(Instant::now(), MAX_WAIT, idle_pending || io_pending);
-        (activity, io_pending) = poll.poll(wait)?;
-        idle_pending = stakker.run(Instant::now(), !activity);
-    }
-    let cause = stakker.shutdown_reason();
-    drop(hub);
-    stakker.run(Instant::now(), false);
-    match cause {
-        None | Some(StopCause::Stopped | StopCause::Dropped) => {
+    match shell::run_loop(stakker, &poll, hub, idle_pending)? {
+        None => {
             log::info!("stopped");
             Ok(())
         }
-        Some(cause) => Err(DaemonError::Loop(cause.to_string())),
+        Some(cause) => Err(DaemonError::Loop(cause)),
     }
 }
 
-/// Callers that may wait to be accepted. With the standard library's 128, callers that reconnect all
-/// at once overflow the queue and wait a second for their next attempt.
-const ACCEPT_BACKLOG: i32 = 4_096;
-
 fn listen(key: &'static str, address: &mut SocketAddr) -> Result<TcpListener, DaemonError> {
-    let bind = |address: SocketAddr| {
-        let domain = socket2::Domain::for_address(address);
-        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
-        socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&address.into())?;
-        socket.listen(ACCEPT_BACKLOG)?;
-        Ok(TcpListener::from_std(socket.into()))
-    };
     let error = |source| DaemonError::Listen { key, address: *address, source };
-    let listener = bind(*address).map_err(error)?;
+    let listener = shell::listen(*address).map_err(error)?;
     *address = listener.local_addr().map_err(error)?;
     Ok(listener)
 }
 
-/// Microseconds since 1970, which grow from one start of the process to the next.
-fn wall_clock_micros() -> u64 {
-    let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    elapsed.map_or(0, |elapsed| u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
-}
-
 /// Waits for signals; drop ends the thread.
 struct SignalThread {
     handle: signal_hook::iterator::Handle,
--- a/crates/daemon/tests/failover.rs
+++ b/crates/daemon/tests/failover.rs
@@ -19,6 +19,7 @@
 };
 use common::wait_until;
 use fake::fakeplatform::{CallCounters, OutageMode};
+use model::SeededRandom;
 
 /// Longest write outage of a failover.
 const OUTAGE_BOUND: Duration = Duration::from_secs(13);
@@ -123,14 +124,11 @@
                 (monitor, start_writers_at(&fleet, cluster, nodes))
             })
             .collect();
-        let mut random = seed;
+        let mut random = SeededRandom::new(seed);
         let mut figures = Vec::new();
         for number in 0..count {
-            // splitmix64 chooses the cluster and the phase of the polls.
-            random = random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-            let mut mixed = (random ^ (random >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-            mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-            mixed ^= mixed >> 31;
+            // Chooses the cluster and the phase of the polls.
+            let mixed = random.next_u64();
             let cluster = (mixed % clusters.len() as u64) as usize;
             let (group, (monitor, writers)) = (&fleet.groups[cluster], &clusters[cluster]);
             let settled = Instant::now();
--- a/crates/edge/src/hub.rs
+++ b/crates/edge/src/hub.rs
@@ -21,7 +21,7 @@
 use stakker_mio::{MioPoll, MioSource, Ready};
 
 use crate::codec::{BackendMessage, ClientMessage, WireCodec};
-use crate::logging::{dropped_lines, render};
+use crate::logging::{dropped_lines, event_line, render};
 use crate::metrics::{MetricSet, SharedStatus};
 use crate::socket::{BufferedSocket, ReadOutcome, connect};
 use crate::store::StoreThreads;
@@ -175,12 +175,12 @@
             }
             ProcessOrder::Reload => match self.platform.reload() {
                 Ok(changes) => {
-                    let changes = serde_json::Value::from(changes);
-                    log::info!("\"event\":\"settings_reloaded\",\"changes\":{changes}");
+                    let fields = vec![("changes", changes.into())];
+                    log::info!("{}", event_line("settings_reloaded", fields));
                 }
                 Err(error) => {
-                    let error = serde_json::Value::from(format!("{error:#}"));
-                    log::error!("\"event\":\"settings_rejected\",\"error\":{error}");
+                    let fields = vec![("error", format!("{error:#}").into())];
+                    log::error!("{}", event_line("settings_rejected", fields));
                 }
             },
         }
@@ -189,10 +189,15 @@
     /// Passes an event to the gate and carries out its actions.
     fn event(&mut self, cx: CX![], event: GateEvent) {
         self.handle(cx, event);
+        self.resume_clients(cx);
+        self.flush_output(cx);
+    }
+
+    /// Reads on for clients whose requests were answered.
+    fn resume_clients(&mut self, cx: CX![]) {
         while let Some(client) = self.resumed.pop() {
             self.read_requests(cx, client);
         }
-        self.flush_output(cx);
     }
 
     fn handle(&mut self, cx: CX![], event: GateEvent) {
@@ -309,8 +314,8 @@
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => continue,
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
                 Err(error) => {
-                    let error = serde_json::Value::from(error.to_string());
-                    log::warn!("\"event\":\"accept_failed\",\"error\":{error}");
+                    let fields = vec![("error", error.to_string().into())];
+                    log::warn!("{}", event_line("accept_failed", fields));
                     return;
                 }
             };
@@ -337,8 +342,8 @@
                     self.read_client(cx, id);
                 }
                 Err(error) => {
-                    let error = serde_json::Value::from(error.to_string());
-                    log::warn!("\"event\":\"client_lost\",\"error\":{error}");
+                    let fields = vec![("error", error.to_string().into())];
+                    log::warn!("{}", event_line("client_lost", fields));
                 }
             }
         }
@@ -353,9 +358,7 @@
         let limit = if client.busy { CLIENT_READ_AHEAD } else { INPUT_LIMIT };
         let outcome = client.socket.fill(limit);
         self.read_requests(cx, id);
-        while let Some(client) = self.resumed.pop() {
-            self.read_requests(cx, client);
-        }
+        self.resume_clients(cx);
         if outcome == ReadOutcome::Ended {
             self.end_client(cx, id);
         } else {
@@ -468,8 +471,8 @@
                 self.dirty_backends.push(id);
             }
             Err(error) => {
-                let error = serde_json::Value::from(error.to_string());
-                log::warn!("\"event\":\"connect_failed\",\"error\":{error}");
+                let fields = vec![("error", error.to_string().into())];
+                log::warn!("{}", event_line("connect_failed", fields));
                 // The gate is not called within its own actions.
                 let lost = fwd_to!([cx], event() as (GateEvent));
                 lost.fwd(GateEvent::LinkLost { link });
@@ -491,9 +494,7 @@
         if outcome == ReadOutcome::Ended || flushed.is_err() {
             self.lose_link(cx, id);
         }
-        while let Some(client) = self.resumed.pop() {
-            self.read_requests(cx, client);
-        }
+        self.resume_clients(cx);
         self.flush_output(cx);
     }
 
@@ -504,8 +505,8 @@
                 Ok(Some(message)) => message,
                 Ok(None) => return,
                 Err(error) => {
-                    let error = serde_json::Value::from(error.to_string());
-                    log::warn!("\"event\":\"answer_malformed\",\"link\":{id},\"error\":{error}");
+                    let fields = vec![("link", id.into()), ("error", error.to_string().into())];
+                    log::warn!("{}", event_line("answer_malformed", fields));
                     return self.lose_link(cx, id);
                 }
             };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,15 +6,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use gate::GateSettings;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use stakker::sync::Channel;
-use stakker::{ActorOwn, Stakker, StopCause, actor, ret_shutdown};
-use stakker_mio::MioPoll;
-use stakker_mio::mio::{Events, Poll};
+use stakker::{ActorOwn, Stakker, actor, ret_shutdown};
 
 mod clock;
 mod codec;
@@ -25,18 +23,12 @@
 mod store;
 
 pub use codec::{BackendMessage, ClientMessage, CodecError, WireCodec};
-pub use logging::start_logging;
+pub use logging::{event_line, start_logging};
 pub use store::{StoreChange, StoreClient, StoreError, StoreItem};
 
 use hub::Hub;
 use metrics::SharedStatus;
 
-/// Longest time that the loop sleeps.
-const MAX_WAIT: Duration = Duration::from_secs(60);
-
-/// Events that one poll of the sockets takes.
-const EVENT_CAPACITY: usize = 1_024;
-
 /// The platform that a process runs on.
 pub trait Platform: 'static {
     type Codec: WireCodec + 'static;
@@ -58,6 +50,8 @@
     pub gate: GateSettings,
     pub client_address: SocketAddr,
     pub ready_address: SocketAddr,
+    /// Path at which the platform's balancer asks for readiness.
+    pub ready_path: &'static str,
     /// Address of the metrics page, if wanted.
     pub metrics_address: Option<SocketAddr>,
     /// Clients at once; more are closed at once.
@@ -93,52 +87,38 @@
 pub fn run<P: Platform>(setup: EdgeSetup<P>) -> Result<(), EdgeError> {
     // First, as a signal ends the process until then.
     let signals = register_signals()?;
+    let listen =
+        |address| shell::listen(address).map_err(|source| EdgeError::Listen { address, source });
     let address = setup.client_address;
-    let listener =
-        socket::listen(address).map_err(|source| EdgeError::Listen { address, source })?;
-    let peer_listener = match setup.gate.peer_address {
-        Some(address) => {
-            Some(socket::listen(address).map_err(|source| EdgeError::Listen { address, source })?)
-        }
-        None => None,
-    };
+    let listener = listen(address)?;
+    let peer_listener = setup.gate.peer_address.map(listen).transpose()?;
     let status = Arc::new(SharedStatus::default());
-    metrics::serve(setup.ready_address, status.clone()).map_err(EdgeError::Ready)?;
+    let path = setup.ready_path;
+    metrics::serve(setup.ready_address, path, status.clone()).map_err(EdgeError::Ready)?;
     if let Some(address) = setup.metrics_address
-        && let Err(error) = metrics::serve(address, status.clone())
+        && let Err(error) = metrics::serve(address, path, status.clone())
     {
         // Serving clients does not depend on being watched.
-        let error = serde_json::Value::from(format!("{error:#}"));
-        log::warn!("\"event\":\"metrics_unavailable\",\"error\":{error}");
+        let fields = vec![("error", format!("{error:#}").into())];
+        log::warn!("{}", event_line("metrics_unavailable", fields));
     }
     log::info!("\"event\":\"started\",\"node\":\"{}\",\"clients\":\"{address}\"", setup.gate.node);
 
     let mut stakker = Stakker::new(Instant::now());
     let stakker = &mut stakker;
-    let events = Events::with_capacity(EVENT_CAPACITY);
-    let poll = MioPoll::new(stakker, Poll::new()?, events, 10)?;
+    let poll = shell::new_poll(stakker)?;
     let hub: ActorOwn<Hub<P>> = actor!(
         stakker,
         <Hub<P>>::init(setup, signals, listener, peer_listener, status),
         ret_shutdown!(stakker)
     );
-    let mut idle_pending = stakker.run(Instant::now(), false);
-    let mut io_pending = false;
-    let mut activity;
-    while stakker.not_shutdown() {
-        let wait = stakker.next_wait_max(Instant::now(), MAX_WAIT, idle_pending || io_pending);
-        (activity, io_pending) = poll.poll(wait)?;
-        idle_pending = stakker.run(Instant::now(), !activity);
-    }
-    let cause = stakker.shutdown_reason();
-    drop(hub);
-    stakker.run(Instant::now(), false);
-    match cause {
-        None | Some(StopCause::Stopped | StopCause::Dropped) => {
+    let idle_pending = stakker.run(Instant::now(), false);
+    match shell::run_loop(stakker, &poll, hub, idle_pending)? {
+        None => {
             log::info!("\"event\":\"stopped\"");
             Ok(())
         }
-        Some(cause) => Err(EdgeError::Loop(cause.to_string())),
+        Some(cause) => Err(EdgeError::Loop(cause)),
     }
 }
 
--- a/crates/edge/src/logging.rs
+++ b/crates/edge/src/logging.rs
@@ -73,6 +73,16 @@
     }
 }
 
+/// Renders a line of a shell as the inside of a JSON object, for the macros of crate log.
+///
+/// ```
+/// let line = edge::event_line("accept_failed", vec![("error", "no slot".to_string().into())]);
+/// assert_eq!(line.replace('"', ""), "event:accept_failed,error:no slot");
+/// ```
+pub fn event_line(event: &'static str, fields: Vec<(&'static str, LogValue)>) -> String {
+    render(&LogRecord { event, fields })
+}
+
 /// Writes a record of the core as the inside of a JSON object.
 pub(crate) fn render(record: &LogRecord) -> String {
     let mut line = format!("\"event\":\"{}\"", record.event);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -108,18 +108,22 @@
     }
 }
 
-/// Serves an address on a thread: `/ready` answers 200 or 503, `/dump` the state as JSON, everything else is
+/// Serves an address on a thread: `ready_path` answers 200 or 503, `/dump` the state as JSON, everything else is
 /// the metrics page.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub(crate) fn serve(address: SocketAddr, status: Arc<SharedStatus>) -> anyhow::Result<()> {
+pub(crate) fn serve(
+    address: SocketAddr,
+    ready_path: &'static str,
+    status: Arc<SharedStatus>,
+) -> anyhow::Result<()> {
     let server = Server::http(address)
         .map_err(|error| anyhow::anyhow!("failed to listen on {address}: {error}"))?;
     std::thread::spawn(move || {
         for request in server.incoming_requests() {
-            let response = if request.url() == "/ready" {
+            let response = if request.url() == ready_path {
                 let ready = status.ready.load(Ordering::Acquire);
                 Response::from_string("").with_status_code(if ready { 200 } else { 503 })
             } else if request.url() == "/dump" {
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -8,13 +8,9 @@
 use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
 use stakker::Fwd;
 use stakker_mio::mio::Interest;
-use stakker_mio::mio::net::{TcpListener, TcpStream};
+use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, MioSource, Ready};
 
-/// Clients that may wait to be accepted. A full queue drops the opening packet, which is sent again only
-/// after a second.
-const ACCEPT_BACKLOG: i32 = 4_096;
-
 /// Bytes that one read takes.
 const READ_CHUNK: usize = 16 * 1024;
 
@@ -89,16 +85,6 @@
     }
 }
 
-/// Opens a listening socket.
-pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(ACCEPT_BACKLOG)?;
-    Ok(TcpListener::from_std(socket.into()))
-}
-
 /// Starts to connect.
 pub(crate) fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -18,6 +18,7 @@
 use stakker::sync::Channel;
 
 use crate::clock;
+use crate::logging::event_line;
 
 /// Time that a watch waits at the store. Each return is a call. A watch may be dropped by the store without a
 /// word, and then nothing is heard for as long.
@@ -293,48 +294,69 @@
 }
 
 fn log_failure(call: &'static str, error: &StoreError) {
-    let text = serde_json::Value::from(error.to_string());
-    log::warn!("\"event\":\"store_call_failed\",\"call\":\"{call}\",\"error\":{text}");
+    let fields = vec![("call", call.into()), ("error", error.to_string().into())];
+    log::warn!("{}", event_line("store_call_failed", fields));
+}
+
+/// The watch of the whole store.
+struct StoreWatch<'a, S> {
+    client: &'a S,
+    events: &'a Channel<GateEvent>,
+    /// Whether this node only forwards.
+    standby: &'a AtomicBool,
+    /// Registered nodes.
+    nodes: FastSet<Name>,
+}
+
+impl<S: StoreClient> StoreWatch<'_, S> {
+    /// Passes on everything that is stored; returns the revision from which to follow.
+    fn list(&mut self) -> Result<u64, StoreError> {
+        let (items, revision) = self.client.list()?;
+        self.nodes = items.iter().filter_map(registered_node).collect();
+        send_list(items, self.events);
+        Ok(revision)
+    }
+
+    /// Waits for changes and passes them on; returns the next revision.
+    fn follow(&mut self, after: u64) -> Result<u64, StoreError> {
+        let wait = if self.forwards() { STANDBY_WATCH_WAIT } else { WATCH_WAIT };
+        let (changes, next) = self.client.watch(after, wait)?;
+        let changed = !changes.is_empty();
+        let registered = changes.iter().any(changes_registration);
+        for change in changes {
+            match &change {
+                StoreChange::Set(item) => self.nodes.extend(registered_node(item)),
+                StoreChange::DocumentRemoved(Document::Node(_, node)) => {
+                    self.nodes.remove(node);
+                }
+                StoreChange::DocumentRemoved(Document::Duty | Document::Fleet)
+                | StoreChange::DatabaseRemoved(_) => {}
+            }
+            send_change(change, self.events);
+        }
+        if changed && self.forwards() {
+            thread::sleep(STANDBY_PAUSE);
+        } else if registered && self.nodes.len() > FEW_NODES {
+            thread::sleep(OWNER_PAUSE);
+        }
+        Ok(next)
+    }
+
+    /// Tells whether this is one of many nodes and only forwards.
+    fn forwards(&self) -> bool {
+        self.nodes.len() > FEW_NODES && self.standby.load(Ordering::Relaxed)
+    }
 }
 
 /// Lists the store and follows its changes for as long as the process runs.
 fn watch_store<S: StoreClient>(client: &S, events: &Channel<GateEvent>, standby: &AtomicBool) {
+    let mut watch = StoreWatch { client, events, standby, nodes: FastSet::default() };
     let mut after = None;
     let mut failures = 0_u32;
-    let mut nodes: FastSet<Name> = FastSet::default();
     loop {
-        let forwards = nodes.len() > FEW_NODES && standby.load(Ordering::Relaxed);
-        let wait = if forwards { STANDBY_WATCH_WAIT } else { WATCH_WAIT };
         let result = match after {
-            None => client.list().map(|(items, revision)| {
-                nodes = items.iter().filter_map(registered_node).collect();
-                send_list(items, events);
-                revision
-            }),
-            Some(revision) => client.watch(revision, wait).map(|(changes, next)| {
-                let changed = !changes.is_empty();
-                let registered = changes.iter().any(changes_registration);
-                for change in changes {
-                    match &change {
-                        StoreChange::Set(item) => nodes.extend(registered_node(item)),
-                        StoreChange::DocumentRemoved(
-                            Document::Node(node) | Document::Standby(node),
-                        ) => {
-                            nodes.remove(node);
-                        }
-                        _ => {}
-                    }
-                    send_change(change, events);
-                }
-                if nodes.len() > FEW_NODES {
-                    if changed && standby.load(Ordering::Relaxed) {
-                        thread::sleep(STANDBY_PAUSE);
-                    } else if registered {
-                        thread::sleep(OWNER_PAUSE);
-                    }
-                }
-                next
-            }),
+            None => watch.list(),
+            Some(revision) => watch.follow(revision),
         };
         match result {
             Ok(revision) => {
@@ -361,10 +383,9 @@
 
 fn registered_node(item: &StoreItem) -> Option<Name> {
     match item {
-        StoreItem::Document(StoredDocument {
-            document: Document::Node(node) | Document::Standby(node),
-            ..
-        }) => Some(node.clone()),
+        StoreItem::Document(StoredDocument { document: Document::Node(_, node), .. }) => {
+            Some(node.clone())
+        }
         _ => None,
     }
 }
@@ -372,7 +393,7 @@
 fn changes_registration(change: &StoreChange) -> bool {
     match change {
         StoreChange::Set(item) => registered_node(item).is_some(),
-        StoreChange::DocumentRemoved(Document::Node(_) | Document::Standby(_)) => true,
+        StoreChange::DocumentRemoved(Document::Node(..)) => true,
         StoreChange::DocumentRemoved(Document::Duty | Document::Fleet)
         | StoreChange::DatabaseRemoved(_) => false,
     }
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -6,10 +6,11 @@
 mod supervisor;
 mod watch;
 
+pub use model::DatabaseRole;
 pub use supervisor::{
     LeaderRecord, RecordState, Supervisor, SupervisorAction, SupervisorEvent, SupervisorFaults,
 };
 pub use watch::{
-    ClusterWatch, CommitId, DatabaseReport, DatabaseRole, FloorState, LeaderView, TermStart,
-    WatchAction, WatchConfig, WatchEvent, WatchFaults,
+    ClusterWatch, CommitId, DatabaseReport, FloorState, LeaderView, TermStart, WatchAction,
+    WatchConfig, WatchEvent, WatchFaults,
 };
--- a/crates/failover/src/supervisor.rs
+++ b/crates/failover/src/supervisor.rs
@@ -37,9 +37,9 @@
 //! While idle, the supervisor writes the record of its last promotion as soon as the platform answers,
 //! and orders databases that lag behind a confirmed term to follow its leader.
 
-use model::{LogPosition, Micros, Name, Term};
+use model::{DatabaseRole, LogPosition, Micros, Name, SeededRandom, Term};
 
-use crate::watch::{DatabaseReport, DatabaseRole, LeaderView};
+use crate::watch::{DatabaseReport, LeaderView};
 
 /// Wait for each place among the supervisors, and for another supervisor's promotion.
 const STEP_WAIT: Micros = Micros::from_secs(3);
@@ -197,7 +197,7 @@
     node: Name,
     databases: Vec<Name>,
     faults: SupervisorFaults,
-    random: u64,
+    random: SeededRandom,
     step: PromotionStep,
     /// Term of the promotion in progress.
     target: Term,
@@ -230,7 +230,7 @@
             node,
             databases,
             faults: SupervisorFaults::default(),
-            random: seed,
+            random: SeededRandom::new(seed),
             step: PromotionStep::Idle,
             target: Term(0),
             highest: Term(0),
@@ -401,17 +401,8 @@
         if self.faults.no_fence_majority { 1 } else { self.databases.len() / 2 + 1 }
     }
 
-    /// SplitMix64.
-    fn next_random(&mut self) -> u64 {
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.random;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^ (mixed >> 31)
-    }
-
     fn back_off(&mut self, now: Micros) {
-        let spread = Micros(self.next_random() % BACKOFF_SPREAD.0);
+        let spread = Micros(self.random.below(BACKOFF_SPREAD.0));
         self.step = PromotionStep::Backoff { until: now + BACKOFF_LEAST + spread };
     }
 
--- a/crates/failover/src/watch.rs
+++ b/crates/failover/src/watch.rs
@@ -52,19 +52,12 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use model::{LogPosition, Micros, Name, SessionFloor, Term};
+use model::{DatabaseRole, LogPosition, Micros, Name, SessionFloor, Term};
 
 /// Identifies a commit that waits for its acknowledgement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CommitId(pub u64);
 
-/// Role that a database reports.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DatabaseRole {
-    Primary,
-    Replica,
-}
-
 /// A database's answer to a report request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DatabaseReport {
--- a/crates/fake/src/fakeplatform.rs
+++ b/crates/fake/src/fakeplatform.rs
@@ -17,6 +17,7 @@
 use anyhow::{Context, bail};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use model::SeededRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tiny_http::{Header, Request, Response, Server};
@@ -119,7 +120,7 @@
     outage: OutageMode,
     lose_next: u64,
     lose_share: f64,
-    random: u64,
+    random: SeededRandom,
     counters: CallCounters,
     stopping: bool,
 }
@@ -212,13 +213,8 @@
 
     /// Decides whether the answer to a change is lost.
     fn loses_answer(&mut self) -> bool {
-        // splitmix64, so that a seed gives the same losses in every run.
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.random;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^= mixed >> 31;
-        let by_share = ((mixed >> 11) as f64 / (1u64 << 53) as f64) < self.lose_share;
+        // A seed gives the same losses in every run.
+        let by_share = self.random.unit() < self.lose_share;
         let is_lost = self.lose_next > 0 || by_share;
         self.lose_next = self.lose_next.saturating_sub(1);
         self.counters.lost += u64::from(is_lost);
@@ -344,7 +340,7 @@
     pub fn lose_share(&self, share: f64, seed: u64) {
         self.core.change(|store| {
             store.lose_share = share;
-            store.random = seed;
+            store.random = SeededRandom::new(seed);
         });
     }
 
@@ -762,7 +758,7 @@
                     store.slow = change.slow_ms.map_or(store.slow, time);
                     store.lose_next = change.lose_next.unwrap_or(store.lose_next);
                     store.lose_share = change.lose_share.unwrap_or(store.lose_share);
-                    store.random = change.lose_seed.unwrap_or(store.random);
+                    store.random = change.lose_seed.map_or(store.random, SeededRandom::new);
                 });
                 if let Some(mode) = change.outage {
                     self.set_outage(mode)?;
--- a/crates/fake/src/loadgen.rs
+++ b/crates/fake/src/loadgen.rs
@@ -19,6 +19,7 @@
 
 use anyhow::{Context, bail};
 use hdrhistogram::Histogram;
+use model::SeededRandom;
 use postgres::{Client, NoTls, SimpleQueryMessage};
 use serde::{Deserialize, Serialize};
 
@@ -563,7 +564,7 @@
 struct Worker<'a> {
     state: &'a RunState,
     number: u64,
-    random: u64,
+    random: SeededRandom,
     client: Option<Client>,
     figures: Figures,
     sequence: u64,
@@ -576,7 +577,9 @@
     let mut worker = Worker {
         state,
         number,
-        random: state.options.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number),
+        random: SeededRandom::new(
+            state.options.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number),
+        ),
         client: None,
         figures: Figures::default(),
         sequence: 0,
@@ -612,14 +615,6 @@
 }
 
 impl Worker<'_> {
-    fn next_random(&mut self, below: u64) -> u64 {
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.random;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        (mixed ^ (mixed >> 31)) % below.max(1)
-    }
-
     /// Opens a connection, with pauses between attempts, while the run lasts.
     fn connect(&mut self) {
         while self.client.is_none() && !self.state.is_over() {
@@ -636,7 +631,7 @@
     fn pick_kind(&mut self) -> LoadKind {
         let mix = &self.state.options.mix.0;
         let total: u64 = mix.iter().map(|(_, share)| u64::from(*share)).sum();
-        let mut at = self.next_random(total);
+        let mut at = self.random.below(total);
         for (kind, share) in mix {
             if at < u64::from(*share) {
                 return *kind;
@@ -656,9 +651,9 @@
         let meter = match kind {
             LoadKind::Balance if self.state.options.max_age.is_some() => {
                 // A part of the balance reads checks the age.
-                if self.next_random(4) == 0 { MARK_METER } else { 1 + self.next_random(meters) }
+                if self.random.below(4) == 0 { MARK_METER } else { 1 + self.random.below(meters) }
             }
-            _ => 1 + self.next_random(meters),
+            _ => 1 + self.random.below(meters),
         };
         let mut sql = self.statement(kind, &key, meter, is_session_read);
         if let Some(service_ms) = self.state.options.service_ms {
@@ -708,12 +703,12 @@
             LoadKind::Token => format!(
                 "/*request_key='{key}'*/ INSERT INTO tokens (request_key, meter, amount) \
                  VALUES ('{key}', {meter}, {})",
-                1 + self.next_random(100)
+                1 + self.random.below(100)
             ),
             LoadKind::Balance => format!("SELECT amount FROM balances WHERE meter = {meter}"),
             LoadKind::Reading => {
                 let rows: Vec<String> = (0..self.state.options.batch.max(1))
-                    .map(|at| format!("({meter}, {at}, {})", self.next_random(10_000)))
+                    .map(|at| format!("({meter}, {at}, {})", self.random.below(10_000)))
                     .collect();
                 format!("INSERT INTO readings (meter, taken, value) VALUES {}", rows.join(", "))
             }
--- a/crates/gate/src/backend.rs
+++ b/crates/gate/src/backend.rs
@@ -1,7 +1,7 @@
 //! What passes between the core and a database: commands, answers, reports.
 
 use bytes::Bytes;
-use model::{Micros, Name, Term};
+use model::{DatabaseRole, Micros, Name, Term};
 
 use crate::statement::{ErrorCode, SessionState, StatementAccess};
 
@@ -84,13 +84,6 @@
     },
 }
 
-/// Role that a database reports.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DatabaseRole {
-    Primary,
-    Replica,
-}
-
 /// What a database reports of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DatabaseReport {
--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -1,8 +1,8 @@
 //! Clusters: their databases, evidence about their leader, and requests that wait for it.
 
-use model::{FastSet, Micros, Name, Term};
+use model::{DatabaseRole, FastSet, Micros, Name, Term};
 
-use crate::backend::{BackendAnswer, BackendCommand, DatabaseRole};
+use crate::backend::{BackendAnswer, BackendCommand};
 use crate::database::{CommandPurpose, Database};
 use crate::event::{LinkId, ListedDatabase};
 use crate::evidence::LeadEvidence;
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -24,12 +24,9 @@
 pub(crate) const UNRESPONSIVE: Micros = Micros::from_millis(350);
 
 /// Silence of another node after which a further connection to it is opened to see whether it answers. Its
-/// requests may wait in a queue for longer.
+/// requests may wait in a queue for longer. What is left until [`UNRESPONSIVE`] is the time for the answer.
 const PEER_PROBE: Micros = Micros::from_millis(150);
 
-/// Silence of another node, the probe included, after which its requests are sent elsewhere.
-const PEER_SILENCE: Micros = Micros::from_millis(350);
-
 /// Requests that all nodes together send to a database for each statement that it executes at once.
 const SENT_PER_SLOT: u32 = 2;
 
@@ -177,11 +174,6 @@
             && self.silent_since().is_some_and(|since| now >= since + PEER_PROBE)
     }
 
-    /// Tells whether it stands for another node that answers nothing, not even a probe.
-    pub(crate) fn is_silent_peer(&self, now: Micros) -> bool {
-        self.silent_since().is_some_and(|since| now >= since + PEER_SILENCE)
-    }
-
     /// Returns since when attempts to reach it or statements are without an answer.
     pub(crate) fn silent_since(&self) -> Option<Micros> {
         match (self.trying_since, self.overdue_since) {
@@ -219,9 +211,8 @@
         waiting + u32::try_from(busy).unwrap_or(u32::MAX).saturating_sub(self.opening)
     }
 
-    /// Returns how many connections this node may have, given the limit for all nodes together.
-    pub(crate) fn link_limit(&self, now: Micros, connections: u32, nodes: u32) -> u32 {
-        let share = steady_share(connections, nodes).max(1);
+    /// Returns how many connections this node may have, given its share in a steady state.
+    pub(crate) fn link_limit(&self, now: Micros, share: u32) -> u32 {
         let extra = if share > 1 { AMPLE_EXTRA_CONNECTIONS } else { EXTRA_CONNECTIONS };
         if self.is_full(now) { share } else { share + extra }
     }
@@ -265,9 +256,9 @@
     }
 }
 
-/// Returns the connections that each node may keep open, zero if there are fewer than nodes.
+/// Returns the connections that each node may keep open: one if there are fewer than nodes.
 pub(crate) fn steady_share(connections: u32, nodes: u32) -> u32 {
-    connections / STEADY_PART / nodes.max(1)
+    (connections / STEADY_PART / nodes.max(1)).max(1)
 }
 
 /// What a command on a connection was sent for.
--- a/crates/gate/src/duty.rs
+++ b/crates/gate/src/duty.rs
@@ -86,16 +86,17 @@
         }
     }
 
-    /// Takes in the stored record; `None` if there is none.
-    pub fn observe(&mut self, now: Micros, stored: Option<(u64, &[u8])>) {
+    /// Takes in the stored record; `None` if there is none. Returns false if it cannot be read, which counts as
+    /// a record without a holder.
+    pub fn observe(&mut self, now: Micros, stored: Option<(u64, &[u8])>) -> bool {
         let (revision, record) = match stored {
-            None => (0, DutyRecord::default()),
-            Some((revision, bytes)) => {
-                (revision, serde_json::from_slice(bytes).unwrap_or_default())
-            }
+            None => (0, Some(DutyRecord::default())),
+            Some((revision, bytes)) => (revision, serde_json::from_slice(bytes).ok()),
         };
+        let readable = record.is_some();
+        let record = record.unwrap_or_default();
         if self.changed.is_some() && revision <= self.revision {
-            return;
+            return readable;
         }
         if record.holder != self.node.as_str() || record.number != self.held_number() {
             self.held = None;
@@ -103,6 +104,7 @@
         self.revision = revision;
         self.record = record;
         self.changed = Some(now);
+        readable
     }
 
     fn held_number(&self) -> u64 {
@@ -174,6 +176,7 @@
             idle,
             changing,
         };
+        // Succeeds for every record of texts and numbers.
         let bytes = serde_json::to_vec(&record).ok()?;
         self.pending = Some(PendingWrite { attempt: self.attempt, sent: now, record });
         Some(DutyWrite { attempt: self.attempt, expected: self.revision, bytes })
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use model::{Micros, Name, Rank};
+use model::{DatabaseRole, Micros, Name, Rank};
 
-use crate::backend::{BackendAnswer, DatabaseRole, LogPoint};
+use crate::backend::{BackendAnswer, LogPoint};
 use crate::route::RouteTable;
 use crate::statement::{ClientRequest, ErrorCode};
 
@@ -45,10 +45,8 @@
     Duty,
     /// Number of nodes of a large deployment.
     Fleet,
-    /// Registration of a node that may hold a read permit.
-    Node(Name),
-    /// Registration of a node that holds none.
-    Standby(Name),
+    /// Registration of a node in a role.
+    Node(NodeRole, Name),
 }
 
 /// What a node is registered as.
--- a/crates/gate/src/evidence.rs
+++ b/crates/gate/src/evidence.rs
@@ -17,9 +17,9 @@
 
 use std::collections::VecDeque;
 
-use model::{FastMap, Micros, Name, Term};
+use model::{DatabaseRole, FastMap, Micros, Name, Term};
 
-use crate::backend::{DatabaseReport, DatabaseRole, LogPoint};
+use crate::backend::{DatabaseReport, LogPoint};
 
 /// Positions of the primary that are kept; at one each [`SAMPLE_SPACING`] they reach back 4 s, beyond the
 /// accepted ages of the configurations.
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -1,8 +1,8 @@
 //! Fences of a change of primary, and the comparison of the fenced logs.
 
-use model::{Micros, Name};
+use model::{DatabaseRole, Micros, Name};
 
-use crate::backend::{BackendAnswer, BackendCommand, DatabaseRole, LogPoint};
+use crate::backend::{BackendAnswer, BackendCommand, LogPoint};
 use crate::database::CommandPurpose;
 use crate::event::LinkId;
 use crate::takeover::{STEP_PAUSE, TakeoverStage};
--- a/crates/gate/src/fleet.rs
+++ b/crates/gate/src/fleet.rs
@@ -60,11 +60,9 @@
 }
 
 impl Gate {
-    /// Takes in the stored record; one that cannot be read says nothing.
-    pub(crate) fn fleet_changed(&mut self, bytes: &[u8]) {
-        let record: FleetRecord = serde_json::from_slice(bytes).unwrap_or_default();
+    /// Takes in the stored record.
+    pub(crate) fn fleet_counted(&mut self, record: FleetRecord) {
         self.fleet.known = record.nodes;
-        self.update_owners();
     }
 
     pub(crate) fn awaits_nodes(&mut self) -> bool {
@@ -90,7 +88,7 @@
         if writes && self.registration.role == NodeRole::Owner && now >= since + DIFFERS_TIME {
             self.fleet.differs = Some(now);
             self.log("fleet_counted", fields!["nodes" => u64::from(live)]);
-            if let Ok(bytes) = serde_json::to_vec(&FleetRecord { nodes: live }) {
+            if let Some(bytes) = self.write_record("fleet", &FleetRecord { nodes: live }) {
                 self.out.push(GateAction::WriteFleet { bytes });
             }
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -38,11 +38,11 @@
 mod work;
 
 use model::{FastMap, FastSet, Micros, Name};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 pub use action::{ClientReply, GateAction, LogRecord, LogValue};
-pub use backend::{
-    AnswerEnd, BackendAnswer, BackendCommand, DatabaseReport, DatabaseRole, LogPoint,
-};
+pub use backend::{AnswerEnd, BackendAnswer, BackendCommand, DatabaseReport, LogPoint};
 pub use duty::{ACT_TIME, CALL_TIME, DutyRecord, DutyState, DutyWrite, TAKEOVER_WAIT};
 pub use event::{
     Document, GateEvent, LinkId, ListedDatabase, NodeRole, PromoteResult, SessionId, SessionOrigin,
@@ -50,9 +50,10 @@
 };
 pub use evidence::LeadEvidence;
 pub use fleet::FleetRecord;
+pub use model::DatabaseRole;
 pub use owners::{FEW_NODES, OwnerInput, OwnerTable};
 pub use permit::PERMIT_TIME;
-pub use roster::{NodeRecord, NodeRoster};
+pub use roster::NodeRecord;
 pub use route::{ClusterLimits, Freshness, RouteConfig, RouteTable};
 pub use settings::GateSettings;
 pub use statement::{ClientRequest, ErrorCode, SessionState, Statement, StatementAccess};
@@ -65,6 +66,7 @@
 use permit::PermitState;
 use ready::ReadyState;
 use registration::RegistrationState;
+use roster::NodeRoster;
 use session::Session;
 use takeover::TakeoverState;
 use work::{Work, WorkId};
@@ -185,8 +187,10 @@
             GateEvent::DocumentChanged(stored) => self.document_changed(stored),
             GateEvent::DocumentRemoved(document) => match document {
                 Document::Duty | Document::Fleet => {}
-                Document::Node(name) => self.node_removed(NodeRole::Owner, &name),
-                Document::Standby(name) => self.node_removed(NodeRole::Standby, &name),
+                Document::Node(role, name) => {
+                    self.roster.remove(self.now, role, &name);
+                    self.update_owners();
+                }
             },
             GateEvent::DutyWritten { attempt, result } => self.duty_written(attempt, result),
             GateEvent::StateRead { state } => self.state_read(state),
@@ -238,8 +242,7 @@
         let nodes: FastSet<(NodeRole, Name)> = documents
             .iter()
             .filter_map(|stored| match &stored.document {
-                Document::Node(name) => Some((NodeRole::Owner, name.clone())),
-                Document::Standby(name) => Some((NodeRole::Standby, name.clone())),
+                Document::Node(role, name) => Some((*role, name.clone())),
                 Document::Duty | Document::Fleet => None,
             })
             .collect();
@@ -248,30 +251,67 @@
             self.duty.observe(self.now, None);
         }
         for stored in documents {
-            self.document_changed(stored);
+            self.take_document(stored);
         }
         self.nodes_listed();
     }
 
-    fn node_removed(&mut self, role: NodeRole, node: &Name) {
-        self.roster.remove(self.now, role, node);
-        self.update_owners();
-    }
-
-    fn node_changed(&mut self, role: NodeRole, node: Name, bytes: &[u8]) {
-        self.roster.set(role, node, bytes);
-        self.update_owners();
+    fn document_changed(&mut self, stored: StoredDocument) {
+        let counts_nodes = stored.document != Document::Duty;
+        self.take_document(stored);
+        if counts_nodes {
+            self.update_owners();
+        }
     }
 
-    fn document_changed(&mut self, stored: StoredDocument) {
+    fn take_document(&mut self, stored: StoredDocument) {
         match stored.document {
             Document::Duty => {
-                self.duty.observe(self.now, Some((stored.revision, &stored.bytes)));
+                if !self.duty.observe(self.now, Some((stored.revision, &stored.bytes))) {
+                    self.log("document_unreadable", fields!["document" => "duty"]);
+                }
                 self.announcement_seen();
             }
-            Document::Fleet => self.fleet_changed(&stored.bytes),
-            Document::Node(name) => self.node_changed(NodeRole::Owner, name, &stored.bytes),
-            Document::Standby(name) => self.node_changed(NodeRole::Standby, name, &stored.bytes),
+            Document::Fleet => {
+                let record = self.read_record("fleet", &stored.bytes);
+                self.fleet_counted(record);
+            }
+            Document::Node(role, name) => {
+                let record = self.read_record("node", &stored.bytes);
+                self.roster.set(role, name, record);
+            }
+        }
+    }
+
+    /// Reads a stored record; one that cannot be read counts as an empty one.
+    fn read_record<T: Default + DeserializeOwned>(
+        &mut self,
+        document: &'static str,
+        bytes: &[u8],
+    ) -> T {
+        match serde_json::from_slice(bytes) {
+            Ok(record) => record,
+            Err(error) => {
+                let error = error.to_string();
+                self.log("document_unreadable", fields!["document" => document, "error" => error]);
+                T::default()
+            }
+        }
+    }
+
+    /// Returns a record as it is stored.
+    fn write_record<T: Serialize>(
+        &mut self,
+        document: &'static str,
+        record: &T,
+    ) -> Option<Vec<u8>> {
+        match serde_json::to_vec(record) {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                let error = error.to_string();
+                self.log("document_unwritable", fields!["document" => document, "error" => error]);
+                None
+            }
         }
     }
 
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -1,9 +1,9 @@
 //! Connections to databases: opening, answers, loss, and giving them back.
 
-use model::{Micros, Name};
+use model::{DatabaseRole, Micros, Name};
 
 use crate::action::GateAction;
-use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, DatabaseRole, LogPoint};
+use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, LogPoint};
 use crate::cluster::LEAVING_TIME;
 use crate::database::{CommandPurpose, Link, PendingCommand, steady_share};
 use crate::event::LinkId;
@@ -48,17 +48,17 @@
 const DEFAULT_CONNECTIONS: u32 = 8;
 
 impl Gate {
-    fn connection_limit(&self, cluster: &Name) -> u32 {
-        self.table.clusters.get(cluster).map_or(DEFAULT_CONNECTIONS, |limits| limits.connections)
+    /// Returns the connections to each of a cluster's databases that this node keeps in a steady state.
+    fn steady_links(&self, cluster: &Name) -> u32 {
+        let limits = self.table.clusters.get(cluster);
+        let connections = limits.map_or(DEFAULT_CONNECTIONS, |limits| limits.connections);
+        steady_share(connections, self.sharing_nodes(cluster))
     }
 
     /// Opens connections for waiting requests, and the first one of each database.
     pub(crate) fn open_links(&mut self, name: &Name) {
         let now = self.now;
         let Some(database) = self.databases.get(name) else { return };
-        let nodes = self.sharing_nodes(&database.listed.cluster);
-        let limit = self.connection_limit(&database.listed.cluster);
-        let Some(database) = self.databases.get_mut(name) else { return };
         let closed = database.unlisted.is_some()
             || database.leaving_since.is_some_and(|since| now >= since + LEAVING_TIME);
         if now < database.retry_open || closed {
@@ -69,11 +69,13 @@
         let links = u32::try_from(database.links.len()).unwrap_or(u32::MAX);
         let limit = match database.peer {
             Some(_) => PEER_LINKS,
-            None if now < self.started + START_TIME => steady_share(limit, nodes).max(1),
-            None => database.link_limit(now, limit, nodes),
+            None => {
+                let share = self.steady_links(&database.listed.cluster);
+                let starting = now < self.started + START_TIME;
+                if starting { share } else { database.link_limit(now, share) }
+            }
         };
         let first = links == 0 && self.keeps_link(name);
-        let Some(database) = self.databases.get(name) else { return };
         if !first && (database.opening >= wanted || links >= limit || database.opening >= 2) {
             return;
         }
@@ -409,13 +411,11 @@
                 }
                 continue;
             }
-            let nodes = self.sharing_nodes(&database.listed.cluster);
-            let limit = self.connection_limit(&database.listed.cluster);
-            let share = usize::try_from(steady_share(limit, nodes).max(1)).unwrap_or(1);
+            let share = self.steady_links(&database.listed.cluster);
             if share > 1 && now < used + AMPLE_SURPLUS_TIME {
                 continue;
             }
-            if database.links.len() > share || !self.keeps_link(&name) {
+            if database.links.len() > share as usize || !self.keeps_link(&name) {
                 self.drop_link(link, "unused");
             }
         }
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -11,7 +11,7 @@
 use crate::event::LinkId;
 use crate::session::{OpenTransaction, Transaction};
 use crate::statement::{ErrorCode, SessionState, StatementAccess};
-use crate::work::{TRY_LIMIT, Work, WorkId, WorkKind, WorkStage};
+use crate::work::{OVERLOADED_TEXT, TRY_LIMIT, Work, WorkId, WorkKind, WorkStage};
 use crate::{Gate, fields};
 
 /// Time without an answer after which a read is sent to another database: this many times what the database
@@ -137,8 +137,7 @@
             }
             // The owner sees all requests of the cluster; another one would send to the same databases.
             ErrorCode::Busy if self.is_peer(&database) && self.owners.of(&cluster).is_some() => {
-                let text = "not run, the database is overloaded, retry after 200 ms";
-                self.refuse(id, code, text);
+                self.refuse(id, code, OVERLOADED_TEXT);
             }
             _ if self.is_peer(&database) => {
                 if code == ErrorCode::Misrouted {
@@ -422,7 +421,7 @@
     pub(crate) fn patience(&self, work: &Work) -> Micros {
         let database = work.database.as_ref().and_then(|name| self.databases.get(name));
         if let Some(peer) = database.filter(|database| database.peer.is_some()) {
-            return if peer.is_silent_peer(self.now) { READ_PATIENCE_MOST } else { Micros::MAX };
+            return if peer.is_responsive(self.now) { Micros::MAX } else { READ_PATIENCE_MOST };
         }
         let usual = database.map_or(Micros::ZERO, |database| database.latency.value(self.now));
         Micros(usual.0 * READ_PATIENCE_FACTOR).clamp(READ_PATIENCE_LEAST, READ_PATIENCE_MOST)
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -10,7 +10,6 @@
 use crate::Gate;
 use crate::database::{Database, UNRESPONSIVE};
 use crate::event::{ListedDatabase, NodeRole, SessionOrigin};
-use crate::roster::NodeRecord;
 use crate::work::{OWNER_PAUSE, WorkId};
 
 /// Time for which a node that could not serve requests of a cluster is not asked again, where every node is an
@@ -114,51 +113,48 @@
             return None;
         }
         let work = self.works.get(&id)?;
-        let (cluster, client_database) = (work.route.cluster.clone(), work.route.database.clone());
-        let own = self.settings.data_centre.as_str();
-        let shared = self.owners.of(&cluster).is_none();
-        let refused_time = if shared { REFUSED_TIME } else { OWNER_PAUSE };
-        let mut best = None;
-        let candidates: Vec<(&Name, &NodeRecord)> = match self.owners.of(&cluster) {
-            Some(owners) => owners
-                .iter()
-                .filter(|node| **node != self.settings.node)
-                .filter_map(|node| Some((node, self.roster.last_known(node)?)))
-                .collect(),
-            None => self.roster.others().collect(),
+        let (cluster, client_database) = (&work.route.cluster, &work.route.database);
+        let owners = self.owners.of(cluster);
+        let refused_time = if owners.is_some() { OWNER_PAUSE } else { REFUSED_TIME };
+        let candidates: Vec<&Name> = match owners {
+            Some(owners) => owners.iter().take(end).collect(),
+            None => self.roster.others().map(|(node, _)| node).collect(),
         };
-        for (node, record) in candidates {
+        let mut best = None;
+        for (place, node) in candidates.into_iter().enumerate() {
+            let Some(record) = self.roster.last_known(node) else { continue };
             let Some(address) = record.peer_address else { continue };
-            let name = entry_name(node, &client_database);
+            let name = entry_name(node, client_database);
             let refused = self.peers.refused.get(&(node.clone(), cluster.clone()));
-            if record.complaints.contains(cluster.as_str())
+            let entry = self.databases.get(&name);
+            if *node == self.settings.node
+                || record.complaints.contains(cluster.as_str())
                 || refused.is_some_and(|at| self.now < *at + refused_time)
                 || work.avoided.contains(&name)
+                || entry.is_some_and(|entry| !entry.is_responsive(self.now))
             {
                 continue;
             }
-            let entry = self.databases.get(&name);
-            if entry.is_some_and(|entry| !entry.is_responsive(self.now)) {
-                continue;
-            }
-            let place = self.owners.place(&cluster, node).unwrap_or(usize::MAX);
-            if place >= end {
-                continue;
-            }
-            let detour = if record.data_centre == own { 0 } else { DETOUR_LOAD };
-            let cost = if shared { entry.map_or(0, Database::load) + detour } else { 0 };
-            // An owner that has just started has no connections yet.
-            let cold = !shared && self.roster.is_standby(node);
-            let rank = (cold, cost, place, name, address);
+            let cost = match owners {
+                // An owner that has just started has no connections yet.
+                Some(_) => (u32::from(self.roster.is_standby(node)), place),
+                None => {
+                    let near = record.data_centre == self.settings.data_centre.as_str();
+                    let detour = if near { 0 } else { DETOUR_LOAD };
+                    let load = entry.map_or(0, Database::load) + detour;
+                    (load, self.owners.place(cluster, node).unwrap_or(usize::MAX))
+                }
+            };
+            let rank = (cost, name, address, node);
             if best.as_ref().is_none_or(|best| rank < *best) {
                 best = Some(rank);
             }
         }
-        let (_, _, _, name, address) = best?;
+        let (_, name, address, node) = best?;
         if !self.databases.contains_key(&name) {
             let listed = ListedDatabase {
                 id: name.clone(),
-                cluster: client_database,
+                cluster: client_database.clone(),
                 address,
                 data_centre: Name::default(),
                 slots: PEER_SLOTS,
@@ -166,7 +162,7 @@
                 claimed_role: None,
             };
             let mut entry = Database::new(listed);
-            entry.peer = name.split('/').next().map(Name::from);
+            entry.peer = Some(node.clone());
             entry.chosen = self.now;
             self.databases.insert(name.clone(), entry);
         }
@@ -209,7 +205,7 @@
             .databases
             .iter()
             .filter(|(_, entry)| {
-                entry.peer.is_some() && entry.load() > 0 && entry.is_silent_peer(now)
+                entry.peer.is_some() && entry.load() > 0 && !entry.is_responsive(now)
             })
             .map(|(name, _)| name.clone())
             .collect();
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -117,7 +117,7 @@
     }
 
     fn publish(&mut self, record: NodeRecord) {
-        if let Ok(bytes) = serde_json::to_vec(&record) {
+        if let Some(bytes) = self.write_record("node", &record) {
             let (role, registration) = (self.registration.role, self.registration.number);
             self.out.push(GateAction::PublishNode { role, registration, bytes });
         }
--- a/crates/gate/src/roster.rs
+++ b/crates/gate/src/roster.rs
@@ -42,7 +42,7 @@
 
 /// The registered nodes.
 #[derive(Debug)]
-pub struct NodeRoster {
+pub(crate) struct NodeRoster {
     own: Name,
     /// Nodes that may hold a permit.
     owners: FastMap<Name, NodeRecord>,
@@ -65,14 +65,14 @@
         }
     }
 
-    /// Takes in a registration; one that cannot be read counts as one without complaints.
-    pub fn set(&mut self, role: NodeRole, node: Name, bytes: &[u8]) {
+    /// Takes in a registration.
+    pub fn set(&mut self, role: NodeRole, node: Name, record: NodeRecord) {
         let nodes = match role {
             NodeRole::Owner => &mut self.owners,
             NodeRole::Standby => &mut self.standbys,
         };
         self.former.remove(&node);
-        nodes.insert(node, serde_json::from_slice(bytes).unwrap_or_default());
+        nodes.insert(node, record);
     }
 
     /// Removes a registration.
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -3,9 +3,8 @@
 
 use std::collections::BTreeSet;
 
-use model::{FastMap, Micros, Name};
+use model::{DatabaseRole, FastMap, Micros, Name};
 
-use crate::backend::DatabaseRole;
 use crate::takeover::{Takeover, TakeoverStage};
 use crate::{Gate, fields};
 
--- a/crates/gate/src/takeover.rs
+++ b/crates/gate/src/takeover.rs
@@ -23,7 +23,7 @@
 use crate::action::GateAction;
 use crate::backend::{BackendCommand, DatabaseReport};
 use crate::database::CommandPurpose;
-use crate::event::{Document, PromoteResult, StoreState, StoredDocument};
+use crate::event::{Document, NodeRole, PromoteResult, StoreState, StoredDocument};
 use crate::permit::PERMIT_TIME;
 use crate::roster::NodeRecord;
 use crate::{Gate, fields};
@@ -191,10 +191,13 @@
         let Some(takeover) = self.takeovers.running.get(cluster) else { return };
         let (stage, in_flight) = (takeover.stage, takeover.in_flight);
         let repeat = now >= takeover.stepped + STEP_PAUSE;
-        let limit = if self.old_answers(cluster) { BRIEF_TAKEOVER_TIME } else { TAKEOVER_TIME };
-        let Some(takeover) = self.takeovers.running.get(cluster) else { return };
-        let limit = if stage.is_decided() { TAKEOVER_TIME } else { limit };
-        if now >= takeover.started + limit && !(in_flight && self.is_calling(cluster)) {
+        let limit = if self.old_answers(cluster) && !stage.is_decided() {
+            BRIEF_TAKEOVER_TIME
+        } else {
+            TAKEOVER_TIME
+        };
+        let calling = in_flight && stage == TakeoverStage::Promoting;
+        if now >= takeover.started + limit && !calling {
             return self.give_up(cluster, "takes too long");
         }
         if self.is_settled(cluster) {
@@ -256,13 +259,6 @@
             .is_some_and(|database| !database.listed.leaving && database.is_responsive(self.now))
     }
 
-    fn is_calling(&self, cluster: &Name) -> bool {
-        self.takeovers
-            .running
-            .get(cluster)
-            .is_some_and(|takeover| takeover.stage == TakeoverStage::Promoting)
-    }
-
     fn chosen(&self, cluster: &Name) -> Option<Name> {
         self.takeovers.running.get(cluster)?.chosen.clone()
     }
@@ -506,7 +502,8 @@
 ) -> FastMap<Name, LeaseWait> {
     let mut missing = FastMap::default();
     for stored in documents {
-        let Document::Node(node) = &stored.document else { continue };
+        let Document::Node(NodeRole::Owner, node) = &stored.document else { continue };
+        // One that cannot be read has acknowledged nothing.
         let record: NodeRecord = serde_json::from_slice(&stored.bytes).unwrap_or_default();
         if node != own && record.seen < announced {
             let wait = LeaseWait::Held { lease: stored.lease, asked: None };
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -31,6 +31,9 @@
 /// that it is held.
 pub(crate) const OWNER_PAUSE: Micros = Micros::from_millis(100);
 
+/// What the client of a request is told that would wait too long.
+pub(crate) const OVERLOADED_TEXT: &str = "not run, the database is overloaded, retry after 200 ms";
+
 /// Expected time in percent that a detour from the preferred replica, or to the leader, counts as. The leader is
 /// kept free for what only it can do.
 const DETOUR_PERCENT: u64 = 150;
@@ -328,8 +331,7 @@
         };
         if database.is_overloaded(now, &work.route) {
             self.count("requests_shed");
-            let text = "not run, the database is overloaded, retry after 200 ms";
-            return self.refuse(id, ErrorCode::Busy, text);
+            return self.refuse(id, ErrorCode::Busy, OVERLOADED_TEXT);
         }
         if let Err(reason) = database.queue.enqueue(now, ticket) {
             return self.refuse_queued(id, reason);
--- a/crates/gate/tests/forwarding.rs
+++ b/crates/gate/tests/forwarding.rs
@@ -4,13 +4,9 @@
 
 mod support;
 
-use std::net::SocketAddr;
-
-use gate::{
-    ClientRequest, Document, Gate, GateAction, GateEvent, GateSettings, LinkId, LogPoint,
-    NodeRecord, SessionId, SessionOrigin, Statement, StoredDocument, TICK,
-};
+use gate::{GateAction, GateEvent, LogPoint, NodeRole, SessionOrigin};
 use model::{Micros, Name, Term};
+use support::lone::{LoneGate, NodeEntry};
 use support::{BOUNDED, LATEST, SESSION, World};
 
 fn millis(time: u64) -> Micros {
@@ -54,80 +50,18 @@
     assert!(world.answer(session).unwrap().at <= asked + millis(20));
 }
 
-/// One node of a large deployment that owns no connections, before nodes that do.
-struct Forwarder {
-    gate: Gate,
-    now: Micros,
-    actions: Vec<GateAction>,
+/// A node that owns no connections, as it is weaker than the others.
+fn forwarder() -> LoneGate {
+    let nodes = (1..30).map(|index| NodeEntry::new(NodeRole::Owner, index, "east", 500).stored());
+    LoneGate::start("east", 120, nodes.collect())
 }
 
-impl Forwarder {
-    /// Node `n0` is weaker than the others, so it owns nothing.
-    fn start() -> Forwarder {
-        let node = |index: u16, capacity: u32| {
-            let record = NodeRecord {
-                peer_address: Some(SocketAddr::from(([127, 0, 0, 1], 7_000 + index))),
-                data_centre: "east".into(),
-                capacity,
-                ..NodeRecord::default()
-            };
-            StoredDocument {
-                document: Document::Node(format!("n{index}").into()),
-                revision: 1,
-                lease: 1,
-                bytes: serde_json::to_vec(&record).unwrap(),
-            }
-        };
-        let gate = Gate::new(GateSettings {
-            node: "n0".into(),
-            data_centre: "east".into(),
-            capacity: 120,
-            peer_address: None,
-            process: 1,
-            grace: Micros::from_secs(6),
-        });
-        let mut forwarder = Forwarder { gate, now: millis(0), actions: Vec::new() };
-        forwarder.event(GateEvent::RoutesChanged(Box::new(support::route_table(46))));
-        let documents = (1..30).map(|index| node(index, 500)).collect();
-        forwarder.event(GateEvent::DocumentsListed(documents));
-        forwarder
-    }
-
-    fn event(&mut self, event: GateEvent) {
-        self.gate.handle(self.now, event, &mut self.actions);
-    }
-
-    /// Passes time without an event.
-    fn run(&mut self, time: Micros) {
-        let end = self.now + time;
-        while self.now < end {
-            self.now += TICK;
-            self.event(GateEvent::Timer);
-        }
-    }
-
-    fn opened(&mut self) -> Vec<(LinkId, Name)> {
-        let actions = std::mem::take(&mut self.actions).into_iter();
-        let opened = actions.filter_map(|action| match action {
-            GateAction::OpenLink { link, database, .. } => Some((link, database)),
-            _ => None,
-        });
-        opened.collect()
-    }
-
-    /// Sends a read to an owner, which takes it and is silent from then on; returns the owner.
-    fn send_read(&mut self) -> Name {
-        let session = SessionId(1);
-        let (database, origin) = (BOUNDED.into(), SessionOrigin::Client);
-        self.event(GateEvent::SessionOpened { session, database, origin });
-        let text = Name::from("READ 1");
-        let statement = Statement::Read;
-        let request = ClientRequest { id: "r".into(), text, statement, after: None };
-        self.event(GateEvent::RequestArrived { session, request });
-        let (link, owner) = self.opened().remove(0);
-        self.event(GateEvent::LinkOpened { link, point: None });
-        owner
-    }
+/// Sends a read to an owner, which takes it and is silent from then on; returns the owner.
+fn send_read(forwarder: &mut LoneGate) -> Name {
+    forwarder.read(1, BOUNDED);
+    let (link, owner) = forwarder.opened().remove(0);
+    forwarder.event(GateEvent::LinkOpened { link, point: None });
+    owner
 }
 
 /// Pattern: the replicas of one cluster fall far behind, so its primary gets all reads and their answers take
@@ -135,8 +69,8 @@
 /// database that is already overloaded.
 #[test]
 fn a_read_stays_at_an_owner_that_answers_probes() {
-    let mut forwarder = Forwarder::start();
-    let owner = forwarder.send_read();
+    let mut forwarder = forwarder();
+    let owner = send_read(&mut forwarder);
     for _ in 0..3 {
         forwarder.run(millis(220));
         for (link, database) in forwarder.opened() {
@@ -148,8 +82,8 @@
 
 #[test]
 fn a_read_leaves_an_owner_that_answers_no_probe() {
-    let mut forwarder = Forwarder::start();
-    let owner = forwarder.send_read();
+    let mut forwarder = forwarder();
+    let owner = send_read(&mut forwarder);
     forwarder.run(millis(300));
     assert_eq!(forwarder.opened().len(), 1, "one probe");
     forwarder.run(millis(300));
@@ -161,8 +95,8 @@
 /// Found by seed 3 of the soak: the owner's late answer kept it out of use for good, as no command was sent to it.
 #[test]
 fn an_owner_that_answers_a_probe_again_is_used_again() {
-    let mut forwarder = Forwarder::start();
-    let owner = forwarder.send_read();
+    let mut forwarder = forwarder();
+    let owner = send_read(&mut forwarder);
     forwarder.run(millis(340));
     let probes = forwarder.opened();
     forwarder.run(millis(80));
@@ -172,13 +106,7 @@
     }
     forwarder.run(millis(20));
     forwarder.opened();
-    let session = SessionId(2);
-    let (database, origin) = (BOUNDED.into(), SessionOrigin::Client);
-    forwarder.event(GateEvent::SessionOpened { session, database, origin });
-    let text = Name::from("READ 1");
-    let request = ClientRequest { id: "r2".into(), text, statement: Statement::Read, after: None };
-    forwarder.actions.clear();
-    forwarder.event(GateEvent::RequestArrived { session, request });
+    forwarder.read(2, BOUNDED);
     let sent = forwarder.actions.iter().any(|action| matches!(action, GateAction::Send { .. }));
     assert!(sent, "on the connection of the probe");
 }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -5,6 +5,8 @@
 
 #![allow(dead_code)] // Each test program uses a part of it.
 
+pub mod lone;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
@@ -116,8 +118,8 @@
     match document {
         Document::Duty => "duty".to_string(),
         Document::Fleet => "fleet".to_string(),
-        Document::Node(name) => format!("nodes/{name}"),
-        Document::Standby(name) => format!("standbys/{name}"),
+        Document::Node(NodeRole::Owner, name) => format!("nodes/{name}"),
+        Document::Node(NodeRole::Standby, name) => format!("standbys/{name}"),
     }
 }
 
@@ -365,11 +367,7 @@
                 if !self.storeless.contains(&gate) {
                     self.registered[gate] = (role, registration);
                     let name = self.names[gate].clone();
-                    let document = match role {
-                        NodeRole::Owner => Document::Node(name),
-                        NodeRole::Standby => Document::Standby(name),
-                    };
-                    self.store(document, bytes);
+                    self.store(Document::Node(role, name), bytes);
                 }
             }
             GateAction::WriteFleet { bytes } => {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,7 +9,9 @@
 mod map;
 mod name;
 mod position;
+mod random;
 mod rank;
+mod role;
 mod settings;
 mod time;
 
@@ -20,6 +22,8 @@
 pub use map::{FastMap, FastSet};
 pub use name::Name;
 pub use position::{LogPosition, SessionFloor, Term};
+pub use random::SeededRandom;
 pub use rank::{Rank, RankMap};
+pub use role::DatabaseRole;
 pub use settings::{NodeSettings, SocketAddress};
 pub use time::Micros;
--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -77,7 +77,7 @@
                 }
             }
             None => {
-                let seed = self.random.next();
+                let seed = self.random.next_u64();
                 let watch = ClusterWatch::new(WatchConfig::default(), databases.clone());
                 let mut supervisor = Supervisor::new(self.settings.name.clone(), databases, seed);
                 supervisor.set_leaving(leaving_databases(config));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,7 +27,6 @@
 mod operator;
 mod owner;
 mod proof;
-mod random;
 mod record;
 mod run;
 mod session;
@@ -39,7 +38,7 @@
 use std::sync::Arc;
 
 use member::{Heartbeat, MemberConfig, MemberEvent, MemberInfo, MemberState, MemberTable};
-use model::{FastMap, Micros, Name, NodeSettings};
+use model::{FastMap, Micros, Name, NodeSettings, SeededRandom};
 use stats::CallerTable;
 
 pub use action::{AnswerTarget, LogLevel, NodeAction, RelayMode};
@@ -55,7 +54,6 @@
 use entry::EntryState;
 use fleet::FleetState;
 use owner::{OwnerState, PinKey};
-use random::SeededRandom;
 use session::Session;
 use step::Step;
 use timer::{TimerHeap, TimerKey};
--- /dev/null
+++ b/crates/shell/src/lib.rs
@@ -0,0 +1,90 @@
+//! What the processes of this project share around their state machines: the event loop, listening sockets and
+//! the number of a process.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use socket2::{Domain, Protocol, Socket, Type};
+use stakker::{ActorOwn, Stakker, StopCause};
+use stakker_mio::MioPoll;
+use stakker_mio::mio::net::TcpListener;
+use stakker_mio::mio::{Events, Poll};
+
+/// Longest time that the loop sleeps.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// Events that one poll of the sockets takes.
+const EVENT_CAPACITY: usize = 1_024;
+
+/// Clients that may wait to be accepted. With the standard library's 128, clients that reconnect all at once
+/// overflow the queue and wait a second for their next attempt.
+const ACCEPT_BACKLOG: i32 = 4_096;
+
+/// Creates the poll of a loop's sockets.
+///
+/// # Errors
+///
+/// Fails if the kernel gives no poll.
+pub fn new_poll(stakker: &mut Stakker) -> io::Result<MioPoll> {
+    MioPoll::new(stakker, Poll::new()?, Events::with_capacity(EVENT_CAPACITY), 10)
+}
+
+/// Runs a loop until it is shut down, and then ends its main actor. `idle_pending` is what the run before
+/// returned. Returns the cause of a shutdown that was not in order.
+///
+/// # Errors
+///
+/// Fails if the sockets cannot be polled.
+pub fn run_loop<A>(
+    stakker: &mut Stakker,
+    poll: &MioPoll,
+    hub: ActorOwn<A>,
+    mut idle_pending: bool,
+) -> io::Result<Option<String>> {
+    let mut io_pending = false;
+    let mut activity;
+    while stakker.not_shutdown() {
+        let wait = stakker.next_wait_max(Instant::now(), MAX_WAIT, idle_pending || io_pending);
+        (activity, io_pending) = poll.poll(wait)?;
+        idle_pending = stakker.run(Instant::now(), !activity);
+    }
+    let cause = stakker.shutdown_reason();
+    drop(hub);
+    stakker.run(Instant::now(), false);
+    Ok(match cause {
+        None | Some(StopCause::Stopped | StopCause::Dropped) => None,
+        Some(cause) => Some(cause.to_string()),
+    })
+}
+
+/// Opens a listening socket.
+///
+/// ```
+/// let listener = shell::listen("127.0.0.1:0".parse().unwrap())?;
+/// assert_ne!(listener.local_addr()?.port(), 0);
+/// # Ok::<(), std::io::Error>(())
+/// ```
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(ACCEPT_BACKLOG)?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
+/// Returns the microseconds since 1970, which grow from one start of a process to the next.
+///
+/// ```
+/// let first = shell::process_number();
+/// assert!(shell::process_number() >= first);
+/// ```
+pub fn process_number() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
+}
