Reuse connections between nodes across sessions

The first statement of a transaction also waited for the owner's answer to BEGIN.

Change: nodes accept a reset from other nodes; BEGIN and the first statement are sent together, and a node that refuses BEGIN of another node refuses the statement, too. Registrations carry the protocol's version for roll-outs. A session of another node carries many clients, so its own last commit raises no read's required position; the forwarding node sends it.

--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -359,8 +359,7 @@
         }
         let name = state.database.clone();
         let needs_reset = state.needs_reset();
-        if needs_reset && self.databases.get(&name).is_some_and(|database| database.peer.is_some())
-        {
+        if needs_reset && self.databases.get(&name).is_some_and(|database| !database.has_reset()) {
             return self.close_connection(connection, "session state cannot be reset");
         }
         let Some(database) = self.databases.get_mut(&name) else { return };
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -98,6 +98,8 @@
 pub(crate) struct Database {
     /// Set if this entry stands for another node that serves one client database.
     pub(crate) peer: Option<Name>,
+    /// Version of the protocol between nodes that this node accepts.
+    pub(crate) peer_protocol: u32,
     pub(crate) listed: ListedDatabase,
     /// Since when the entry has been missing from the list.
     pub(crate) unlisted_since: Option<Micros>,
@@ -137,6 +139,7 @@
     pub(crate) fn new(listed: ListedDatabase) -> Self {
         Database {
             peer: None,
+            peer_protocol: 0,
             listed,
             unlisted_since: None,
             leaving_since: None,
@@ -163,6 +166,17 @@
         }
     }
 
+    /// Returns true if session values and prepared statements can be cleared on a connection.
+    pub(crate) fn has_reset(&self) -> bool {
+        self.peer.is_none() || self.peer_protocol > 0
+    }
+
+    /// Returns true if the first statement of a transaction can be sent together with `BEGIN`: it
+    /// does not run if `BEGIN` is refused. Databases run it outside a transaction then.
+    pub(crate) fn takes_first_statement_with_begin(&self) -> bool {
+        self.peer.is_some() && self.peer_protocol > 0
+    }
+
     /// Returns true if new requests may be sent here.
     pub(crate) fn is_usable(&self, now: Micros) -> bool {
         self.unlisted_since.is_none() && self.is_responsive(now)
@@ -380,8 +394,7 @@
         name
     }
 
-    /// Returns true if the connection needs a reset before another session can use it. Another node
-    /// has no command for that.
+    /// Returns true if the connection needs a reset before another session can use it.
     pub(crate) fn needs_reset(&self) -> bool {
         !self.values.is_empty() || self.prepared.len() >= PREPARED_LIMIT
     }
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -4,7 +4,7 @@
 
 use crate::Gate;
 use crate::backend::BackendCommand;
-use crate::database::CommandPurpose;
+use crate::database::{CommandPurpose, Database};
 use crate::event::{ConnectionId, SessionId};
 use crate::request::{RequestId, RequestKind, RequestStage};
 use crate::session::Transaction;
@@ -62,8 +62,14 @@
     /// Sends a request on an idle connection.
     pub(crate) fn dispatch_request(&mut self, id: RequestId, connection: ConnectionId) {
         let now = self.now;
+        let sends_statement_at_once = self
+            .connections
+            .get(&connection)
+            .and_then(|connection| self.databases.get(&connection.database))
+            .is_some_and(Database::takes_first_statement_with_begin);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.connection = Some(connection);
+        request.statement_sent = false;
         request.sent = Some(now);
         request.tries += 1;
         request.stage = RequestStage::Sent;
@@ -71,6 +77,7 @@
             RequestKind::Begin { begin, .. } => {
                 let required_position = request.required_position;
                 let session = request.session;
+                let sends_statement = sends_statement_at_once && !request.is_commit();
                 let Some(setup) = self.setup_commands(session, connection) else { return };
                 self.send(connection, setup, CommandPurpose::Setup);
                 if let Some(state) = self.connections.get_mut(&connection) {
@@ -79,6 +86,9 @@
                 let command =
                     BackendCommand::Run { id: begin.id, text: begin.text, required_position };
                 self.send(connection, vec![command], CommandPurpose::Begin(id));
+                if sends_statement {
+                    self.send_statement(id, connection, false);
+                }
             }
             RequestKind::Read | RequestKind::Write | RequestKind::Continue => {
                 self.send_statement(id, connection, true);
@@ -105,6 +115,7 @@
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.sent = Some(self.now);
+        request.statement_sent = true;
         request.stage = RequestStage::Sent;
         let required_position = if outside_transaction { request.required_position } else { None };
         let (session, client_request) = (request.session, request.client_request.clone());
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -58,6 +58,7 @@
 pub use model::DatabaseRole;
 pub use node_count::NodeCountRecord;
 pub use owners::{OwnerInput, OwnerTable, SMALL_DEPLOYMENT_MAX_NODES};
+pub use peer::PEER_PROTOCOL;
 pub use promotion_lease::{
     LEASE_ACQUIRE_WAIT, LeaseWrite, PROMOTION_CALL_TIMEOUT, PROMOTION_LEASE_TTL, PromotionLease,
     PromotionLeaseRecord,
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -109,8 +109,11 @@
                 if let Some(session) = self.sessions.get_mut(&request.session) {
                     session.transaction = Transaction::Open(open);
                 }
+                let statement_sent = request.statement_sent;
                 self.release_slot(id);
-                self.send_statement(id, connection, false);
+                if !statement_sent {
+                    self.send_statement(id, connection, false);
+                }
             }
             AnswerEnd::Failed { code, .. } => {
                 let code = *code;
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -13,6 +13,10 @@
 use crate::event::{ListedDatabase, NodeRole, SessionOrigin};
 use crate::request::{OWNER_RETRY_INTERVAL, RequestId};
 
+/// Version of the protocol between nodes that this node accepts. From version 1 on, a node accepts
+/// a reset of a session, and runs no statement that follows a refused `BEGIN`.
+pub const PEER_PROTOCOL: u32 = 1;
+
 /// Time for which a node that refused requests of a cluster gets no more of them, where every node
 /// is an owner.
 const PEER_REFUSAL_TTL: Micros = Micros::from_millis(300);
@@ -148,12 +152,12 @@
                     (load, self.owners.position(cluster, node).unwrap_or(usize::MAX))
                 }
             };
-            let key = (cost, name, address, node);
+            let key = (cost, name, address, node, record.peer_protocol);
             if best.as_ref().is_none_or(|best| key < *best) {
                 best = Some(key);
             }
         }
-        let (_, name, address, node) = best?;
+        let (_, name, address, node, protocol) = best?;
         if !self.databases.contains_key(&name) {
             let listed = ListedDatabase {
                 id: name.clone(),
@@ -166,6 +170,7 @@
             };
             let mut entry = Database::new(listed);
             entry.peer = Some(node.clone());
+            entry.peer_protocol = protocol;
             entry.created = self.now;
             self.databases.insert(name.clone(), entry);
         }
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -11,6 +11,7 @@
 
 use crate::action::GateAction;
 use crate::event::NodeRole;
+use crate::peer::PEER_PROTOCOL;
 use crate::registry::NodeRecord;
 use crate::{Gate, fields};
 
@@ -115,6 +116,7 @@
             data_centre: self.settings.data_centre.to_string(),
             leaving: self.drain.since.is_some(),
             capacity: self.settings.capacity,
+            peer_protocol: PEER_PROTOCOL,
         }
     }
 
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -41,6 +41,9 @@
     /// Processor share of the node's VM, in thousandths of a core.
     #[serde(default)]
     pub capacity: u32,
+    /// Version of the protocol between nodes that it accepts, see [`crate::PEER_PROTOCOL`].
+    #[serde(default)]
+    pub peer_protocol: u32,
 }
 
 /// The registered nodes.
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -10,7 +10,7 @@
 
 use crate::Gate;
 use crate::backend::TermPosition;
-use crate::event::{ConnectionId, SessionId};
+use crate::event::{ConnectionId, SessionId, SessionOrigin};
 use crate::route::{Freshness, RouteConfig};
 use crate::session::coverage_time;
 use crate::statement::{ClientRequest, ErrorCode, Statement, StatementAccess};
@@ -87,6 +87,8 @@
     /// The leader must be proved for this time.
     pub(crate) proof_time: Option<Micros>,
     pub(crate) sent: Option<Micros>,
+    /// The statement itself was sent on `connection`, not only `BEGIN`.
+    pub(crate) statement_sent: bool,
     pub(crate) tries: u32,
     pub(crate) excluded: Vec<Name>,
 }
@@ -138,6 +140,7 @@
             required_position: None,
             proof_time: None,
             sent: None,
+            statement_sent: false,
             tries: 0,
             excluded: Vec::new(),
         };
@@ -233,14 +236,16 @@
     }
 
     /// Returns the required position of a read: what its session has written, or what the
-    /// forwarding node requires.
+    /// forwarding node requires. A session of another node carries the requests of many clients.
     pub(crate) fn required_position(&self, id: RequestId) -> Option<TermPosition> {
         let request = self.requests.get(&id)?;
-        let own = match request.route.freshness {
-            Freshness::Session(_) => {
-                self.sessions.get(&request.session)?.commit_positions.get(&request.route.cluster)
+        let session = self.sessions.get(&request.session)?;
+        let own = match (request.route.freshness, session.origin) {
+            (Freshness::Session(_), SessionOrigin::Client) => {
+                session.commit_positions.get(&request.route.cluster)
             }
-            Freshness::Latest | Freshness::Bounded(_) => None,
+            (Freshness::Session(_), SessionOrigin::Peer)
+            | (Freshness::Latest | Freshness::Bounded(_), _) => None,
         };
         let begin_position = match &request.kind {
             RequestKind::Begin { begin, .. } => begin.required_position,
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -22,6 +22,9 @@
 /// Maximum number of prepared statements, and of values, of one session; more are refused.
 const SESSION_NAMES_LIMIT: usize = 256;
 
+/// Error text for a session whose database has no route.
+const NO_ROUTE_TEXT: &str = "no route for this database";
+
 /// The transaction of a session.
 #[derive(Clone, Debug)]
 pub(crate) enum Transaction {
@@ -84,7 +87,7 @@
         let refusal = if self.table.version == 0 {
             Some((ErrorCode::Busy, "no configuration yet"))
         } else if !self.table.routes.contains_key(&database) {
-            Some((ErrorCode::NoDatabase, "no route for this database"))
+            Some((ErrorCode::NoDatabase, NO_ROUTE_TEXT))
         } else {
             None
         };
@@ -175,6 +178,11 @@
                 self.begin(id, request, read_only);
             }
             Statement::Rollback => self.roll_back(id),
+            Statement::Reset => {
+                session.values.clear();
+                session.prepared.clear();
+                self.reply_done(id);
+            }
             Statement::Commit => self.commit(id, request),
             Statement::Read => self.start_request(id, request, StatementAccess::Read),
             Statement::Write => self.start_request(id, request, StatementAccess::Write),
@@ -193,7 +201,7 @@
         let session = self.sessions.get(&id)?;
         let route = self.table.routes.get(&session.database).cloned();
         if route.is_none() {
-            self.reply_error(id, ErrorCode::NoDatabase, "no route for this database");
+            self.reply_error(id, ErrorCode::NoDatabase, NO_ROUTE_TEXT);
         }
         route
     }
@@ -203,8 +211,12 @@
         if session.state() != TransactionState::Idle {
             return self.reply_error(id, ErrorCode::Malformed, "a transaction is open already");
         }
-        let Some(route) = self.current_route(id) else { return };
+        let Some(route) = self.table.routes.get(&session.database).cloned() else {
+            self.fail_peer_transaction(id);
+            return self.reply_error(id, ErrorCode::NoDatabase, NO_ROUTE_TEXT);
+        };
         if self.drain.refuses_transactions(self.now) {
+            self.fail_peer_transaction(id);
             return self.reply_error(id, ErrorCode::Busy, "not run, this node is shutting down");
         }
         let started_at = self.now;
@@ -215,6 +227,16 @@
         self.reply_done(id);
     }
 
+    /// Marks the transaction of another node's session as failed. The node may have sent its first
+    /// statement already, which must not run outside a transaction.
+    fn fail_peer_transaction(&mut self, id: SessionId) {
+        if let Some(session) = self.sessions.get_mut(&id)
+            && session.origin == SessionOrigin::Peer
+        {
+            session.transaction = Transaction::Failed;
+        }
+    }
+
     fn roll_back(&mut self, id: SessionId) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         match std::mem::replace(&mut session.transaction, Transaction::None) {
--- a/crates/gate/src/statement.rs
+++ b/crates/gate/src/statement.rs
@@ -19,6 +19,8 @@
     },
     Commit,
     Rollback,
+    /// Clears session values and prepared statements; only other nodes send it.
+    Reset,
     Read,
     Write,
     Set {
