Choose the first owner in the data centre of the primary

Cause: all requests of a cluster go to its first owner, chosen by score.

Change: owners are ordered by the data centre of the listed primary first. While two databases claim to lead, the last choice stays.

Result: tests in gate/tests/owners.rs and forwarding.rs.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -133,6 +133,7 @@
             let record = fields![
                 "database" => &name,
                 "cluster" => &cluster,
+                "data_centre" => &database.data_centre,
                 "leaving" => database.leaving,
                 "claims" => database.claimed_role.map_or("none", |role| match role {
                     DatabaseRole::Primary => "primary",
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -197,8 +197,14 @@
                 self.connection_answered(connection, *answer)
             }
             GateEvent::RoutesChanged(table) => self.routes_changed(*table),
-            GateEvent::DatabasesListed(list) => self.databases_listed(list),
-            GateEvent::DatabaseChanged(listed) => self.database_listed(listed),
+            GateEvent::DatabasesListed(list) => {
+                self.databases_listed(list);
+                self.update_owners();
+            }
+            GateEvent::DatabaseChanged(listed) => {
+                self.database_listed(listed);
+                self.update_owners();
+            }
             GateEvent::DatabaseUnlisted { id } => self.database_unlisted(&id),
             GateEvent::DocumentsListed(documents) => self.documents_listed(documents),
             GateEvent::DocumentChanged(stored) => self.document_changed(stored),
--- a/crates/gate/src/owners.rs
+++ b/crates/gate/src/owners.rs
@@ -4,16 +4,17 @@
 //! connections than there are nodes, and one request from each of many nodes would overrun its
 //! queue. So one node in each data centre owns connections of a cluster, and all requests go to the
 //! first owner that can be reached. That owner sees the whole load, so it can keep the database's
-//! own queue short and serve the ranks in order.
+//! own queue short and serve the ranks in order. The first owner is the one in the data centre of
+//! the primary, because the statements of a transaction each take a round trip from there.
 //!
-//! Every node computes the same owners from the registrations. In each data centre, the nodes with
-//! the most capacity share the clusters evenly.
+//! Every node computes the same owners from the registrations and the list of databases. In each
+//! data centre, the nodes with the most capacity share the clusters in proportion to it.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use member::owner_score;
-use model::{FastMap, Name};
+use model::{DatabaseRole, FastMap, Name};
 
 use crate::{Gate, fields};
 
@@ -25,9 +26,10 @@
 /// fewer if its databases accept too few connections.
 const MIN_OWNERS: usize = 3;
 
-/// Clusters per owning node of a data centre. More would put too much of the traffic on a VM with
-/// an eighth of a core; fewer would require more read leases to be renewed.
-const CLUSTERS_PER_NODE: usize = 4;
+/// Capacity of the owners in a data centre per cluster, in thousandths of a core. All primaries may
+/// be in one data centre, whose owners then carry the whole traffic. With more owners, more read
+/// leases have to be renewed.
+const CAPACITY_PER_CLUSTER: u32 = 70;
 
 /// Connections that an owner needs to one database to run transactions beside other requests.
 const MIN_OWNER_CONNECTIONS: u32 = 3;
@@ -39,6 +41,8 @@
     pub nodes: BTreeMap<Name, (Name, u32)>,
     /// Connections that each cluster's databases accept.
     pub clusters: BTreeMap<Name, u32>,
+    /// Data centre of each cluster's listed primary.
+    pub primary_centres: BTreeMap<Name, Name>,
 }
 
 /// The owners of all clusters.
@@ -48,7 +52,11 @@
 ///
 /// let nodes = (0..30).map(|index| (format!("vm-{index}").into(), ("dc1".into(), 250)));
 /// let clusters = [("billing".into(), 46)];
-/// let input = OwnerInput { nodes: nodes.collect(), clusters: clusters.into() };
+/// let input = OwnerInput {
+///     nodes: nodes.collect(),
+///     clusters: clusters.into(),
+///     ..OwnerInput::default()
+/// };
 /// let mut table = OwnerTable::default();
 /// assert!(table.update(input));
 /// assert_eq!(table.owners_of(&"billing".into()).map(<[_]>::len), Some(3));
@@ -84,6 +92,10 @@
         self.owners.get(cluster).map(Vec::as_slice)
     }
 
+    fn primary_centre(&self, cluster: &Name) -> Option<&Name> {
+        self.input.primary_centres.get(cluster)
+    }
+
     /// Returns a node's position among the owners of a cluster.
     pub fn position(&self, cluster: &Name, node: &Name) -> Option<usize> {
         let owners = self.owners_of(cluster);
@@ -110,7 +122,7 @@
     let owners_per_centre = MIN_OWNERS.div_ceil(centres.len());
     for nodes in centres.values_mut() {
         nodes.sort_by_key(|(node, capacity)| (Reverse(*capacity), owner_score("owners", node)));
-        let wanted = (input.clusters.len() * owners_per_centre).div_ceil(CLUSTERS_PER_NODE);
+        let wanted = owners_of_centre(nodes, input.clusters.len() * owners_per_centre);
         nodes.truncate(wanted.max(owners_per_centre));
         for (cluster, owner) in assign_clusters(nodes, input.clusters.keys(), owners_per_centre) {
             owners.entry(cluster.clone()).or_default().push(owner.clone());
@@ -119,8 +131,11 @@
     let mut first_owner_counts = BTreeMap::<Name, usize>::new();
     for cluster in input.clusters.keys() {
         let Some(chosen) = owners.get_mut(cluster) else { continue };
+        let primary_centre = input.primary_centres.get(cluster);
         chosen.sort_by_key(|node| {
+            let centre = input.nodes.get(node).map(|(centre, _)| centre);
             (
+                primary_centre.is_some() && centre != primary_centre,
                 first_owner_counts.get(node).copied().unwrap_or_default(),
                 Reverse(owner_score(cluster, node)),
             )
@@ -135,6 +150,21 @@
     owners
 }
 
+/// Returns how many clusters a node of a capacity owns, if its data centre has enough capacity.
+fn owned_clusters(capacity: u32) -> usize {
+    usize::try_from(capacity / CAPACITY_PER_CLUSTER).unwrap_or(usize::MAX).max(1)
+}
+
+/// Returns how many of the nodes, in their order, have the capacity for a number of assignments.
+fn owners_of_centre(nodes: &[(&Name, u32)], assignments: usize) -> usize {
+    let mut owned = 0_usize;
+    let sufficient = nodes.iter().position(|(_, capacity)| {
+        owned = owned.saturating_add(owned_clusters(*capacity));
+        owned >= assignments
+    });
+    sufficient.map_or(nodes.len(), |last| last + 1)
+}
+
 /// Assigns each cluster its best-scored nodes among those below their share, so that a change of
 /// one node moves few other clusters.
 fn assign_clusters<'a>(
@@ -142,15 +172,19 @@
     clusters: impl ExactSizeIterator<Item = &'a Name>,
     owners_per_cluster: usize,
 ) -> Vec<(&'a Name, &'a Name)> {
-    let share = (clusters.len() * owners_per_cluster).div_ceil(nodes.len().max(1));
+    let assignments = clusters.len() * owners_per_cluster;
+    let owned = nodes.iter().map(|(_, capacity)| owned_clusters(*capacity)).sum::<usize>();
+    let share = |capacity| (assignments * owned_clusters(capacity)).div_ceil(owned.max(1));
     let mut assigned = BTreeMap::<&Name, usize>::new();
     let mut chosen = Vec::new();
     for cluster in clusters {
         let mut owners = BTreeSet::new();
         for _ in 0..owners_per_cluster {
-            let available = nodes.iter().map(|(node, _)| *node).filter(|node| {
-                !owners.contains(node) && assigned.get(node).copied().unwrap_or_default() < share
+            let available = nodes.iter().filter(|(node, capacity)| {
+                let count = assigned.get(node).copied().unwrap_or_default();
+                !owners.contains(node) && count < share(*capacity)
             });
+            let available = available.map(|(node, _)| *node);
             let Some(best) = available.max_by_key(|node| owner_score(cluster, node)) else { break };
             owners.insert(best);
             *assigned.entry(best).or_default() += 1;
@@ -172,7 +206,8 @@
         let clusters = self.table.clusters.iter();
         let clusters =
             clusters.map(|(name, limits)| (name.clone(), limits.max_connections)).collect();
-        if !self.owners.update(OwnerInput { nodes, clusters }) {
+        let primary_centres = self.primary_centres();
+        if !self.owners.update(OwnerInput { nodes, clusters, primary_centres }) {
             return;
         }
         let all: Vec<Name> = self.table.clusters.keys().cloned().collect();
@@ -185,6 +220,26 @@
         self.log("owners_chosen", record);
     }
 
+    /// Returns the data centre of each cluster's listed primary. While several databases claim to
+    /// lead, or none, it is the last known one.
+    fn primary_centres(&self) -> BTreeMap<Name, Name> {
+        let mut centres = BTreeMap::new();
+        for (cluster, state) in &self.clusters {
+            let listed = state.members.iter().filter_map(|name| self.databases.get(name));
+            let mut claiming = listed.map(|database| &database.listed).filter(|listed| {
+                listed.claimed_role == Some(DatabaseRole::Primary) && !listed.leaving
+            });
+            let centre = match (claiming.next(), claiming.next()) {
+                (Some(primary), None) => Some(&primary.data_centre),
+                _ => self.owners.primary_centre(cluster),
+            };
+            if let Some(centre) = centre {
+                centres.insert(cluster.clone(), centre.clone());
+            }
+        }
+        centres
+    }
+
     /// Returns true if this node keeps connections to the cluster's databases.
     pub(crate) fn owns_connections(&self, cluster: &Name) -> bool {
         self.is_owner(cluster, &self.settings.node)
--- a/crates/gate/tests/forwarding.rs
+++ b/crates/gate/tests/forwarding.rs
@@ -4,10 +4,12 @@
 
 mod support;
 
-use gate::{GateAction, GateEvent, NodeRole, SessionOrigin, TermPosition};
+use gate::{
+    DatabaseRole, GateAction, GateEvent, ListedDatabase, NodeRole, SessionOrigin, TermPosition,
+};
 use model::{Micros, Name, Term};
 use support::single_gate::{NodeEntry, SingleGate};
-use support::{BOUNDED, LATEST, SESSION, Simulation};
+use support::{BOUNDED, CLUSTER, LATEST, SESSION, Simulation};
 
 fn millis(time: u64) -> Micros {
     Micros::from_millis(time)
@@ -113,3 +115,40 @@
         forwarding_gate.actions.iter().any(|action| matches!(action, GateAction::Send { .. }));
     assert!(sent, "a command is sent on the probed connection");
 }
+
+fn listed(id: &str, data_centre: &str, claimed_role: DatabaseRole) -> ListedDatabase {
+    ListedDatabase {
+        id: id.into(),
+        cluster: CLUSTER.into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        data_centre: data_centre.into(),
+        slots: 4,
+        leaving: false,
+        claimed_role: Some(claimed_role),
+    }
+}
+
+/// An owner in another data centre than the primary adds a round trip to every statement. While a
+/// former primary that is cut off still claims to lead, the choice stays.
+#[test]
+fn requests_follow_the_primary_to_its_data_centre() {
+    let centres = ["east", "west", "north"];
+    let nodes = (1..30).map(|index| {
+        NodeEntry::new(NodeRole::Owner, index, centres[usize::from(index % 3)], 500).stored()
+    });
+    let mut gate = SingleGate::start("east", 120, nodes.collect());
+    let mut owner_centre = |number, list: Vec<ListedDatabase>| {
+        gate.event(GateEvent::DatabasesListed(list));
+        gate.read(number, BOUNDED);
+        let (_, owner) = gate.take_opened().remove(0);
+        let index: usize = owner.split('/').next().unwrap()[1..].parse().unwrap();
+        centres[index % 3]
+    };
+    let (primary, replica) = (DatabaseRole::Primary, DatabaseRole::Replica);
+    let first = vec![listed("a", "west", primary), listed("b", "north", replica)];
+    assert_eq!(owner_centre(1, first), "west");
+    let both = vec![listed("a", "west", primary), listed("b", "north", primary)];
+    assert_eq!(owner_centre(2, both), "west");
+    let second = vec![listed("a", "west", replica), listed("b", "north", primary)];
+    assert_eq!(owner_centre(3, second), "north");
+}
--- a/crates/gate/tests/owners.rs
+++ b/crates/gate/tests/owners.rs
@@ -18,7 +18,7 @@
         (Name::from(format!("vm-{index}")), (centre, capacity))
     });
     let clusters = (0..clusters).map(|index| (Name::from(format!("db-{index}")), connections));
-    OwnerInput { nodes: nodes.collect(), clusters: clusters.collect() }
+    OwnerInput { nodes: nodes.collect(), clusters: clusters.collect(), ..OwnerInput::default() }
 }
 
 fn choose(input: &OwnerInput) -> BTreeMap<Name, Vec<Name>> {
@@ -55,6 +55,63 @@
     assert!(served.values().all(|clusters| *clusters == 4), "{served:?}");
 }
 
+/// The users' largest deployment: 195 nodes in six data centres, three of half a core in each, and
+/// 20 clusters. An owner in another data centre than the primary adds a round trip between data
+/// centres to every statement.
+#[test]
+fn requests_go_to_the_data_centre_of_the_primary() {
+    let mut input = input(6, 195, 20, 58);
+    let nodes = input.nodes.values_mut().enumerate();
+    nodes.for_each(|(index, node)| node.1 = CAPACITIES[usize::from(index < 18)]);
+    for (index, cluster) in input.clusters.keys().enumerate() {
+        input.primary_centres.insert(cluster.clone(), format!("dc{}", index % 3).into());
+    }
+    for (cluster, owners) in choose(&input) {
+        assert_eq!(input.nodes[&owners[0]].0, input.primary_centres[&cluster], "{cluster}");
+        assert_eq!(owners.len(), 6, "each data centre has an owner");
+    }
+}
+
+/// All primaries can be in one data centre. A VM with an eighth of a core cannot carry as many
+/// clusters as one with half a core.
+#[test]
+fn clusters_are_shared_in_proportion_to_capacity() {
+    let mut input = input(1, 24, 20, 58);
+    for (index, node) in input.nodes.values_mut().enumerate() {
+        node.1 = if index == 0 { 500 } else { 120 };
+    }
+    let mut served = BTreeMap::<Name, usize>::new();
+    for owner in choose(&input).into_values().flatten() {
+        *served.entry(owner).or_default() += 1;
+    }
+    let strongest = input.nodes.iter().find(|(_, node)| node.1 == 500).unwrap().0;
+    let others = served.iter().filter(|(node, _)| *node != strongest).map(|(_, count)| *count);
+    let most_of_others = others.max().unwrap();
+    assert!(served[strongest] >= 3 * most_of_others, "{served:?}");
+}
+
+/// Only one data centre's requests move when a primary changes.
+#[test]
+fn the_owners_of_other_clusters_stay_when_a_primary_changes() {
+    let mut input = input(6, 195, 20, 58);
+    for cluster in input.clusters.keys() {
+        input.primary_centres.insert(cluster.clone(), "dc0".into());
+    }
+    let before = choose(&input);
+    let moved = Name::from("db-7");
+    input.primary_centres.insert(moved.clone(), "dc1".into());
+    let after = choose(&input);
+    for (cluster, owners) in before {
+        let (mut old, mut new) = (owners, after[&cluster].clone());
+        if cluster != moved {
+            assert_eq!(old[0], new[0], "{cluster}");
+        }
+        old.sort();
+        new.sort();
+        assert_eq!(old, new, "{cluster}");
+    }
+}
+
 #[test]
 fn small_connection_limits_have_few_owners() {
     let owners = choose(&input(4, 71, 8, 16));
