Relay the store's changes within a data centre

Ruled out: a slower watch at nodes that only forward (its interval is a third of the bound for a configuration change already); one watch for the announcements and one for the rest at each node (more calls while nothing changes).

Change: owners watch the store and relay its changes to the other nodes of their data centre (crate relay). A follower lists the store itself; a relay sends what came after a revision and tells in each frame, at least every 0.5 s, how old its contact with the store is. Followers leave a relay that is silent or whose contact is older than 1.5 s for another one, and watch the store themselves if there is none. A standby's registration lives 9 s and is renewed every 3 s while it follows. Owners are chosen again when they are needed, not for each of the registrations of a start.

The threads of the store run again after a panic, and a call on a thread of its own has a result in any case: a node whose watch thread had ended would have followed an old list for ever.

Result: crates/relay/tests, platform/tests/relay.rs with 18 processes, two of which watch the store; crates/shell/tests.

--- a/crates/edge/src/driver.rs
+++ b/crates/edge/src/driver.rs
@@ -13,6 +13,7 @@
     SessionId, SessionOrigin, TIMER_INTERVAL, TransactionState,
 };
 use model::{FastMap, Name};
+use relay::ChangeRelay;
 use signal_hook::iterator::Signals;
 use stakker::sync::{Channel, ChannelGuard};
 use stakker::{CX, after, fwd_to, stop};
@@ -76,6 +77,7 @@
     next_client: u64,
     client_limit: usize,
     store: StoreThreads<P::Store>,
+    relay: Option<ChangeRelay>,
     _store_events: ChannelGuard,
     _signal_events: ChannelGuard,
     status: Arc<SharedStatus>,
@@ -95,6 +97,7 @@
         signals: Signals,
         listener: TcpListener,
         peer_listener: Option<TcpListener>,
+        relay: Option<ChangeRelay>,
         status: Arc<SharedStatus>,
     ) -> Option<Self> {
         let poll = cx.anymap_get::<MioPoll>();
@@ -123,7 +126,16 @@
         let (signal_channel, signal_guard) = Channel::new(cx, signal);
         crate::spawn_signal_thread(signals, signal_channel);
         let node = setup.gate.node.clone();
-        let store = StoreThreads::start(setup.platform.store(), node.clone(), events);
+        let data_centre = setup.gate.data_centre.clone();
+        let client = setup.platform.store();
+        let store = StoreThreads::start(client, node.clone(), data_centre, relay.clone(), events);
+        let store = match store {
+            Ok(store) => store,
+            Err(error) => {
+                stakker::fail!(cx, error);
+                return None;
+            }
+        };
         let mut driver = IoDriver {
             gate: Gate::new(setup.gate),
             node,
@@ -136,6 +148,7 @@
             next_client: 0,
             client_limit: setup.client_limit,
             store,
+            relay,
             _store_events: store_guard,
             _signal_events: signal_guard,
             status,
@@ -154,7 +167,10 @@
         self.handle_event(cx, GateEvent::Timer);
         if self.metrics_published.elapsed() >= METRICS_INTERVAL {
             self.metrics_published = Instant::now();
+            let relay = self.relay.as_ref();
             let gauges = [
+                ("relay_running", relay.is_some_and(ChangeRelay::is_running).into()),
+                ("relay_followers", relay.map_or(0, |relay| relay.follower_count() as u64)),
                 ("sessions", self.clients.len() as u64),
                 ("links", self.backends.len() as u64),
                 ("log_lines_dropped", dropped_lines()),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,11 +4,12 @@
 //! block and run on threads of their own, as do readiness probes, metrics and the log. The traits [`WireCodec`]
 //! and [`StoreClient`] hide the wire protocol and the calls to the store.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Instant;
 
 use gate::GateSettings;
+use relay::ChangeRelay;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use stakker::sync::Channel;
@@ -19,8 +20,10 @@
 mod driver;
 mod logging;
 mod metrics;
+mod registration;
 mod socket;
 mod store;
+mod watch;
 
 pub use codec::{BackendMessage, ClientMessage, CodecError, WireCodec};
 pub use logging::{event_line, start_logging};
@@ -92,6 +95,7 @@
     let address = setup.client_address;
     let listener = listen(address)?;
     let peer_listener = setup.gate.peer_address.map(listen).transpose()?;
+    let relay = setup.gate.relay_address.map(start_relay).transpose()?;
     let status = Arc::new(SharedStatus::default());
     let path = setup.ready_path;
     metrics::serve_http(setup.ready_address, path, status.clone()).map_err(EdgeError::Ready)?;
@@ -109,7 +113,7 @@
     let poll = shell::new_poll(stakker)?;
     let driver: ActorOwn<IoDriver<P>> = actor!(
         stakker,
-        <IoDriver<P>>::init(setup, signals, listener, peer_listener, status),
+        <IoDriver<P>>::init(setup, signals, listener, peer_listener, relay, status),
         ret_shutdown!(stakker)
     );
     let idle_pending = stakker.run(Instant::now(), false);
@@ -122,6 +126,13 @@
     }
 }
 
+/// Starts the relay of the store's changes.
+fn start_relay(address: SocketAddr) -> Result<ChangeRelay, EdgeError> {
+    let listener =
+        TcpListener::bind(address).map_err(|source| EdgeError::Listen { address, source })?;
+    Ok(ChangeRelay::start(listener, clock::now))
+}
+
 /// Registers the signal handlers. Signals are queued until a thread waits for them.
 fn register_signals() -> std::io::Result<Signals> {
     Signals::new([SIGTERM, SIGINT, SIGHUP])
--- /dev/null
+++ b/crates/edge/src/watch.rs
@@ -0,0 +1,272 @@
+//! The thread that follows the store.
+//!
+//! It lists all items, then watches for changes, with a single watch because each one counts as a call. In a large
+//! deployment a node that only forwards follows a relay of its data centre instead, as far as there is one.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use gate::{
+    Document, GateEvent, NodeRecord, NodeRole, SMALL_DEPLOYMENT_MAX_NODES, StoreState,
+    StoredDocument,
+};
+use model::{FastMap, Micros, Name};
+use relay::{ChangeBatch, ChangeRelay, FollowOutcome, RelayCandidate, RelayFollower};
+use stakker::sync::Channel;
+
+use crate::clock;
+use crate::store::{StoreChange, StoreClient, StoreError, StoreItem, log_failure, sort_items};
+
+/// Time for which the store may hold a watch that has no changes; every return counts as a call. The store may
+/// drop a watch silently, and then changes go unnoticed for this long.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(4_000);
+
+/// Watch timeout of a node that only forwards and needs little more than the configuration. A silent connection
+/// to the store is noticed within this time and the watch's margin. Together they stay below the sum of the users'
+/// shortest time until a node reaches the store (4 s) and their shortest bound for a configuration change (3 s).
+const STANDBY_WATCH_TIMEOUT: Duration = Duration::from_millis(5_500);
+
+/// Pause before the next watch after registrations changed, with many nodes: a series of changes then returns
+/// from one watch instead of one each. An announced failover may be delayed by it.
+const OWNER_WATCH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Pause before the next watch after any change at a node that only forwards: a third of the users' shortest
+/// bound for a configuration change.
+const STANDBY_WATCH_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Pause after a failed call, which keeps an outage from causing a burst of calls. Grows with each failure.
+const RETRY_BACKOFF: Duration = Duration::from_millis(250);
+
+/// Recovery of the store has to be noticed within a second.
+const MAX_RETRY_BACKOFF: Duration = Duration::from_millis(700);
+
+/// Whether this node is a standby, and whether it follows a relay; shared between the threads of the store.
+#[derive(Debug)]
+pub(crate) struct StandbyStatus {
+    /// This node only forwards requests.
+    pub(crate) standby: AtomicBool,
+    /// A relay tells this node about the store, so it needs no renewals to notice lost contact.
+    pub(crate) following: AtomicBool,
+}
+
+/// Follows the whole store.
+pub(crate) struct StoreWatch<S> {
+    client: S,
+    events: Channel<GateEvent>,
+    status: Arc<StandbyStatus>,
+    data_centre: Name,
+    /// Relays the changes to other nodes while this node watches the store as an owner.
+    relay: Option<ChangeRelay>,
+    follower: RelayFollower,
+    /// All registrations, with the relay of each owner that has one in this node's data centre.
+    nodes: FastMap<(NodeRole, Name), Option<RelayCandidate>>,
+}
+
+impl<S: StoreClient> StoreWatch<S> {
+    pub(crate) fn new(
+        client: S,
+        events: Channel<GateEvent>,
+        status: Arc<StandbyStatus>,
+        node: Name,
+        data_centre: Name,
+        relay: Option<ChangeRelay>,
+    ) -> Self {
+        let follower = RelayFollower::new(node);
+        StoreWatch {
+            client,
+            events,
+            status,
+            data_centre,
+            relay,
+            follower,
+            nodes: FastMap::default(),
+        }
+    }
+
+    /// Lists the store and follows it for as long as the process runs.
+    pub(crate) fn run(&mut self) {
+        let mut after = None;
+        let mut failures = 0_u32;
+        loop {
+            let result = match after {
+                None => self.list(),
+                Some(revision) => self.wait_for_changes(revision),
+            };
+            match result {
+                Ok(revision) => {
+                    if failures > 0 {
+                        self.events.send(GateEvent::StoreReachable(true));
+                    }
+                    failures = 0;
+                    after = Some(revision);
+                }
+                Err(error) => {
+                    if let Some(relay) = &self.relay {
+                        relay.stop();
+                    }
+                    // Unlike a watch, a list fails quickly while the store is still silent.
+                    after = None;
+                    if error == StoreError::HistoryGone {
+                        continue;
+                    }
+                    if failures == 0 {
+                        log_failure("watch", &error);
+                        self.events.send(GateEvent::StoreReachable(false));
+                    }
+                    thread::sleep((RETRY_BACKOFF * (failures + 1)).min(MAX_RETRY_BACKOFF));
+                    failures = failures.saturating_add(1);
+                }
+            }
+        }
+    }
+
+    /// Reports all stored items; returns the revision from which to watch.
+    fn list(&mut self) -> Result<u64, StoreError> {
+        let (items, revision) = self.client.list()?;
+        self.nodes.clear();
+        for item in &items {
+            self.record_item(item);
+        }
+        report_items(items, &self.events);
+        Ok(revision)
+    }
+
+    /// Waits for changes and reports them; returns the next revision.
+    fn wait_for_changes(&mut self, after: u64) -> Result<u64, StoreError> {
+        if self.forwards_only() {
+            if let Some(relay) = &self.relay {
+                relay.stop();
+            }
+            if let Some(next) = self.follow_relay(after)? {
+                return Ok(next);
+            }
+        } else {
+            self.follower.disconnect();
+        }
+        self.status.following.store(false, Ordering::Relaxed);
+        self.watch_store(after)
+    }
+
+    /// Reads the next frame of a relay; returns `None` if no relay can be used.
+    fn follow_relay(&mut self, after: u64) -> Result<Option<u64>, StoreError> {
+        let candidates: Vec<RelayCandidate> = self.nodes.values().flatten().cloned().collect();
+        let (next, contact_age) = match self.follower.next(after, &candidates) {
+            FollowOutcome::Changes { batch, contact_age } => {
+                self.report_batch(&batch, after)?;
+                (batch.next.max(after), contact_age)
+            }
+            FollowOutcome::Heartbeat { contact_age } => (after, contact_age),
+            FollowOutcome::Unavailable => return Ok(None),
+        };
+        self.status.following.store(true, Ordering::Relaxed);
+        let age = Micros::from_millis(u64::try_from(contact_age.as_millis()).unwrap_or(u64::MAX));
+        let sent = clock::now().saturating_sub(age);
+        self.events.send(GateEvent::StoreContactRenewed { sent });
+        Ok(Some(next))
+    }
+
+    /// Watches the store itself.
+    fn watch_store(&mut self, after: u64) -> Result<u64, StoreError> {
+        let forwards_only = self.forwards_only();
+        let relay = self.relay.clone().filter(|_| !forwards_only);
+        if let Some(relay) = &relay
+            && !relay.is_running()
+        {
+            relay.restart(after);
+        }
+        let wait = if forwards_only { STANDBY_WATCH_TIMEOUT } else { WATCH_TIMEOUT };
+        let batch = self.client.watch(after, wait)?;
+        let registrations_changed = self.report_batch(&batch, after)?;
+        let changed = batch.next > after;
+        if let Some(relay) = &relay
+            && changed
+        {
+            relay.push(batch.clone());
+        }
+        if changed && forwards_only {
+            thread::sleep(STANDBY_WATCH_INTERVAL);
+        } else if registrations_changed && self.nodes.len() > SMALL_DEPLOYMENT_MAX_NODES {
+            thread::sleep(OWNER_WATCH_INTERVAL);
+        }
+        Ok(batch.next)
+    }
+
+    /// Reports the changes of a batch after a revision; returns true if registrations changed.
+    fn report_batch(&mut self, batch: &ChangeBatch, after: u64) -> Result<bool, StoreError> {
+        let changes = S::decode_changes(&batch.body, after)?;
+        let registrations_changed = changes.iter().any(changes_registration);
+        for change in changes {
+            match &change {
+                StoreChange::Set(item) => self.record_item(item),
+                StoreChange::DocumentRemoved(Document::Node(role, node)) => {
+                    self.nodes.remove(&(*role, node.clone()));
+                }
+                StoreChange::DocumentRemoved(Document::PromotionLease | Document::NodeCount)
+                | StoreChange::DatabaseRemoved(_) => {}
+            }
+            report_change(change, &self.events);
+        }
+        Ok(registrations_changed)
+    }
+
+    fn record_item(&mut self, item: &StoreItem) {
+        if let StoreItem::Document(StoredDocument { document, bytes, .. }) = item
+            && let Document::Node(role, node) = document
+        {
+            let relay = match role {
+                NodeRole::Owner => relay_candidate(node, bytes, &self.data_centre),
+                NodeRole::Standby => None,
+            };
+            self.nodes.insert((*role, node.clone()), relay);
+        }
+    }
+
+    /// Returns whether this node only forwards: it is a standby and one of many nodes.
+    fn forwards_only(&self) -> bool {
+        self.nodes.len() > SMALL_DEPLOYMENT_MAX_NODES && self.status.standby.load(Ordering::Relaxed)
+    }
+}
+
+/// Returns the relay of an owner in a data centre. The gate logs unreadable records.
+fn relay_candidate(node: &Name, bytes: &[u8], data_centre: &Name) -> Option<RelayCandidate> {
+    let record: NodeRecord = serde_json::from_slice(bytes).ok()?;
+    let usable = !record.leaving && record.data_centre == data_centre.as_str();
+    let address = record.relay_address.filter(|_| usable)?;
+    Some(RelayCandidate { node: node.clone(), address, capacity: record.capacity })
+}
+
+fn changes_registration(change: &StoreChange) -> bool {
+    match change {
+        StoreChange::Set(StoreItem::Document(stored)) => {
+            matches!(stored.document, Document::Node(..))
+        }
+        StoreChange::DocumentRemoved(document) => matches!(document, Document::Node(..)),
+        StoreChange::Set(_) | StoreChange::DatabaseRemoved(_) => false,
+    }
+}
+
+fn report_items(items: Vec<StoreItem>, events: &Channel<GateEvent>) {
+    let (StoreState { databases, documents }, routes) = sort_items(items);
+    if let Some(table) = routes {
+        events.send(GateEvent::RoutesChanged(table));
+    }
+    // Must precede the databases: the registered nodes decide to which databases this node connects.
+    events.send(GateEvent::DocumentsListed(documents));
+    events.send(GateEvent::DatabasesListed(databases));
+}
+
+fn report_change(change: StoreChange, events: &Channel<GateEvent>) {
+    let event = match change {
+        StoreChange::Set(StoreItem::Routes(table)) => GateEvent::RoutesChanged(table),
+        StoreChange::Set(StoreItem::Database(database)) => GateEvent::DatabaseChanged(database),
+        StoreChange::Set(StoreItem::Document(document)) => GateEvent::DocumentChanged(document),
+        StoreChange::Set(StoreItem::UnreadableDatabase(id)) | StoreChange::DatabaseRemoved(id) => {
+            GateEvent::DatabaseUnlisted { id }
+        }
+        StoreChange::Set(StoreItem::Unknown) => return,
+        StoreChange::DocumentRemoved(document) => GateEvent::DocumentRemoved(document),
+    };
+    events.send(event);
+}
--- a/crates/fake/src/port.rs
+++ b/crates/fake/src/port.rs
@@ -4,6 +4,9 @@
 
 use socket2::{Domain, Socket, Type};
 
+/// Attempts to find two consecutive free ports.
+const PAIR_TRIES: usize = 64;
+
 /// A bound socket that does not listen. The kernel assigns its port to no other socket, but a process can
 /// listen on the port, because both set `SO_REUSEADDR`. A listener that is closed just before the process
 /// starts is not enough: processes that other threads start at that moment inherit it, and a connection
@@ -25,9 +28,30 @@
     ///
     /// Fails if the kernel has no free port.
     pub fn new() -> std::io::Result<Self> {
+        PortReservation::at(0)
+    }
+
+    /// Reserves two consecutive free ports of the loopback address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the kernel has no free port, or none whose successor is free.
+    pub fn new_pair() -> std::io::Result<[Self; 2]> {
+        let mut last_error = None;
+        for _ in 0..PAIR_TRIES {
+            let first = PortReservation::new()?;
+            match PortReservation::at(first.address()?.port().saturating_add(1)) {
+                Ok(second) => return Ok([first, second]),
+                Err(error) => last_error = Some(error),
+            }
+        }
+        Err(last_error.unwrap_or_else(|| std::io::Error::other("no pair of ports is free")))
+    }
+
+    fn at(port: u16) -> std::io::Result<Self> {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], port)).into())?;
         Ok(PortReservation(socket))
     }
 
--- a/crates/gate/src/dump.rs
+++ b/crates/gate/src/dump.rs
@@ -12,7 +12,7 @@
     ///
     /// ```
     /// # let settings = gate::GateSettings {
-    /// #     node: "n1".into(), data_centre: "dc1".into(), capacity: 250, peer_address: None,
+    /// #     node: "n1".into(), data_centre: "dc1".into(), capacity: 250, peer_address: None, relay_address: None,
     /// #     incarnation: 1,
     /// #     shutdown_grace: model::Micros::from_secs(6),
     /// # };
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -119,6 +119,9 @@
     read_lease: ReadLeaseState,
     peers: PeerState,
     owners: OwnerTable,
+    /// Nodes or primaries have changed since the owners were chosen. Many nodes register at the same
+    /// time, so the choice is made when it is needed next.
+    owners_outdated: bool,
     node_count: NodeCountState,
 }
 
@@ -134,6 +137,7 @@
     ///     data_centre: "dc1".into(),
     ///     capacity: 250,
     ///     peer_address: None,
+    ///     relay_address: None,
     ///     incarnation: 1,
     ///     shutdown_grace: Micros::from_secs(6),
     /// });
@@ -162,6 +166,7 @@
             read_lease: ReadLeaseState::default(),
             peers: PeerState::default(),
             owners: OwnerTable::default(),
+            owners_outdated: false,
             node_count: NodeCountState::default(),
             settings,
         }
@@ -203,7 +208,7 @@
             }
             GateEvent::DatabaseChanged(listed) => {
                 self.database_listed(listed);
-                self.update_owners();
+                self.owners_outdated = true;
             }
             GateEvent::DatabaseUnlisted { id } => self.database_unlisted(&id),
             GateEvent::DocumentsListed(documents) => self.documents_listed(documents),
@@ -212,7 +217,7 @@
                 Document::PromotionLease | Document::NodeCount => {}
                 Document::Node(role, name) => {
                     self.registry.remove(self.now, role, &name);
-                    self.update_owners();
+                    self.owners_outdated = true;
                 }
             },
             GateEvent::PromotionLeaseWritten { attempt, result } => {
@@ -237,6 +242,7 @@
     }
 
     fn tick(&mut self) {
+        self.refresh_owners();
         self.resume_and_expire_requests();
         self.maintain_connections();
         self.maintain_peers();
@@ -284,9 +290,7 @@
     fn document_changed(&mut self, stored: StoredDocument) {
         let counts_nodes = stored.document != Document::PromotionLease;
         self.apply_document(stored);
-        if counts_nodes {
-            self.update_owners();
-        }
+        self.owners_outdated |= counts_nodes;
     }
 
     fn apply_document(&mut self, stored: StoredDocument) {
--- a/crates/gate/src/owners.rs
+++ b/crates/gate/src/owners.rs
@@ -195,6 +195,13 @@
 }
 
 impl Gate {
+    /// Chooses the owners again if changes have been seen since the last choice.
+    pub(crate) fn refresh_owners(&mut self) {
+        if std::mem::take(&mut self.owners_outdated) {
+            self.update_owners();
+        }
+    }
+
     /// Chooses the owners again if the nodes or the clusters have changed.
     pub(crate) fn update_owners(&mut self) {
         if self.registration.listed.is_none() || self.awaits_nodes() {
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -113,6 +113,7 @@
                 NodeRole::Standby => 0,
             },
             peer_address: self.settings.peer_address,
+            relay_address: self.settings.relay_address,
             data_centre: self.settings.data_centre.to_string(),
             leaving: self.drain.since.is_some(),
             capacity: self.settings.capacity,
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -33,6 +33,9 @@
     /// Address for forwarded requests.
     #[serde(default)]
     pub peer_address: Option<SocketAddr>,
+    /// Address at which other nodes can follow the store's changes.
+    #[serde(default)]
+    pub relay_address: Option<SocketAddr>,
     #[serde(default)]
     pub data_centre: String,
     /// The node is shutting down and takes no more requests of other nodes.
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -150,6 +150,7 @@
 
     /// Chooses a database for a request and queues it there.
     pub(crate) fn route_request(&mut self, id: RequestId) {
+        self.refresh_owners();
         let Some(request) = self.requests.get(&id) else { return };
         if matches!(request.kind, RequestKind::Continue) {
             return self.continue_transaction(id);
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -13,6 +13,8 @@
     pub capacity: u32,
     /// Address to which other nodes forward requests.
     pub peer_address: Option<SocketAddr>,
+    /// Address at which other nodes follow the store's changes.
+    pub relay_address: Option<SocketAddr>,
     /// Distinguishes processes that ran under the same name.
     pub incarnation: u64,
     /// Time between SIGTERM and SIGKILL.
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -170,6 +170,7 @@
                     data_centre: "east".into(),
                     capacity: 250,
                     peer_address: None,
+                    relay_address: None,
                     incarnation: 1,
                     shutdown_grace: Micros::from_secs(6),
                 })
--- a/crates/gate/tests/support/single_gate.rs
+++ b/crates/gate/tests/support/single_gate.rs
@@ -57,6 +57,7 @@
             data_centre: data_centre.into(),
             capacity,
             peer_address: None,
+            relay_address: None,
             incarnation: 1,
             shutdown_grace: Micros::from_secs(6),
         });
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -1,6 +1,10 @@
-//! Parts that both programs of this project share: the event loop, listening sockets and the incarnation of
+//! Parts that both programs of this project share: the event loop, listening sockets, threads and the incarnation of
 //! a process.
 
+mod worker;
+
+pub use worker::{spawn_call, spawn_restarting};
+
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
