Derive fencing tokens from the store's revision

Change: a token is one more than the revision of the record that its holder replaced. Where there is none, an idle record is written first. A removed or missing record counts as held until the usual wait is over, because its holder may still be acting.

--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -41,7 +41,7 @@
 pub enum StoreChange {
     Set(StoreItem),
     DatabaseRemoved(Name),
-    DocumentRemoved(Document),
+    DocumentRemoved { document: Document, revision: u64 },
 }
 
 /// Why a call to the store failed.
@@ -64,7 +64,7 @@
 
 /// Blocking calls to the store, each with a time limit.
 pub trait StoreClient: Clone + Send + 'static {
-    /// Lists all items, and returns the revision from which to watch them.
+    /// Lists all items, and returns the store's revision, from which to watch them.
     ///
     /// # Errors
     ///
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -129,7 +129,7 @@
         for item in &items {
             self.record_item(item);
         }
-        report_items(items, &self.events);
+        report_items(items, revision, &self.events);
         Ok(revision)
     }
 
@@ -200,10 +200,13 @@
         for change in changes {
             match &change {
                 StoreChange::Set(item) => self.record_item(item),
-                StoreChange::DocumentRemoved(Document::Node(role, node)) => {
+                StoreChange::DocumentRemoved { document: Document::Node(role, node), .. } => {
                     self.nodes.remove(&(*role, node.clone()));
                 }
-                StoreChange::DocumentRemoved(Document::PromotionLease | Document::NodeCount)
+                StoreChange::DocumentRemoved {
+                    document: Document::PromotionLease | Document::NodeCount,
+                    ..
+                }
                 | StoreChange::DatabaseRemoved(_) => {}
             }
             report_change(change, &self.events);
@@ -242,18 +245,18 @@
         StoreChange::Set(StoreItem::Document(stored)) => {
             matches!(stored.document, Document::Node(..))
         }
-        StoreChange::DocumentRemoved(document) => matches!(document, Document::Node(..)),
+        StoreChange::DocumentRemoved { document, .. } => matches!(document, Document::Node(..)),
         StoreChange::Set(_) | StoreChange::DatabaseRemoved(_) => false,
     }
 }
 
-fn report_items(items: Vec<StoreItem>, events: &Channel<GateEvent>) {
+fn report_items(items: Vec<StoreItem>, revision: u64, events: &Channel<GateEvent>) {
     let (StoreState { databases, documents }, routes) = sort_items(items);
     if let Some(table) = routes {
         events.send(GateEvent::RoutesChanged(table));
     }
     // Must precede the databases: the registered nodes decide to which databases this node connects.
-    events.send(GateEvent::DocumentsListed(documents));
+    events.send(GateEvent::DocumentsListed { documents, revision });
     events.send(GateEvent::DatabasesListed(databases));
 }
 
@@ -266,7 +269,9 @@
             GateEvent::DatabaseUnlisted { id }
         }
         StoreChange::Set(StoreItem::Unknown) => return,
-        StoreChange::DocumentRemoved(document) => GateEvent::DocumentRemoved(document),
+        StoreChange::DocumentRemoved { document, revision } => {
+            GateEvent::DocumentRemoved { document, revision }
+        }
     };
     events.send(event);
 }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -142,10 +142,17 @@
     DatabaseUnlisted {
         id: Name,
     },
-    /// All documents of this project.
-    DocumentsListed(Vec<StoredDocument>),
+    /// All documents of this project, at a revision of the store.
+    DocumentsListed {
+        documents: Vec<StoredDocument>,
+        revision: u64,
+    },
     DocumentChanged(StoredDocument),
-    DocumentRemoved(Document),
+    /// A document was removed at a revision of the store.
+    DocumentRemoved {
+        document: Document,
+        revision: u64,
+    },
     PromotionLeaseWritten {
         attempt: u64,
         result: WriteResult,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -211,10 +211,13 @@
                 self.owners_outdated = true;
             }
             GateEvent::DatabaseUnlisted { id } => self.database_unlisted(&id),
-            GateEvent::DocumentsListed(documents) => self.documents_listed(documents),
+            GateEvent::DocumentsListed { documents, revision } => {
+                self.documents_listed(documents, revision);
+            }
             GateEvent::DocumentChanged(stored) => self.document_changed(stored),
-            GateEvent::DocumentRemoved(document) => match document {
-                Document::PromotionLease | Document::NodeCount => {}
+            GateEvent::DocumentRemoved { document, revision } => match document {
+                Document::PromotionLease => self.promotion_lease_removed(revision),
+                Document::NodeCount => {}
                 Document::Node(role, name) => {
                     self.registry.remove(self.now, role, &name);
                     self.owners_outdated = true;
@@ -269,7 +272,7 @@
         self.update_ready();
     }
 
-    fn documents_listed(&mut self, documents: Vec<StoredDocument>) {
+    fn documents_listed(&mut self, documents: Vec<StoredDocument>, revision: u64) {
         let nodes: FastSet<(NodeRole, Name)> = documents
             .iter()
             .filter_map(|stored| match &stored.document {
@@ -279,7 +282,7 @@
             .collect();
         self.registry.retain(self.now, &nodes);
         if !documents.iter().any(|stored| stored.document == Document::PromotionLease) {
-            self.promotion_lease.observe(self.now, None);
+            self.promotion_lease_removed(revision);
         }
         for stored in documents {
             self.apply_document(stored);
@@ -287,6 +290,13 @@
         self.nodes_listed();
     }
 
+    fn promotion_lease_removed(&mut self, revision: u64) {
+        if self.promotion_lease.observe_absent(self.now, revision) {
+            self.log("document_missing", fields!["document" => "duty", "revision" => revision]);
+        }
+        self.announcement_seen();
+    }
+
     fn document_changed(&mut self, stored: StoredDocument) {
         let counts_nodes = stored.document != Document::PromotionLease;
         self.apply_document(stored);
@@ -296,7 +306,7 @@
     fn apply_document(&mut self, stored: StoredDocument) {
         match stored.document {
             Document::PromotionLease => {
-                if !self.promotion_lease.observe(self.now, Some((stored.revision, &stored.bytes))) {
+                if !self.promotion_lease.observe(self.now, stored.revision, &stored.bytes) {
                     self.log("document_unreadable", fields!["document" => "duty"]);
                 }
                 self.announcement_seen();
--- a/crates/gate/src/promotion_lease.rs
+++ b/crates/gate/src/promotion_lease.rs
@@ -6,6 +6,10 @@
 //! clock that also counts suspended time. Another node takes the lease only after it has seen the
 //! document unchanged for [`LEASE_ACQUIRE_WAIT`], or marked as idle by its holder. The store's own
 //! leases are not used, because they may end early while the store is unavailable.
+//!
+//! A fencing token is one more than the revision of the record that its holder replaced. So tokens
+//! grow also after another writer has overwritten the document. Where there is none, an idle record
+//! is written first; a late write of such a record does no harm.
 
 use model::{Micros, Name};
 use serde::{Deserialize, Serialize};
@@ -51,7 +55,10 @@
     /// Distinguishes this process from earlier ones of the same name.
     incarnation: u64,
     record: PromotionLeaseRecord,
+    /// Revision of the record, zero if there is none.
     revision: u64,
+    /// Revision of the store up to which changes of the record are known.
+    seen_revision: u64,
     /// When the record was last seen to change; `None` until it was first read.
     changed: Option<Micros>,
     attempt: u64,
@@ -83,6 +90,7 @@
             incarnation,
             record: PromotionLeaseRecord::default(),
             revision: 0,
+            seen_revision: 0,
             changed: None,
             attempt: 0,
             pending: None,
@@ -90,25 +98,37 @@
         }
     }
 
-    /// Processes the stored record; `None` if there is none. Returns false if it is unreadable,
-    /// which counts as a record without a holder.
-    pub fn observe(&mut self, now: Micros, stored: Option<(u64, &[u8])>) -> bool {
-        let (revision, record) = match stored {
-            None => (0, Some(PromotionLeaseRecord::default())),
-            Some((revision, bytes)) => (revision, serde_json::from_slice(bytes).ok()),
-        };
+    /// Processes the stored record. Returns false if it is unreadable; its holder is unknown then
+    /// and may be acting.
+    pub fn observe(&mut self, now: Micros, revision: u64, bytes: &[u8]) -> bool {
+        let record: Option<PromotionLeaseRecord> = serde_json::from_slice(bytes).ok();
         let readable = record.is_some();
-        let record = record.unwrap_or_default();
-        if self.changed.is_some() && revision <= self.revision {
-            return readable;
+        if self.changed.is_none() || revision > self.seen_revision {
+            self.replace_record(now, record.unwrap_or_default(), revision);
+            self.seen_revision = revision;
+        }
+        readable
+    }
+
+    /// Processes that there is no record at a revision of the store; its holder may still be
+    /// acting. Returns true if there was a record before.
+    pub fn observe_absent(&mut self, now: Micros, revision: u64) -> bool {
+        let removed = self.revision != 0;
+        if self.changed.is_some() && (revision <= self.seen_revision || !removed) {
+            return false;
         }
+        self.replace_record(now, PromotionLeaseRecord::default(), 0);
+        self.seen_revision = revision;
+        removed
+    }
+
+    fn replace_record(&mut self, now: Micros, record: PromotionLeaseRecord, revision: u64) {
         if record.holder != self.node.as_str() || record.fencing_token != self.held_token() {
             self.held = None;
         }
         self.revision = revision;
         self.record = record;
         self.changed = Some(now);
-        readable
     }
 
     fn held_token(&self) -> u64 {
@@ -142,20 +162,21 @@
         let waited = self.changed.is_some_and(|changed| now >= changed + LEASE_ACQUIRE_WAIT);
         // This node's own write may be seen in the store before it is answered.
         let own = self.pending.as_ref().is_some_and(|pending| pending.record == self.record);
-        self.held.is_none() && self.revision != 0 && !self.record.idle && !waited && !own
+        self.held.is_none() && !self.record.idle && !waited && !own
     }
 
-    /// Returns the write that claims or renews the lease, if one is allowed now.
+    /// Returns the write that claims or renews the lease, or prepares a claim, if one is allowed
+    /// now.
     pub fn claim(&mut self, now: Micros, announced_clusters: Vec<String>) -> Option<LeaseWrite> {
         self.changed?;
         if self.is_held_elsewhere(now) {
             return None;
         }
-        let token = match self.held {
-            Some((token, _)) => token,
-            None => self.record.fencing_token + 1,
-        };
-        self.write(now, token, false, announced_clusters)
+        match self.held {
+            Some((token, _)) => self.write(now, token, false, announced_clusters),
+            None if self.revision == 0 => self.write(now, 0, true, Vec::new()),
+            None => self.write(now, self.revision + 1, false, announced_clusters),
+        }
     }
 
     /// Returns the write that releases the lease.
@@ -197,13 +218,14 @@
             self.held = None;
             return false;
         };
-        if revision < self.revision {
+        if revision < self.seen_revision {
             return false;
         }
         let idle = pending.record.idle;
         let until = pending.sent + PROMOTION_LEASE_TTL;
         self.held = (!idle && now < until).then_some((pending.record.fencing_token, until));
         self.revision = revision;
+        self.seen_revision = revision;
         self.record = pending.record;
         self.changed = Some(now);
         self.held.is_some()
