Keep running and following the list with odd entries in the store

Ruled out: deep nesting (the JSON reader's depth limit makes the entry unreadable; in an unknown field it is skipped without recursion), numbers like 1e999 (unreadable), invalid UTF-8 and base64.

The start time of a database is part of its entry: when it changes, its report and its fence in a running failover are forgotten, and the failover fences it again before it promotes.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -120,6 +120,12 @@
         let database =
             self.databases.entry(name.clone()).or_insert_with(|| Database::new(listed.clone()));
         let role_changed = database.listed.claimed_role != listed.claimed_role;
+        let restarted = database.listed.started_at_ms != listed.started_at_ms;
+        if restarted {
+            database.report = None;
+            database.last_report_at = None;
+            database.applied = None;
+        }
         database.unlisted_since = None;
         if listed.leaving {
             database.leaving_since.get_or_insert(now);
@@ -148,6 +154,9 @@
         if owns && claims_primary && (role_changed || known.is_none()) {
             self.request_report(&name);
         }
+        if restarted {
+            self.forget_fence(&cluster, &name);
+        }
         self.open_connections(&name);
     }
 
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -36,6 +36,8 @@
     pub leaving: bool,
     /// The role that it claims to have; a replaced primary may still claim to lead.
     pub claimed_role: Option<DatabaseRole>,
+    /// When it started, by its own clock; a database that starts again knows nothing of before.
+    pub started_at_ms: Option<u64>,
 }
 
 /// A document that this project keeps in the platform's store.
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -327,7 +327,8 @@
             return;
         };
         for listed in &databases {
-            if !self.databases.contains_key(&listed.id) {
+            let known = self.databases.get(&listed.id).map(|database| &database.listed);
+            if known.is_none_or(|known| known.started_at_ms != listed.started_at_ms) {
                 self.database_listed(listed.clone());
             }
         }
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -146,6 +146,15 @@
         }
     }
 
+    /// Forgets that a replica is fenced, because it has started again without the fence.
+    pub(crate) fn forget_fence(&mut self, cluster: &Name, replica: &Name) {
+        let Some(failover) = self.failovers.running.get_mut(cluster) else { return };
+        failover.fence_sent.remove(replica);
+        if failover.fenced.remove(replica).is_some() {
+            self.log("fence_forgotten", fields!["cluster" => cluster, "database" => replica]);
+        }
+    }
+
     /// Processes the report that answers a fence.
     pub(crate) fn fence_answered(
         &mut self,
--- a/crates/gate/src/node_count.rs
+++ b/crates/gate/src/node_count.rs
@@ -50,7 +50,8 @@
 
     /// Returns true if more nodes are expected to register soon.
     fn awaits_nodes(&mut self, now: Micros, node_count: u32) -> bool {
-        let complete = node_count * 100 >= self.known_nodes * COMPLETE_PERCENT;
+        let (nodes, known) = (u64::from(node_count), u64::from(self.known_nodes));
+        let complete = nodes * 100 >= known * u64::from(COMPLETE_PERCENT);
         if self.known_nodes as usize <= SMALL_DEPLOYMENT_MAX_NODES || complete {
             self.incomplete_since = None;
             return false;
@@ -79,7 +80,8 @@
         }
         let (node_count, known) = (self.registry.node_count(), self.node_count.known_nodes);
         let large = node_count.max(known) as usize > SMALL_DEPLOYMENT_MAX_NODES;
-        if !large || node_count.abs_diff(known) * 100 <= known * COUNT_CHANGE_PERCENT {
+        let difference = u64::from(node_count.abs_diff(known));
+        if !large || difference * 100 <= u64::from(known) * u64::from(COUNT_CHANGE_PERCENT) {
             self.node_count.count_differs_since = None;
             return;
         }
--- a/crates/gate/src/owners.rs
+++ b/crates/gate/src/owners.rs
@@ -247,13 +247,12 @@
         centres
     }
 
-    /// Returns true if this node keeps connections to the cluster's databases.
+    /// Returns true if this node keeps connections to the cluster's databases. An entry may name a
+    /// cluster that is not configured; such a database is not used.
     pub(crate) fn owns_connections(&self, cluster: &Name) -> bool {
-        self.is_owner(cluster, &self.settings.node)
-    }
-
-    fn is_owner(&self, cluster: &Name, node: &Name) -> bool {
-        self.owners.owners_of(cluster).is_none_or(|owners| owners.contains(node))
+        let owners = self.owners.owners_of(cluster);
+        self.table.clusters.contains_key(cluster)
+            && owners.is_none_or(|owners| owners.contains(&self.settings.node))
     }
 
     /// Returns the number of nodes that share the connections to a cluster's databases: one at the
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -167,6 +167,7 @@
                 slots: PEER_SLOTS,
                 leaving: false,
                 claimed_role: None,
+                started_at_ms: None,
             };
             let mut entry = Database::new(listed);
             entry.peer = Some(node.clone());
--- a/crates/gate/tests/forwarding.rs
+++ b/crates/gate/tests/forwarding.rs
@@ -125,6 +125,7 @@
         slots: 4,
         leaving: false,
         claimed_role: Some(claimed_role),
+        started_at_ms: None,
     }
 }
 
@@ -152,3 +153,22 @@
     let second = vec![listed("a", "west", replica), listed("b", "north", primary)];
     assert_eq!(owner_centre(3, second), "north");
 }
+
+/// An entry by another writer names a cluster that is not configured. The node would connect to its
+/// address, and promote its "replicas" when the "primary" does not answer.
+#[test]
+fn a_database_of_an_unknown_cluster_is_not_used() {
+    let mut gate = SingleGate::start("east", 120, Vec::new());
+    gate.run(millis(1_100));
+    gate.take_opened();
+    let mut unknown = listed("x", "east", DatabaseRole::Primary);
+    unknown.cluster = "nowhere".into();
+    gate.event(GateEvent::DatabasesListed(vec![
+        listed("a", "east", DatabaseRole::Primary),
+        unknown,
+    ]));
+    gate.run(millis(5_000));
+    let opened: Vec<Name> = gate.take_opened().into_iter().map(|(_, name)| name).collect();
+    assert!(opened.iter().all(|name| &**name == "a"), "{opened:?}");
+    assert!(!opened.is_empty(), "the configured cluster is used");
+}
--- a/crates/gate/tests/large_deployment.rs
+++ b/crates/gate/tests/large_deployment.rs
@@ -46,6 +46,7 @@
             "a" => DatabaseRole::Primary,
             _ => DatabaseRole::Replica,
         }),
+        started_at_ms: None,
     });
     node.event(GateEvent::DatabasesListed(databases.into()));
     node
--- a/crates/gate/tests/leadership.rs
+++ b/crates/gate/tests/leadership.rs
@@ -404,3 +404,28 @@
     // Two silences of 500 ms in sequence, the promotion lease and the steps of the failover.
     assert!(promoted.0 - started < millis(2_000), "after {:?}", promoted.0 - started);
 }
+
+/// A replica starts again after it was fenced and before the promotion. It has no fence any more,
+/// so the old primary could acknowledge commits that the promoted replica lacks.
+#[test]
+fn a_replica_that_starts_again_during_a_failover_is_fenced_again() {
+    let mut simulation = Simulation::start(4);
+    run_with_load(&mut simulation, millis(500));
+    simulation.database("a").unreachable = true;
+    let fenced = |simulation: &Simulation| {
+        let databases = [&simulation.databases["b"], &simulation.databases["c"]];
+        databases.iter().all(|database| database.fence > database.term)
+    };
+    while !fenced(&simulation) {
+        run_with_load(&mut simulation, millis(20));
+        assert!(simulation.now < Micros::from_secs(20), "no failover fences the replicas");
+    }
+    let restarted = simulation.database("c");
+    restarted.fence = Term(0);
+    restarted.started_at_ms += 1;
+    while simulation.promotions.is_empty() {
+        run_with_load(&mut simulation, millis(20));
+        assert!(simulation.now < Micros::from_secs(30), "no promotion");
+    }
+    assert!(fenced(&simulation), "{:?}", simulation.databases["c"]);
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -45,6 +45,7 @@
     /// Receives no log, and is not a synchronous replica in the meantime.
     pub replication_stopped: bool,
     pub leaving: bool,
+    pub started_at_ms: u64,
     pub connections_refused: bool,
     /// Time for one statement.
     pub statement_time: Micros,
@@ -188,6 +189,7 @@
                 hung: false,
                 replication_stopped: false,
                 leaving: false,
+                started_at_ms: 1,
                 connections_refused: false,
                 statement_time: STATEMENT_TIME,
                 loses_answers: false,
@@ -253,6 +255,7 @@
             slots: 2,
             leaving: database.leaving,
             claimed_role: Some(database.role),
+            started_at_ms: Some(database.started_at_ms),
         }
     }
 
--- a/crates/model/src/position.rs
+++ b/crates/model/src/position.rs
@@ -14,7 +14,7 @@
 impl Term {
     /// Returns the next term.
     pub const fn next(self) -> Term {
-        Term(self.0 + 1)
+        Term(self.0.saturating_add(1))
     }
 }
 
--- a/crates/relay/src/follower.rs
+++ b/crates/relay/src/follower.rs
@@ -134,7 +134,7 @@
     }
 
     fn leave(&mut self, relay: Name, reason: &str) {
-        log::info!("\"event\":\"relay_left\",\"relay\":\"{relay}\",\"reason\":\"{reason}\"");
+        log::info!("\"event\":\"relay_left\",\"relay\":{:?},\"reason\":\"{reason}\"", &*relay);
         self.connection = None;
         self.left.retain(|_, at| at.elapsed() < RELAY_BACKOFF);
         self.left.insert(relay, Instant::now());
@@ -152,7 +152,7 @@
     stream.set_write_timeout(Some(FRAME_TIMEOUT))?;
     write_line(&mut stream, &FollowRequest { after })?;
     let relay = relay.node.clone();
-    log::info!("\"event\":\"relay_joined\",\"relay\":\"{relay}\",\"after\":{after}");
+    log::info!("\"event\":\"relay_joined\",\"relay\":{:?},\"after\":{after}", &*relay);
     Ok(RelayConnection { relay, input: BufReader::new(stream) })
 }
 
