Take a data centre that is cut off out of rotation, and only that one

The nodes of the other data centres reported not ready after 0.9 s, because two peers did not answer and they had asked no other.

Ruled out: the balancer's two probes alone (they explain two seconds); the failover (2.2 s, done at 35.7 s).

Change: a cluster whose proof has been missing for 0.5 s although requests need it counts as not servable, and such requests are refused at once. A node whose call to the store was answered within the last 0.5 s is not cut off, whatever its peers do.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -17,6 +17,10 @@
 /// replica.
 const PROOF_RETRY_INTERVAL: Micros = Micros::from_millis(100);
 
+/// Time without a proof that requests need after which this node cannot serve them: the longest
+/// queue of a database, and the report itself.
+const PROOF_TIMEOUT: Micros = Micros::from_millis(500);
+
 /// Interval of report requests to every database while no leader is known. The entry of a new
 /// primary changes at once, so this finds only changes that the store does not show.
 const SEARCH_INTERVAL: Micros = Micros::from_millis(500);
@@ -45,6 +49,8 @@
     pub(crate) leader_missing_since: Option<Micros>,
     /// Latest time for which a proof is needed.
     pub(crate) needed_proof_time: Option<Micros>,
+    /// Since when requests have needed a proof that there is not yet.
+    proof_missing_since: Option<Micros>,
     next_search: Micros,
     /// Term at which a failover was announced.
     pub(crate) announced_term: Option<Term>,
@@ -210,6 +216,7 @@
             return;
         }
         state.needed_proof_time = state.needed_proof_time.max(Some(proof_time));
+        state.proof_missing_since.get_or_insert(self.now);
         if state.proof_failed_at.is_some_and(|at| self.now < at + PROOF_RETRY_INTERVAL) {
             return;
         }
@@ -241,6 +248,15 @@
         }
     }
 
+    /// Returns true if requests have waited for a proof for too long, as on a node that is cut off
+    /// together with a former primary.
+    pub(crate) fn lacks_proof(&self, cluster: &Name) -> bool {
+        let Some(state) = self.clusters.get(cluster) else { return false };
+        let confirmed = state.proof.confirmed_at().unwrap_or_default();
+        let since = state.proof_missing_since.map(|since| since.max(confirmed));
+        since.is_some_and(|since| self.now >= since + PROOF_TIMEOUT)
+    }
+
     /// Requests a report from a database as soon as a connection is idle.
     pub(crate) fn request_report(&mut self, name: &Name) {
         let Some(database) = self.databases.get_mut(name) else { return };
@@ -300,6 +316,7 @@
         let changed = state.proof.observe_report(&name, requested_at, &report);
         if state.proof.confirmed_at() >= state.needed_proof_time {
             state.needed_proof_time = None;
+            state.proof_missing_since = None;
             state.proof_failed_at = None;
         } else if report.role == DatabaseRole::Replica {
             state.proof_failed_at = Some(self.now);
@@ -385,6 +402,12 @@
         }
         self.probe_overdue(cluster);
         self.wake_waiting_for_proof(cluster);
+        if let Some(state) = self.clusters.get_mut(cluster)
+            && state.proof.confirmed_at() >= state.needed_proof_time
+        {
+            state.needed_proof_time = None;
+            state.proof_missing_since = None;
+        }
         self.wake_waiting_for_leader(cluster);
         let usable = self.usable_leader(cluster).is_some();
         let Some(state) = self.clusters.get_mut(cluster) else { return };
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -10,7 +10,7 @@
 use crate::backend::{AnswerEnd, BackendAnswer, TermPosition};
 use crate::event::ConnectionId;
 use crate::request::{
-    ActiveRequest, MAX_TRIES, OVERLOADED_TEXT, RequestId, RequestKind, RequestStage,
+    ActiveRequest, MAX_TRIES, OVERLOADED_TEXT, RequestId, RequestKind, RequestStage, UNPROVED_TEXT,
 };
 use crate::session::{OpenTransaction, Transaction};
 use crate::statement::{ErrorCode, StatementAccess, TransactionState};
@@ -481,8 +481,7 @@
                 );
             }
             RequestStage::WaitingForProof => {
-                let text = "not run, the primary could not be proved to lead, retry after 500 ms";
-                self.refuse(id, self.refusal_code(id), text);
+                self.refuse(id, self.refusal_code(id), UNPROVED_TEXT);
             }
             RequestStage::Sent => {}
         }
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -57,7 +57,10 @@
 impl Gate {
     /// Returns true if requests of the cluster are expected to be served, here or by an owner.
     pub(crate) fn can_serve_cluster(&self, cluster: &Name, contacts: &PeerContacts) -> bool {
-        if self.owns_connections(cluster) && self.usable_leader(cluster).is_some() {
+        if self.owns_connections(cluster)
+            && self.usable_leader(cluster).is_some()
+            && !self.lacks_proof(cluster)
+        {
             return true;
         }
         let Some(owners) = self.owners.owners_of(cluster) else { return false };
--- a/crates/gate/src/read_lease.rs
+++ b/crates/gate/src/read_lease.rs
@@ -26,6 +26,10 @@
 /// because one answer may be lost, and the time of a slow answer.
 const STORE_CONTACT_TIMEOUT: Micros = Micros::from_millis(2_300);
 
+/// Age of the last call to the store up to which its answer shows that this node is not cut off: the
+/// interval between renewals at an owner, and a slow answer.
+const RECENT_CONTACT_AGE: Micros = Micros::from_millis(500);
+
 /// State of this node's read lease and of the announcements it has seen.
 #[derive(Debug, Default)]
 pub(crate) struct ReadLeaseState {
@@ -90,6 +94,15 @@
             || contact.is_some_and(|at| self.now < at + STORE_CONTACT_TIMEOUT)
     }
 
+    /// Returns true if a call to the store that was answered was sent so recently that this node
+    /// was not cut off before the data centres that it does not reach.
+    pub(crate) fn has_recent_store_contact(&self) -> bool {
+        let lease = self.read_lease_acquired().map(|_| self.read_lease.until);
+        let renewal = lease.map(|until| until.saturating_sub(READ_LEASE_TTL));
+        let contact = self.read_lease.last_contact.max(renewal);
+        contact.is_some_and(|at| self.now < at + RECENT_CONTACT_AGE)
+    }
+
     /// Returns since when the read lease is held, if it is valid now.
     pub(crate) fn read_lease_acquired(&self) -> Option<Micros> {
         self.read_lease.acquired.filter(|_| self.now < self.read_lease.until)
--- a/crates/gate/src/ready.rs
+++ b/crates/gate/src/ready.rs
@@ -49,7 +49,8 @@
         }
         let unreachable_since = self.ready.unreachable_since;
         let was_ready = self.ready.ready;
-        let isolated = contacts.is_isolated() || !self.has_store_contact();
+        let isolated =
+            !self.has_store_contact() || contacts.is_isolated() && !self.has_recent_store_contact();
         let limit = if isolated { ISOLATED_GRACE } else { UNREACHABLE_GRACE };
         let kept = was_ready && unreachable_since.is_some_and(|since| now < since + limit);
         let ready =
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -34,6 +34,10 @@
 /// Error text for a request that would wait too long.
 pub(crate) const OVERLOADED_TEXT: &str = "not run, the database is overloaded, retry after 200 ms";
 
+/// Error text for a request that needs a proof of the leader which cannot be had.
+pub(crate) const UNPROVED_TEXT: &str =
+    "not run, the primary could not be proved to lead, retry after 500 ms";
+
 /// Weight in percent of the expected time at a replica that is not preferred, and of that at the
 /// leader. The leader is kept free for requests that only it can serve.
 const REPLICA_TIME_WEIGHT_PERCENT: u64 = 150;
@@ -204,6 +208,9 @@
         {
             return self.queue_at(id, peer, self.required_position(id), None);
         }
+        if self.lacks_proof(&route.cluster) {
+            return self.refuse(id, self.refusal_code(id), UNPROVED_TEXT);
+        }
         if let Some(request) = self.requests.get_mut(&id) {
             request.stage = RequestStage::WaitingForProof;
             request.proof_time = proof_time;
