Answer requests that arrive while idle sessions are closed

Cause: at a planned stop, idle sessions are closed 2.3 s after the signal. A request that had arrived and was not read yet was lost with a reset, so its client could not know whether it ran.

Ruled out: closing sessions later (each has some last moment).

Change: before such a connection is closed, its input is read once more and each request is refused as not run. Reads queued at a database that does not answer go to another one that can serve them; they waited there for their time limit.

--- a/crates/edge/src/driver.rs
+++ b/crates/edge/src/driver.rs
@@ -21,7 +21,7 @@
 use stakker_mio::mio::net::TcpListener;
 use stakker_mio::{MioPoll, MioSource, Ready};
 
-use crate::codec::{BackendMessage, ClientMessage, WireCodec};
+use crate::codec::{BackendMessage, ClientMessage, CodecError, WireCodec};
 use crate::logging::{dropped_lines, event_line, render_record};
 use crate::metrics::{MetricSet, SharedStatus};
 use crate::socket::{BufferedSocket, ReadOutcome, connect};
@@ -54,6 +54,16 @@
     state: TransactionState,
 }
 
+impl ClientSocket {
+    /// Reads the next message from the buffered input.
+    fn read_message<C: WireCodec>(&mut self) -> Result<Option<ClientMessage>, CodecError> {
+        match self.origin {
+            SessionOrigin::Client => C::read_client(&mut self.socket.input),
+            SessionOrigin::Peer => C::read_peer(&mut self.socket.input),
+        }
+    }
+}
+
 /// A connection to a database.
 struct BackendSocket {
     socket: BufferedSocket,
@@ -253,12 +263,7 @@
                     self.unblocked_clients.push(session.0);
                 }
             }
-            GateAction::CloseSession { session } => {
-                if let Some(client) = self.clients.get_mut(&session.0) {
-                    client.closing = true;
-                    self.dirty_clients.push(session.0);
-                }
-            }
+            GateAction::CloseSession { session } => self.close_idle_client(session.0),
             GateAction::OpenConnection { connection, cluster, database, address } => {
                 self.open_backend(cx, connection, &cluster, &database, address);
             }
@@ -402,6 +407,25 @@
         }
     }
 
+    /// Closes the connection of an idle session. A request that has arrived in the meantime is
+    /// refused, because closing a connection with unread data resets it.
+    fn close_idle_client(&mut self, id: u64) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.closing = true;
+        // If the client is gone, writing fails, too.
+        let _ = client.socket.fill(CLIENT_READ_AHEAD_BYTES);
+        while let Ok(Some(message)) = client.read_message::<P::Codec>() {
+            if let ClientMessage::Request(_) = message {
+                let text = "not run, this node closes idle sessions, retry at once".to_string();
+                let reply = gate::ClientReply::Failed { code: ErrorCode::Busy, text };
+                let state = TransactionState::Idle;
+                P::Codec::write_reply(&reply, state, None, &mut client.socket.output);
+                self.metrics.add("requests_refused_at_close", 1);
+            }
+        }
+        self.dirty_clients.push(id);
+    }
+
     /// Reads messages of a client until a request is in progress or the input is used up.
     fn read_requests(&mut self, cx: CX![], id: u64) {
         loop {
@@ -409,12 +433,7 @@
             if client.busy || client.closing {
                 return;
             }
-            let input = &mut client.socket.input;
-            let message = match client.origin {
-                SessionOrigin::Client => P::Codec::read_client(input),
-                SessionOrigin::Peer => P::Codec::read_peer(input),
-            };
-            let message = match message {
+            let message = match client.read_message::<P::Codec>() {
                 Ok(Some(message)) => message,
                 Ok(None) => return,
                 Err(error) => {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -246,6 +246,7 @@
 
     fn tick(&mut self) {
         self.refresh_owners();
+        self.reroute_from_unresponsive_databases();
         self.resume_and_expire_requests();
         self.maintain_connections();
         self.maintain_peers();
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -380,6 +380,41 @@
         }
     }
 
+    /// Reroutes the reads queued at databases that do not answer, if another database can serve
+    /// them. Other requests wait, because only the primary or its successor can serve them.
+    pub(crate) fn reroute_from_unresponsive_databases(&mut self) {
+        let now = self.now;
+        let unresponsive: Vec<Name> = self
+            .databases
+            .iter()
+            .filter(|(_, database)| {
+                database.peer.is_none() && database.load() > 0 && !database.is_responsive(now)
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in unresponsive {
+            let queued: Vec<RequestId> = self
+                .requests
+                .iter()
+                .filter(|(_, request)| {
+                    request.stage == RequestStage::Queued
+                        && request.database.as_ref() == Some(&name)
+                        && !request.needs_leader()
+                })
+                .map(|(id, _)| *id)
+                .collect();
+            for id in queued {
+                if self.can_serve_elsewhere(id, &name) {
+                    if let Some(request) = self.requests.get_mut(&id) {
+                        request.excluded.push(name.clone());
+                    }
+                    self.release_slot(id);
+                    self.route_request(id);
+                }
+            }
+        }
+    }
+
     /// Removes a request whose client is gone.
     pub(crate) fn abandon_request(&mut self, id: RequestId) {
         self.abandon_slot(id);
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -290,6 +290,22 @@
         database.is_responsive(self.now).then(|| leader.clone())
     }
 
+    /// Returns true if another database than `name` can serve a read now.
+    pub(crate) fn can_serve_elsewhere(&self, id: RequestId, name: &Name) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let cluster = &request.route.cluster;
+        if self.usable_leader(cluster).is_some_and(|leader| leader != *name) {
+            return true;
+        }
+        let since = coverage_time(request.route.freshness, request.started_at);
+        let proof = self.clusters.get(cluster).map(|state| &state.proof);
+        let position = since.and_then(|since| proof?.proved_position(since));
+        position.is_some_and(|position| {
+            let position = Some(position).max(self.required_position(id));
+            self.choose_replica(id, cluster, position).is_some()
+        })
+    }
+
     /// Chooses the least loaded replica that holds or probably holds the position.
     fn choose_replica(
         &self,
--- a/crates/gate/tests/overload.rs
+++ b/crates/gate/tests/overload.rs
@@ -188,3 +188,23 @@
         assert!(answer.at <= sent_at + millis(340), "answered after {}", answer.at - sent_at);
     }
 }
+
+/// A replica hangs with reads in its queue (`srv_crash` with how `dark`). They are served elsewhere
+/// and do not wait there for their time limit.
+#[test]
+fn reads_leave_the_queue_of_a_replica_that_hangs() {
+    let mut simulation = Simulation::start(1);
+    warm_up(&mut simulation);
+    for name in ["a", "b", "c"] {
+        simulation.database(name).statement_time = millis(30);
+    }
+    simulation.database("b").hung = true;
+    let sessions = burst(&mut simulation, BOUNDED, 6, 4);
+    simulation.run(millis(600));
+    assert!(
+        served(&simulation, &sessions) == sessions.len(),
+        "{} of {} served within 720 ms",
+        served(&simulation, &sessions),
+        sessions.len()
+    );
+}
