Say in a refusal why the request was not served

Cause: requests that had waited in a queue or for a retry were refused with "no primary within the time", also where a primary is known, and the text told clients to retry at once.

Change: one text for each stage. A comment promised that requests wait for a whole failover; each waits for its own hold time.

Result: a test in crates/gate/tests/overload.rs.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -10,7 +10,8 @@
 use crate::{Gate, fields};
 
 /// Time within which a failover is expected to complete: detection, one round of fences and one
-/// promotion. Requests wait for it this long; after it, new requests are refused at once.
+/// promotion. Within it, each request waits for its own hold time, as the new primary may appear;
+/// after it, new requests are refused at once.
 pub(crate) const FAILOVER_WAIT: Micros = Micros::from_millis(2_500);
 
 /// Time between report requests after a report that proved nothing, such as one of a fenced
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -508,12 +508,17 @@
             return;
         }
         match request.stage {
-            RequestStage::WaitingForLeader | RequestStage::BackingOff(_) | RequestStage::Queued => {
-                self.refuse(
-                    id,
-                    ErrorCode::Busy,
-                    "not run, no primary within the time, retry at once",
-                );
+            RequestStage::WaitingForLeader => {
+                let text = "not run, the cluster has no usable primary, retry after 300 ms";
+                self.refuse(id, ErrorCode::Busy, text);
+            }
+            RequestStage::BackingOff(_) => {
+                let text = "not run, no database could serve it in time, retry after 200 ms";
+                self.refuse(id, ErrorCode::Busy, text);
+            }
+            RequestStage::Queued => {
+                let text = "not run, the time limit passed in the queue, retry after 200 ms";
+                self.refuse(id, ErrorCode::Busy, text);
             }
             RequestStage::WaitingForProof => {
                 self.refuse(id, self.refusal_code(id), UNPROVED_TEXT);
--- a/crates/gate/tests/overload.rs
+++ b/crates/gate/tests/overload.rs
@@ -208,3 +208,22 @@
         sessions.len()
     );
 }
+
+/// A refusal names its cause: operators were told that there is no primary where there was one.
+#[test]
+fn a_refusal_after_a_wait_in_the_queue_does_not_blame_the_primary() {
+    let mut simulation = Simulation::start(1);
+    warm_up(&mut simulation);
+    for name in ["a", "b", "c"] {
+        simulation.database(name).hung = true;
+    }
+    let sessions = burst(&mut simulation, LATEST, 1, 30);
+    simulation.run(millis(1_000));
+    let texts = sessions.iter().filter_map(|session| match &simulation.answer(*session)?.reply {
+        gate::ClientReply::Failed { text, .. } => Some(text.as_str()),
+        gate::ClientReply::Done { .. } => None,
+    });
+    let texts: std::collections::BTreeSet<&str> = texts.collect();
+    assert!(texts.iter().any(|text| text.contains("the queue")), "{texts:?}");
+    assert!(!texts.iter().any(|text| text.contains("no primary")), "{texts:?}");
+}
