Keep serving at nodes that only forward while the store is away

Nodes that only forward counted as cut off 2.3 s after their last contact with the store, although their owners went on serving with a report for each read; 59 of 62 nodes left the rotation. A node out of rotation closes idle sessions, also those that had just been opened because no node was in rotation, before their first request could arrive.

Ruled out: the relays (nodes without one lost contact just the same; the code before them has the same rule); a cut of the clients' links.

Change: without contact with the store, an owner that answers and does not refuse counts as servable. Only sessions that were opened before the balancer had removed the node are closed.

Result: two tests in crates/gate/tests/readiness.rs, both red before.

--- a/crates/gate/src/drain.rs
+++ b/crates/gate/src/drain.rs
@@ -69,7 +69,7 @@
             }
         }
         if now >= since + BALANCER_REMOVAL_DELAY.min(Micros(grace.0 / 2)) {
-            self.close_idle_sessions();
+            self.close_idle_sessions(Micros::MAX);
         }
         if self.sessions.is_empty() && now >= since + BALANCER_REMOVAL_DELAY
             || now + EXIT_MARGIN >= since + grace
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -40,6 +40,7 @@
 /// Which nodes answer.
 #[derive(Debug, Default)]
 pub(crate) struct PeerContacts {
+    responsive: FastSet<Name>,
     /// Nodes whose answers are long overdue.
     unresponsive: FastSet<Name>,
     /// At least one node of another data centre answers.
@@ -64,14 +65,16 @@
             return true;
         }
         let Some(owners) = self.owners.owners_of(cluster) else { return false };
-        self.has_store_contact()
-            && !contacts.is_isolated()
+        // While the store is away, only an owner that answers is known not to be cut off.
+        let in_contact = self.has_store_contact();
+        !contacts.is_isolated()
             && owners.iter().any(|node| {
                 let record = self.registry.last_known(node);
                 *node != self.settings.node
                     && record
                         .is_some_and(|record| !record.suspected_clusters.contains(cluster.as_str()))
                     && !contacts.unresponsive.contains(node)
+                    && (in_contact || contacts.responsive.contains(node))
                     && !self.peers.refused.contains_key(&(node.clone(), cluster.clone()))
             })
     }
@@ -80,11 +83,10 @@
     pub(crate) fn peer_contacts(&self) -> PeerContacts {
         let now = self.now;
         let mut contacts = PeerContacts::default();
-        let mut responsive = FastSet::<Name>::default();
         for entry in self.databases.values() {
             let Some(node) = &entry.peer else { continue };
             if entry.last_answer.is_some_and(|at| now < at + UNRESPONSIVE_TIMEOUT) {
-                responsive.insert(node.clone());
+                contacts.responsive.insert(node.clone());
                 let centre = self.registry.get(node).map(|record| record.data_centre.as_str());
                 contacts.other_data_centre_answers |=
                     centre != Some(self.settings.data_centre.as_str());
@@ -92,7 +94,8 @@
                 contacts.unresponsive.insert(node.clone());
             }
         }
-        contacts.unresponsive.retain(|node| !responsive.contains(node));
+        let PeerContacts { responsive, unresponsive, .. } = &mut contacts;
+        unresponsive.retain(|node| !responsive.contains(node));
         contacts
     }
 
--- a/crates/gate/src/ready.rs
+++ b/crates/gate/src/ready.rs
@@ -69,10 +69,13 @@
                 ],
             );
         }
-        let delay_passed =
-            self.ready.unready_since.is_some_and(|since| now >= since + CLOSE_SESSIONS_DELAY);
-        if unreachable_since.is_some() && delay_passed && clusters > 0 {
-            self.close_idle_sessions();
+        let removed = self.ready.unready_since.map(|since| since + CLOSE_SESSIONS_DELAY);
+        if let Some(removed) = removed.filter(|removed| now >= *removed)
+            && unreachable_since.is_some()
+            && clusters > 0
+        {
+            // A session that was opened later came here because no node is in rotation.
+            self.close_idle_sessions(removed);
         }
     }
 }
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -54,6 +54,7 @@
 #[derive(Debug)]
 pub(crate) struct Session {
     pub(crate) database: Name,
+    opened_at: Micros,
     pub(crate) values: BTreeMap<Name, Name>,
     pub(crate) prepared: FastMap<Name, (StatementAccess, Name)>,
     /// Position of the session's last commit, by cluster.
@@ -107,6 +108,7 @@
         self.count("sessions_opened");
         let state = Session {
             database,
+            opened_at: self.now,
             values: BTreeMap::new(),
             prepared: FastMap::default(),
             commit_positions: FastMap::default(),
@@ -337,12 +339,13 @@
         self.release_transaction(connection, id);
     }
 
-    /// Closes the sessions that have neither a request nor a transaction.
-    pub(crate) fn close_idle_sessions(&mut self) {
+    /// Closes the sessions that have neither a request nor a transaction and were opened before a
+    /// time.
+    pub(crate) fn close_idle_sessions(&mut self, opened_before: Micros) {
         let idle: Vec<SessionId> = self
             .sessions
             .iter()
-            .filter(|(_, session)| session.is_idle())
+            .filter(|(_, session)| session.is_idle() && session.opened_at < opened_before)
             .map(|(id, _)| *id)
             .collect();
         for id in idle {
--- a/crates/gate/tests/readiness.rs
+++ b/crates/gate/tests/readiness.rs
@@ -152,3 +152,66 @@
         assert!(databases.ready, "not ready {} after the cut", databases.gate.now - cut);
     }
 }
+
+/// A store outage for all nodes. Those that only forward left the rotation although the owners
+/// served their requests, and closed the sessions of their clients.
+#[test]
+fn a_node_whose_owners_answer_is_ready_without_the_store() {
+    let nodes = (1..30).map(|index| NodeEntry::new(NodeRole::Owner, index, "east", 500).stored());
+    let mut gate = SingleGate::start("east", 120, nodes.collect());
+    let mut ready = false;
+    let mut connections: FastMap<ConnectionId, Name> = FastMap::default();
+    let contact_lost = millis(1_000);
+    for number in 1..250 {
+        if gate.now < contact_lost {
+            gate.event(GateEvent::StoreContactRenewed { sent: gate.now });
+        }
+        gate.read(number, LATEST);
+        for action in std::mem::take(&mut gate.actions) {
+            match action {
+                GateAction::OpenConnection { connection, database, .. } => {
+                    connections.insert(connection, database);
+                    gate.event(GateEvent::ConnectionOpened { connection, position: None });
+                }
+                GateAction::Send { connection, .. } => {
+                    let answer = Box::new(BackendAnswer {
+                        rows: Vec::new(),
+                        end: AnswerEnd::Done(Bytes::from_static(b"sig")),
+                        state: TransactionState::Idle,
+                        position: None,
+                        report: None,
+                    });
+                    gate.event(GateEvent::ConnectionAnswered { connection, answer });
+                }
+                GateAction::SetReady(reported) => ready = reported,
+                _ => {}
+            }
+        }
+        gate.run(TIMER_INTERVAL);
+        let settled = gate.now > millis(200);
+        assert!(!settled || ready, "not ready at {}", gate.now);
+    }
+}
+
+/// No node of any data centre is ready, so the balancer uses all. Each new session was closed before
+/// its first request, without an answer.
+#[test]
+fn sessions_that_open_at_a_node_out_of_rotation_are_kept() {
+    let mut simulation = Simulation::start(3);
+    let old = simulation.open(0, LATEST);
+    simulation.store_cut.insert(0);
+    for database in ["a", "b", "c"] {
+        simulation.cut(0, database);
+    }
+    let cut = simulation.now;
+    while simulation.now < cut + millis(5_000) {
+        let session = simulation.open(0, LATEST);
+        simulation.send_request(0, session, &format!("r{}", simulation.now.0), "READ 1");
+        simulation.run(TIMER_INTERVAL);
+    }
+    assert!(!simulation.ready[0]);
+    assert!(simulation.closed.contains(&old), "its client should move to another node");
+    let new = simulation.open(0, LATEST);
+    simulation.run(millis(1_000));
+    assert!(!simulation.closed.contains(&new));
+}
