--- a/crates/gate/tests/forwarding.rs
+++ b/crates/gate/tests/forwarding.rs
@@ -8,8 +8,8 @@
     DatabaseRole, GateAction, GateEvent, ListedDatabase, NodeRole, SessionOrigin, TermPosition,
 };
 use model::{Micros, Name, Term};
-use support::single_gate::{NodeEntry, SingleGate};
-use support::{BOUNDED, CLUSTER, LATEST, SESSION, Simulation};
+use support::single_gate::{NodeEntry, SingleGate, listed};
+use support::{BOUNDED, LATEST, SESSION, Simulation};
 
 fn millis(time: u64) -> Micros {
     Micros::from_millis(time)
@@ -116,19 +116,6 @@
     assert!(sent, "a command is sent on the probed connection");
 }
 
-fn listed(id: &str, data_centre: &str, claimed_role: DatabaseRole) -> ListedDatabase {
-    ListedDatabase {
-        id: id.into(),
-        cluster: CLUSTER.into(),
-        address: ([127, 0, 0, 1], 9_000).into(),
-        data_centre: data_centre.into(),
-        slots: 4,
-        leaving: false,
-        claimed_role: Some(claimed_role),
-        started_at_ms: None,
-    }
-}
-
 /// An owner in another data centre than the primary adds a round trip to every statement. While a
 /// former primary that is cut off still claims to lead, the choice stays.
 #[test]
--- a/crates/gate/tests/large_deployment.rs
+++ b/crates/gate/tests/large_deployment.rs
@@ -6,12 +6,11 @@
 mod support;
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
 use gate::*;
 use model::{Micros, Name};
-use support::single_gate::{NodeEntry, SingleGate, stored};
-use support::{CLUSTER, LATEST};
+use support::LATEST;
+use support::single_gate::{NodeEntry, SingleGate, listed, stored};
 
 const NODES: u16 = 30;
 
@@ -35,18 +34,9 @@
 /// Starts `n0` with a list of three databases.
 fn start(documents: Vec<StoredDocument>) -> SingleGate {
     let mut node = SingleGate::start("dc0", 500, documents);
-    let databases = ["a", "b", "c"].map(|name| ListedDatabase {
-        id: name.into(),
-        cluster: CLUSTER.into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
-        data_centre: "dc1".into(),
-        slots: 4,
-        leaving: false,
-        claimed_role: Some(match name {
-            "a" => DatabaseRole::Primary,
-            _ => DatabaseRole::Replica,
-        }),
-        started_at_ms: None,
+    let databases = ["a", "b", "c"].map(|name| {
+        let role = if name == "a" { DatabaseRole::Primary } else { DatabaseRole::Replica };
+        listed(name, "dc1", role)
     });
     node.event(GateEvent::DatabasesListed(databases.into()));
     node
--- a/crates/gate/tests/readiness.rs
+++ b/crates/gate/tests/readiness.rs
@@ -10,12 +10,11 @@
 use bytes::Bytes;
 use gate::{
     AnswerEnd, BackendAnswer, BackendCommand, ConnectionId, DatabaseReport, DatabaseRole,
-    GateAction, GateEvent, ListedDatabase, NodeRole, TIMER_INTERVAL, TermPosition,
-    TransactionState,
+    GateAction, GateEvent, NodeRole, TIMER_INTERVAL, TermPosition, TransactionState,
 };
 use model::{FastMap, Micros, Name, Term};
-use support::single_gate::{NodeEntry, SingleGate};
-use support::{CLUSTER, LATEST, Simulation};
+use support::single_gate::{NodeEntry, SingleGate, listed};
+use support::{LATEST, Simulation};
 
 fn millis(time: u64) -> Micros {
     Micros::from_millis(time)
@@ -123,16 +122,6 @@
     nodes.push(NodeEntry::new(NodeRole::Owner, 3, "north", 250));
     nodes[2].record.peer_address = None;
     let gate = SingleGate::start("east", 250, nodes.iter().map(NodeEntry::stored).collect());
-    let listed = |id: &str, data_centre: &str, claimed_role| ListedDatabase {
-        id: id.into(),
-        cluster: CLUSTER.into(),
-        address: ([127, 0, 0, 1], 9_000).into(),
-        data_centre: data_centre.into(),
-        slots: 4,
-        leaving: false,
-        claimed_role: Some(claimed_role),
-        started_at_ms: None,
-    };
     let mut databases =
         AnsweringDatabases { gate, connections: FastMap::default(), silent: None, ready: false };
     databases.gate.event(GateEvent::DatabasesListed(vec![
--- a/crates/gate/tests/support/single_gate.rs
+++ b/crates/gate/tests/support/single_gate.rs
@@ -5,7 +5,7 @@
 use gate::*;
 use model::{Micros, Name};
 
-use super::route_table;
+use super::{CLUSTER, route_table};
 
 /// Connections that a database accepts, as in the smaller of the users' large deployments.
 const CONNECTIONS: u32 = 46;
@@ -43,6 +43,20 @@
     StoredDocument { document, revision: 1, lease: 1, bytes }
 }
 
+/// Returns the entry of a database of the test cluster.
+pub fn listed(id: &str, data_centre: &str, claimed_role: DatabaseRole) -> ListedDatabase {
+    ListedDatabase {
+        id: id.into(),
+        cluster: CLUSTER.into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        data_centre: data_centre.into(),
+        slots: 4,
+        leaving: false,
+        claimed_role: Some(claimed_role),
+        started_at_ms: None,
+    }
+}
+
 /// The gate and the actions that it has requested.
 pub struct SingleGate {
     pub gate: Gate,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -25,7 +25,7 @@
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Maximum number of followers. Further ones go to other relays or to the store.
-const MAX_FOLLOWERS: usize = 128;
+pub const MAX_FOLLOWERS: usize = 128;
 
 /// Stack of a thread that serves a follower.
 const FOLLOWER_STACK_BYTES: usize = 128 * 1024;
