Turn to the store after two silent relays

Cause: a follower tried every relay of its data centre for 1.5 s each. With more than two of them paused at once it kept an old configuration beyond the bound, and with more than the 3 s for which a relay is not chosen again allow it never came back: the test hung for ten minutes before this change.

Change: two tries, of a second each at most, then the store. A relay's first frame is expected within 0.7 s.

--- a/crates/relay/src/follower.rs
+++ b/crates/relay/src/follower.rs
@@ -22,6 +22,13 @@
 /// Time for connecting to a relay in the same data centre.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for the first frame of a relay: one heartbeat, and the time for a slow link.
+const FIRST_FRAME_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Number of relays that are tried before the follower turns to the store. The owners of a data
+/// centre may all be paused or cut off, and each try takes up to a second.
+const MAX_RELAY_TRIES: usize = 2;
+
 /// Time for which a relay that was left is not chosen again.
 const RELAY_BACKOFF: Duration = Duration::from_millis(3_000);
 
@@ -95,17 +102,22 @@
 
     /// Waits for the next frame of a relay, which is chosen among the candidates if none is
     /// connected. `after` is the revision up to which all changes are known.
+    ///
+    /// Returns within [`FRAME_TIMEOUT`] and two seconds.
     pub fn next(&mut self, after: u64, candidates: &[RelayCandidate]) -> FollowOutcome {
         if let Some(connection) = &self.connection
             && candidates.iter().all(|candidate| candidate.node != connection.relay)
         {
             self.connection = None;
         }
+        let mut tries = 0;
         loop {
             let Some(connection) = &mut self.connection else {
-                let Some(relay) = self.choose(candidates) else {
+                let Some(relay) = self.choose(candidates).filter(|_| tries < MAX_RELAY_TRIES)
+                else {
                     return FollowOutcome::Unavailable;
                 };
+                tries += 1;
                 match connect(relay, after) {
                     Ok(connection) => self.connection = Some(connection),
                     Err(error) => {
@@ -148,7 +160,7 @@
 fn connect(relay: &RelayCandidate, after: u64) -> io::Result<RelayConnection> {
     let mut stream = TcpStream::connect_timeout(&relay.address, CONNECT_TIMEOUT)?;
     stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(FRAME_TIMEOUT))?;
+    stream.set_read_timeout(Some(FIRST_FRAME_TIMEOUT))?;
     stream.set_write_timeout(Some(FRAME_TIMEOUT))?;
     write_line(&mut stream, &FollowRequest { after })?;
     let relay = relay.node.clone();
@@ -159,6 +171,7 @@
 /// Reads a frame; without changes it is a heartbeat.
 fn read_frame(input: &mut BufReader<TcpStream>) -> io::Result<(FrameHeader, Option<Arc<[u8]>>)> {
     let header: FrameHeader = read_line(input)?;
+    input.get_ref().set_read_timeout(Some(FRAME_TIMEOUT))?;
     let body = match header.bytes {
         0 => None,
         bytes => Some(read_body(input, bytes)?),
