--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,11 +8,10 @@
 mod gate;
 mod json;
 mod late_write;
-mod memory;
+mod lost_answer;
 mod reborn;
 mod setup;
 mod sigterm;
-
 mod store;
 mod values;
 
@@ -72,7 +71,7 @@
     std::fs::create_dir_all(&scratch).unwrap_or_else(|error| cannot_run(&error.to_string()));
     record(&format!("case {case}, disruption: {}", trouble()));
     let broken = match case.as_str() {
-        "memory" => memory::run(&scratch),
+        "lost_answer" => lost_answer::run(&scratch),
         "reborn" => reborn::run(&scratch),
         "sigterm" => sigterm::run(&scratch),
         "late_write" => late_write::run(&scratch),
