Add review case 1: commits that a restarted replica let the old primary acknowledge

A paused replica that restarts after the last list receives commits of the old primary, which are lost with the promote.

--- a/review/standin/database.rs
+++ b/review/standin/database.rs
@@ -75,6 +75,7 @@
     changed: Condvar,
     pub runs: Mutex<Vec<Run>>,
     next_connection: Mutex<u64>,
+    promoting: Mutex<bool>,
     /// The answer of the next statement of a client at this database is lost.
     lose_answer: Mutex<Option<usize>>,
     /// The database that is cut off from some machines, and these.
@@ -124,6 +125,7 @@
             changed: Condvar::new(),
             runs: Mutex::new(Vec::new()),
             next_connection: Mutex::new(0),
+            promoting: Mutex::new(false),
             lose_answer: Mutex::new(None),
             cut: Mutex::new(None),
             store: OnceLock::new(),
@@ -205,6 +207,34 @@
         self.write_entries();
     }
 
+    /// Crashes a replica and starts it again after a time, with its log. A restart ends its pause.
+    pub fn restart_replica(&self, index: usize, after: Duration) {
+        {
+            let mut databases = self.lock();
+            let database = &mut databases[index];
+            database.down = true;
+            for stream in database.streams.drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+            record(&format!("{} crashed", database.id));
+        }
+        thread::sleep(after);
+        {
+            let mut databases = self.lock();
+            databases[index].down = false;
+            databases[index].fence = 0;
+            databases[index].born = now_ms();
+            record(&format!("{} started again with its log", databases[index].id));
+        }
+        self.changed.notify_all();
+        self.write_entries();
+    }
+
+    /// Returns true if a promotion has been accepted.
+    pub fn is_promoting(&self) -> bool {
+        *self.promoting.lock().unwrap()
+    }
+
     /// Reports `draining` to the store.
     pub fn drain(&self, index: usize) {
         self.lock()[index].draining = true;
@@ -272,6 +302,7 @@
         if self.lock()[index].down {
             return false;
         }
+        *self.promoting.lock().unwrap() = true;
         let cluster = self.clone();
         thread::spawn(move || {
             thread::sleep(cluster.setup.promote);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod late_write;
 mod lost_answer;
 mod reborn;
+mod restarted_replica;
 mod setup;
 mod sigterm;
 mod store;
@@ -72,6 +73,7 @@
     record(&format!("case {case}, disruption: {}", trouble()));
     let broken = match case.as_str() {
         "lost_answer" => lost_answer::run(&scratch),
+        "restarted_replica" => restarted_replica::run(&scratch),
         "reborn" => reborn::run(&scratch),
         "sigterm" => sigterm::run(&scratch),
         "late_write" => late_write::run(&scratch),
--- a/review/standin/setup.rs
+++ b/review/standin/setup.rs
@@ -18,6 +18,9 @@
 /// Database name of the route, whose type is `primary`.
 pub const DATABASE: &str = "billing1";
 
+/// Database name of the route whose type is `bounded`.
+pub const VIEWS: &str = "views1";
+
 /// Time in which the machines know the databases and each other.
 const SETTLE: Duration = Duration::from_secs(5);
 
@@ -39,12 +42,12 @@
 /// `max-connections` of the services.
 const CONNECTIONS: u32 = 16;
 
-/// Writes a configuration with one route of type `primary`.
+/// Writes a configuration with a route of type `primary` and one of type `bounded`.
 pub fn configure(store: &Store, timeout_ms: u64) {
     store.put(
         "op/config",
         &format!(
-            r#"{{"version":3,"routes":[{{"name":"r1","host":"{DATABASE}","service":"{SERVICE}","type":"primary","timeout-ms":{timeout_ms},"priority":1,"target-latency-ms":600}}],"services":[{{"name":"{SERVICE}","max-connections":{CONNECTIONS},"sync-replicas":1}}],"limits":{{"tx-idle-ms":3000}}}}"#
+            r#"{{"version":3,"routes":[{{"name":"r1","host":"{DATABASE}","service":"{SERVICE}","type":"primary","timeout-ms":{timeout_ms},"priority":1,"target-latency-ms":600}},{{"name":"r2","host":"{VIEWS}","service":"{SERVICE}","type":"bounded","max-staleness-ms":1500,"timeout-ms":1200,"priority":2,"target-latency-ms":600}}],"services":[{{"name":"{SERVICE}","max-connections":{CONNECTIONS},"sync-replicas":1}}],"limits":{{"tx-idle-ms":3000}}}}"#
         ),
     );
 }
