--- a/review/standin/gate.rs
+++ b/review/standin/gate.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -10,6 +11,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
 pub const SIGTERM: i32 = 15;
@@ -165,9 +167,18 @@
     }
 }
 
+/// Starts the program. It is killed when this process ends for any reason.
 fn spawn(file: &Path, log: &Path) -> Child {
     let log = std::fs::File::options().create(true).append(true).open(log).unwrap();
-    Command::new("target/release/cicadawick-gate")
+    let mut command = Command::new("target/release/cicadawick-gate");
+    // SAFETY: a plain system call; PR_SET_PDEATHSIG is 1 and SIGKILL is 9 on Linux.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(1, 9);
+            Ok(())
+        });
+    }
+    command
         .env_clear()
         .env("PATH", std::env::var("PATH").unwrap_or_default())
         .env("CICADAWICK_NODE_FILE", file)
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -22,6 +22,9 @@
 use std::sync::{Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
+/// Folder of the settings and logs of the processes.
+static SCRATCH: OnceLock<PathBuf> = OnceLock::new();
+
 static RECORD: OnceLock<(Instant, Mutex<BufWriter<File>>)> = OnceLock::new();
 
 /// Writes a line to the record, with the seconds since the start.
@@ -43,6 +46,9 @@
 pub fn cannot_run(reason: &str) -> ! {
     record(&format!("cannot run: {reason}"));
     eprintln!("cannot run: {reason}");
+    if let Some(scratch) = SCRATCH.get() {
+        let _ = std::fs::remove_dir_all(scratch);
+    }
     std::process::exit(2);
 }
 
@@ -70,6 +76,7 @@
     let _ = RECORD.set((Instant::now(), Mutex::new(BufWriter::new(file))));
     let scratch = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     std::fs::create_dir_all(&scratch).unwrap_or_else(|error| cannot_run(&error.to_string()));
+    let _ = SCRATCH.set(scratch.clone());
     record(&format!("case {case}, disruption: {}", trouble()));
     let broken = match case.as_str() {
         "lost_answer" => lost_answer::run(&scratch),
