--- a/review/standin/clients.rs
+++ b/review/standin/clients.rs
@@ -8,8 +8,8 @@
 
 use crate::database::Cluster;
 use crate::gate::Client;
-use crate::record;
 use crate::setup::DATABASE;
+use crate::{record, record_at};
 
 /// With two writers this makes about as many writes a second as the site's clients send.
 const WRITER_PAUSE: Duration = Duration::from_millis(20);
@@ -64,6 +64,7 @@
             let Some(client) = &mut session else { continue };
             let value = self.next.fetch_add(1, Ordering::Relaxed) + 1;
             let (id, text) = (format!("{name}n{value}"), format!("WRITE {ITEM} {value}"));
+            record_at(Instant::now(), &format!("sent {id} {text}"));
             match client.ask(&id, &text) {
                 Ok(answer) => {
                     if answer.succeeded() {
@@ -93,6 +94,7 @@
             let id = format!("{name}n{number}");
             let last = self.acknowledged.lock().unwrap().last().copied();
             let began = Instant::now();
+            record_at(began, &format!("sent {id} READ {ITEM}"));
             match client.ask(&id, &format!("READ {ITEM}")) {
                 Ok(answer) => {
                     let row = answer.rows.first().map_or("", String::as_str);
--- a/review/standin/database.rs
+++ b/review/standin/database.rs
@@ -8,8 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::record;
 use crate::store::Store;
+use crate::{record, record_at};
 
 /// Requests that may wait for a slot; more are answered with BUSY.
 const QUEUE: usize = 40;
@@ -547,6 +547,10 @@
         }
         let run = {
             let mut runs = self.runs.lock().unwrap();
+            record_at(
+                Instant::now(),
+                &format!("ran {query} {text} at {id} on connection {}", connection.number),
+            );
             runs.push(Run {
                 id: query.to_string(),
                 text: text.to_string(),
--- a/review/standin/restarted_replica.rs
+++ b/review/standin/restarted_replica.rs
@@ -6,13 +6,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::database::{Cluster, ServiceSetup};
 use crate::gate::{Client, Gate};
 use crate::setup::{DATABASE, SERVICE, VIEWS, configure, wait_until_ready};
 use crate::store::Store;
-use crate::{record, trouble, wait_for};
+use crate::{record, record_at, trouble, wait_for};
 
 const ZONES: [&str; 5] = ["chiquimula", "jocotan", "zacapa", "esquipulas", "jocotan"];
 
@@ -137,6 +137,7 @@
         }
         let Some(client) = &mut session else { continue };
         let id = format!("{name}n{number}");
+        record_at(Instant::now(), &format!("sent {id} WRITE {name} {number}"));
         match client.ask(&id, &format!("WRITE {name} {number}")) {
             Ok(answer) => {
                 record(&format!("answered {id}: {}", answer.end));
