--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O review/standin/main.rs -o target/review/standin
+rustc --edition 2024 -O review/main.rs -o target/review/standin
--- a/review/standin/database.rs
+++ b/review/database.rs
@@ -30,11 +30,8 @@
     pub id: String,
     pub text: String,
     pub database: String,
-    pub connection: u64,
     pub at: Instant,
     pub ended: Option<Instant>,
-    /// Session values of the connection at that time.
-    pub values: BTreeMap<String, String>,
 }
 
 pub struct Database {
@@ -555,10 +552,8 @@
                 id: query.to_string(),
                 text: text.to_string(),
                 database: id.clone(),
-                connection: connection.number,
                 at: Instant::now(),
                 ended: None,
-                values: connection.values.clone(),
             });
             runs.len() - 1
         };
--- a/review/standin/main.rs
+++ b/review/main.rs
@@ -1,20 +1,24 @@
 //! Stand-ins of the users' platform, databases and clients, and the cases of the review that use them.
 //!
-//! `standin CASE FOLDER` runs a case. It writes FOLDER/record.txt and exits with 1 if the rule was broken, 0 if it
+//! `standin N FOLDER` runs case N, 1 to 5. It writes FOLDER/record.txt and exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run. With TROUBLE=0 it leaves out the disruption.
 
+#[path = "1/case.rs"]
+mod case_1;
+#[path = "2/case.rs"]
+mod case_2;
+#[path = "3/case.rs"]
+mod case_3;
+#[path = "4/case.rs"]
+mod case_4;
+#[path = "5/case.rs"]
+mod case_5;
 mod clients;
 mod database;
 mod gate;
 mod json;
-mod late_write;
-mod lost_answer;
-mod reborn;
-mod restarted_replica;
 mod setup;
-mod sigterm;
 mod store;
-mod values;
 
 use std::fs::File;
 use std::io::{BufWriter, Write};
@@ -69,7 +73,7 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else { cannot_run("usage: standin CASE FOLDER") };
+    let [_, case, folder] = arguments.as_slice() else { cannot_run("usage: standin N FOLDER") };
     let folder = PathBuf::from(folder);
     let file = File::create(folder.join("record.txt"))
         .unwrap_or_else(|error| cannot_run(&format!("no record: {error}")));
@@ -79,12 +83,11 @@
     let _ = SCRATCH.set(scratch.clone());
     record(&format!("case {case}, disruption: {}", trouble()));
     let broken = match case.as_str() {
-        "lost_answer" => lost_answer::run(&scratch),
-        "restarted_replica" => restarted_replica::run(&scratch),
-        "reborn" => reborn::run(&scratch),
-        "sigterm" => sigterm::run(&scratch),
-        "late_write" => late_write::run(&scratch),
-        "values" => values::run(&scratch),
+        "1" => case_1::run(&scratch),
+        "2" => case_2::run(&scratch),
+        "3" => case_3::run(&scratch),
+        "4" => case_4::run(&scratch),
+        "5" => case_5::run(&scratch),
         _ => cannot_run("no such case"),
     };
     if std::env::var("KEEP").is_err() {
