Report no commits of a primary whose replacement was announced

Cause: a failover relies on its fences to keep the old primary from acknowledging commits until the promotion takes effect. A replica that starts again has no fence. After the last list this no longer changes the failover, and an accepted promotion cannot be taken back. Nodes that had seen the announcement sent no new requests there, but went on to dispatch queued writes, committed open transactions and passed on every acknowledgement.

Evidence: all five nodes log `announcement_seen` at 8.64 s, the promotion is accepted at 8.81 s, the replica restarts at 9.12 s (`fence_forgotten`), and both kinds of writes are answered with success within 40 ms. Ruled out: fencing the replica again when it is listed, which comes too late for the commits that wait for it.

Change: with the announcement, requests queued at the primary are routed again, and commits of transactions that wrote there are refused as rolled back. Acknowledgements that arrive more than 20 ms later are reported as unknown (`commit_withheld`). The failover waits that long after the last acknowledgement of the announcement, and then for the listing delay, before it reads the lists for the last time. So a commit that counts was received either by a replica that is fenced still, or by one whose restart is listed then.

The simulation now keeps commits waiting until a replica receives them; the other tests were not changed.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -55,6 +55,8 @@
     next_search: Micros,
     /// Term at which a failover was announced.
     pub(crate) announced_term: Option<Term>,
+    /// When this node saw the announcement of the failover that is announced now.
+    pub(crate) announced_at: Option<Micros>,
     /// When the last announced failover was over; the read lease extends no proof from before.
     pub(crate) last_failover_end: Micros,
     /// When the first overdue commit was sent; cleared by an acknowledged commit or a change of
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -151,7 +151,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(session) = self.sessions.get(&request.session) else { return };
         let Transaction::Open(open) = &session.transaction else { return };
-        let connection = open.connection;
+        let (connection, commits_writes) = (open.connection, open.wrote && request.is_commit());
         let lost = match self.connections.get(&connection) {
             Some(state) => state.close_when_idle || !state.open,
             None => true,
@@ -163,6 +163,12 @@
             return self.fail_transaction(id, ErrorCode::Aborted, "the connection was lost");
         }
         request.tries += 1;
+        let cluster = request.route.cluster.clone();
+        let at_peer = request.database.clone().is_some_and(|database| self.is_peer(&database));
+        if commits_writes && !at_peer && self.is_leader_suspended(&cluster) {
+            let text = "rolled back, the primary is being replaced, retry at once";
+            return self.fail_transaction(id, ErrorCode::Aborted, text);
+        }
         self.send_statement(id, connection, false);
     }
 }
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -8,9 +8,10 @@
 //! 4. Fence every replica, leaving ones included. After the last fence the old primary can
 //!    acknowledge no commit, because no replica receives it.
 //! 5. Read the lists again and fence new replicas. Wait until every registered node has
-//!    acknowledged the announcement or can no longer hold a read lease.
+//!    acknowledged the announcement or can no longer hold a read lease. From then on no node
+//!    reports a commit of the old primary as successful.
 //! 6. Read the lists once more, because a new replica may receive commits shortly before it is
-//!    listed.
+//!    listed, and one that has started again is not fenced any more.
 //! 7. Demote the old primary if it can be reached. A promotion takes effect some time after the
 //!    call, and a replica that starts in the meantime could let the old primary acknowledge more
 //!    commits.
@@ -29,7 +30,7 @@
 use crate::backend::{BackendCommand, DatabaseReport};
 use crate::database::CommandPurpose;
 use crate::event::{Document, NodeRole, PromoteResult, StoreState, StoredDocument};
-use crate::read_lease::READ_LEASE_TTL;
+use crate::read_lease::{COMMIT_GRACE, READ_LEASE_TTL};
 use crate::registry::NodeRecord;
 use crate::{Gate, fields};
 
@@ -40,8 +41,8 @@
 /// are lifted.
 const RESPONSIVE_PRIMARY_TIMEOUT: Micros = Micros::from_millis(1_500);
 
-/// Upper bound of the time between the first commit that a new replica receives and its entry in
-/// the list. The entry follows about 22 ms later.
+/// Upper bound of the time between the first commit that a new or restarted replica receives and
+/// its entry in the list. The entry follows about 22 ms later.
 const LISTING_DELAY: Micros = Micros::from_millis(100);
 
 /// Time to wait for the answer to a demotion before the failover goes on without it.
@@ -133,6 +134,8 @@
     /// Nodes that have not acknowledged the announcement, and the state of the leases that their
     /// read leases depend on.
     pub(crate) unacknowledged: FastMap<Name, LeaseRevocation>,
+    /// When the last acknowledgement was seen.
+    pub(crate) acknowledged_at: Micros,
     /// No read lease from before the announcement can be valid after this time.
     pub(crate) read_leases_expired_at: Micros,
 }
@@ -357,6 +360,7 @@
             if failover.relisted {
                 failover.unacknowledged =
                     unacknowledged_nodes(&documents, &self.settings.node, failover.announced);
+                failover.acknowledged_at = self.now;
                 let last_departure = self.registry.last_departure().unwrap_or(self.started);
                 failover.read_leases_expired_at = last_departure.max(self.started) + READ_LEASE_TTL;
             }
@@ -383,9 +387,13 @@
         let now = self.now;
         let Some(failover) = self.failovers.running.get_mut(cluster) else { return };
         let (announced, registry) = (failover.announced, &self.registry);
+        let missing = failover.unacknowledged.len();
         failover.unacknowledged.retain(|node, revocation| {
             *revocation == LeaseRevocation::Ended || !registry.has_acknowledged(node, announced)
         });
+        if failover.unacknowledged.len() < missing {
+            failover.acknowledged_at = now;
+        }
         let mut ends = Vec::new();
         for (node, revocation) in &mut failover.unacknowledged {
             if let LeaseRevocation::Held { lease, requested_at } = revocation
@@ -400,9 +408,11 @@
             .unacknowledged
             .values()
             .all(|revocation| *revocation == LeaseRevocation::Ended);
-        if all_ended
-            && now >= failover.read_leases_expired_at.max(failover.last_step + LISTING_DELAY)
-        {
+        let last_commit = failover
+            .read_leases_expired_at
+            .max(failover.acknowledged_at + COMMIT_GRACE)
+            .max(failover.last_step);
+        if all_ended && now >= last_commit + LISTING_DELAY {
             return self.set_stage(cluster, FailoverStage::FinalListing);
         }
         self.out.append(&mut ends);
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -229,7 +229,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (cluster, database) = (request.route.cluster.clone(), request.database.clone());
         let Some(database) = database else { return };
-        let sent = request.sent.unwrap_or(now);
+        let (session_id, sent) = (request.session, request.sent.unwrap_or(now));
         let wrote = match (&request.kind, self.sessions.get_mut(&request.session)) {
             (RequestKind::Write, _) => true,
             (RequestKind::Begin { .. } | RequestKind::Continue, Some(session)) => {
@@ -243,12 +243,15 @@
             }
             _ => false,
         };
+        if wrote && !self.is_commit_kept(&cluster, &database) {
+            return self.withhold_commit(id, &database);
+        }
         if wrote {
             if let Some(state) = self.clusters.get_mut(&cluster) {
                 state.commit_overdue = None;
             }
             if let (Some(session), Some(position)) =
-                (self.sessions.get_mut(&request.session), answer.position)
+                (self.sessions.get_mut(&session_id), answer.position)
             {
                 let last_commit = session.commit_positions.entry(cluster.clone()).or_default();
                 *last_commit = position.max(*last_commit);
@@ -262,6 +265,33 @@
         self.reply_success(id, answer);
     }
 
+    /// Replies to a commit that the primary acknowledged after its replacement was announced. The
+    /// new primary may lack it.
+    fn withhold_commit(&mut self, id: RequestId, database: &Name) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let single = matches!(request.kind, RequestKind::Write);
+        let (name, cluster) = (request.client_request.id.clone(), request.route.cluster.clone());
+        let announced_at = self.clusters.get(&cluster).and_then(|state| state.announced_at);
+        let announced_ms =
+            announced_at.map_or(u64::MAX, |at| self.now.saturating_sub(at).as_millis());
+        self.count("commits_withheld");
+        self.log(
+            "commit_withheld",
+            fields![
+                "request" => &name,
+                "cluster" => &cluster,
+                "database" => database,
+                "announced_ms" => announced_ms
+            ],
+        );
+        let text = "the primary is being replaced, the outcome is not known";
+        if single {
+            self.refuse(id, ErrorCode::Unknown, text);
+        } else {
+            self.fail_transaction(id, ErrorCode::Unknown, text);
+        }
+    }
+
     /// Replies with a successful answer.
     pub(crate) fn reply_success(&mut self, id: RequestId, answer: BackendAnswer) {
         let AnswerEnd::Done(signature) = answer.end else { return };
@@ -380,6 +410,26 @@
         }
     }
 
+    /// Reroutes the requests that are queued at a leader whose replacement was announced. Reads of
+    /// stale data stay.
+    pub(crate) fn reroute_from_suspended_leader(&mut self, cluster: &Name) {
+        let queued: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| {
+                request.stage == RequestStage::Queued
+                    && request.route.cluster == *cluster
+                    && request.needs_leader()
+                    && !request.database.as_ref().is_some_and(|database| self.is_peer(database))
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in queued {
+            self.release_slot(id);
+            self.route_request(id);
+        }
+    }
+
     /// Reroutes the reads queued at databases that do not answer, if another database can serve
     /// them. Other requests wait, because only the primary or its successor can serve them.
     pub(crate) fn reroute_from_unresponsive_databases(&mut self) {
--- a/crates/gate/src/read_lease.rs
+++ b/crates/gate/src/read_lease.rs
@@ -4,6 +4,10 @@
 //! the last successful renewal was *sent*. A node that starts a failover announces it. Before it
 //! promotes, it waits for the acknowledgement of each registered owner, or ends that node's lease
 //! and waits [`READ_LEASE_TTL`].
+//!
+//! A node that has seen an announcement sends no more writes to the primary that is to be replaced,
+//! and after [`COMMIT_GRACE`] reports none of its commits as successful. The fences alone do not
+//! prevent such commits: a replica that starts again has lost its fence.
 
 use model::{Micros, Name};
 
@@ -14,6 +18,10 @@
 /// answers 60 times slower than its usual 4 ms.
 pub const READ_LEASE_TTL: Micros = Micros::from_millis(800);
 
+/// Time after an announcement was seen in which commits of the primary that is to be replaced still
+/// count, so that most writes in flight get their outcome. The failover waits for as long.
+pub(crate) const COMMIT_GRACE: Micros = Micros::from_millis(20);
+
 /// Time of uninterrupted store contact after which the list of databases is complete: entries that
 /// expired while the store was unavailable are back within about two seconds.
 const RELIST_GRACE: Micros = Micros::from_millis(2_500);
@@ -113,6 +121,27 @@
         self.read_lease.announced.iter().any(|name| name == cluster.as_str())
     }
 
+    /// Returns true if an announced failover may replace the leader that this node knows.
+    pub(crate) fn is_leader_suspended(&self, cluster: &Name) -> bool {
+        let replaced = self.clusters.get(cluster).is_some_and(|state| {
+            state.announced_term.is_some_and(|term| state.proof.term() > term)
+        });
+        self.is_announced(cluster) && !replaced
+    }
+
+    /// Returns true if a commit that a database has just acknowledged cannot be lost by an announced
+    /// failover. Another node checks the commits that it answers for itself.
+    pub(crate) fn is_commit_kept(&self, cluster: &Name, database: &Name) -> bool {
+        if !self.is_announced(cluster) || self.is_peer(database) {
+            return true;
+        }
+        let Some(state) = self.clusters.get(cluster) else { return false };
+        let in_grace = state.announced_at.is_some_and(|at| self.now < at + COMMIT_GRACE);
+        let by_new_primary =
+            !self.is_leader_suspended(cluster) && state.proof.leader() == Some(database);
+        in_grace || by_new_primary
+    }
+
     /// Extends the proof of the cluster's leader by the read lease.
     pub(crate) fn apply_read_lease(&mut self, cluster: &Name) {
         let now = self.now;
@@ -133,11 +162,14 @@
             return;
         }
         let announced_clusters = record.announced_clusters.clone();
+        let mut suspended = Vec::new();
         for name in &announced_clusters {
             if !self.read_lease.announced.contains(name)
                 && let Some(state) = self.clusters.get_mut(name.as_str())
             {
                 state.announced_term = Some(state.proof.term());
+                state.announced_at = Some(self.now);
+                suspended.push(Name::from(name.as_str()));
             }
         }
         // A report from before the end of the failover may be of the old primary's term.
@@ -146,6 +178,7 @@
         {
             if let Some(state) = self.clusters.get_mut(name.as_str()) {
                 state.last_failover_end = self.now;
+                state.announced_at = None;
             }
         }
         self.read_lease.acknowledged = revision;
@@ -158,5 +191,8 @@
         if !ended {
             self.acknowledge_announcement();
         }
+        for cluster in suspended {
+            self.reroute_from_suspended_leader(&cluster);
+        }
     }
 }
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -281,8 +281,7 @@
     /// Returns the leader if it is expected to serve requests.
     pub(crate) fn usable_leader(&self, cluster: &Name) -> Option<Name> {
         let state = self.clusters.get(cluster)?;
-        let replaced = state.announced_term.is_some_and(|term| state.proof.term() > term);
-        if self.is_announced(cluster) && !replaced {
+        if self.is_leader_suspended(cluster) {
             return None;
         }
         let leader = state.proof.leader()?;
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -235,6 +235,7 @@
                 only_lifts_fences,
                 announced: 0,
                 unacknowledged: FastMap::default(),
+                acknowledged_at: now,
                 read_leases_expired_at: now,
             },
         );
--- a/crates/gate/tests/leadership.rs
+++ b/crates/gate/tests/leadership.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use gate::{DatabaseRole, ErrorCode};
+use gate::{DatabaseRole, ErrorCode, SessionId, TermPosition};
 use model::{Micros, Term};
 use support::{BOUNDED, LATEST, SESSION, Simulation};
 
@@ -420,12 +420,108 @@
         run_with_load(&mut simulation, millis(20));
         assert!(simulation.now < Micros::from_secs(20), "no failover fences the replicas");
     }
-    let restarted = simulation.database("c");
-    restarted.fence = Term(0);
-    restarted.started_at_ms += 1;
+    simulation.restart_replica("c");
     while simulation.promotions.is_empty() {
         run_with_load(&mut simulation, millis(20));
         assert!(simulation.now < Micros::from_secs(30), "no promotion");
     }
     assert!(fenced(&simulation), "{:?}", simulation.databases["c"]);
 }
+
+/// Runs until a promotion is called, with one write of each of `writers` every 20 ms. Returns the
+/// sessions and ids of the writes, and the end of the log that is promoted.
+fn write_until_promotion(
+    simulation: &mut Simulation,
+    writers: std::ops::Range<usize>,
+) -> (Vec<(SessionId, String)>, TermPosition) {
+    let mut writes = Vec::new();
+    while simulation.promotions.is_empty() {
+        for gate in writers.clone() {
+            let (session, id) = (simulation.open(gate, LATEST), format!("w{}", writes.len()));
+            simulation.send_request(gate, session, &id, "WRITE 1 x");
+            writes.push((session, id));
+        }
+        run_with_load(simulation, millis(20));
+        assert!(simulation.now < Micros::from_secs(20), "no promotion");
+    }
+    let promoted = simulation.promotions[0].1.clone();
+    (writes, simulation.databases[&promoted].received)
+}
+
+/// Returns the writes that were served by database `a` beyond a position of its log.
+fn served_beyond(
+    simulation: &Simulation,
+    writes: &[(SessionId, String)],
+    end: TermPosition,
+) -> Vec<String> {
+    let ran = &simulation.databases["a"].ran;
+    let lost = writes.iter().filter(|(session, id)| {
+        simulation.outcome(*session) == "served"
+            && ran.iter().any(|(ran, position)| **ran == **id && *position > end)
+    });
+    lost.map(|(_, id)| id.clone()).collect()
+}
+
+/// Guards against acknowledged commits that the promoted replica lacks. Some nodes still reach the
+/// old primary, which gets a replica back that has lost its fence by a restart, after the lists
+/// were read for the last time.
+#[test]
+fn queued_writes_are_not_sent_to_a_primary_that_is_being_replaced() {
+    let mut simulation = Simulation::start(5);
+    run_with_load(&mut simulation, millis(500));
+    for gate in 0..3 {
+        simulation.cut(gate, "a");
+    }
+    simulation.database("a").statement_time = millis(12);
+    let (writes, end) = write_until_promotion(&mut simulation, 3..5);
+    simulation.restart_replica("c");
+    run_with_load(&mut simulation, millis(600));
+    assert_eq!(served_beyond(&simulation, &writes, end), [] as [String; 0]);
+    assert!(simulation.logged("announcement_seen") > 0);
+    let ran = simulation.databases["a"].ran.iter();
+    let late = ran.filter(|(id, position)| id.starts_with('w') && *position > end);
+    assert_eq!(late.count(), 0, "writes were sent after the announcement");
+}
+
+/// As above, with writes that wait for a replica at the old primary from before the announcement.
+#[test]
+fn commits_in_flight_at_a_primary_that_is_being_replaced_are_not_acknowledged() {
+    let mut simulation = Simulation::start(5);
+    run_with_load(&mut simulation, millis(500));
+    for gate in 0..3 {
+        simulation.cut(gate, "a");
+    }
+    run_with_load(&mut simulation, millis(400));
+    simulation.database("b").replication_stopped = true;
+    simulation.database("c").replication_stopped = true;
+    let (writes, end) = write_until_promotion(&mut simulation, 3..5);
+    simulation.restart_replica("c");
+    run_with_load(&mut simulation, millis(100));
+    let ran = &simulation.databases["a"].ran;
+    assert!(ran.iter().any(|(_, position)| *position > end), "the replica received a commit");
+    assert_eq!(served_beyond(&simulation, &writes, end), [] as [String; 0]);
+    assert!(simulation.logged("commit_withheld") > 0);
+}
+
+/// Guards against the commit of a transaction that wrote at the old primary before the
+/// announcement. It is rolled back, and the client is told so.
+#[test]
+fn a_transaction_is_not_committed_at_a_primary_that_is_being_replaced() {
+    let mut simulation = Simulation::start(5);
+    run_with_load(&mut simulation, millis(500));
+    let session = simulation.open(4, LATEST);
+    for (id, text) in [("t1", "BEGIN"), ("t2", "WRITE 1 x")] {
+        simulation.send_request(4, session, id, text);
+        simulation.run(millis(20));
+        assert_eq!(simulation.outcome(session), "served");
+    }
+    for gate in 0..3 {
+        simulation.cut(gate, "a");
+    }
+    write_until_promotion(&mut simulation, 3..5);
+    simulation.send_request(4, session, "t3", "COMMIT");
+    simulation.restart_replica("c");
+    run_with_load(&mut simulation, millis(100));
+    assert_eq!(simulation.outcome(session), ErrorCode::Aborted.name());
+    assert!(!simulation.ran_at("a", "t3"));
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -104,6 +104,8 @@
     /// Databases without an entry in the list.
     pub unlisted: BTreeSet<Name>,
     connections: BTreeMap<(usize, ConnectionId), Name>,
+    /// Commits that no replica has received yet.
+    waiting_commits: Vec<Delivery>,
     documents: BTreeMap<String, StoredDocument>,
     pub revision: u64,
     queue: BinaryHeap<Reverse<ScheduledDelivery>>,
@@ -218,6 +220,7 @@
             closed: BTreeSet::new(),
             unlisted: BTreeSet::new(),
             connections: BTreeMap::new(),
+            waiting_commits: Vec::new(),
             documents: BTreeMap::new(),
             revision: 1,
             queue: BinaryHeap::new(),
@@ -259,6 +262,15 @@
         }
     }
 
+    /// Starts a replica again with its log. It has no fence any more.
+    pub fn restart_replica(&mut self, name: &str) {
+        let replica = self.database(name);
+        replica.fence = Term(0);
+        replica.replication_stopped = false;
+        replica.started_at_ms += 1;
+        self.publish_database(name);
+    }
+
     /// Notifies every node that reaches the store of the database's current entry.
     pub fn publish_database(&mut self, name: &str) {
         let listed = self.listed_one(&name.into());
@@ -299,6 +311,9 @@
                 self.deliver(delivery);
             }
             self.now = tick;
+            for commit in std::mem::take(&mut self.waiting_commits) {
+                self.deliver(commit);
+            }
             let renews = (tick.0 / TIMER_INTERVAL.0).is_multiple_of(15);
             for gate in 0..self.gates.len() {
                 if self.stopped.contains(&gate) {
@@ -449,7 +464,17 @@
                 {
                     return;
                 }
-                if let Some(answer) = self.execute(&database, &command) {
+                if !self.connections.contains_key(&(gate, connection)) {
+                    return;
+                }
+                let answer = self.execute(&database, &command);
+                if answer.is_none() {
+                    let command = command.clone();
+                    let database = database.clone();
+                    let waiting = Delivery::Command { gate, connection, database, command };
+                    self.waiting_commits.push(waiting);
+                }
+                if let Some(answer) = answer {
                     let statement = matches!(
                         command,
                         BackendCommand::Run { .. } | BackendCommand::Execute { .. }
@@ -511,7 +536,7 @@
         }
     }
 
-    /// Executes a command; `None` if it hangs, as a commit does that no replica receives.
+    /// Executes a command; `None` for a commit that waits for a replica to receive it.
     fn execute(&mut self, name: &Name, command: &BackendCommand) -> Option<BackendAnswer> {
         let done = |rows: Vec<Bytes>| (rows, AnswerEnd::Done(Bytes::from_static(b"sig")));
         let failed = |code| (Vec::new(), AnswerEnd::Failed { code, text: "refused".to_string() });
