Wait for nodes that register while a failover waits

A failover reads the registered nodes once, and then waits for the acknowledgements of these. A node that registers later, such as one whose lease the failover itself has ended, holds a new read lease without having acknowledged anything.

Cause: `unacknowledged` is computed when the lists are read again, and the last list is only compared with the fenced replicas.

Change: the last list is also checked for registrations that acknowledge nothing. If there are any, the failover waits for them as for the others. A registration whose lease is known to have ended does not count, so an item that stays in the store cannot hold a failover up.

--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -11,7 +11,8 @@
 //!    acknowledged the announcement or can no longer hold a read lease. From then on no node
 //!    reports a commit of the old primary as successful.
 //! 6. Read the lists once more, because a new replica may receive commits shortly before it is
-//!    listed, and one that has started again is not fenced any more.
+//!    listed, and one that has started again is not fenced any more. Nodes that have registered in
+//!    the meantime are waited for, too.
 //! 7. Demote the old primary if it can be reached. A promotion takes effect some time after the
 //!    call, and a replica that starts in the meantime could let the old primary acknowledge more
 //!    commits.
@@ -140,13 +141,40 @@
     pub(crate) read_leases_expired_at: Micros,
 }
 
+impl ClusterFailover {
+    /// Adds nodes that have not acknowledged the announcement; returns true if there are new ones.
+    /// Those whose lease is known to have ended are not.
+    fn add_unacknowledged(&mut self, listed: FastMap<Name, LeaseRevocation>) -> bool {
+        let mut added = false;
+        for (node, revocation) in listed {
+            let ended = match (revocation, self.unacknowledged.get(&node)) {
+                (LeaseRevocation::Held { lease, .. }, Some(known)) => {
+                    *known == LeaseRevocation::Ended { lease }
+                }
+                _ => false,
+            };
+            if !ended {
+                self.unacknowledged.insert(node, revocation);
+                added = true;
+            }
+        }
+        added
+    }
+}
+
 /// Progress in ending another node's lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LeaseRevocation {
     /// The lease still has to be ended; `requested_at` is when that was last requested.
     Held { lease: u64, requested_at: Option<Micros> },
     /// The lease has ended; the node's read lease runs out.
-    Ended,
+    Ended { lease: u64 },
+}
+
+impl LeaseRevocation {
+    fn is_ended(self) -> bool {
+        matches!(self, LeaseRevocation::Ended { .. })
+    }
 }
 
 /// Running failovers and the conditions that lead to them, by cluster.
@@ -364,6 +392,13 @@
                 let last_departure = self.registry.last_departure().unwrap_or(self.started);
                 failover.read_leases_expired_at = last_departure.max(self.started) + READ_LEASE_TTL;
             }
+            // Nodes that have registered since, such as one whose lease was ended.
+            let late = stage == FailoverStage::FinalListing
+                && failover.add_unacknowledged(unacknowledged_nodes(
+                    &documents,
+                    &self.settings.node,
+                    failover.announced,
+                ));
             failover.replicas = replicas;
             if failover.only_lifts_fences {
                 self.lift_fences(&cluster);
@@ -372,6 +407,9 @@
             let fenced = failover.replicas.iter().all(|name| failover.fenced.contains_key(name));
             match stage {
                 FailoverStage::Listing => self.set_stage(&cluster, FailoverStage::Probing),
+                FailoverStage::FinalListing if fenced && late => {
+                    self.set_stage(&cluster, FailoverStage::AwaitingAcknowledgements);
+                }
                 FailoverStage::FinalListing if fenced => {
                     self.demote_old_primary(&cluster);
                     continue;
@@ -389,7 +427,7 @@
         let (announced, registry) = (failover.announced, &self.registry);
         let missing = failover.unacknowledged.len();
         failover.unacknowledged.retain(|node, revocation| {
-            *revocation == LeaseRevocation::Ended || !registry.has_acknowledged(node, announced)
+            revocation.is_ended() || !registry.has_acknowledged(node, announced)
         });
         if failover.unacknowledged.len() < missing {
             failover.acknowledged_at = now;
@@ -404,10 +442,7 @@
                 ends.push(GateAction::EndLease { node: node.clone(), lease: *lease });
             }
         }
-        let all_ended = failover
-            .unacknowledged
-            .values()
-            .all(|revocation| *revocation == LeaseRevocation::Ended);
+        let all_ended = failover.unacknowledged.values().all(|revocation| revocation.is_ended());
         let last_commit = failover
             .read_leases_expired_at
             .max(failover.acknowledged_at + COMMIT_GRACE)
@@ -424,8 +459,11 @@
         let now = self.now;
         self.log("lease_ended", fields!["node" => node, "ended" => ended]);
         for failover in self.failovers.running.values_mut() {
-            if ended && let Some(revocation) = failover.unacknowledged.get_mut(node) {
-                *revocation = LeaseRevocation::Ended;
+            if ended
+                && let Some(revocation) = failover.unacknowledged.get_mut(node)
+                && let LeaseRevocation::Held { lease, .. } = *revocation
+            {
+                *revocation = LeaseRevocation::Ended { lease };
                 failover.read_leases_expired_at =
                     failover.read_leases_expired_at.max(now + READ_LEASE_TTL);
             }
--- a/crates/gate/tests/leadership.rs
+++ b/crates/gate/tests/leadership.rs
@@ -171,6 +171,34 @@
     assert!(promoted >= *ended + gate::READ_LEASE_TTL);
 }
 
+/// Guards against a promotion while a node holds a read lease of a registration that is newer than
+/// the first list: the node lost its lease, registered again, and does not know of the announcement.
+#[test]
+fn a_promotion_waits_for_nodes_that_register_during_a_failover() {
+    let mut simulation = Simulation::start(4);
+    run_with_load(&mut simulation, millis(300));
+    simulation.documents_cut.insert(0);
+    for gate in 1..4 {
+        simulation.cut(gate, "a");
+    }
+    let end = simulation.now + millis(8_000);
+    let mut ended = 0;
+    while simulation.now < end && simulation.promotions.is_empty() {
+        run_with_load(&mut simulation, millis(20));
+        if simulation.logged("lease_ended") > ended {
+            ended = simulation.logged("lease_ended");
+            if ended == 1 {
+                simulation.register_again(0);
+            }
+        }
+    }
+    let promoted = simulation.promotions[0].0;
+    let last = simulation.logs.iter().rfind(|(_, _, record)| record.event == "lease_ended");
+    let (ended_at, ..) = last.expect("a lease of node 0 was ended");
+    assert_eq!(ended, 2, "both leases of node 0 were ended");
+    assert!(promoted >= *ended_at + gate::READ_LEASE_TTL);
+}
+
 #[test]
 fn fences_of_a_node_that_died_are_lifted() {
     let mut simulation = Simulation::start(4);
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -415,6 +415,8 @@
             GateAction::EndLease { node, .. } => {
                 if let Some(index) = self.names.iter().position(|name| *name == node) {
                     self.renewing.remove(&index);
+                    self.documents
+                        .remove(&document_key(&Document::Node(NodeRole::Owner, node.clone())));
                 }
                 let event = GateEvent::EndLeaseAnswered { node, ended: true };
                 self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
@@ -437,9 +439,16 @@
         }
     }
 
+    /// Stores an owner's registration that acknowledges nothing, under a new lease.
+    pub fn register_again(&mut self, gate: usize) {
+        let record = serde_json::to_vec(&NodeRecord::default()).expect("it is serialized");
+        self.store(Document::Node(NodeRole::Owner, self.names[gate].clone()), record);
+    }
+
     fn store(&mut self, document: Document, bytes: Vec<u8>) -> u64 {
         self.revision += 1;
-        let stored = StoredDocument { document, revision: self.revision, lease: 1, bytes };
+        let lease = self.revision;
+        let stored = StoredDocument { document, revision: self.revision, lease, bytes };
         self.documents.insert(document_key(&stored.document), stored.clone());
         for gate in 0..self.gates.len() {
             if !self.store_cut.contains(&gate) && !self.documents_cut.contains(&gate) {
