Keep a failover announced while its promotion may take effect

A failover ends with its announcement 6 s after its start, also if the platform has accepted the promotion shortly before. The promotion takes effect up to a second later, and until then commits at the old primary count again.

Cause: the time limit only makes an exception for a call in flight.

Change: the time limit is extended to two seconds after the last promotion call. No call is sent after the time limit, so a platform that keeps refusing cannot hold the failover up. A rejected call has no effect and extends nothing.

Result: `a_failover_is_not_given_up_while_its_promotion_may_take_effect` failed before ("failover timed out") and passes. `a_failover_whose_promotion_is_refused_is_given_up` guards the other side; it passed before, too.

--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -52,6 +52,10 @@
 /// Interval between fence commands to the same replica, and between promotion calls.
 pub(crate) const STEP_RETRY_INTERVAL: Micros = Micros::from_millis(250);
 
+/// Time after a promotion call in which the promotion may still take effect: the call itself and the
+/// users' longest promotion (1 s), with a margin. The failover stays announced for as long.
+const PROMOTION_EFFECT_TIMEOUT: Micros = Micros::from_millis(2_000);
+
 /// Time before this node retries a failover of the same cluster after it aborted one.
 const FAILOVER_BACKOFF: Micros = Micros::from_millis(1_500);
 
@@ -126,6 +130,8 @@
     pub(crate) fenced: FastMap<Name, DatabaseReport>,
     pub(crate) fence_sent: FastMap<Name, Micros>,
     pub(crate) new_primary: Option<Name>,
+    /// When the promotion was last called for.
+    pub(crate) promote_sent: Option<Micros>,
     /// `replicas` was read from the store after the last fence.
     pub(crate) relisted: bool,
     /// Only lifts fences that another node left behind; no primary is replaced.
@@ -247,8 +253,10 @@
         } else {
             FAILOVER_TIMEOUT
         };
-        let promote_in_flight = in_flight && stage == FailoverStage::Promoting;
-        if now >= failover.started + limit && !promote_in_flight {
+        let timed_out = now >= failover.started + limit;
+        let may_take_effect =
+            failover.promote_sent.is_some_and(|sent| now < sent + PROMOTION_EFFECT_TIMEOUT);
+        if timed_out && !may_take_effect {
             return self.abort_failover(cluster, "failover timed out");
         }
         if self.has_new_primary(cluster) {
@@ -289,7 +297,7 @@
             FailoverStage::Fencing => self.fence_replicas(cluster),
             FailoverStage::AwaitingAcknowledgements => self.wait_for_acknowledgements(cluster),
             FailoverStage::Promoting => {
-                if !in_flight && may_retry {
+                if !in_flight && may_retry && !timed_out {
                     self.send_promote(cluster);
                 }
             }
@@ -496,6 +504,9 @@
         let Some(token) = self.promotion_lease.fencing_token(now) else { return };
         let Some(database) = self.new_primary(cluster) else { return };
         self.record_step(cluster);
+        if let Some(failover) = self.failovers.running.get_mut(cluster) {
+            failover.promote_sent = Some(now);
+        }
         self.log(
             "promote_sent",
             fields!["cluster" => cluster, "database" => &database, "number" => token],
@@ -521,6 +532,7 @@
             PromoteResult::Accepted => self.set_stage(cluster, FailoverStage::AwaitingNewPrimary),
             PromoteResult::Failed => {}
             PromoteResult::Rejected => {
+                failover.promote_sent = None;
                 failover.fenced.clear();
                 self.set_stage(cluster, FailoverStage::Listing);
             }
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -231,6 +231,7 @@
                 fenced: FastMap::default(),
                 fence_sent: FastMap::default(),
                 new_primary: None,
+                promote_sent: None,
                 relisted: false,
                 only_lifts_fences,
                 announced: 0,
--- a/crates/gate/tests/leadership.rs
+++ b/crates/gate/tests/leadership.rs
@@ -553,3 +553,35 @@
     assert_eq!(simulation.outcome(session), ErrorCode::Aborted.name());
     assert!(!simulation.ran_at("a", "t3"));
 }
+
+/// Guards against an announcement that ends while an accepted promotion has not taken effect yet.
+/// The old primary's commits would count again, although the promoted log lacks them.
+#[test]
+fn a_failover_is_not_given_up_while_its_promotion_may_take_effect() {
+    let mut simulation = Simulation::start(4);
+    run_with_load(&mut simulation, millis(1_000));
+    simulation.promotion_delay = millis(1_000);
+    simulation.promotions_refused = true;
+    simulation.database("a").hung = true;
+    while simulation.logged("takeover_started") == 0 {
+        run_with_load(&mut simulation, millis(20));
+    }
+    // The platform accepts the promotion shortly before the time limit of the failover.
+    run_with_load(&mut simulation, millis(5_500));
+    simulation.promotions_refused = false;
+    run_with_load(&mut simulation, millis(2_000));
+    assert_eq!(simulation.promotions.len(), 1);
+    assert_eq!(simulation.logged("takeover_given_up"), 0);
+    assert_eq!(simulation.logged("takeover_completed"), 1);
+}
+
+/// Guards against a failover that goes on for ever while the platform refuses to promote.
+#[test]
+fn a_failover_whose_promotion_is_refused_is_given_up() {
+    let mut simulation = Simulation::start(4);
+    run_with_load(&mut simulation, millis(1_000));
+    simulation.promotions_refused = true;
+    simulation.database("a").hung = true;
+    run_with_load(&mut simulation, millis(10_000));
+    assert!(simulation.logged("takeover_given_up") > 0);
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -23,7 +23,7 @@
 /// Default time that a database takes for a statement.
 const STATEMENT_TIME: Micros = Micros::from_millis(3);
 
-/// Time from a promotion call to its effect.
+/// Default time from a promotion call to its effect.
 const PROMOTION_DELAY: Micros = Micros::from_millis(300);
 
 pub const CLUSTER: &str = "billing";
@@ -96,6 +96,10 @@
     pub logs: Vec<(Micros, usize, LogRecord)>,
     pub ready: Vec<bool>,
     pub promotions: Vec<(Micros, Name, u64)>,
+    /// Time from a promotion call to its effect.
+    pub promotion_delay: Micros,
+    /// The platform refuses promotion calls.
+    pub promotions_refused: bool,
     pub renewing: BTreeSet<usize>,
     /// Role and role changes of each node's registration.
     registered: Vec<(NodeRole, u64)>,
@@ -214,6 +218,8 @@
             answers: Vec::new(),
             logs: Vec::new(),
             promotions: Vec::new(),
+            promotion_delay: PROMOTION_DELAY,
+            promotions_refused: false,
             renewing: (0..nodes).collect(),
             registered: vec![(NodeRole::Standby, 0); nodes],
             stopped: BTreeSet::new(),
@@ -421,9 +427,13 @@
                 let event = GateEvent::EndLeaseAnswered { node, ended: true };
                 self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
             }
+            GateAction::Promote { cluster, .. } if self.promotions_refused => {
+                let event = GateEvent::PromoteAnswered { cluster, result: PromoteResult::Failed };
+                self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
+            }
             GateAction::Promote { cluster, database, fencing_token, .. } => {
                 self.promotions.push((self.now, database.clone(), fencing_token));
-                self.schedule(PROMOTION_DELAY, Delivery::Promoted { database });
+                self.schedule(self.promotion_delay, Delivery::Promoted { database });
                 let event = GateEvent::PromoteAnswered { cluster, result: PromoteResult::Accepted };
                 self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
             }
