Require the known revision when a registration is written

Cause: the failover waits for the nodes whose registrations are in the store, and the node relies on its read lease while it renews the lease of its registration. A registration whose answer was lost was written again under a second lease. The first write was done late, under the first lease, which nobody renewed; with its end the registration was removed. The renewals of the second lease went on to succeed.

Evidence: the node's log has the failed call and, 20 ms later, the read lease; the registration is missing from the store from then on; the failover logs no `lease_ended` and waits for nobody. There was no line for a registration that is stored, so `registration_written` is new.

Change: a write requires the last known revision of the item, and a conflict is resolved with the revision that the store returns. Any later write changes the revision, so the condition of a late one does not hold. A write without an answer is tried again under the same lease.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use codec::{BackendMessage, ClientMessage, CodecError, WireCodec};
 pub use logging::{event_line, start_logging};
-pub use store::{StoreChange, StoreClient, StoreError, StoreItem};
+pub use store::{ConditionalWrite, StoreChange, StoreClient, StoreError, StoreItem};
 
 use driver::IoDriver;
 use metrics::SharedStatus;
--- a/crates/edge/src/registration.rs
+++ b/crates/edge/src/registration.rs
@@ -6,12 +6,13 @@
 use std::time::{Duration, Instant};
 
 use gate::{GateEvent, NodeRole};
-use model::Name;
+use model::{FastMap, Name};
 use relay::ChangeRelay;
 use stakker::sync::Channel;
 
 use crate::clock;
-use crate::store::{StoreClient, StoreError, log_failure};
+use crate::logging::event_line;
+use crate::store::{ConditionalWrite, StoreClient, StoreError, log_failure};
 use crate::watch::StandbyStatus;
 
 /// Time to live of an owner's registration.
@@ -30,6 +31,9 @@
 /// Interval between renewals at a standby without a relay, which notices lost contact with the store by them.
 const STANDBY_RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Maximum number of times that a registration is written in a row while its revision is not the known one.
+const MAX_WRITE_TRIES: usize = 3;
+
 /// A registration that the gate asked to publish.
 pub(crate) struct RegistrationUpdate {
     pub(crate) role: NodeRole,
@@ -42,14 +46,19 @@
     End,
 }
 
-/// The registration that is in the store.
-struct StoredRegistration {
+/// A lease for this node's registration in a role.
+struct RegistrationLease {
     role: NodeRole,
     lease: u64,
+    /// The registration is in the store under this lease. While a write of it has not been answered, it may not be.
+    stored: bool,
 }
 
 /// Publishes this node's registration and renews the lease under which it is stored. At an owner, that lease is
 /// also its read lease.
+///
+/// A renewal says that the lease is valid, and not that the registration depends on it. Therefore each write requires
+/// the revision that the registration had, so that a write whose answer was lost cannot replace a newer one later.
 pub(crate) struct RegistrationKeeper<S> {
     client: S,
     node: Name,
@@ -58,7 +67,11 @@
     status: Arc<StandbyStatus>,
     /// Told of each answer of the store.
     relay: Option<ChangeRelay>,
-    stored: Option<StoredRegistration>,
+    held: Option<RegistrationLease>,
+    /// Lease of the former role, which is ended once the registration in the new role is stored.
+    former: Option<RegistrationLease>,
+    /// Last known revision of the registration in each role.
+    revisions: FastMap<NodeRole, u64>,
     latest: Option<RegistrationUpdate>,
     unpublished: bool,
     renew_at: Instant,
@@ -80,7 +93,9 @@
             events,
             status,
             relay,
-            stored: None,
+            held: None,
+            former: None,
+            revisions: FastMap::default(),
             latest: None,
             unpublished: false,
             renew_at: Instant::now(),
@@ -97,8 +112,8 @@
                     self.unpublished = true;
                 }
                 Ok(PublishCommand::End) => {
-                    if let Some(stored) = self.stored.take() {
-                        self.end_registration(&stored);
+                    for lease in [self.held.take(), self.former.take()].into_iter().flatten() {
+                        self.end_lease(&lease);
                     }
                     return;
                 }
@@ -121,34 +136,23 @@
         }
     }
 
-    /// Publishes a new registration, or renews the lease of the present one.
+    /// Writes the registration if it has changed or is not stored yet, or renews its lease otherwise.
     fn update_store(&mut self) {
         let Some(update) = &self.latest else { return };
         let (role, role_changes) = (update.role, update.role_changes);
         let (sent, sent_at) = (Instant::now(), clock::now());
-        let result = match &self.stored {
-            Some(stored) if stored.role == role && self.unpublished => {
-                self.client.write_registration(role, &self.node, &update.bytes, stored.lease)
-            }
-            Some(stored) if stored.role == role => self.client.renew_lease(stored.lease),
-            _ => {
-                self.unpublished = true;
-                open_registration(&self.client, &self.node, update).map(|opened| {
-                    if let Some(former) = self.stored.replace(opened) {
-                        self.end_registration(&former);
-                    }
-                    // The read lease starts with the first renewal sent after the registration is stored.
-                    self.renew_at = sent;
-                })
-            }
+        let held = self.held.as_ref().filter(|held| held.role == role && held.stored);
+        let result = match held {
+            Some(held) if !self.unpublished => self.client.renew_lease(held.lease).map(|()| true),
+            _ => self.write_registration(sent).map(|()| false),
         };
         match result {
-            Ok(()) => {
+            Ok(renewed) => {
                 if let Some(relay) = &self.relay {
                     relay.confirm_contact(sent_at);
                 }
                 // Writing the registration does not renew its lease.
-                if !std::mem::take(&mut self.unpublished) {
+                if renewed {
                     self.events.send(match role {
                         NodeRole::Owner => {
                             GateEvent::ReadLeaseRenewed { sent: sent_at, role_changes }
@@ -160,31 +164,89 @@
             Err(error) => {
                 log_failure("registration", &error);
                 if error == StoreError::LeaseEnded {
-                    self.stored = None;
-                    self.unpublished = true;
-                    self.events.send(GateEvent::RegistrationLeaseLost);
+                    self.lease_ended(role);
                 }
             }
         }
     }
 
-    fn end_registration(&self, stored: &StoredRegistration) {
-        if let Err(error) = self.client.end_lease(stored.lease) {
+    /// Writes the newest registration, under a new lease if none is held for its role.
+    fn write_registration(&mut self, sent: Instant) -> Result<(), StoreError> {
+        let Some(update) = &self.latest else { return Ok(()) };
+        let role = update.role;
+        if let Some(held) = self.held.take_if(|held| held.role != role)
+            && let Some(former) = self.former.replace(held)
+        {
+            self.end_lease(&former);
+        }
+        if self.held.is_none() {
+            self.held = Some(open_lease(&self.client, role)?);
+        }
+        self.store_registration(sent)?;
+        if let Some(former) = self.former.take() {
+            self.end_lease(&former);
+        }
+        Ok(())
+    }
+
+    /// Writes the newest registration under the held lease.
+    fn store_registration(&mut self, sent: Instant) -> Result<(), StoreError> {
+        let (Some(update), Some(held)) = (&self.latest, &mut self.held) else { return Ok(()) };
+        let (role, lease) = (update.role, held.lease);
+        for _ in 0..MAX_WRITE_TRIES {
+            let expected = self.revisions.get(&role).copied().unwrap_or_default();
+            let write =
+                self.client.write_registration(role, &self.node, &update.bytes, lease, expected)?;
+            match write {
+                ConditionalWrite::Written { revision } => {
+                    self.revisions.insert(role, revision);
+                    self.unpublished = false;
+                    if !std::mem::replace(&mut held.stored, true) {
+                        // The read lease starts with the first renewal sent after the registration is stored.
+                        self.renew_at = sent;
+                    }
+                    let fields = vec![
+                        ("owner", (role == NodeRole::Owner).into()),
+                        ("lease", lease.into()),
+                        ("revision", revision.into()),
+                    ];
+                    log::info!("{}", event_line("registration_written", fields));
+                    return Ok(());
+                }
+                ConditionalWrite::Conflict { current } => {
+                    self.revisions.insert(role, current);
+                    let fields = vec![
+                        ("owner", (role == NodeRole::Owner).into()),
+                        ("lease", lease.into()),
+                        ("expected", expected.into()),
+                        ("current", current.into()),
+                    ];
+                    log::warn!("{}", event_line("registration_conflict", fields));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Forgets a lease that has ended, and with it the registration.
+    fn lease_ended(&mut self, role: NodeRole) {
+        self.held = None;
+        self.revisions.remove(&role);
+        self.events.send(GateEvent::RegistrationLeaseLost);
+    }
+
+    /// Ends a lease; if that fails, it expires.
+    fn end_lease(&self, lease: &RegistrationLease) {
+        if let Err(error) = self.client.end_lease(lease.lease) {
             log_failure("end_lease", &error);
         }
     }
 }
 
-fn open_registration<S: StoreClient>(
-    client: &S,
-    node: &Name,
-    update: &RegistrationUpdate,
-) -> Result<StoredRegistration, StoreError> {
-    let ttl = match update.role {
+fn open_lease<S: StoreClient>(client: &S, role: NodeRole) -> Result<RegistrationLease, StoreError> {
+    let ttl = match role {
         NodeRole::Owner => REGISTRATION_TTL,
         NodeRole::Standby => STANDBY_REGISTRATION_TTL,
     };
-    let lease = client.open_lease(ttl)?;
-    client.write_registration(update.role, node, &update.bytes, lease)?;
-    Ok(StoredRegistration { role: update.role, lease })
+    Ok(RegistrationLease { role, lease: client.open_lease(ttl)?, stored: false })
 }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -44,6 +44,15 @@
     DocumentRemoved { document: Document, revision: u64 },
 }
 
+/// Result of a write that requires a revision of its item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConditionalWrite {
+    /// The item has this revision now.
+    Written { revision: u64 },
+    /// Nothing was written, because the item has another revision; zero if there is no item.
+    Conflict { current: u64 },
+}
+
 /// Why a call to the store failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
@@ -100,7 +109,8 @@
     /// Fails if the store does not answer in time or refuses.
     fn write_node_count(&self, bytes: &[u8]) -> Result<(), StoreError>;
 
-    /// Writes a node's registration in a role under a lease.
+    /// Writes a node's registration in a role under a lease, if its revision is `expected`; zero means that there
+    /// is none.
     ///
     /// # Errors
     ///
@@ -111,7 +121,8 @@
         node: &Name,
         bytes: &[u8],
         lease: u64,
-    ) -> Result<(), StoreError>;
+        expected: u64,
+    ) -> Result<ConditionalWrite, StoreError>;
 
     /// Opens a lease.
     ///
