Give the read lease up when the own registration is gone

A node relies on its read lease, and a failover waits only for the nodes whose registrations are in the store.

Cause: the gate removes the node from its registry and does nothing else.

Change: the revision of the stored registration is known to the gate. A newer removal, a newer record of another process, or a newer list without the registration makes the node give its read lease up and register again. The count of role changes, which marks renewals, is raised with it, so a renewal that is on its way restores nothing.

Result: `a_node_without_its_registration_gives_its_read_lease_up_and_registers_again` fails without the reaction (the read runs at the primary) and passes with it.

--- a/crates/edge/src/registration.rs
+++ b/crates/edge/src/registration.rs
@@ -192,7 +192,7 @@
     /// Writes the newest registration under the held lease.
     fn store_registration(&mut self, sent: Instant) -> Result<(), StoreError> {
         let (Some(update), Some(held)) = (&self.latest, &mut self.held) else { return Ok(()) };
-        let (role, lease) = (update.role, held.lease);
+        let (role, role_changes, lease) = (update.role, update.role_changes, held.lease);
         for _ in 0..MAX_WRITE_TRIES {
             let expected = self.revisions.get(&role).copied().unwrap_or_default();
             let write =
@@ -211,6 +211,7 @@
                         ("revision", revision.into()),
                     ];
                     log::info!("{}", event_line("registration_written", fields));
+                    self.events.send(GateEvent::RegistrationStored { role_changes, revision });
                     return Ok(());
                 }
                 ConditionalWrite::Conflict { current } => {
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -182,6 +182,12 @@
     },
     /// The lease of this node's registration is gone; the next renewal acquires a new one.
     RegistrationLeaseLost,
+    /// This node's registration was stored at a revision. `role_changes` is that of the published
+    /// registration.
+    RegistrationStored {
+        role_changes: u64,
+        revision: u64,
+    },
     PromoteAnswered {
         cluster: Name,
         result: PromoteResult,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -219,6 +219,7 @@
                 Document::PromotionLease => self.promotion_lease_removed(revision),
                 Document::NodeCount => {}
                 Document::Node(role, name) => {
+                    self.own_registration_missing(role, &name, revision);
                     self.registry.remove(self.now, role, &name);
                     self.owners_outdated = true;
                 }
@@ -233,6 +234,9 @@
             }
             GateEvent::StoreContactRenewed { sent } => self.store_contact_renewed(sent),
             GateEvent::RegistrationLeaseLost => self.read_lease_lost(),
+            GateEvent::RegistrationStored { role_changes, revision } => {
+                self.registration_stored(role_changes, revision);
+            }
             GateEvent::PromoteAnswered { cluster, result } => {
                 self.promote_answered(&cluster, result);
             }
@@ -281,6 +285,10 @@
                 Document::PromotionLease | Document::NodeCount => None,
             })
             .collect();
+        let own = (self.registration.role, self.settings.node.clone());
+        if !nodes.contains(&own) {
+            self.own_registration_missing(own.0, &own.1, revision);
+        }
         self.registry.retain(self.now, &nodes);
         if !documents.iter().any(|stored| stored.document == Document::PromotionLease) {
             self.promotion_lease_removed(revision);
@@ -317,7 +325,10 @@
                 self.node_count_read(record);
             }
             Document::Node(role, name) => {
-                let record = self.read_record("node", &stored.bytes);
+                let record: NodeRecord = self.read_record("node", &stored.bytes);
+                if record.incarnation != self.settings.incarnation {
+                    self.own_registration_missing(role, &name, stored.revision);
+                }
                 self.registry.set(role, name, record);
             }
         }
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeSet;
 
-use model::Micros;
+use model::{Micros, Name};
 
 use crate::action::GateAction;
 use crate::event::NodeRole;
@@ -32,8 +32,11 @@
     record: Option<NodeRecord>,
     published_at: Micros,
     pub(crate) role: NodeRole,
-    /// Counts the changes of role, to recognize renewals of an ended registration.
+    /// Counts the changes of role and the lost registrations, to recognize renewals of an ended
+    /// registration.
     pub(crate) role_changes: u64,
+    /// Revision at which the registration was last stored.
+    stored_revision: Option<u64>,
     /// Since when this node has owned connections.
     owning_since: Option<Micros>,
     /// When the list of nodes was first read, and whether it contained others.
@@ -63,9 +66,7 @@
         };
         if role != self.registration.role {
             self.registration.role = role;
-            self.registration.role_changes += 1;
-            self.registration.record = None;
-            self.read_lease_lost();
+            self.forget_registration();
             self.log("role", fields!["owner" => role == NodeRole::Owner]);
         }
         let record = self.node_record(suspected_clusters);
@@ -76,6 +77,32 @@
         }
     }
 
+    pub(crate) fn registration_stored(&mut self, role_changes: u64, revision: u64) {
+        if role_changes == self.registration.role_changes {
+            self.registration.stored_revision = Some(revision);
+        }
+    }
+
+    /// Handles that a node's registration in a role was removed or replaced by another writer. If it
+    /// is this node's present one, no failover waits for this node any more.
+    pub(crate) fn own_registration_missing(&mut self, role: NodeRole, node: &Name, revision: u64) {
+        let is_newer = self.registration.stored_revision.is_some_and(|stored| revision > stored);
+        if *node != self.settings.node || role != self.registration.role || !is_newer {
+            return;
+        }
+        self.count("registrations_lost");
+        self.log("registration_lost", fields!["revision" => revision]);
+        self.forget_registration();
+    }
+
+    /// Gives the read lease up; the registration is published again at the next timer event.
+    fn forget_registration(&mut self) {
+        self.registration.role_changes += 1;
+        self.registration.stored_revision = None;
+        self.registration.record = None;
+        self.read_lease_lost();
+    }
+
     /// Returns true if this node can serve most of the clusters that it owns, or has tried for long
     /// enough.
     fn is_warmed_up(&mut self) -> bool {
--- a/crates/gate/tests/leadership.rs
+++ b/crates/gate/tests/leadership.rs
@@ -199,6 +199,28 @@
     assert!(promoted >= *ended_at + gate::READ_LEASE_TTL);
 }
 
+/// Guards against reads at a replaced primary by a node for which no failover waits, because another
+/// writer has removed its registration.
+#[test]
+fn a_node_without_its_registration_gives_its_read_lease_up_and_registers_again() {
+    let mut simulation = Simulation::start(3);
+    simulation.cut(0, "b");
+    simulation.cut(0, "c");
+    simulation.remove_registration(0);
+    // A renewal that was sent before cannot restore the read lease.
+    let sent = simulation.now;
+    simulation.event(0, gate::GateEvent::ReadLeaseRenewed { sent, role_changes: 1 });
+    simulation.run(millis(20));
+    let session = simulation.open(0, LATEST);
+    simulation.send_request(0, session, "r", "READ 1");
+    simulation.run(millis(200));
+    assert!(!simulation.ran_at("a", "r"));
+    assert_eq!(simulation.logged("registration_lost"), 1);
+    simulation.run(millis(400));
+    assert!(simulation.is_registered(0));
+    assert_eq!(simulation.logged("registration_lost"), 1, "its own removal counts once");
+}
+
 #[test]
 fn fences_of_a_node_that_died_are_lifted() {
     let mut simulation = Simulation::start(4);
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -402,7 +402,9 @@
                 if !self.store_cut.contains(&gate) {
                     self.registered[gate] = (role, role_changes);
                     let name = self.names[gate].clone();
-                    self.store(Document::Node(role, name), bytes);
+                    let revision = self.store(Document::Node(role, name), bytes);
+                    let event = GateEvent::RegistrationStored { role_changes, revision };
+                    self.schedule(NETWORK_DELAY, Delivery::Gate(gate, event));
                 }
             }
             GateAction::WriteNodeCount { bytes } => {
@@ -449,6 +451,22 @@
         }
     }
 
+    /// Removes an owner's registration, as another writer may.
+    pub fn remove_registration(&mut self, gate: usize) {
+        let document = Document::Node(NodeRole::Owner, self.names[gate].clone());
+        self.documents.remove(&document_key(&document));
+        self.revision += 1;
+        for other in 0..self.gates.len() {
+            let (document, revision) = (document.clone(), self.revision);
+            self.event(other, GateEvent::DocumentRemoved { document, revision });
+        }
+    }
+
+    pub fn is_registered(&self, gate: usize) -> bool {
+        let document = Document::Node(NodeRole::Owner, self.names[gate].clone());
+        self.documents.contains_key(&document_key(&document))
+    }
+
     /// Stores an owner's registration that acknowledges nothing, under a new lease.
     pub fn register_again(&mut self, gate: usize) {
         let record = serde_json::to_vec(&NodeRecord::default()).expect("it is serialized");
