Log the events of all crates, and where changes of the store come from

The logger takes messages of the crates edge and adapter only. `relay_joined` and `relay_left`, which docs/OPERATIONS.md names, and `thread_panicked` were never written. A list of the store, a history that the store dropped, and the change between relay and store had no lines at all.

Change: the logger takes the messages of all crates of the gate that write events. `store_listed`, `history_gone` and `store_followed` are new; all three are rare.

--- a/crates/edge/src/logging.rs
+++ b/crates/edge/src/logging.rs
@@ -14,6 +14,9 @@
 /// Lines that wait to be written. Holds a few seconds of log at a node's peak traffic.
 const LINE_QUEUE_CAPACITY: usize = 8_192;
 
+/// Crates whose messages are members of a JSON object. Messages of libraries are not.
+const EVENT_CRATES: [&str; 4] = ["adapter", "edge", "relay", "shell"];
+
 /// Lines dropped because the queue was full.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 
@@ -34,12 +37,10 @@
                 elapsed.as_millis()
             ));
         })
-        .level(LevelFilter::Warn)
-        .level_for("edge", LevelFilter::Info)
-        .level_for("adapter", LevelFilter::Info)
+        .level(LevelFilter::Info)
         .filter(|metadata| {
-            // Messages of libraries are not in this format.
-            metadata.target().starts_with("edge") || metadata.target().starts_with("adapter")
+            let name = metadata.target().split("::").next().unwrap_or_default();
+            EVENT_CRATES.contains(&name)
         })
         .chain(fern::Output::call(move |record| {
             if sender.try_send(record.args().to_string()).is_err() {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -17,6 +17,7 @@
 use stakker::sync::Channel;
 
 use crate::clock;
+use crate::logging::event_line;
 use crate::store::{StoreChange, StoreClient, StoreError, StoreItem, log_failure, sort_items};
 
 /// Time for which the store may hold a watch that has no changes; every return counts as a call. The store may
@@ -62,6 +63,24 @@
     follower: RelayFollower,
     /// All registrations, with the relay of each owner that has one in this node's data centre.
     nodes: FastMap<(NodeRole, Name), Option<RelayCandidate>>,
+    /// Where the changes come from.
+    source: Option<ChangeSource>,
+}
+
+/// Where a node learns of changes in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ChangeSource {
+    Store,
+    Relay,
+}
+
+impl ChangeSource {
+    fn name(self) -> &'static str {
+        match self {
+            ChangeSource::Store => "store",
+            ChangeSource::Relay => "relay",
+        }
+    }
 }
 
 impl<S: StoreClient> StoreWatch<S> {
@@ -82,6 +101,15 @@
             relay,
             follower,
             nodes: FastMap::default(),
+            source: None,
+        }
+    }
+
+    /// Logs where the changes after a revision come from, if that has changed.
+    fn set_source(&mut self, source: ChangeSource, after: u64) {
+        if self.source.replace(source) != Some(source) {
+            let fields = vec![("source", source.name().into()), ("after", after.into())];
+            log::info!("{}", event_line("store_followed", fields));
         }
     }
 
@@ -109,6 +137,7 @@
                     // Unlike a watch, a list fails quickly while the store is still silent.
                     after = None;
                     if error == StoreError::HistoryGone {
+                        log::info!("\"event\":\"history_gone\"");
                         continue;
                     }
                     if failures == 0 {
@@ -129,6 +158,17 @@
         for item in &items {
             self.record_item(item);
         }
+        self.source = None;
+        let version = items.iter().find_map(|item| match item {
+            StoreItem::Routes(table) => Some(table.version),
+            _ => None,
+        });
+        let fields = vec![
+            ("revision", revision.into()),
+            ("items", u64::try_from(items.len()).unwrap_or(u64::MAX).into()),
+            ("version", version.unwrap_or_default().into()),
+        ];
+        log::info!("{}", event_line("store_listed", fields));
         report_items(items, revision, &self.events);
         Ok(revision)
     }
@@ -161,6 +201,7 @@
             FollowOutcome::Unavailable => return Ok(None),
         };
         self.status.following.store(true, Ordering::Relaxed);
+        self.set_source(ChangeSource::Relay, next);
         let age = Micros::from_millis(u64::try_from(contact_age.as_millis()).unwrap_or(u64::MAX));
         let sent = clock::now().saturating_sub(age);
         self.events.send(GateEvent::StoreContactRenewed { sent });
@@ -170,6 +211,7 @@
     /// Watches the store itself.
     fn watch_store(&mut self, after: u64) -> Result<u64, StoreError> {
         let forwards_only = self.forwards_only();
+        self.set_source(ChangeSource::Store, after);
         let relay = self.relay.clone().filter(|_| !forwards_only);
         if let Some(relay) = &relay
             && !relay.is_running()
