List the store when no relay is left

Cause: a node whose relays have stopped watched the store from the revision that they had told. The relays stopped because the store had dropped its history, so the changes from that revision on were gone. The store says so only at the end of the wait, 5.5 s for these nodes.

Change: a node that turns from relays to the store lists it, which is the only call that tells what is current.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -1,7 +1,8 @@
 //! The thread that follows the store.
 //!
 //! It lists all items, then watches for changes, with a single watch because each one counts as a call. In a large
-//! deployment a node that only forwards follows a relay of its data centre instead, as far as there is one.
+//! deployment a node that only forwards follows a relay of its data centre instead, as far as there is one. When it
+//! turns from relays to the store, it lists all items again.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -186,6 +187,11 @@
             self.follower.disconnect();
         }
         self.status.following.store(false, Ordering::Relaxed);
+        if self.source == Some(ChangeSource::Relay) {
+            // The relays may have been behind for long. A watch does not tell: from a revision whose history was
+            // dropped, the store may let it wait for its whole time.
+            return self.list();
+        }
         self.watch_store(after)
     }
 
