Begin the next watch before the last one ends

If the store drops its history between two watches of a node, the next one begins at a revision without history and hangs for its whole wait, 4 s at an owner. A change that was made at that moment is in force later than the shortest bound of 3 s.

Cause: the store tells a waiting watch that the history is dropped by cutting it. Between two watches none is waiting.

Change: the next watch begins 300 ms before the wait of a watch ends, on a thread of its own, and is taken over if the first one has returned nothing. A watch without changes costs one call in 3.7 s in place of 4 s.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -1,13 +1,15 @@
 //! The thread that follows the store.
 //!
-//! It lists all items, then watches for changes, with a single watch because each one counts as a call. In a large
+//! It lists all items, then watches for changes, with a single watch because each one counts as a call; only the next one
+//! begins shortly before a watch ends without changes. In a large
 //! deployment a node that only forwards follows a relay of its data centre instead, as far as there is one. When it
 //! turns from relays to the store, it lists all items again.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gate::{
     Document, GateEvent, NodeRecord, NodeRole, SMALL_DEPLOYMENT_MAX_NODES, StoreState,
@@ -30,6 +32,10 @@
 /// shortest time until a node reaches the store (4 s) and their shortest bound for a configuration change (3 s).
 const STANDBY_WATCH_TIMEOUT: Duration = Duration::from_millis(5_500);
 
+/// Time before the end of a watch's wait at which the next one begins, far longer than a call takes in the store's slow
+/// phases. The store tells a waiting watch when it drops its history, and a later one perhaps only at the end of its wait.
+const WATCH_OVERLAP: Duration = Duration::from_millis(300);
+
 /// Pause before the next watch after registrations changed, with many nodes: a series of changes then returns
 /// from one watch instead of one each. An announced failover may be delayed by it.
 const OWNER_WATCH_INTERVAL: Duration = Duration::from_millis(50);
@@ -66,6 +72,32 @@
     nodes: FastMap<(NodeRole, Name), Option<RelayCandidate>>,
     /// Where the changes come from.
     source: Option<ChangeSource>,
+    /// A watch that began before the last one ended.
+    next_watch: Option<RunningWatch>,
+}
+
+/// A watch of the store on a thread of its own.
+struct RunningWatch {
+    after: u64,
+    started: Instant,
+    result: Receiver<Result<ChangeBatch, StoreError>>,
+}
+
+impl RunningWatch {
+    fn start<S: StoreClient>(client: &S, after: u64, wait: Duration) -> RunningWatch {
+        let (sender, result) = channel();
+        let client = client.clone();
+        let failed = Err(StoreError::Unreachable("the watch did not run".to_string()));
+        // Fails if another watch has told of changes and this one is not needed any more.
+        let deliver = move |result| drop(sender.send(result));
+        shell::spawn_call("watch", move || client.watch(after, wait), failed, deliver);
+        RunningWatch { after, started: Instant::now(), result }
+    }
+
+    /// Waits for the result, which the thread always sends.
+    fn wait(&self) -> Result<ChangeBatch, StoreError> {
+        self.result.recv().unwrap_or(Err(StoreError::Unreachable("the watch ended".to_string())))
+    }
 }
 
 /// Where a node learns of changes in the store.
@@ -103,6 +135,7 @@
             follower,
             nodes: FastMap::default(),
             source: None,
+            next_watch: None,
         }
     }
 
@@ -156,6 +189,7 @@
     fn list(&mut self) -> Result<u64, StoreError> {
         let (items, revision) = self.client.list()?;
         self.nodes.clear();
+        self.next_watch = None;
         for item in &items {
             self.record_item(item);
         }
@@ -225,7 +259,7 @@
             relay.restart(after);
         }
         let wait = if forwards_only { STANDBY_WATCH_TIMEOUT } else { WATCH_TIMEOUT };
-        let batch = self.client.watch(after, wait)?;
+        let batch = self.next_batch(after, wait)?;
         let registrations_changed = self.report_batch(&batch, after)?;
         let changed = batch.next > after;
         if let Some(relay) = &relay
@@ -241,6 +275,20 @@
         Ok(batch.next)
     }
 
+    /// Waits for a watch to return. The next one begins before its wait ends, so that one is always waiting.
+    fn next_batch(&mut self, after: u64, wait: Duration) -> Result<ChangeBatch, StoreError> {
+        let next = self.next_watch.take().filter(|watch| watch.after == after);
+        let watch = next.unwrap_or_else(|| RunningWatch::start(&self.client, after, wait));
+        let overlap_at = watch.started + wait.saturating_sub(WATCH_OVERLAP);
+        match watch.result.recv_timeout(overlap_at.saturating_duration_since(Instant::now())) {
+            Ok(result) => result,
+            Err(_) => {
+                self.next_watch = Some(RunningWatch::start(&self.client, after, wait));
+                watch.wait()
+            }
+        }
+    }
+
     /// Reports the changes of a batch after a revision; returns true if registrations changed.
     fn report_batch(&mut self, batch: &ChangeBatch, after: u64) -> Result<bool, StoreError> {
         let changes = S::decode_changes(&batch.body, after)?;
