--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -1,9 +1,8 @@
 //! The thread that follows the store.
 //!
-//! It lists all items, then watches for changes, with a single watch because each one counts as a call; only the next one
-//! begins shortly before a watch ends without changes. In a large
-//! deployment a node that only forwards follows a relay of its data centre instead, as far as there is one. When it
-//! turns from relays to the store, it lists all items again.
+//! It lists all items, then watches for changes, with a single watch because each one counts as a call. A watch without
+//! changes overlaps with the next one for a moment. In a large deployment a node that only forwards follows a relay of
+//! its data centre instead, as far as there is one. When it turns from relays to the store, it lists all items again.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
