Log each watch of the store, and the age of a node's view in refusals

Cause: at a refused session the log named the version in force only. A lost watch and a quiet store looked the same, and no line told when a watch began. Change: lines when a watch ends, overlaps with the next one or is dropped; session_refused and the new statement_refused carry the revision up to which the store is known and for how long later changes may have gone unnoticed.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -97,6 +97,27 @@
     fn wait(&self) -> Result<ChangeBatch, StoreError> {
         self.result.recv().unwrap_or(Err(StoreError::Unreachable("the watch ended".to_string())))
     }
+
+    /// Logs what has become of the watch.
+    fn log(&self, event: &'static str, outcome: &'static str) {
+        let waited_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let fields = vec![
+            ("after", self.after.into()),
+            ("waited_ms", waited_ms.into()),
+            ("outcome", outcome.into()),
+        ];
+        log::info!("{}", event_line(event, fields));
+    }
+}
+
+/// Returns what a watch after a revision has brought, for the log.
+fn outcome_name(result: &Result<ChangeBatch, StoreError>, after: u64) -> &'static str {
+    match result {
+        Ok(batch) if batch.next > after => "changes",
+        Ok(_) => "no changes",
+        Err(StoreError::HistoryGone) => "history gone",
+        Err(_) => "failed",
+    }
 }
 
 /// Where a node learns of changes in the store.
@@ -186,9 +207,10 @@
 
     /// Reports all stored items; returns the revision from which to watch.
     fn list(&mut self) -> Result<u64, StoreError> {
+        let sent = clock::now();
         let (items, revision) = self.client.list()?;
         self.nodes.clear();
-        self.next_watch = None;
+        self.drop_next_watch();
         for item in &items {
             self.record_item(item);
         }
@@ -204,9 +226,21 @@
         ];
         log::info!("{}", event_line("store_listed", fields));
         report_items(items, revision, &self.events);
+        self.report_followed(revision, sent);
         Ok(revision)
     }
 
+    fn report_followed(&self, revision: u64, known_at: Micros) {
+        self.events.send(GateEvent::StoreFollowed { revision, known_at });
+    }
+
+    /// Gives up the watch that began before the last one ended.
+    fn drop_next_watch(&mut self) {
+        if let Some(watch) = self.next_watch.take() {
+            watch.log("watch_dropped", "not needed");
+        }
+    }
+
     /// Waits for changes and reports them; returns the next revision.
     fn wait_for_changes(&mut self, after: u64) -> Result<u64, StoreError> {
         if self.forwards_only() {
@@ -244,6 +278,7 @@
         let age = Micros::from_millis(u64::try_from(contact_age.as_millis()).unwrap_or(u64::MAX));
         let sent = clock::now().saturating_sub(age);
         self.events.send(GateEvent::StoreContactRenewed { sent });
+        self.report_followed(next, sent);
         Ok(Some(next))
     }
 
@@ -260,6 +295,7 @@
         let wait = if forwards_only { STANDBY_WATCH_TIMEOUT } else { WATCH_TIMEOUT };
         let batch = self.next_batch(after, wait)?;
         let registrations_changed = self.report_batch(&batch, after)?;
+        self.report_followed(batch.next, clock::now());
         let changed = batch.next > after;
         if let Some(relay) = &relay
             && changed
@@ -276,16 +312,23 @@
 
     /// Waits for a watch to return. The next one begins before its wait ends, so that one is always waiting.
     fn next_batch(&mut self, after: u64, wait: Duration) -> Result<ChangeBatch, StoreError> {
-        let next = self.next_watch.take().filter(|watch| watch.after == after);
+        if self.next_watch.as_ref().is_some_and(|watch| watch.after != after) {
+            self.drop_next_watch();
+        }
+        let next = self.next_watch.take();
         let watch = next.unwrap_or_else(|| RunningWatch::start(&self.client, after, wait));
         let overlap_at = watch.started + wait.saturating_sub(WATCH_OVERLAP);
-        match watch.result.recv_timeout(overlap_at.saturating_duration_since(Instant::now())) {
+        let overlap_in = overlap_at.saturating_duration_since(Instant::now());
+        let result = match watch.result.recv_timeout(overlap_in) {
             Ok(result) => result,
             Err(_) => {
+                watch.log("watch_overlapped", "waiting");
                 self.next_watch = Some(RunningWatch::start(&self.client, after, wait));
                 watch.wait()
             }
-        }
+        };
+        watch.log("watch_ended", outcome_name(&result, after));
+        result
     }
 
     /// Reports the changes of a batch after a revision; returns true if registrations changed.
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -194,6 +194,12 @@
     },
     /// The store answers again, or has stopped answering.
     StoreReachable(bool),
+    /// All changes up to a revision of the store have been passed on, as far as they concern the
+    /// gate. The store knew no later one at `known_at`.
+    StoreFollowed {
+        revision: u64,
+        known_at: Micros,
+    },
 
     // The process.
     DrainRequested,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `connection`, `database`: connections
 //! - `cluster`, `leadership_proof`, `read_lease`: what is known about primaries
 //! - `registration`, `registry`, `node_count`: the nodes
+//! - `store_view`: how current the lists of all these are
 //! - `suspicion`, `failover`, `fencing`, `promotion_lease`: the replacement of primaries
 //! - `ready`, `drain`: what the load balancer sees
 
@@ -42,6 +43,7 @@
 mod session;
 mod settings;
 mod statement;
+mod store_view;
 mod suspicion;
 
 use model::{FastMap, FastSet, Micros, Name};
@@ -81,6 +83,7 @@
 use registry::NodeRegistry;
 use request::{ActiveRequest, RequestId};
 use session::Session;
+use store_view::StoreView;
 
 /// Builds the fields of a log record.
 macro_rules! fields {
@@ -104,6 +107,7 @@
     out: Vec<GateAction>,
     last_id: u64,
     table: RouteTable,
+    store_view: StoreView,
     sessions: FastMap<SessionId, Session>,
     requests: FastMap<RequestId, ActiveRequest>,
     backing_off: Vec<RequestId>,
@@ -153,6 +157,7 @@
             out: Vec::new(),
             last_id: 0,
             table: RouteTable::default(),
+            store_view: StoreView::default(),
             sessions: FastMap::default(),
             requests: FastMap::default(),
             backing_off: Vec::new(),
@@ -243,6 +248,9 @@
             GateEvent::StoreReachable(reachable) => {
                 self.log("store", fields!["reachable" => reachable]);
             }
+            GateEvent::StoreFollowed { revision, known_at } => {
+                self.store_view = StoreView { revision, known_at: Some(known_at) };
+            }
             GateEvent::DrainRequested => self.drain(),
             GateEvent::Timer => self.tick(),
         }
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -98,14 +98,7 @@
         };
         if let Some((code, text)) = refusal {
             self.count("sessions_refused");
-            self.log(
-                "session_refused",
-                fields![
-                    "database" => &database,
-                    "version" => self.table.version,
-                    "code" => code.name()
-                ],
-            );
+            self.log_refused_route("session_refused", session, &database, code);
             self.out.push(GateAction::RefuseSession { session, code, text: text.to_string() });
             return;
         }
@@ -210,20 +203,41 @@
         let session = self.sessions.get(&id)?;
         let route = self.table.routes.get(&session.database).cloned();
         if route.is_none() {
+            let database = session.database.clone();
+            self.log_refused_route("statement_refused", id, &database, ErrorCode::NoDatabase);
             self.reply_error(id, ErrorCode::NoDatabase, NO_ROUTE_TEXT);
         }
         route
     }
 
+    /// Logs a refusal that a newer configuration might not have led to.
+    fn log_refused_route(
+        &mut self,
+        event: &'static str,
+        session: SessionId,
+        database: &Name,
+        code: ErrorCode,
+    ) {
+        let record = fields![
+            "session" => session.0,
+            "database" => database,
+            "version" => self.table.version,
+            "revision" => self.store_view.revision,
+            "store_age_ms" => self.store_view.age_ms(self.now),
+            "code" => code.name()
+        ];
+        self.log(event, record);
+    }
+
     fn begin(&mut self, id: SessionId, request: ClientRequest, read_only: bool) {
         let Some(session) = self.sessions.get(&id) else { return };
         if session.state() != TransactionState::Idle {
             return self.reply_error(id, ErrorCode::Malformed, "a transaction is open already");
         }
-        let Some(route) = self.table.routes.get(&session.database).cloned() else {
+        if !self.table.routes.contains_key(&session.database) {
             self.fail_peer_transaction(id);
-            return self.reply_error(id, ErrorCode::NoDatabase, NO_ROUTE_TEXT);
-        };
+        }
+        let Some(route) = self.current_route(id) else { return };
         let started_at = self.now;
         if let Some(session) = self.sessions.get_mut(&id) {
             session.transaction =
