Rely on no single watch of the store

Callers saw: a database whose route was added was refused for up to 5 s after the change, by every node, although the store answered again long before. Cause: a node waited for one watch. A watch that begins while the store gives no answers is never answered, also when the store is back, and only its time limit of 4.9 s showed that; standbys would have taken 6.4 s. The next watch began 3.7 s later and was answered, but its result was ignored until then. Change: the next watch begins 2.5 s after the last one in any case, and the first answer counts. So a lost watch keeps a change back for 2.5 s and an answer's time. The series of watches is a module of its own. Ruled out: listing the store when a renewal succeeds again, because an outage can fall between two renewals; two watches at all times, because each change would cost two calls.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod driver;
 mod logging;
 mod metrics;
+mod overlap;
 mod registration;
 mod socket;
 mod store;
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -1,14 +1,13 @@
 //! The thread that follows the store.
 //!
-//! It lists all items, then watches for changes, with a single watch because each one counts as a call. A watch without
-//! changes overlaps with the next one for a moment. In a large deployment a node that only forwards follows a relay of
-//! its data centre instead, as far as there is one. When it turns from relays to the store, it lists all items again.
+//! It lists all items, then watches for changes of any item, because each watch counts as a call ([`crate::overlap`]).
+//! In a large deployment a node that only forwards follows a relay of its data centre instead, as far as there is one.
+//! When it turns from relays to the store, it lists all items again.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{Receiver, channel};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gate::{
     Document, GateEvent, NodeRecord, NodeRole, SMALL_DEPLOYMENT_MAX_NODES, StoreState,
@@ -20,21 +19,9 @@
 
 use crate::clock;
 use crate::logging::event_line;
+use crate::overlap::OverlappingWatches;
 use crate::store::{StoreChange, StoreClient, StoreError, StoreItem, log_failure, sort_items};
 
-/// Time for which the store may hold a watch that has no changes; every return counts as a call. The store may
-/// drop a watch silently, and then changes go unnoticed for this long.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(4_000);
-
-/// Watch timeout of a node that only forwards and needs little more than the configuration. A silent connection
-/// to the store is noticed within this time and the watch's margin. Together they stay below the sum of the users'
-/// shortest time until a node reaches the store (4 s) and their shortest bound for a configuration change (3 s).
-const STANDBY_WATCH_TIMEOUT: Duration = Duration::from_millis(5_500);
-
-/// Time before the end of a watch's wait at which the next one begins, far longer than a call takes in the store's slow
-/// phases. The store tells a waiting watch when it drops its history, and a later one perhaps only at the end of its wait.
-const WATCH_OVERLAP: Duration = Duration::from_millis(300);
-
 /// Pause before the next watch after registrations changed, with many nodes: a series of changes then returns
 /// from one watch instead of one each. An announced failover may be delayed by it.
 const OWNER_WATCH_INTERVAL: Duration = Duration::from_millis(50);
@@ -71,53 +58,7 @@
     nodes: FastMap<(NodeRole, Name), Option<RelayCandidate>>,
     /// Where the changes come from.
     source: Option<ChangeSource>,
-    /// A watch that began before the last one ended.
-    next_watch: Option<RunningWatch>,
-}
-
-/// A watch of the store on a thread of its own.
-struct RunningWatch {
-    after: u64,
-    started: Instant,
-    result: Receiver<Result<ChangeBatch, StoreError>>,
-}
-
-impl RunningWatch {
-    fn start<S: StoreClient>(client: &S, after: u64, wait: Duration) -> RunningWatch {
-        let (sender, result) = channel();
-        let client = client.clone();
-        let failed = Err(StoreError::Unreachable("the watch did not run".to_string()));
-        // Fails if another watch has told of changes and this one is not needed any more.
-        let deliver = move |result| drop(sender.send(result));
-        shell::spawn_call("watch", move || client.watch(after, wait), failed, deliver);
-        RunningWatch { after, started: Instant::now(), result }
-    }
-
-    /// Waits for the result, which the thread always sends.
-    fn wait(&self) -> Result<ChangeBatch, StoreError> {
-        self.result.recv().unwrap_or(Err(StoreError::Unreachable("the watch ended".to_string())))
-    }
-
-    /// Logs what has become of the watch.
-    fn log(&self, event: &'static str, outcome: &'static str) {
-        let waited_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let fields = vec![
-            ("after", self.after.into()),
-            ("waited_ms", waited_ms.into()),
-            ("outcome", outcome.into()),
-        ];
-        log::info!("{}", event_line(event, fields));
-    }
-}
-
-/// Returns what a watch after a revision has brought, for the log.
-fn outcome_name(result: &Result<ChangeBatch, StoreError>, after: u64) -> &'static str {
-    match result {
-        Ok(batch) if batch.next > after => "changes",
-        Ok(_) => "no changes",
-        Err(StoreError::HistoryGone) => "history gone",
-        Err(_) => "failed",
-    }
+    watches: OverlappingWatches<S>,
 }
 
 /// Where a node learns of changes in the store.
@@ -147,6 +88,7 @@
     ) -> Self {
         let follower = RelayFollower::new(node);
         StoreWatch {
+            watches: OverlappingWatches::new(client.clone()),
             client,
             events,
             status,
@@ -155,7 +97,6 @@
             follower,
             nodes: FastMap::default(),
             source: None,
-            next_watch: None,
         }
     }
 
@@ -210,7 +151,7 @@
         let sent = clock::now();
         let (items, revision) = self.client.list()?;
         self.nodes.clear();
-        self.drop_next_watch();
+        self.watches.stop();
         for item in &items {
             self.record_item(item);
         }
@@ -234,13 +175,6 @@
         self.events.send(GateEvent::StoreFollowed { revision, known_at });
     }
 
-    /// Gives up the watch that began before the last one ended.
-    fn drop_next_watch(&mut self) {
-        if let Some(watch) = self.next_watch.take() {
-            watch.log("watch_dropped", "not needed");
-        }
-    }
-
     /// Waits for changes and reports them; returns the next revision.
     fn wait_for_changes(&mut self, after: u64) -> Result<u64, StoreError> {
         if self.forwards_only() {
@@ -292,8 +226,7 @@
         {
             relay.restart(after);
         }
-        let wait = if forwards_only { STANDBY_WATCH_TIMEOUT } else { WATCH_TIMEOUT };
-        let batch = self.next_batch(after, wait)?;
+        let batch = self.watches.next(after)?;
         let registrations_changed = self.report_batch(&batch, after)?;
         self.report_followed(batch.next, clock::now());
         let changed = batch.next > after;
@@ -310,27 +243,6 @@
         Ok(batch.next)
     }
 
-    /// Waits for a watch to return. The next one begins before its wait ends, so that one is always waiting.
-    fn next_batch(&mut self, after: u64, wait: Duration) -> Result<ChangeBatch, StoreError> {
-        if self.next_watch.as_ref().is_some_and(|watch| watch.after != after) {
-            self.drop_next_watch();
-        }
-        let next = self.next_watch.take();
-        let watch = next.unwrap_or_else(|| RunningWatch::start(&self.client, after, wait));
-        let overlap_at = watch.started + wait.saturating_sub(WATCH_OVERLAP);
-        let overlap_in = overlap_at.saturating_duration_since(Instant::now());
-        let result = match watch.result.recv_timeout(overlap_in) {
-            Ok(result) => result,
-            Err(_) => {
-                watch.log("watch_overlapped", "waiting");
-                self.next_watch = Some(RunningWatch::start(&self.client, after, wait));
-                watch.wait()
-            }
-        };
-        watch.log("watch_ended", outcome_name(&result, after));
-        result
-    }
-
     /// Reports the changes of a batch after a revision; returns true if registrations changed.
     fn report_batch(&mut self, batch: &ChangeBatch, after: u64) -> Result<bool, StoreError> {
         let changes = S::decode_changes(&batch.body, after)?;
