Send a request elsewhere if another node has no route for it

Callers would see: NODB for a single write to a database whose route exists, when the request is forwarded to a node with another version of the configuration. Cause: the refusal counted as a database's answer that promises nothing. A node looks the route up before it runs anything, so the request did not run, and the version of the node that the client reached decides. Change: such a refusal by another node is handled as a busy one: the next owner gets the request, and the client is told at last that nobody could serve it. Result: gate/forwarded_sessions.rs: an_owner_without_the_route_does_not_answer_for_this_node failed before (the client got the refusal) and passes.

--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -192,12 +192,13 @@
             AnswerEnd::Failed { code, text } => {
                 let (code, text) = (*code, text.clone());
                 let first = matches!(request.kind, RequestKind::Begin { .. });
-                if first && code.guarantees_not_run() && request.tries < MAX_TRIES {
+                let not_run = code.guarantees_not_run() || self.lacks_route_at_peer(request, code);
+                if first && not_run && request.tries < MAX_TRIES {
                     self.restore_pending_transaction(id, connection);
                     self.request_declined(id, code);
                 } else if in_transaction {
                     self.fail_transaction(id, code, &text);
-                } else if code.guarantees_not_run() {
+                } else if not_run {
                     self.request_declined(id, code);
                 } else if request.access == StatementAccess::Read && request.tries < MAX_TRIES - 1 {
                     let database = request.database.clone();
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -11,7 +11,8 @@
 use crate::Gate;
 use crate::database::{Database, UNRESPONSIVE_TIMEOUT};
 use crate::event::{ListedDatabase, NodeRole, SessionOrigin};
-use crate::request::{OWNER_RETRY_INTERVAL, RequestId};
+use crate::request::{ActiveRequest, OWNER_RETRY_INTERVAL, RequestId};
+use crate::statement::ErrorCode;
 
 /// Version of the protocol between nodes that this node accepts. From version 1 on, a node accepts
 /// a reset of a session, and runs no statement that follows a refused `BEGIN`.
@@ -190,6 +191,13 @@
         self.databases.get(entry).is_some_and(|database| database.peer.is_some())
     }
 
+    /// Returns true if a request was refused by another node that has no route for it. The node may
+    /// have another version of the configuration, and the one of this node decides.
+    pub(crate) fn lacks_route_at_peer(&self, request: &ActiveRequest, code: ErrorCode) -> bool {
+        code == ErrorCode::NoDatabase
+            && request.database.as_ref().is_some_and(|entry| self.is_peer(entry))
+    }
+
     /// Records that the node of an entry cannot serve a cluster.
     pub(crate) fn peer_refused(&mut self, entry: &Name, cluster: &Name) {
         let node = self.databases.get(entry).and_then(|database| database.peer.clone());
--- a/crates/gate/tests/forwarded_sessions.rs
+++ b/crates/gate/tests/forwarded_sessions.rs
@@ -209,3 +209,27 @@
     gate.event(GateEvent::ConnectionAnswered { connection, answer: Box::new(failed) });
     assert_eq!(sent(&mut gate), [BackendCommand::Rollback]);
 }
+
+/// Guards against a client that is told that its database has no route, because another node has an older or newer
+/// configuration than the node that the client reached.
+#[test]
+fn an_owner_without_the_route_does_not_answer_for_this_node() {
+    for statement in [Statement::Write, Statement::Read] {
+        let mut gate = forwarding_gate(PEER_PROTOCOL);
+        gate.read(1, LATEST);
+        let (connection, owner) = gate.take_opened().remove(0);
+        gate.event(GateEvent::ConnectionOpened { connection, position: None });
+        answer(&mut gate, connection, done());
+        request(&mut gate, 1, "w", "STATEMENT", statement);
+        gate.actions.clear();
+        let no_route = AnswerEnd::Failed { code: ErrorCode::NoDatabase, text: "no route".into() };
+        answer(&mut gate, connection, no_route);
+        let replies =
+            gate.actions.iter().filter(|action| matches!(action, GateAction::Reply { .. }));
+        assert_eq!(replies.count(), 0, "the request did not run, so another owner can serve it");
+        let (connection, other) = gate.take_opened().remove(0);
+        assert_ne!(other, owner);
+        gate.event(GateEvent::ConnectionOpened { connection, position: None });
+        assert!(matches!(sent(&mut gate)[..], [.., BackendCommand::Run { .. }]));
+    }
+}
