Deny a route only with a current view of the store

Callers saw: NODB for a database whose route exists, from a node that had no news of the store, such as one that the store turns away. Such an answer is final for a caller, who could be served by another node. Cause: the absence of a route in the node's configuration was taken for its absence in the newest one, however old the node's view was. Change: a client gets 'busy, not run, retry at once' if the view is older than 3 s, the users' shortest bound for a configuration change. Another node still gets NODB, which it takes as not run. Result: gate/store_view.rs: a_node_without_news_of_the_store_does_not_deny_a_route failed before (no_database) and passes.

--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -22,8 +22,10 @@
 /// Maximum number of prepared statements, and of values, of one session; more are refused.
 const SESSION_NAMES_LIMIT: usize = 256;
 
-/// Error text for a session whose database has no route.
+/// Error texts for a session whose database has no route.
 const NO_ROUTE_TEXT: &str = "no route for this database";
+const UNKNOWN_ROUTE_TEXT: &str =
+    "not run, this node knows no such route and has no news of the store, retry at once";
 
 /// The transaction of a session.
 #[derive(Clone, Debug)]
@@ -92,7 +94,7 @@
         let refusal = if self.table.version == 0 {
             Some((ErrorCode::Busy, "no configuration yet"))
         } else if !self.table.routes.contains_key(&database) {
-            Some((ErrorCode::NoDatabase, NO_ROUTE_TEXT))
+            Some(self.missing_route_error(origin))
         } else {
             None
         };
@@ -203,13 +205,25 @@
         let session = self.sessions.get(&id)?;
         let route = self.table.routes.get(&session.database).cloned();
         if route.is_none() {
+            let (code, text) = self.missing_route_error(session.origin);
             let database = session.database.clone();
-            self.log_refused_route("statement_refused", id, &database, ErrorCode::NoDatabase);
-            self.reply_error(id, ErrorCode::NoDatabase, NO_ROUTE_TEXT);
+            self.log_refused_route("statement_refused", id, &database, code);
+            self.reply_error(id, code, text);
         }
         route
     }
 
+    /// Returns the error for a database without a route. A client is told that there is none only
+    /// if a newer configuration would be known here; another node decides by its own.
+    fn missing_route_error(&self, origin: SessionOrigin) -> (ErrorCode, &'static str) {
+        match origin {
+            SessionOrigin::Client if !self.store_view.is_current(self.now) => {
+                (ErrorCode::Busy, UNKNOWN_ROUTE_TEXT)
+            }
+            SessionOrigin::Client | SessionOrigin::Peer => (ErrorCode::NoDatabase, NO_ROUTE_TEXT),
+        }
+    }
+
     /// Logs a refusal that a newer configuration might not have led to.
     fn log_refused_route(
         &mut self,
--- a/crates/gate/src/store_view.rs
+++ b/crates/gate/src/store_view.rs
@@ -1,11 +1,14 @@
 //! How current this node's view of the store is.
 //!
-//! Routes, databases and nodes are known as of a revision of the store. Nothing is decided by its
-//! age; the log and the state dump give it, because a quiet store and a view that has stopped look
-//! the same otherwise.
+//! Routes, databases and nodes are known as of a revision of the store. Its age distinguishes a quiet
+//! store from a node that does not hear from it, and the log and the state dump give it.
 
 use model::Micros;
 
+/// Age up to which the view shows what does not exist: the users' shortest bound for a
+/// configuration change. A quiet store answers a watch within this time.
+const CURRENT_VIEW_AGE: Micros = Micros::from_millis(3_000);
+
 /// The newest revision of the store up to which all changes are known.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct StoreView {
@@ -15,6 +18,11 @@
 }
 
 impl StoreView {
+    /// Returns true if a change that is to be in force is known.
+    pub(crate) fn is_current(&self, now: Micros) -> bool {
+        self.known_at.is_some_and(|at| now < at + CURRENT_VIEW_AGE)
+    }
+
     /// Returns for how long later changes may have gone unnoticed, in milliseconds.
     pub(crate) fn age_ms(&self, now: Micros) -> u64 {
         self.known_at.map_or(u64::MAX, |at| now.saturating_sub(at).as_millis())
