Notice lost watches of the platform within the bound in cicadawickd

Callers would see: a change of the configuration that is not in force for a minute. Cause: a blocking query waited 55 s. If its connection goes silent, only its own time limit of 60 s shows that, and no other query reads the change. Change: a query waits 10 s, so its time limit, its retry and the next answer stay below 17 s. The fake platform can silence the waiting queries. Result: daemon/configuration.rs: a_change_is_active_in_time_although_all_watches_are_lost failed before (not active after 20 s, bound 17 s) and passes.

--- a/crates/daemon/src/platform_threads.rs
+++ b/crates/daemon/src/platform_threads.rs
@@ -18,8 +18,10 @@
 const DOCUMENT_KEYS: [(&str, &str); 2] =
     [("config", "cicadawick/config"), ("token-keys", "cicadawick/token-keys")];
 
-/// Time that a blocking query waits at the platform. It is long because each return counts as a call.
-const WATCH_WAIT: Duration = Duration::from_secs(55);
+/// Time that a blocking query waits at the platform; each return counts as a call. A query whose connection has gone
+/// silent is noticed only after this time, a sixteenth of it and the timeout of a call. With the retry they stay below
+/// the bound for a configuration change (17 s).
+const WATCH_WAIT: Duration = Duration::from_secs(10);
 
 /// Timeout of a call that does not wait for a change. A promotion waits at most this long for its
 /// record.
--- a/crates/daemon/tests/configuration.rs
+++ b/crates/daemon/tests/configuration.rs
@@ -273,6 +273,25 @@
     monitor.check(&fleet);
 }
 
+/// Guards against a change that no node notices for a minute, because the connections on which the watchers of all data
+/// centres wait have gone silent.
+#[test]
+fn a_change_is_active_in_time_although_all_watches_are_lost() {
+    let fleet = TestFleet::start(FleetOptions::default());
+    let before = fleet.platform.counters().watch;
+    apply(&fleet, 6_003, 2);
+    wait_for_deadline(&fleet, 0..5, 6_003);
+    wait_until("every watcher watches again", || {
+        fleet.platform.counters().watch >= before + fleet.options.data_centres as u64
+    });
+    fleet.platform.silence_waiting_queries();
+    let written = Instant::now();
+    apply(&fleet, 6_004, 3);
+    wait_for_deadline(&fleet, 0..5, 6_004);
+    let took = written.elapsed();
+    assert!(took < CHANGE_LIMIT, "the change took {took:?}, more than {CHANGE_LIMIT:?}");
+}
+
 /// Guards against nodes that return to an older revision when the platform has lost its latest
 /// change.
 #[test]
--- a/crates/fake/src/fakeplatform.rs
+++ b/crates/fake/src/fakeplatform.rs
@@ -123,6 +123,9 @@
     dropped_share: f64,
     random: SeededRandom,
     counters: CallCounters,
+    /// Number of the next blocking query, and of the first one that is answered.
+    next_query: u64,
+    first_answered_query: u64,
     stopping: bool,
 }
 
@@ -331,6 +334,11 @@
         self.core.set_outage(mode)
     }
 
+    /// Never answers the blocking queries that are waiting, as if their connections had gone silent.
+    pub fn silence_waiting_queries(&self) {
+        self.core.change(|store| store.first_answered_query = store.next_query);
+    }
+
     /// Drops the answers to the next `count` changes (PUT and DELETE): the change takes effect and the
     /// connection closes without an answer.
     pub fn drop_next_answers(&self, count: u64) {
@@ -590,12 +598,16 @@
     ) -> Result<MutexGuard<'a, PlatformStore>, HttpAnswer> {
         let Some(known) = target.number("index")? else { return Ok(store) };
         let end = Instant::now() + target.wait()?;
-        while known > 0 && index_of(&store) <= known && !store.stopping {
+        let query = store.next_query;
+        store.next_query += 1;
+        while known > 0 && !store.stopping {
+            let silenced = query < store.first_answered_query;
             let left = end.saturating_duration_since(Instant::now());
-            if left.is_zero() {
+            if !silenced && (index_of(&store) > known || left.is_zero()) {
                 break;
             }
-            let waited = self.changed.wait_timeout(store, left);
+            let wait = if silenced { MAX_WAIT } else { left };
+            let waited = self.changed.wait_timeout(store, wait);
             store = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
         Ok(store)
