Hold the connections in the test of the fake database's limits

The test starts a statement of 50 ms on each connection as it opens it, and the connection closes with the statement. If opening four takes longer than that, the first has closed already. Change: all four connections are open and kept before the fifth is tried; the statements start after that. The checks and their figures are the same.

--- a/crates/fake/tests/fakedb_sql.rs
+++ b/crates/fake/tests/fakedb_sql.rs
@@ -222,13 +222,14 @@
     let group = start(1);
     let address = group.addresses()[0];
     group.set_limits("db-1", 4, 2).unwrap();
-    let sleepers: Vec<_> = (0..4)
-        .map(|_| {
-            let mut client = connect(address);
+    let clients: Vec<_> = (0..4).map(|_| connect(address)).collect();
+    assert_eq!(code(&try_connect(address).err().unwrap()), "53300");
+    let sleepers: Vec<_> = clients
+        .into_iter()
+        .map(|mut client| {
             std::thread::spawn(move || client.batch_execute("SELECT pg_sleep(0.05)").unwrap())
         })
         .collect();
-    assert_eq!(code(&try_connect(address).err().unwrap()), "53300");
     for sleeper in sleepers {
         sleeper.join().unwrap();
     }
