Log which databases a failover compares and which it leaves out

Cause: takeover_chosen named the chosen database and its position only, so a record could not tell whether another database was known, removed or never asked, nor how long the log was known to be. Change: takeover_chosen and log_too_short list the fenced databases with their positions, the others with their last known position and the age of the last answer, and the known end of the log with what showed it; database_removed tells position, age and whether the database was leaving. Removed databases are remembered for this (eight for each cluster).

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -1,11 +1,12 @@
 //! Clusters: their databases, the proof of their leader, and the requests that wait for it.
 
-use model::{DatabaseRole, FastSet, Micros, Name, Term};
+use model::{DatabaseRole, FastMap, FastSet, Micros, Name, Term};
 
 use crate::backend::{BackendAnswer, BackendCommand};
 use crate::database::{CommandPurpose, Database};
 use crate::event::{ConnectionId, ListedDatabase};
 use crate::leadership_proof::LeadershipProof;
+use crate::log_comparison::FormerMember;
 use crate::request::{RequestId, RequestStage};
 use crate::{Gate, fields};
 
@@ -41,6 +42,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ClusterState {
     pub(crate) members: Vec<Name>,
+    /// Databases that were removed because their entries were gone.
+    pub(crate) former_members: FastMap<Name, FormerMember>,
     pub(crate) proof: LeadershipProof,
     /// Requests that wait for a leader.
     pub(crate) waiting_for_leader: Vec<RequestId>,
@@ -113,6 +116,7 @@
         let name = listed.id.clone();
         let cluster = listed.cluster.clone();
         let state = self.clusters.entry(cluster.clone()).or_default();
+        state.former_members.remove(&name);
         if !state.members.contains(&name) {
             state.members.push(name.clone());
             state.members.sort();
@@ -186,13 +190,14 @@
         for connection in connections {
             self.close_connection(connection, "database removed");
         }
-        self.databases.remove(name);
+        let removed = self.databases.remove(name);
         if let Some(state) = self.clusters.get_mut(&cluster) {
             state.members.retain(|member| member != name);
             state.proof.forget_leader(name);
         }
         self.reroute_if_unconnected(name);
-        self.log("database_removed", fields!["database" => name]);
+        let Some(removed) = removed else { return };
+        self.record_former_member(&cluster, name, &removed);
     }
 
     /// Removes the databases whose entries were not listed again in time.
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -487,14 +487,10 @@
         if let Some(failover) = self.failovers.running.get_mut(cluster) {
             failover.new_primary = Some(name.clone());
         }
-        self.log(
-            "takeover_chosen",
-            fields![
-                "cluster" => cluster,
-                "database" => &name,
-                "position" => position.to_string()
-            ],
-        );
+        let mut record =
+            fields!["cluster" => cluster, "database" => &name, "position" => position.to_string()];
+        record.extend(self.comparison_fields(cluster));
+        self.log("takeover_chosen", record);
         self.set_stage(cluster, FailoverStage::Promoting);
         self.send_promote(cluster);
     }
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -229,16 +229,14 @@
         }
         let since = *self.failovers.missing_log_since.entry(cluster.clone()).or_insert(self.now);
         let waits = self.now < since + MISSING_LOG_TIMEOUT || self.old_primary_responds(cluster);
-        self.log(
-            "log_too_short",
-            fields![
-                "cluster" => cluster,
-                "database" => &name,
-                "position" => position.to_string(),
-                "known" => known.to_string(),
-                "waits" => waits
-            ],
-        );
+        let mut record = fields![
+            "cluster" => cluster,
+            "database" => &name,
+            "position" => position.to_string(),
+            "waits" => waits
+        ];
+        record.extend(self.comparison_fields(cluster));
+        self.log("log_too_short", record);
         waits
     }
 }
--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -35,6 +35,32 @@
     position: TermPosition,
 }
 
+/// What showed the end of a cluster's log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogEvidence {
+    /// Nothing is known about the term yet.
+    #[default]
+    None,
+    /// A primary that began a term reported it.
+    TermStart,
+    /// A replica holds it.
+    Replica,
+    /// A commit was acknowledged there.
+    Commit,
+}
+
+impl LogEvidence {
+    /// Returns the name used in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            LogEvidence::None => "none",
+            LogEvidence::TermStart => "term start",
+            LogEvidence::Replica => "replica",
+            LogEvidence::Commit => "commit",
+        }
+    }
+}
+
 /// What a node knows about the leadership of one cluster.
 ///
 /// ```
@@ -69,6 +95,8 @@
     fenced: FastMap<Name, Micros>,
     /// Highest position that a replica held or at which a commit was acknowledged.
     known_log_end: TermPosition,
+    /// What showed `known_log_end`.
+    log_evidence: LogEvidence,
     unproved: VecDeque<LeaderPosition>,
     proved: VecDeque<LeaderPosition>,
 }
@@ -118,6 +146,7 @@
             self.fenced.clear();
             // Replicas roll back what the new primary lacks.
             self.known_log_end = TermPosition::default();
+            self.log_evidence = LogEvidence::None;
             self.unproved.clear();
         }
         match report.role {
@@ -126,6 +155,7 @@
                     // All commits acknowledged before are in the log with which the new primary
                     // began.
                     self.known_log_end = report.received;
+                    self.log_evidence = LogEvidence::TermStart;
                 }
                 self.leader = Some(database.clone());
                 self.last_leader = Some(database.clone());
@@ -173,7 +203,14 @@
     /// Records a position that a replica holds. A commit may have been acknowledged because of it.
     pub fn observe_replica_position(&mut self, database: &Name, position: TermPosition) {
         if self.leader.as_ref() != Some(database) {
-            self.known_log_end = self.known_log_end.max(position);
+            self.extend_known_log(position, LogEvidence::Replica);
+        }
+    }
+
+    fn extend_known_log(&mut self, position: TermPosition, evidence: LogEvidence) {
+        if position > self.known_log_end {
+            self.known_log_end = position;
+            self.log_evidence = evidence;
         }
     }
 
@@ -183,6 +220,11 @@
         self.known_log_end
     }
 
+    /// Returns what showed the known end of the log.
+    pub fn log_evidence(&self) -> LogEvidence {
+        self.log_evidence
+    }
+
     /// Records a commit at `position`, sent at `sent`, that the leader acknowledged with a
     /// synchronous replica.
     pub fn observe_commit(
@@ -192,7 +234,7 @@
         position: Option<TermPosition>,
     ) {
         if self.leader.as_ref() == Some(database) {
-            self.known_log_end = self.known_log_end.max(position.unwrap_or_default());
+            self.extend_known_log(position.unwrap_or_default(), LogEvidence::Commit);
             self.confirm_directly(sent);
         }
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -14,7 +14,8 @@
 //! - `cluster`, `leadership_proof`, `read_lease`: what is known about primaries
 //! - `registration`, `registry`, `node_count`: the nodes
 //! - `store_view`: how current the lists of all these are
-//! - `suspicion`, `failover`, `fencing`, `promotion_lease`: the replacement of primaries
+//! - `suspicion`, `failover`, `fencing`, `log_comparison`, `promotion_lease`: the replacement of
+//!   primaries
 //! - `ready`, `drain`: what the load balancer sees
 
 mod action;
@@ -29,6 +30,7 @@
 mod failover;
 mod fencing;
 mod leadership_proof;
+mod log_comparison;
 mod node_count;
 mod outcome;
 mod owners;
@@ -56,7 +58,7 @@
     ConnectionId, Document, GateEvent, ListedDatabase, NodeRole, PromoteResult, SessionId,
     SessionOrigin, StoreState, StoredDocument, WriteResult, rank_of_priority,
 };
-pub use leadership_proof::LeadershipProof;
+pub use leadership_proof::{LeadershipProof, LogEvidence};
 pub use model::DatabaseRole;
 pub use node_count::NodeCountRecord;
 pub use owners::{OwnerInput, OwnerTable, SMALL_DEPLOYMENT_MAX_NODES};
--- /dev/null
+++ b/crates/gate/src/log_comparison.rs
@@ -0,0 +1,105 @@
+//! Which databases of a cluster a failover compares, and which it leaves out.
+
+use model::{Micros, Name};
+
+use crate::action::LogValue;
+use crate::backend::TermPosition;
+use crate::database::Database;
+use crate::{Gate, fields};
+
+/// Number of removed databases that are remembered for each cluster.
+const FORMER_MEMBER_LIMIT: usize = 8;
+
+/// A database that was removed because its entry was gone. It may come back with its log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FormerMember {
+    pub(crate) removed_at: Micros,
+    /// Last known end of its log; the default if it is not known.
+    pub(crate) position: TermPosition,
+    pub(crate) last_answer: Option<Micros>,
+    pub(crate) leaving: bool,
+}
+
+impl Gate {
+    /// Records that a database was removed, and logs what was known about it.
+    pub(crate) fn record_former_member(
+        &mut self,
+        cluster: &Name,
+        name: &Name,
+        database: &Database,
+    ) {
+        let now = self.now;
+        if database.peer.is_some() {
+            return self.log("database_removed", fields!["database" => name]);
+        }
+        let received = database.report.map(|report| report.received);
+        let position = received.max(database.applied).unwrap_or_default();
+        let former = FormerMember {
+            removed_at: now,
+            position,
+            last_answer: database.last_answer,
+            leaving: database.listed.leaving,
+        };
+        if let Some(state) = self.clusters.get_mut(cluster) {
+            state.former_members.insert(name.clone(), former);
+            if state.former_members.len() > FORMER_MEMBER_LIMIT {
+                let oldest =
+                    state.former_members.iter().min_by_key(|(_, member)| member.removed_at);
+                let oldest = oldest.map(|(name, _)| name.clone());
+                oldest.and_then(|oldest| state.former_members.remove(&oldest));
+            }
+        }
+        self.log(
+            "database_removed",
+            fields![
+                "database" => name,
+                "cluster" => cluster,
+                "position" => position.to_string(),
+                "leaving" => former.leaving,
+                "contact_ms" => contact_age(now, former.last_answer)
+            ],
+        );
+    }
+
+    /// Returns the log fields that show how a failover compared the logs: the fenced databases with
+    /// their positions, the others with the age of the last contact, and the known end of the log.
+    pub(crate) fn comparison_fields(&self, cluster: &Name) -> Vec<(&'static str, LogValue)> {
+        let (Some(failover), Some(state)) =
+            (self.failovers.running.get(cluster), self.clusters.get(cluster))
+        else {
+            return Vec::new();
+        };
+        let now = self.now;
+        let mut compared: Vec<String> = failover
+            .fenced
+            .iter()
+            .map(|(name, report)| format!("{name} {} fence {}", report.received, report.fence))
+            .collect();
+        compared.sort();
+        let mut left_out = Vec::new();
+        for name in state.members.iter().filter(|name| !failover.fenced.contains_key(*name)) {
+            let database = self.databases.get(name);
+            let position = database.and_then(|database| database.applied).unwrap_or_default();
+            let contact = contact_age(now, database.and_then(|database| database.last_answer));
+            let role =
+                if failover.old_primary.as_ref() == Some(name) { "old primary" } else { "member" };
+            left_out.push(format!("{name} {role} {position} contact {contact} ms"));
+        }
+        for (name, former) in &state.former_members {
+            let contact = contact_age(now, former.last_answer);
+            left_out.push(format!("{name} removed {} contact {contact} ms", former.position));
+        }
+        left_out.sort();
+        fields![
+            "compared" => compared.join(", "),
+            "left_out" => left_out.join(", "),
+            "known" => state.proof.known_log_end().to_string(),
+            "known_from" => state.proof.log_evidence().name()
+        ]
+    }
+}
+
+/// Returns the time since a database last answered, in milliseconds.
+fn contact_age(now: Micros, last_answer: Option<Micros>) -> u64 {
+    last_answer.map_or(u64::MAX, |at| now.saturating_sub(at).as_millis())
+}
