--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -122,6 +122,8 @@
     deliveries: BTreeMap<u64, Delivery>,
     sequence: u64,
     next_session: u64,
+    /// Number of processes that were started again.
+    incarnations: u64,
 }
 
 fn address(port: u16) -> SocketAddr {
@@ -162,6 +164,19 @@
     table
 }
 
+fn node_settings(name: &Name, incarnation: u64) -> GateSettings {
+    GateSettings {
+        node: name.clone(),
+        data_centre: "east".into(),
+        capacity: 250,
+        peer_address: None,
+        relay_address: None,
+        incarnation,
+        shutdown_grace: Micros::from_secs(6),
+        configuration_bound: Micros::from_secs(3),
+    }
+}
+
 impl Simulation {
     /// Starts nodes with one cluster of three databases, `a` (the primary), `b` and `c`, and runs
     /// until they are stable.
@@ -175,21 +190,7 @@
 
     pub fn empty(nodes: usize) -> Simulation {
         let names: Vec<Name> = (0..nodes).map(|index| format!("n{index}").into()).collect();
-        let gates = names
-            .iter()
-            .map(|name| {
-                Gate::new(GateSettings {
-                    node: name.clone(),
-                    data_centre: "east".into(),
-                    capacity: 250,
-                    peer_address: None,
-                    relay_address: None,
-                    incarnation: 1,
-                    shutdown_grace: Micros::from_secs(6),
-                    configuration_bound: Micros::from_secs(3),
-                })
-            })
-            .collect();
+        let gates = names.iter().map(|name| Gate::new(node_settings(name, 1))).collect();
         let mut databases = BTreeMap::new();
         for name in ["a", "b", "c"] {
             let role = if name == "a" { DatabaseRole::Primary } else { DatabaseRole::Replica };
@@ -242,9 +243,28 @@
             deliveries: BTreeMap::new(),
             sequence: 0,
             next_session: 0,
+            incarnations: 0,
         }
     }
 
+    /// Starts a node's process again: it knows nothing of before, and reads the store.
+    pub fn start_again(&mut self, gate: usize) {
+        self.remove_registration(gate);
+        self.connections.retain(|(owner, _), _| *owner != gate);
+        self.incarnations += 1;
+        let incarnation = 1 + self.incarnations;
+        self.gates[gate] = Gate::new(node_settings(&self.names[gate], incarnation));
+        self.registered[gate] = (NodeRole::Standby, 0);
+        self.stopped.remove(&gate);
+        self.renewing.insert(gate);
+        self.event(gate, GateEvent::RoutesChanged(Box::new(route_table(16))));
+        let list = self.listed();
+        self.event(gate, GateEvent::DatabasesListed(list));
+        let documents = self.documents.values().cloned().collect();
+        let revision = self.revision;
+        self.event(gate, GateEvent::DocumentsListed { documents, revision });
+    }
+
     /// Sends every node the contents of the store.
     pub fn announce_store_state(&mut self) {
         for gate in 0..self.gates.len() {
