Promote a log only if it is shown to contain every acknowledged commit

Cause: a failover compared the databases that were listed, or had been until 4 s before, on the assumption that no other one holds a commit. A database that is down or cut off from the store loses its entry although it comes back with its log, a node that starts later never knows of it, and a commit that only a dead node passed on raised no other node's lower bound. Change: the first owner of a cluster records in the store which databases may hold its commits. With sync-replicas 1 a commit is at two databases, so a failover that misses one at most has seen it. If it misses more, each owner must have told its end of the log, and an owner that left must have left before a commit that another one sent; otherwise the failover is given up (log_unproved) and tried again. A database leaves the record once a replica is shown to hold a commit that was sent after its removal, so one that is lost for good is not waited for. Ruled out: keeping removed databases in memory for longer, which a restart of the node ends.

--- a/crates/edge/src/driver.rs
+++ b/crates/edge/src/driver.rs
@@ -288,6 +288,9 @@
                 self.store.publish_registration(role, role_changes, bytes);
             }
             GateAction::WriteNodeCount { bytes } => self.store.write_node_count(bytes),
+            GateAction::WriteLogHolders { cluster, expected, bytes } => {
+                self.store.write_log_holders(cluster, expected, bytes);
+            }
             GateAction::ReadStoreState => self.store.read_state(),
             GateAction::EndLease { node, lease } => self.store.end_lease(node, lease),
             GateAction::Promote { cluster, database, holder, fencing_token } => {
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -109,6 +109,15 @@
     /// Fails if the store does not answer in time or refuses.
     fn write_node_count(&self, bytes: &[u8]) -> Result<(), StoreError>;
 
+    /// Stores the record of the databases that may hold a cluster's commits, if its revision is still `expected`; zero
+    /// means that it must not exist.
+    fn write_log_holders(
+        &self,
+        cluster: &Name,
+        expected: u64,
+        bytes: &[u8],
+    ) -> Result<ConditionalWrite, StoreError>;
+
     /// Writes a node's registration in a role under a lease, if its revision is `expected`; zero means that there
     /// is none.
     ///
@@ -261,6 +270,18 @@
         shell::spawn_call("write_fleet", write, (), |()| {});
     }
 
+    /// Writes the record of a cluster's databases. A failure is only logged, as the gate retries; a conflict shows in the
+    /// newer record.
+    pub(crate) fn write_log_holders(&self, cluster: Name, expected: u64, bytes: Vec<u8>) {
+        let client = self.client.clone();
+        let write = move || {
+            if let Err(error) = client.write_log_holders(&cluster, expected, &bytes) {
+                log_failure("write_log_holders", &error);
+            }
+        };
+        shell::spawn_call("write_holders", write, (), |()| {});
+    }
+
     pub(crate) fn read_state(&self) {
         self.call("read_state", GateEvent::StoreStateRead { state: None }, |client| {
             let state = match read_state(&client) {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -255,7 +255,8 @@
                     self.nodes.remove(&(*role, node.clone()));
                 }
                 StoreChange::DocumentRemoved {
-                    document: Document::PromotionLease | Document::NodeCount,
+                    document:
+                        Document::PromotionLease | Document::NodeCount | Document::LogHolders(_),
                     ..
                 }
                 | StoreChange::DatabaseRemoved(_) => {}
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -83,6 +83,13 @@
     WriteNodeCount {
         bytes: Vec<u8>,
     },
+    /// Store the record of the databases that may hold a cluster's commits, if its revision is still
+    /// `expected`; 0 means that it must not exist.
+    WriteLogHolders {
+        cluster: Name,
+        expected: u64,
+        bytes: Vec<u8>,
+    },
     /// Read the current lists of databases and documents.
     ReadStoreState,
     /// End the lease of another node's registration.
--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -7,6 +7,7 @@
 use crate::event::{ConnectionId, ListedDatabase};
 use crate::leadership_proof::LeadershipProof;
 use crate::log_comparison::FormerMember;
+use crate::log_holders::LogHolders;
 use crate::request::{RequestId, RequestStage};
 use crate::{Gate, fields};
 
@@ -44,6 +45,8 @@
     pub(crate) members: Vec<Name>,
     /// Databases that were removed because their entries were gone.
     pub(crate) former_members: FastMap<Name, FormerMember>,
+    /// The stored record of the databases that may hold commits.
+    pub(crate) log_holders: LogHolders,
     pub(crate) proof: LeadershipProof,
     /// Requests that wait for a leader.
     pub(crate) waiting_for_leader: Vec<RequestId>,
@@ -403,6 +406,7 @@
     fn maintain_cluster(&mut self, cluster: &Name) {
         let now = self.now;
         let owns = self.owns_connections(cluster);
+        self.maintain_log_holders(cluster);
         if let Some(proof_time) =
             self.clusters.get(cluster).and_then(|state| state.needed_proof_time)
         {
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -47,6 +47,8 @@
     PromotionLease,
     /// Number of nodes of a large deployment.
     NodeCount,
+    /// Databases that may hold acknowledged commits of a cluster.
+    LogHolders(Name),
     /// Registration of a node in a role.
     Node(NodeRole, Name),
 }
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -26,12 +26,15 @@
 //! The failover waits until its entry is gone. If that takes too long, the failover is aborted and
 //! its fences are lifted.
 
+use std::collections::BTreeSet;
+
 use model::{FastMap, Micros, Name, Term};
 
 use crate::action::GateAction;
 use crate::backend::{BackendCommand, DatabaseReport};
 use crate::database::CommandPurpose;
 use crate::event::{Document, NodeRole, PromoteResult, StoreState, StoredDocument};
+use crate::log_holders::names_of;
 use crate::read_lease::{COMMIT_GRACE, READ_LEASE_TTL};
 use crate::registry::NodeRecord;
 use crate::{Gate, fields};
@@ -129,6 +132,8 @@
     pub(crate) last_step: Micros,
     pub(crate) in_flight: bool,
     pub(crate) replicas: Vec<Name>,
+    /// Databases that may hold acknowledged commits, according to the record in the store.
+    pub(crate) holders: BTreeSet<Name>,
     pub(crate) fenced: FastMap<Name, DatabaseReport>,
     pub(crate) fence_sent: FastMap<Name, Micros>,
     pub(crate) new_primary: Option<Name>,
@@ -410,6 +415,7 @@
                     failover.announced,
                 ));
             failover.replicas = replicas;
+            failover.holders = stored_holders(&documents, &cluster);
             if failover.only_lifts_fences {
                 self.lift_fences(&cluster);
                 continue;
@@ -584,6 +590,17 @@
     }
 }
 
+/// Returns the databases that the record of a cluster in the store names.
+fn stored_holders(documents: &[StoredDocument], cluster: &Name) -> BTreeSet<Name> {
+    let stored = documents.iter().find(|stored| match &stored.document {
+        Document::LogHolders(name) => name == cluster,
+        Document::PromotionLease | Document::NodeCount | Document::Node(..) => false,
+    });
+    // The gate logs an unreadable record when it is notified of it.
+    let record = stored.and_then(|stored| serde_json::from_slice(&stored.bytes).ok());
+    names_of(record.unwrap_or_default())
+}
+
 /// Returns the other registered owners that have not acknowledged an announcement.
 fn unacknowledged_nodes(
     documents: &[StoredDocument],
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -6,6 +6,7 @@
 use crate::database::CommandPurpose;
 use crate::event::ConnectionId;
 use crate::failover::{FailoverStage, STEP_RETRY_INTERVAL};
+use crate::log_comparison::LogCoverage;
 use crate::{Gate, fields};
 
 /// Time that failovers of a cluster without synchronous replicas wait for a database with the known
@@ -19,8 +20,8 @@
 impl Gate {
     /// Demotes the old primary, if it answers, before the new one is chosen.
     pub(crate) fn demote_old_primary(&mut self, cluster: &Name) {
-        if self.waits_for_missing_log(cluster) {
-            return self.abort_failover(cluster, "no replica holds the known log");
+        if let Some(reason) = self.missing_log_reason(cluster) {
+            return self.abort_failover(cluster, reason);
         }
         let Some(failover) = self.failovers.running.get(cluster) else { return };
         let (old, term) = (failover.old_primary.clone(), failover.term);
@@ -218,27 +219,36 @@
             .map(|(name, report)| (name.clone(), report.received))
     }
 
-    /// Returns true if every fenced replica lacks a part of the log that is known to exist, so that
-    /// none may be promoted. Crashed databases return with their log. With synchronous replicas
-    /// there is no time limit.
-    pub(crate) fn waits_for_missing_log(&mut self, cluster: &Name) -> bool {
-        let Some((name, position)) = self.longest_fenced_log(cluster) else { return true };
-        let (known, _) = self.known_log_end(cluster);
-        if position >= known {
-            return false;
-        }
+    /// Returns why no fenced replica may be promoted: its log is known to be too short, or databases
+    /// that may hold more were not compared. Crashed databases return with their log, so with
+    /// synchronous replicas there is no time limit.
+    fn missing_log_reason(&mut self, cluster: &Name) -> Option<&'static str> {
+        let Some((name, position)) = self.longest_fenced_log(cluster) else {
+            return Some("no replica is fenced");
+        };
+        let (event, reason, missing) = match self.log_coverage(cluster, position) {
+            LogCoverage::Complete => return None,
+            LogCoverage::TooShort => {
+                ("log_too_short", "no replica holds the known log", Vec::new())
+            }
+            LogCoverage::Unproved { missing } => {
+                ("log_unproved", "databases that may hold commits are missing", missing)
+            }
+        };
         let since = *self.failovers.missing_log_since.entry(cluster.clone()).or_insert(self.now);
         let waits = self.has_synchronous_replicas(cluster)
             || self.now < since + ASYNCHRONOUS_LOG_TIMEOUT
             || self.old_primary_responds(cluster);
+        let missing: Vec<&str> = missing.iter().map(Name::as_str).collect();
         let mut record = fields![
             "cluster" => cluster,
             "database" => &name,
             "position" => position.to_string(),
+            "missing" => missing.join(","),
             "waits" => waits
         ];
         record.extend(self.comparison_fields(cluster));
-        self.log("log_too_short", record);
-        waits
+        self.log(event, record);
+        waits.then_some(reason)
     }
 }
--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -97,6 +97,10 @@
     known_log_end: TermPosition,
     /// What showed `known_log_end`.
     log_evidence: LogEvidence,
+    /// Latest time for which `known_log_end` covers every commit acknowledged before, by any node.
+    log_end_known_at: Option<Micros>,
+    /// When the newest acknowledged commit was sent, and its position.
+    last_commit: Option<(Micros, TermPosition)>,
     unproved: VecDeque<LeaderPosition>,
     proved: VecDeque<LeaderPosition>,
 }
@@ -147,6 +151,7 @@
             // Replicas roll back what the new primary lacks.
             self.known_log_end = TermPosition::default();
             self.log_evidence = LogEvidence::None;
+            self.log_end_known_at = None;
             self.unproved.clear();
         }
         match report.role {
@@ -156,6 +161,7 @@
                     // began.
                     self.known_log_end = report.received;
                     self.log_evidence = LogEvidence::TermStart;
+                    self.log_end_known_at = Some(requested_at);
                 }
                 self.leader = Some(database.clone());
                 self.last_leader = Some(database.clone());
@@ -220,6 +226,18 @@
         self.known_log_end
     }
 
+    /// Returns the latest time for which the known end of the log covers every commit that any node
+    /// acknowledged before: when the newest acknowledged commit, or the first report of the primary,
+    /// was sent. Later commits have higher positions.
+    pub fn log_end_known_at(&self) -> Option<Micros> {
+        self.log_end_known_at
+    }
+
+    /// Returns when the newest acknowledged commit was sent, and its position.
+    pub fn last_commit(&self) -> Option<(Micros, TermPosition)> {
+        self.last_commit
+    }
+
     /// Returns what showed the known end of the log.
     pub fn log_evidence(&self) -> LogEvidence {
         self.log_evidence
@@ -234,7 +252,10 @@
         position: Option<TermPosition>,
     ) {
         if self.leader.as_ref() == Some(database) {
-            self.extend_known_log(position.unwrap_or_default(), LogEvidence::Commit);
+            let position = position.unwrap_or_default();
+            self.extend_known_log(position, LogEvidence::Commit);
+            self.log_end_known_at = self.log_end_known_at.max(Some(sent));
+            self.last_commit = self.last_commit.max(Some((sent, position)));
             self.confirm_directly(sent);
         }
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -14,7 +14,8 @@
 //! - `cluster`, `leadership_proof`, `read_lease`: what is known about primaries
 //! - `registration`, `registry`, `node_count`: the nodes
 //! - `store_view`: how current the lists of all these are
-//! - `suspicion`, `failover`, `fencing`, `log_comparison`, `promotion_lease`: the replacement of
+//! - `suspicion`, `failover`, `fencing`, `log_comparison`, `log_holders`,
+//!   `promotion_lease`: the replacement of
 //!   primaries
 //! - `ready`, `drain`: what the load balancer sees
 
@@ -31,6 +32,7 @@
 mod fencing;
 mod leadership_proof;
 mod log_comparison;
+mod log_holders;
 mod node_count;
 mod outcome;
 mod owners;
@@ -59,6 +61,7 @@
     SessionOrigin, StoreState, StoredDocument, WriteResult, rank_of_priority,
 };
 pub use leadership_proof::{LeadershipProof, LogEvidence};
+pub use log_holders::LogHoldersRecord;
 pub use model::DatabaseRole;
 pub use node_count::NodeCountRecord;
 pub use owners::{OwnerInput, OwnerTable, SMALL_DEPLOYMENT_MAX_NODES};
@@ -227,6 +230,9 @@
             GateEvent::DocumentRemoved { document, revision } => match document {
                 Document::PromotionLease => self.promotion_lease_removed(revision),
                 Document::NodeCount => {}
+                Document::LogHolders(cluster) => {
+                    self.log_holders_read(cluster, revision, LogHoldersRecord::default());
+                }
                 Document::Node(role, name) => {
                     self.own_registration_missing(role, &name, revision);
                     self.registry.remove(self.now, role, &name);
@@ -294,9 +300,10 @@
             .iter()
             .filter_map(|stored| match &stored.document {
                 Document::Node(role, name) => Some((*role, name.clone())),
-                Document::PromotionLease | Document::NodeCount => None,
+                Document::PromotionLease | Document::NodeCount | Document::LogHolders(_) => None,
             })
             .collect();
+        self.forget_unlisted_log_holders(&documents);
         let own = (self.registration.role, self.settings.node.clone());
         if !nodes.contains(&own) {
             self.own_registration_missing(own.0, &own.1, revision);
@@ -319,7 +326,7 @@
     }
 
     fn document_changed(&mut self, stored: StoredDocument) {
-        let counts_nodes = stored.document != Document::PromotionLease;
+        let counts_nodes = matches!(stored.document, Document::Node(..) | Document::NodeCount);
         self.apply_document(stored);
         self.owners_outdated |= counts_nodes;
     }
@@ -336,6 +343,10 @@
                 let record = self.read_record("fleet", &stored.bytes);
                 self.node_count_read(record);
             }
+            Document::LogHolders(cluster) => {
+                let record = self.read_record("log holders", &stored.bytes);
+                self.log_holders_read(cluster, stored.revision, record);
+            }
             Document::Node(role, name) => {
                 let record: NodeRecord = self.read_record("node", &stored.bytes);
                 if record.incarnation != self.settings.incarnation {
--- a/crates/gate/src/log_comparison.rs
+++ b/crates/gate/src/log_comparison.rs
@@ -1,4 +1,7 @@
-//! Which databases of a cluster a failover compares, and which it leaves out.
+//! Which databases of a cluster a failover compares, which it leaves out, and whether the compared
+//! logs contain every acknowledged commit.
+
+use std::collections::BTreeSet;
 
 use model::{Micros, Name};
 
@@ -19,6 +22,35 @@
     pub(crate) position: TermPosition,
     pub(crate) last_answer: Option<Micros>,
     pub(crate) leaving: bool,
+    /// End of a commit that was sent after the removal. A replica that holds it holds everything
+    /// that the removed database had received.
+    pub(crate) superseded_by: Option<TermPosition>,
+}
+
+impl FormerMember {
+    /// A database of which this node knows only that it was one of the cluster.
+    pub(crate) fn unknown(now: Micros) -> Self {
+        FormerMember {
+            removed_at: now,
+            position: TermPosition::default(),
+            last_answer: None,
+            leaving: false,
+            superseded_by: None,
+        }
+    }
+}
+
+/// Whether the logs that a failover has compared contain every acknowledged commit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum LogCoverage {
+    Complete,
+    /// The longest log lacks a part that is known to exist.
+    TooShort,
+    /// So many databases were not compared that they may hold a commit which no node that could be
+    /// asked knows of.
+    Unproved {
+        missing: Vec<Name>,
+    },
 }
 
 impl Gate {
@@ -46,6 +78,7 @@
             position,
             last_answer: database.last_answer,
             leaving: database.listed.leaving,
+            superseded_by: None,
         };
         if let Some(state) = self.clusters.get_mut(cluster) {
             state.former_members.insert(name.clone(), former);
@@ -106,6 +139,55 @@
         ]
     }
 
+    /// Returns whether the fenced logs, of which the longest ends at `longest`, contain every
+    /// acknowledged commit.
+    pub(crate) fn log_coverage(&self, cluster: &Name, longest: TermPosition) -> LogCoverage {
+        if longest < self.known_log_end(cluster).0 {
+            return LogCoverage::TooShort;
+        }
+        let (Some(failover), Some(state), Some(limits)) = (
+            self.failovers.running.get(cluster),
+            self.clusters.get(cluster),
+            self.table.clusters.get(cluster),
+        ) else {
+            return LogCoverage::Complete;
+        };
+        let mut missing: BTreeSet<&Name> = failover.holders.iter().chain(&state.members).collect();
+        missing.retain(|name| {
+            !failover.fenced.contains_key(*name) || !failover.replicas.contains(*name)
+        });
+        if limits.sync_replicas == 0
+            || missing.len() <= limits.sync_replicas as usize
+            || self.knows_all_commits(cluster)
+        {
+            return LogCoverage::Complete;
+        }
+        LogCoverage::Unproved { missing: missing.into_iter().cloned().collect() }
+    }
+
+    /// Returns true if the known end of the log covers every acknowledged commit: each owner that
+    /// may have acknowledged some has told its end, or has left before a commit that an owner which
+    /// told its end has sent.
+    fn knows_all_commits(&self, cluster: &Name) -> bool {
+        let Some(failover) = self.failovers.running.get(cluster) else { return false };
+        let left = self.registry.last_departure().is_some_and(|at| at >= failover.started);
+        if left || !failover.unacknowledged.is_empty() {
+            return false;
+        }
+        let told: Vec<_> = self.registry.told_log_ends(cluster, failover.announced).collect();
+        let current =
+            self.is_log_end_current(cluster) || told.iter().flatten().any(|end| end.current);
+        current && told.iter().all(Option::is_some)
+    }
+
+    /// Returns true if the end of the log that this node knows covers all commits that were
+    /// acknowledged by owners which have left.
+    pub(crate) fn is_log_end_current(&self, cluster: &Name) -> bool {
+        let last_departure = self.registry.last_departure().unwrap_or(self.started);
+        let known_at = self.clusters.get(cluster).and_then(|state| state.proof.log_end_known_at());
+        known_at > Some(last_departure)
+    }
+
     /// Returns the end of the log that a new primary must hold so that no acknowledged commit is
     /// lost, as far as this node and the nodes that have acknowledged the announcement know, and
     /// what showed it.
--- /dev/null
+++ b/crates/gate/src/log_holders.rs
@@ -0,0 +1,158 @@
+//! The databases that may hold acknowledged commits of a cluster, kept in the store.
+//!
+//! An acknowledged commit is at the primary and at `sync_replicas` replicas. A failover that has
+//! compared all databases of the cluster but `sync_replicas` has therefore seen every acknowledged
+//! commit; while more are missing, the compared logs prove nothing. The list of databases does not
+//! show which ones are missing: an entry expires while its database is down or cut off from the
+//! store, and a node that starts later never sees it. So the first owner of a cluster keeps a record
+//! of its databases. It takes a database out when another replica holds a commit that was sent after
+//! the database was removed.
+
+use std::collections::BTreeSet;
+
+use model::{DatabaseRole, Micros, Name};
+use serde::{Deserialize, Serialize};
+
+use crate::action::GateAction;
+use crate::event::{Document, NodeRole, StoredDocument};
+use crate::log_comparison::FormerMember;
+use crate::{Gate, fields};
+
+/// Interval between writes of the record: longer than a slow answer of the store.
+const WRITE_INTERVAL: Micros = Micros::from_millis(1_000);
+
+/// Interval of report requests that show whether a replica holds what a removed database may hold.
+const REPORT_INTERVAL: Micros = Micros::from_millis(2_000);
+
+/// The stored record.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogHoldersRecord {
+    pub holders: BTreeSet<String>,
+}
+
+/// What this node knows of the stored record.
+#[derive(Debug, Default)]
+pub(crate) struct LogHolders {
+    /// Revision of the record, zero if there is none.
+    revision: u64,
+    pub(crate) names: BTreeSet<Name>,
+    written_at: Option<Micros>,
+    reports_requested_at: Option<Micros>,
+}
+
+impl LogHolders {
+    /// Replaces the known record.
+    pub(crate) fn observe(&mut self, revision: u64, record: LogHoldersRecord) {
+        self.revision = revision;
+        self.names = names_of(record);
+    }
+}
+
+/// Returns the databases that a record names.
+pub(crate) fn names_of(record: LogHoldersRecord) -> BTreeSet<Name> {
+    record.holders.into_iter().map(Name::from).collect()
+}
+
+impl Gate {
+    /// Processes the stored record of a cluster.
+    pub(crate) fn log_holders_read(
+        &mut self,
+        cluster: Name,
+        revision: u64,
+        record: LogHoldersRecord,
+    ) {
+        self.clusters.entry(cluster).or_default().log_holders.observe(revision, record);
+    }
+
+    /// Forgets the records that are not among the listed documents.
+    pub(crate) fn forget_unlisted_log_holders(&mut self, documents: &[StoredDocument]) {
+        for (cluster, state) in &mut self.clusters {
+            let listed = documents.iter().any(|stored| match &stored.document {
+                Document::LogHolders(name) => name == cluster,
+                Document::PromotionLease | Document::NodeCount | Document::Node(..) => false,
+            });
+            if !listed {
+                state.log_holders.observe(0, LogHoldersRecord::default());
+            }
+        }
+    }
+
+    /// Brings the record of a cluster's databases up to date, if this node is its first owner.
+    pub(crate) fn maintain_log_holders(&mut self, cluster: &Name) {
+        let now = self.now;
+        let writes = self.registration.role == NodeRole::Owner
+            && self.owner_position(cluster) == 0
+            && self.owns_connections(cluster)
+            && self.has_synchronous_replicas(cluster)
+            && self.has_stable_store_contact()
+            && !self.is_announced(cluster);
+        if !writes {
+            return;
+        }
+        self.forget_superseded_members(cluster);
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        for name in &state.log_holders.names {
+            if !state.members.contains(name) {
+                state.former_members.entry(name.clone()).or_insert(FormerMember::unknown(now));
+            }
+        }
+        let awaited = state.former_members.keys();
+        let awaited = awaited.filter(|name| state.log_holders.names.contains(*name));
+        let names: BTreeSet<Name> = state.members.iter().chain(awaited).cloned().collect();
+        let written_at = state.log_holders.written_at;
+        if names == state.log_holders.names
+            || written_at.is_some_and(|at| now < at + WRITE_INTERVAL)
+        {
+            return;
+        }
+        state.log_holders.written_at = Some(now);
+        let expected = state.log_holders.revision;
+        let holders: BTreeSet<String> = names.iter().map(ToString::to_string).collect();
+        let listed: Vec<&str> = holders.iter().map(String::as_str).collect();
+        let record = fields!["cluster" => cluster, "databases" => listed.join(",")];
+        self.log("log_holders", record);
+        if let Some(bytes) = self.write_record("log holders", &LogHoldersRecord { holders }) {
+            let cluster = cluster.clone();
+            self.out.push(GateAction::WriteLogHolders { cluster, expected, bytes });
+        }
+    }
+
+    /// Forgets the removed databases whose log another replica is shown to contain, and requests the
+    /// reports that show it.
+    fn forget_superseded_members(&mut self, cluster: &Name) {
+        let now = self.now;
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        if state.former_members.is_empty() {
+            return;
+        }
+        let last_commit = state.proof.last_commit();
+        for former in state.former_members.values_mut() {
+            if let Some((sent, position)) = last_commit
+                && former.superseded_by.is_none()
+                && sent > former.removed_at
+            {
+                former.superseded_by = Some(position);
+            }
+        }
+        let leader = state.proof.leader();
+        let replicas: Vec<Name> =
+            state.members.iter().filter(|name| Some(*name) != leader).cloned().collect();
+        let held = replicas.iter().filter_map(|name| {
+            let database = self.databases.get(name)?;
+            let report = database.report.filter(|_| database.is_usable(now))?;
+            (report.role == DatabaseRole::Replica).then_some(report.received)
+        });
+        let held = held.max().unwrap_or_default();
+        state.former_members.retain(|_, former| former.superseded_by.is_none_or(|end| held < end));
+        let waits = state.former_members.values().any(|former| former.superseded_by.is_some());
+        let requested_at = state.log_holders.reports_requested_at;
+        if waits && requested_at.is_none_or(|at| now >= at + REPORT_INTERVAL) {
+            state.log_holders.reports_requested_at = Some(now);
+            for name in replicas {
+                if self.databases.get(&name).is_some_and(|database| database.is_usable(now)) {
+                    self.request_report(&name);
+                }
+            }
+        }
+    }
+}
--- a/crates/gate/src/read_lease.rs
+++ b/crates/gate/src/read_lease.rs
@@ -228,7 +228,8 @@
         };
         let ends = self.read_lease.announced.iter().filter_map(|name| {
             let proof = &self.clusters.get(name.as_str())?.proof;
-            Some((name.clone(), LogEndRecord::from(proof.known_log_end())))
+            let current = self.is_log_end_current(&Name::from(name.as_str()));
+            Some((name.clone(), LogEndRecord::new(proof.known_log_end(), current)))
         });
         self.read_lease.acknowledged_log_ends = ends.collect();
         self.read_lease.acknowledged = revision;
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -24,11 +24,14 @@
 pub struct LogEndRecord {
     pub term: u64,
     pub position: u64,
+    /// It covers all commits that were acknowledged by owners which have left.
+    #[serde(default)]
+    pub current: bool,
 }
 
-impl From<TermPosition> for LogEndRecord {
-    fn from(end: TermPosition) -> Self {
-        LogEndRecord { term: end.term.0, position: end.position }
+impl LogEndRecord {
+    pub(crate) fn new(end: TermPosition, current: bool) -> Self {
+        LogEndRecord { term: end.term.0, position: end.position, current }
     }
 }
 
@@ -211,6 +214,20 @@
             .max()
     }
 
+    /// Returns the ends of a cluster's log that the other owners have told with their
+    /// acknowledgement of an announcement; `None` for a node that told none, such as one of a
+    /// former version.
+    pub(crate) fn told_log_ends(
+        &self,
+        cluster: &Name,
+        announced: u64,
+    ) -> impl Iterator<Item = Option<LogEndRecord>> {
+        let others = self.owners.iter().filter(|(name, _)| **name != self.own);
+        others
+            .filter(move |(_, record)| record.acknowledged >= announced)
+            .map(|(_, record)| record.log_ends.get(cluster.as_str()).copied())
+    }
+
     /// Returns the nodes that suspect a cluster's primary, in the order in which they should act.
     pub fn suspecting_nodes(&self, cluster: &Name) -> Vec<Name> {
         let mut nodes: Vec<Name> = self
--- a/crates/gate/tests/log_coverage.rs
+++ b/crates/gate/tests/log_coverage.rs
@@ -116,7 +116,6 @@
 
 /// Guards against the loss of commits that only a node which has died knew of.
 #[test]
-#[ignore = "issue 35, see KNOWN-RED.txt"]
 fn commits_acknowledged_by_a_node_that_died_are_not_lost() {
     for writer in 0..4 {
         let (mut simulation, end) = start_with_one_current_replica(4, writer);
@@ -138,7 +137,6 @@
 /// Guards against the loss of commits after all nodes have started again: those that are listed
 /// then are not all databases of the cluster.
 #[test]
-#[ignore = "issue 35, see KNOWN-RED.txt"]
 fn nodes_that_started_again_wait_for_databases_that_are_not_listed() {
     let (mut simulation, end) = start_with_one_current_replica(4, 0);
     fail_database(&mut simulation, "b");
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -134,6 +134,7 @@
     match document {
         Document::PromotionLease => "duty".to_string(),
         Document::NodeCount => "fleet".to_string(),
+        Document::LogHolders(cluster) => format!("holders/{cluster}"),
         Document::Node(NodeRole::Owner, name) => format!("nodes/{name}"),
         Document::Node(NodeRole::Standby, name) => format!("standbys/{name}"),
     }
@@ -448,6 +449,15 @@
                     self.store(Document::NodeCount, bytes);
                 }
             }
+            GateAction::WriteLogHolders { cluster, expected, bytes } => {
+                let document = Document::LogHolders(cluster);
+                let current = self.documents.get(&document_key(&document));
+                if !self.store_cut.contains(&gate)
+                    && current.map_or(0, |stored| stored.revision) == expected
+                {
+                    self.store(document, bytes);
+                }
+            }
             GateAction::ReadStoreState => {
                 if !self.store_cut.contains(&gate) {
                     let documents = self.documents.values().cloned().collect();
