Keep the known end of the log when a new term begins

Seen by callers: an acknowledged commit is not in the log of the promoted database (LOST), if the primary of a new term crashes before the node that orders the next promotion has seen a report of it.

Cause: any report of a higher term, also one of a replica, set `LeadershipProof::known_log_end` to zero. Only a report of the new primary set it again. A failover between the two compared the logs with a lower bound of zero.

Fix: a new term keeps the bound, because the new primary begins with everything that was acknowledged. The first report of the new primary replaces it, whether or not a replica reported the term first: what its log lacks is rolled back and must not be waited for. After that, positions of earlier terms, as in a late answer of a replica that has not rolled back yet, no longer raise it.

Ruled out: keeping only positions of acknowledged commits. A node that does not pass on the cluster's commits knows none; the position of a replica is the only hint that it has.

Remains: if a replica that was not fenced and compared received unacknowledged commits, and the new primary never reports to this node and never returns, the bound is too high at this node.

--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -67,7 +67,10 @@
     directly_confirmed: Option<Micros>,
     /// Replicas with a fence above `term`, and since when.
     fenced: FastMap<Name, Micros>,
-    /// Highest position that a replica held or at which a commit was acknowledged.
+    /// The primary of `term` has reported, so the log with which `term` began is known.
+    primary_reported: bool,
+    /// Highest position that a replica held, at which a commit was acknowledged, or which the
+    /// primary of `term` reported first.
     known_log_end: TermPosition,
     unproved: VecDeque<LeaderPosition>,
     proved: VecDeque<LeaderPosition>,
@@ -116,16 +119,14 @@
             self.confirmed = None;
             self.directly_confirmed = None;
             self.fenced.clear();
-            // Replicas roll back what the new primary lacks.
-            self.known_log_end = TermPosition::default();
+            // `known_log_end` stays: the new primary began with all that was acknowledged.
+            self.primary_reported = false;
             self.unproved.clear();
         }
         match report.role {
             DatabaseRole::Primary => {
-                if before.0 != self.term {
-                    // All commits acknowledged before are in the log with which the new primary
-                    // began.
-                    self.known_log_end = report.received;
+                if !self.primary_reported {
+                    self.observe_term_start(report.received);
                 }
                 self.leader = Some(database.clone());
                 self.last_leader = Some(database.clone());
@@ -170,9 +171,26 @@
         self.update_proved();
     }
 
+    /// Processes the position in the first report of the primary of `term`. Replicas roll back what
+    /// its log lacks, so that positions of earlier terms require nothing beyond it.
+    fn observe_term_start(&mut self, received: TermPosition) {
+        self.primary_reported = true;
+        if self.known_log_end.term < self.term {
+            self.known_log_end = received;
+        }
+    }
+
     /// Records a position that a replica holds. A commit may have been acknowledged because of it.
     pub fn observe_replica_position(&mut self, database: &Name, position: TermPosition) {
         if self.leader.as_ref() != Some(database) {
+            self.require_position(position);
+        }
+    }
+
+    /// Raises the known end of the log. Once the log with which `term` began is known, a position
+    /// of an earlier term is in that log or is rolled back.
+    fn require_position(&mut self, position: TermPosition) {
+        if position.term >= self.term || !self.primary_reported {
             self.known_log_end = self.known_log_end.max(position);
         }
     }
@@ -192,7 +210,7 @@
         position: Option<TermPosition>,
     ) {
         if self.leader.as_ref() == Some(database) {
-            self.known_log_end = self.known_log_end.max(position.unwrap_or_default());
+            self.require_position(position.unwrap_or_default());
             self.confirm_directly(sent);
         }
     }
--- /dev/null
+++ b/crates/gate/tests/failover_witnesses.rs
@@ -0,0 +1,125 @@
+//! What shows a failover that a log is too short: databases that are compared, and the known end of
+//! the log.
+
+mod support;
+
+use gate::{DatabaseReport, DatabaseRole, GateEvent, LeadershipProof, TermPosition};
+use model::{Micros, Name, Term};
+use support::{BOUNDED, LATEST, Simulation};
+
+fn millis(time: u64) -> Micros {
+    Micros::from_millis(time)
+}
+
+fn position(term: u64, position: u64) -> TermPosition {
+    TermPosition { term: Term(term), position }
+}
+
+fn report(role: DatabaseRole, term: u64, received: TermPosition) -> DatabaseReport {
+    let (term, fence, lag) = (Term(term), Term(0), Micros::ZERO);
+    DatabaseReport { role, term, received, fence, lag, connections: 1 }
+}
+
+/// Sends reads of current data and bounded reads on every running node every 20 ms.
+fn run_with_load(simulation: &mut Simulation, time: Micros) {
+    let end = simulation.now + time;
+    while simulation.now < end {
+        for gate in 0..simulation.gates.len() {
+            if simulation.stopped.contains(&gate) {
+                continue;
+            }
+            for database in [LATEST, BOUNDED] {
+                let session = simulation.open(gate, database);
+                let id = format!("{database}{gate}-{}", simulation.now.0);
+                simulation.send_request(gate, session, &id, "READ 1");
+            }
+        }
+        simulation.run(millis(20));
+    }
+}
+
+/// Writes once through each of the nodes. All writes are acknowledged.
+fn write_through(simulation: &mut Simulation, gates: std::ops::Range<usize>) {
+    for gate in gates {
+        let session = simulation.open(gate, LATEST);
+        let id = format!("w{gate}-{}", simulation.now.0);
+        simulation.send_request(gate, session, &id, "WRITE 1 x");
+        simulation.run(millis(50));
+        assert_eq!(simulation.outcome(session), "served");
+    }
+}
+
+/// Removes a database's entry from the list.
+fn unlist(simulation: &mut Simulation, name: &str) {
+    simulation.unlisted.insert(name.into());
+    for gate in 0..simulation.gates.len() {
+        if !simulation.stopped.contains(&gate) {
+            simulation.event(gate, GateEvent::DatabaseUnlisted { id: name.into() });
+        }
+    }
+}
+
+/// Lists a database again.
+fn list(simulation: &mut Simulation, name: &str) {
+    simulation.unlisted.remove(name);
+    simulation.publish_database(name);
+}
+
+fn promoted(simulation: &Simulation) -> Vec<&str> {
+    simulation.promotions.iter().map(|(_, name, _)| name.as_str()).collect()
+}
+
+/// Guards against the promotion of a replica that lacks acknowledged commits after a replica has
+/// reported the term of a new primary that crashed before its own first report.
+#[test]
+fn a_new_term_keeps_the_known_end_of_the_log() {
+    let mut simulation = Simulation::start(4);
+    run_with_load(&mut simulation, millis(1_000));
+    simulation.database("c").replication_stopped = true;
+    write_through(&mut simulation, 0..4);
+    let end = simulation.databases["b"].received;
+    simulation.database("a").unreachable = true;
+    while simulation.promotions.is_empty() {
+        run_with_load(&mut simulation, millis(20));
+        assert!(simulation.now < Micros::from_secs(20), "no promotion");
+    }
+    // The new primary leads and is not seen by any node before it crashes.
+    for gate in 0..4 {
+        simulation.cut(gate, "b");
+    }
+    run_with_load(&mut simulation, millis(500));
+    assert_eq!(simulation.databases["b"].role, DatabaseRole::Primary);
+    simulation.database("b").unreachable = true;
+    unlist(&mut simulation, "a");
+    unlist(&mut simulation, "b");
+    run_with_load(&mut simulation, millis(8_000));
+    assert_eq!(promoted(&simulation), ["b"]);
+    assert!(simulation.logged("log_too_short") > 0, "a failover has compared the log of c");
+    // It comes back with its log.
+    simulation.cuts.clear();
+    simulation.database("b").unreachable = false;
+    list(&mut simulation, "b");
+    run_with_load(&mut simulation, millis(3_000));
+    simulation.database("c").replication_stopped = false;
+    write_through(&mut simulation, 0..1);
+    assert!(simulation.databases["b"].received > end);
+}
+
+/// Guards against a failover that waits for commits that the promotion of the present primary rolled
+/// back, when a replica has reported the new term before the primary.
+#[test]
+fn commits_that_a_promotion_rolled_back_are_not_required() {
+    let (old, ahead, new) = (Name::from("a"), Name::from("b"), Name::from("c"));
+    let mut proof = LeadershipProof::default();
+    proof.observe_report(&old, Micros(10), &report(DatabaseRole::Primary, 1, position(1, 5)));
+    proof.observe_report(&ahead, Micros(20), &report(DatabaseRole::Replica, 1, position(1, 9)));
+    proof.observe_report(&old, Micros(30), &report(DatabaseRole::Replica, 2, position(1, 7)));
+    assert_eq!(proof.known_log_end(), position(1, 9));
+    proof.observe_report(&new, Micros(40), &report(DatabaseRole::Primary, 2, position(1, 7)));
+    assert_eq!(proof.known_log_end(), position(1, 7));
+    // A late answer from before the rollback.
+    proof.observe_replica_position(&ahead, position(1, 9));
+    assert_eq!(proof.known_log_end(), position(1, 7));
+    proof.observe_commit(&new, Micros(50), Some(position(2, 8)));
+    assert_eq!(proof.known_log_end(), position(2, 8));
+}
