Tell required commits from those that only a primary has shown

Seen by callers: a failover waits for a log that no replica ever had (9 s by MISSING_LOG_TIMEOUT), although a replica with every acknowledged commit is fenced. Without the time limit it would wait for as long as the database with the additional commits stays away.

Cause: the known end of the log was raised by the first report of a primary, which includes commits that stalled there, and by answers and reports of a former primary (`observe_replica_position` left out only the present leader).

Fix: `LeadershipProof::required_log_end` counts a position only if a replica has shown it that did not lead its term, if a commit was acknowledged at it, or if a term began with it. A primary that reports no commit of its own term yet shows the log that was promoted; one that reports some has begun with a log that ends before. `known_log_end` is as before, so `waits_for_missing_log` behaves as before: the rest of the known log may have been acknowledged, or may be gone with the database that showed it. The two are for two different limits of that wait.

Evidence: trial with the new assertions on `known_log_end`, the only figure of the code before:

commits_that_only_a_former_primary_holds_are_not_required failover_witnesses.rs:137: left: 1.9, right: 1.5 commits_that_only_the_primary_reports_are_not_required failover_witnesses.rs:161: left: 3.169, right: 2.158 a_term_that_began_with_a_shorter_log_requires_no_more_of_the_former_term failover_witnesses.rs:179: left: 2.55, right: 1.54

Ruled out: dropping such positions altogether. A node that has seen a primary and one replica that receives nothing would then promote that replica at once.

Not known: whether the position in the answer to a commit is that of the commit or the end of the primary's log, with commits that are still on their way to the replicas. `observe_commit` counts it.

--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -69,9 +69,15 @@
     fenced: FastMap<Name, Micros>,
     /// The primary of `term` has reported, so the log with which `term` began is known.
     primary_reported: bool,
-    /// Highest position that a replica held, at which a commit was acknowledged, or which the
-    /// primary of `term` reported first.
-    known_log_end: TermPosition,
+    /// Highest position that a replica held, at which a commit was acknowledged, or with which
+    /// `term` began.
+    required_log_end: TermPosition,
+    /// Highest position that only a database that led the position's term has shown: in the first
+    /// report of the primary of `term`, or later as a replica.
+    unconfirmed_log_end: TermPosition,
+    /// Last term in which each database reported to be the primary. It may hold commits of that
+    /// term that no replica has received.
+    led_terms: FastMap<Name, Term>,
     unproved: VecDeque<LeaderPosition>,
     proved: VecDeque<LeaderPosition>,
 }
@@ -119,7 +125,7 @@
             self.confirmed = None;
             self.directly_confirmed = None;
             self.fenced.clear();
-            // `known_log_end` stays: the new primary began with all that was acknowledged.
+            // The ends of the log stay: the new primary began with all that was acknowledged.
             self.primary_reported = false;
             self.unproved.clear();
         }
@@ -128,6 +134,7 @@
                 if !self.primary_reported {
                     self.observe_term_start(report.received);
                 }
+                self.led_terms.insert(database.clone(), report.term);
                 self.leader = Some(database.clone());
                 self.last_leader = Some(database.clone());
                 self.term_ended = false;
@@ -175,30 +182,51 @@
     /// its log lacks, so that positions of earlier terms require nothing beyond it.
     fn observe_term_start(&mut self, received: TermPosition) {
         self.primary_reported = true;
-        if self.known_log_end.term < self.term {
-            self.known_log_end = received;
+        self.unconfirmed_log_end = received;
+        if self.required_log_end.term >= self.term {
+            return;
+        }
+        if received.term < self.term {
+            // No commit of `term` yet: this is the log with which it began, and it was at a replica.
+            self.required_log_end = received;
+        } else {
+            // Numbers go on from term to term, so the log with which `term` began ends below this
+            // one.
+            let last = received.position.saturating_sub(1);
+            self.required_log_end.position = self.required_log_end.position.min(last);
         }
     }
 
-    /// Records a position that a replica holds. A commit may have been acknowledged because of it.
+    /// Records a position that a replica holds. A commit may have been acknowledged because of it,
+    /// unless it is a commit of the database's own time as the primary.
     pub fn observe_replica_position(&mut self, database: &Name, position: TermPosition) {
-        if self.leader.as_ref() != Some(database) {
-            self.require_position(position);
+        if self.leader.as_ref() == Some(database) || !self.is_relevant(position) {
+            return;
+        }
+        if self.led_terms.get(database) == Some(&position.term) {
+            self.unconfirmed_log_end = self.unconfirmed_log_end.max(position);
+        } else {
+            self.required_log_end = self.required_log_end.max(position);
         }
     }
 
-    /// Raises the known end of the log. Once the log with which `term` began is known, a position
-    /// of an earlier term is in that log or is rolled back.
-    fn require_position(&mut self, position: TermPosition) {
-        if position.term >= self.term || !self.primary_reported {
-            self.known_log_end = self.known_log_end.max(position);
-        }
+    /// Returns false for a position of an earlier term that is in the log with which `term` began
+    /// or is rolled back, because that log is known.
+    fn is_relevant(&self, position: TermPosition) -> bool {
+        position.term >= self.term || !self.primary_reported
     }
 
     /// Returns the position that a new primary must hold so that no acknowledged commit is lost, as
-    /// far as this node knows.
+    /// far as this node knows: a replica held it, or a commit was acknowledged at it.
+    pub fn required_log_end(&self) -> TermPosition {
+        self.required_log_end
+    }
+
+    /// Returns the highest position at which a commit may have been acknowledged. What is beyond
+    /// [`LeadershipProof::required_log_end`] may never have reached a replica, and may be gone for
+    /// good with the database that showed it.
     pub fn known_log_end(&self) -> TermPosition {
-        self.known_log_end
+        self.required_log_end.max(self.unconfirmed_log_end)
     }
 
     /// Records a commit at `position`, sent at `sent`, that the leader acknowledged with a
@@ -210,7 +238,8 @@
         position: Option<TermPosition>,
     ) {
         if self.leader.as_ref() == Some(database) {
-            self.require_position(position.unwrap_or_default());
+            let position = position.filter(|position| self.is_relevant(*position));
+            self.required_log_end = self.required_log_end.max(position.unwrap_or_default());
             self.confirm_directly(sent);
         }
     }
--- a/crates/gate/tests/failover_witnesses.rs
+++ b/crates/gate/tests/failover_witnesses.rs
@@ -123,3 +123,58 @@
     proof.observe_commit(&new, Micros(50), Some(position(2, 8)));
     assert_eq!(proof.known_log_end(), position(2, 8));
 }
+
+/// Guards against a failover that waits for ever for a log that no replica had: a former primary
+/// holds commits that it sent to nobody, and answers reads or reports as a replica.
+#[test]
+fn commits_that_only_a_former_primary_holds_are_not_required() {
+    let (old, replica) = (Name::from("a"), Name::from("b"));
+    let mut proof = LeadershipProof::default();
+    proof.observe_report(&old, Micros(10), &report(DatabaseRole::Primary, 1, position(1, 5)));
+    proof.observe_report(&replica, Micros(20), &report(DatabaseRole::Replica, 1, position(1, 5)));
+    proof.forget_leader(&old);
+    proof.observe_replica_position(&old, position(1, 9));
+    assert_eq!(proof.required_log_end(), position(1, 5));
+    for at in [30, 40] {
+        let answer = report(DatabaseRole::Replica, 1, position(1, 9));
+        proof.observe_report(&old, Micros(at), &answer);
+    }
+    assert_eq!(proof.required_log_end(), position(1, 5));
+    assert_eq!(proof.known_log_end(), position(1, 9), "they may have been acknowledged");
+    // What it receives from its successor counts.
+    let answer = report(DatabaseRole::Replica, 2, position(2, 7));
+    proof.observe_report(&old, Micros(50), &answer);
+    assert_eq!(proof.required_log_end(), position(2, 7));
+}
+
+/// Guards against a failover that waits for ever for commits that stalled at a primary before it
+/// was first seen to lead. The incident of issue 35 had 3.160 and 3.169 at different nodes, for a
+/// term that began with 2.158.
+#[test]
+fn commits_that_only_the_primary_reports_are_not_required() {
+    let (old, primary, replica) = (Name::from("a"), Name::from("b"), Name::from("c"));
+    let mut proof = LeadershipProof::default();
+    proof.observe_report(&old, Micros(10), &report(DatabaseRole::Primary, 2, position(1, 53)));
+    let answer = report(DatabaseRole::Replica, 2, position(2, 158));
+    proof.observe_report(&primary, Micros(20), &answer);
+    proof.observe_report(&primary, Micros(30), &report(DatabaseRole::Primary, 3, position(3, 169)));
+    assert_eq!(proof.required_log_end(), position(2, 158));
+    assert_eq!(proof.known_log_end(), position(3, 169));
+    // A replica that has received them, or an acknowledgement, shows that they count.
+    proof.observe_report(&replica, Micros(40), &report(DatabaseRole::Replica, 3, position(3, 160)));
+    assert_eq!(proof.required_log_end(), position(3, 160));
+    proof.observe_commit(&primary, Micros(50), Some(position(3, 170)));
+    assert_eq!(proof.required_log_end(), position(3, 170));
+}
+
+/// Guards against waiting for commits that were rolled back, if the primary is first seen after it
+/// has committed.
+#[test]
+fn a_term_that_began_with_a_shorter_log_requires_no_more_of_the_former_term() {
+    let (old, ahead, new) = (Name::from("a"), Name::from("b"), Name::from("c"));
+    let mut proof = LeadershipProof::default();
+    proof.observe_report(&old, Micros(10), &report(DatabaseRole::Primary, 1, position(1, 50)));
+    proof.observe_report(&ahead, Micros(20), &report(DatabaseRole::Replica, 1, position(1, 60)));
+    proof.observe_report(&new, Micros(30), &report(DatabaseRole::Primary, 2, position(2, 55)));
+    assert_eq!(proof.required_log_end(), position(1, 54));
+}
