Count every acknowledged commit for the end of the log

Seen by callers: an acknowledged commit may be missing from the promoted log (LOST), if the node that decides has itself passed the acknowledgement on.

Cause: `LeadershipProof::observe_commit` counted a position only for the database that it knew as leader at this moment. Not counted were commits whose acknowledgement arrives after a replica has reported a higher term, or after the leader was forgotten, and commits that another node answered.

Fix: an acknowledged position counts whoever sent it, unless the log with which a newer term began is known. Only the leader's commit proves the leadership, as before.

Evidence: before the change

every_acknowledged_commit_is_required failover_witnesses.rs:191: left: 1.5, right: 1.6

--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -229,17 +229,18 @@
         self.required_log_end.max(self.unconfirmed_log_end)
     }
 
-    /// Records a commit at `position`, sent at `sent`, that the leader acknowledged with a
-    /// synchronous replica.
+    /// Records a commit at `position`, sent at `sent`, that was acknowledged with a synchronous
+    /// replica. It proves the leadership of the leader only. It counts for the end of the log as
+    /// well if the database is no longer known to lead, or is another node that passed it on.
     pub fn observe_commit(
         &mut self,
         database: &Name,
         sent: Micros,
         position: Option<TermPosition>,
     ) {
+        let position = position.filter(|position| self.is_relevant(*position));
+        self.required_log_end = self.required_log_end.max(position.unwrap_or_default());
         if self.leader.as_ref() == Some(database) {
-            let position = position.filter(|position| self.is_relevant(*position));
-            self.required_log_end = self.required_log_end.max(position.unwrap_or_default());
             self.confirm_directly(sent);
         }
     }
--- a/crates/gate/tests/failover_witnesses.rs
+++ b/crates/gate/tests/failover_witnesses.rs
@@ -178,3 +178,19 @@
     proof.observe_report(&new, Micros(30), &report(DatabaseRole::Primary, 2, position(2, 55)));
     assert_eq!(proof.required_log_end(), position(1, 54));
 }
+
+/// Guards against the loss of commits that were acknowledged just after a replica had reported a new
+/// term, or by another node to which this one forwards.
+#[test]
+fn every_acknowledged_commit_is_required() {
+    let (old, replica, peer) = (Name::from("a"), Name::from("b"), Name::from("n1"));
+    let mut proof = LeadershipProof::default();
+    proof.observe_report(&old, Micros(10), &report(DatabaseRole::Primary, 1, position(1, 5)));
+    proof.observe_report(&replica, Micros(20), &report(DatabaseRole::Replica, 1, position(1, 5)));
+    proof.observe_commit(&peer, Micros(30), Some(position(1, 6)));
+    assert_eq!(proof.required_log_end(), position(1, 6));
+    proof.observe_report(&replica, Micros(40), &report(DatabaseRole::Replica, 2, position(1, 6)));
+    proof.observe_commit(&old, Micros(35), Some(position(1, 7)));
+    assert_eq!(proof.required_log_end(), position(1, 7));
+    assert_eq!(proof.confirmed_at(), Some(Micros(40)), "it proves nothing about the new term");
+}
