Compare a supposed old primary whose entry says that it is a replica

Seen by callers: acknowledged commits are not in the log of the promoted database (LOST), although a replica that holds them is listed and alive.

Cause: a failover leaves out the database that its node knows as the leader: it is neither fenced nor compared. A node that has missed a promotion names the former primary. After the newer primary has crashed, that database is a replica of it and may hold the only copy of its commits.

Fix: each list that a failover reads is checked. If the entry of the named database says `replica`, the failover names no old primary any more, so the database must report, is fenced and is compared as every other one, or the failover waits. The bounds of the wait are those for any replica: its entry is gone.

Evidence: before the change

a_primary_that_is_listed_as_a_replica_is_compared failover_witnesses.rs:241: assertion `left == right` failed left: ["b", "c"] right: ["b"]

One node has missed that b replaced a, and reaches only c, which receives nothing and still has the former term, so it accepts a fence of the term that b has led.

Ruled out: asking only the database itself. It may be cut off from this node while the store is not.

Cost: a primary that crashes after its promotion and before its entry says so is waited for like a replica.

--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -25,7 +25,7 @@
 //! The failover waits until its entry is gone. If that takes too long, the failover is aborted and
 //! its fences are lifted.
 
-use model::{FastMap, Micros, Name, Term};
+use model::{DatabaseRole, FastMap, Micros, Name, Term};
 
 use crate::action::GateAction;
 use crate::backend::{BackendCommand, DatabaseReport};
@@ -376,6 +376,20 @@
             if !failover.stage.reads_lists() || !failover.in_flight {
                 continue;
             }
+            // This node may have missed a promotion. What was the primary may then hold the only copy
+            // of a commit of the newer one.
+            let former = databases.iter().find(|listed| {
+                failover.old_primary.as_ref() == Some(&listed.id)
+                    && listed.claimed_role == Some(DatabaseRole::Replica)
+            });
+            if let Some(former) = former {
+                failover.old_primary = None;
+                self.log(
+                    "takeover_compares_primary",
+                    fields!["cluster" => &cluster, "database" => &former.id],
+                );
+            }
+            let Some(failover) = self.failovers.running.get_mut(&cluster) else { continue };
             let mut replicas: Vec<Name> = databases
                 .iter()
                 .filter(|listed| listed.cluster == cluster)
--- a/crates/gate/tests/failover_witnesses.rs
+++ b/crates/gate/tests/failover_witnesses.rs
@@ -194,3 +194,55 @@
     assert_eq!(proof.required_log_end(), position(1, 7));
     assert_eq!(proof.confirmed_at(), Some(Micros(40)), "it proves nothing about the new term");
 }
+
+/// Returns a simulation in which only node `n0` is left, and has missed that `b` replaced `a` as
+/// primary. `b` has crashed, and `a` holds the only copy of its commits. `c` receives nothing and has
+/// not learnt of the new term. The node reaches only `c`.
+fn after_missed_promotion() -> Simulation {
+    let mut simulation = Simulation::start(2);
+    run_with_load(&mut simulation, millis(1_000));
+    write_through(&mut simulation, 0..2);
+    simulation.cut(0, "a");
+    simulation.cut(0, "b");
+    simulation.database("c").unreachable = true;
+    unlist(&mut simulation, "c");
+    run_with_load(&mut simulation, millis(5_000));
+    simulation.database("a").unreachable = true;
+    while simulation.databases["b"].role == DatabaseRole::Replica {
+        run_with_load(&mut simulation, millis(20));
+        assert!(simulation.now < Micros::from_secs(30), "no promotion");
+    }
+    let old = simulation.database("a");
+    (old.role, old.term, old.unreachable) = (DatabaseRole::Replica, Term(2), false);
+    simulation.publish_database("a");
+    run_with_load(&mut simulation, millis(500));
+    write_through(&mut simulation, 1..2);
+    assert_eq!(promoted(&simulation), ["b"]);
+    simulation.database("b").unreachable = true;
+    unlist(&mut simulation, "b");
+    simulation.store_cut.insert(1);
+    simulation.stopped.insert(1);
+    simulation.remove_registration(1);
+    let deaf = simulation.database("c");
+    (deaf.replication_stopped, deaf.unreachable) = (true, false);
+    list(&mut simulation, "c");
+    assert_eq!(simulation.databases["c"].term, Term(1));
+    assert!(simulation.databases["a"].received > simulation.databases["c"].received);
+    simulation.logs.clear();
+    simulation
+}
+
+/// Guards against a failover that leaves out the database that it takes for the primary, although its
+/// entry says that it has become a replica and it holds the only copy of acknowledged commits.
+#[test]
+fn a_primary_that_is_listed_as_a_replica_is_compared() {
+    let mut simulation = after_missed_promotion();
+    let end = simulation.databases["a"].received;
+    run_with_load(&mut simulation, millis(12_000));
+    assert!(simulation.logged("takeover_started") > 0, "a failover was tried");
+    assert_eq!(promoted(&simulation), ["b"]);
+    simulation.cuts.clear();
+    run_with_load(&mut simulation, millis(8_000));
+    assert_eq!(promoted(&simulation), ["b", "a"]);
+    assert!(simulation.databases["a"].received >= end);
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -113,6 +113,8 @@
     pub sent: BTreeSet<Name>,
     /// Databases without an entry in the list.
     pub unlisted: BTreeSet<Name>,
+    /// Roles in the entries of databases that are cut off from the store.
+    pub stale_roles: BTreeMap<Name, DatabaseRole>,
     connections: BTreeMap<(usize, ConnectionId), Name>,
     /// Commits that no replica has received yet.
     waiting_commits: Vec<Delivery>,
@@ -234,6 +236,7 @@
             closed: BTreeSet::new(),
             sent: BTreeSet::new(),
             unlisted: BTreeSet::new(),
+            stale_roles: BTreeMap::new(),
             connections: BTreeMap::new(),
             waiting_commits: Vec::new(),
             documents: BTreeMap::new(),
@@ -272,7 +275,7 @@
             data_centre: "east".into(),
             slots: 2,
             leaving: database.leaving,
-            claimed_role: Some(database.role),
+            claimed_role: Some(self.stale_roles.get(name).copied().unwrap_or(database.role)),
             started_at_ms: Some(database.started_at_ms),
         }
     }
