Ask a supposed old primary for its role during a failover

Seen by callers: acknowledged commits are not in the log of the promoted database (LOST), although a replica that holds them answers again before the promotion.

A failover did not ask the database that it takes for the old primary. A report that had been requested before the database answered again kept others back for 0.8 s, and a connection that was being opened for 1 s. What it reported was not used either.

Fix: up to the last list a failover asks every 100 ms, if need be on a new connection, and waits for no answer. If the database reports as a replica, it is fenced and compared. If it has the term that the failover is to begin, a newer one has begun, and the failover is given up; the next one starts without an old primary.

Evidence: before the change

a_primary_that_reports_as_a_replica_is_compared failover_witnesses.rs:269: assertion `left == right` failed: hung: false left: ["b", "c"] right: ["b", "a"]

Remains: a database that is cut off from the store and from the node until the choice is left out. Only a record in the store of the term that was promoted last would show it.

Cost: a report each 100 ms of a failover if the old primary answers.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -341,6 +341,7 @@
                 self.request_all_reports(&cluster);
             }
         }
+        self.old_primary_reported(&cluster, &name, &report);
         self.wake_waiting_for_proof(&cluster);
         self.wake_waiting_for_leader(&cluster);
         if let Some(proof_time) =
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -46,6 +46,14 @@
 /// its entry in the list. The entry follows about 22 ms later.
 const LISTING_DELAY: Micros = Micros::from_millis(100);
 
+/// Interval at which a failover asks the old primary for its role. The lists are read for the last
+/// time at least [`LISTING_DELAY`] after the first question.
+const OLD_PRIMARY_INTERVAL: Micros = Micros::from_millis(100);
+
+/// Open connections to an old primary that answers on none of them, above which a failover opens no
+/// more: the limit for a busy database, one and three extra ones, see `Database::connection_limit`.
+const OLD_PRIMARY_CONNECTIONS: usize = 4;
+
 /// Time to wait for the answer to a demotion before the failover goes on without it.
 const DEMOTE_TIMEOUT: Micros = Micros::from_millis(250);
 
@@ -120,7 +128,11 @@
 #[derive(Debug)]
 pub(crate) struct ClusterFailover {
     pub(crate) stage: FailoverStage,
+    /// The database that is replaced, if any; it is not compared. It led the former term when it
+    /// reported last.
     pub(crate) old_primary: Option<Name>,
+    /// When the old primary was last asked for its role.
+    pub(crate) old_primary_asked: Option<Micros>,
     pub(crate) term: Term,
     pub(crate) started: Micros,
     /// When the last step that needs an answer was taken.
@@ -247,6 +259,7 @@
         let now = self.now;
         let Some(failover) = self.failovers.running.get(cluster) else { return };
         let (stage, in_flight) = (failover.stage, failover.in_flight);
+        let last_step = failover.last_step;
         let may_retry = now >= failover.last_step + STEP_RETRY_INTERVAL;
         let limit = if self.old_primary_responds(cluster) && !stage.is_irreversible() {
             RESPONSIVE_PRIMARY_TIMEOUT
@@ -269,6 +282,9 @@
             }
             return;
         }
+        if !stage.is_irreversible() && stage != FailoverStage::Claiming {
+            self.ask_old_primary(cluster);
+        }
         match stage {
             FailoverStage::Claiming if self.promotion_lease.announces(now, cluster) => {
                 let (revision, _) = self.promotion_lease.record();
@@ -289,7 +305,7 @@
                 }
             }
             FailoverStage::Demoting => {
-                if now >= failover.last_step + DEMOTE_TIMEOUT {
+                if now >= last_step + DEMOTE_TIMEOUT {
                     self.choose_new_primary(cluster);
                 }
             }
@@ -310,6 +326,60 @@
         }
     }
 
+    /// Asks the old primary whether it is one, also if it did not answer lately: the node may have
+    /// missed a promotion. The failover does not wait for the answer.
+    fn ask_old_primary(&mut self, cluster: &Name) {
+        let now = self.now;
+        let Some(failover) = self.failovers.running.get_mut(cluster) else { return };
+        let Some(old) = failover.old_primary.clone() else { return };
+        if failover.only_lifts_fences
+            || failover.old_primary_asked.is_some_and(|at| now < at + OLD_PRIMARY_INTERVAL)
+        {
+            return;
+        }
+        failover.old_primary_asked = Some(now);
+        let Some(database) = self.databases.get_mut(&old) else { return };
+        // A report that was requested before the database answered again may be lost.
+        database.report_requested_at = None;
+        database.report_wanted = true;
+        let open = database.connections.len().saturating_sub(database.opening as usize);
+        if !database.idle.is_empty() {
+            self.send_wanted_report(&old);
+        } else if open < OLD_PRIMARY_CONNECTIONS {
+            self.open_connection(&old);
+        }
+    }
+
+    /// Processes a report of the database that a failover takes for the old primary. If it is a
+    /// replica, it is compared; if a newer term has begun, the failover is given up.
+    pub(crate) fn old_primary_reported(
+        &mut self,
+        cluster: &Name,
+        database: &Name,
+        report: &DatabaseReport,
+    ) {
+        let Some(failover) = self.failovers.running.get(cluster) else { return };
+        if failover.old_primary.as_ref() != Some(database)
+            || report.role == DatabaseRole::Primary
+            || failover.stage.is_irreversible()
+        {
+            return;
+        }
+        if report.term >= failover.term {
+            return self.abort_failover(cluster, "a newer term has begun");
+        }
+        self.compare_old_primary(cluster);
+    }
+
+    /// Counts the old primary as a replica: it must be fenced, and its log is compared.
+    fn compare_old_primary(&mut self, cluster: &Name) {
+        let Some(failover) = self.failovers.running.get_mut(cluster) else { return };
+        if let Some(old) = failover.old_primary.take() {
+            let record = fields!["cluster" => cluster, "database" => &old];
+            self.log("takeover_compares_primary", record);
+        }
+    }
+
     /// Returns true if the primary to be replaced still answers. Aborting is then better than
     /// fences that keep it from committing.
     pub(crate) fn old_primary_responds(&self, cluster: &Name) -> bool {
@@ -382,12 +452,8 @@
                 failover.old_primary.as_ref() == Some(&listed.id)
                     && listed.claimed_role == Some(DatabaseRole::Replica)
             });
-            if let Some(former) = former {
-                failover.old_primary = None;
-                self.log(
-                    "takeover_compares_primary",
-                    fields!["cluster" => &cluster, "database" => &former.id],
-                );
+            if former.is_some() {
+                self.compare_old_primary(&cluster);
             }
             let Some(failover) = self.failovers.running.get_mut(&cluster) else { continue };
             let mut replicas: Vec<Name> = databases
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -223,6 +223,7 @@
             ClusterFailover {
                 stage: FailoverStage::Claiming,
                 old_primary: old,
+                old_primary_asked: None,
                 term,
                 started: now,
                 last_step: now,
--- a/crates/gate/tests/failover_witnesses.rs
+++ b/crates/gate/tests/failover_witnesses.rs
@@ -246,3 +246,34 @@
     assert_eq!(promoted(&simulation), ["b", "a"]);
     assert!(simulation.databases["a"].received >= end);
 }
+/// As above, with an entry that is as it was before the promotion. The database can be reached
+/// again, or answers again, when the failover has fenced the other replica.
+#[test]
+fn a_primary_that_reports_as_a_replica_is_compared() {
+    for hung in [false, true] {
+        let mut simulation = after_missed_promotion();
+        let end = simulation.databases["a"].received;
+        simulation.stale_roles.insert("a".into(), DatabaseRole::Primary);
+        simulation.publish_database("a");
+        if hung {
+            simulation.cuts.clear();
+            simulation.database("a").hung = true;
+        }
+        while !reached_stage(&simulation, "relisting") {
+            run_with_load(&mut simulation, millis(20));
+            assert!(simulation.now < Micros::from_secs(40), "no failover sets fences");
+        }
+        simulation.cuts.clear();
+        simulation.database("a").hung = false;
+        run_with_load(&mut simulation, millis(8_000));
+        assert_eq!(promoted(&simulation), ["b", "a"], "hung: {hung}");
+        assert!(simulation.databases["a"].received >= end);
+    }
+}
+
+/// Returns true if a failover has reached a stage since the last clearing of the logs.
+fn reached_stage(simulation: &Simulation, stage: &str) -> bool {
+    simulation.logs.iter().any(|(_, _, record)| {
+        record.event == "takeover_stage" && format!("{record:?}").contains(stage)
+    })
+}
