--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -25,6 +25,10 @@
 /// 4 s, which is more than the configured data ages.
 const SAMPLE_LIMIT: usize = 40;
 
+/// Number of terms for which it is kept which database led them. Positions of earlier terms no longer
+/// count.
+const LED_TERMS_KEPT: u64 = 8;
+
 /// Minimum time between two kept positions.
 const SAMPLE_INTERVAL: Micros = Micros::from_millis(100);
 
@@ -93,14 +97,24 @@
     directly_confirmed: Option<Micros>,
     /// Replicas with a fence above `term`, and since when.
     fenced: FastMap<Name, Micros>,
-    /// Highest position that a replica held or at which a commit was acknowledged.
-    known_log_end: TermPosition,
-    /// What showed `known_log_end`.
+    /// The primary of `term` has reported, so the log with which `term` began is known.
+    primary_reported: bool,
+    /// Highest position that a replica held, at which a commit was acknowledged, or with which
+    /// `term` began.
+    required_log_end: TermPosition,
+    /// What showed `required_log_end`.
     log_evidence: LogEvidence,
-    /// Latest time for which `known_log_end` covers every commit acknowledged before, by any node.
+    /// Latest time for which `required_log_end` covers every commit acknowledged before, by any
+    /// node.
     log_end_known_at: Option<Micros>,
     /// When the newest acknowledged commit was sent, and its position.
     last_commit: Option<(Micros, TermPosition)>,
+    /// Highest position that only a database that led the position's term has shown: in the first
+    /// report of the primary of `term`, or later as a replica.
+    unconfirmed_log_end: TermPosition,
+    /// Last term in which each database reported to be the primary. It may hold commits of that
+    /// term that no replica has received.
+    led_terms: FastMap<Name, Term>,
     unproved: VecDeque<LeaderPosition>,
     proved: VecDeque<LeaderPosition>,
 }
@@ -148,21 +162,17 @@
             self.confirmed = None;
             self.directly_confirmed = None;
             self.fenced.clear();
-            // Replicas roll back what the new primary lacks.
-            self.known_log_end = TermPosition::default();
-            self.log_evidence = LogEvidence::None;
-            self.log_end_known_at = None;
+            // The ends of the log stay: the new primary began with all that was acknowledged.
+            self.primary_reported = false;
             self.unproved.clear();
         }
         match report.role {
             DatabaseRole::Primary => {
-                if before.0 != self.term {
-                    // All commits acknowledged before are in the log with which the new primary
-                    // began.
-                    self.known_log_end = report.received;
-                    self.log_evidence = LogEvidence::TermStart;
-                    self.log_end_known_at = Some(requested_at);
+                if !self.primary_reported {
+                    self.observe_term_start(requested_at, report.received);
                 }
+                self.led_terms.retain(|_, led| led.0 + LED_TERMS_KEPT > report.term.0);
+                self.led_terms.insert(database.clone(), report.term);
                 self.leader = Some(database.clone());
                 self.last_leader = Some(database.clone());
                 self.term_ended = false;
@@ -206,29 +216,50 @@
         self.update_proved();
     }
 
-    /// Records a position that a replica holds. A commit may have been acknowledged because of it.
-    pub fn observe_replica_position(&mut self, database: &Name, position: TermPosition) {
-        if self.leader.as_ref() != Some(database) {
-            self.extend_known_log(position, LogEvidence::Replica);
+    /// Processes the position in the first report of the primary of `term`. Replicas roll back what
+    /// its log lacks, so that positions of earlier terms require nothing beyond it.
+    fn observe_term_start(&mut self, requested_at: Micros, received: TermPosition) {
+        self.primary_reported = true;
+        self.unconfirmed_log_end = received;
+        if self.required_log_end.term >= self.term {
+            return;
+        }
+        if received.term < self.term {
+            // No commit of `term` yet: this is the log with which it began, and it was at a replica.
+            self.required_log_end = received;
+            self.log_evidence = LogEvidence::TermStart;
+            self.log_end_known_at = Some(requested_at);
+        } else {
+            // Numbers go on from term to term, so the log with which `term` began ends below this
+            // one.
+            let last = received.position.saturating_sub(1);
+            self.required_log_end.position = self.required_log_end.position.min(last);
         }
     }
 
-    fn extend_known_log(&mut self, position: TermPosition, evidence: LogEvidence) {
-        if position > self.known_log_end {
-            self.known_log_end = position;
-            self.log_evidence = evidence;
+    /// Records a position that a replica holds. A commit may have been acknowledged because of it,
+    /// unless it is a commit of the database's own time as the primary.
+    pub fn observe_replica_position(&mut self, database: &Name, position: TermPosition) {
+        if self.leader.as_ref() == Some(database) || !self.is_relevant(position) {
+            return;
+        }
+        if self.led_terms.get(database) == Some(&position.term) {
+            self.unconfirmed_log_end = self.unconfirmed_log_end.max(position);
+        } else {
+            self.extend_required_log(position, LogEvidence::Replica);
         }
     }
 
-    /// Returns the position that a new primary must hold so that no acknowledged commit is lost, as
-    /// far as this node knows.
-    pub fn known_log_end(&self) -> TermPosition {
-        self.known_log_end
+    fn extend_required_log(&mut self, position: TermPosition, evidence: LogEvidence) {
+        if position > self.required_log_end {
+            self.required_log_end = position;
+            self.log_evidence = evidence;
+        }
     }
 
-    /// Returns the latest time for which the known end of the log covers every commit that any node
-    /// acknowledged before: when the newest acknowledged commit, or the first report of the primary,
-    /// was sent. Later commits have higher positions.
+    /// Returns the latest time for which the required end of the log covers every commit that any
+    /// node acknowledged before: when the newest acknowledged commit, or a report of a primary that
+    /// had no commit of its term yet, was requested. Later commits have higher positions.
     pub fn log_end_known_at(&self) -> Option<Micros> {
         self.log_end_known_at
     }
@@ -238,24 +269,45 @@
         self.last_commit
     }
 
-    /// Returns what showed the known end of the log.
+    /// Returns what showed the required end of the log.
     pub fn log_evidence(&self) -> LogEvidence {
         self.log_evidence
     }
 
-    /// Records a commit at `position`, sent at `sent`, that the leader acknowledged with a
-    /// synchronous replica.
+    /// Returns false for a position of an earlier term that is in the log with which `term` began
+    /// or is rolled back, because that log is known.
+    fn is_relevant(&self, position: TermPosition) -> bool {
+        position.term >= self.term || !self.primary_reported
+    }
+
+    /// Returns the position that a new primary must hold so that no acknowledged commit is lost, as
+    /// far as this node knows: a replica held it, or a commit was acknowledged at it.
+    pub fn required_log_end(&self) -> TermPosition {
+        self.required_log_end
+    }
+
+    /// Returns the highest position at which a commit may have been acknowledged. What is beyond
+    /// [`LeadershipProof::required_log_end`] may never have reached a replica, and may be gone for
+    /// good with the database that showed it.
+    pub fn known_log_end(&self) -> TermPosition {
+        self.required_log_end.max(self.unconfirmed_log_end)
+    }
+
+    /// Records a commit at `position`, sent at `sent`, that was acknowledged with a synchronous
+    /// replica. It proves the leadership of the leader only. It counts for the end of the log as
+    /// well if the database is no longer known to lead, or is another node that passed it on.
     pub fn observe_commit(
         &mut self,
         database: &Name,
         sent: Micros,
         position: Option<TermPosition>,
     ) {
-        if self.leader.as_ref() == Some(database) {
-            let position = position.unwrap_or_default();
-            self.extend_known_log(position, LogEvidence::Commit);
+        if let Some(position) = position.filter(|position| self.is_relevant(*position)) {
+            self.extend_required_log(position, LogEvidence::Commit);
             self.log_end_known_at = self.log_end_known_at.max(Some(sent));
             self.last_commit = self.last_commit.max(Some((sent, position)));
+        }
+        if self.leader.as_ref() == Some(database) {
             self.confirm_directly(sent);
         }
     }
--- a/crates/gate/src/log_comparison.rs
+++ b/crates/gate/src/log_comparison.rs
@@ -25,6 +25,8 @@
     /// End of a commit that was sent after the removal. A replica that holds it holds everything
     /// that the removed database had received.
     pub(crate) superseded_by: Option<TermPosition>,
+    /// A replica was shown to hold that commit.
+    pub(crate) superseded: bool,
 }
 
 impl FormerMember {
@@ -36,6 +38,7 @@
             last_answer: None,
             leaving: false,
             superseded_by: None,
+            superseded: false,
         }
     }
 }
@@ -79,6 +82,7 @@
             last_answer: database.last_answer,
             leaving: database.listed.leaving,
             superseded_by: None,
+            superseded: false,
         };
         if let Some(state) = self.clusters.get_mut(cluster) {
             state.former_members.insert(name.clone(), former);
@@ -135,7 +139,8 @@
             "compared" => compared.join(", "),
             "left_out" => left_out.join(", "),
             "known" => known.to_string(),
-            "known_from" => source
+            "known_from" => source,
+            "unconfirmed" => state.proof.known_log_end().to_string()
         ]
     }
 
@@ -193,7 +198,12 @@
     /// what showed it.
     pub(crate) fn known_log_end(&self, cluster: &Name) -> (TermPosition, String) {
         let proof = self.clusters.get(cluster).map(|state| &state.proof);
-        let own = proof.map(LeadershipProof::known_log_end).unwrap_or_default();
+        let own = match self.has_synchronous_replicas(cluster) {
+            true => proof.map(LeadershipProof::required_log_end),
+            // No commit is known to be at a replica.
+            false => proof.map(LeadershipProof::known_log_end),
+        };
+        let own = own.unwrap_or_default();
         let announced = self.failovers.running.get(cluster).map(|failover| failover.announced);
         let told =
             announced.and_then(|announced| self.registry.longest_log_end(cluster, announced));
--- a/crates/gate/src/log_holders.rs
+++ b/crates/gate/src/log_holders.rs
@@ -4,8 +4,8 @@
 //! compared all databases of the cluster but `sync_replicas` has therefore seen every acknowledged
 //! commit; while more are missing, the compared logs prove nothing. The list of databases does not
 //! show which ones are missing: an entry expires while its database is down or cut off from the
-//! store, and a node that starts later never sees it. So the first owner of a cluster keeps a record
-//! of its databases. It takes a database out when another replica holds a commit that was sent after
+//! store, and a node that starts later never sees it. So the owners of a cluster keep a record of its
+//! databases. They take a database out when another replica holds a commit that was sent after
 //! the database was removed.
 
 use std::collections::BTreeSet;
@@ -24,6 +24,9 @@
 /// Interval of report requests that show whether a replica holds what a removed database may hold.
 const REPORT_INTERVAL: Micros = Micros::from_millis(2_000);
 
+/// Time that the other owners leave to the first one, which sees all commits of a large deployment.
+const OTHER_OWNER_DELAY: Micros = Micros::from_millis(5_000);
+
 /// The stored record.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogHoldersRecord {
@@ -77,11 +80,11 @@
         }
     }
 
-    /// Brings the record of a cluster's databases up to date, if this node is its first owner.
+    /// Brings the record of a cluster's databases up to date. The first owner adds databases; each
+    /// owner takes those out that it knows to be superseded, as the first one may see no commits.
     pub(crate) fn maintain_log_holders(&mut self, cluster: &Name) {
         let now = self.now;
         let writes = self.registration.role == NodeRole::Owner
-            && self.owner_position(cluster) == 0
             && self.owns_connections(cluster)
             && self.has_synchronous_replicas(cluster)
             && self.has_stable_store_contact()
@@ -89,20 +92,20 @@
         if !writes {
             return;
         }
-        self.forget_superseded_members(cluster);
+        let first = self.owner_position(cluster) == 0;
+        self.remember_former_members(cluster);
+        self.find_superseded_members(cluster, first);
         let Some(state) = self.clusters.get_mut(cluster) else { return };
-        for name in &state.log_holders.names {
-            if !state.members.contains(name) {
-                state.former_members.entry(name.clone()).or_insert(FormerMember::unknown(now));
-            }
-        }
-        let awaited = state.former_members.keys();
-        let awaited = awaited.filter(|name| state.log_holders.names.contains(*name));
-        let names: BTreeSet<Name> = state.members.iter().chain(awaited).cloned().collect();
+        let stored = &state.log_holders.names;
+        let former = &state.former_members;
+        let awaited = stored.iter().filter(|name| {
+            state.members.contains(*name)
+                || former.get(*name).is_none_or(|former| !former.superseded)
+        });
+        let added = state.members.iter().filter(|_| first);
+        let names: BTreeSet<Name> = awaited.chain(added).cloned().collect();
         let written_at = state.log_holders.written_at;
-        if names == state.log_holders.names
-            || written_at.is_some_and(|at| now < at + WRITE_INTERVAL)
-        {
+        if names == *stored || written_at.is_some_and(|at| now < at + WRITE_INTERVAL) {
             return;
         }
         state.log_holders.written_at = Some(now);
@@ -117,15 +120,25 @@
         }
     }
 
-    /// Forgets the removed databases whose log another replica is shown to contain, and requests the
-    /// reports that show it.
-    fn forget_superseded_members(&mut self, cluster: &Name) {
+    /// Remembers the recorded databases that this node has never seen listed, and forgets the
+    /// superseded ones that are no longer recorded.
+    fn remember_former_members(&mut self, cluster: &Name) {
         let now = self.now;
         let Some(state) = self.clusters.get_mut(cluster) else { return };
-        if state.former_members.is_empty() {
-            return;
+        let stored = &state.log_holders.names;
+        state.former_members.retain(|name, former| !former.superseded || stored.contains(name));
+        for name in stored.iter().filter(|name| !state.members.contains(*name)) {
+            state.former_members.entry(name.clone()).or_insert(FormerMember::unknown(now));
         }
+    }
+
+    /// Finds the removed databases whose log another replica is shown to contain, and requests the
+    /// reports that show it. The first owner does so at once, the others if it has not for a while.
+    fn find_superseded_members(&mut self, cluster: &Name, first: bool) {
+        let now = self.now;
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
         let last_commit = state.proof.last_commit();
+        let mut waits = false;
         for former in state.former_members.values_mut() {
             if let Some((sent, position)) = last_commit
                 && former.superseded_by.is_none()
@@ -133,6 +146,13 @@
             {
                 former.superseded_by = Some(position);
             }
+            let delay = if first { Micros::ZERO } else { OTHER_OWNER_DELAY };
+            waits |= !former.superseded
+                && former.superseded_by.is_some()
+                && now >= former.removed_at + delay;
+        }
+        if !waits {
+            return;
         }
         let leader = state.proof.leader();
         let replicas: Vec<Name> =
@@ -143,10 +163,11 @@
             (report.role == DatabaseRole::Replica).then_some(report.received)
         });
         let held = held.max().unwrap_or_default();
-        state.former_members.retain(|_, former| former.superseded_by.is_none_or(|end| held < end));
-        let waits = state.former_members.values().any(|former| former.superseded_by.is_some());
+        for former in state.former_members.values_mut() {
+            former.superseded |= former.superseded_by.is_some_and(|end| held >= end);
+        }
         let requested_at = state.log_holders.reports_requested_at;
-        if waits && requested_at.is_none_or(|at| now >= at + REPORT_INTERVAL) {
+        if requested_at.is_none_or(|at| now >= at + REPORT_INTERVAL) {
             state.log_holders.reports_requested_at = Some(now);
             for name in replicas {
                 if self.databases.get(&name).is_some_and(|database| database.is_usable(now)) {
