Compare the logs again if a replica restarts while the old primary is demoted

Callers would see acknowledged commits gone after a failover. Cause: after the DEMOTE, and before each repeated promotion call, the longest log among those that were still fenced was taken, without a look at the known end. Change: all replicas must be fenced and the coverage is checked when the new primary is chosen; a new primary whose fence is gone is not promoted. Otherwise the failover lists, fences and compares anew.

--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -569,8 +569,15 @@
         }
     }
 
-    /// Chooses the new primary and promotes it.
+    /// Chooses the new primary and promotes it. The logs are compared anew if a replica has started
+    /// again since, or if they prove too little now.
     pub(crate) fn choose_new_primary(&mut self, cluster: &Name) {
+        let compared = self.failovers.running.get(cluster).is_some_and(|failover| {
+            failover.replicas.iter().all(|name| failover.fenced.contains_key(name))
+        });
+        if !compared || self.missing_log_reason(cluster).is_some() {
+            return self.set_stage(cluster, FailoverStage::Listing);
+        }
         let best = self.longest_fenced_log(cluster);
         let Some((name, position)) = best else {
             return self.abort_failover(cluster, "no replica is fenced");
@@ -590,6 +597,14 @@
         let now = self.now;
         let Some(token) = self.promotion_lease.fencing_token(now) else { return };
         let Some(database) = self.new_primary(cluster) else { return };
+        let fenced = self
+            .failovers
+            .running
+            .get(cluster)
+            .is_some_and(|failover| failover.fenced.contains_key(&database));
+        if !fenced {
+            return self.set_stage(cluster, FailoverStage::Listing);
+        }
         self.record_step(cluster);
         if let Some(failover) = self.failovers.running.get_mut(cluster) {
             failover.promote_sent = Some(now);
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -222,7 +222,7 @@
     /// Returns why no fenced replica may be promoted: its log is known to be too short, or databases
     /// that may hold more were not compared. Crashed databases return with their log, so with
     /// synchronous replicas there is no time limit.
-    fn missing_log_reason(&mut self, cluster: &Name) -> Option<&'static str> {
+    pub(crate) fn missing_log_reason(&mut self, cluster: &Name) -> Option<&'static str> {
         let Some((name, position)) = self.longest_fenced_log(cluster) else {
             return Some("no replica is fenced");
         };
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -105,6 +105,8 @@
     /// Role and role changes of each node's registration.
     registered: Vec<(NodeRole, u64)>,
     pub stopped: BTreeSet<usize>,
+    /// Nodes whose process does not run for a while, with the events that wait for it.
+    pub frozen: BTreeMap<usize, Vec<GateEvent>>,
     /// Sessions that send their next write one round trip after each answer, with the number of
     /// requests that their node has received.
     pub steady: BTreeMap<SessionId, (usize, u64)>,
@@ -234,6 +236,7 @@
             renewing: (0..nodes).collect(),
             registered: vec![(NodeRole::Standby, 0); nodes],
             stopped: BTreeSet::new(),
+            frozen: BTreeMap::new(),
             steady: BTreeMap::new(),
             closed: BTreeSet::new(),
             sent: BTreeSet::new(),
@@ -269,6 +272,43 @@
         self.event(gate, GateEvent::DocumentsListed { documents, revision });
     }
 
+    /// Starts a node's process again before its registration expires.
+    pub fn start_again_in_place(&mut self, gate: usize) {
+        self.connections.retain(|(owner, _), _| *owner != gate);
+        self.incarnations += 1;
+        let incarnation = 1 + self.incarnations;
+        self.gates[gate] = Gate::new(node_settings(&self.names[gate], incarnation));
+        self.registered[gate] = (NodeRole::Standby, 0);
+        self.event(gate, GateEvent::RoutesChanged(Box::new(route_table(16))));
+        let list = self.listed();
+        self.event(gate, GateEvent::DatabasesListed(list));
+        let documents = self.documents.values().cloned().collect();
+        let revision = self.revision;
+        self.event(gate, GateEvent::DocumentsListed { documents, revision });
+    }
+
+    /// Removes or overwrites the record of log holders, as another writer may.
+    pub fn replace_log_holders(&mut self, bytes: Option<Vec<u8>>) {
+        let document = Document::LogHolders(CLUSTER.into());
+        if let Some(bytes) = bytes {
+            self.store(document, bytes);
+            return;
+        }
+        self.documents.remove(&document_key(&document));
+        self.revision += 1;
+        for gate in 0..self.gates.len() {
+            let (document, revision) = (document.clone(), self.revision);
+            self.event(gate, GateEvent::DocumentRemoved { document, revision });
+        }
+    }
+
+    /// Lets a frozen node go on with the events that have waited for it.
+    pub fn thaw(&mut self, gate: usize) {
+        for event in self.frozen.remove(&gate).unwrap_or_default() {
+            self.event(gate, event);
+        }
+    }
+
     /// Sends every node the contents of the store.
     pub fn announce_store_state(&mut self) {
         for gate in 0..self.gates.len() {
@@ -374,6 +414,18 @@
     }
 
     pub fn event(&mut self, gate: usize, event: GateEvent) {
+        if let Some(waiting) = self.frozen.get_mut(&gate) {
+            let from_own_process = matches!(
+                event,
+                GateEvent::Timer
+                    | GateEvent::ReadLeaseRenewed { .. }
+                    | GateEvent::StoreContactRenewed { .. }
+            );
+            if !from_own_process {
+                waiting.push(event);
+            }
+            return;
+        }
         let mut actions = Vec::new();
         self.gates[gate].handle(self.now, event, &mut actions);
         for action in actions {
