Count only owners whose process has ended as gone

Callers would see acknowledged commits gone after a failover. Cause: an owner whose registration expires may only be cut off from the store and go on acknowledging, and one that starts again before its registration expires was not seen to leave. Both counted as if the others knew of all their commits. Change: an owner that left without a shutdown is unaccounted for until it registers again; a record of another process counts as a departure. Cost: after the loss of a VM for good, a failover that misses two databases waits for one of them.

--- a/crates/gate/src/log_comparison.rs
+++ b/crates/gate/src/log_comparison.rs
@@ -171,12 +171,12 @@
     }
 
     /// Returns true if the known end of the log covers every acknowledged commit: each owner that
-    /// may have acknowledged some has told its end, or has left before a commit that an owner which
-    /// told its end has sent.
+    /// may have acknowledged some has told its end, or its process had ended before a commit was sent
+    /// by an owner which told its end.
     fn knows_all_commits(&self, cluster: &Name) -> bool {
         let Some(failover) = self.failovers.running.get(cluster) else { return false };
         let left = self.registry.last_departure().is_some_and(|at| at >= failover.started);
-        if left || !failover.unacknowledged.is_empty() {
+        if left || self.registry.has_unaccounted_owners() || !failover.unacknowledged.is_empty() {
             return false;
         }
         let told: Vec<_> = self.registry.told_log_ends(cluster, failover.announced).collect();
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -85,6 +85,8 @@
     standbys: FastMap<Name, NodeRecord>,
     /// When an owner was last seen to leave; it may still hold a read lease.
     last_departure: Option<Micros>,
+    /// Owners that left without a shutdown and have not registered again.
+    unaccounted: FastSet<Name>,
     /// Last records of nodes that left, and when they left. Such a node may still run, because a
     /// lease can end early.
     former_nodes: FastMap<Name, (Micros, NodeRecord)>,
@@ -98,18 +100,35 @@
             owners: FastMap::default(),
             standbys: FastMap::default(),
             last_departure: None,
+            unaccounted: FastSet::default(),
             former_nodes: FastMap::default(),
         }
     }
 
     /// Adds or replaces a registration.
-    pub fn set(&mut self, role: NodeRole, node: Name, record: NodeRecord) {
-        let nodes = match role {
-            NodeRole::Owner => &mut self.owners,
-            NodeRole::Standby => &mut self.standbys,
-        };
+    pub fn set(&mut self, now: Micros, role: NodeRole, node: Name, record: NodeRecord) {
+        let owner = self.owners.get(&node);
+        let replaced = owner.is_some_and(|known| known.incarnation != record.incarnation);
+        // The former process of a node that registers again has ended.
+        if self.unaccounted.remove(&node) || replaced {
+            self.last_departure = Some(now);
+        }
         self.former_nodes.remove(&node);
-        nodes.insert(node, record);
+        match role {
+            NodeRole::Owner => {
+                self.standbys.remove(&node);
+                self.owners.insert(node, record);
+            }
+            NodeRole::Standby => {
+                self.standbys.insert(node, record);
+            }
+        }
+    }
+
+    /// Returns true if an owner has left that may still run, cut off from the store, and acknowledge
+    /// commits.
+    pub fn has_unaccounted_owners(&self) -> bool {
+        !self.unaccounted.is_empty()
     }
 
     /// Removes a registration.
@@ -118,6 +137,9 @@
             NodeRole::Owner => {
                 if let Some(record) = self.owners.remove(node) {
                     self.last_departure = Some(now);
+                    if !record.leaving && !self.standbys.contains_key(node) {
+                        self.unaccounted.insert(node.clone());
+                    }
                     self.former_nodes.insert(node.clone(), (now, record));
                 }
             }
--- a/crates/gate/tests/log_coverage_review.rs
+++ b/crates/gate/tests/log_coverage_review.rs
@@ -68,6 +68,28 @@
     }
 }
 
+/// Guards against the loss of commits that an owner acknowledged after its registration expired: it
+/// is cut off from the store, and reaches the primary.
+#[test]
+
+fn commits_of_an_owner_that_is_cut_off_from_the_store_are_not_lost() {
+    let mut simulation = Simulation::start(4);
+    run_with_reads(&mut simulation, millis(1_000));
+    simulation.store_cut.insert(3);
+    simulation.run(millis(1_000));
+    simulation.remove_registration(3);
+    simulation.run(millis(1_000));
+    for gate in 0..3 {
+        write(&mut simulation, gate, 1);
+    }
+    simulation.database("c").replication_stopped = true;
+    let end = write(&mut simulation, 3, 5);
+    fail_database(&mut simulation, "b");
+    simulation.database("a").unreachable = true;
+    run_with_reads(&mut simulation, millis(12_000));
+    assert_none_lost(&simulation, end);
+}
+
 /// Guards against a promotion of a shorter log than the compared one: the replica with the longest
 /// log starts again while the old primary is being demoted, and the rest is not compared again.
 #[test]
@@ -99,3 +121,22 @@
     simulation.run(millis(2_000));
     assert_none_lost(&simulation, end);
 }
+
+/// Guards against the loss of commits that only the former process of a node knew of: the node
+/// starts again before its registration expires, so no other node sees it leave.
+#[test]
+
+fn commits_acknowledged_before_a_node_started_again_are_not_lost() {
+    let mut simulation = Simulation::start(4);
+    run_with_reads(&mut simulation, millis(1_000));
+    for gate in 0..4 {
+        write(&mut simulation, gate, 1);
+    }
+    simulation.database("c").replication_stopped = true;
+    let end = write(&mut simulation, 0, 5);
+    fail_database(&mut simulation, "b");
+    simulation.database("a").unreachable = true;
+    simulation.start_again_in_place(0);
+    run_with_reads(&mut simulation, millis(12_000));
+    assert_none_lost(&simulation, end);
+}
