Make no claim from a missing record of log holders

Callers would see acknowledged commits gone after a failover. Cause: a missing or unreadable record counted as one that names no other database, the first owner made it anew from whatever was listed, and a database left it although it may be only cut off from the store and receive commits. Change: without a readable record the number of missing databases proves nothing; the record is made once a listed replica is shown to hold what the proved primary had; a database leaves it only after it has left by itself or another one has taken its place. Ruled out: to require a commit for this, as a cluster that only reads would have no record.

--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -144,8 +144,9 @@
     pub(crate) last_step: Micros,
     pub(crate) in_flight: bool,
     pub(crate) replicas: Vec<Name>,
-    /// Databases that may hold acknowledged commits, according to the record in the store.
-    pub(crate) holders: BTreeSet<Name>,
+    /// Databases that may hold acknowledged commits, according to the record in the store; `None`
+    /// without a readable record.
+    pub(crate) holders: Option<BTreeSet<Name>>,
     pub(crate) fenced: FastMap<Name, DatabaseReport>,
     pub(crate) fence_sent: FastMap<Name, Micros>,
     pub(crate) new_primary: Option<Name>,
@@ -685,15 +686,16 @@
     }
 }
 
-/// Returns the databases that the record of a cluster in the store names.
-fn stored_holders(documents: &[StoredDocument], cluster: &Name) -> BTreeSet<Name> {
+/// Returns the databases that the record of a cluster in the store names; `None` without a readable
+/// record.
+fn stored_holders(documents: &[StoredDocument], cluster: &Name) -> Option<BTreeSet<Name>> {
     let stored = documents.iter().find(|stored| match &stored.document {
         Document::LogHolders(name) => name == cluster,
         Document::PromotionLease | Document::NodeCount | Document::Node(..) => false,
     });
     // The gate logs an unreadable record when it is notified of it.
     let record = stored.and_then(|stored| serde_json::from_slice(&stored.bytes).ok());
-    names_of(record.unwrap_or_default())
+    record.map(names_of)
 }
 
 /// Returns the other registered owners that have not acknowledged an announcement.
--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -107,8 +107,6 @@
     /// Latest time for which `required_log_end` covers every commit acknowledged before, by any
     /// node.
     log_end_known_at: Option<Micros>,
-    /// When the newest acknowledged commit was sent, and its position.
-    last_commit: Option<(Micros, TermPosition)>,
     /// Highest position that only a database that led the position's term has shown: in the first
     /// report of the primary of `term`, or later as a replica.
     unconfirmed_log_end: TermPosition,
@@ -264,11 +262,6 @@
         self.log_end_known_at
     }
 
-    /// Returns when the newest acknowledged commit was sent, and its position.
-    pub fn last_commit(&self) -> Option<(Micros, TermPosition)> {
-        self.last_commit
-    }
-
     /// Returns what showed the required end of the log.
     pub fn log_evidence(&self) -> LogEvidence {
         self.log_evidence
@@ -305,7 +298,6 @@
         if let Some(position) = position.filter(|position| self.is_relevant(*position)) {
             self.extend_required_log(position, LogEvidence::Commit);
             self.log_end_known_at = self.log_end_known_at.max(Some(sent));
-            self.last_commit = self.last_commit.max(Some((sent, position)));
         }
         if self.leader.as_ref() == Some(database) {
             self.confirm_directly(sent);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -231,7 +231,7 @@
                 Document::PromotionLease => self.promotion_lease_removed(revision),
                 Document::NodeCount => {}
                 Document::LogHolders(cluster) => {
-                    self.log_holders_read(cluster, revision, LogHoldersRecord::default());
+                    self.log_holders_read(cluster, revision, None);
                 }
                 Document::Node(role, name) => {
                     self.own_registration_missing(role, &name, revision);
@@ -344,7 +344,8 @@
                 self.node_count_read(record);
             }
             Document::LogHolders(cluster) => {
-                let record = self.read_record("log holders", &stored.bytes);
+                let record: Option<LogHoldersRecord> =
+                    self.read_record("log holders", &stored.bytes);
                 self.log_holders_read(cluster, stored.revision, record);
             }
             Document::Node(role, name) => {
--- a/crates/gate/src/log_comparison.rs
+++ b/crates/gate/src/log_comparison.rs
@@ -22,22 +22,24 @@
     pub(crate) position: TermPosition,
     pub(crate) last_answer: Option<Micros>,
     pub(crate) leaving: bool,
-    /// End of a commit that was sent after the removal. A replica that holds it holds everything
-    /// that the removed database had received.
-    pub(crate) superseded_by: Option<TermPosition>,
-    /// A replica was shown to hold that commit.
+    /// Number of databases of the cluster when it was removed, including this one.
+    pub(crate) cluster_size: usize,
+    /// A position that covers every commit acknowledged before the removal.
+    pub(crate) log_end: Option<TermPosition>,
+    /// A replica was shown to hold that position.
     pub(crate) superseded: bool,
 }
 
 impl FormerMember {
     /// A database of which this node knows only that it was one of the cluster.
-    pub(crate) fn unknown(now: Micros) -> Self {
+    pub(crate) fn unknown(now: Micros, cluster_size: usize) -> Self {
         FormerMember {
             removed_at: now,
             position: TermPosition::default(),
             last_answer: None,
             leaving: false,
-            superseded_by: None,
+            cluster_size,
+            log_end: None,
             superseded: false,
         }
     }
@@ -76,12 +78,14 @@
         }
         let received = database.report.map(|report| report.received);
         let position = received.max(database.applied).unwrap_or_default();
+        let cluster_size = self.clusters.get(cluster).map_or(0, |state| state.members.len() + 1);
         let former = FormerMember {
             removed_at: now,
             position,
             last_answer: database.last_answer,
             leaving: database.listed.leaving,
-            superseded_by: None,
+            cluster_size,
+            log_end: None,
             superseded: false,
         };
         if let Some(state) = self.clusters.get_mut(cluster) {
@@ -157,14 +161,15 @@
         ) else {
             return LogCoverage::Complete;
         };
-        let mut missing: BTreeSet<&Name> = failover.holders.iter().chain(&state.members).collect();
+        let recorded = failover.holders.as_ref();
+        let mut missing: BTreeSet<&Name> =
+            recorded.into_iter().flatten().chain(&state.members).collect();
         missing.retain(|name| {
             !failover.fenced.contains_key(*name) || !failover.replicas.contains(*name)
         });
-        if limits.sync_replicas == 0
-            || missing.len() <= limits.sync_replicas as usize
-            || self.knows_all_commits(cluster)
-        {
+        // Without the record, any number of other databases may be missing.
+        let few_missing = recorded.is_some() && missing.len() <= limits.sync_replicas as usize;
+        if limits.sync_replicas == 0 || few_missing || self.knows_all_commits(cluster) {
             return LogCoverage::Complete;
         }
         LogCoverage::Unproved { missing: missing.into_iter().cloned().collect() }
--- a/crates/gate/src/log_holders.rs
+++ b/crates/gate/src/log_holders.rs
@@ -5,8 +5,8 @@
 //! commit; while more are missing, the compared logs prove nothing. The list of databases does not
 //! show which ones are missing: an entry expires while its database is down or cut off from the
 //! store, and a node that starts later never sees it. So the owners of a cluster keep a record of its
-//! databases. They take a database out when another replica holds a commit that was sent after
-//! the database was removed.
+//! databases. They take a database out when it has left or been replaced, and another replica holds every
+//! commit that was acknowledged before it was removed.
 
 use std::collections::BTreeSet;
 
@@ -38,16 +38,22 @@
 pub(crate) struct LogHolders {
     /// Revision of the record, zero if there is none.
     revision: u64,
-    pub(crate) names: BTreeSet<Name>,
+    /// The recorded databases; `None` without a readable record.
+    pub(crate) names: Option<BTreeSet<Name>>,
+    /// Since when there has been no readable record.
+    missing_since: Option<Micros>,
+    /// A listed replica was shown to hold every commit acknowledged before, so a record can be made
+    /// of the list.
+    shown: bool,
     written_at: Option<Micros>,
     reports_requested_at: Option<Micros>,
 }
 
 impl LogHolders {
     /// Replaces the known record.
-    pub(crate) fn observe(&mut self, revision: u64, record: LogHoldersRecord) {
+    pub(crate) fn observe(&mut self, revision: u64, record: Option<LogHoldersRecord>) {
         self.revision = revision;
-        self.names = names_of(record);
+        self.names = record.map(names_of);
     }
 }
 
@@ -62,7 +68,7 @@
         &mut self,
         cluster: Name,
         revision: u64,
-        record: LogHoldersRecord,
+        record: Option<LogHoldersRecord>,
     ) {
         self.clusters.entry(cluster).or_default().log_holders.observe(revision, record);
     }
@@ -75,13 +81,14 @@
                 Document::PromotionLease | Document::NodeCount | Document::Node(..) => false,
             });
             if !listed {
-                state.log_holders.observe(0, LogHoldersRecord::default());
+                state.log_holders.observe(0, None);
             }
         }
     }
 
     /// Brings the record of a cluster's databases up to date. The first owner adds databases; each
-    /// owner takes those out that it knows to be superseded, as the first one may see no commits.
+    /// owner takes those out that it knows to be superseded, and makes a missing record, as the first
+    /// one may see no requests.
     pub(crate) fn maintain_log_holders(&mut self, cluster: &Name) {
         let now = self.now;
         let writes = self.registration.role == NodeRole::Owner
@@ -96,16 +103,23 @@
         self.remember_former_members(cluster);
         self.find_superseded_members(cluster, first);
         let Some(state) = self.clusters.get_mut(cluster) else { return };
-        let stored = &state.log_holders.names;
+        let members = state.members.iter();
         let former = &state.former_members;
-        let awaited = stored.iter().filter(|name| {
-            state.members.contains(*name)
-                || former.get(*name).is_none_or(|former| !former.superseded)
-        });
-        let added = state.members.iter().filter(|_| first);
-        let names: BTreeSet<Name> = awaited.chain(added).cloned().collect();
+        let names: BTreeSet<Name> = match &state.log_holders.names {
+            Some(stored) => {
+                let awaited = stored.iter().filter(|name| {
+                    state.members.contains(*name)
+                        || former.get(*name).is_none_or(|former| !former.superseded)
+                });
+                awaited.chain(members.filter(|_| first)).cloned().collect()
+            }
+            None if state.log_holders.shown => members.cloned().collect(),
+            None => return,
+        };
         let written_at = state.log_holders.written_at;
-        if names == *stored || written_at.is_some_and(|at| now < at + WRITE_INTERVAL) {
+        if Some(&names) == state.log_holders.names.as_ref()
+            || written_at.is_some_and(|at| now < at + WRITE_INTERVAL)
+        {
             return;
         }
         state.log_holders.written_at = Some(now);
@@ -125,51 +139,55 @@
     fn remember_former_members(&mut self, cluster: &Name) {
         let now = self.now;
         let Some(state) = self.clusters.get_mut(cluster) else { return };
-        let stored = &state.log_holders.names;
+        let Some(stored) = &state.log_holders.names else { return };
         state.former_members.retain(|name, former| !former.superseded || stored.contains(name));
         for name in stored.iter().filter(|name| !state.members.contains(*name)) {
-            state.former_members.entry(name.clone()).or_insert(FormerMember::unknown(now));
+            let former = FormerMember::unknown(now, stored.len());
+            state.former_members.entry(name.clone()).or_insert(former);
         }
     }
 
     /// Finds the removed databases whose log another replica is shown to contain, and requests the
-    /// reports that show it. The first owner does so at once, the others if it has not for a while.
+    /// reports that show it. Without a record, the same shows that the listed databases hold every
+    /// commit. The first owner does so at once, the others if it has not for a while.
     fn find_superseded_members(&mut self, cluster: &Name, first: bool) {
         let now = self.now;
         let Some(state) = self.clusters.get_mut(cluster) else { return };
-        let last_commit = state.proof.last_commit();
-        let mut waits = false;
-        for former in state.former_members.values_mut() {
-            if let Some((sent, position)) = last_commit
-                && former.superseded_by.is_none()
-                && sent > former.removed_at
-            {
-                former.superseded_by = Some(position);
-            }
-            let delay = if first { Micros::ZERO } else { OTHER_OWNER_DELAY };
-            waits |= !former.superseded
-                && former.superseded_by.is_some()
-                && now >= former.removed_at + delay;
-        }
-        if !waits {
-            return;
-        }
         let leader = state.proof.leader();
-        let replicas: Vec<Name> =
-            state.members.iter().filter(|name| Some(*name) != leader).cloned().collect();
-        let held = replicas.iter().filter_map(|name| {
+        let replicas = state.members.iter().filter(|name| Some(*name) != leader);
+        let held = replicas.filter_map(|name| {
             let database = self.databases.get(name)?;
             let report = database.report.filter(|_| database.is_usable(now))?;
             (report.role == DatabaseRole::Replica).then_some(report.received)
         });
         let held = held.max().unwrap_or_default();
-        for former in state.former_members.values_mut() {
-            former.superseded |= former.superseded_by.is_some_and(|end| held >= end);
+        let delay = if first { Micros::ZERO } else { OTHER_OWNER_DELAY };
+        let size = state.members.len();
+        let mut waits = false;
+        for former in state.former_members.values_mut().filter(|former| !former.superseded) {
+            // A database that is only cut off from the store may go on to receive commits, so it is
+            // kept until another one has taken its place.
+            if !former.leaving && size < former.cluster_size {
+                continue;
+            }
+            let end = former.log_end.or(state.proof.proved_position(former.removed_at));
+            former.log_end = end;
+            former.superseded = end.is_some_and(|end| held >= end);
+            waits |= !former.superseded && now >= former.removed_at + delay;
+        }
+        let holders = &mut state.log_holders;
+        if holders.names.is_some() {
+            holders.missing_since = None;
+            holders.shown = false;
+        } else {
+            let since = *holders.missing_since.get_or_insert(now);
+            let end = state.proof.proved_position(since);
+            holders.shown |= end.is_some_and(|end| held >= end);
+            waits |= !holders.shown && now >= since + delay;
         }
-        let requested_at = state.log_holders.reports_requested_at;
-        if requested_at.is_none_or(|at| now >= at + REPORT_INTERVAL) {
-            state.log_holders.reports_requested_at = Some(now);
-            for name in replicas {
+        if waits && holders.reports_requested_at.is_none_or(|at| now >= at + REPORT_INTERVAL) {
+            holders.reports_requested_at = Some(now);
+            for name in state.members.clone() {
                 if self.databases.get(&name).is_some_and(|database| database.is_usable(now)) {
                     self.request_report(&name);
                 }
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -229,7 +229,7 @@
                 last_step: now,
                 in_flight: false,
                 replicas: Vec::new(),
-                holders: BTreeSet::new(),
+                holders: None,
                 fenced: FastMap::default(),
                 fence_sent: FastMap::default(),
                 new_primary: None,
--- a/crates/gate/tests/log_coverage_review.rs
+++ b/crates/gate/tests/log_coverage_review.rs
@@ -68,6 +68,29 @@
     }
 }
 
+/// Guards against the loss of commits that a replica received after it was removed: its entry
+/// expired while it was cut off from the store only, and it has left the record of log holders.
+#[test]
+
+fn a_removed_replica_that_still_receives_commits_stays_a_holder() {
+    let mut simulation = Simulation::start(4);
+    run_with_reads(&mut simulation, millis(1_000));
+    unlist(&mut simulation, "b");
+    for _ in 0..12 {
+        run_with_reads(&mut simulation, millis(500));
+        for gate in 0..4 {
+            write(&mut simulation, gate, 1);
+        }
+    }
+    simulation.database("c").replication_stopped = true;
+    let end = write(&mut simulation, 0, 5);
+    assert_eq!(simulation.databases["b"].received, end, "b received the commits");
+    kill_node(&mut simulation, 0);
+    simulation.database("a").unreachable = true;
+    run_with_reads(&mut simulation, millis(12_000));
+    assert_none_lost(&simulation, end);
+}
+
 /// Guards against the loss of commits that an owner acknowledged after its registration expired: it
 /// is cut off from the store, and reaches the primary.
 #[test]
@@ -140,3 +163,24 @@
     run_with_reads(&mut simulation, millis(12_000));
     assert_none_lost(&simulation, end);
 }
+
+/// Guards against a record of log holders that is gone or cannot be read: it counts as one that
+/// names no database, and so proves that no other database holds a commit.
+#[test]
+
+fn a_record_of_log_holders_that_cannot_be_read_proves_nothing() {
+    for bytes in [None, Some(b"{\"holders\":7}".to_vec())] {
+        let mut simulation = Simulation::start(4);
+        run_with_reads(&mut simulation, millis(1_000));
+        simulation.database("c").replication_stopped = true;
+        let end = write(&mut simulation, 0, 5);
+        fail_database(&mut simulation, "b");
+        fail_database(&mut simulation, "a");
+        simulation.replace_log_holders(bytes);
+        for gate in 0..4 {
+            simulation.start_again(gate);
+        }
+        run_with_reads(&mut simulation, millis(12_000));
+        assert_none_lost(&simulation, end);
+    }
+}
