Acknowledge the next holder's announcement of the same cluster

What callers saw: a successful write that the promoted log lacks (rule LOST).

Cause: `announcement_seen` compared the announced clusters only. A holder of the promotion lease that stops in the middle of a failover leaves its announcement, and the next one announces the same cluster when it takes the lease. Two things went wrong then.

If the first holder had promoted a database already, the nodes compared the new primary with the term of the first announcement, took it for the result of the change that is announced, sent it writes and reported its commits (`is_leader_suspended`, `is_commit_kept`) while the next holder replaced it. Only its fences kept commits back, and a replica that starts again has none. 2. The nodes did not acknowledge the new revision. The next holder ended the leases of all of them and waited 0.8 s, and again for those that had registered meanwhile.

Both tests fail on the code before:

the_announcement_of_the_next_holder_is_acknowledged: assertion `left == right` failed: only the stopped node cannot acknowledge left: {"n1", "n2", "n3", "n4"} right: {"n1"}

commits_of_a_new_primary_are_withheld_when_it_is_replaced_in_turn: assertion `left == right` failed left: ["q1220", "q1223", "q1226", ... 52 writes] right: []

Fix: an announcement is a new one if its fencing token is new. It is acknowledged, and a primary promoted since the former announcement is suspended. Where nothing was promoted, the 20 ms in which commits still count do not begin again. Renewals of one holder keep their meaning.

Not covered: one holder that completes a failover and starts another one of the same cluster within one renewal (0.8 s) while a third failover runs.

--- a/crates/gate/src/read_lease.rs
+++ b/crates/gate/src/read_lease.rs
@@ -48,6 +48,8 @@
     /// Revision of the newest announcement that this node has acted on.
     pub(crate) acknowledged: u64,
     announced: Vec<String>,
+    /// Fencing token of the holder that announced `announced`.
+    announced_token: u64,
     /// When the last renewal as a standby was sent.
     last_contact: Option<Micros>,
 }
@@ -86,6 +88,7 @@
             acknowledged: self.read_lease.acknowledged,
             last_contact: self.read_lease.last_contact,
             announced: std::mem::take(&mut self.read_lease.announced),
+            announced_token: self.read_lease.announced_token,
             ..ReadLeaseState::default()
         };
         self.log("permit", fields!["held" => false]);
@@ -158,15 +161,22 @@
     /// Acts on the stored announcement; this node's next registration acknowledges it.
     pub(crate) fn announcement_seen(&mut self) {
         let (revision, record) = self.promotion_lease.record();
-        if record.announced_clusters == self.read_lease.announced {
+        // The next holder waits for acknowledgements of its own announcement, although the clusters
+        // may be the same.
+        let token = record.fencing_token;
+        let same_holder =
+            record.announced_clusters.is_empty() || token == self.read_lease.announced_token;
+        if same_holder && record.announced_clusters == self.read_lease.announced {
             return;
         }
         let announced_clusters = record.announced_clusters.clone();
         let mut suspended = Vec::new();
         for name in &announced_clusters {
-            if !self.read_lease.announced.contains(name)
-                && let Some(state) = self.clusters.get_mut(name.as_str())
-            {
+            let Some(state) = self.clusters.get_mut(name.as_str()) else { continue };
+            // The next holder may replace the primary that the former one promoted. If none was, the
+            // grace for commits does not begin again.
+            let promoted = state.announced_term.is_none_or(|term| state.proof.term() > term);
+            if !self.read_lease.announced.contains(name) || !same_holder && promoted {
                 state.announced_term = Some(state.proof.term());
                 state.announced_at = Some(self.now);
                 suspended.push(Name::from(name.as_str()));
@@ -183,6 +193,7 @@
         }
         self.read_lease.acknowledged = revision;
         self.read_lease.announced = announced_clusters.clone();
+        self.read_lease.announced_token = token;
         let ended = announced_clusters.is_empty();
         self.log(
             "announcement_seen",
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -263,6 +263,17 @@
         listed.map(|name| self.listed_one(name)).collect()
     }
 
+    /// Lets a node reach the store again; it lists the store first.
+    pub fn restore_store(&mut self, gate: usize) {
+        self.store_cut.remove(&gate);
+        let documents = self.documents.values().cloned().collect();
+        let listed = GateEvent::DatabasesListed(self.listed());
+        let revision = self.revision;
+        self.schedule(NETWORK_DELAY, Delivery::Gate(gate, listed));
+        let documents = GateEvent::DocumentsListed { documents, revision };
+        self.schedule(NETWORK_DELAY, Delivery::Gate(gate, documents));
+    }
+
     fn listed_one(&self, name: &Name) -> ListedDatabase {
         let database = &self.databases[name];
         ListedDatabase {
