Lift fences only with the promotion lease, and leave none behind

What callers saw: successful writes that the promoted log lacks (rule LOST), and clusters whose second replica stayed fenced for seconds.

Cause: `abort_failover` and `lift_fences` sent RESUME without looking at the promotion lease. RESUME carries no term, so it also ended the fence that the next holder had set and compared; the old primary's commits were then acknowledged past the compared position. It happened when a holder that was cut off from the store or suspended saw the next holder's record, or found its failover timed out, or got the list for a stale fence late.

Evidence before the change (virtual time):

a_node_that_has_lost_the_promotion_lease_lifts_no_fences: assertion `left == right` failed left: ["q1172", "q1177", "q1182", ... 60 writes] right: []

a_failover_that_times_out_after_a_suspension_lifts_no_fences: the fences stay until the promotion

Design: only the holder of a valid promotion lease lifts fences. Another node takes the lease 1.1 s after its end at the earliest, so a lift has that long to arrive. So that commits don't wait for the next holder:

- A failover whose lease is not renewed is aborted 200 ms before its end, and lifts its fences then (a_holder_that_cannot_renew_the_lease_...: failed).
- A lift waits up to 1 s for a connection, and the lease is kept.
Before, a replica without an open connection was skipped, and stayed fenced.
- An abort lifts every fence that this node knows of, also unanswered ones.
- After a failover without a promotion each owner asks all databases for reports, at once and again after 3 s, when late commands are gone.
Before, a fence at a replica that nobody used was not noticed (a_fence_at_a_replica_without_requests_is_lifted: failed).
- A fence that is answered after its failover was given up is recorded.
- Fences of databases that can't be reached start no failover; this announced the cluster, and so held up writes, again and again.

a_fence_that_is_set_after_its_failover_was_given_up_is_lifted can't arrange its case on the code before (the failover is given up too late); it fails on this code without the second look for fences. a_failover_that_is_given_up_lifts_its_fences_at_once passes before and after: it keeps the availability of an abort with the lease.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -59,6 +59,8 @@
     pub(crate) announced_at: Option<Micros>,
     /// When the last announced failover was over; the read lease extends no proof from before.
     pub(crate) last_failover_end: Micros,
+    /// When the databases are asked again whether a failover that was given up has left fences.
+    pub(crate) fence_check_due: Option<Micros>,
     /// When the first overdue commit was sent; cleared by an acknowledged commit or a change of
     /// leader.
     pub(crate) commit_overdue: Option<Micros>,
@@ -404,6 +406,7 @@
             self.request_proof(cluster, proof_time);
         }
         self.probe_overdue(cluster);
+        self.check_fences(cluster);
         self.wake_waiting_for_proof(cluster);
         if let Some(state) = self.clusters.get_mut(cluster)
             && state.proof.confirmed_at() >= state.needed_proof_time
@@ -446,6 +449,16 @@
         }
     }
 
+    /// Looks once more for fences of a failover that was given up. Without a promotion nothing else
+    /// lifts them, and a fenced replica that nobody uses would not be noticed.
+    fn check_fences(&mut self, cluster: &Name) {
+        let now = self.now;
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        if state.fence_check_due.take_if(|due| now >= *due).is_some() {
+            self.request_all_reports(cluster);
+        }
+    }
+
     /// Requests reports from databases with overdue answers, because no request goes there until
     /// they answer.
     fn probe_overdue(&mut self, cluster: &Name) {
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -24,6 +24,10 @@
 //! A replica that cannot be fenced may hold the only copy of a commit and may go on acknowledging.
 //! The failover waits until its entry is gone. If that takes too long, the failover is aborted and
 //! its fences are lifted.
+//!
+//! Only the holder of the promotion lease lifts fences, because a lift names no term: it would end
+//! the fence of the next holder as well. A failover whose lease is not renewed is aborted while the
+//! lease is valid. Fences that are left behind are lifted by the next holder, or as stale ones.
 
 use model::{FastMap, Micros, Name, Term};
 
@@ -56,6 +60,10 @@
 /// users' longest promotion (1 s), with a margin. The failover stays announced for as long.
 const PROMOTION_EFFECT_TIMEOUT: Micros = Micros::from_millis(2_000);
 
+/// Remaining time of the promotion lease at which a failover is aborted because the lease was not
+/// renewed in time: commands that lift fences take a few milliseconds, behind a queue about 150 ms.
+const LIFT_MARGIN: Micros = Micros::from_millis(200);
+
 /// Time before this node retries a failover of the same cluster after it aborted one.
 const FAILOVER_BACKOFF: Micros = Micros::from_millis(1_500);
 
@@ -194,6 +202,8 @@
     pub(crate) no_primary_since: FastMap<Name, Micros>,
     /// Since when no fenced replica holds the log that is known to exist.
     pub(crate) missing_log_since: FastMap<Name, Micros>,
+    /// Replicas whose fences this node lifts as soon as it has a connection, and since when.
+    pub(crate) lifts: FastMap<Name, Micros>,
     /// Clusters whose primary this node suspects, and why.
     pub(crate) suspected: FastMap<Name, &'static str>,
 }
@@ -208,7 +218,8 @@
         let unfence_pending = self.connections.values().any(|connection| {
             connection.pending.iter().any(|pending| pending.purpose == CommandPurpose::Unfence)
         });
-        let write = if self.failovers.running.is_empty() && !unfence_pending {
+        let lifts_fences = unfence_pending || !self.failovers.lifts.is_empty();
+        let write = if self.failovers.running.is_empty() && !lifts_fences {
             if abandoned
                 && self.promotion_lease.fencing_token(now).is_none()
                 && self.has_stable_store_contact()
@@ -254,6 +265,11 @@
             FAILOVER_TIMEOUT
         };
         let timed_out = now >= failover.started + limit;
+        let lapses = self.promotion_lease.remaining(now).is_some_and(|left| left < LIFT_MARGIN);
+        if lapses && stage != FailoverStage::Claiming && !stage.is_irreversible() {
+            // Without the lease this node could not lift the fences any more.
+            return self.abort_failover(cluster, "the promotion lease is not renewed");
+        }
         let may_take_effect =
             failover.promote_sent.is_some_and(|sent| now < sent + PROMOTION_EFFECT_TIMEOUT);
         if timed_out && !may_take_effect {
@@ -577,8 +593,16 @@
         if failover.stage.is_irreversible() {
             return;
         }
-        for name in failover.fenced.keys() {
-            self.unfence(name);
+        // Those of an earlier failover too, and those whose commands have not been answered.
+        let mut fenced = match self.clusters.get(cluster) {
+            Some(state) => state.proof.fenced_replicas(),
+            None => Vec::new(),
+        };
+        fenced.extend(failover.fenced.into_keys().chain(failover.fence_sent.into_keys()));
+        fenced.sort();
+        fenced.dedup();
+        for name in fenced {
+            self.unfence(&name);
         }
     }
 }
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -16,6 +16,10 @@
 /// queue.
 const PROBE_TIMEOUT: Micros = Micros::from_millis(500);
 
+/// Time for which a lift waits for a connection; opening one takes 14 ms, and 1 s at most. The
+/// promotion lease is kept meanwhile.
+const LIFT_TIMEOUT: Micros = Micros::from_millis(1_000);
+
 impl Gate {
     /// Demotes the old primary, if it answers, before the new one is chosen.
     pub(crate) fn demote_old_primary(&mut self, cluster: &Name) {
@@ -77,9 +81,12 @@
         }
     }
 
-    /// Lifts fences while this node holds the promotion lease, so no other node can be setting
-    /// them.
+    /// Lifts fences that another node has left behind.
     pub(crate) fn lift_fences(&mut self, cluster: &Name) {
+        if self.promotion_lease.fencing_token(self.now).is_none() {
+            // The list arrived late. It is read again if the lease can be renewed.
+            return;
+        }
         let Some(state) = self.clusters.get(cluster) else { return };
         for name in state.proof.fenced_replicas() {
             self.unfence(&name);
@@ -90,12 +97,46 @@
         self.request_all_reports(cluster);
     }
 
+    /// Lifts a replica's fence, but only while this node holds the promotion lease, so that no other
+    /// node can have set it.
     pub(crate) fn unfence(&mut self, name: &Name) {
-        if let Some(connection) = self.control_connection(name) {
-            self.send(connection, vec![BackendCommand::Unfence], CommandPurpose::Unfence);
+        self.failovers.lifts.insert(name.clone(), self.now);
+        self.send_lift(name);
+    }
+
+    /// Sends the lifts that waited for a connection.
+    pub(crate) fn maintain_lifts(&mut self) {
+        let waiting: Vec<Name> = self.failovers.lifts.keys().cloned().collect();
+        for name in waiting {
+            self.send_lift(&name);
+        }
+    }
+
+    fn send_lift(&mut self, name: &Name) {
+        let Some(since) = self.failovers.lifts.get(name).copied() else { return };
+        let held = self.promotion_lease.fencing_token(self.now).is_some();
+        if !held || self.now >= since + LIFT_TIMEOUT || !self.databases.contains_key(name) {
+            // The fence is lifted as a stale one if the replica can be reached again.
+            self.failovers.lifts.remove(name);
+            return self.log("fence_left", fields!["database" => name, "held" => held]);
+        }
+        match self.control_connection(name) {
+            Some(connection) => {
+                self.failovers.lifts.remove(name);
+                self.send(connection, vec![BackendCommand::Unfence], CommandPurpose::Unfence);
+            }
+            None => self.open_control_connection(name),
         }
     }
 
+    /// Opens a connection to a database for a command that does not belong to a client.
+    fn open_control_connection(&mut self, name: &Name) {
+        if let Some(database) = self.databases.get_mut(name) {
+            database.report_wanted = true;
+        }
+        self.open_connections(name);
+    }
+
     pub(crate) fn fence_replicas(&mut self, cluster: &Name) {
         let now = self.now;
         let Some(failover) = self.failovers.running.get_mut(cluster) else { return };
@@ -124,10 +165,7 @@
         let mut sent_any = false;
         for name in due {
             let Some(connection) = self.control_connection(&name) else {
-                if let Some(database) = self.databases.get_mut(&name) {
-                    database.report_wanted = true;
-                }
-                self.open_connections(&name);
+                self.open_control_connection(&name);
                 continue;
             };
             self.send(connection, vec![BackendCommand::Fence { term }], CommandPurpose::Fence);
@@ -164,7 +202,13 @@
     ) {
         let Some(state) = self.connections.get(&connection) else { return };
         let (name, cluster) = (state.database.clone(), state.cluster.clone());
-        let Some(failover) = self.failovers.running.get_mut(&cluster) else { return };
+        let Some(failover) = self.failovers.running.get_mut(&cluster) else {
+            // The failover was aborted meanwhile, so this fence may be stale.
+            if let (Some(report), Some(state)) = (answer.report, self.clusters.get_mut(&cluster)) {
+                state.proof.observe_report(&name, sent, &report);
+            }
+            return;
+        };
         let Some(report) = answer.report else {
             let text = format!("{:?}", answer.end);
             return self.log("fence_failed", fields!["database" => &name, "answer" => text]);
--- a/crates/gate/src/promotion_lease.rs
+++ b/crates/gate/src/promotion_lease.rs
@@ -140,6 +140,11 @@
         self.held.filter(|(_, until)| now < *until).map(|(token, _)| token)
     }
 
+    /// Returns for how long the fencing token may still be used.
+    pub fn remaining(&self, now: Micros) -> Option<Micros> {
+        self.held.filter(|(_, until)| now < *until).map(|(_, until)| until - now)
+    }
+
     /// Returns true if the lease should be renewed before it is used again.
     pub fn needs_renewal(&self, now: Micros) -> bool {
         self.held.is_none_or(|(_, until)| now + RENEWAL_THRESHOLD >= until)
--- a/crates/gate/src/read_lease.rs
+++ b/crates/gate/src/read_lease.rs
@@ -38,6 +38,10 @@
 /// interval between renewals at an owner, and a slow answer.
 const RECENT_CONTACT_AGE: Micros = Micros::from_millis(500);
 
+/// Time after the end of a failover without a promotion in which one of its fences may still take
+/// effect: databases drop a connection whose remote end is unreachable after 3 s.
+const LATE_FENCE_DELAY: Micros = Micros::from_millis(3_000);
+
 /// State of this node's read lease and of the announcements it has seen.
 #[derive(Debug, Default)]
 pub(crate) struct ReadLeaseState {
@@ -183,12 +187,16 @@
             }
         }
         // A report from before the end of the failover may be of the old primary's term.
+        let mut without_promotion = Vec::new();
         for name in
             self.read_lease.announced.iter().filter(|name| !announced_clusters.contains(name))
         {
             if let Some(state) = self.clusters.get_mut(name.as_str()) {
                 state.last_failover_end = self.now;
                 state.announced_at = None;
+                if state.announced_term.is_some_and(|term| state.proof.term() <= term) {
+                    without_promotion.push(Name::from(name.as_str()));
+                }
             }
         }
         self.read_lease.acknowledged = revision;
@@ -205,5 +213,13 @@
         for cluster in suspended {
             self.reroute_from_suspended_leader(&cluster);
         }
+        for cluster in without_promotion {
+            if self.owns_connections(&cluster) {
+                self.request_all_reports(&cluster);
+                if let Some(state) = self.clusters.get_mut(&cluster) {
+                    state.fence_check_due = Some(self.now + LATE_FENCE_DELAY);
+                }
+            }
+        }
     }
 }
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -113,7 +113,11 @@
     pub(crate) fn has_stale_fences(&self, cluster: &Name) -> bool {
         let Some(state) = self.clusters.get(cluster) else { return false };
         let since = state.proof.fenced_since();
+        let can_be_lifted = state.proof.fenced_replicas().iter().any(|name| {
+            self.databases.get(name).is_some_and(|database| database.is_usable(self.now))
+        });
         since.is_some_and(|since| self.now >= since + STALE_FENCE_TIMEOUT)
+            && can_be_lifted
             && !self.is_announced(cluster)
             && self.usable_leader(cluster).is_some()
     }
@@ -154,6 +158,7 @@
         for cluster in clusters {
             self.step_failover(&cluster);
         }
+        self.maintain_lifts();
         self.maintain_promotion_lease();
     }
 
--- a/crates/gate/tests/fence_lifts.rs
+++ b/crates/gate/tests/fence_lifts.rs
@@ -5,8 +5,11 @@
 
 use std::collections::BTreeSet;
 
-use gate::{DatabaseRole, LogValue, SessionId, TermPosition};
-use model::{Micros, Name};
+use gate::{
+    DatabaseRole, GateEvent, LEASE_ACQUIRE_WAIT, LogValue, PROMOTION_LEASE_TTL, SessionId,
+    TermPosition,
+};
+use model::{Micros, Name, Term};
 use support::{BOUNDED, LATEST, Simulation};
 
 fn millis(time: u64) -> Micros {
@@ -36,6 +39,13 @@
         scene
     }
 
+    /// As [`Scene::start`]; [`WRITER`] hears of no announcement.
+    fn start_with_unaware_writer() -> Scene {
+        let mut scene = Scene::start();
+        scene.simulation.documents_cut.insert(WRITER);
+        scene
+    }
+
     /// Cuts all nodes but [`WRITER`] off from the primary. They read for as long as the primary is
     /// not suspected.
     fn cut_primary(&mut self, primary: &str) {
@@ -51,7 +61,9 @@
         let end = self.simulation.now + time;
         while self.simulation.now < end {
             for gate in 0..self.simulation.gates.len() {
-                if self.simulation.stopped.contains(&gate) || !self.readers.contains(&gate) {
+                let runs =
+                    !self.simulation.stopped.contains(&gate) && !self.simulation.is_suspended(gate);
+                if !runs || !self.readers.contains(&gate) {
                     continue;
                 }
                 for route in [LATEST, BOUNDED] {
@@ -106,6 +118,25 @@
         (promoted, end)
     }
 
+    /// Returns how many failovers a node has given up.
+    fn given_up(&self, gate: usize) -> usize {
+        let logs = self.simulation.logs.iter();
+        logs.filter(|(_, by, record)| *by == gate && record.event == "takeover_given_up").count()
+    }
+
+    /// Returns true if both replicas are fenced.
+    fn is_fenced(&self) -> bool {
+        ["b", "c"].iter().all(|name| {
+            let database = &self.simulation.databases[*name];
+            database.fence > database.term
+        })
+    }
+
+    /// Returns true if no replica is fenced.
+    fn is_unfenced(&self) -> bool {
+        self.simulation.databases.values().all(|database| database.fence <= database.term)
+    }
+
     /// Returns the writes reported as successful that ran at a primary beyond a position of its log.
     fn served_beyond(&self, primary: &str, end: TermPosition) -> Vec<Name> {
         let ran = &self.simulation.databases[primary].ran;
@@ -175,3 +206,156 @@
     assert!(ran.iter().any(|(_, position)| *position <= end), "the new primary was used");
     assert_eq!(scene.served_beyond(&promoted, end), [] as [Name; 0]);
 }
+
+/// Guards against acknowledged commits that the promoted log lacks: a node that was cut off from the
+/// store lifts a fence that the next holder of the promotion lease has compared. It reaches only the
+/// replica that the holder does not observe otherwise.
+#[test]
+fn a_node_that_has_lost_the_promotion_lease_lifts_no_fences() {
+    let mut scene = Scene::start_with_unaware_writer();
+    scene.cut_primary("a");
+    let first = scene.run_until_another_reaches("waiting");
+    scene.simulation.store_cut.insert(first);
+    // Reads keep its connections to the replicas open.
+    scene.readers.insert(first);
+    scene.run_until_another_reaches("waiting");
+    scene.simulation.cut(first, "b");
+    scene.run(millis(840));
+    scene.simulation.restore_store(first);
+    scene.run(millis(40));
+    assert_eq!(scene.given_up(first), 1);
+    let fenced = scene.is_fenced();
+    let (_, end) = scene.run_until_promotion();
+    scene.run(millis(600));
+    assert_eq!(scene.served_beyond("a", end), [] as [Name; 0]);
+    assert!(fenced, "the fences stay until the promotion");
+}
+
+/// As above, with a holder that is suspended for longer than its failover may take.
+#[test]
+fn a_failover_that_times_out_after_a_suspension_lifts_no_fences() {
+    let mut scene = Scene::start_with_unaware_writer();
+    scene.cut_primary("a");
+    let first = scene.run_until_another_reaches("waiting");
+    scene.simulation.suspend(first);
+    // The other nodes reach the primary again for a while.
+    scene.simulation.cuts.clear();
+    scene.run(Micros::from_secs(6));
+    scene.cut_primary("a");
+    scene.run_until_another_reaches("waiting");
+    assert!(scene.is_fenced());
+    scene.simulation.resume(first);
+    scene.run(millis(20));
+    assert_eq!(scene.given_up(first), 1);
+    let fenced = scene.is_fenced();
+    let (_, end) = scene.run_until_promotion();
+    scene.run(millis(600));
+    assert_eq!(scene.served_beyond("a", end), [] as [Name; 0]);
+    assert!(fenced, "the fences stay until the promotion");
+}
+
+/// Time within which another node lifts the fences of a holder of the promotion lease that is gone:
+/// the lease, [`FENCE_NOTICE_TIME`], the turn of the last of five nodes (600 ms each), and one second
+/// for the calls to the store.
+const ABANDONED_FENCE_BOUND: Micros =
+    Micros(LEASE_ACQUIRE_WAIT.0 + FENCE_NOTICE_TIME.0 + 3_400_000);
+
+/// Time after which a fence that no announced failover explains is lifted.
+const FENCE_NOTICE_TIME: Micros = Micros::from_millis(700);
+
+/// Guards against a replica that stays fenced because nothing reads there: its fence was left by a
+/// node that stopped, and commits go on with the other replica.
+#[test]
+fn a_fence_at_a_replica_without_requests_is_lifted() {
+    for replica in ["b", "c"] {
+        let mut scene = Scene::start();
+        scene.cut_primary("a");
+        let first = scene.run_until_another_reaches("waiting");
+        scene.simulation.stopped.insert(first);
+        let other = if replica == "b" { "c" } else { "b" };
+        scene.simulation.restart_replica(other);
+        scene.simulation.cuts.clear();
+        scene.readers.clear();
+        assert!(!scene.is_unfenced());
+        scene.run(ABANDONED_FENCE_BOUND);
+        assert!(scene.is_unfenced(), "the fence of {replica} stays");
+        assert_eq!(scene.simulation.promotions, []);
+    }
+}
+
+/// As above, with a holder that was suspended and has lost the lease when it gives up.
+#[test]
+fn fences_that_a_suspended_holder_leaves_are_lifted() {
+    let mut scene = Scene::start();
+    scene.cut_primary("a");
+    let first = scene.run_until_another_reaches("waiting");
+    scene.simulation.suspend(first);
+    scene.simulation.cuts.clear();
+    scene.run(LEASE_ACQUIRE_WAIT);
+    scene.simulation.resume(first);
+    scene.run(ABANDONED_FENCE_BOUND);
+    assert!(scene.is_unfenced());
+    assert_eq!(scene.simulation.promotions, []);
+    let last = scene.writes.iter().rev().nth(10).expect("there are writes").0;
+    assert_eq!(scene.simulation.outcome(last), "served");
+}
+
+/// Guards against a fence that takes effect after its failover was given up, because the command was
+/// late and its connection is closed.
+#[test]
+fn a_fence_that_is_set_after_its_failover_was_given_up_is_lifted() {
+    let mut scene = Scene::start();
+    scene.simulation.late_commands.extend((0..5).map(|gate| ((gate, "c".into()), millis(450))));
+    scene.cut_primary("a");
+    let first = scene.run_until_another_reaches("probing");
+    scene.simulation.late_commands.insert((first, "c".into()), millis(2_500));
+    scene.run_until_another_reaches("fencing");
+    scene.run(millis(260));
+    scene.simulation.store_cut.insert(first);
+    scene.run_until("abort", |scene| scene.given_up(first) > 0);
+    // Later commands overtake those that are late.
+    scene.simulation.late_commands.retain(|(gate, _), _| *gate == first);
+    scene.simulation.late_commands.insert((first, "c".into()), Micros::ZERO);
+    scene.simulation.restore_store(first);
+    scene.simulation.cuts.clear();
+    scene.readers.clear();
+    assert!(scene.simulation.databases["c"].fence <= Term(1));
+    scene.run_until("fence", |scene| scene.simulation.databases["c"].fence > Term(1));
+    scene.run(ABANDONED_FENCE_BOUND);
+    assert!(scene.is_unfenced());
+    assert_eq!(scene.simulation.promotions, []);
+}
+
+/// Guards against commits that wait for the store to return: a holder that cannot renew the
+/// promotion lease lifts its fences while the lease is valid.
+#[test]
+fn a_holder_that_cannot_renew_the_lease_lifts_its_fences_in_time() {
+    let mut scene = Scene::start_with_unaware_writer();
+    scene.cut_primary("a");
+    scene.run_until_another_reaches("waiting");
+    assert!(scene.is_fenced());
+    scene.simulation.store_cut.extend(0..5);
+    scene.run(PROMOTION_LEASE_TTL);
+    assert!(scene.is_unfenced());
+}
+
+/// Guards against fences that stay after a failover was given up by the node that holds the
+/// promotion lease: the primary could not commit with the fenced replica.
+#[test]
+fn a_failover_that_is_given_up_lifts_its_fences_at_once() {
+    let mut scene = Scene::start();
+    // Only `b` receives the last commits, and fails together with the primary.
+    scene.simulation.database("c").replication_stopped = true;
+    scene.run(millis(200));
+    scene.simulation.database("a").unreachable = true;
+    scene.simulation.database("b").unreachable = true;
+    scene.simulation.unlisted.insert("b".into());
+    for gate in 0..5 {
+        scene.simulation.event(gate, GateEvent::DatabaseUnlisted { id: "b".into() });
+    }
+    scene.run_until("fence", |scene| scene.simulation.databases["c"].fence > Term(1));
+    let given_up = scene.simulation.logged("takeover_given_up");
+    scene.run_until("abort", |scene| scene.simulation.logged("takeover_given_up") > given_up);
+    scene.run(millis(20));
+    assert!(scene.is_unfenced());
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -105,6 +105,11 @@
     /// Role and role changes of each node's registration.
     registered: Vec<(NodeRole, u64)>,
     pub stopped: BTreeSet<usize>,
+    /// Nodes that are suspended. What reaches them meanwhile is delivered by [`Simulation::resume`].
+    suspended: BTreeMap<usize, Vec<Delivery>>,
+    /// Pairs of node and database whose commands reach the database this much later, also if the
+    /// node has closed the connection by then, because they are in the database's receive buffer.
+    pub late_commands: BTreeMap<(usize, Name), Micros>,
     /// Sessions that send their next write one round trip after each answer, with the number of
     /// requests that their node has received.
     pub steady: BTreeMap<SessionId, (usize, u64)>,
@@ -230,6 +235,8 @@
             renewing: (0..nodes).collect(),
             registered: vec![(NodeRole::Standby, 0); nodes],
             stopped: BTreeSet::new(),
+            suspended: BTreeMap::new(),
+            late_commands: BTreeMap::new(),
             steady: BTreeMap::new(),
             closed: BTreeSet::new(),
             sent: BTreeSet::new(),
@@ -342,7 +349,7 @@
             }
             let renews = (tick.0 / TIMER_INTERVAL.0).is_multiple_of(15);
             for gate in 0..self.gates.len() {
-                if self.stopped.contains(&gate) {
+                if self.stopped.contains(&gate) || self.suspended.contains_key(&gate) {
                     continue;
                 }
                 if renews && self.renewing.contains(&gate) && !self.store_cut.contains(&gate) {
@@ -395,8 +402,9 @@
                         self.sent.insert(id.clone());
                     }
                     let database = database.clone();
+                    let late = self.late_commands.get(&(gate, database.clone())).copied();
                     self.schedule(
-                        NETWORK_DELAY,
+                        NETWORK_DELAY + late.unwrap_or_default(),
                         Delivery::Command { gate, connection, database, command },
                     );
                 }
@@ -514,7 +522,31 @@
         self.revision
     }
 
+    /// Suspends a node together with its clock, as when its VM is paused. Its clock jumps when it is
+    /// resumed.
+    pub fn suspend(&mut self, gate: usize) {
+        self.suspended.entry(gate).or_default();
+    }
+
+    pub fn is_suspended(&self, gate: usize) -> bool {
+        self.suspended.contains_key(&gate)
+    }
+
+    /// Resumes a suspended node. Its timer fires before it receives what has arrived meanwhile.
+    pub fn resume(&mut self, gate: usize) {
+        let held = self.suspended.remove(&gate).unwrap_or_default();
+        self.event(gate, GateEvent::Timer);
+        for delivery in held {
+            self.deliver(delivery);
+        }
+    }
+
     fn deliver(&mut self, delivery: Delivery) {
+        if let Delivery::Gate(gate, _) | Delivery::Answer { gate, .. } = &delivery
+            && let Some(held) = self.suspended.get_mut(gate)
+        {
+            return held.push(delivery);
+        }
         match delivery {
             Delivery::Gate(gate, event) => {
                 if !self.stopped.contains(&gate) {
@@ -529,7 +561,8 @@
                 {
                     return;
                 }
-                if !self.connections.contains_key(&(gate, connection)) {
+                let late = self.late_commands.contains_key(&(gate, database.clone()));
+                if !self.connections.contains_key(&(gate, connection)) && !late {
                     return;
                 }
                 let answer = self.execute(&database, &command);
