Give up a failover whose promotion lease another node has held

Cause: `step_failover` paused a failover while its node had no valid promotion lease and went on with it once the lease was taken again, also under a new fencing token, that is after another node had held it. That node had lifted the fences and withdrawn the announcement in the meantime. The failover still had the positions, the fences and the acknowledgements from before, read the list once more, and promoted by them: an old primary that worked, with one replica that followed it, lost to the replica that did not. It takes a holder that is suspended, or does not reach the store, for longer than the 2.6 s after which its lease may be taken, and for less than its time limit of 6 s.

`known_log_end` prevents the loss in most orders of events, because the node asks for reports when it returns; here the replica with the commits is behind a link that is 100 ms slow.

Fix: a failover keeps the fencing token under which it was announced. Under another one it is given up, and its fences are lifted with the new lease; it never sends a promotion under another token. With the same token nobody has written the record, so no other node has acted, and the failover goes on.

--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -146,6 +146,9 @@
     pub(crate) only_lifts_fences: bool,
     /// Revision of the announcement.
     pub(crate) announced: u64,
+    /// Fencing token of the promotion lease under which the failover was announced. What it has
+    /// learned is void under another one.
+    pub(crate) fencing_token: u64,
     /// Nodes that have not acknowledged the announcement, and the state of the leases that their
     /// read leases depend on.
     pub(crate) unacknowledged: FastMap<Name, LeaseRevocation>,
@@ -258,6 +261,7 @@
         let now = self.now;
         let Some(failover) = self.failovers.running.get(cluster) else { return };
         let (stage, in_flight) = (failover.stage, failover.in_flight);
+        let announced_token = failover.fencing_token;
         let may_retry = now >= failover.last_step + STEP_RETRY_INTERVAL;
         let limit = if self.old_primary_responds(cluster) && !stage.is_irreversible() {
             RESPONSIVE_PRIMARY_TIMEOUT
@@ -278,7 +282,16 @@
         if self.has_new_primary(cluster) {
             return self.complete_failover(cluster);
         }
-        if self.promotion_lease.fencing_token(now).is_none() && stage != FailoverStage::Claiming {
+        let token = self.promotion_lease.fencing_token(now);
+        if stage != FailoverStage::Claiming && token.is_some_and(|token| token != announced_token) {
+            // Another node has held the lease since. It may have lifted the fences, and ended the
+            // announcement, after the logs were compared.
+            if !may_take_effect {
+                self.abort_failover(cluster, "another node has held the promotion lease");
+            }
+            return;
+        }
+        if token.is_none() && stage != FailoverStage::Claiming {
             // `maintain_promotion_lease` renews the claim; nothing is done without it.
             if self.promotion_lease.is_held_elsewhere(now) {
                 self.abort_failover(cluster, "another node holds the promotion lease");
@@ -290,6 +303,7 @@
                 let (revision, _) = self.promotion_lease.record();
                 if let Some(failover) = self.failovers.running.get_mut(cluster) {
                     failover.announced = revision;
+                    failover.fencing_token = token.unwrap_or_default();
                 }
                 self.set_stage(cluster, FailoverStage::Listing);
                 self.step_failover(cluster);
@@ -518,6 +532,9 @@
     fn send_promote(&mut self, cluster: &Name) {
         let now = self.now;
         let Some(token) = self.promotion_lease.fencing_token(now) else { return };
+        if self.failovers.running.get(cluster).is_none_or(|own| own.fencing_token != token) {
+            return;
+        }
         let Some(database) = self.new_primary(cluster) else { return };
         self.record_step(cluster);
         if let Some(failover) = self.failovers.running.get_mut(cluster) {
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -240,6 +240,7 @@
                 relisted: false,
                 only_lifts_fences,
                 announced: 0,
+                fencing_token: 0,
                 unacknowledged: FastMap::default(),
                 acknowledged_at: now,
                 read_leases_expired_at: now,
--- a/crates/gate/tests/fence_lifts.rs
+++ b/crates/gate/tests/fence_lifts.rs
@@ -359,3 +359,30 @@
     scene.run(millis(20));
     assert!(scene.is_unfenced());
 }
+
+/// Guards against acknowledged commits that the promoted log lacks: a node goes on with a failover
+/// after it has lost the promotion lease and taken it again. Another holder has lifted the fences in
+/// the meantime, and one replica has received commits since it was compared.
+#[test]
+fn a_failover_is_not_continued_with_the_comparison_of_a_former_lease() {
+    let mut scene = Scene::start();
+    scene.cut_primary("a");
+    let first = scene.run_until_another_reaches("waiting");
+    scene.simulation.suspend(first);
+    scene.simulation.cuts.clear();
+    // The replica that the suspended node observes otherwise receives nothing.
+    scene.simulation.database("b").replication_stopped = true;
+    scene.run_until("lift", |scene| scene.is_unfenced());
+    scene.run(Micros::from_secs(1));
+    scene.simulation.late_commands.insert((first, "c".into()), millis(100));
+    scene.simulation.resume(first);
+    let until = scene.simulation.now + Micros::from_secs(4);
+    while scene.simulation.now < until && scene.simulation.promotions.is_empty() {
+        scene.run(millis(20));
+    }
+    // A promotion is allowed, but not of a shorter log.
+    for (_, promoted, _) in &scene.simulation.promotions {
+        let end = scene.simulation.databases[promoted].received;
+        assert_eq!(scene.served_beyond("a", end), [] as [Name; 0]);
+    }
+}
