--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -25,6 +25,10 @@
 //! A replica that cannot be fenced may hold the only copy of a commit and may go on acknowledging.
 //! The failover waits until its entry is gone. If that takes too long, the failover is aborted and
 //! its fences are lifted.
+//!
+//! Only the holder of the promotion lease lifts fences, because a lift names no term: it would end
+//! the fence of the next holder as well. A failover whose lease is not renewed is aborted while the
+//! lease is valid. Fences that are left behind are lifted by the next holder, or as stale ones.
 
 use std::collections::BTreeSet;
 
@@ -68,6 +72,10 @@
 /// users' longest promotion (1 s), with a margin. The failover stays announced for as long.
 const PROMOTION_EFFECT_TIMEOUT: Micros = Micros::from_millis(2_000);
 
+/// Remaining time of the promotion lease at which a failover is aborted because the lease was not
+/// renewed in time: commands that lift fences take a few milliseconds, behind a queue about 150 ms.
+const LIFT_MARGIN: Micros = Micros::from_millis(200);
+
 /// Time before this node retries a failover of the same cluster after it aborted one.
 const FAILOVER_BACKOFF: Micros = Micros::from_millis(1_500);
 
@@ -158,6 +166,9 @@
     pub(crate) only_lifts_fences: bool,
     /// Revision of the announcement.
     pub(crate) announced: u64,
+    /// Fencing token of the promotion lease under which the failover was announced. What it has
+    /// learned is void under another one.
+    pub(crate) fencing_token: u64,
     /// Nodes that have not acknowledged the announcement, and the state of the leases that their
     /// read leases depend on.
     pub(crate) unacknowledged: FastMap<Name, LeaseRevocation>,
@@ -214,6 +225,8 @@
     pub(crate) no_primary_since: FastMap<Name, Micros>,
     /// Since when no fenced replica holds the log that is known to exist.
     pub(crate) missing_log_since: FastMap<Name, Micros>,
+    /// Replicas whose fences this node lifts as soon as it has a connection, and since when.
+    pub(crate) lifts: FastMap<Name, Micros>,
     /// Clusters whose primary this node suspects, and why.
     pub(crate) suspected: FastMap<Name, &'static str>,
 }
@@ -228,7 +241,8 @@
         let unfence_pending = self.connections.values().any(|connection| {
             connection.pending.iter().any(|pending| pending.purpose == CommandPurpose::Unfence)
         });
-        let write = if self.failovers.running.is_empty() && !unfence_pending {
+        let lifts_fences = unfence_pending || !self.failovers.lifts.is_empty();
+        let write = if self.failovers.running.is_empty() && !lifts_fences {
             if abandoned
                 && self.promotion_lease.fencing_token(now).is_none()
                 && self.has_stable_store_contact()
@@ -268,6 +282,7 @@
         let Some(failover) = self.failovers.running.get(cluster) else { return };
         let (stage, in_flight) = (failover.stage, failover.in_flight);
         let last_step = failover.last_step;
+        let announced_token = failover.fencing_token;
         let may_retry = now >= failover.last_step + STEP_RETRY_INTERVAL;
         let limit = if self.old_primary_responds(cluster) && !stage.is_irreversible() {
             RESPONSIVE_PRIMARY_TIMEOUT
@@ -275,6 +290,11 @@
             FAILOVER_TIMEOUT
         };
         let timed_out = now >= failover.started + limit;
+        let lapses = self.promotion_lease.remaining(now).is_some_and(|left| left < LIFT_MARGIN);
+        if lapses && stage != FailoverStage::Claiming && !stage.is_irreversible() {
+            // Without the lease this node could not lift the fences any more.
+            return self.abort_failover(cluster, "the promotion lease is not renewed");
+        }
         let may_take_effect =
             failover.promote_sent.is_some_and(|sent| now < sent + PROMOTION_EFFECT_TIMEOUT);
         if timed_out && !may_take_effect {
@@ -283,7 +303,16 @@
         if self.has_new_primary(cluster) {
             return self.complete_failover(cluster);
         }
-        if self.promotion_lease.fencing_token(now).is_none() && stage != FailoverStage::Claiming {
+        let token = self.promotion_lease.fencing_token(now);
+        if stage != FailoverStage::Claiming && token.is_some_and(|token| token != announced_token) {
+            // Another node has held the lease since. It may have lifted the fences, and ended the
+            // announcement, after the logs were compared.
+            if !may_take_effect {
+                self.abort_failover(cluster, "another node has held the promotion lease");
+            }
+            return;
+        }
+        if token.is_none() && stage != FailoverStage::Claiming {
             // `maintain_promotion_lease` renews the claim; nothing is done without it.
             if self.promotion_lease.is_held_elsewhere(now) {
                 self.abort_failover(cluster, "another node holds the promotion lease");
@@ -298,6 +327,7 @@
                 let (revision, _) = self.promotion_lease.record();
                 if let Some(failover) = self.failovers.running.get_mut(cluster) {
                     failover.announced = revision;
+                    failover.fencing_token = token.unwrap_or_default();
                 }
                 self.set_stage(cluster, FailoverStage::Listing);
                 self.step_failover(cluster);
@@ -597,6 +627,9 @@
     fn send_promote(&mut self, cluster: &Name) {
         let now = self.now;
         let Some(token) = self.promotion_lease.fencing_token(now) else { return };
+        if self.failovers.running.get(cluster).is_none_or(|own| own.fencing_token != token) {
+            return;
+        }
         let Some(database) = self.new_primary(cluster) else { return };
         let fenced = self
             .failovers
@@ -680,8 +713,16 @@
         if failover.stage.is_irreversible() {
             return;
         }
-        for name in failover.fenced.keys() {
-            self.unfence(name);
+        // Those of an earlier failover too, and those whose commands have not been answered.
+        let mut fenced = match self.clusters.get(cluster) {
+            Some(state) => state.proof.fenced_replicas(),
+            None => Vec::new(),
+        };
+        fenced.extend(failover.fenced.into_keys().chain(failover.fence_sent.into_keys()));
+        fenced.sort();
+        fenced.dedup();
+        for name in fenced {
+            self.unfence(&name);
         }
     }
 }
--- a/crates/gate/src/read_lease.rs
+++ b/crates/gate/src/read_lease.rs
@@ -43,6 +43,10 @@
 /// interval between renewals at an owner, and a slow answer.
 const RECENT_CONTACT_AGE: Micros = Micros::from_millis(500);
 
+/// Time after the end of a failover without a promotion in which one of its fences may still take
+/// effect: databases drop a connection whose remote end is unreachable after 3 s.
+const LATE_FENCE_DELAY: Micros = Micros::from_millis(3_000);
+
 /// State of this node's read lease and of the announcements it has seen.
 #[derive(Debug, Default)]
 pub(crate) struct ReadLeaseState {
@@ -171,34 +175,38 @@
     pub(crate) fn announcement_seen(&mut self) {
         let now = self.now;
         let (revision, record) = self.promotion_lease.record();
+        // The next holder waits for acknowledgements of its own announcement, although the clusters
+        // may be the same.
         let token = record.fencing_token;
-        if record.announced_clusters == self.read_lease.announced {
-            // A new holder goes on with the clusters of the former one.
-            if token != self.read_lease.announced_token && !self.read_lease.announced.is_empty() {
-                self.read_lease.announced_token = token;
-                let due = self.read_lease.unacknowledged.map_or(now, |(_, due)| due);
-                self.read_lease.unacknowledged = Some((revision, due));
-            }
+        let same_holder =
+            record.announced_clusters.is_empty() || token == self.read_lease.announced_token;
+        if same_holder && record.announced_clusters == self.read_lease.announced {
             return;
         }
         let announced_clusters = record.announced_clusters.clone();
         let mut suspended = Vec::new();
         for name in &announced_clusters {
-            if !self.read_lease.announced.contains(name)
-                && let Some(state) = self.clusters.get_mut(name.as_str())
-            {
+            let Some(state) = self.clusters.get_mut(name.as_str()) else { continue };
+            // The next holder may replace the primary that the former one promoted. If none was, the
+            // grace for commits does not begin again.
+            let promoted = state.announced_term.is_none_or(|term| state.proof.term() > term);
+            if !self.read_lease.announced.contains(name) || !same_holder && promoted {
                 state.announced_term = Some(state.proof.term());
                 state.announced_at = Some(now);
                 suspended.push(Name::from(name.as_str()));
             }
         }
         // A report from before the end of the failover may be of the old primary's term.
+        let mut without_promotion = Vec::new();
         for name in
             self.read_lease.announced.iter().filter(|name| !announced_clusters.contains(name))
         {
             if let Some(state) = self.clusters.get_mut(name.as_str()) {
                 state.last_failover_end = now;
                 state.announced_at = None;
+                if state.announced_term.is_some_and(|term| state.proof.term() <= term) {
+                    without_promotion.push(Name::from(name.as_str()));
+                }
             }
         }
         self.read_lease.announced = announced_clusters.clone();
@@ -216,6 +224,14 @@
         for cluster in suspended {
             self.reroute_from_suspended_leader(&cluster);
         }
+        for cluster in without_promotion {
+            if self.owns_connections(&cluster) {
+                self.request_all_reports(&cluster);
+                if let Some(state) = self.clusters.get_mut(&cluster) {
+                    state.fence_check_due = Some(self.now + LATE_FENCE_DELAY);
+                }
+            }
+        }
     }
 
     /// Acknowledges the announcement once the last commits of the primaries that are to be replaced
