--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -231,6 +231,7 @@
                 replicas: Vec::new(),
                 fenced: FastMap::default(),
                 fence_sent: FastMap::default(),
+                unconfirmed: Vec::new(),
                 new_primary: None,
                 promote_sent: None,
                 relisted: false,
