--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -9,7 +9,8 @@
 //!    acknowledge no commit, because no replica receives it.
 //! 5. Read the lists again and fence new replicas. Wait until every registered node has
 //!    acknowledged the announcement or can no longer hold a read lease. From then on no node
-//!    reports a commit of the old primary as successful.
+//!    reports a commit of the old primary as successful. The acknowledgements tell how long each
+//!    node knows the log to be.
 //! 6. Read the lists once more, because a new replica may receive commits shortly before it is
 //!    listed, and one that has started again is not fenced any more. Nodes that have registered in
 //!    the meantime are waited for, too.
@@ -28,12 +29,15 @@
 //! The failover waits until its entry is gone. If that takes too long, the failover is aborted and
 //! its fences are lifted.
 
+use std::collections::BTreeSet;
+
 use model::{DatabaseRole, FastMap, Micros, Name, Term};
 
 use crate::action::GateAction;
 use crate::backend::{BackendCommand, DatabaseReport};
 use crate::database::CommandPurpose;
 use crate::event::{Document, NodeRole, PromoteResult, StoreState, StoredDocument};
+use crate::log_holders::names_of;
 use crate::read_lease::{COMMIT_GRACE, READ_LEASE_TTL};
 use crate::registry::NodeRecord;
 use crate::{Gate, fields};
@@ -70,9 +74,10 @@
 /// Time before this node retries a failover of the same cluster after it aborted one.
 const FAILOVER_BACKOFF: Micros = Micros::from_millis(1_500);
 
-/// Time that nodes get to acknowledge an announcement before their leases are ended: one watch
-/// event and one write, each of which takes up to 10 ms while the store is healthy.
-const ACKNOWLEDGE_TIMEOUT: Micros = Micros::from_millis(60);
+/// Time that nodes get to acknowledge an announcement before their leases are ended: [`COMMIT_GRACE`]
+/// and one timer interval, and one watch event and one write, each of which takes up to 10 ms while
+/// the store is healthy.
+const ACKNOWLEDGE_TIMEOUT: Micros = Micros::from_millis(80);
 
 /// Progress of a failover.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -145,6 +150,8 @@
     pub(crate) last_step: Micros,
     pub(crate) in_flight: bool,
     pub(crate) replicas: Vec<Name>,
+    /// Databases that may hold acknowledged commits, according to the record in the store.
+    pub(crate) holders: BTreeSet<Name>,
     pub(crate) fenced: FastMap<Name, DatabaseReport>,
     pub(crate) fence_sent: FastMap<Name, Micros>,
     /// Replicas that have not answered the fence after the last list.
@@ -498,6 +505,7 @@
                     failover.announced,
                 ));
             failover.replicas = replicas;
+            failover.holders = stored_holders(&documents, &cluster);
             if failover.only_lifts_fences {
                 self.lift_fences(&cluster);
                 continue;
@@ -541,9 +549,12 @@
             }
         }
         let all_ended = failover.unacknowledged.values().all(|revocation| revocation.is_ended());
+        // This node does not wait for its own acknowledgement.
+        let own_commits = self.clusters.get(cluster).and_then(|state| state.announced_at);
         let last_commit = failover
             .read_leases_expired_at
-            .max(failover.acknowledged_at + COMMIT_GRACE)
+            .max(failover.acknowledged_at)
+            .max(own_commits.unwrap_or(now) + COMMIT_GRACE)
             .max(failover.last_step);
         if all_ended && now >= last_commit + LISTING_DELAY {
             return self.set_stage(cluster, FailoverStage::FinalListing);
@@ -577,14 +588,10 @@
         if let Some(failover) = self.failovers.running.get_mut(cluster) {
             failover.new_primary = Some(name.clone());
         }
-        self.log(
-            "takeover_chosen",
-            fields![
-                "cluster" => cluster,
-                "database" => &name,
-                "position" => position.to_string()
-            ],
-        );
+        let mut record =
+            fields!["cluster" => cluster, "database" => &name, "position" => position.to_string()];
+        record.extend(self.comparison_fields(cluster));
+        self.log("takeover_chosen", record);
         self.set_stage(cluster, FailoverStage::Promoting);
         self.send_promote(cluster);
     }
@@ -673,6 +680,17 @@
     }
 }
 
+/// Returns the databases that the record of a cluster in the store names.
+fn stored_holders(documents: &[StoredDocument], cluster: &Name) -> BTreeSet<Name> {
+    let stored = documents.iter().find(|stored| match &stored.document {
+        Document::LogHolders(name) => name == cluster,
+        Document::PromotionLease | Document::NodeCount | Document::Node(..) => false,
+    });
+    // The gate logs an unreadable record when it is notified of it.
+    let record = stored.and_then(|stored| serde_json::from_slice(&stored.bytes).ok());
+    names_of(record.unwrap_or_default())
+}
+
 /// Returns the other registered owners that have not acknowledged an announcement.
 fn unacknowledged_nodes(
     documents: &[StoredDocument],
--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -25,6 +25,10 @@
 /// 4 s, which is more than the configured data ages.
 const SAMPLE_LIMIT: usize = 40;
 
+/// Number of terms for which it is kept which database led them. Positions of earlier terms no longer
+/// count.
+const LED_TERMS_KEPT: u64 = 8;
+
 /// Minimum time between two kept positions.
 const SAMPLE_INTERVAL: Micros = Micros::from_millis(100);
 
@@ -35,6 +39,32 @@
     position: TermPosition,
 }
 
+/// What showed the end of a cluster's log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogEvidence {
+    /// Nothing is known about the term yet.
+    #[default]
+    None,
+    /// A primary that began a term reported it.
+    TermStart,
+    /// A replica holds it.
+    Replica,
+    /// A commit was acknowledged there.
+    Commit,
+}
+
+impl LogEvidence {
+    /// Returns the name used in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            LogEvidence::None => "none",
+            LogEvidence::TermStart => "term start",
+            LogEvidence::Replica => "replica",
+            LogEvidence::Commit => "commit",
+        }
+    }
+}
+
 /// What a node knows about the leadership of one cluster.
 ///
 /// ```
@@ -72,6 +102,13 @@
     /// Highest position that a replica held, at which a commit was acknowledged, or with which
     /// `term` began.
     required_log_end: TermPosition,
+    /// What showed `required_log_end`.
+    log_evidence: LogEvidence,
+    /// Latest time for which `required_log_end` covers every commit acknowledged before, by any
+    /// node.
+    log_end_known_at: Option<Micros>,
+    /// When the newest acknowledged commit was sent, and its position.
+    last_commit: Option<(Micros, TermPosition)>,
     /// Highest position that only a database that led the position's term has shown: in the first
     /// report of the primary of `term`, or later as a replica.
     unconfirmed_log_end: TermPosition,
@@ -132,8 +169,9 @@
         match report.role {
             DatabaseRole::Primary => {
                 if !self.primary_reported {
-                    self.observe_term_start(report.received);
+                    self.observe_term_start(requested_at, report.received);
                 }
+                self.led_terms.retain(|_, led| led.0 + LED_TERMS_KEPT > report.term.0);
                 self.led_terms.insert(database.clone(), report.term);
                 self.leader = Some(database.clone());
                 self.last_leader = Some(database.clone());
@@ -180,7 +218,7 @@
 
     /// Processes the position in the first report of the primary of `term`. Replicas roll back what
     /// its log lacks, so that positions of earlier terms require nothing beyond it.
-    fn observe_term_start(&mut self, received: TermPosition) {
+    fn observe_term_start(&mut self, requested_at: Micros, received: TermPosition) {
         self.primary_reported = true;
         self.unconfirmed_log_end = received;
         if self.required_log_end.term >= self.term {
@@ -189,6 +227,8 @@
         if received.term < self.term {
             // No commit of `term` yet: this is the log with which it began, and it was at a replica.
             self.required_log_end = received;
+            self.log_evidence = LogEvidence::TermStart;
+            self.log_end_known_at = Some(requested_at);
         } else {
             // Numbers go on from term to term, so the log with which `term` began ends below this
             // one.
@@ -206,10 +246,34 @@
         if self.led_terms.get(database) == Some(&position.term) {
             self.unconfirmed_log_end = self.unconfirmed_log_end.max(position);
         } else {
-            self.required_log_end = self.required_log_end.max(position);
+            self.extend_required_log(position, LogEvidence::Replica);
         }
     }
 
+    fn extend_required_log(&mut self, position: TermPosition, evidence: LogEvidence) {
+        if position > self.required_log_end {
+            self.required_log_end = position;
+            self.log_evidence = evidence;
+        }
+    }
+
+    /// Returns the latest time for which the required end of the log covers every commit that any
+    /// node acknowledged before: when the newest acknowledged commit, or a report of a primary that
+    /// had no commit of its term yet, was requested. Later commits have higher positions.
+    pub fn log_end_known_at(&self) -> Option<Micros> {
+        self.log_end_known_at
+    }
+
+    /// Returns when the newest acknowledged commit was sent, and its position.
+    pub fn last_commit(&self) -> Option<(Micros, TermPosition)> {
+        self.last_commit
+    }
+
+    /// Returns what showed the required end of the log.
+    pub fn log_evidence(&self) -> LogEvidence {
+        self.log_evidence
+    }
+
     /// Returns false for a position of an earlier term that is in the log with which `term` began
     /// or is rolled back, because that log is known.
     fn is_relevant(&self, position: TermPosition) -> bool {
@@ -238,8 +302,11 @@
         sent: Micros,
         position: Option<TermPosition>,
     ) {
-        let position = position.filter(|position| self.is_relevant(*position));
-        self.required_log_end = self.required_log_end.max(position.unwrap_or_default());
+        if let Some(position) = position.filter(|position| self.is_relevant(*position)) {
+            self.extend_required_log(position, LogEvidence::Commit);
+            self.log_end_known_at = self.log_end_known_at.max(Some(sent));
+            self.last_commit = self.last_commit.max(Some((sent, position)));
+        }
         if self.leader.as_ref() == Some(database) {
             self.confirm_directly(sent);
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -14,7 +14,9 @@
 //! - `cluster`, `leadership_proof`, `read_lease`: what is known about primaries
 //! - `registration`, `registry`, `node_count`: the nodes
 //! - `store_view`: how current the lists of all these are
-//! - `suspicion`, `failover`, `fencing`, `promotion_lease`: the replacement of primaries
+//! - `suspicion`, `failover`, `fencing`, `log_comparison`, `log_holders`,
+//!   `promotion_lease`: the replacement of
+//!   primaries
 //! - `ready`, `drain`: what the load balancer sees
 
 mod action;
@@ -29,6 +31,8 @@
 mod failover;
 mod fencing;
 mod leadership_proof;
+mod log_comparison;
+mod log_holders;
 mod node_count;
 mod outcome;
 mod owners;
@@ -56,7 +60,8 @@
     ConnectionId, Document, GateEvent, ListedDatabase, NodeRole, PromoteResult, SessionId,
     SessionOrigin, StoreState, StoredDocument, WriteResult, rank_of_priority,
 };
-pub use leadership_proof::LeadershipProof;
+pub use leadership_proof::{LeadershipProof, LogEvidence};
+pub use log_holders::LogHoldersRecord;
 pub use model::DatabaseRole;
 pub use node_count::NodeCountRecord;
 pub use owners::{OwnerInput, OwnerTable, SMALL_DEPLOYMENT_MAX_NODES};
@@ -66,7 +71,7 @@
     PromotionLeaseRecord,
 };
 pub use read_lease::READ_LEASE_TTL;
-pub use registry::NodeRecord;
+pub use registry::{LogEndRecord, NodeRecord};
 pub use route::{ClusterLimits, Freshness, RouteConfig, RouteTable};
 pub use settings::GateSettings;
 pub use statement::{ClientRequest, ErrorCode, Statement, StatementAccess, TransactionState};
@@ -184,6 +189,7 @@
         self.now = self.now.max(now);
         self.started = self.started.min(self.now);
         std::mem::swap(&mut self.out, actions);
+        self.acknowledge_when_due();
         self.dispatch(event);
         std::mem::swap(&mut self.out, actions);
     }
@@ -224,6 +230,9 @@
             GateEvent::DocumentRemoved { document, revision } => match document {
                 Document::PromotionLease => self.promotion_lease_removed(revision),
                 Document::NodeCount => {}
+                Document::LogHolders(cluster) => {
+                    self.log_holders_read(cluster, revision, LogHoldersRecord::default());
+                }
                 Document::Node(role, name) => {
                     self.own_registration_missing(role, &name, revision);
                     self.registry.remove(self.now, role, &name);
@@ -291,9 +300,10 @@
             .iter()
             .filter_map(|stored| match &stored.document {
                 Document::Node(role, name) => Some((*role, name.clone())),
-                Document::PromotionLease | Document::NodeCount => None,
+                Document::PromotionLease | Document::NodeCount | Document::LogHolders(_) => None,
             })
             .collect();
+        self.forget_unlisted_log_holders(&documents);
         let own = (self.registration.role, self.settings.node.clone());
         if !nodes.contains(&own) {
             self.own_registration_missing(own.0, &own.1, revision);
@@ -316,7 +326,7 @@
     }
 
     fn document_changed(&mut self, stored: StoredDocument) {
-        let counts_nodes = stored.document != Document::PromotionLease;
+        let counts_nodes = matches!(stored.document, Document::Node(..) | Document::NodeCount);
         self.apply_document(stored);
         self.owners_outdated |= counts_nodes;
     }
@@ -333,6 +343,10 @@
                 let record = self.read_record("fleet", &stored.bytes);
                 self.node_count_read(record);
             }
+            Document::LogHolders(cluster) => {
+                let record = self.read_record("log holders", &stored.bytes);
+                self.log_holders_read(cluster, stored.revision, record);
+            }
             Document::Node(role, name) => {
                 let record: NodeRecord = self.read_record("node", &stored.bytes);
                 if record.incarnation != self.settings.incarnation {
