--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -14,16 +14,13 @@
 //! 6. Read the lists once more, because a new replica may receive commits shortly before it is
 //!    listed, and one that has started again is not fenced any more. Nodes that have registered in
 //!    the meantime are waited for, too.
-//! 7. Set each fence once more, for a report of the log as it is now: a new database at the address of
-//!    a replica that has left gets the log of that one. A replica that does not answer in time is
-//!    compared with its former report.
-//! 8. Demote the old primary if it can be reached. A promotion takes effect some time after the
+//! 7. Demote the old primary if it can be reached. A promotion takes effect some time after the
 //!    call, and a replica that starts in the meantime could let the old primary acknowledge more
 //!    commits.
-//! 9. Promote the replica with the longest log. It contains every acknowledged commit, because each
+//! 8. Promote the replica with the longest log. It contains every acknowledged commit, because each
 //!    is at one fenced replica at least.
-//! 10. Wait until the new primary reports its role, and demote the old primary once more, in case it
-//!     could not be reached before.
+//! 9. Wait until the new primary reports its role, and demote the old primary once more, in case it
+//!    could not be reached before.
 //!
 //! A replica that cannot be fenced may hold the only copy of a commit and may go on acknowledging.
 //! The failover waits until its entry is gone. If that takes too long, the failover is aborted and
@@ -92,8 +89,6 @@
     AwaitingAcknowledgements,
     /// Reads the lists for the last time.
     FinalListing,
-    /// Waits for reports of the fenced replicas that were requested after the last list.
-    ConfirmingFences,
     /// Waits until the old primary is a replica.
     Demoting,
     Promoting,
@@ -127,7 +122,6 @@
             FailoverStage::Relisting => "relisting",
             FailoverStage::AwaitingAcknowledgements => "waiting",
             FailoverStage::FinalListing => "confirming",
-            FailoverStage::ConfirmingFences => "refencing",
             FailoverStage::Demoting => "demoting",
             FailoverStage::Promoting => "promoting",
             FailoverStage::AwaitingNewPrimary => "opening",
@@ -154,8 +148,6 @@
     pub(crate) holders: BTreeSet<Name>,
     pub(crate) fenced: FastMap<Name, DatabaseReport>,
     pub(crate) fence_sent: FastMap<Name, Micros>,
-    /// Replicas that have not answered the fence after the last list.
-    pub(crate) unconfirmed: Vec<Name>,
     pub(crate) new_primary: Option<Name>,
     /// When the promotion was last called for.
     pub(crate) promote_sent: Option<Micros>,
@@ -326,7 +318,6 @@
             }
             FailoverStage::Probing => self.probe_replicas(cluster),
             FailoverStage::Fencing => self.fence_replicas(cluster),
-            FailoverStage::ConfirmingFences => self.wait_for_confirmed_fences(cluster),
             FailoverStage::AwaitingAcknowledgements => self.wait_for_acknowledgements(cluster),
             FailoverStage::Promoting => {
                 if !in_flight && may_retry && !timed_out {
@@ -391,7 +382,6 @@
     fn compare_old_primary(&mut self, cluster: &Name) {
         let Some(failover) = self.failovers.running.get_mut(cluster) else { return };
         if let Some(old) = failover.old_primary.take() {
-            failover.replicas.push(old.clone());
             let record = fields!["cluster" => cluster, "database" => &old];
             self.log("takeover_compares_primary", record);
         }
@@ -517,7 +507,7 @@
                     self.set_stage(&cluster, FailoverStage::AwaitingAcknowledgements);
                 }
                 FailoverStage::FinalListing if fenced => {
-                    self.confirm_fences(&cluster);
+                    self.demote_old_primary(&cluster);
                     continue;
                 }
                 _ => self.set_stage(&cluster, FailoverStage::Fencing),
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -17,36 +17,7 @@
 /// queue.
 const PROBE_TIMEOUT: Micros = Micros::from_millis(500);
 
-/// Time to wait for the answers to the fences that are set once more. What a replica reported before
-/// is used if it does not answer: while it is fenced it receives nothing from the old primary.
-const CONFIRM_TIMEOUT: Micros = Micros::from_millis(250);
-
 impl Gate {
-    /// Sets each fence once more, so that the logs are compared as they are after the last list.
-    pub(crate) fn confirm_fences(&mut self, cluster: &Name) {
-        self.set_stage(cluster, FailoverStage::ConfirmingFences);
-        let Some(failover) = self.failovers.running.get_mut(cluster) else { return };
-        let term = failover.term;
-        failover.unconfirmed = failover.replicas.clone();
-        for name in failover.replicas.clone() {
-            if let Some(connection) = self.control_connection(&name) {
-                self.send(connection, vec![BackendCommand::Fence { term }], CommandPurpose::Fence);
-            }
-        }
-    }
-
-    /// Demotes the old primary once every replica has answered its last fence, or did not in time.
-    pub(crate) fn wait_for_confirmed_fences(&mut self, cluster: &Name) {
-        let Some(failover) = self.failovers.running.get(cluster) else { return };
-        if failover.replicas.iter().any(|name| !failover.fenced.contains_key(name)) {
-            // It has started again, or reported a higher fence.
-            return self.set_stage(cluster, FailoverStage::Fencing);
-        }
-        if failover.unconfirmed.is_empty() || self.now >= failover.last_step + CONFIRM_TIMEOUT {
-            self.demote_old_primary(cluster);
-        }
-    }
-
     /// Demotes the old primary, if it answers, before the new one is chosen.
     pub(crate) fn demote_old_primary(&mut self, cluster: &Name) {
         if let Some(reason) = self.missing_log_reason(cluster) {
@@ -219,9 +190,6 @@
         if fenced {
             failover.fenced.insert(name.clone(), report);
         }
-        if failover.stage == FailoverStage::ConfirmingFences && sent >= failover.last_step {
-            failover.unconfirmed.retain(|unconfirmed| *unconfirmed != name);
-        }
         self.log(
             "fence_answered",
             fields![
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -232,7 +232,6 @@
                 holders: BTreeSet::new(),
                 fenced: FastMap::default(),
                 fence_sent: FastMap::default(),
-                unconfirmed: Vec::new(),
                 new_primary: None,
                 promote_sent: None,
                 relisted: false,
