--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -332,7 +332,7 @@
                 self.step_failover(&cluster);
             }
             CommandPurpose::Fence => self.fence_answered(connection, pending.sent, &answer),
-            CommandPurpose::Demote => self.demote_answered(connection, pending.sent, &answer),
+            CommandPurpose::Demote => self.demote_answered(connection, &answer),
             CommandPurpose::Rollback | CommandPurpose::Unfence | CommandPurpose::Control => {}
         }
         self.release_connection(connection);
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -36,12 +36,7 @@
     }
 
     /// Processes the report that answers a demotion.
-    pub(crate) fn demote_answered(
-        &mut self,
-        connection: ConnectionId,
-        sent: Micros,
-        answer: &BackendAnswer,
-    ) {
+    pub(crate) fn demote_answered(&mut self, connection: ConnectionId, answer: &BackendAnswer) {
         let Some(state) = self.connections.get(&connection) else { return };
         let (name, cluster) = (state.database.clone(), state.cluster.clone());
         let position = answer.report.map(|report| report.received.to_string());
@@ -53,19 +48,9 @@
             failover.stage == FailoverStage::Demoting
                 && failover.old_primary.as_ref() == Some(&name)
         });
-        if !waits {
-            return;
-        }
-        // A log with commits of the term that the failover is to begin came from another primary.
-        let begun = self.failovers.running.get(&cluster).is_some_and(|failover| {
-            answer.report.is_some_and(|report| report.received.term >= failover.term)
-        });
-        if begun {
-            self.abort_failover(&cluster, "a newer term has begun");
-            // This node knows no leader from now on, so the next failover names no old primary.
-            return self.report_answered(connection, sent, answer);
+        if waits {
+            self.choose_new_primary(&cluster);
         }
-        self.choose_new_primary(&cluster);
     }
 
     /// Waits until every replica has reported since the failover started.
