--- a/crates/gate/tests/failover_witnesses.rs
+++ b/crates/gate/tests/failover_witnesses.rs
@@ -271,6 +271,67 @@
     }
 }
 
+/// Guards against a promotion although the supposed old primary, which is too busy to report, answers
+/// its demotion with commits of the term that the failover is to begin.
+#[test]
+fn a_busy_holder_of_newer_commits_is_not_passed_over() {
+    let mut simulation = after_missed_promotion();
+    let end = simulation.databases["a"].received;
+    simulation.stale_roles.insert("a".into(), DatabaseRole::Primary);
+    simulation.publish_database("a");
+    simulation.database("a").refuses_reports = true;
+    while !reached_stage(&simulation, "relisting") {
+        run_with_load(&mut simulation, millis(20));
+        assert!(simulation.now < Micros::from_secs(40), "no failover sets fences");
+    }
+    simulation.cuts.clear();
+    run_with_load(&mut simulation, millis(12_000));
+    assert_eq!(promoted(&simulation), ["b"]);
+    simulation.database("a").refuses_reports = false;
+    let session = simulation.open(0, LATEST);
+    simulation.send_request(0, session, "w", "WRITE 1 x");
+    run_with_load(&mut simulation, millis(8_000));
+    assert_eq!(promoted(&simulation), ["b", "a"]);
+    assert!(simulation.databases["a"].received >= end);
+}
+
+/// Guards against a comparison with the log that a new database had when it was fenced. It stands at
+/// the address of a leaving replica that held the only copy of a commit, and gets its log later.
+#[test]
+fn a_log_that_is_transferred_after_the_fence_is_not_passed_over() {
+    let mut simulation = Simulation::start(2);
+    run_with_load(&mut simulation, millis(1_000));
+    // Only the node that stops knows of the commits that only the leaving replica receives.
+    simulation.database("c").replication_stopped = true;
+    simulation.database("b").leaving = true;
+    simulation.publish_database("b");
+    write_through(&mut simulation, 1..2);
+    simulation.store_cut.insert(1);
+    simulation.stopped.insert(1);
+    simulation.remove_registration(1);
+    let log = simulation.databases["b"].received;
+    let mut new = simulation.databases["b"].clone();
+    (new.received, new.leaving) = (position(1, 0), false);
+    new.ran.clear();
+    simulation.databases.insert("d".into(), new);
+    simulation.database("a").unreachable = true;
+    simulation.database("b").unreachable = true;
+    unlist(&mut simulation, "b");
+    simulation.publish_database("d");
+    while simulation.databases["d"].fence == Term(0) {
+        run_with_load(&mut simulation, millis(20));
+        assert!(simulation.now < Micros::from_secs(20), "no failover fences the new database");
+    }
+    simulation.database("d").received = log;
+    run_with_load(&mut simulation, millis(12_000));
+    assert!(promoted(&simulation).iter().all(|name| *name == "d"), "{:?}", promoted(&simulation));
+    // The primary comes back with its log.
+    simulation.database("a").unreachable = false;
+    run_with_load(&mut simulation, millis(3_000));
+    write_through(&mut simulation, 0..1);
+    assert!(promoted(&simulation).iter().all(|name| *name == "d"), "{:?}", promoted(&simulation));
+}
+
 /// Returns true if a failover has reached a stage since the last clearing of the logs.
 fn reached_stage(simulation: &Simulation, stage: &str) -> bool {
     simulation.logs.iter().any(|(_, _, record)| {
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -51,6 +51,8 @@
     pub statement_time: Micros,
     /// Runs statements but loses their answers.
     pub loses_answers: bool,
+    /// Answers that it is busy instead of reporting, while it executes other commands.
+    pub refuses_reports: bool,
     slot_free: Micros,
     /// Statements in execution order, with the position of the log.
     pub ran: Vec<(Name, TermPosition)>,
@@ -210,6 +212,7 @@
                 connections_refused: false,
                 statement_time: STATEMENT_TIME,
                 loses_answers: false,
+                refuses_reports: false,
                 slot_free: Micros::ZERO,
                 ran: Vec::new(),
                 reports: 0,
@@ -647,6 +650,7 @@
                     done(vec![Bytes::from(state.received.to_string())])
                 }
             }
+            BackendCommand::Report if state.refuses_reports => failed(ErrorCode::Busy),
             BackendCommand::Report => {
                 self.database(name).reports += 1;
                 report = Some(self.report(name));
