Keep durable commits when a database is replaced in the list

What callers saw: a durable commit (a payment) that was acknowledged at the primary a and the replica b is missing at the primary that was promoted later. Shown in tests, not in the users' record.

Cause: fence majorities were counted in the current list of databases only. When operators replace b by d in the configuration, c and d are a majority of the new list, and neither has to hold what a and b acknowledged. If a fails before they have caught up, the supervisor promotes c. Nodes that became owners by the change (of d) knew only the new list.

Why the fix works: the supervisor keeps each earlier list and needs a fence majority of it too, among its databases that are still listed. A durable commit is held by a majority of the list at that time; the primary is one of the holders. The monitor calls the new list settled when a confirmed round after the change showed the primary at N and a majority of the new list on its log has N; every fence majority of the new list then contains a holder of all that was acknowledged before, and the earlier lists go. Evidence from reports decides, no time limit. Until then a cluster whose primary fails has no leader rather than a shorter log; with replicas that keep up this takes one report round (250 ms).

Ruled out: storing the lists in the leader record (the platform may be away, and the record is written only at promotions).

--- a/crates/failover/src/monitor.rs
+++ b/crates/failover/src/monitor.rs
@@ -35,6 +35,12 @@
 //! a prefix if its last entry has the same term as the last entry before the start of T and its
 //! received position is not past the start.
 //!
+//! **Changed list.** After a change of the list a majority of the new one may lack durable commits that a
+//! removed database had received. The list is *settled* once a confirmed round that began after the
+//! change has shown the primary at N, and a majority of the new list on the primary's log has received N:
+//! any fence majority of the new list then contains one of them. Until then the supervisor needs the
+//! earlier lists too.
+//!
 //! **Data age.** A confirmed round that began at t with the primary at L proves that everything
 //! committed before t is at or below L. A database on the primary's log with an applied position at or
 //! past L holds it. Dropping a sample makes the provable age only larger.
@@ -304,6 +310,20 @@
     /// When the primary last reported, or the first event arrived.
     alive_at: Option<Micros>,
     suspected: bool,
+    list: ListState,
+}
+
+/// Whether a majority of the databases holds the log of the time before the list was changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListState {
+    Settled,
+    /// No round has been confirmed since the change, or in the current term.
+    Changed,
+    /// A round confirmed since the change showed the primary of `term` at `position`.
+    Awaiting {
+        term: Term,
+        position: LogPosition,
+    },
 }
 
 impl ClusterMonitor {
@@ -327,6 +347,7 @@
             commits: Vec::new(),
             alive_at: None,
             suspected: false,
+            list: ListState::Settled,
         }
     }
 
@@ -353,6 +374,13 @@
             self.databases.push(state);
         }
         self.rounds.clear();
+        self.list = ListState::Changed;
+    }
+
+    /// Returns whether a majority of the databases has received the log of the time before the list was
+    /// changed last, or it was never changed here.
+    pub fn is_list_settled(&self) -> bool {
+        self.list == ListState::Settled
     }
 
     /// Records where a term began, from a source other than reports. A known start is not replaced.
@@ -622,9 +650,27 @@
             self.adopt_term(&leader, &primary, actions);
             self.add_sample(now, PositionSample { began, position });
         }
+        self.settle_list(index, position);
         self.acknowledge_commits(index, position, actions);
     }
 
+    /// Evaluates a confirmed round, which began after the last change of the list.
+    fn settle_list(&mut self, index: usize, position: LogPosition) {
+        let needed = match self.list {
+            ListState::Settled => return,
+            ListState::Awaiting { term, position } if term == self.term => position,
+            ListState::Awaiting { .. } | ListState::Changed => position,
+        };
+        let reports = self.rounds[index].reports.iter();
+        let received = reports
+            .filter(|(_, report)| self.is_on_primary_log(report) && report.received >= needed)
+            .count();
+        self.list = match received >= self.majority() {
+            true => ListState::Settled,
+            false => ListState::Awaiting { term: self.term, position: needed },
+        };
+    }
+
     /// Adopts a term that a round confirmed.
     fn adopt_term(
         &mut self,
--- a/crates/failover/src/supervisor.rs
+++ b/crates/failover/src/supervisor.rs
@@ -27,6 +27,13 @@
 //! target term does not count, even though an earlier answer to this supervisor may have been lost,
 //! because the fence may belong to another supervisor.
 //!
+//! # Changed list of databases
+//!
+//! A majority of a new list may consist of databases that lack durable commits, because a database that
+//! had received them was removed. So a fence majority is also one of each earlier list, among the
+//! databases that are still listed, until the cluster monitor has shown that a majority of the new list
+//! holds the leader's log.
+//!
 //! # Switchover
 //!
 //! When the leader's database is leaving, the promotion starts at `record-read`: the leader still
@@ -72,6 +79,9 @@
 /// Shortest time between two switchovers, so that a switchover that cannot succeed does not raise the
 /// term over and over.
 const SWITCHOVER_INTERVAL: Micros = Micros::from_secs(10);
+/// Maximum number of earlier lists kept; the oldest is dropped first. Lists are kept only while replicas
+/// catch up.
+const MAX_EARLIER_LISTS: usize = 16;
 /// Shortest time between two follow orders to one database.
 const FOLLOW_INTERVAL: Micros = Micros::from_secs(1);
 
@@ -200,6 +210,8 @@
 pub struct Supervisor {
     node: Name,
     databases: Vec<Name>,
+    /// Lists of which a fence needs a majority as well; see [`Supervisor::settle_list`].
+    earlier_lists: Vec<Vec<Name>>,
     faults: SupervisorFaults,
     random: SeededRandom,
     step: PromotionStep,
@@ -234,6 +246,7 @@
         Supervisor {
             node,
             databases,
+            earlier_lists: Vec::new(),
             faults: SupervisorFaults::default(),
             random: SeededRandom::new(seed),
             step: PromotionStep::Idle,
@@ -260,16 +273,26 @@
     }
 
     /// Replaces the list of databases. A promotion in progress is abandoned, because its majority was
-    /// counted in the old list; the next suspicion starts another.
+    /// counted in the old list; the next suspicion starts another. Until [`Supervisor::settle_list`],
+    /// a fence needs a majority of the old list too.
     pub fn set_databases(&mut self, databases: Vec<Name>) {
         if self.databases == databases {
             return;
         }
-        self.databases = databases;
+        self.earlier_lists.push(std::mem::replace(&mut self.databases, databases));
+        if self.earlier_lists.len() > MAX_EARLIER_LISTS {
+            self.earlier_lists.remove(0);
+        }
         self.step = PromotionStep::Idle;
         self.followers.retain(|follower| self.databases.contains(&follower.database));
     }
 
+    /// Forgets the earlier lists of databases. Must be called only when
+    /// [`crate::ClusterMonitor::is_list_settled`] for the same list.
+    pub fn settle_list(&mut self) {
+        self.earlier_lists.clear();
+    }
+
     /// Replaces the list of databases that are leaving. They are not promoted while another database
     /// of the fenced majority has an equal log.
     pub fn set_leaving(&mut self, leaving: Vec<Name>) {
@@ -404,8 +427,19 @@
         matches!(self.step, PromotionStep::Fencing { .. } | PromotionStep::Promoting { .. })
     }
 
-    fn majority(&self) -> usize {
-        if self.faults.no_fence_majority { 1 } else { self.databases.len() / 2 + 1 }
+    /// Returns whether a majority of the current list and of each earlier one accepted the fence.
+    fn has_fence_majority(&self) -> bool {
+        let PromotionStep::Fencing { accepted, .. } = &self.step else { return false };
+        if self.faults.no_fence_majority {
+            return !accepted.is_empty();
+        }
+        let holds_majority = |list: &[Name]| {
+            let listed = list.iter().filter(|name| self.databases.contains(*name)).count();
+            let fenced = accepted.iter().filter(|(name, _)| list.contains(name)).count();
+            fenced >= (list.len() / 2 + 1).min(listed)
+        };
+        holds_majority(&self.databases)
+            && self.earlier_lists.iter().all(|list| holds_majority(list))
     }
 
     fn back_off(&mut self, now: Micros) {
@@ -441,8 +475,8 @@
                     self.step = PromotionStep::Idle;
                 }
             }
-            PromotionStep::Fencing { until, accepted, .. } if now >= *until => {
-                if accepted.len() >= self.majority() {
+            PromotionStep::Fencing { until, .. } if now >= *until => {
+                if self.has_fence_majority() {
                     self.begin_promotion(now, actions);
                 } else {
                     self.back_off(now);
@@ -638,9 +672,8 @@
         actions: &mut Vec<SupervisorAction>,
     ) {
         self.observe_term(report.term);
-        let (majority, count, target) = (self.majority(), self.databases.len(), self.target);
-        let PromotionStep::Fencing { until, accepted, answered } = &mut self.step else { return };
-        if report.term > target {
+        let PromotionStep::Fencing { accepted, answered, .. } = &mut self.step else { return };
+        if report.term > self.target {
             if report.role == DatabaseRole::Primary {
                 // A newer term has a leader; the cluster monitor will confirm it.
                 self.step = PromotionStep::Idle;
@@ -656,30 +689,25 @@
         if !answered.contains(&database) {
             answered.push(database.clone());
         }
-        if accept && report.term == target && !accepted.iter().any(|(name, _)| *name == database) {
+        let accept = accept && report.term == self.target;
+        if accept && !accepted.iter().any(|(name, _)| *name == database) {
             accepted.push((database, report));
-            if accepted.len() == majority {
-                *until = (*until).min(now + FENCE_GRACE);
-            }
         }
-        let (accepted, answered) = (accepted.len(), answered.len());
-        self.finish_fencing(now, accepted, answered, majority, count, actions);
+        self.finish_fencing(now, actions);
     }
 
-    /// Ends the step once every database has answered.
-    fn finish_fencing(
-        &mut self,
-        now: Micros,
-        accepted: usize,
-        answered: usize,
-        majority: usize,
-        count: usize,
-        actions: &mut Vec<SupervisorAction>,
-    ) {
-        if accepted >= majority && (answered == count || self.faults.no_fence_majority) {
+    /// Ends the step once every database has answered, and limits the wait for the rest of them once a
+    /// majority has accepted.
+    fn finish_fencing(&mut self, now: Micros, actions: &mut Vec<SupervisorAction>) {
+        let majority = self.has_fence_majority();
+        let PromotionStep::Fencing { until, answered, .. } = &mut self.step else { return };
+        let complete = answered.len() == self.databases.len();
+        if majority && (complete || self.faults.no_fence_majority) {
             self.begin_promotion(now, actions);
-        } else if answered == count {
+        } else if complete {
             self.back_off(now);
+        } else if majority {
+            *until = (*until).min(now + FENCE_GRACE);
         }
     }
 
@@ -709,12 +737,10 @@
         database: Name,
         actions: &mut Vec<SupervisorAction>,
     ) {
-        let (majority, count) = (self.majority(), self.databases.len());
-        let PromotionStep::Fencing { accepted, answered, .. } = &mut self.step else { return };
+        let PromotionStep::Fencing { answered, .. } = &mut self.step else { return };
         if self.databases.contains(&database) && !answered.contains(&database) {
             answered.push(database);
-            let (accepted, answered) = (accepted.len(), answered.len());
-            self.finish_fencing(now, accepted, answered, majority, count, actions);
+            self.finish_fencing(now, actions);
         }
     }
 
--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -50,6 +50,10 @@
     Follow,
 }
 
+fn database_names(config: &ClusterConfig) -> Vec<Name> {
+    config.databases.iter().map(|database| database.name.clone()).collect()
+}
+
 fn leaving_databases(config: &ClusterConfig) -> Vec<Name> {
     let leaving = config.databases.iter().filter(|database| database.leaving);
     leaving.map(|database| database.name.clone()).collect()
@@ -63,10 +67,14 @@
 }
 
 impl Node {
-    /// Starts or updates the monitor of a cluster.
-    pub(crate) fn configure_cluster(&mut self, config: &ClusterConfig) {
-        let databases: Vec<Name> =
-            config.databases.iter().map(|database| database.name.clone()).collect();
+    /// Starts or updates the monitor of a cluster. `previous` is its configuration before a change: a node
+    /// that becomes an owner by this change needs the list of databases that it replaces.
+    pub(crate) fn configure_cluster(
+        &mut self,
+        config: &ClusterConfig,
+        previous: Option<&ClusterConfig>,
+    ) {
+        let databases = database_names(config);
         match self.clusters.get_mut(&config.name) {
             Some(state) => {
                 if state.config != *config {
@@ -78,8 +86,11 @@
             }
             None => {
                 let seed = self.random.next_u64();
-                let monitor = ClusterMonitor::new(MonitorConfig::default(), databases.clone());
-                let mut supervisor = Supervisor::new(self.settings.name.clone(), databases, seed);
+                let first = previous.map_or_else(|| databases.clone(), database_names);
+                let mut monitor = ClusterMonitor::new(MonitorConfig::default(), first.clone());
+                let mut supervisor = Supervisor::new(self.settings.name.clone(), first, seed);
+                monitor.set_databases(databases.clone());
+                supervisor.set_databases(databases);
                 supervisor.set_leaving(leaving_databases(config));
                 let state = ClusterState {
                     config: config.clone(),
@@ -110,6 +121,9 @@
         let Some(state) = self.clusters.get_mut(cluster) else { return };
         let mut actions = Vec::new();
         state.monitor.handle(self.now, event, &mut actions);
+        if state.monitor.is_list_settled() {
+            state.supervisor.settle_list();
+        }
         for action in actions {
             self.run_monitor_action(cluster, action);
         }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use config::{ChangeEnvelope, DocumentOffer, DocumentStore, parse_fleet};
 use member::{Heartbeat, MemberAction, MemberEvent, PlatformVm};
-use model::{FleetConfig, Micros, Name};
+use model::{ClusterConfig, FleetConfig, Micros, Name};
 use route::{SelectorTable, TokenKey, TokenKeys};
 use serde::Deserialize;
 
@@ -166,11 +166,11 @@
         match parsed {
             Ok(config) => {
                 self.fleet.selectors = SelectorTable::compile(&config);
-                self.fleet.active = Some(Arc::new(config));
+                let previous = self.fleet.active.replace(Arc::new(config));
                 self.fleet.rejected = None;
                 self.count("configurations.activated", 1);
                 self.log(LogLevel::Info, format!("configuration {revision} is active"));
-                self.update_owned_databases();
+                self.update_owned_databases(previous.as_deref());
             }
             Err(reason) => {
                 self.fleet.rejected = Some(revision);
@@ -194,8 +194,9 @@
         }
     }
 
-    /// Updates owned databases and cluster monitors after a change of the configuration or the nodes.
-    pub(crate) fn update_owned_databases(&mut self) {
+    /// Updates owned databases and cluster monitors after a change of the nodes, or of the configuration
+    /// from `previous`.
+    pub(crate) fn update_owned_databases(&mut self, previous: Option<&FleetConfig>) {
         let Some(fleet) = self.fleet.active.clone() else { return };
         let own = self.settings.name.clone();
         let mut owned = BTreeSet::new();
@@ -212,7 +213,9 @@
                 }
             }
             if monitored || self.clusters.contains_key(&cluster.name) {
-                self.configure_cluster(cluster);
+                let same_cluster = |other: &&ClusterConfig| other.name == cluster.name;
+                let before = previous.and_then(|fleet| fleet.clusters.iter().find(same_cluster));
+                self.configure_cluster(cluster, before);
             }
         }
         let mut retired: Vec<Name> = self.owner.services.keys().cloned().collect();
@@ -246,7 +249,7 @@
                 }
                 MemberAction::OwnersChanged => {
                     self.count("owners.changed", 1);
-                    self.update_owned_databases();
+                    self.update_owned_databases(None);
                 }
                 MemberAction::MemberLost(name) => self.member_lost(&name),
             }
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -559,6 +559,48 @@
     assert_eq!(term(&driver), Some(2), "the primary moved once");
 }
 
+/// Guards against a cluster that needs databases of an earlier list for a failover although the replicas of
+/// the new one have caught up.
+#[test]
+fn a_cluster_fails_over_after_one_of_its_databases_was_replaced() {
+    let mut driver = Driver::start(3);
+    let session = driver.open(0, "kiosk", &[]);
+    assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
+    let new = driver.databases["db3"].clone();
+    driver.databases.insert("db4".to_string(), new);
+    let replaced = fleet_text("").replace("db3", "db4").replace("10.0.0.3", "10.0.0.4");
+    deliver_configuration(&mut driver, 3, &replaced);
+    driver.advance(Micros::from_secs(1));
+    driver.crash("db1");
+    assert_eq!(driver.query(0, session, "insert into t values (2)").code(), "");
+}
+
+/// Guards against a promotion that lacks a durable commit because the database that had it was replaced, also
+/// at a node that has become an owner by this change.
+#[test]
+fn a_replaced_database_does_not_take_durable_commits_with_it() {
+    let mut driver = Driver::start(3);
+    let session = driver.open(0, "kiosk", &[]);
+    driver.databases.get_mut("db2").unwrap().frozen = true;
+    driver.advance(Micros::from_secs(1));
+    assert_eq!(driver.query(0, session, "insert into t values (1)").code(), "");
+    let (lagging, complete) = (driver.databases["db2"].received, driver.databases["db1"].received);
+    assert!(lagging < complete, "{lagging} {complete}");
+    let mut new = driver.databases["db3"].clone();
+    (new.term, new.log_term, new.received, new.applied) = (0, 0, 0, 0);
+    driver.databases.insert("db4".to_string(), new);
+    let replaced = fleet_text("").replace("db3", "db4").replace("10.0.0.3", "10.0.0.4");
+    driver.crash("db1");
+    driver.databases.get_mut("db2").unwrap().frozen = false;
+    deliver_configuration(&mut driver, 3, &replaced);
+    driver.advance(Micros::from_secs(13));
+    assert!(!driver.databases["db2"].primary && !driver.databases["db4"].primary);
+    driver.databases.get_mut("db1").unwrap().down = false;
+    driver.advance(Micros::from_secs(13));
+    assert!(driver.databases["db1"].primary, "db1 alone has the commit");
+    assert_eq!(driver.query(0, session, "insert into t values (2)").code(), "");
+}
+
 /// Guards against aborting an open transaction at once because its primary leaves, against a write
 /// outage meanwhile, and against a slow transaction that delays the switchover without limit.
 #[test]
