Wait for the log of a leaving primary in a switchover

What callers saw: acknowledged commits (not durable ones) are missing after a planned move of the primary, though no database failed. Shown in a test, not in the users' record.

Cause: a time limit of 50 ms decided on data. 50 ms after a majority had accepted the fence, the longest log of the answers was promoted. A leaving primary that answered later was left out, although it was up. Statements that were in progress when the switchover began commit, and are acknowledged, until it is fenced; the other databases may not have them yet.

Evidence, on the code before this change (failover/lost_commits.rs, a_switchover_waits_for_the_log_of_a_slow_primary): assertion `left == right` failed: a alone has 12 entries, delay 60.000 ms left: Some("b") right: Some("a")

Why the fix works: in a switchover the wait for stragglers begins only once the leaving primary has answered the fence, so its final log is compared. If it is silent for 1 s, the time after which a silent primary is suspected, it has failed and the promotion goes on as after a failure, where asynchronous replication may lose commits that were not durable.

Ruled out: the same wait after a failure of the primary. It would lengthen each write gap, and the promises cover only durable commits there. Durable commits were not affected.

--- a/crates/failover/src/supervisor.rs
+++ b/crates/failover/src/supervisor.rs
@@ -39,9 +39,10 @@
 //! When the leader's database is leaving, the promotion starts at `record-read`: the leader still
 //! leads, so the other owners would object. It starts only while a database that is not leaving
 //! reports the leader's whole log, because fencing a leader that no database can replace is a needless
-//! outage. Among equal logs a database that is not leaving is promoted. If the leaving one has the
-//! longest log after all, it is promoted again, so nothing is lost, and the next attempt follows 10 s
-//! later.
+//! outage. Statements that were in progress may commit after that, so the supervisor waits for the
+//! leaving database to answer the fence. Among equal logs a database that is not leaving is promoted. If
+//! the leaving one has the longest log after all, it is promoted again, so nothing is lost, and the next
+//! attempt follows 10 s later. Only if it is silent for 1 s, it has failed and is treated so.
 //!
 //! While idle, the supervisor writes the record of its last promotion as soon as the platform answers,
 //! and orders databases that are behind a confirmed term to follow its leader.
@@ -64,6 +65,9 @@
 const PLATFORM_BACKOFF: Micros = Micros::from_secs(10);
 /// Longest wait for a fence majority.
 const FENCE_TIMEOUT: Micros = Micros::from_millis(500);
+/// Longest wait for the log of a leaving primary in a switchover: the time without a report after which a
+/// primary is suspected (`MonitorConfig::suspect_after`). It has failed if it stays silent that long.
+const SWITCHOVER_FENCE_TIMEOUT: Micros = Micros::from_secs(1);
 /// Wait for the remaining databases after a majority is fenced. One of them may hold a longer log, and
 /// promoting it saves commits that were not durable.
 const FENCE_GRACE: Micros = Micros::from_millis(50);
@@ -238,6 +242,8 @@
     leaving: Vec<Name>,
     /// When the last switchover began.
     switchover_at: Option<Micros>,
+    /// Primary that the current promotion replaces although it has not failed.
+    leaving_primary: Option<Name>,
 }
 
 impl Supervisor {
@@ -263,6 +269,7 @@
             followers: Vec::new(),
             leaving: Vec::new(),
             switchover_at: None,
+            leaving_primary: None,
         }
     }
 
@@ -456,7 +463,9 @@
                 self.step = PromotionStep::Views { until: now + VIEW_TIMEOUT };
                 actions.push(SupervisorAction::RequestViews);
             }
-            PromotionStep::Views { until } if now >= *until => self.begin_record_read(now, actions),
+            PromotionStep::Views { until } if now >= *until => {
+                self.begin_record_read(now, None, actions);
+            }
             PromotionStep::RecordRead { until } | PromotionStep::RecordWrite { until }
                 if now >= *until =>
             {
@@ -514,7 +523,7 @@
             self.answered_owners.push(from);
         }
         if self.answered_owners.len() + 1 >= self.databases.len() {
-            self.begin_record_read(now, actions);
+            self.begin_record_read(now, None, actions);
         }
     }
 
@@ -538,11 +547,18 @@
         });
         if ready {
             self.switchover_at = Some(now);
-            self.begin_record_read(now, actions);
+            let leader = leader.clone();
+            self.begin_record_read(now, Some(leader), actions);
         }
     }
 
-    fn begin_record_read(&mut self, now: Micros, actions: &mut Vec<SupervisorAction>) {
+    fn begin_record_read(
+        &mut self,
+        now: Micros,
+        leaving_primary: Option<Name>,
+        actions: &mut Vec<SupervisorAction>,
+    ) {
+        self.leaving_primary = leaving_primary;
         self.pending_record = None;
         self.target = self.highest_term.next();
         if now < self.platform_retry_at {
@@ -649,8 +665,12 @@
     fn begin_fencing(&mut self, now: Micros, actions: &mut Vec<SupervisorAction>) {
         self.target = self.target.max(self.highest_term.next());
         self.observe_term(self.target);
+        let timeout = match self.leaving_primary {
+            Some(_) => SWITCHOVER_FENCE_TIMEOUT,
+            None => FENCE_TIMEOUT,
+        };
         self.step = PromotionStep::Fencing {
-            until: now + FENCE_TIMEOUT,
+            until: now + timeout,
             accepted: Vec::new(),
             answered: Vec::new(),
         };
@@ -702,11 +722,12 @@
         let majority = self.has_fence_majority();
         let PromotionStep::Fencing { until, answered, .. } = &mut self.step else { return };
         let complete = answered.len() == self.databases.len();
+        let awaited = self.leaving_primary.as_ref().is_some_and(|name| !answered.contains(name));
         if majority && (complete || self.faults.no_fence_majority) {
             self.begin_promotion(now, actions);
         } else if complete {
             self.back_off(now);
-        } else if majority {
+        } else if majority && !awaited {
             *until = (*until).min(now + FENCE_GRACE);
         }
     }
--- a/crates/failover/tests/lost_commits.rs
+++ b/crates/failover/tests/lost_commits.rs
@@ -3,6 +3,8 @@
 //! Each test drives a supervisor against a group of databases that keep the rules of `cicadawick_fence`
 //! and `cicadawick_promote`, and compares the log of the promoted database with what was acknowledged.
 
+use std::collections::BTreeMap;
+
 use failover::{
     ClusterMonitor, CommitId, DatabaseReport, DatabaseRole, MonitorAction, MonitorConfig,
     MonitorEvent, Supervisor, SupervisorAction, SupervisorEvent,
@@ -186,6 +188,75 @@
     (group, monitor, supervisor)
 }
 
+/// Orders a switchover from the leaving database `a`, whose answers to fences arrive after `delay`.
+/// Returns the promoted database.
+fn switch_over(delay: Micros) -> Option<Name> {
+    // `b` holds the whole log as of the last reports; then `a` acknowledges positions 10 to 12.
+    let mut group = TestGroup::new(&[9, 9, 4]);
+    let (_, mut supervisor) = node(&["a", "b", "c"]);
+    supervisor.set_leaving(names(&["a"]));
+    let mut now = Micros::from_millis(1_000);
+    let mut events: BTreeMap<Micros, Vec<SupervisorEvent>> = BTreeMap::new();
+    let first = events.entry(now).or_default();
+    first.push(SupervisorEvent::LeaderConfirmed { term: Term(1), leader: "a".into() });
+    for name in ["a", "b", "c"] {
+        let report = group.database(name).report();
+        first.push(SupervisorEvent::ReportSeen { database: name.into(), report });
+    }
+    first.push(SupervisorEvent::LeaderLeaving { term: Term(1) });
+    group.database("a").log = vec![1; 12];
+    while now < Micros::from_secs(5) {
+        let mut actions = Vec::new();
+        for event in events.remove(&now).unwrap_or_else(|| vec![SupervisorEvent::Timer]) {
+            supervisor.handle(now, event, &mut actions);
+        }
+        for action in actions {
+            match action {
+                SupervisorAction::ReadRecord => {
+                    events
+                        .entry(now + Micros(1))
+                        .or_default()
+                        .push(SupervisorEvent::PlatformFailed);
+                }
+                SupervisorAction::Fence { database, term, by } => {
+                    let found = group.database(&database);
+                    let accepted = found.fence(term.0, &by);
+                    let delay = if &*database == "a" { delay } else { Micros(500) };
+                    let report = found.report();
+                    let event = SupervisorEvent::Fenced { database, accepted, report };
+                    events.entry(now + delay).or_default().push(event);
+                }
+                SupervisorAction::Promote { database, .. } => return Some(database),
+                SupervisorAction::RequestViews
+                | SupervisorAction::WriteRecord { .. }
+                | SupervisorAction::Follow { .. } => {}
+            }
+        }
+        let event = events.first_key_value().map(|(at, _)| *at);
+        let next = event.into_iter().chain(supervisor.next_timer()).min()?;
+        now = next.max(now + Micros(1));
+    }
+    None
+}
+
+// Guards against a switchover that loses acknowledged commits because the leaving primary answers the fence
+// later than the others: it is up, and no failure calls for a promotion without it.
+#[test]
+fn a_switchover_waits_for_the_log_of_a_slow_primary() {
+    // Just under the time after which a silent primary is suspected.
+    let slow = Micros::from_millis(900);
+    for delay in [Micros(500), Micros::from_millis(60), Micros::from_millis(400), slow] {
+        let promoted = switch_over(delay);
+        assert_eq!(promoted.as_deref(), Some("a"), "a alone has 12 entries, delay {delay}");
+    }
+}
+
+// Guards against a switchover that waits for a primary which has failed meanwhile.
+#[test]
+fn a_switchover_ends_without_a_primary_that_failed() {
+    assert_eq!(switch_over(Micros::from_secs(4)).as_deref(), Some("b"));
+}
+
 // Guards against a promotion that lacks durable commits because the database that had them was removed
 // from the list: the databases that are left had not received them.
 #[test]
