Refuse to replace two databases of a cluster in one change

What callers saw: a write is acknowledged by a primary that has been replaced, and is lost.

Cause: ClusterMonitor requires that two lists in use at the same time differ by at most one database, so that any majority of one shares a database with any majority of the other. Nothing enforced that. With the change from {a, b, c} to {a, c, d}, a node that does not have it yet (data centre cut off) confirms rounds with a and b while another fences c and d and promotes one of them.

Evidence, on the code before this change (cli/commands.rs, a_change_replaces_no_two_databases_of_a_cluster): `apply` of a text with "b" replaced by "c" printed applied revision 5 --- exit 0

Why the fix works: `apply`, the only writer of the configuration, compares the list of each cluster with the stored revision and refuses more than one added or removed database with exit code 3, also in a dry run. The compare-and-swap keeps the comparison valid.

Ruled out: a check at the nodes. An accepted configuration must become active on each of them.

--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use config::{ChangeEnvelope, ConfigError, ExampleFile, diff_lines, render_example};
+use model::{ClusterConfig, DatabaseConfig, FleetConfig, Name};
 use platform::{PlatformClient, PlatformError};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -159,9 +160,10 @@
 ) -> Result<(), CommandError> {
     let text = read_file(&flags.file)?;
     let file = flags.file.display().to_string();
-    if let Err(errors) = config::parse_fleet(&file, &text, 0) {
-        return Err(report_errors(&errors, json, output));
-    }
+    let fleet = match config::parse_fleet(&file, &text, 0) {
+        Ok(fleet) => fleet,
+        Err(errors) => return Err(report_errors(&errors, json, output)),
+    };
     let platform = platform()?;
     let (current, index) = read_stored(&platform)?;
     let (old_revision, old_text) = current
@@ -171,6 +173,9 @@
         let message = format!("no change: revision {old_revision} has the same text");
         return Err(CommandError::new(ErrorKind::Failed, message));
     }
+    if let Ok(old_fleet) = config::parse_fleet("revision", old_text, old_revision) {
+        check_database_lists(&old_fleet, &fleet)?;
+    }
     let difference = diff_lines(&format!("revision {old_revision}"), old_text, &file, &text);
     let mut history = current.as_ref().map(StoredChange::summaries).unwrap_or_default();
     history.truncate(HISTORY_LIMIT);
@@ -215,6 +220,35 @@
     Ok(())
 }
 
+/// Refuses a change that adds or removes more than one database of a cluster. Nodes use both lists until
+/// the change has reached all of them, and any majority of one must share a database with any majority of
+/// the other: two primaries could acknowledge writes otherwise.
+fn check_database_lists(old_fleet: &FleetConfig, fleet: &FleetConfig) -> Result<(), CommandError> {
+    for cluster in &fleet.clusters {
+        let same_cluster = |other: &&ClusterConfig| other.name == cluster.name;
+        let Some(old_cluster) = old_fleet.clusters.iter().find(same_cluster) else { continue };
+        let missing_in = |list: &[DatabaseConfig], other: &[DatabaseConfig]| -> Vec<String> {
+            let listed = |name: &Name| other.iter().any(|database| database.name == *name);
+            let missing = list.iter().filter(|database| !listed(&database.name));
+            missing.map(|database| database.name.to_string()).collect()
+        };
+        let added = missing_in(&cluster.databases, &old_cluster.databases);
+        let removed = missing_in(&old_cluster.databases, &cluster.databases);
+        if added.len() + removed.len() > 1 {
+            let message = format!(
+                "cluster {:?}: expected at most one database to be added or removed in a change, found \
+                 added: [{}], removed: [{}]; apply one at a time, and wait until each node has the \
+                 revision and the replicas have caught up",
+                &*cluster.name,
+                added.join(", "),
+                removed.join(", ")
+            );
+            return Err(CommandError::new(ErrorKind::Invalid, message));
+        }
+    }
+    Ok(())
+}
+
 /// Writes the change by compare-and-swap. After a lost answer, the stored change id shows whether the
 /// write took effect. While the old value is still stored, the write is repeated; the modify index keeps
 /// it from being applied twice.
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -320,6 +320,33 @@
     assert_eq!(platform.stored(CONFIG_KEY), winner);
 }
 
+/// Guards against two lists of databases in use at the same time of which a majority of one shares no database
+/// with a majority of the other, so that a replaced primary goes on acknowledging.
+#[test]
+fn a_change_replaces_no_two_databases_of_a_cluster() {
+    let platform = FakeServer::start();
+    platform.store(CONFIG_KEY, &envelope(4, &fleet_text(1)));
+    let replaced = fleet_text(1).replace("\"b\"", "\"c\"");
+    let file = input_file("replace", &replaced);
+    for arguments in [&["apply", &file][..], &["apply", &file, "--dry-run"][..]] {
+        let refused = platform.run(arguments);
+        assert!(refused.contains("added: [c], removed: [b]"), "{refused}");
+        assert!(refused.ends_with("--- exit 3\n"), "{refused}");
+    }
+    assert_eq!(platform.state.lock().unwrap().writes, 0);
+    // One at a time is accepted.
+    let added = fleet_text(1).replace(
+        "\"connections\": 16 }\n",
+        "\"connections\": 16 },\n      { \"name\": \"c\", \"data_centre\": \"s\", \
+         \"address\": \"10.0.0.3:5432\", \"slots\": 2, \"connections\": 16 }\n",
+    );
+    for text in [&added, &fleet_text(1)] {
+        let file = input_file("replace-one", text);
+        let applied = platform.run(&["apply", &file]);
+        assert!(applied.ends_with("--- exit 0\n"), "{applied}");
+    }
+}
+
 /// Guards against a lost answer that makes an applied change fail or be applied twice.
 #[test]
 fn outcome_of_an_unanswered_write_is_resolved() {
