Leave nodes that get no cluster out of the choice of owners

Callers would see connections moved between owners when a node leaves that owns nothing. Cause: such a node counted for the shares of the others. Change: it is left out, and the choice is made again.

--- a/crates/gate/src/owners.rs
+++ b/crates/gate/src/owners.rs
@@ -122,9 +122,7 @@
     let owners_per_centre = MIN_OWNERS.div_ceil(centres.len());
     for nodes in centres.values_mut() {
         nodes.sort_by_key(|(node, capacity)| (Reverse(*capacity), owner_score("owners", node)));
-        let wanted = owners_of_centre(nodes, input.clusters.len() * owners_per_centre);
-        nodes.truncate(wanted.max(owners_per_centre));
-        for (cluster, owner) in assign_clusters(nodes, input.clusters.keys(), owners_per_centre) {
+        for (cluster, owner) in assign_in_centre(nodes, &input.clusters, owners_per_centre) {
             owners.entry(cluster.clone()).or_default().push(owner.clone());
         }
     }
@@ -165,6 +163,26 @@
     sufficient.map_or(nodes.len(), |last| last + 1)
 }
 
+/// Chooses the nodes of a data centre that own connections, and assigns the clusters to them. A node
+/// that gets no cluster is left out of the choice, so that nothing changes when it leaves.
+fn assign_in_centre<'a>(
+    nodes: &mut Vec<(&'a Name, u32)>,
+    clusters: &'a BTreeMap<Name, u32>,
+    owners_per_cluster: usize,
+) -> Vec<(&'a Name, &'a Name)> {
+    loop {
+        let wanted = owners_of_centre(nodes, clusters.len() * owners_per_cluster);
+        let chosen = &nodes[..wanted.max(owners_per_cluster).min(nodes.len())];
+        let assigned = assign_clusters(chosen, clusters.keys(), owners_per_cluster);
+        let unused =
+            chosen.iter().rposition(|(node, _)| assigned.iter().all(|(_, owner)| owner != node));
+        match unused {
+            Some(index) if !assigned.is_empty() => nodes.remove(index),
+            _ => return assigned,
+        };
+    }
+}
+
 /// Assigns each cluster its best-scored nodes among those below their share, so that a change of
 /// one node moves few other clusters.
 fn assign_clusters<'a>(
