--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -99,6 +99,8 @@
     pub logs: Vec<(Micros, usize, LogRecord)>,
     pub ready: Vec<bool>,
     pub promotions: Vec<(Micros, Name, u64)>,
+    /// Promotions that took effect, with the end of the log with which the new primary began.
+    pub promoted_logs: Vec<(Micros, Name, TermPosition)>,
     /// Time from a promotion call to its effect.
     pub promotion_delay: Micros,
     /// The platform refuses promotion calls.
@@ -239,6 +241,7 @@
             answers: Vec::new(),
             logs: Vec::new(),
             promotions: Vec::new(),
+            promoted_logs: Vec::new(),
             promotion_delay: PROMOTION_DELAY,
             promotions_refused: false,
             renewing: (0..nodes).collect(),
@@ -701,6 +704,7 @@
             .expect("there are databases")
             .next();
         let start = self.databases[name].received;
+        self.promoted_logs.push((self.now, name.clone(), start));
         for (other, database) in &mut self.databases {
             if database.unreachable {
                 continue;
@@ -716,7 +720,9 @@
                 database.role = DatabaseRole::Primary;
             }
         }
-        let names: Vec<Name> = self.databases.keys().cloned().collect();
+        // A database that is cut off from the store keeps no entry.
+        let listed = self.databases.keys().filter(|name| !self.unlisted.contains(*name));
+        let names: Vec<Name> = listed.cloned().collect();
         for name in names {
             self.publish_database(&name);
         }
