Compare the logs after all nodes withhold the old primary's commits

Cause: the logs were compared by the reports that answered the first fences, up to a second before the last node had acknowledged the announcement. A fence that ended in between, by a lift that arrived late or by a restart that is not seen in the list, let the old primary acknowledge commits, and nodes without the announcement reported them. The lease is kept until lifts are answered, but a lift without an answer for 0.8 s only closes the connection: the command can still be in the receive buffer of a database that is paused or slow, and RESUME names no term.

It needs a holder that gets no answer of the replica with the commits between its fence and the promotion (here a link that is 600 ms slow); otherwise `known_log_end` shows that the log is too short.

Fix: after the acknowledgements all replicas are fenced again (stage `comparing`), and only answers to these commands count. A commit that a node reported was received by a replica before, so it is in one of these reports, whether the first fence held or not. A failover takes one more round of PAUSE.

What remains: a fence that ends between this report and the effect of the promotion. Nodes that saw the announcement report no commit then; a node without a read lease that did not see it still does.

--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -10,16 +10,19 @@
 //! 5. Read the lists again and fence new replicas. Wait until every registered node has
 //!    acknowledged the announcement or can no longer hold a read lease. From then on no node
 //!    reports a commit of the old primary as successful.
-//! 6. Read the lists once more, because a new replica may receive commits shortly before it is
+//! 6. Fence every replica again. A fence may have ended, because the replica has started again or
+//!    another node's lift arrived late. The logs are compared by these reports: every commit that a
+//!    node has reported was received before them.
+//! 7. Read the lists once more, because a new replica may receive commits shortly before it is
 //!    listed, and one that has started again is not fenced any more. Nodes that have registered in
 //!    the meantime are waited for, too.
-//! 7. Demote the old primary if it can be reached. A promotion takes effect some time after the
+//! 8. Demote the old primary if it can be reached. A promotion takes effect some time after the
 //!    call, and a replica that starts in the meantime could let the old primary acknowledge more
 //!    commits.
-//! 8. Promote the replica with the longest log. It contains every acknowledged commit, because each
+//! 9. Promote the replica with the longest log. It contains every acknowledged commit, because each
 //!    is at one fenced replica at least.
-//! 9. Wait until the new primary reports its role, and demote the old primary once more, in case it
-//!    could not be reached before.
+//! 10. Wait until the new primary reports its role, and demote the old primary once more, in case it
+//!     could not be reached before.
 //!
 //! A replica that cannot be fenced may hold the only copy of a commit and may go on acknowledging.
 //! The failover waits until its entry is gone. If that takes too long, the failover is aborted and
@@ -82,6 +85,8 @@
     Relisting,
     /// Waits for acknowledgements of the announcement.
     AwaitingAcknowledgements,
+    /// Fences all replicas again, and compares these reports.
+    Comparing,
     /// Reads the lists for the last time.
     FinalListing,
     /// Waits until the old primary is a replica.
@@ -116,6 +121,7 @@
             FailoverStage::Fencing => "fencing",
             FailoverStage::Relisting => "relisting",
             FailoverStage::AwaitingAcknowledgements => "waiting",
+            FailoverStage::Comparing => "comparing",
             FailoverStage::FinalListing => "confirming",
             FailoverStage::Demoting => "demoting",
             FailoverStage::Promoting => "promoting",
@@ -324,7 +330,7 @@
                 }
             }
             FailoverStage::Probing => self.probe_replicas(cluster),
-            FailoverStage::Fencing => self.fence_replicas(cluster),
+            FailoverStage::Fencing | FailoverStage::Comparing => self.fence_replicas(cluster),
             FailoverStage::AwaitingAcknowledgements => self.wait_for_acknowledgements(cluster),
             FailoverStage::Promoting => {
                 if !in_flight && may_retry && !timed_out {
@@ -486,7 +492,10 @@
             .max(failover.acknowledged_at + COMMIT_GRACE)
             .max(failover.last_step);
         if all_ended && now >= last_commit + LISTING_DELAY {
-            return self.set_stage(cluster, FailoverStage::FinalListing);
+            failover.fenced.clear();
+            failover.fence_sent.clear();
+            self.set_stage(cluster, FailoverStage::Comparing);
+            return self.fence_replicas(cluster);
         }
         self.out.append(&mut ends);
     }
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -151,6 +151,10 @@
             if failover.replicas.is_empty() {
                 return self.abort_failover(cluster, "no replica is listed");
             }
+            if failover.stage == FailoverStage::Comparing {
+                self.set_stage(cluster, FailoverStage::FinalListing);
+                return self.step_failover(cluster);
+            }
             if failover.relisted {
                 return self.set_stage(cluster, FailoverStage::AwaitingAcknowledgements);
             }
@@ -214,7 +218,9 @@
             return self.log("fence_failed", fields!["database" => &name, "answer" => text]);
         };
         let term = failover.term;
-        let fenced = report.fence >= term && report.role == DatabaseRole::Replica;
+        // The answer to an earlier command tells an earlier position.
+        let compared = failover.stage != FailoverStage::Comparing || sent >= failover.last_step;
+        let fenced = report.fence >= term && report.role == DatabaseRole::Replica && compared;
         if fenced {
             failover.fenced.insert(name.clone(), report);
         }
--- a/crates/gate/tests/fence_lifts.rs
+++ b/crates/gate/tests/fence_lifts.rs
@@ -386,3 +386,23 @@
         assert_eq!(scene.served_beyond("a", end), [] as [Name; 0]);
     }
 }
+
+/// Guards against acknowledged commits that the promoted log lacks: a lift that was sent with the
+/// promotion lease arrives after the next holder has compared the logs.
+#[test]
+fn a_lift_that_arrives_late_does_not_hide_commits() {
+    let mut scene = Scene::start_with_unaware_writer();
+    scene.cut_primary("a");
+    let first = scene.run_until_another_reaches("waiting");
+    scene.simulation.store_cut.insert(first);
+    scene.simulation.late_commands.insert((first, "c".into()), millis(1_600));
+    let second = scene.run_until_another_reaches("waiting");
+    assert!(scene.is_fenced());
+    // Otherwise the holder might learn of the commits by chance.
+    scene.simulation.late_commands.insert((second, "c".into()), millis(600));
+    let received = scene.simulation.databases["c"].received;
+    let (_, end) = scene.run_until_promotion();
+    scene.run(millis(200));
+    assert!(scene.simulation.databases["c"].received > received, "the lift took effect");
+    assert_eq!(scene.served_beyond("a", end), [] as [Name; 0]);
+}
