Test that a late list lifts no stale fences

If the timer fires before the answer arrives, the failover times out first and nothing is lifted; the simulation delivers the answer first here.

--- a/crates/gate/tests/fence_lifts.rs
+++ b/crates/gate/tests/fence_lifts.rs
@@ -406,3 +406,24 @@
     assert!(scene.simulation.databases["c"].received > received, "the lift took effect");
     assert_eq!(scene.served_beyond("a", end), [] as [Name; 0]);
 }
+
+/// Guards against a fence that ends after it was compared: a node that lifts stale fences is
+/// suspended, and gets the list for which it waited after another node has taken the lease.
+#[test]
+fn stale_fences_are_not_lifted_after_the_lease_has_ended() {
+    let mut scene = Scene::start_with_unaware_writer();
+    scene.cut_primary("a");
+    let first = scene.run_until_another_reaches("waiting");
+    scene.simulation.stopped.insert(first);
+    scene.simulation.cuts.clear();
+    scene.simulation.store_read_time = millis(60);
+    let second = scene.run_until_another_reaches("listing");
+    scene.simulation.suspend(second);
+    scene.simulation.store_read_time = millis(5);
+    scene.cut_primary("a");
+    scene.run_until_another_reaches("waiting");
+    assert!(scene.is_fenced());
+    scene.simulation.resume_with_deliveries(second);
+    scene.run(millis(20));
+    assert!(scene.is_fenced());
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -97,6 +97,8 @@
     pub logs: Vec<(Micros, usize, LogRecord)>,
     pub ready: Vec<bool>,
     pub promotions: Vec<(Micros, Name, u64)>,
+    /// Time that the store takes to answer a read of its state.
+    pub store_read_time: Micros,
     /// Time from a promotion call to its effect.
     pub promotion_delay: Micros,
     /// The platform refuses promotion calls.
@@ -230,6 +232,7 @@
             answers: Vec::new(),
             logs: Vec::new(),
             promotions: Vec::new(),
+            store_read_time: Micros::from_millis(5),
             promotion_delay: PROMOTION_DELAY,
             promotions_refused: false,
             renewing: (0..nodes).collect(),
@@ -452,7 +455,7 @@
                     let documents = self.documents.values().cloned().collect();
                     let state = Some(StoreState { databases: self.listed(), documents });
                     let event = GateEvent::StoreStateRead { state };
-                    self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
+                    self.schedule(self.store_read_time, Delivery::Gate(gate, event));
                 }
             }
             GateAction::EndLease { node, .. } => {
@@ -541,6 +544,14 @@
         }
     }
 
+    /// As [`Simulation::resume`], but its timer fires last.
+    pub fn resume_with_deliveries(&mut self, gate: usize) {
+        for delivery in self.suspended.remove(&gate).unwrap_or_default() {
+            self.deliver(delivery);
+        }
+        self.event(gate, GateEvent::Timer);
+    }
+
     fn deliver(&mut self, delivery: Delivery) {
         if let Delivery::Gate(gate, _) | Delivery::Answer { gate, .. } = &delivery
             && let Some(held) = self.suspended.get_mut(gate)
