Fence under a name that differs between processes of a node

What callers saw: two primaries in one term, and with them acknowledgements of a replaced primary.

Cause: the fake database, and its test, accept a fence again from the supervisor that holds it; the design page says "only a term above its own". Fences carried the node's name. A process that starts again under that name and has not seen the new term fences in the same term, gets the acceptances of its predecessor, and orders the promotion of another database.

Why the fix works: the name in fences is the node's name and the incarnation of the process, so a database refuses the fence of a later process at the same term and the majority is not reached; the supervisor goes to the next term.

Ruled out: the same name in the leader record. Tests and operators find the node by it, and the record only orders supervisors; fences alone decide.

--- a/crates/failover/src/supervisor.rs
+++ b/crates/failover/src/supervisor.rs
@@ -25,7 +25,9 @@
 //!
 //! A fence answer counts if it was accepted and its report shows the target term. A refusal at the
 //! target term does not count, even though an earlier answer to this supervisor may have been lost,
-//! because the fence may belong to another supervisor.
+//! because the fence may belong to another supervisor. A database may accept a fence again from the
+//! supervisor that holds it, so the driver must send fences under a name that no earlier process used:
+//! that one may have ordered a promotion in the same term.
 //!
 //! # Changed list of databases
 //!
--- a/crates/node/src/cluster.rs
+++ b/crates/node/src/cluster.rs
@@ -249,7 +249,8 @@
                 let cluster = cluster.clone();
                 self.emit(NodeAction::WriteRecord { cluster, expected_index, bytes });
             }
-            SupervisorAction::Fence { database, term, by } => {
+            SupervisorAction::Fence { database, term, .. } => {
+                let by = self.supervisor_id.clone();
                 self.send_report_request(
                     cluster,
                     &database,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -68,6 +68,9 @@
 #[derive(Debug)]
 pub struct Node {
     settings: NodeSettings,
+    /// Name in fences. It differs between processes: a database may accept a fence again from the
+    /// supervisor that holds it, and a later process does not know which database was promoted.
+    supervisor_id: Name,
     now: Micros,
     actions: Vec<NodeAction>,
     steps: VecDeque<PendingStep>,
@@ -109,6 +112,7 @@
     /// # Ok::<(), std::net::AddrParseError>(())
     /// ```
     pub fn new(settings: NodeSettings, incarnation: u64, seed: u64) -> Self {
+        let supervisor_id = Name::from(format!("{}/{incarnation}", settings.name));
         let own = MemberInfo {
             name: settings.name.clone(),
             data_centre: settings.data_centre.clone(),
@@ -136,6 +140,7 @@
             drain: DrainState::default(),
             is_watcher: false,
             next_housekeeping: Micros::ZERO,
+            supervisor_id,
             settings,
         }
     }
--- a/crates/node/tests/driver/mod.rs
+++ b/crates/node/tests/driver/mod.rs
@@ -140,6 +140,8 @@
     pub closed: Vec<(usize, SessionId, Option<ErrorReply>)>,
     pub shut_down: Vec<usize>,
     pub logs: Vec<String>,
+    /// Supervisors that fenced a database, in order.
+    pub fenced_by: Vec<Name>,
     pub config: Vec<u8>,
     pub platform_down: bool,
 }
@@ -239,6 +241,7 @@
             closed: Vec::new(),
             shut_down: Vec::new(),
             logs: Vec::new(),
+            fenced_by: Vec::new(),
             config: envelope(1, &fleet_text("")),
             platform_down: false,
         };
@@ -266,6 +269,12 @@
         driver
     }
 
+    /// Replaces a node that has not run yet by a later process of the same name.
+    pub fn replace_process(&mut self, node: usize, incarnation: u64) {
+        let settings = settings(&self.names[node], node);
+        self.nodes[node] = Node::new(settings, incarnation, node as u64 + 7);
+    }
+
     fn vm_list(&mut self, node: usize) {
         let rows = self.names.iter().enumerate().map(|(at, name)| {
             let settings = settings(name, at);
@@ -790,6 +799,9 @@
         if database.down {
             return self.schedule_event(NETWORK_DELAY, node, NodeEvent::ReportFailed { id });
         }
+        if let NodeAction::RequestFence { by, .. } = &action {
+            self.fenced_by.push(by.clone());
+        }
         let mut accepted = false;
         match &action {
             NodeAction::RequestFence { term, .. } if term.0 > database.term => {
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -575,6 +575,22 @@
     assert_eq!(driver.query(0, session, "insert into t values (2)").code(), "");
 }
 
+/// Guards against two primaries in one term: a database may accept a fence again from the supervisor that holds
+/// it, so a restarted process must not be taken for its predecessor, whose promotion it does not know.
+#[test]
+fn a_restarted_process_fences_under_another_name() {
+    let fenced_by = |incarnation| {
+        let mut driver = Driver::start_unsettled(1, 1);
+        driver.replace_process(0, incarnation);
+        driver.advance(Micros::from_secs(5));
+        driver.crash("db1");
+        driver.advance(Micros::from_secs(5));
+        driver.fenced_by[0].clone()
+    };
+    assert_eq!(fenced_by(1), fenced_by(1));
+    assert_ne!(fenced_by(1), fenced_by(2));
+}
+
 /// Guards against a promotion that lacks a durable commit because the database that had it was replaced, also
 /// at a node that has become an owner by this change.
 #[test]
