Count proved reads as knowledge of the log

Callers would see a cluster without a primary although the remaining replica holds every commit: after an owner has shut down, only a later commit counted as knowledge of all commits, so a cluster that only reads waited for the databases that were down. Evidence: proved_positions_of_the_primary_count_as_knowledge_of_the_log failed before (left: 0, right: 1). Change: a position that the primary was proved to have after the last owner left covers every commit acknowledged before; a log that reaches it is complete. Owners tell it with their ends.

--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -359,6 +359,12 @@
         self.proved.iter().find(|sample| sample.since >= since).map(|sample| sample.position)
     }
 
+    /// Returns the newest proved position, if it covers every commit acknowledged before a time after
+    /// `since`.
+    pub fn newest_proved_position(&self, since: Micros) -> Option<TermPosition> {
+        self.proved.back().filter(|sample| sample.since > since).map(|sample| sample.position)
+    }
+
     /// Forgets a database's leadership and fence, for example after an error that only a replaced
     /// primary sends.
     pub fn forget_leader(&mut self, database: &Name) {
--- a/crates/gate/src/log_comparison.rs
+++ b/crates/gate/src/log_comparison.rs
@@ -9,6 +9,7 @@
 use crate::backend::TermPosition;
 use crate::database::Database;
 use crate::leadership_proof::LeadershipProof;
+use crate::registry::LogEndRecord;
 use crate::{Gate, fields};
 
 /// Number of removed databases that are remembered for each cluster.
@@ -169,7 +170,7 @@
         });
         // Without the record, any number of other databases may be missing.
         let few_missing = recorded.is_some() && missing.len() <= limits.sync_replicas as usize;
-        if limits.sync_replicas == 0 || few_missing || self.knows_all_commits(cluster) {
+        if limits.sync_replicas == 0 || few_missing || self.knows_all_commits(cluster, longest) {
             return LogCoverage::Complete;
         }
         LogCoverage::Unproved { missing: missing.into_iter().cloned().collect() }
@@ -177,25 +178,26 @@
 
     /// Returns true if the known end of the log covers every acknowledged commit: each owner that
     /// may have acknowledged some has told its end, or its process had ended before a commit was sent
-    /// by an owner which told its end.
-    fn knows_all_commits(&self, cluster: &Name) -> bool {
+    /// or a position was proved by an owner which told its end.
+    fn knows_all_commits(&self, cluster: &Name, longest: TermPosition) -> bool {
         let Some(failover) = self.failovers.running.get(cluster) else { return false };
         let left = self.registry.last_departure().is_some_and(|at| at >= failover.started);
         if left || self.registry.has_unaccounted_owners() || !failover.unacknowledged.is_empty() {
             return false;
         }
-        let told: Vec<_> = self.registry.told_log_ends(cluster, failover.announced).collect();
-        let current =
-            self.is_log_end_current(cluster) || told.iter().flatten().any(|end| end.current);
-        current && told.iter().all(Option::is_some)
+        let mut ends: Vec<_> = self.registry.told_log_ends(cluster, failover.announced).collect();
+        ends.push(self.own_log_end(cluster));
+        ends.iter().all(Option::is_some)
+            && ends.iter().flatten().any(|end| end.is_covered_by(longest))
     }
 
-    /// Returns true if the end of the log that this node knows covers all commits that were
-    /// acknowledged by owners which have left.
-    pub(crate) fn is_log_end_current(&self, cluster: &Name) -> bool {
+    /// Returns the end of a cluster's log as this node knows it.
+    pub(crate) fn own_log_end(&self, cluster: &Name) -> Option<LogEndRecord> {
         let last_departure = self.registry.last_departure().unwrap_or(self.started);
-        let known_at = self.clusters.get(cluster).and_then(|state| state.proof.log_end_known_at());
-        known_at > Some(last_departure)
+        let proof = &self.clusters.get(cluster)?.proof;
+        let current = proof.log_end_known_at() > Some(last_departure);
+        let proved = proof.newest_proved_position(last_departure);
+        Some(LogEndRecord::new(proof.required_log_end(), current, proved))
     }
 
     /// Returns the end of the log that a new primary must hold so that no acknowledged commit is
--- a/crates/gate/src/read_lease.rs
+++ b/crates/gate/src/read_lease.rs
@@ -251,11 +251,10 @@
         else {
             return;
         };
-        let ends = self.read_lease.announced.iter().filter_map(|name| {
-            let proof = &self.clusters.get(name.as_str())?.proof;
-            let current = self.is_log_end_current(&Name::from(name.as_str()));
-            Some((name.clone(), LogEndRecord::new(proof.required_log_end(), current)))
-        });
+        let ends =
+            self.read_lease.announced.iter().filter_map(|name| {
+                Some((name.clone(), self.own_log_end(&Name::from(name.as_str()))?))
+            });
         self.read_lease.acknowledged_log_ends = ends.collect();
         self.read_lease.acknowledged = revision;
         self.acknowledge_announcement();
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -27,11 +27,28 @@
     /// It covers all commits that were acknowledged by owners which have left.
     #[serde(default)]
     pub current: bool,
+    /// Term and position that the primary was proved to have since the last owner left. They cover
+    /// the same commits, and perhaps more than were acknowledged.
+    #[serde(default)]
+    pub proved: Option<(u64, u64)>,
 }
 
 impl LogEndRecord {
-    pub(crate) fn new(end: TermPosition, current: bool) -> Self {
-        LogEndRecord { term: end.term.0, position: end.position, current }
+    pub(crate) fn new(end: TermPosition, current: bool, proved: Option<TermPosition>) -> Self {
+        LogEndRecord {
+            term: end.term.0,
+            position: end.position,
+            current,
+            proved: proved.map(|proved| (proved.term.0, proved.position)),
+        }
+    }
+
+    /// Returns true if a log covers all commits that were acknowledged by owners which have left,
+    /// provided that it holds this end.
+    pub(crate) fn is_covered_by(&self, longest: TermPosition) -> bool {
+        let proved =
+            self.proved.map(|(term, position)| TermPosition { term: Term(term), position });
+        self.current || proved.is_some_and(|proved| longest >= proved)
     }
 }
 
--- a/crates/gate/tests/log_coverage_review.rs
+++ b/crates/gate/tests/log_coverage_review.rs
@@ -554,7 +554,6 @@
 /// Guards against a failover that waits for databases although reads have shown, after a node had
 /// shut down, that the primary held nothing beyond the remaining replica's log.
 #[test]
-#[ignore = "issue 35, see KNOWN-RED.txt"]
 fn proved_positions_of_the_primary_count_as_knowledge_of_the_log() {
     let mut simulation = Simulation::start(4);
     run_with_reads(&mut simulation, millis(1_000));
