--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -11,16 +11,19 @@
 //!    acknowledged the announcement or can no longer hold a read lease. From then on no node
 //!    reports a commit of the old primary as successful. The acknowledgements tell how long each
 //!    node knows the log to be.
-//! 6. Read the lists once more, because a new replica may receive commits shortly before it is
+//! 6. Fence every replica again. A fence may have ended, because the replica has started again or
+//!    another node's lift arrived late. The logs are compared by these reports: every commit that a
+//!    node has reported was received before them.
+//! 7. Read the lists once more, because a new replica may receive commits shortly before it is
 //!    listed, and one that has started again is not fenced any more. Nodes that have registered in
 //!    the meantime are waited for, too.
-//! 7. Demote the old primary if it can be reached. A promotion takes effect some time after the
+//! 8. Demote the old primary if it can be reached. A promotion takes effect some time after the
 //!    call, and a replica that starts in the meantime could let the old primary acknowledge more
 //!    commits.
-//! 8. Promote the replica with the longest log. It contains every acknowledged commit, because each
+//! 9. Promote the replica with the longest log. It contains every acknowledged commit, because each
 //!    is at one fenced replica at least.
-//! 9. Wait until the new primary reports its role, and demote the old primary once more, in case it
-//!    could not be reached before.
+//! 10. Wait until the new primary reports its role, and demote the old primary once more, in case it
+//!     could not be reached before.
 //!
 //! A replica that cannot be fenced may hold the only copy of a commit and may go on acknowledging.
 //! The failover waits until its entry is gone. If that takes too long, the failover is aborted and
@@ -95,6 +98,8 @@
     Relisting,
     /// Waits for acknowledgements of the announcement.
     AwaitingAcknowledgements,
+    /// Fences all replicas again, and compares these reports.
+    Comparing,
     /// Reads the lists for the last time.
     FinalListing,
     /// Waits until the old primary is a replica.
@@ -129,6 +134,7 @@
             FailoverStage::Fencing => "fencing",
             FailoverStage::Relisting => "relisting",
             FailoverStage::AwaitingAcknowledgements => "waiting",
+            FailoverStage::Comparing => "comparing",
             FailoverStage::FinalListing => "confirming",
             FailoverStage::Demoting => "demoting",
             FailoverStage::Promoting => "promoting",
@@ -141,6 +147,8 @@
 #[derive(Debug)]
 pub(crate) struct ClusterFailover {
     pub(crate) stage: FailoverStage,
+    /// Distinguishes the failovers of this node.
+    pub(crate) number: u64,
     /// The database that is replaced, if any; it is not compared. It led the former term when it
     /// reported last.
     pub(crate) old_primary: Option<Name>,
@@ -254,6 +262,9 @@
                 self.promotion_lease.release(now)
             }
         } else if self.promotion_lease.needs_renewal(now) || self.announcement_missing() {
+            let running = self.failovers.running.iter();
+            let numbers = running.map(|(name, failover)| (name.to_string(), failover.number));
+            self.promotion_lease.set_failover_numbers(numbers.collect());
             let announced_clusters =
                 self.failovers.running.keys().map(ToString::to_string).collect();
             self.promotion_lease.claim(now, announced_clusters)
@@ -273,8 +284,12 @@
     fn announcement_missing(&self) -> bool {
         self.failovers
             .running
-            .keys()
-            .any(|cluster| !self.promotion_lease.announces(self.now, cluster))
+            .iter()
+            .any(|(cluster, failover)| !self.is_failover_announced(cluster, failover.number))
+    }
+
+    fn is_failover_announced(&self, cluster: &Name, number: u64) -> bool {
+        self.promotion_lease.announces_failover(self.now, cluster, number)
     }
 
     pub(crate) fn step_failover(&mut self, cluster: &Name) {
@@ -282,7 +297,7 @@
         let Some(failover) = self.failovers.running.get(cluster) else { return };
         let (stage, in_flight) = (failover.stage, failover.in_flight);
         let last_step = failover.last_step;
-        let announced_token = failover.fencing_token;
+        let (announced_token, number) = (failover.fencing_token, failover.number);
         let may_retry = now >= failover.last_step + STEP_RETRY_INTERVAL;
         let limit = if self.old_primary_responds(cluster) && !stage.is_irreversible() {
             RESPONSIVE_PRIMARY_TIMEOUT
@@ -323,7 +338,7 @@
             self.ask_old_primary(cluster);
         }
         match stage {
-            FailoverStage::Claiming if self.promotion_lease.announces(now, cluster) => {
+            FailoverStage::Claiming if self.is_failover_announced(cluster, number) => {
                 let (revision, _) = self.promotion_lease.record();
                 if let Some(failover) = self.failovers.running.get_mut(cluster) {
                     failover.announced = revision;
@@ -348,7 +363,7 @@
                 }
             }
             FailoverStage::Probing => self.probe_replicas(cluster),
-            FailoverStage::Fencing => self.fence_replicas(cluster),
+            FailoverStage::Fencing | FailoverStage::Comparing => self.fence_replicas(cluster),
             FailoverStage::AwaitingAcknowledgements => self.wait_for_acknowledgements(cluster),
             FailoverStage::Promoting => {
                 if !in_flight && may_retry && !timed_out {
@@ -578,7 +593,10 @@
             .max(own_commits.unwrap_or(now) + COMMIT_GRACE)
             .max(failover.last_step);
         if all_ended && now >= last_commit + LISTING_DELAY {
-            return self.set_stage(cluster, FailoverStage::FinalListing);
+            failover.fenced.clear();
+            failover.fence_sent.clear();
+            self.set_stage(cluster, FailoverStage::Comparing);
+            return self.fence_replicas(cluster);
         }
         self.out.append(&mut ends);
     }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -101,6 +101,8 @@
     pub promotions: Vec<(Micros, Name, u64)>,
     /// Promotions that took effect, with the end of the log with which the new primary began.
     pub promoted_logs: Vec<(Micros, Name, TermPosition)>,
+    /// Time that the store takes to answer a read of its state.
+    pub store_read_time: Micros,
     /// Time from a promotion call to its effect.
     pub promotion_delay: Micros,
     /// The platform refuses promotion calls.
@@ -242,6 +244,7 @@
             logs: Vec::new(),
             promotions: Vec::new(),
             promoted_logs: Vec::new(),
+            store_read_time: Micros::from_millis(5),
             promotion_delay: PROMOTION_DELAY,
             promotions_refused: false,
             renewing: (0..nodes).collect(),
@@ -543,7 +546,7 @@
                     let documents = self.documents.values().cloned().collect();
                     let state = Some(StoreState { databases: self.listed(), documents });
                     let event = GateEvent::StoreStateRead { state };
-                    self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
+                    self.schedule(self.store_read_time, Delivery::Gate(gate, event));
                 }
             }
             GateAction::EndLease { node, .. } => {
@@ -632,6 +635,14 @@
         }
     }
 
+    /// As [`Simulation::resume`], but its timer fires last.
+    pub fn resume_with_deliveries(&mut self, gate: usize) {
+        for delivery in self.suspended.remove(&gate).unwrap_or_default() {
+            self.deliver(delivery);
+        }
+        self.event(gate, GateEvent::Timer);
+    }
+
     fn deliver(&mut self, delivery: Delivery) {
         if let Delivery::Gate(gate, _) | Delivery::Answer { gate, .. } = &delivery
             && let Some(held) = self.suspended.get_mut(gate)
