Keep each arrival of a response in the model of failovers

Trace: the response arrived at 21.890 s, term 3 was promoted at 22.246 s, and the network delivered the same response again at 22.686 s. The model kept one arrival for each commit and compared the acknowledgement, which came from the first one, with the second. The check was wrong, not the code. Now the arrivals are a queue that the monitor's decisions take in order; each acknowledgement is checked as before.

--- a/crates/failover/tests/support/mod.rs
+++ b/crates/failover/tests/support/mod.rs
@@ -7,7 +7,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
 
 use failover::*;
@@ -167,8 +167,8 @@
     entry_positions: HashMap<LogEntry, usize>,
     /// First entry of each commit.
     commits: HashMap<u64, LogEntry>,
-    /// Arrival of the response, by commit.
-    responses: HashMap<u64, u64>,
+    /// Arrivals of the response that the monitor has not decided, in order, by commit.
+    responses: HashMap<u64, VecDeque<u64>>,
     durable: Vec<LogEntry>,
     required_positions: Vec<(RequiredPosition, LogEntry)>,
     pub violation: Option<String>,
@@ -409,7 +409,7 @@
             }
             Message::Supervisor { node, event } => self.drive_supervisor(node, event),
             Message::Written { node, id, sent_term } => {
-                self.responses.insert(id, self.now);
+                self.responses.entry(id).or_default().push_back(self.now);
                 let durable = id.is_multiple_of(2);
                 let (commit, term) = (CommitId(id), Term(sent_term));
                 self.drive_monitor(node, MonitorEvent::CommitFinished { commit, term, durable });
@@ -651,7 +651,10 @@
                 MonitorAction::Acknowledge { commit, required_position } => {
                     self.check_acknowledgement(commit.0, required_position);
                 }
-                MonitorAction::OutcomeUnknown { .. } => self.unknown += 1,
+                MonitorAction::OutcomeUnknown { commit } => {
+                    self.unknown += 1;
+                    self.responses.get_mut(&commit.0).and_then(VecDeque::pop_front).unwrap();
+                }
                 MonitorAction::LeaderChanged { term, leader } => {
                     self.confirmed_terms.entry(term.0).or_insert(self.now);
                     self.drive_supervisor(node, SupervisorEvent::LeaderConfirmed { term, leader });
@@ -719,7 +722,8 @@
 
     fn check_acknowledgement(&mut self, id: u64, required: RequiredPosition) {
         self.acknowledged += 1;
-        let response = self.responses[&id];
+        // The network may deliver a response twice; the monitor decides in the order of arrival.
+        let response = self.responses.get_mut(&id).and_then(VecDeque::pop_front).unwrap();
         let entry = self.commits[&id];
         let newer = self
             .terms
