--- a/crates/gate/src/log_comparison.rs
+++ b/crates/gate/src/log_comparison.rs
@@ -32,6 +32,22 @@
     pub(crate) superseded: bool,
 }
 
+impl FormerMember {
+    /// A database of which this node knows only that it was one of the cluster.
+    pub(crate) fn unknown(now: Micros, cluster_size: usize) -> Self {
+        FormerMember {
+            removed_at: now,
+            position: TermPosition::default(),
+            last_answer: None,
+            leaving: false,
+            reported_log: ReportedLog::default(),
+            cluster_size,
+            log_end: None,
+            superseded: false,
+        }
+    }
+}
+
 /// The log that a database has reported, to notice that it has started again without it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ReportedLog {
@@ -52,22 +68,6 @@
     }
 }
 
-impl FormerMember {
-    /// A database of which this node knows only that it was one of the cluster.
-    pub(crate) fn unknown(now: Micros, cluster_size: usize) -> Self {
-        FormerMember {
-            removed_at: now,
-            position: TermPosition::default(),
-            last_answer: None,
-            leaving: false,
-            reported_log: ReportedLog::default(),
-            cluster_size,
-            log_end: None,
-            superseded: false,
-        }
-    }
-}
-
 /// Whether the logs that a failover has compared contain every acknowledged commit.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum LogCoverage {
@@ -230,10 +230,10 @@
     /// what showed it.
     pub(crate) fn known_log_end(&self, cluster: &Name) -> (TermPosition, String) {
         let proof = self.clusters.get(cluster).map(|state| &state.proof);
-        let own = match self.has_synchronous_replicas(cluster) {
-            true => proof.map(LeadershipProof::required_log_end),
-            // No commit is known to be at a replica.
-            false => proof.map(LeadershipProof::known_log_end),
+        let own = if self.has_synchronous_replicas(cluster) {
+            proof.map(LeadershipProof::required_log_end)
+        } else {
+            proof.map(LeadershipProof::known_log_end)
         };
         let own = own.unwrap_or_default();
         let announced = self.failovers.running.get(cluster).map(|failover| failover.announced);
--- a/crates/gate/src/log_holders.rs
+++ b/crates/gate/src/log_holders.rs
@@ -4,9 +4,9 @@
 //! compared all databases of the cluster but `sync_replicas` has therefore seen every acknowledged
 //! commit; while more are missing, the compared logs prove nothing. The list of databases does not
 //! show which ones are missing: an entry expires while its database is down or cut off from the
-//! store, and a node that starts later never sees it. So the owners of a cluster keep a record of its
-//! databases. They take a database out when it has left or been replaced, and another replica holds every
-//! commit that was acknowledged before it was removed.
+//! store, and a node that starts later never sees it. So the owners of a cluster keep a record of
+//! its databases. They take a database out when it has left or been replaced, and another replica
+//! holds every commit that was acknowledged before it was removed.
 
 use std::collections::BTreeSet;
 
@@ -54,6 +54,10 @@
     pub(crate) fn observe(&mut self, revision: u64, record: Option<LogHoldersRecord>) {
         self.revision = revision;
         self.names = record.map(names_of);
+        if self.names.is_some() {
+            self.missing_since = None;
+            self.shown = false;
+        }
     }
 }
 
@@ -153,6 +157,9 @@
     fn find_superseded_members(&mut self, cluster: &Name, first: bool) {
         let now = self.now;
         let Some(state) = self.clusters.get_mut(cluster) else { return };
+        if state.former_members.is_empty() && state.log_holders.names.is_some() {
+            return;
+        }
         let leader = state.proof.leader();
         let replicas = state.members.iter().filter(|name| Some(*name) != leader);
         let held = replicas.filter_map(|name| {
@@ -176,10 +183,7 @@
             waits |= !former.superseded && now >= former.removed_at + delay;
         }
         let holders = &mut state.log_holders;
-        if holders.names.is_some() {
-            holders.missing_since = None;
-            holders.shown = false;
-        } else {
+        if holders.names.is_none() {
             let since = *holders.missing_since.get_or_insert(now);
             let end = state.proof.proved_position(since);
             holders.shown |= end.is_some_and(|end| held >= end);
