Start the other client before the bad input in the test of errors

Cause, by reading: nothing made the test wait for the other client's thread, so all inputs could be over before its first row. Change: the inputs begin after the first row is in, so the other client is active throughout. The checks are as before.

--- a/crates/daemon/tests/transactions.rs
+++ b/crates/daemon/tests/transactions.rs
@@ -515,18 +515,22 @@
     let proxy = &fleet.proxies[0];
     proxy.connect().batch_execute("CREATE TABLE meters (id bigint)").unwrap();
     let stop = AtomicBool::new(false);
+    let (started, is_started) = std::sync::mpsc::channel();
     let table = std::thread::scope(|scope| {
         let _stop = StopGuard(&stop);
-        let other = scope.spawn(|| {
+        let stop = &stop;
+        let other = scope.spawn(move || {
             let mut client = proxy.connect();
             let mut count = 0;
             while !stop.load(Ordering::SeqCst) {
                 let insert = format!("INSERT INTO meters VALUES ({count})");
                 assert_eq!(run(&mut client, &insert), RequestOutcome::Done(1));
                 count += 1;
+                let _ = started.send(());
             }
             count
         });
+        is_started.recv().expect("the other client has inserted a row");
         let mut lines = Vec::new();
         for (name, input) in &cases {
             let mut raw_client = match input {
