--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -261,25 +261,30 @@
 
     /// Writes the number of nodes. A failure is only logged, as the gate retries.
     pub(crate) fn write_node_count(&self, bytes: Vec<u8>) {
-        let client = self.client.clone();
-        let write = move || {
-            if let Err(error) = client.write_node_count(&bytes) {
-                log_failure("write_fleet", &error);
-            }
-        };
-        shell::spawn_call("write_fleet", write, (), |()| {});
+        self.write("write_fleet", move |client| client.write_node_count(&bytes));
     }
 
     /// Writes the record of a cluster's databases. A failure is only logged, as the gate retries; a conflict shows in the
     /// newer record.
     pub(crate) fn write_log_holders(&self, cluster: Name, expected: u64, bytes: Vec<u8>) {
+        self.write("write_holders", move |client| {
+            client.write_log_holders(&cluster, expected, &bytes).map(|_| ())
+        });
+    }
+
+    /// Makes a write on a thread of its own; a failure is only logged.
+    fn write(
+        &self,
+        name: &'static str,
+        write: impl FnOnce(S) -> Result<(), StoreError> + Send + 'static,
+    ) {
         let client = self.client.clone();
         let write = move || {
-            if let Err(error) = client.write_log_holders(&cluster, expected, &bytes) {
-                log_failure("write_log_holders", &error);
+            if let Err(error) = write(client) {
+                log_failure(name, &error);
             }
         };
-        shell::spawn_call("write_holders", write, (), |()| {});
+        shell::spawn_call(name, write, (), |()| {});
     }
 
     pub(crate) fn read_state(&self) {
--- a/crates/gate/src/backend.rs
+++ b/crates/gate/src/backend.rs
@@ -2,11 +2,14 @@
 
 use bytes::Bytes;
 use model::{DatabaseRole, Micros, Name, Term};
+use serde::{Deserialize, Serialize};
 
 use crate::statement::{ErrorCode, StatementAccess, TransactionState};
 
 /// A term and a position in a cluster's log, ordered by term first.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct TermPosition {
     pub term: Term,
     pub position: u64,
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -12,7 +12,7 @@
 use crate::{Gate, fields};
 
 /// Timeout for opening a connection, including a handshake behind a full queue.
-const OPEN_TIMEOUT: Micros = Micros::from_millis(1_000);
+pub(crate) const OPEN_TIMEOUT: Micros = Micros::from_millis(1_000);
 
 /// Timeout for the answer to a report or another command that is not a client's statement. Reports
 /// take a slot, behind a queue of 16 statements.
@@ -53,7 +53,7 @@
 impl Gate {
     /// Returns the number of connections to each of a cluster's databases that this node keeps in a
     /// steady state.
-    fn steady_connections(&self, cluster: &Name) -> u32 {
+    pub(crate) fn steady_connections(&self, cluster: &Name) -> u32 {
         let limits = self.table.clusters.get(cluster);
         let connections = limits.map_or(DEFAULT_MAX_CONNECTIONS, |limits| limits.max_connections);
         steady_share(connections, self.sharing_node_count(cluster))
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -41,7 +41,7 @@
 use crate::backend::{BackendCommand, DatabaseReport};
 use crate::database::CommandPurpose;
 use crate::event::{Document, NodeRole, PromoteResult, StoreState, StoredDocument};
-use crate::log_holders::names_of;
+use crate::log_holders::recorded_holders;
 use crate::read_lease::{COMMIT_GRACE, READ_LEASE_TTL};
 use crate::registry::NodeRecord;
 use crate::{Gate, fields};
@@ -61,10 +61,6 @@
 /// time at least [`LISTING_DELAY`] after the first question.
 const OLD_PRIMARY_INTERVAL: Micros = Micros::from_millis(100);
 
-/// Open connections to an old primary that answers on none of them, above which a failover opens no
-/// more: the limit for a busy database, one and three extra ones, see `Database::connection_limit`.
-const OLD_PRIMARY_CONNECTIONS: usize = 4;
-
 /// Time to wait for the answer to a demotion before the failover goes on without it.
 const DEMOTE_TIMEOUT: Micros = Micros::from_millis(250);
 
@@ -76,16 +72,16 @@
 const PROMOTION_EFFECT_TIMEOUT: Micros = Micros::from_millis(2_000);
 
 /// Remaining time of the promotion lease at which a failover is aborted because the lease was not
-/// renewed in time: commands that lift fences take a few milliseconds, behind a queue about 150 ms.
+/// renewed in time: a command that lifts a fence may wait behind 16 statements of 9 ms.
 const LIFT_MARGIN: Micros = Micros::from_millis(200);
 
 /// Time before this node retries a failover of the same cluster after it aborted one.
 const FAILOVER_BACKOFF: Micros = Micros::from_millis(1_500);
 
-/// Time that nodes get to acknowledge an announcement before their leases are ended: [`COMMIT_GRACE`]
-/// and one timer interval, and one watch event and one write, each of which takes up to 10 ms while
-/// the store is healthy.
-const ACKNOWLEDGE_TIMEOUT: Micros = Micros::from_millis(80);
+/// Time that nodes get to acknowledge an announcement before their leases are ended: [`COMMIT_GRACE`],
+/// and 60 ms for one watch event and one write, each of which takes up to 10 ms while the store is
+/// healthy.
+const ACKNOWLEDGE_TIMEOUT: Micros = Micros(COMMIT_GRACE.0 + 60_000);
 
 /// Progress of a failover.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -391,14 +387,17 @@
             return;
         }
         failover.old_primary_asked = Some(now);
+        let share = self.steady_connections(cluster);
         let Some(database) = self.databases.get_mut(&old) else { return };
         // A report that was requested before the database answered again may be lost.
         database.report_requested_at = None;
         database.report_wanted = true;
+        // Attempts that are not answered do not count, as the database may answer the next one.
         let open = database.connections.len().saturating_sub(database.opening as usize);
+        let limit = database.connection_limit(now, share);
         if !database.idle.is_empty() {
             self.send_wanted_report(&old);
-        } else if open < OLD_PRIMARY_CONNECTIONS {
+        } else if open < limit as usize {
             self.open_connection(&old);
         }
     }
@@ -541,7 +540,7 @@
                     failover.announced,
                 ));
             failover.replicas = replicas;
-            failover.holders = stored_holders(&documents, &cluster);
+            failover.holders = recorded_holders(&documents, &cluster);
             if failover.only_lifts_fences {
                 self.lift_fences(&cluster);
                 continue;
@@ -624,12 +623,9 @@
         let compared = self.failovers.running.get(cluster).is_some_and(|failover| {
             failover.replicas.iter().all(|name| failover.fenced.contains_key(name))
         });
-        if !compared || self.missing_log_reason(cluster).is_some() {
+        let proved = compared && self.missing_log_reason(cluster).is_none();
+        let Some((name, position)) = self.longest_fenced_log(cluster).filter(|_| proved) else {
             return self.set_stage(cluster, FailoverStage::Listing);
-        }
-        let best = self.longest_fenced_log(cluster);
-        let Some((name, position)) = best else {
-            return self.abort_failover(cluster, "no replica is fenced");
         };
         if let Some(failover) = self.failovers.running.get_mut(cluster) {
             failover.new_primary = Some(name.clone());
@@ -645,16 +641,12 @@
     fn send_promote(&mut self, cluster: &Name) {
         let now = self.now;
         let Some(token) = self.promotion_lease.fencing_token(now) else { return };
-        if self.failovers.running.get(cluster).is_none_or(|own| own.fencing_token != token) {
+        let Some(failover) = self.failovers.running.get(cluster) else { return };
+        let Some(database) = failover.new_primary.clone() else { return };
+        if failover.fencing_token != token {
             return;
         }
-        let Some(database) = self.new_primary(cluster) else { return };
-        let fenced = self
-            .failovers
-            .running
-            .get(cluster)
-            .is_some_and(|failover| failover.fenced.contains_key(&database));
-        if !fenced {
+        if !failover.fenced.contains_key(&database) {
             return self.set_stage(cluster, FailoverStage::Listing);
         }
         self.record_step(cluster);
@@ -745,18 +737,6 @@
     }
 }
 
-/// Returns the databases that the record of a cluster in the store names; `None` without a readable
-/// record.
-fn stored_holders(documents: &[StoredDocument], cluster: &Name) -> Option<BTreeSet<Name>> {
-    let stored = documents.iter().find(|stored| match &stored.document {
-        Document::LogHolders(name) => name == cluster,
-        Document::PromotionLease | Document::NodeCount | Document::Node(..) => false,
-    });
-    // The gate logs an unreadable record when it is notified of it.
-    let record = stored.and_then(|stored| serde_json::from_slice(&stored.bytes).ok());
-    record.map(names_of)
-}
-
 /// Returns the other registered owners that have not acknowledged an announcement.
 fn unacknowledged_nodes(
     documents: &[StoredDocument],
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -3,6 +3,7 @@
 use model::{DatabaseRole, Micros, Name};
 
 use crate::backend::{BackendAnswer, BackendCommand, TermPosition};
+use crate::connection::OPEN_TIMEOUT;
 use crate::database::CommandPurpose;
 use crate::event::ConnectionId;
 use crate::failover::{FailoverStage, STEP_RETRY_INTERVAL};
@@ -17,9 +18,8 @@
 /// queue.
 const PROBE_TIMEOUT: Micros = Micros::from_millis(500);
 
-/// Time for which a lift waits for a connection; opening one takes 14 ms, and 1 s at most. The
-/// promotion lease is kept meanwhile.
-const LIFT_TIMEOUT: Micros = Micros::from_millis(1_000);
+/// Time for which a lift waits for a connection. The promotion lease is kept meanwhile.
+const LIFT_TIMEOUT: Micros = OPEN_TIMEOUT;
 
 impl Gate {
     /// Demotes the old primary, if it answers, before the new one is chosen.
--- a/crates/gate/src/log_comparison.rs
+++ b/crates/gate/src/log_comparison.rs
@@ -222,7 +222,7 @@
         let proof = &self.clusters.get(cluster)?.proof;
         let current = proof.log_end_known_at() > Some(last_departure);
         let proved = proof.newest_proved_position(last_departure);
-        Some(LogEndRecord::new(proof.required_log_end(), current, proved))
+        Some(LogEndRecord { end: proof.required_log_end(), current, proved })
     }
 
     /// Returns the end of the log that a new primary must hold so that no acknowledged commit is
--- a/crates/gate/src/log_holders.rs
+++ b/crates/gate/src/log_holders.rs
@@ -10,7 +10,7 @@
 
 use std::collections::BTreeSet;
 
-use model::{DatabaseRole, Micros, Name};
+use model::{DatabaseRole, FastSet, Micros, Name};
 use serde::{Deserialize, Serialize};
 
 use crate::action::GateAction;
@@ -21,11 +21,13 @@
 /// Interval between writes of the record: longer than a slow answer of the store.
 const WRITE_INTERVAL: Micros = Micros::from_millis(1_000);
 
-/// Interval of report requests that show whether a replica holds what a removed database may hold.
+/// Interval of report requests that show whether a replica holds what a removed database may hold:
+/// half the time for which proved positions are kept.
 const REPORT_INTERVAL: Micros = Micros::from_millis(2_000);
 
-/// Time that the other owners leave to the first one, which sees all commits of a large deployment.
-const OTHER_OWNER_DELAY: Micros = Micros::from_millis(5_000);
+/// Time that the other owners leave to the first one, which sees all commits of a large deployment:
+/// two requests for reports and a write.
+const OTHER_OWNER_DELAY: Micros = Micros(2 * REPORT_INTERVAL.0 + WRITE_INTERVAL.0);
 
 /// The stored record.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,7 +46,7 @@
     missing_since: Option<Micros>,
     /// A listed replica was shown to hold every commit acknowledged before, so a record can be made
     /// of the list.
-    shown: bool,
+    list_covers_commits: bool,
     written_at: Option<Micros>,
     reports_requested_at: Option<Micros>,
 }
@@ -56,16 +58,43 @@
         self.names = record.map(names_of);
         if self.names.is_some() {
             self.missing_since = None;
-            self.shown = false;
+            self.list_covers_commits = false;
         }
     }
+
+    /// Returns true if the record names these databases and no other one.
+    fn names_all_of(&self, members: &[Name]) -> bool {
+        let names = self.names.as_ref();
+        names.is_some_and(|names| {
+            names.len() == members.len() && members.iter().all(|member| names.contains(member))
+        })
+    }
 }
 
 /// Returns the databases that a record names.
-pub(crate) fn names_of(record: LogHoldersRecord) -> BTreeSet<Name> {
+fn names_of(record: LogHoldersRecord) -> BTreeSet<Name> {
     record.holders.into_iter().map(Name::from).collect()
 }
 
+/// Returns the cluster whose log holders a document records.
+fn recorded_cluster(document: &Document) -> Option<&Name> {
+    match document {
+        Document::LogHolders(cluster) => Some(cluster),
+        Document::PromotionLease | Document::NodeCount | Document::Node(..) => None,
+    }
+}
+
+/// Returns the databases that the record of a cluster in the store names; `None` without a readable
+/// record, which the gate logs when it is notified of it.
+pub(crate) fn recorded_holders(
+    documents: &[StoredDocument],
+    cluster: &Name,
+) -> Option<BTreeSet<Name>> {
+    let mut stored = documents.iter();
+    let stored = stored.find(|stored| recorded_cluster(&stored.document) == Some(cluster))?;
+    serde_json::from_slice(&stored.bytes).ok().map(names_of)
+}
+
 impl Gate {
     /// Processes the stored record of a cluster.
     pub(crate) fn log_holders_read(
@@ -79,12 +108,10 @@
 
     /// Forgets the records that are not among the listed documents.
     pub(crate) fn forget_unlisted_log_holders(&mut self, documents: &[StoredDocument]) {
+        let documents = documents.iter().map(|stored| &stored.document);
+        let listed: FastSet<&Name> = documents.filter_map(recorded_cluster).collect();
         for (cluster, state) in &mut self.clusters {
-            let listed = documents.iter().any(|stored| match &stored.document {
-                Document::LogHolders(name) => name == cluster,
-                Document::PromotionLease | Document::NodeCount | Document::Node(..) => false,
-            });
-            if !listed {
+            if !listed.contains(cluster) {
                 state.log_holders.observe(0, None);
             }
         }
@@ -95,6 +122,10 @@
     /// one may see no requests.
     pub(crate) fn maintain_log_holders(&mut self, cluster: &Name) {
         let now = self.now;
+        let Some(state) = self.clusters.get(cluster) else { return };
+        if state.former_members.is_empty() && state.log_holders.names_all_of(&state.members) {
+            return;
+        }
         let writes = self.registration.role == NodeRole::Owner
             && self.owns_connections(cluster)
             && self.has_synchronous_replicas(cluster)
@@ -117,7 +148,7 @@
                 });
                 awaited.chain(members.filter(|_| first)).cloned().collect()
             }
-            None if state.log_holders.shown => members.cloned().collect(),
+            None if state.log_holders.list_covers_commits => members.cloned().collect(),
             None => return,
         };
         let written_at = state.log_holders.written_at;
@@ -157,9 +188,6 @@
     fn find_superseded_members(&mut self, cluster: &Name, first: bool) {
         let now = self.now;
         let Some(state) = self.clusters.get_mut(cluster) else { return };
-        if state.former_members.is_empty() && state.log_holders.names.is_some() {
-            return;
-        }
         let leader = state.proof.leader();
         let replicas = state.members.iter().filter(|name| Some(*name) != leader);
         let held = replicas.filter_map(|name| {
@@ -186,8 +214,8 @@
         if holders.names.is_none() {
             let since = *holders.missing_since.get_or_insert(now);
             let end = state.proof.proved_position(since);
-            holders.shown |= end.is_some_and(|end| held >= end);
-            waits |= !holders.shown && now >= since + delay;
+            holders.list_covers_commits |= end.is_some_and(|end| held >= end);
+            waits |= !holders.list_covers_commits && now >= since + delay;
         }
         if waits && holders.reports_requested_at.is_none_or(|at| now >= at + REPORT_INTERVAL) {
             holders.reports_requested_at = Some(now);
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -62,9 +62,9 @@
         let role = match self.registration.role {
             // Requests in flight still need the read lease.
             role if self.drain.since.is_some() => role,
+            _ if owns && settled && warmed_up => NodeRole::Owner,
             // Failovers wait only for owners, and this one may still commit.
             NodeRole::Owner if self.has_open_work() => NodeRole::Owner,
-            _ if owns && settled && warmed_up => NodeRole::Owner,
             _ => NodeRole::Standby,
         };
         if role != self.registration.role {
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 use member::owner_score;
-use model::{FastMap, FastSet, Micros, Name, Term};
+use model::{FastMap, FastSet, Micros, Name};
 use serde::{Deserialize, Serialize};
 
 use crate::backend::TermPosition;
@@ -22,39 +22,21 @@
 /// The end of a cluster's log as a node knows it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogEndRecord {
-    pub term: u64,
-    pub position: u64,
+    pub end: TermPosition,
     /// It covers all commits that were acknowledged by owners which have left.
     #[serde(default)]
     pub current: bool,
-    /// Term and position that the primary was proved to have since the last owner left. They cover
-    /// the same commits, and perhaps more than were acknowledged.
+    /// Position that the primary was proved to have since the last owner left. It covers the same
+    /// commits, and perhaps more than were acknowledged.
     #[serde(default)]
-    pub proved: Option<(u64, u64)>,
+    pub proved: Option<TermPosition>,
 }
 
 impl LogEndRecord {
-    pub(crate) fn new(end: TermPosition, current: bool, proved: Option<TermPosition>) -> Self {
-        LogEndRecord {
-            term: end.term.0,
-            position: end.position,
-            current,
-            proved: proved.map(|proved| (proved.term.0, proved.position)),
-        }
-    }
-
     /// Returns true if a log covers all commits that were acknowledged by owners which have left,
     /// provided that it holds this end.
     pub(crate) fn is_covered_by(&self, longest: TermPosition) -> bool {
-        let proved =
-            self.proved.map(|(term, position)| TermPosition { term: Term(term), position });
-        self.current || proved.is_some_and(|proved| longest >= proved)
-    }
-}
-
-impl From<LogEndRecord> for TermPosition {
-    fn from(record: LogEndRecord) -> Self {
-        TermPosition { term: Term(record.term), position: record.position }
+        self.current || self.proved.is_some_and(|proved| longest >= proved)
     }
 }
 
@@ -102,7 +84,8 @@
     standbys: FastMap<Name, NodeRecord>,
     /// When an owner was last seen to leave; it may still hold a read lease.
     last_departure: Option<Micros>,
-    /// Owners that left without a shutdown and have not registered again.
+    /// Owners that left without a shutdown and have not registered again: one name for each VM that
+    /// was lost for good while this process ran.
     unaccounted: FastSet<Name>,
     /// Last records of nodes that left, and when they left. Such a node may still run, because a
     /// lease can end early.
@@ -248,7 +231,7 @@
             .filter(|(_, record)| record.acknowledged >= announced)
             .filter_map(|(name, record)| {
                 let end = record.log_ends.get(cluster.as_str())?;
-                Some((TermPosition::from(*end), name))
+                Some((end.end, name))
             })
             .max()
     }
