Share the steps of the failover tests

Four test files each had their own load, writes and changes of the list, and the stand-in suspended nodes in two ways. They are methods of the simulation now, with one way to suspend a node, and one function for what a node reads when it starts. log_coverage_review.rs is failover_changes.rs, after what it tests. Checks, orders of events and bounds are as before, except that commits_of_transactions_at_a_former_owner_are_not_lost opens its transaction before the other node joins: a resumed node gets its timer at once now.

--- a/crates/gate/tests/log_coverage_review.rs
+++ b/crates/gate/tests/failover_changes.rs
@@ -10,49 +10,6 @@
     Micros::from_millis(time)
 }
 
-/// Sends a read of current data on every running node every 20 ms.
-fn run_with_reads(simulation: &mut Simulation, time: Micros) {
-    let end = simulation.now + time;
-    while simulation.now < end {
-        for gate in 0..simulation.gates.len() {
-            if !simulation.stopped.contains(&gate) {
-                let session = simulation.open(gate, LATEST);
-                let id = format!("r{gate}-{}", simulation.now.0);
-                simulation.send_request(gate, session, &id, "READ 1");
-            }
-        }
-        simulation.run(millis(20));
-    }
-}
-
-/// Sends writes on one node, which must be served. Returns the end of the acknowledged log.
-fn write(simulation: &mut Simulation, gate: usize, count: usize) -> TermPosition {
-    for turn in 0..count {
-        let session = simulation.open(gate, LATEST);
-        let id = format!("w{turn}-{gate}-{}", simulation.now.0);
-        simulation.send_request(gate, session, &id, "WRITE 1 x");
-        simulation.run(millis(20));
-        assert_eq!(simulation.outcome(session), "served");
-    }
-    simulation.databases["a"].received
-}
-
-/// Removes a database's entry. The database itself may go on.
-fn unlist(simulation: &mut Simulation, name: &str) {
-    simulation.unlisted.insert(name.into());
-    for gate in 0..simulation.gates.len() {
-        if !simulation.stopped.contains(&gate) {
-            simulation.event(gate, GateEvent::DatabaseUnlisted { id: name.into() });
-        }
-    }
-}
-
-/// Makes a database silent, and lets its entry expire.
-fn fail_database(simulation: &mut Simulation, name: &str) {
-    simulation.database(name).unreachable = true;
-    unlist(simulation, name);
-}
-
 /// Ends a node's process; its lease expires.
 fn kill_node(simulation: &mut Simulation, gate: usize) {
     simulation.stopped.insert(gate);
@@ -72,20 +29,20 @@
 #[test]
 fn a_removed_replica_that_still_receives_commits_stays_a_holder() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
-    unlist(&mut simulation, "b");
+    simulation.run_with_reads(&[LATEST], millis(1_000));
+    simulation.unlist("b");
     for _ in 0..12 {
-        run_with_reads(&mut simulation, millis(500));
+        simulation.run_with_reads(&[LATEST], millis(500));
         for gate in 0..4 {
-            write(&mut simulation, gate, 1);
+            simulation.write(gate, 1);
         }
     }
     simulation.database("c").replication_stopped = true;
-    let end = write(&mut simulation, 0, 5);
+    let end = simulation.write(0, 5);
     assert_eq!(simulation.databases["b"].received, end, "b received the commits");
     kill_node(&mut simulation, 0);
     simulation.database("a").unreachable = true;
-    run_with_reads(&mut simulation, millis(12_000));
+    simulation.run_with_reads(&[LATEST], millis(12_000));
     assert_none_lost(&simulation, end);
 }
 
@@ -94,19 +51,19 @@
 #[test]
 fn commits_of_an_owner_that_is_cut_off_from_the_store_are_not_lost() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&[LATEST], millis(1_000));
     simulation.store_cut.insert(3);
     simulation.run(millis(1_000));
     simulation.remove_registration(3);
     simulation.run(millis(1_000));
     for gate in 0..3 {
-        write(&mut simulation, gate, 1);
+        simulation.write(gate, 1);
     }
     simulation.database("c").replication_stopped = true;
-    let end = write(&mut simulation, 3, 5);
-    fail_database(&mut simulation, "b");
+    let end = simulation.write(3, 5);
+    simulation.fail_database("b");
     simulation.database("a").unreachable = true;
-    run_with_reads(&mut simulation, millis(12_000));
+    simulation.run_with_reads(&[LATEST], millis(12_000));
     assert_none_lost(&simulation, end);
 }
 
@@ -115,9 +72,9 @@
 #[test]
 fn the_logs_are_compared_again_after_a_replica_restarts_during_the_demotion() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&[LATEST], millis(1_000));
     simulation.database("c").replication_stopped = true;
-    let end = write(&mut simulation, 0, 10);
+    let end = simulation.write(0, 10);
     simulation.database("a").leaving = true;
     simulation.publish_database("a");
     let acting = |simulation: &Simulation, stage: &str| {
@@ -146,16 +103,16 @@
 #[test]
 fn commits_acknowledged_before_a_node_started_again_are_not_lost() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&[LATEST], millis(1_000));
     for gate in 0..4 {
-        write(&mut simulation, gate, 1);
+        simulation.write(gate, 1);
     }
     simulation.database("c").replication_stopped = true;
-    let end = write(&mut simulation, 0, 5);
-    fail_database(&mut simulation, "b");
+    let end = simulation.write(0, 5);
+    simulation.fail_database("b");
     simulation.database("a").unreachable = true;
     simulation.start_again_in_place(0);
-    run_with_reads(&mut simulation, millis(12_000));
+    simulation.run_with_reads(&[LATEST], millis(12_000));
     assert_none_lost(&simulation, end);
 }
 
@@ -165,16 +122,16 @@
 fn a_record_of_log_holders_that_cannot_be_read_proves_nothing() {
     for bytes in [None, Some(b"{\"holders\":7}".to_vec())] {
         let mut simulation = Simulation::start(4);
-        run_with_reads(&mut simulation, millis(1_000));
+        simulation.run_with_reads(&[LATEST], millis(1_000));
         simulation.database("c").replication_stopped = true;
-        let end = write(&mut simulation, 0, 5);
-        fail_database(&mut simulation, "b");
-        fail_database(&mut simulation, "a");
+        let end = simulation.write(0, 5);
+        simulation.fail_database("b");
+        simulation.fail_database("a");
         simulation.replace_log_holders(bytes);
         for gate in 0..4 {
             simulation.start_again(gate);
         }
-        run_with_reads(&mut simulation, millis(12_000));
+        simulation.run_with_reads(&[LATEST], millis(12_000));
         assert_none_lost(&simulation, end);
     }
 }
@@ -222,68 +179,68 @@
 #[test]
 fn a_replaced_replica_leaves_the_record_of_log_holders() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&[LATEST], millis(1_000));
     simulation.database("b").leaving = true;
     simulation.publish_database("b");
-    run_with_reads(&mut simulation, millis(1_000));
-    fail_database(&mut simulation, "b");
+    simulation.run_with_reads(&[LATEST], millis(1_000));
+    simulation.fail_database("b");
     for _ in 0..10 {
-        run_with_reads(&mut simulation, millis(500));
+        simulation.run_with_reads(&[LATEST], millis(500));
         for gate in 0..4 {
-            write(&mut simulation, gate, 1);
+            simulation.write(gate, 1);
         }
     }
     let replacement = simulation.databases["c"].clone();
     simulation.databases.insert("d".into(), replacement);
     simulation.publish_database("d");
     for _ in 0..10 {
-        run_with_reads(&mut simulation, millis(500));
+        simulation.run_with_reads(&[LATEST], millis(500));
         for gate in 0..4 {
-            write(&mut simulation, gate, 1);
+            simulation.write(gate, 1);
         }
     }
     kill_node(&mut simulation, 3);
     simulation.database("a").unreachable = true;
-    run_with_reads(&mut simulation, millis(30_000));
+    simulation.run_with_reads(&[LATEST], millis(30_000));
     assert_eq!(simulation.promotions.len(), 1, "c and d both hold the whole log");
 }
 
 /// Guards against a promotion by a comparison from before another node's failover: the node loses
-/// the promotion lease while it is frozen, claims it again and goes on with its old fences.
+/// the promotion lease while it is suspended, claims it again and goes on with its old fences.
 #[test]
 fn a_failover_is_given_up_once_its_node_has_lost_the_promotion_lease() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
-    write(&mut simulation, 0, 3);
+    simulation.run_with_reads(&[LATEST], millis(1_000));
+    simulation.write(0, 3);
     simulation.database("a").unreachable = true;
     simulation.open_steady(1, LATEST);
     simulation.open_steady(2, LATEST);
-    let frozen = run_until_stage(&mut simulation, "confirming");
-    simulation.frozen.insert(frozen, Vec::new());
+    let suspended = run_until_stage(&mut simulation, "confirming");
+    simulation.suspend(suspended);
     // Another node takes over, and promotes `b`.
     let limit = simulation.now + millis(5_000);
     while simulation.promotions.is_empty() {
-        run_with_reads(&mut simulation, millis(20));
+        simulation.run_with_reads(&[LATEST], millis(20));
         assert!(simulation.now < limit, "no other node took over");
     }
     assert_eq!(simulation.promotions[0].1, "b".into());
     simulation.database("c").replication_stopped = true;
-    run_with_reads(&mut simulation, millis(340));
+    simulation.run_with_reads(&[LATEST], millis(340));
     // The old primary is back as a replica, while `c` receives nothing.
-    simulation.cut(frozen, "a");
+    simulation.cut(suspended, "a");
     let term = simulation.databases["b"].term;
     let start = simulation.databases["b"].received;
     let old = simulation.database("a");
     (old.unreachable, old.role, old.term, old.received) =
         (false, gate::DatabaseRole::Replica, term, start);
-    let session = simulation.open_steady((frozen + 1) % 4, LATEST);
-    run_with_reads(&mut simulation, millis(200));
+    let session = simulation.open_steady((suspended + 1) % 4, LATEST);
+    simulation.run_with_reads(&[LATEST], millis(200));
     let end = acknowledged_end(&simulation, session);
     assert!(end > simulation.databases["c"].received, "b and a hold more commits");
-    fail_database(&mut simulation, "b");
+    simulation.fail_database("b");
     simulation.promoted_logs.clear();
-    simulation.thaw(frozen);
-    run_with_reads(&mut simulation, millis(4_000));
+    simulation.resume_with_deliveries(suspended);
+    simulation.run_with_reads(&[LATEST], millis(4_000));
     assert_none_lost(&simulation, end);
 }
 
@@ -293,8 +250,8 @@
 #[test]
 fn fences_are_lifted_only_by_the_holder_of_the_promotion_lease() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
-    write(&mut simulation, 0, 3);
+    simulation.run_with_reads(&[LATEST], millis(1_000));
+    simulation.write(0, 3);
     // The nodes keep connections to `c`, the replica in their data centre.
     for mut listed in simulation.listed() {
         if listed.id == "b".into() {
@@ -304,7 +261,7 @@
             }
         }
     }
-    run_with_reads(&mut simulation, millis(500));
+    simulation.run_with_reads(&[LATEST], millis(500));
     simulation.store_cut.insert(3);
     simulation.run(millis(1_000));
     simulation.remove_registration(3);
@@ -313,12 +270,12 @@
         simulation.cut(gate, "a");
         simulation.open_steady(gate, LATEST);
     }
-    let frozen = run_until_stage(&mut simulation, "waiting");
-    simulation.frozen.insert(frozen, Vec::new());
+    let suspended = run_until_stage(&mut simulation, "waiting");
+    simulation.suspend(suspended);
     simulation.logs.clear();
     let holder = run_until_stage(&mut simulation, "confirming");
-    assert_ne!(frozen, holder);
-    simulation.thaw(frozen);
+    assert_ne!(suspended, holder);
+    simulation.resume_with_deliveries(suspended);
     let mut end = TermPosition::default();
     let limit = simulation.now + millis(3_000);
     while simulation.promoted_logs.is_empty() {
@@ -334,8 +291,8 @@
 #[test]
 fn commits_that_a_promotion_rolled_back_are_not_waited_for() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
-    write(&mut simulation, 0, 3);
+    simulation.run_with_reads(&[LATEST], millis(1_000));
+    simulation.write(0, 3);
     // Commits that no replica has received, so that none of them was acknowledged.
     let start = simulation.databases["b"].received;
     simulation.database("a").received.position += 5;
@@ -344,20 +301,20 @@
     }
     let limit = simulation.now + millis(8_000);
     while simulation.databases["b"].role == gate::DatabaseRole::Replica {
-        run_with_reads(&mut simulation, millis(20));
+        simulation.run_with_reads(&[LATEST], millis(20));
         assert!(simulation.now < limit, "no promotion");
     }
     // The old primary learns of the new one within a second.
-    run_with_reads(&mut simulation, millis(900));
+    simulation.run_with_reads(&[LATEST], millis(900));
     simulation.cuts.clear();
     let term = simulation.databases["b"].term;
     let old = simulation.database("a");
     (old.role, old.term, old.received) = (gate::DatabaseRole::Replica, term, start);
     simulation.publish_database("a");
-    run_with_reads(&mut simulation, millis(200));
+    simulation.run_with_reads(&[LATEST], millis(200));
     simulation.promotions.clear();
-    fail_database(&mut simulation, "b");
-    run_with_reads(&mut simulation, millis(30_000));
+    simulation.fail_database("b");
+    simulation.run_with_reads(&[LATEST], millis(30_000));
     assert_eq!(simulation.promotions.len(), 1, "a and c hold every acknowledged commit");
 }
 
@@ -397,14 +354,14 @@
 #[test]
 fn a_second_failover_waits_for_acknowledgements_of_its_own() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&[LATEST], millis(1_000));
     for gate in 0..4 {
-        write(&mut simulation, gate, 1);
+        simulation.write(gate, 1);
     }
     simulation.database("b").leaving = true;
     simulation.publish_database("b");
     // `a` is cut off from the store, so that it is removed although it runs.
-    unlist(&mut simulation, "a");
+    simulation.unlist("a");
     // `b` leads the next term, and is leaving.
     simulation.database("c").received.position -= 1;
     simulation.database("c").replication_stopped = true;
@@ -439,11 +396,11 @@
 #[test]
 fn a_new_holder_replaces_the_primary_that_the_former_holder_promoted() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&[LATEST], millis(1_000));
     for gate in 0..4 {
-        write(&mut simulation, gate, 1);
+        simulation.write(gate, 1);
     }
-    fail_database(&mut simulation, "a");
+    simulation.fail_database("a");
     for gate in 0..4 {
         simulation.open_steady(gate, LATEST);
     }
@@ -480,26 +437,26 @@
 #[test]
 fn a_database_that_has_just_joined_is_a_log_holder() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&[LATEST], millis(1_000));
     let joined = simulation.databases["c"].clone();
     simulation.databases.insert("d".into(), joined);
     simulation.publish_database("d");
     simulation.database("b").replication_stopped = true;
     simulation.database("c").replication_stopped = true;
-    let end = write(&mut simulation, 0, 3);
-    fail_database(&mut simulation, "a");
-    fail_database(&mut simulation, "d");
+    let end = simulation.write(0, 3);
+    simulation.fail_database("a");
+    simulation.fail_database("d");
     for gate in 0..4 {
         simulation.start_again(gate);
     }
-    run_with_reads(&mut simulation, millis(12_000));
+    simulation.run_with_reads(&[LATEST], millis(12_000));
     assert_none_lost(&simulation, end);
 }
 
 /// Starts a large deployment in which one node joins late. Returns it before that node joins.
 fn start_large_without(joining: usize) -> Simulation {
     let mut simulation = Simulation::empty(20);
-    simulation.frozen.insert(joining, Vec::new());
+    simulation.suspend(joining);
     simulation.announce_store_state();
     simulation.run(millis(8_000));
     simulation.logs.clear();
@@ -519,21 +476,22 @@
 fn commits_of_transactions_at_a_former_owner_are_not_lost() {
     let found = (0..20).find_map(|joining| {
         let mut simulation = start_large_without(joining);
-        simulation.thaw(joining);
+        simulation.resume_with_deliveries(joining);
         simulation.run(millis(2_000));
         new_standby(&simulation).map(|standby| (joining, standby))
     });
     let (joining, former) = found.expect("a node that joins takes a cluster over");
     let mut simulation = start_large_without(joining);
-    simulation.thaw(joining);
     let session = simulation.open(former, LATEST);
     simulation.send_request(former, session, "t1", "BEGIN");
     simulation.run(millis(20));
     simulation.send_request(former, session, "t2", "WRITE 1 x");
+    simulation.run(millis(20));
+    simulation.resume_with_deliveries(joining);
     simulation.run(millis(2_000));
     assert_eq!(new_standby(&simulation), None, "the owner has an open transaction");
     assert!(simulation.is_registered(former));
-    write(&mut simulation, joining, 2);
+    simulation.write(joining, 2);
     simulation.database("c").replication_stopped = true;
     simulation.send_request(former, session, "t3", "COMMIT");
     simulation.run(millis(60));
@@ -542,7 +500,7 @@
     assert!(simulation.databases["c"].received < end);
     simulation.run(millis(100));
     assert_eq!(new_standby(&simulation), Some(former), "its transaction is over");
-    fail_database(&mut simulation, "b");
+    simulation.fail_database("b");
     simulation.database("a").unreachable = true;
     simulation.run(millis(200));
     let writes = simulation.open_steady(joining, LATEST);
@@ -556,7 +514,7 @@
 #[test]
 fn proved_positions_of_the_primary_count_as_knowledge_of_the_log() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&[LATEST], millis(1_000));
     simulation.event(3, GateEvent::DrainRequested);
     let limit = simulation.now + millis(8_000);
     while !simulation.stopped.contains(&3) {
@@ -564,11 +522,11 @@
         assert!(simulation.now < limit, "the node does not shut down");
     }
     kill_node(&mut simulation, 3);
-    run_with_reads(&mut simulation, millis(1_000));
-    fail_database(&mut simulation, "b");
-    run_with_reads(&mut simulation, millis(5_000));
+    simulation.run_with_reads(&[LATEST], millis(1_000));
+    simulation.fail_database("b");
+    simulation.run_with_reads(&[LATEST], millis(5_000));
     simulation.database("a").unreachable = true;
-    run_with_reads(&mut simulation, millis(10_000));
+    simulation.run_with_reads(&[LATEST], millis(10_000));
     assert_eq!(simulation.promotions.len(), 1, "c holds every commit");
 }
 
@@ -577,14 +535,14 @@
 #[test]
 fn a_replica_that_lost_its_log_is_not_a_compared_holder() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&[LATEST], millis(1_000));
     simulation.database("c").replication_stopped = true;
-    let end = write(&mut simulation, 0, 5);
+    let end = simulation.write(0, 5);
     simulation.database("a").unreachable = true;
     kill_node(&mut simulation, 0);
     simulation.database("b").received = TermPosition::default();
     simulation.restart_replica("b");
-    run_with_reads(&mut simulation, millis(6_000));
+    simulation.run_with_reads(&[LATEST], millis(6_000));
     assert_none_lost(&simulation, end);
 }
 
@@ -595,8 +553,8 @@
 #[ignore = "issue 35, see KNOWN-RED.txt"]
 fn a_replica_that_restarts_before_the_promotion_takes_effect_lets_no_commit_be_lost() {
     let mut simulation = Simulation::start(4);
-    run_with_reads(&mut simulation, millis(1_000));
-    write(&mut simulation, 0, 3);
+    simulation.run_with_reads(&[LATEST], millis(1_000));
+    simulation.write(0, 3);
     simulation.store_cut.insert(3);
     simulation.run(millis(1_000));
     simulation.remove_registration(3);
--- a/crates/gate/tests/failover_witnesses.rs
+++ b/crates/gate/tests/failover_witnesses.rs
@@ -3,10 +3,13 @@
 
 mod support;
 
-use gate::{DatabaseReport, DatabaseRole, GateEvent, LeadershipProof, TermPosition};
+use gate::{DatabaseReport, DatabaseRole, LeadershipProof, TermPosition};
 use model::{Micros, Name, Term};
 use support::{BOUNDED, LATEST, Simulation};
 
+/// What each node reads under load.
+const READS: [&str; 2] = [LATEST, BOUNDED];
+
 fn millis(time: u64) -> Micros {
     Micros::from_millis(time)
 }
@@ -20,24 +23,6 @@
     DatabaseReport { role, term, received, fence, lag, connections: 1 }
 }
 
-/// Sends reads of current data and bounded reads on every running node every 20 ms.
-fn run_with_load(simulation: &mut Simulation, time: Micros) {
-    let end = simulation.now + time;
-    while simulation.now < end {
-        for gate in 0..simulation.gates.len() {
-            if simulation.stopped.contains(&gate) {
-                continue;
-            }
-            for database in [LATEST, BOUNDED] {
-                let session = simulation.open(gate, database);
-                let id = format!("{database}{gate}-{}", simulation.now.0);
-                simulation.send_request(gate, session, &id, "READ 1");
-            }
-        }
-        simulation.run(millis(20));
-    }
-}
-
 /// Writes once through each of the nodes. All writes are acknowledged.
 fn write_through(simulation: &mut Simulation, gates: std::ops::Range<usize>) {
     for gate in gates {
@@ -49,57 +34,37 @@
     }
 }
 
-/// Removes a database's entry from the list.
-fn unlist(simulation: &mut Simulation, name: &str) {
-    simulation.unlisted.insert(name.into());
-    for gate in 0..simulation.gates.len() {
-        if !simulation.stopped.contains(&gate) {
-            simulation.event(gate, GateEvent::DatabaseUnlisted { id: name.into() });
-        }
-    }
-}
-
-/// Lists a database again.
-fn list(simulation: &mut Simulation, name: &str) {
-    simulation.unlisted.remove(name);
-    simulation.publish_database(name);
-}
-
-fn promoted(simulation: &Simulation) -> Vec<&str> {
-    simulation.promotions.iter().map(|(_, name, _)| name.as_str()).collect()
-}
-
 /// Guards against the promotion of a replica that lacks acknowledged commits after a replica has
 /// reported the term of a new primary that crashed before its own first report.
 #[test]
 fn a_new_term_keeps_the_known_end_of_the_log() {
     let mut simulation = Simulation::start(4);
-    run_with_load(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&READS, millis(1_000));
     simulation.database("c").replication_stopped = true;
     write_through(&mut simulation, 0..4);
     let end = simulation.databases["b"].received;
     simulation.database("a").unreachable = true;
     while simulation.promotions.is_empty() {
-        run_with_load(&mut simulation, millis(20));
+        simulation.run_with_reads(&READS, millis(20));
         assert!(simulation.now < Micros::from_secs(20), "no promotion");
     }
     // The new primary leads and is not seen by any node before it crashes.
     for gate in 0..4 {
         simulation.cut(gate, "b");
     }
-    run_with_load(&mut simulation, millis(500));
+    simulation.run_with_reads(&READS, millis(500));
     assert_eq!(simulation.databases["b"].role, DatabaseRole::Primary);
     simulation.database("b").unreachable = true;
-    unlist(&mut simulation, "a");
-    unlist(&mut simulation, "b");
-    run_with_load(&mut simulation, millis(8_000));
-    assert_eq!(promoted(&simulation), ["b"]);
+    simulation.unlist("a");
+    simulation.unlist("b");
+    simulation.run_with_reads(&READS, millis(8_000));
+    assert_eq!(simulation.promoted_databases(), ["b"]);
     assert!(simulation.logged("log_too_short") > 0, "a failover has compared the log of c");
     // It comes back with its log.
     simulation.cuts.clear();
     simulation.database("b").unreachable = false;
-    list(&mut simulation, "b");
-    run_with_load(&mut simulation, millis(3_000));
+    simulation.list("b");
+    simulation.run_with_reads(&READS, millis(3_000));
     simulation.database("c").replication_stopped = false;
     write_through(&mut simulation, 0..1);
     assert!(simulation.databases["b"].received > end);
@@ -200,32 +165,32 @@
 /// not learnt of the new term. The node reaches only `c`.
 fn after_missed_promotion() -> Simulation {
     let mut simulation = Simulation::start(2);
-    run_with_load(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&READS, millis(1_000));
     write_through(&mut simulation, 0..2);
     simulation.cut(0, "a");
     simulation.cut(0, "b");
     simulation.database("c").unreachable = true;
-    unlist(&mut simulation, "c");
-    run_with_load(&mut simulation, millis(5_000));
+    simulation.unlist("c");
+    simulation.run_with_reads(&READS, millis(5_000));
     simulation.database("a").unreachable = true;
     while simulation.databases["b"].role == DatabaseRole::Replica {
-        run_with_load(&mut simulation, millis(20));
+        simulation.run_with_reads(&READS, millis(20));
         assert!(simulation.now < Micros::from_secs(30), "no promotion");
     }
     let old = simulation.database("a");
     (old.role, old.term, old.unreachable) = (DatabaseRole::Replica, Term(2), false);
     simulation.publish_database("a");
-    run_with_load(&mut simulation, millis(500));
+    simulation.run_with_reads(&READS, millis(500));
     write_through(&mut simulation, 1..2);
-    assert_eq!(promoted(&simulation), ["b"]);
+    assert_eq!(simulation.promoted_databases(), ["b"]);
     simulation.database("b").unreachable = true;
-    unlist(&mut simulation, "b");
+    simulation.unlist("b");
     simulation.store_cut.insert(1);
     simulation.stopped.insert(1);
     simulation.remove_registration(1);
     let deaf = simulation.database("c");
     (deaf.replication_stopped, deaf.unreachable) = (true, false);
-    list(&mut simulation, "c");
+    simulation.list("c");
     assert_eq!(simulation.databases["c"].term, Term(1));
     assert!(simulation.databases["a"].received > simulation.databases["c"].received);
     simulation.logs.clear();
@@ -238,12 +203,12 @@
 fn a_primary_that_is_listed_as_a_replica_is_compared() {
     let mut simulation = after_missed_promotion();
     let end = simulation.databases["a"].received;
-    run_with_load(&mut simulation, millis(12_000));
+    simulation.run_with_reads(&READS, millis(12_000));
     assert!(simulation.logged("takeover_started") > 0, "a failover was tried");
-    assert_eq!(promoted(&simulation), ["b"]);
+    assert_eq!(simulation.promoted_databases(), ["b"]);
     simulation.cuts.clear();
-    run_with_load(&mut simulation, millis(8_000));
-    assert_eq!(promoted(&simulation), ["b", "a"]);
+    simulation.run_with_reads(&READS, millis(8_000));
+    assert_eq!(simulation.promoted_databases(), ["b", "a"]);
     assert!(simulation.databases["a"].received >= end);
 }
 /// As above, with an entry that is as it was before the promotion. The database can be reached
@@ -260,13 +225,13 @@
             simulation.database("a").hung = true;
         }
         while !reached_stage(&simulation, "relisting") {
-            run_with_load(&mut simulation, millis(20));
+            simulation.run_with_reads(&READS, millis(20));
             assert!(simulation.now < Micros::from_secs(40), "no failover sets fences");
         }
         simulation.cuts.clear();
         simulation.database("a").hung = false;
-        run_with_load(&mut simulation, millis(8_000));
-        assert_eq!(promoted(&simulation), ["b", "a"], "hung: {hung}");
+        simulation.run_with_reads(&READS, millis(8_000));
+        assert_eq!(simulation.promoted_databases(), ["b", "a"], "hung: {hung}");
         assert!(simulation.databases["a"].received >= end);
     }
 }
@@ -281,17 +246,17 @@
     simulation.publish_database("a");
     simulation.database("a").refuses_reports = true;
     while !reached_stage(&simulation, "relisting") {
-        run_with_load(&mut simulation, millis(20));
+        simulation.run_with_reads(&READS, millis(20));
         assert!(simulation.now < Micros::from_secs(40), "no failover sets fences");
     }
     simulation.cuts.clear();
-    run_with_load(&mut simulation, millis(12_000));
-    assert_eq!(promoted(&simulation), ["b"]);
+    simulation.run_with_reads(&READS, millis(12_000));
+    assert_eq!(simulation.promoted_databases(), ["b"]);
     simulation.database("a").refuses_reports = false;
     let session = simulation.open(0, LATEST);
     simulation.send_request(0, session, "w", "WRITE 1 x");
-    run_with_load(&mut simulation, millis(8_000));
-    assert_eq!(promoted(&simulation), ["b", "a"]);
+    simulation.run_with_reads(&READS, millis(8_000));
+    assert_eq!(simulation.promoted_databases(), ["b", "a"]);
     assert!(simulation.databases["a"].received >= end);
 }
 
@@ -300,7 +265,7 @@
 #[test]
 fn a_log_that_is_transferred_after_the_fence_is_not_passed_over() {
     let mut simulation = Simulation::start(2);
-    run_with_load(&mut simulation, millis(1_000));
+    simulation.run_with_reads(&READS, millis(1_000));
     // Only the node that stops knows of the commits that only the leaving replica receives.
     simulation.database("c").replication_stopped = true;
     simulation.database("b").leaving = true;
@@ -316,20 +281,28 @@
     simulation.databases.insert("d".into(), new);
     simulation.database("a").unreachable = true;
     simulation.database("b").unreachable = true;
-    unlist(&mut simulation, "b");
+    simulation.unlist("b");
     simulation.publish_database("d");
     while simulation.databases["d"].fence == Term(0) {
-        run_with_load(&mut simulation, millis(20));
+        simulation.run_with_reads(&READS, millis(20));
         assert!(simulation.now < Micros::from_secs(20), "no failover fences the new database");
     }
     simulation.database("d").received = log;
-    run_with_load(&mut simulation, millis(12_000));
-    assert!(promoted(&simulation).iter().all(|name| *name == "d"), "{:?}", promoted(&simulation));
+    simulation.run_with_reads(&READS, millis(12_000));
+    assert!(
+        simulation.promoted_databases().iter().all(|name| *name == "d"),
+        "{:?}",
+        simulation.promoted_databases()
+    );
     // The primary comes back with its log.
     simulation.database("a").unreachable = false;
-    run_with_load(&mut simulation, millis(3_000));
+    simulation.run_with_reads(&READS, millis(3_000));
     write_through(&mut simulation, 0..1);
-    assert!(promoted(&simulation).iter().all(|name| *name == "d"), "{:?}", promoted(&simulation));
+    assert!(
+        simulation.promoted_databases().iter().all(|name| *name == "d"),
+        "{:?}",
+        simulation.promoted_databases()
+    );
 }
 
 /// Returns true if a failover has reached a stage since the last clearing of the logs.
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -111,10 +111,8 @@
     /// Role and role changes of each node's registration.
     registered: Vec<(NodeRole, u64)>,
     pub stopped: BTreeSet<usize>,
-    /// Nodes whose process does not run for a while, with the events that wait for it.
-    pub frozen: BTreeMap<usize, Vec<GateEvent>>,
-    /// Nodes that are suspended. What reaches them meanwhile is delivered by [`Simulation::resume`].
-    suspended: BTreeMap<usize, Vec<Delivery>>,
+    /// Nodes that are suspended, with the events that wait for [`Simulation::resume`].
+    suspended: BTreeMap<usize, Vec<GateEvent>>,
     /// Pairs of node and database whose commands reach the database this much later, also if the
     /// node has closed the connection by then, because they are in the database's receive buffer.
     pub late_commands: BTreeMap<(usize, Name), Micros>,
@@ -250,7 +248,6 @@
             renewing: (0..nodes).collect(),
             registered: vec![(NodeRole::Standby, 0); nodes],
             stopped: BTreeSet::new(),
-            frozen: BTreeMap::new(),
             suspended: BTreeMap::new(),
             late_commands: BTreeMap::new(),
             steady: BTreeMap::new(),
@@ -273,19 +270,9 @@
     /// Starts a node's process again: it knows nothing of before, and reads the store.
     pub fn start_again(&mut self, gate: usize) {
         self.remove_registration(gate);
-        self.connections.retain(|(owner, _), _| *owner != gate);
-        self.incarnations += 1;
-        let incarnation = 1 + self.incarnations;
-        self.gates[gate] = Gate::new(node_settings(&self.names[gate], incarnation));
-        self.registered[gate] = (NodeRole::Standby, 0);
         self.stopped.remove(&gate);
         self.renewing.insert(gate);
-        self.event(gate, GateEvent::RoutesChanged(Box::new(route_table(16))));
-        let list = self.listed();
-        self.event(gate, GateEvent::DatabasesListed(list));
-        let documents = self.documents.values().cloned().collect();
-        let revision = self.revision;
-        self.event(gate, GateEvent::DocumentsListed { documents, revision });
+        self.start_again_in_place(gate);
     }
 
     /// Starts a node's process again before its registration expires.
@@ -295,46 +282,33 @@
         let incarnation = 1 + self.incarnations;
         self.gates[gate] = Gate::new(node_settings(&self.names[gate], incarnation));
         self.registered[gate] = (NodeRole::Standby, 0);
+        let documents = self.documents.values().cloned().collect();
+        self.read_store(gate, documents);
+    }
+
+    /// Passes a node what it reads from the store when it starts.
+    fn read_store(&mut self, gate: usize, documents: Vec<StoredDocument>) {
         self.event(gate, GateEvent::RoutesChanged(Box::new(route_table(16))));
-        let list = self.listed();
+        let (list, revision) = (self.listed(), self.revision);
         self.event(gate, GateEvent::DatabasesListed(list));
-        let documents = self.documents.values().cloned().collect();
-        let revision = self.revision;
         self.event(gate, GateEvent::DocumentsListed { documents, revision });
     }
 
     /// Removes or overwrites the record of log holders, as another writer may.
     pub fn replace_log_holders(&mut self, bytes: Option<Vec<u8>>) {
         let document = Document::LogHolders(CLUSTER.into());
-        if let Some(bytes) = bytes {
-            self.store(document, bytes);
-            return;
-        }
-        self.documents.remove(&document_key(&document));
-        self.revision += 1;
-        for gate in 0..self.gates.len() {
-            let (document, revision) = (document.clone(), self.revision);
-            self.event(gate, GateEvent::DocumentRemoved { document, revision });
-        }
-    }
-
-    /// Lets a frozen node go on with the events that have waited for it.
-    pub fn thaw(&mut self, gate: usize) {
-        for event in self.frozen.remove(&gate).unwrap_or_default() {
-            self.event(gate, event);
+        match bytes {
+            Some(bytes) => {
+                self.store(document, bytes);
+            }
+            None => self.remove_document(document),
         }
     }
 
     /// Sends every node the contents of the store.
     pub fn announce_store_state(&mut self) {
         for gate in 0..self.gates.len() {
-            self.event(gate, GateEvent::RoutesChanged(Box::new(route_table(16))));
-            let list = self.listed();
-            self.event(gate, GateEvent::DatabasesListed(list));
-            self.event(
-                gate,
-                GateEvent::DocumentsListed { documents: Vec::new(), revision: self.revision },
-            );
+            self.read_store(gate, Vec::new());
         }
     }
 
@@ -441,7 +415,7 @@
     }
 
     pub fn event(&mut self, gate: usize, event: GateEvent) {
-        if let Some(waiting) = self.frozen.get_mut(&gate) {
+        if let Some(waiting) = self.suspended.get_mut(&gate) {
             let from_own_process = matches!(
                 event,
                 GateEvent::Timer
@@ -647,27 +621,22 @@
 
     /// Resumes a suspended node. Its timer fires before it receives what has arrived meanwhile.
     pub fn resume(&mut self, gate: usize) {
-        let held = self.suspended.remove(&gate).unwrap_or_default();
+        let waiting = self.suspended.remove(&gate).unwrap_or_default();
         self.event(gate, GateEvent::Timer);
-        for delivery in held {
-            self.deliver(delivery);
+        for event in waiting {
+            self.event(gate, event);
         }
     }
 
     /// As [`Simulation::resume`], but its timer fires last.
     pub fn resume_with_deliveries(&mut self, gate: usize) {
-        for delivery in self.suspended.remove(&gate).unwrap_or_default() {
-            self.deliver(delivery);
+        for event in self.suspended.remove(&gate).unwrap_or_default() {
+            self.event(gate, event);
         }
         self.event(gate, GateEvent::Timer);
     }
 
     fn deliver(&mut self, delivery: Delivery) {
-        if let Delivery::Gate(gate, _) | Delivery::Answer { gate, .. } = &delivery
-            && let Some(held) = self.suspended.get_mut(gate)
-        {
-            return held.push(delivery);
-        }
         match delivery {
             Delivery::Gate(gate, event) => {
                 if !self.stopped.contains(&gate) {
@@ -845,6 +814,69 @@
         }
     }
 
+    /// Sends a read of each of some databases on every running node every 20 ms.
+    pub fn run_with_reads(&mut self, databases: &[&str], time: Micros) {
+        let end = self.now + time;
+        while self.now < end {
+            for gate in 0..self.gates.len() {
+                if self.stopped.contains(&gate) {
+                    continue;
+                }
+                for database in databases {
+                    let session = self.open(gate, database);
+                    let id = format!("{database}-{gate}-{}", self.now.0);
+                    self.send_request(gate, session, &id, "READ 1");
+                }
+            }
+            self.run(Micros::from_millis(20));
+        }
+    }
+
+    /// Sends writes on one node, which must be served. Returns the end of the log of the primary `a`.
+    pub fn write(&mut self, gate: usize, count: usize) -> TermPosition {
+        for turn in 0..count {
+            let session = self.open(gate, LATEST);
+            let id = format!("w{turn}-{gate}-{}", self.now.0);
+            self.send_request(gate, session, &id, "WRITE 1 x");
+            self.run(Micros::from_millis(20));
+            assert_eq!(self.outcome(session), "served");
+        }
+        self.databases["a"].received
+    }
+
+    /// Removes a database's entry. The database itself may go on.
+    pub fn unlist(&mut self, name: &str) {
+        self.unlisted.insert(name.into());
+        for gate in 0..self.gates.len() {
+            if !self.stopped.contains(&gate) {
+                self.event(gate, GateEvent::DatabaseUnlisted { id: name.into() });
+            }
+        }
+    }
+
+    /// Lists a database again.
+    pub fn list(&mut self, name: &str) {
+        self.unlisted.remove(name);
+        self.publish_database(name);
+    }
+
+    /// Makes a database silent, and lets its entry expire.
+    pub fn fail_database(&mut self, name: &str) {
+        self.database(name).unreachable = true;
+        self.unlist(name);
+    }
+
+    /// Brings a database back with its log.
+    pub fn restore_database(&mut self, name: &str) {
+        self.database(name).unreachable = false;
+        self.list(name);
+    }
+
+    /// Returns the promoted databases.
+    pub fn promoted_databases(&self) -> Vec<&str> {
+        self.promotions.iter().map(|(_, name, _)| name.as_str()).collect()
+    }
+
     /// Opens a client's session at a node.
     pub fn open(&mut self, gate: usize, database: &str) -> SessionId {
         self.open_as(gate, database, SessionOrigin::Client)
