--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -25,7 +25,7 @@
 /// 4 s, which is more than the configured data ages.
 const SAMPLE_LIMIT: usize = 40;
 
-/// Number of terms for which it is kept which database led them. Positions of earlier terms no longer
+/// Number of the latest terms whose primaries are remembered. Positions of earlier terms no longer
 /// count.
 const LED_TERMS_KEPT: u64 = 8;
 
@@ -42,7 +42,7 @@
 /// What showed the end of a cluster's log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LogEvidence {
-    /// Nothing is known about the term yet.
+    /// Nothing has shown it yet.
     #[default]
     None,
     /// A primary that began a term reported it.
