Identify clients by the accounts that hold their keys

Change: crate account holds one accepted list of accounts; the gate resolves the key of each operation by the version in force, forwards it between nodes (protocol version 2), resolves it again before the first send, and runs a request only on a connection of its account. Without accounts in the configuration nothing changes.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -420,12 +420,20 @@
     }
 
     /// Returns the sub-queue and caller to serve next: transactions first, then the least slot time.
-    fn next_to_serve(&self, long_allowed: bool) -> Option<(SubQueue, usize)> {
+    fn next_to_serve(
+        &self,
+        long_allowed: bool,
+        eligible: &impl Fn(&Name) -> bool,
+    ) -> Option<(SubQueue, usize)> {
+        let is_eligible = |index: usize| {
+            self.callers[index].as_ref().is_some_and(|caller| eligible(&caller.name))
+        };
         SubQueue::ALL.chunks(2).find_map(|pair| {
             pair.iter()
                 .filter(|sub_queue| long_allowed || !sub_queue.is_long())
                 .filter_map(|sub_queue| {
-                    Some((*self.order[*sub_queue as usize].first()?, *sub_queue))
+                    let mut order = self.order[*sub_queue as usize].iter();
+                    Some((*order.find(|(_, _, index)| is_eligible(*index))?, *sub_queue))
                 })
                 .min_by_key(|(order_key, _)| *order_key)
                 .map(|((_, _, index), sub_queue)| (sub_queue, index))
@@ -594,9 +602,19 @@
 
     /// Grants the next slot, if one is free and a request waits. Call until it returns `None`.
     pub fn grant(&mut self, now: Micros) -> Option<SlotGrant> {
+        self.grant_where(now, |_| true)
+    }
+
+    /// As [`SlotQueue::grant`], but passes over the callers that `eligible` excludes. They keep their
+    /// place in the order.
+    pub fn grant_where(
+        &mut self,
+        now: Micros,
+        eligible: impl Fn(&Name) -> bool,
+    ) -> Option<SlotGrant> {
         self.update_accounts(now);
         while self.running.len() < self.config.slots as usize {
-            let (rank, sub_queue, caller) = self.choose_next(now)?;
+            let (rank, sub_queue, caller) = self.choose_next(now, &eligible)?;
             let request = *self.ranks[rank].caller(caller).sub_queues[sub_queue as usize]
                 .first_key_value()?
                 .1;
@@ -730,6 +748,16 @@
         self.wait_behind(now, rank, queue.backlog.min(mean.saturating_mul(turns)))
     }
 
+    /// Returns the callers with waiting requests in the order in which they are served next, the
+    /// most urgent rank first.
+    pub fn waiting_callers(&self) -> impl Iterator<Item = &Name> {
+        Rank::ALL.into_iter().flat_map(|rank| {
+            let queue = &self.ranks[rank];
+            let indices = queue.order.iter().flatten().map(|(_, _, index)| *index);
+            indices.filter_map(|index| Some(&queue.callers[index].as_ref()?.name))
+        })
+    }
+
     /// Returns the estimated service time of a selector, without a margin.
     pub fn service_time(&self, selector: &str) -> Micros {
         Micros(self.estimate(selector).mean)
@@ -816,7 +844,11 @@
     }
 
     /// Chooses the rank, sub-queue and caller to serve next.
-    fn choose_next(&self, now: Micros) -> Option<(Rank, SubQueue, usize)> {
+    fn choose_next(
+        &self,
+        now: Micros,
+        eligible: &impl Fn(&Name) -> bool,
+    ) -> Option<(Rank, SubQueue, usize)> {
         let mut order = Rank::ALL.map(|rank| {
             let credit = self.ranks[rank].effective_credit(now).max(0);
             (std::cmp::Reverse(credit), rank)
@@ -824,7 +856,7 @@
         order.sort_unstable();
         order.into_iter().find_map(|(_, rank)| {
             let long_allowed = rank == Rank::Urgent || self.is_long_allowed();
-            let (sub_queue, caller) = self.ranks[rank].next_to_serve(long_allowed)?;
+            let (sub_queue, caller) = self.ranks[rank].next_to_serve(long_allowed, eligible)?;
             Some((rank, sub_queue, caller))
         })
     }
--- a/crates/edge/src/codec.rs
+++ b/crates/edge/src/codec.rs
@@ -12,6 +12,8 @@
 pub enum ClientMessage {
     Startup {
         database: Name,
+        /// The client's key, empty if it sent none.
+        key: Name,
     },
     Request(ClientRequest),
     /// A complete message that is not a valid request; the session continues.
@@ -71,8 +73,9 @@
         output: &mut BytesMut,
     );
 
-    /// Writes the first message on a connection to a database.
-    fn write_startup(cluster: &Name, node: &Name, database: &Name, output: &mut BytesMut);
+    /// Writes the first message on a connection to a database. `caller` is the account that the
+    /// connection serves, or the node's name.
+    fn write_startup(cluster: &Name, caller: &Name, database: &Name, output: &mut BytesMut);
 
     /// Writes a command for a database.
     fn write_command(command: &BackendCommand, output: &mut BytesMut);
--- a/crates/edge/src/driver.rs
+++ b/crates/edge/src/driver.rs
@@ -266,8 +266,9 @@
                 }
             }
             GateAction::CloseSession { session } => self.close_idle_client(session.0),
-            GateAction::OpenConnection { connection, cluster, database, address } => {
-                self.open_backend(cx, connection, &cluster, &database, address);
+            GateAction::OpenConnection { connection, cluster, database, address, account } => {
+                let caller = account.unwrap_or_else(|| self.node.clone());
+                self.open_backend(cx, connection, &cluster, &caller, &database, address);
             }
             GateAction::CloseConnection { connection } => {
                 self.backends.remove(&connection.0);
@@ -451,11 +452,14 @@
             };
             let session = SessionId(id);
             match (message, client.started) {
-                (ClientMessage::Startup { database }, false) => {
+                (ClientMessage::Startup { database, key }, false) => {
                     client.started = true;
                     client.busy = true;
                     let origin = client.origin;
-                    self.advance_gate(cx, GateEvent::SessionOpened { session, database, origin });
+                    self.advance_gate(
+                        cx,
+                        GateEvent::SessionOpened { session, database, key, origin },
+                    );
                 }
                 (ClientMessage::Request(request), true) => {
                     client.busy = true;
@@ -492,6 +496,7 @@
         cx: CX![],
         connection: ConnectionId,
         cluster: &Name,
+        caller: &Name,
         database: &Name,
         address: SocketAddr,
     ) {
@@ -501,7 +506,7 @@
             connect(address).and_then(|stream| BufferedSocket::new(&self.poll, stream, ready));
         match socket {
             Ok(mut socket) => {
-                P::Codec::write_startup(cluster, &self.node, database, &mut socket.output);
+                P::Codec::write_startup(cluster, caller, database, &mut socket.output);
                 let backend = BackendSocket {
                     socket,
                     opened: false,
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -54,6 +54,8 @@
         cluster: Name,
         database: Name,
         address: SocketAddr,
+        /// The account that the connection serves; `None` for none in particular.
+        account: Option<Name>,
     },
     CloseConnection {
         connection: ConnectionId,
--- a/crates/gate/src/backend.rs
+++ b/crates/gate/src/backend.rs
@@ -4,7 +4,7 @@
 use model::{DatabaseRole, Micros, Name, Term};
 use serde::{Deserialize, Serialize};
 
-use crate::statement::{ErrorCode, StatementAccess, TransactionState};
+use crate::statement::{CallerIdentity, ErrorCode, StatementAccess, TransactionState};
 
 /// A term and a position in a cluster's log, ordered by term first.
 #[derive(
@@ -30,6 +30,8 @@
         id: Name,
         text: Name,
         required_position: Option<TermPosition>,
+        /// Only for other nodes.
+        caller: Option<CallerIdentity>,
     },
     /// Execution of a client's prepared statement under this proxy's name for it.
     Execute {
@@ -37,6 +39,8 @@
         prepared: Name,
         arguments: Name,
         required_position: Option<TermPosition>,
+        /// Only for other nodes.
+        caller: Option<CallerIdentity>,
     },
     /// Ends the open transaction without effect.
     Rollback,
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -80,14 +80,27 @@
                 if starting { share } else { database.connection_limit(now, share) }
             }
         };
+        let opening = database.opening;
+        if let Some(account) = self.unconnected_account(name) {
+            if opening >= 2 {
+                return;
+            }
+            if connections >= limit {
+                let Some(replaced) = self.replaceable_connection(name) else { return };
+                self.close_connection(replaced, "replaced by a connection of another account");
+            }
+            return self.open_connection(name, Some(account));
+        }
+        let Some(database) = self.databases.get(name) else { return };
         let first = connections == 0 && self.keeps_connection_open(name);
         if !first && (database.opening >= wanted || connections >= limit || database.opening >= 2) {
             return;
         }
-        self.open_connection(name);
+        self.open_connection(name, None);
     }
 
-    pub(crate) fn open_connection(&mut self, name: &Name) {
+    /// Opens a connection that serves an account, or none in particular.
+    pub(crate) fn open_connection(&mut self, name: &Name, account: Option<Name>) {
         let now = self.now;
         let connection = ConnectionId(self.next_id());
         let Some(database) = self.databases.get_mut(name) else { return };
@@ -95,13 +108,16 @@
         database.opening += 1;
         database.record_attempt(now);
         let (cluster, address) = (database.listed.cluster.clone(), database.listed.address);
-        self.connections
-            .insert(connection, BackendConnection::new(name.clone(), cluster.clone(), now));
+        self.connections.insert(
+            connection,
+            BackendConnection::new(name.clone(), cluster.clone(), account.clone(), now),
+        );
         self.out.push(GateAction::OpenConnection {
             connection,
             cluster,
             database: name.clone(),
             address,
+            account,
         });
         self.count("links_opened");
     }
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -174,6 +174,11 @@
         self.peer.is_none() || self.peer_protocol > 0
     }
 
+    /// Returns true if the entry stands for a node that accepts the identity of callers.
+    pub(crate) fn takes_caller(&self) -> bool {
+        self.peer.is_some() && self.peer_protocol > 1
+    }
+
     /// Returns true if the first statement of a transaction can be sent together with `BEGIN`: it
     /// does not run if `BEGIN` is refused. Databases run it outside a transaction then.
     pub(crate) fn takes_first_statement_with_begin(&self) -> bool {
@@ -318,6 +323,8 @@
 pub(crate) struct BackendConnection {
     pub(crate) database: Name,
     pub(crate) cluster: Name,
+    /// The account that the connection serves; a database learns it when the connection opens.
+    pub(crate) account: Option<Name>,
     pub(crate) open: bool,
     pub(crate) opened_at: Micros,
     pub(crate) pending: VecDeque<PendingCommand>,
@@ -335,10 +342,11 @@
 const PREPARED_LIMIT: usize = 256;
 
 impl BackendConnection {
-    pub(crate) fn new(database: Name, cluster: Name, now: Micros) -> Self {
+    pub(crate) fn new(database: Name, cluster: Name, account: Option<Name>, now: Micros) -> Self {
         BackendConnection {
             database,
             cluster,
+            account,
             open: false,
             opened_at: now,
             pending: VecDeque::new(),
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -29,12 +29,19 @@
             if database.idle.is_empty() {
                 break;
             }
-            let Some(grant) = database.queue.grant(now) else { break };
+            let Some(grant) = self.grant_next(name) else { break };
+            let Some(database) = self.databases.get_mut(name) else { return };
             let id = grant.request;
-            let Some(request) = self.requests.get(&id) else {
+            if !self.requests.contains_key(&id) {
                 database.queue.finish(now, id);
                 continue;
             };
+            if let Err((code, text)) = self.renew_identity(id) {
+                self.refuse(id, code, text);
+                continue;
+            }
+            let Some(request) = self.requests.get(&id) else { continue };
+            let account = request.account().cloned();
             let (session, cluster, proof_time) =
                 (request.session, request.route.cluster.clone(), request.proof_time);
             if proof_time.is_some_and(|proof_time| !self.is_proved(&cluster, name, proof_time)) {
@@ -45,14 +52,25 @@
             }
             let Some(database) = self.databases.get_mut(name) else { return };
             let values = self.sessions.get(&session).map(|session| &session.values);
-            let best = (0..database.idle.len()).min_by_key(|index| {
+            let serves = |index: &usize| {
+                let connection = self.connections.get(&database.idle[*index]);
+                connection.is_some_and(|connection| connection.account == account)
+            };
+            let is_peer = database.peer.is_some();
+            let candidates = (0..database.idle.len()).filter(|index| is_peer || serves(index));
+            let best = candidates.min_by_key(|index| {
                 let connection = self.connections.get(&database.idle[*index]);
                 match (connection, values) {
                     (Some(connection), Some(values)) => connection.adoption_cost(values),
                     _ => usize::MAX,
                 }
             });
-            let Some(index) = best else { break };
+            let Some(index) = best else {
+                // Operators have given the key to another account while the request was queued.
+                self.release_slot(id);
+                self.route_request(id);
+                continue;
+            };
             let connection = database.idle.swap_remove(index);
             self.dispatch_request(id, connection);
         }
@@ -67,6 +85,7 @@
             .get(&connection)
             .and_then(|connection| self.databases.get(&connection.database))
             .is_some_and(Database::takes_first_statement_with_begin);
+        let takes_caller = self.takes_caller(connection);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.connection = Some(connection);
         request.statement_sent = false;
@@ -77,14 +96,19 @@
             RequestKind::Begin { begin, .. } => {
                 let required_position = request.required_position;
                 let session = request.session;
+                let caller = request.caller.clone().filter(|_| takes_caller);
                 let sends_statement = sends_statement_at_once && !request.is_commit();
                 let Some(setup) = self.setup_commands(session, connection) else { return };
                 self.send(connection, setup, CommandPurpose::Setup);
                 if let Some(state) = self.connections.get_mut(&connection) {
                     state.transaction_session = Some(session);
                 }
-                let command =
-                    BackendCommand::Run { id: begin.id, text: begin.text, required_position };
+                let command = BackendCommand::Run {
+                    id: begin.id,
+                    text: begin.text,
+                    required_position,
+                    caller,
+                };
                 self.send(connection, vec![command], CommandPurpose::Begin(id));
                 if sends_statement {
                     self.send_statement(id, connection, false);
@@ -96,6 +120,12 @@
         }
     }
 
+    /// Returns true if the connection leads to a node that accepts the identity of callers.
+    fn takes_caller(&self, connection: ConnectionId) -> bool {
+        let database = self.connections.get(&connection).map(|connection| &connection.database);
+        database.and_then(|name| self.databases.get(name)).is_some_and(Database::takes_caller)
+    }
+
     pub(crate) fn setup_commands(
         &mut self,
         session: SessionId,
@@ -113,12 +143,14 @@
         connection: ConnectionId,
         outside_transaction: bool,
     ) {
+        let takes_caller = self.takes_caller(connection);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.sent = Some(self.now);
         request.statement_sent = true;
         request.stage = RequestStage::Sent;
         let required_position = if outside_transaction { request.required_position } else { None };
         let (session, client_request) = (request.session, request.client_request.clone());
+        let caller = request.caller.clone().filter(|_| outside_transaction && takes_caller);
         let Some(mut setup) = self.setup_commands(session, connection) else { return };
         let command = match &client_request.statement {
             Statement::Execute { name, arguments } => {
@@ -135,12 +167,14 @@
                     prepared,
                     arguments,
                     required_position,
+                    caller,
                 }
             }
             _ => BackendCommand::Run {
                 id: client_request.id,
                 text: client_request.text,
                 required_position,
+                caller,
             },
         };
         self.send(connection, setup, CommandPurpose::Setup);
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -108,6 +108,8 @@
     SessionOpened {
         session: SessionId,
         database: Name,
+        /// The client's key; empty for other nodes.
+        key: Name,
         origin: SessionOrigin,
     },
     /// The next request; the I/O driver passes one at a time.
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -398,7 +398,7 @@
         if !database.idle.is_empty() {
             self.send_wanted_report(&old);
         } else if open < limit as usize {
-            self.open_connection(&old);
+            self.open_connection(&old, None);
         }
     }
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,10 +7,10 @@
 //!
 //! Modules:
 //!
-//! - `session`: clients
+//! - `session`, `identity`: clients and their accounts
 //! - `request`, `dispatch`, `outcome`: the path of one request
 //! - `owners`, `peer`: forwarding
-//! - `connection`, `database`: connections
+//! - `connection`, `database`, `account_pool`: connections
 //! - `cluster`, `leadership_proof`, `read_lease`: what is known about primaries
 //! - `registration`, `registry`, `node_count`: the nodes
 //! - `store_view`: how current the lists of all these are
@@ -19,6 +19,7 @@
 //!   primaries
 //! - `ready`, `drain`: what the load balancer sees
 
+mod account_pool;
 mod action;
 mod backend;
 mod cluster;
@@ -30,6 +31,7 @@
 mod event;
 mod failover;
 mod fencing;
+mod identity;
 mod leadership_proof;
 mod log_comparison;
 mod log_holders;
@@ -74,7 +76,9 @@
 pub use registry::{LogEndRecord, NodeRecord};
 pub use route::{ClusterLimits, Freshness, RouteConfig, RouteTable};
 pub use settings::GateSettings;
-pub use statement::{ClientRequest, ErrorCode, Statement, StatementAccess, TransactionState};
+pub use statement::{
+    CallerIdentity, ClientRequest, ErrorCode, Statement, StatementAccess, TransactionState,
+};
 
 use cluster::ClusterState;
 use database::{BackendConnection, Database};
@@ -196,8 +200,8 @@
 
     fn dispatch(&mut self, event: GateEvent) {
         match event {
-            GateEvent::SessionOpened { session, database, origin } => {
-                self.open_session(session, database, origin);
+            GateEvent::SessionOpened { session, database, key, origin } => {
+                self.open_session(session, database, key, origin);
             }
             GateEvent::RequestArrived { session, request } => {
                 self.request_arrived(session, request);
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -15,8 +15,9 @@
 use crate::statement::ErrorCode;
 
 /// Version of the protocol between nodes that this node accepts. From version 1 on, a node accepts
-/// a reset of a session, and runs no statement that follows a refused `BEGIN`.
-pub const PEER_PROTOCOL: u32 = 1;
+/// a reset of a session, and runs no statement that follows a refused `BEGIN`. From version 2 on, it
+/// accepts the identity of the caller with a request.
+pub const PEER_PROTOCOL: u32 = 2;
 
 /// Time for which a node that refused requests of a cluster gets no more of them, where every node
 /// is an owner.
@@ -218,7 +219,7 @@
             .collect();
         for name in probed {
             self.count("peers_probed");
-            self.open_connection(&name);
+            self.open_connection(&name, None);
         }
     }
 
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -13,7 +13,7 @@
 use crate::event::{ConnectionId, SessionId, SessionOrigin};
 use crate::route::{Freshness, RouteConfig};
 use crate::session::coverage_time;
-use crate::statement::{ClientRequest, ErrorCode, Statement, StatementAccess};
+use crate::statement::{CallerIdentity, ClientRequest, ErrorCode, Statement, StatementAccess};
 
 pub(crate) use admit::RequestId;
 
@@ -95,9 +95,16 @@
     pub(crate) statement_sent: bool,
     pub(crate) tries: u32,
     pub(crate) excluded: Vec<Name>,
+    /// `None` if the deployment does not identify its clients, and inside a transaction.
+    pub(crate) caller: Option<CallerIdentity>,
 }
 
 impl ActiveRequest {
+    /// Returns the account that the request is charged to.
+    pub(crate) fn account(&self) -> Option<&Name> {
+        self.caller.as_ref()?.account.as_ref()
+    }
+
     pub(crate) fn is_commit(&self) -> bool {
         matches!(self.client_request.statement, Statement::Commit)
     }
@@ -147,6 +154,7 @@
             statement_sent: false,
             tries: 0,
             excluded: Vec::new(),
+            caller: None,
         };
         self.requests.insert(id, request);
         id
@@ -361,7 +369,10 @@
         let slot_request = SlotRequest {
             request: id,
             rank: request.route.rank,
-            caller: Name::from(format!("s{}", request.session.0)),
+            caller: match request.account() {
+                Some(account) => account.clone(),
+                None => Name::from(format!("s{}", request.session.0)),
+            },
             deadline: request.deadline,
             selector: request.route.name.clone(),
             in_transaction: false,
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use account::AccountDirectory;
 use model::{FastMap, Micros, Name, Rank};
 
 /// How recent the data of a read must be.
@@ -27,6 +28,8 @@
     /// Latency objective of a whole operation.
     pub target_latency: Micros,
     pub rank: Rank,
+    /// Also serves clients whose key no account holds.
+    pub public: bool,
 }
 
 /// Limits of the databases of one cluster.
@@ -40,7 +43,7 @@
 }
 
 /// One accepted version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteTable {
     pub version: u64,
     /// Routes by client database.
@@ -48,4 +51,6 @@
     pub clusters: FastMap<Name, ClusterLimits>,
     /// Time after which an idle transaction may be ended.
     pub idle_transaction_timeout: Option<Micros>,
+    /// `None` if the deployment does not identify its clients.
+    pub accounts: Option<Arc<AccountDirectory>>,
 }
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -56,6 +56,7 @@
 #[derive(Debug)]
 pub(crate) struct Session {
     pub(crate) database: Name,
+    pub(crate) key: Name,
     opened_at: Micros,
     pub(crate) values: BTreeMap<Name, Name>,
     pub(crate) prepared: FastMap<Name, (StatementAccess, Name)>,
@@ -89,6 +90,7 @@
         &mut self,
         session: SessionId,
         database: Name,
+        key: Name,
         origin: SessionOrigin,
     ) {
         let refusal = if self.table.version == 0 {
@@ -96,7 +98,7 @@
         } else if !self.table.routes.contains_key(&database) {
             Some(self.missing_route_error(origin))
         } else {
-            None
+            self.key_error(&database, &key, origin)
         };
         if let Some((code, text)) = refusal {
             self.count("sessions_refused");
@@ -107,6 +109,7 @@
         self.count("sessions_opened");
         let state = Session {
             database,
+            key,
             opened_at: self.now,
             values: BTreeMap::new(),
             prepared: FastMap::default(),
@@ -252,6 +255,10 @@
             self.fail_peer_transaction(id);
         }
         let Some(route) = self.current_route(id) else { return };
+        if let Err((code, text)) = self.identify(id, request.caller.as_ref(), &route) {
+            self.fail_peer_transaction(id);
+            return self.reply_error(id, code, text);
+        }
         let started_at = self.now;
         if let Some(session) = self.sessions.get_mut(&id) {
             session.transaction =
@@ -312,7 +319,23 @@
                 (kind, route, now)
             }
         };
+        let begin_caller = match &kind {
+            RequestKind::Begin { begin, .. } => begin.caller.as_ref(),
+            RequestKind::Read | RequestKind::Write | RequestKind::Continue => None,
+        };
+        let identified = match kind {
+            // The connection of the transaction belongs to the account.
+            RequestKind::Continue => Ok(None),
+            _ => self.identify(id, begin_caller.or(request.caller.as_ref()), &route),
+        };
+        let caller = match identified {
+            Ok(caller) => caller,
+            Err((code, text)) => return self.refuse_unidentified(id, code, text),
+        };
         let request_id = self.create_request(id, request, access, kind, route, started_at);
+        if let Some(request) = self.requests.get_mut(&request_id) {
+            request.caller = caller;
+        }
         if let Some(session) = self.sessions.get_mut(&id) {
             session.active_request = Some(request_id);
         }
--- a/crates/gate/src/statement.rs
+++ b/crates/gate/src/statement.rs
@@ -42,6 +42,28 @@
     },
 }
 
+/// Who sent a request, as the node that accepted the client knows it.
+#[derive(Clone, PartialEq, Eq)]
+pub struct CallerIdentity {
+    /// Version of the configuration by which `account` was found.
+    pub version: u64,
+    /// `None` for a client of a public route whose key no account holds.
+    pub account: Option<Name>,
+    /// The client's key; never sent to a database.
+    pub key: Name,
+}
+
+// The key is a credential, so it must not reach logs.
+impl std::fmt::Debug for CallerIdentity {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("CallerIdentity")
+            .field("version", &self.version)
+            .field("account", &self.account)
+            .finish_non_exhaustive()
+    }
+}
+
 /// A client's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClientRequest {
@@ -53,6 +75,8 @@
     pub statement: Statement,
     /// Log position that a read requires; only set by other nodes.
     pub required_position: Option<TermPosition>,
+    /// Who sent the request; only set by other nodes.
+    pub caller: Option<CallerIdentity>,
 }
 
 /// Transaction state that is sent to the client with each reply.
@@ -90,6 +114,8 @@
     NoDatabase,
     TooBig,
     Malformed,
+    /// The client's key is not valid.
+    NotAuthorized,
     /// A code that this version does not know; it guarantees nothing.
     Other,
 }
@@ -125,6 +151,7 @@
             ErrorCode::NoDatabase => "no_database",
             ErrorCode::TooBig => "too_big",
             ErrorCode::Malformed => "malformed",
+            ErrorCode::NotAuthorized => "not_authorized",
             ErrorCode::Other => "other",
         }
     }
--- a/crates/gate/tests/forwarded_sessions.rs
+++ b/crates/gate/tests/forwarded_sessions.rs
@@ -29,8 +29,13 @@
 }
 
 fn request(gate: &mut SingleGate, session: u64, id: &str, text: &str, statement: Statement) {
-    let request =
-        ClientRequest { id: id.into(), text: text.into(), statement, required_position: None };
+    let request = ClientRequest {
+        id: id.into(),
+        text: text.into(),
+        statement,
+        required_position: None,
+        caller: None,
+    };
     gate.event(GateEvent::RequestArrived { session: SessionId(session), request });
 }
 
@@ -107,7 +112,8 @@
     let session = simulation.open_as(0, BOUNDED, SessionOrigin::Peer);
     let send = |simulation: &mut Simulation, id: &str, statement| {
         let text = Name::from("-");
-        let request = ClientRequest { id: id.into(), text, statement, required_position: None };
+        let request =
+            ClientRequest { id: id.into(), text, statement, required_position: None, caller: None };
         simulation.event(0, GateEvent::RequestArrived { session, request });
     };
     let prepare = Statement::Prepare {
@@ -126,6 +132,7 @@
     gate.event(GateEvent::SessionOpened {
         session: SessionId(1),
         database: LATEST.into(),
+        key: Name::default(),
         origin: SessionOrigin::Client,
     });
     request(gate, 1, "b", "BEGIN", Statement::Begin { read_only: false });
--- a/crates/gate/tests/store_view.rs
+++ b/crates/gate/tests/store_view.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use gate::{ErrorCode, GateAction, GateEvent, LogValue, SessionId, SessionOrigin};
-use model::Micros;
+use model::{Micros, Name};
 use support::single_gate::SingleGate;
 
 /// Returns a field of the last record of an event.
@@ -24,7 +24,12 @@
     gate.event(GateEvent::StoreFollowed { revision: 17, known_at });
     gate.run(time);
     let database = "nowhere".into();
-    gate.event(GateEvent::SessionOpened { session: SessionId(1), database, origin });
+    gate.event(GateEvent::SessionOpened {
+        session: SessionId(1),
+        database,
+        key: Name::default(),
+        origin,
+    });
     gate
 }
 
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -171,6 +171,7 @@
             timeout: Micros::from_millis(800),
             target_latency: Micros::from_millis(400),
             rank,
+            public: false,
         };
         table.routes.insert(database.into(), Arc::new(route));
     }
@@ -734,7 +735,7 @@
         let state = self.databases[name].clone();
         let mut report = None;
         let (rows, end) = match command {
-            BackendCommand::Run { id, text, required_position } => {
+            BackendCommand::Run { id, text, required_position, .. } => {
                 if required_position.is_some_and(|position| position > state.received) {
                     failed(ErrorCode::Lagging)
                 } else if text.starts_with("WRITE") || text.starts_with("COMMIT") {
@@ -886,7 +887,10 @@
         self.next_session += 1;
         let session = SessionId(self.next_session);
         let database = database.into();
-        self.event(gate, GateEvent::SessionOpened { session, database, origin });
+        self.event(
+            gate,
+            GateEvent::SessionOpened { session, database, key: Name::default(), origin },
+        );
         session
     }
 
@@ -911,8 +915,13 @@
             "WRITE" => Statement::Write,
             _ => Statement::Read,
         };
-        let request =
-            ClientRequest { id: id.into(), text: text.into(), statement, required_position };
+        let request = ClientRequest {
+            id: id.into(),
+            text: text.into(),
+            statement,
+            required_position,
+            caller: None,
+        };
         self.event(gate, GateEvent::RequestArrived { session, request });
     }
 
--- a/crates/gate/tests/support/single_gate.rs
+++ b/crates/gate/tests/support/single_gate.rs
@@ -99,10 +99,15 @@
     pub fn read(&mut self, number: u64, route: &str) {
         let session = SessionId(number);
         let (database, origin) = (route.into(), SessionOrigin::Client);
-        self.event(GateEvent::SessionOpened { session, database, origin });
+        self.event(GateEvent::SessionOpened { session, database, key: Name::default(), origin });
         let (id, text) = (Name::from(format!("r{number}")), Name::from("READ 1"));
-        let request =
-            ClientRequest { id, text, statement: Statement::Read, required_position: None };
+        let request = ClientRequest {
+            id,
+            text,
+            statement: Statement::Read,
+            required_position: None,
+            caller: None,
+        };
         self.event(GateEvent::RequestArrived { session, request });
     }
 
