Forget the leadership of a database that started again

Cause: a primary that starts again under its id has lost its log and leads no term. Nodes kept it as the proved leader, because the read lease and the reports of replicas prove the term and not that the database still holds its log.

Change: the leadership is forgotten when the entry shows a new start, or when a connection opens at a lower position than the database's answers had shown before the connection was requested, in the same term. Reports requested before that moment are of the former process and no longer count. Positions of reports are not compared, as they may count commits that no replica has.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -177,10 +177,35 @@
         }
         if restarted {
             self.forget_fence(&cluster, &name);
+            self.database_restarted(&cluster, &name, "entry");
         }
         self.open_connections(&name);
     }
 
+    /// Forgets a leader that has started again, and looks for another one. Databases start without
+    /// their log and lead no term then.
+    pub(crate) fn database_restarted(
+        &mut self,
+        cluster: &Name,
+        name: &Name,
+        shown_by: &'static str,
+    ) {
+        let now = self.now;
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        if !state.proof.observe_restart(name, now) {
+            return;
+        }
+        self.count("leaders_restarted");
+        self.log(
+            "leader_restarted",
+            fields!["cluster" => cluster, "database" => name, "shown_by" => shown_by],
+        );
+        if self.owns_connections(cluster) {
+            self.request_all_reports(cluster);
+        }
+        self.wake_waiting_for_proof(cluster);
+    }
+
     pub(crate) fn database_unlisted(&mut self, name: &Name) {
         let now = self.now;
         if let Some(database) = self.databases.get_mut(name)
@@ -201,7 +226,7 @@
         let removed = self.databases.remove(name);
         if let Some(state) = self.clusters.get_mut(&cluster) {
             state.members.retain(|member| member != name);
-            state.proof.forget_leader(name);
+            state.proof.remove_database(name);
         }
         self.reroute_if_unconnected(name);
         let Some(removed) = removed else { return };
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -1,6 +1,6 @@
 //! Connections to databases and nodes: opening, answers, loss and release.
 
-use model::{DatabaseRole, Micros, Name};
+use model::{DatabaseRole, Micros, Name, Term};
 
 use crate::action::GateAction;
 use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, TermPosition};
@@ -108,10 +108,11 @@
         database.opening += 1;
         database.record_attempt(now);
         let (cluster, address) = (database.listed.cluster.clone(), database.listed.address);
-        self.connections.insert(
-            connection,
-            BackendConnection::new(name.clone(), cluster.clone(), account.clone(), now),
-        );
+        let mut state = BackendConnection::new(name.clone(), cluster.clone(), account.clone(), now);
+        state.leader_position = self.clusters.get(&cluster).and_then(|cluster| {
+            Some((cluster.proof.term(), cluster.proof.applied_position(name)?))
+        });
+        self.connections.insert(connection, state);
         self.out.push(GateAction::OpenConnection {
             connection,
             cluster,
@@ -148,7 +149,11 @@
         }
         state.open = true;
         state.last_used = now;
-        let name = state.database.clone();
+        let (name, cluster) = (state.database.clone(), state.cluster.clone());
+        let leader_position = state.leader_position;
+        if self.has_position_gone_back(&cluster, leader_position, position) {
+            self.database_restarted(&cluster, &name, "position");
+        }
         let Some(database) = self.databases.get_mut(&name) else { return };
         database.opening -= 1;
         database.open_failures = 0;
@@ -167,6 +172,23 @@
         self.dispatch_queued(&name);
     }
 
+    /// Returns true if a leader opened a connection at a lower position than it had shown before the
+    /// connection was requested, in the same term: it has lost its log.
+    fn has_position_gone_back(
+        &self,
+        cluster: &Name,
+        shown: Option<(Term, TermPosition)>,
+        position: Option<TermPosition>,
+    ) -> bool {
+        let term = self.clusters.get(cluster).map(|state| state.proof.term());
+        match (shown, position) {
+            (Some((shown_term, shown)), Some(position)) => {
+                term == Some(shown_term) && position < shown
+            }
+            _ => false,
+        }
+    }
+
     pub(crate) fn connection_refused(&mut self, connection: ConnectionId, code: ErrorCode) {
         let now = self.now;
         let Some(state) = self.connections.get(&connection) else { return };
@@ -320,7 +342,7 @@
             }
             self.apply_read_lease(&cluster);
             if let Some(state) = self.clusters.get_mut(&cluster) {
-                state.proof.observe_leader_position(&name, pending.sent, position);
+                state.proof.observe_applied_position(&name, pending.sent, position);
                 state.proof.observe_replica_position(&name, position);
             }
         }
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use admit::{QueueConfig, SlotQueue};
-use model::{FastMap, Micros, Name, RankConfig, RankMap};
+use model::{FastMap, Micros, Name, RankConfig, RankMap, Term};
 
 use crate::backend::{BackendCommand, DatabaseReport, TermPosition};
 use crate::event::{ConnectionId, ListedDatabase, SessionId};
@@ -327,6 +327,9 @@
     pub(crate) account: Option<Name>,
     pub(crate) open: bool,
     pub(crate) opened_at: Micros,
+    /// Term and applied position that the database had shown as the leader when the connection was
+    /// requested.
+    pub(crate) leader_position: Option<(Term, TermPosition)>,
     pub(crate) pending: VecDeque<PendingCommand>,
     /// The session whose transaction is open here.
     pub(crate) transaction_session: Option<SessionId>,
@@ -349,6 +352,7 @@
             account,
             open: false,
             opened_at: now,
+            leader_position: None,
             pending: VecDeque::new(),
             transaction_session: None,
             close_when_idle: false,
--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -110,6 +110,12 @@
     /// Highest position that only a database that led the position's term has shown: in the first
     /// report of the primary of `term`, or later as a replica.
     unconfirmed_log_end: TermPosition,
+    /// Highest position that answers of `leader` have shown; not that of its reports, which may
+    /// count commits that no replica has received yet.
+    applied: Option<TermPosition>,
+    /// When each database was last seen to have started again. Reports requested before are of a
+    /// former process.
+    restarts: FastMap<Name, Micros>,
     /// Last term in which each database reported to be the primary. It may hold commits of that
     /// term that no replica has received.
     led_terms: FastMap<Name, Term>,
@@ -145,7 +151,8 @@
         requested_at: Micros,
         report: &DatabaseReport,
     ) -> bool {
-        if report.term < self.term {
+        let former_process = self.restarts.get(database).is_some_and(|seen| requested_at < *seen);
+        if report.term < self.term || former_process {
             return false;
         }
         if report.role == DatabaseRole::Replica {
@@ -162,6 +169,7 @@
             self.fenced.clear();
             // The ends of the log stay: the new primary began with all that was acknowledged.
             self.primary_reported = false;
+            self.applied = None;
             self.unproved.clear();
         }
         match report.role {
@@ -193,7 +201,26 @@
         before != (self.term, self.leader.clone())
     }
 
-    /// Records the log position that a database sent in answer to a command sent at `sent`.
+    /// Records the position that a database had applied when it answered a command sent at `sent`.
+    pub fn observe_applied_position(
+        &mut self,
+        database: &Name,
+        sent: Micros,
+        position: TermPosition,
+    ) {
+        if self.leader.as_ref() == Some(database) {
+            self.applied = self.applied.max(Some(position));
+        }
+        self.observe_leader_position(database, sent, position);
+    }
+
+    /// Returns the highest position that answers of the leader have shown, if the database leads.
+    pub fn applied_position(&self, database: &Name) -> Option<TermPosition> {
+        self.applied.filter(|_| self.leader.as_ref() == Some(database))
+    }
+
+    /// Records the position of the leader's log, from a report or an answer to a command sent at
+    /// `sent`.
     pub fn observe_leader_position(
         &mut self,
         database: &Name,
@@ -371,6 +398,22 @@
         self.fenced.remove(database);
         if self.leader.as_ref() == Some(database) {
             self.leader = None;
+            self.applied = None;
         }
     }
+
+    /// Forgets the leadership of a database that was seen at `seen_at` to have started again: it
+    /// may have lost its log, and the proofs of its term do not show that. Returns true if it led.
+    pub fn observe_restart(&mut self, database: &Name, seen_at: Micros) -> bool {
+        let led = self.leader.as_ref() == Some(database);
+        self.forget_leader(database);
+        self.restarts.insert(database.clone(), seen_at);
+        led
+    }
+
+    /// Forgets a database that was removed.
+    pub fn remove_database(&mut self, database: &Name) {
+        self.forget_leader(database);
+        self.restarts.remove(database);
+    }
 }
--- a/crates/gate/tests/leadership_proof.rs
+++ b/crates/gate/tests/leadership_proof.rs
@@ -34,3 +34,19 @@
     proof.observe_report(&replica, Micros(700_000), &report(DatabaseRole::Primary, 2, 7));
     assert_eq!(proof.leader(), Some(&replica));
 }
+
+/// Guards against a report of a former process that arrives after the database was seen to have
+/// started again: it would name a database without its log as the primary. A later report counts.
+#[test]
+fn a_late_report_of_a_former_process_does_not_restore_its_leadership() {
+    let (primary, replica) = (Name::from("a"), Name::from("b"));
+    let mut proof = LeadershipProof::default();
+    proof.observe_report(&primary, Micros(10), &report(DatabaseRole::Primary, 1, 5));
+    assert!(proof.observe_restart(&primary, Micros(30)));
+    proof.observe_report(&primary, Micros(20), &report(DatabaseRole::Primary, 1, 5));
+    proof.observe_report(&replica, Micros(40), &report(DatabaseRole::Replica, 1, 5));
+    assert_eq!(proof.leader(), None);
+    assert!(!proof.observe_restart(&replica, Micros(50)), "a replica does not lead");
+    proof.observe_report(&primary, Micros(60), &report(DatabaseRole::Primary, 2, 7));
+    assert_eq!(proof.leader(), Some(&primary));
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -127,6 +127,8 @@
     /// Roles in the entries of databases that are cut off from the store.
     pub stale_roles: BTreeMap<Name, DatabaseRole>,
     connections: BTreeMap<(usize, ConnectionId), Name>,
+    /// Connections to a former process of a database, which gets none of their commands.
+    broken: BTreeSet<(usize, ConnectionId)>,
     /// Commits that no replica has received yet.
     waiting_commits: Vec<Delivery>,
     documents: BTreeMap<String, StoredDocument>,
@@ -257,6 +259,7 @@
             unlisted: BTreeSet::new(),
             stale_roles: BTreeMap::new(),
             connections: BTreeMap::new(),
+            broken: BTreeSet::new(),
             waiting_commits: Vec::new(),
             documents: BTreeMap::new(),
             revision: 1,
@@ -352,6 +355,27 @@
         self.publish_database(name);
     }
 
+    /// Starts a database again with an empty log; its connections are lost after a while.
+    pub fn start_database_anew(&mut self, name: &str, connections_lost_after: Micros) {
+        let database = self.database(name);
+        database.role = DatabaseRole::Replica;
+        database.term = Term(0);
+        database.received = TermPosition::default();
+        database.fence = Term(0);
+        database.started_at_ms += 1;
+        let lost: Vec<(usize, ConnectionId)> = self
+            .connections
+            .iter()
+            .filter(|(_, database)| &***database == name)
+            .map(|(key, _)| *key)
+            .collect();
+        for (gate, connection) in lost {
+            self.broken.insert((gate, connection));
+            let event = GateEvent::ConnectionLost { connection };
+            self.schedule(connections_lost_after, Delivery::Gate(gate, event));
+        }
+    }
+
     /// Notifies every node that reaches the store of the database's current entry.
     pub fn publish_database(&mut self, name: &str) {
         let listed = self.listed_one(&name.into());
@@ -652,6 +676,9 @@
                 {
                     return;
                 }
+                if self.broken.contains(&(gate, connection)) {
+                    return;
+                }
                 let late = self.late_commands.contains_key(&(gate, database.clone()));
                 if !self.connections.contains_key(&(gate, connection)) && !late {
                     return;
