Send commands of failovers only on idle connections

Cause: without an idle connection, FENCE, DEMOTE and the lift of a fence went on a connection with a statement in flight.

Change: the commands go only on idle connections, ahead of requests. While none is idle, one connection beyond the limit for requests is opened. What is sent is derived from the running failover, so a command that still waits is dropped with it.

--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -407,20 +407,11 @@
         self.dispatch_queued(&name);
     }
 
-    /// Returns an open connection for a command that does not belong to a client.
+    /// Returns an open connection with nothing in flight, for a command that does not belong to a
+    /// client. Answers are assigned to commands by their order: on a connection with a statement
+    /// whose answer was lost, the answer to the command would be taken for that of the statement.
     pub(crate) fn control_connection(&mut self, name: &Name) -> Option<ConnectionId> {
-        let database = self.databases.get_mut(name)?;
-        if let Some(connection) = database.idle.pop() {
-            return Some(connection);
-        }
-        let connections = &self.connections;
-        database
-            .connections
-            .iter()
-            .filter_map(|id| connections.get(id).map(|connection| (id, connection)))
-            .filter(|(_, connection)| connection.open && connection.transaction_session.is_none())
-            .min_by_key(|(_, connection)| connection.pending.len())
-            .map(|(id, _)| *id)
+        self.databases.get_mut(name)?.idle.pop()
     }
 
     /// Closes connections that are unresponsive or unused, and dispatches requests that became due.
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -24,6 +24,7 @@
         for (id, reason) in database.queue.expire(now) {
             self.refuse_queued(id, reason);
         }
+        self.send_failover_commands(name);
         self.send_wanted_report(name);
         while let Some(database) = self.databases.get_mut(name) {
             if database.idle.is_empty() {
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -38,7 +38,7 @@
 use model::{DatabaseRole, FastMap, Micros, Name, Term};
 
 use crate::action::GateAction;
-use crate::backend::{BackendCommand, DatabaseReport};
+use crate::backend::DatabaseReport;
 use crate::database::CommandPurpose;
 use crate::event::{Document, NodeRole, PromoteResult, StoreState, StoredDocument};
 use crate::log_holders::recorded_holders;
@@ -218,6 +218,13 @@
     }
 }
 
+/// A demotion of a former primary after its successor has reported.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LateDemotion {
+    pub(crate) term: Term,
+    pub(crate) since: Micros,
+}
+
 /// Running failovers and the conditions that lead to them, by cluster.
 #[derive(Debug, Default)]
 pub(crate) struct FailoverState {
@@ -231,6 +238,8 @@
     pub(crate) missing_log_since: FastMap<Name, Micros>,
     /// Replicas whose fences this node lifts as soon as it has a connection, and since when.
     pub(crate) lifts: FastMap<Name, Micros>,
+    /// Former primaries that this node demotes as soon as it has a connection.
+    pub(crate) demotions: FastMap<Name, LateDemotion>,
     /// Clusters whose primary this node suspects, and why.
     pub(crate) suspected: FastMap<Name, &'static str>,
 }
@@ -356,6 +365,8 @@
             FailoverStage::Demoting => {
                 if now >= last_step + DEMOTE_TIMEOUT {
                     self.choose_new_primary(cluster);
+                } else {
+                    self.request_demotion(cluster);
                 }
             }
             FailoverStage::Probing => self.probe_replicas(cluster),
@@ -703,10 +714,10 @@
         );
         self.failovers.due_since.remove(cluster);
         self.failovers.missing_log_since.remove(cluster);
-        if let Some(old) = failover.old_primary
-            && let Some(connection) = self.control_connection(&old)
-        {
-            self.send(connection, vec![BackendCommand::Demote { term }], CommandPurpose::Control);
+        if let Some(old) = failover.old_primary {
+            let demotion = LateDemotion { term, since: self.now };
+            self.failovers.demotions.insert(old.clone(), demotion);
+            self.send_late_demotion(&old);
         }
     }
 
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -18,7 +18,11 @@
 /// queue.
 const PROBE_TIMEOUT: Micros = Micros::from_millis(500);
 
-/// Time for which a lift waits for a connection. The promotion lease is kept meanwhile.
+/// Connections beyond the limit for requests that commands of failovers may open to a database.
+const CONTROL_CONNECTIONS: u32 = 1;
+
+/// Time for which a lift or a late demotion waits for a connection. The promotion lease is kept
+/// while a lift waits.
 const LIFT_TIMEOUT: Micros = OPEN_TIMEOUT;
 
 impl Gate {
@@ -28,15 +32,79 @@
             return self.abort_failover(cluster, reason);
         }
         let Some(failover) = self.failovers.running.get(cluster) else { return };
-        let (old, term) = (failover.old_primary.clone(), failover.term);
-        let answers = old
-            .as_ref()
-            .and_then(|old| self.databases.get(old))
-            .is_some_and(|old| old.is_responsive(self.now));
-        let connection = old.filter(|_| answers).and_then(|old| self.control_connection(&old));
-        let Some(connection) = connection else { return self.choose_new_primary(cluster) };
+        let old = failover.old_primary.as_ref().and_then(|old| self.databases.get(old));
+        if !old.is_some_and(|old| old.is_responsive(self.now)) {
+            return self.choose_new_primary(cluster);
+        }
         self.set_stage(cluster, FailoverStage::Demoting);
+        self.request_demotion(cluster);
+    }
+
+    /// Sends the demotion of a running failover, or opens a connection for it.
+    pub(crate) fn request_demotion(&mut self, cluster: &Name) {
+        let Some(failover) = self.failovers.running.get(cluster) else { return };
+        let Some(old) = failover.old_primary.clone() else { return };
+        if !failover.in_flight && !self.send_demotion(cluster, &old) {
+            self.open_control_connection(&old);
+        }
+    }
+
+    /// Sends what failovers want of a database on its idle connections, ahead of requests.
+    pub(crate) fn send_failover_commands(&mut self, name: &Name) {
+        let state = &self.failovers;
+        if state.running.is_empty() && state.lifts.is_empty() && state.demotions.is_empty() {
+            return;
+        }
+        let Some(database) = self.databases.get(name) else { return };
+        let cluster = database.listed.cluster.clone();
+        self.send_lift(name);
+        self.send_late_demotion(name);
+        self.send_fence(&cluster, name);
+        self.send_demotion(&cluster, name);
+    }
+
+    /// Returns true if this node holds the promotion lease under which the cluster's failover was
+    /// announced.
+    fn holds_lease_of_failover(&self, cluster: &Name) -> bool {
+        let token = self.promotion_lease.fencing_token(self.now);
+        let failover = self.failovers.running.get(cluster);
+        failover.is_some_and(|failover| token == Some(failover.fencing_token))
+    }
+
+    /// Sends the demotion of a running failover to the old primary if it is due and a connection is
+    /// idle; returns true if it was sent.
+    fn send_demotion(&mut self, cluster: &Name, name: &Name) -> bool {
+        let Some(failover) = self.failovers.running.get(cluster) else { return false };
+        let due = failover.stage == FailoverStage::Demoting
+            && !failover.in_flight
+            && failover.old_primary.as_ref() == Some(name);
+        let term = failover.term;
+        if !due || !self.holds_lease_of_failover(cluster) {
+            return false;
+        }
+        let Some(connection) = self.control_connection(name) else { return false };
+        if let Some(failover) = self.failovers.running.get_mut(cluster) {
+            failover.in_flight = true;
+        }
         self.send(connection, vec![BackendCommand::Demote { term }], CommandPurpose::Demote);
+        true
+    }
+
+    /// Demotes a former primary whose successor has reported, in case it could not be reached
+    /// before.
+    pub(crate) fn send_late_demotion(&mut self, name: &Name) {
+        let Some(demotion) = self.failovers.demotions.get(name).copied() else { return };
+        let expired = self.now >= demotion.since + LIFT_TIMEOUT;
+        if expired || !self.databases.contains_key(name) {
+            self.failovers.demotions.remove(name);
+            return;
+        }
+        let Some(connection) = self.control_connection(name) else {
+            return self.open_control_connection(name);
+        };
+        self.failovers.demotions.remove(name);
+        let command = BackendCommand::Demote { term: demotion.term };
+        self.send(connection, vec![command], CommandPurpose::Control);
     }
 
     /// Processes the report that answers a demotion.
@@ -105,12 +173,16 @@
         self.send_lift(name);
     }
 
-    /// Sends the lifts that waited for a connection.
+    /// Sends the lifts and late demotions that waited for a connection.
     pub(crate) fn maintain_lifts(&mut self) {
         let waiting: Vec<Name> = self.failovers.lifts.keys().cloned().collect();
         for name in waiting {
             self.send_lift(&name);
         }
+        let waiting: Vec<Name> = self.failovers.demotions.keys().cloned().collect();
+        for name in waiting {
+            self.send_late_demotion(&name);
+        }
     }
 
     fn send_lift(&mut self, name: &Name) {
@@ -130,18 +202,25 @@
         }
     }
 
-    /// Opens a connection to a database for a command that does not belong to a client.
+    /// Opens a connection to a database for a command that does not belong to a client, beyond the
+    /// limit for requests, because the answers to all of those may be lost.
     fn open_control_connection(&mut self, name: &Name) {
-        if let Some(database) = self.databases.get_mut(name) {
-            database.report_wanted = true;
+        let now = self.now;
+        let Some(database) = self.databases.get(name) else { return };
+        let share = self.steady_connections(&database.listed.cluster);
+        let limit = database.connection_limit(now, share) + CONTROL_CONNECTIONS;
+        let may_open = database.unlisted_since.is_none()
+            && database.opening == 0
+            && now >= database.open_retry_at
+            && database.connections.len() < limit as usize;
+        if may_open {
+            self.open_connection(name, None);
         }
-        self.open_connections(name);
     }
 
     pub(crate) fn fence_replicas(&mut self, cluster: &Name) {
         let now = self.now;
         let Some(failover) = self.failovers.running.get_mut(cluster) else { return };
-        let term = failover.term;
         let missing: Vec<Name> = failover
             .replicas
             .iter()
@@ -161,23 +240,13 @@
             }
             return self.set_stage(cluster, FailoverStage::Relisting);
         }
-        let due: Vec<Name> = missing
-            .into_iter()
-            .filter(|name| {
-                failover.fence_sent.get(name).is_none_or(|at| now >= *at + STEP_RETRY_INTERVAL)
-            })
-            .collect();
         let mut sent_any = false;
-        for name in due {
-            let Some(connection) = self.control_connection(&name) else {
+        for name in missing {
+            if self.send_fence(cluster, &name) {
+                sent_any = true;
+            } else if self.is_fence_due(cluster, &name) {
                 self.open_control_connection(&name);
-                continue;
-            };
-            self.send(connection, vec![BackendCommand::Fence { term }], CommandPurpose::Fence);
-            if let Some(failover) = self.failovers.running.get_mut(cluster) {
-                failover.fence_sent.insert(name, now);
             }
-            sent_any = true;
         }
         // A replica that does not answer may be gone, so the list is read again.
         let relist =
@@ -189,6 +258,30 @@
         }
     }
 
+    /// Returns true if a failover waits for a replica's fence and has not requested it recently.
+    fn is_fence_due(&self, cluster: &Name, name: &Name) -> bool {
+        let Some(failover) = self.failovers.running.get(cluster) else { return false };
+        let sent = failover.fence_sent.get(name);
+        matches!(failover.stage, FailoverStage::Fencing | FailoverStage::Comparing)
+            && failover.replicas.contains(name)
+            && !failover.fenced.contains_key(name)
+            && sent.is_none_or(|at| self.now >= *at + STEP_RETRY_INTERVAL)
+    }
+
+    /// Fences a replica if that is due and a connection is idle; returns true if the fence was sent.
+    fn send_fence(&mut self, cluster: &Name, name: &Name) -> bool {
+        let now = self.now;
+        if !self.is_fence_due(cluster, name) || !self.holds_lease_of_failover(cluster) {
+            return false;
+        }
+        let Some(connection) = self.control_connection(name) else { return false };
+        let Some(failover) = self.failovers.running.get_mut(cluster) else { return false };
+        failover.fence_sent.insert(name.clone(), now);
+        let term = failover.term;
+        self.send(connection, vec![BackendCommand::Fence { term }], CommandPurpose::Fence);
+        true
+    }
+
     /// Forgets that a replica is fenced, because it has started again without the fence.
     pub(crate) fn forget_fence(&mut self, cluster: &Name, replica: &Name) {
         let Some(failover) = self.failovers.running.get_mut(cluster) else { return };
