--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -24,6 +24,7 @@
         for (id, reason) in database.queue.expire(now) {
             self.refuse_queued(id, reason);
         }
+        self.send_failover_commands(name);
         self.send_wanted_report(name);
         while let Some(database) = self.databases.get_mut(name) {
             if database.idle.is_empty() {
@@ -203,6 +204,10 @@
             let text = "rolled back, the primary is being replaced, retry at once";
             return self.fail_transaction(id, ErrorCode::Aborted, text);
         }
+        if commits_writes && !at_peer && !self.can_prove_commit(&cluster) {
+            let text = "rolled back, the primary could not be proved to lead, retry after 500 ms";
+            return self.fail_transaction(id, ErrorCode::Aborted, text);
+        }
         self.send_statement(id, connection, false);
     }
 }
