--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -12,6 +12,12 @@
 /// Maximum length of a name or a key. A start-up message holds both in one line.
 const MAX_WORD_BYTES: usize = 4 * 1024;
 
+/// Maximum length of a key that an account can hold.
+pub const MAX_KEY_BYTES: usize = MAX_WORD_BYTES;
+
+/// Length to which a name that is not valid is shortened in an error.
+const MAX_REPORTED_BYTES: usize = 64;
+
 /// The limit of an account over all nodes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RateLimit {
@@ -21,6 +27,20 @@
     pub burst: f64,
 }
 
+impl RateLimit {
+    /// Checks a burst of an account.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the burst is not a finite number of at least 1.
+    pub fn check_burst(name: &Name, burst: f64) -> Result<(), AccountError> {
+        if burst.is_finite() && burst >= 1.0 {
+            return Ok(());
+        }
+        Err(AccountError::InvalidBurst { name: name.clone(), burst })
+    }
+}
+
 /// An account as operators configure it.
 #[derive(Clone, PartialEq)]
 pub struct AccountConfig {
@@ -108,15 +128,13 @@
     fn add(&mut self, account: AccountConfig) -> Result<(), AccountError> {
         let AccountConfig { name, keys, limit } = account;
         if name.is_empty() || name.len() > MAX_WORD_BYTES || name.contains(char::is_whitespace) {
-            return Err(AccountError::InvalidName { name });
+            return Err(AccountError::InvalidName { name: shortened(&name) });
         }
         if let Some(RateLimit { rate_per_s, burst }) = limit {
             if !rate_per_s.is_finite() || rate_per_s <= 0.0 {
                 return Err(AccountError::InvalidRate { name, rate: rate_per_s });
             }
-            if !burst.is_finite() || burst < 1.0 {
-                return Err(AccountError::InvalidBurst { name, burst });
-            }
+            RateLimit::check_burst(&name, burst)?;
         }
         for key in keys {
             if key.is_empty() || key.len() > MAX_WORD_BYTES || key.contains(['\r', '\n']) {
@@ -135,7 +153,8 @@
         Ok(())
     }
 
-    /// Returns the account that holds a key.
+    /// Returns the account that holds a key. The lookup compares the whole key, so that no other key
+    /// is taken for it.
     pub fn account_of(&self, key: &str) -> Option<Name> {
         self.holders.get(key).cloned()
     }
@@ -156,5 +175,12 @@
     }
 }
 
+/// Returns the beginning of a name for an error, because a name may be as long as a configuration.
+fn shortened(name: &Name) -> Name {
+    let end =
+        (0..=MAX_REPORTED_BYTES.min(name.len())).rev().find(|end| name.is_char_boundary(*end));
+    Name::from(&name[..end.unwrap_or_default()])
+}
+
 /// Shared directory; tables of routes are cloned for each change.
 pub type SharedDirectory = Arc<AccountDirectory>;
--- a/crates/edge/src/driver.rs
+++ b/crates/edge/src/driver.rs
@@ -31,8 +31,9 @@
 /// Input buffered for a client while its request is in progress.
 const CLIENT_READ_AHEAD_BYTES: usize = 64 * 1024;
 
-/// Input buffered for a connection: the 1 MiB limit of a message and room for its line end.
-const MAX_INPUT_BYTES: usize = 1024 * 1024 + 64;
+/// Input buffered for a connection: the 1 MiB limit of a message, and room for its line end and for the caller and the
+/// position that another node adds, 25 KiB at most.
+const MAX_INPUT_BYTES: usize = (1024 + 32) * 1024;
 
 /// Unread output at which a client's connection is closed: twice the largest answer.
 const MAX_UNREAD_OUTPUT_BYTES: usize = 4 * 1024 * 1024;
