Share few connections among many accounts

Cause: the policy of the skeleton opened a connection only for an account without any, replaced idle ones that were needed, and scanned the whole queue for each of them. A request without an account waited for a connection that nobody opened, and could be taken for an account of the name of its session. A refusal by NOAUTH went on to other owners and ended as BUSY. A key that was removed or moved while its request waited was noticed only once a connection of the former account was free. Change: account_pool.rs decides from the connections, the queue and the time, without state but a count: which account gets the next connection, which one is closed, when a busy account gets another one (docs/design/accounts.md). Keys of waiting requests are resolved again as soon as a configuration arrives. An owner that has no accounts yet serves those of a newer node. NOAUTH of another node is final. Within its share a node keeps connections of accounts for 30 s; beyond it, for 0.6 s. Deployments without accounts take the same paths as before.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -13,4 +13,5 @@
 pub use pool::{ConnectionId, ConnectionPool, PoolAction, PoolConfig, PoolStats};
 pub use queue::{
     QueueConfig, QueueStats, RefusalReason, RequestId, SlotGrant, SlotQueue, SlotRequest,
+    WaitingCaller,
 };
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -107,6 +107,16 @@
     pub waited: Micros,
 }
 
+/// A caller with waiting requests in one rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitingCaller<'a> {
+    pub name: &'a Name,
+    /// Its waiting requests in this rank.
+    pub requests: usize,
+    /// Place of the first of them in the order of arrival.
+    pub oldest: u64,
+}
+
 /// Counters of one queue, for the state dump.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct QueueStats {
@@ -607,13 +617,35 @@
 
     /// As [`SlotQueue::grant`], but passes over the callers that `eligible` excludes. They keep their
     /// place in the order.
+    ///
+    /// ```
+    /// use admit::{QueueConfig, RequestId, SlotQueue, SlotRequest};
+    /// use model::{Micros, Rank, RankConfig, RankMap};
+    ///
+    /// let ranks = RankMap([RankConfig { floor_percent: 0, queue_limit: 8 }; 3]);
+    /// let mut queue = SlotQueue::new(QueueConfig { slots: 2, ranks });
+    /// for (request, caller) in [(1, "a"), (2, "b")] {
+    ///     let slot_request = SlotRequest {
+    ///         request: RequestId(request),
+    ///         rank: Rank::Urgent,
+    ///         caller: caller.into(),
+    ///         deadline: Micros::from_secs(9),
+    ///         selector: "sales".into(),
+    ///         in_transaction: false,
+    ///     };
+    ///     queue.enqueue(Micros(0), slot_request).expect("there is room");
+    /// }
+    /// let grant = queue.grant_where(Micros(0), |caller| caller.as_str() == "b");
+    /// assert_eq!(grant.expect("a slot is free").request, RequestId(2));
+    /// assert_eq!((queue.waiting_of("a"), queue.waiting_of("b")), (1, 0));
+    /// ```
     pub fn grant_where(
         &mut self,
         now: Micros,
         eligible: impl Fn(&Name) -> bool,
     ) -> Option<SlotGrant> {
         self.update_accounts(now);
-        while self.running.len() < self.config.slots as usize {
+        while self.has_free_slot() {
             let (rank, sub_queue, caller) = self.choose_next(now, &eligible)?;
             let request = *self.ranks[rank].caller(caller).sub_queues[sub_queue as usize]
                 .first_key_value()?
@@ -749,15 +781,40 @@
     }
 
     /// Returns the callers with waiting requests in the order in which they are served next, the
-    /// most urgent rank first.
-    pub fn waiting_callers(&self) -> impl Iterator<Item = &Name> {
+    /// most urgent rank first. A caller is returned once for each rank and sub-queue.
+    pub fn waiting_callers(&self) -> impl Iterator<Item = WaitingCaller<'_>> {
         Rank::ALL.into_iter().flat_map(|rank| {
             let queue = &self.ranks[rank];
-            let indices = queue.order.iter().flatten().map(|(_, _, index)| *index);
-            indices.filter_map(|index| Some(&queue.callers[index].as_ref()?.name))
+            let orders = queue.order.iter().enumerate();
+            orders.flat_map(move |(sub_queue, order)| {
+                order.iter().filter_map(move |(_, _, index)| {
+                    let state = queue.callers[*index].as_ref()?;
+                    let requests = &state.sub_queues[sub_queue];
+                    let (oldest, _) = requests.first_key_value()?;
+                    Some(WaitingCaller {
+                        name: &state.name,
+                        requests: requests.len(),
+                        oldest: *oldest,
+                    })
+                })
+            })
         })
     }
 
+    /// Returns the number of waiting requests of a caller.
+    pub fn waiting_of(&self, caller: &str) -> usize {
+        let states = Rank::ALL.into_iter().filter_map(|rank| {
+            let queue = &self.ranks[rank];
+            queue.callers[*queue.index.get(caller)?].as_ref()
+        });
+        states.map(|state| state.sub_queues.iter().map(BTreeMap::len).sum::<usize>()).sum()
+    }
+
+    /// Returns true if a further statement can be granted at once.
+    pub fn has_free_slot(&self) -> bool {
+        self.running.len() < self.config.slots as usize
+    }
+
     /// Returns the estimated service time of a selector, without a margin.
     pub fn service_time(&self, selector: &str) -> Micros {
         Micros(self.estimate(selector).mean)
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -40,6 +40,10 @@
 /// unused node is kept as long.
 const PEER_IDLE_TIMEOUT: Micros = Micros::from_millis(5_000);
 
+/// As [`SURPLUS_IDLE_TIMEOUT`], for connections of accounts within this node's share. Opening one
+/// again costs a slot, and nobody else may use the place.
+const ACCOUNT_IDLE_TIMEOUT: Micros = Micros::from_secs(30);
+
 /// Maximum number of connections to another node for one client database.
 const PEER_CONNECTIONS: u32 = 8;
 
@@ -80,19 +84,23 @@
                 if starting { share } else { database.connection_limit(now, share) }
             }
         };
-        let opening = database.opening;
-        if let Some(account) = self.unconnected_account(name) {
-            if opening >= 2 {
-                return;
-            }
-            if connections >= limit {
-                let Some(replaced) = self.replaceable_connection(name) else { return };
-                self.close_connection(replaced, "replaced by a connection of another account");
-            }
-            return self.open_connection(name, Some(account));
-        }
-        let Some(database) = self.databases.get(name) else { return };
         let first = connections == 0 && self.keeps_connection_open(name);
+        let wanted = if self.pools_accounts(name) {
+            // Beyond the limit, a connection replaces another one.
+            let allowed = if database.is_at_connection_limit(now) {
+                limit.min(connections.max(1))
+            } else {
+                limit
+            };
+            let waits_for_report = database.report_wanted && database.idle.is_empty();
+            self.open_account_connections(name, allowed);
+            u32::from(waits_for_report)
+        } else {
+            wanted
+        };
+        let Some(database) = self.databases.get(name) else { return };
+        let connections = u32::try_from(database.connections.len()).unwrap_or(u32::MAX);
+        let first = first && connections == 0;
         if !first && (database.opening >= wanted || connections >= limit || database.opening >= 2) {
             return;
         }
@@ -148,7 +156,11 @@
         }
         state.open = true;
         state.last_used = now;
+        let handshake_time = state.account.is_some().then(|| now.saturating_sub(state.opened_at));
         let name = state.database.clone();
+        if let Some(time) = handshake_time {
+            self.observe("account_link_open_time", time);
+        }
         let Some(database) = self.databases.get_mut(&name) else { return };
         database.opening -= 1;
         database.open_failures = 0;
@@ -170,14 +182,20 @@
     pub(crate) fn connection_refused(&mut self, connection: ConnectionId, code: ErrorCode) {
         let now = self.now;
         let Some(state) = self.connections.get(&connection) else { return };
-        let name = state.database.clone();
+        let (name, account) = (state.database.clone(), state.account.clone());
         self.log("link_refused", fields!["database" => &name, "code" => code.name()]);
         if code == ErrorCode::TooManyConnections {
             self.record_answer(&name);
         }
         self.remove_connection(connection);
         if let Some(database) = self.databases.get_mut(&name) {
-            database.open_retry_at = now + LIMIT_REFUSAL_BACKOFF;
+            match (code, account) {
+                // Says nothing about other accounts.
+                (ErrorCode::NotAuthorized, Some(account)) => {
+                    database.pool.record_refusal(now, account);
+                }
+                _ => database.open_retry_at = now + LIMIT_REFUSAL_BACKOFF,
+            }
             if code == ErrorCode::TooManyConnections {
                 database.limit_refused_at = Some(now);
             }
@@ -445,6 +463,9 @@
             self.out.push(GateAction::CloseConnection { connection });
             self.connection_lost(connection);
         }
+        if self.table.accounts.is_some() {
+            surplus.sort_by_key(|(_, _, last_used)| *last_used);
+        }
         for (name, connection, last_used) in surplus {
             let Some(database) = self.databases.get(&name) else { continue };
             if database.peer.is_some() {
@@ -454,6 +475,14 @@
                 continue;
             }
             let share = self.steady_connections(&database.listed.cluster);
+            if self.pools_accounts(&name) {
+                let owned = self.owns_connections(&database.listed.cluster);
+                let within_share = owned && database.connections.len() <= share as usize;
+                if !within_share || now >= last_used + ACCOUNT_IDLE_TIMEOUT {
+                    self.close_connection(connection, "unused");
+                }
+                continue;
+            }
             if share > 1 && now < last_used + LARGE_SHARE_IDLE_TIMEOUT {
                 continue;
             }
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -5,6 +5,7 @@
 use admit::{QueueConfig, SlotQueue};
 use model::{FastMap, Micros, Name, RankConfig, RankMap};
 
+use crate::account_pool::AccountPool;
 use crate::backend::{BackendCommand, DatabaseReport, TermPosition};
 use crate::event::{ConnectionId, ListedDatabase, SessionId};
 use crate::log_comparison::ReportedLog;
@@ -113,6 +114,7 @@
     pub(crate) connections: Vec<ConnectionId>,
     pub(crate) idle: Vec<ConnectionId>,
     pub(crate) opening: u32,
+    pub(crate) pool: AccountPool,
     pub(crate) report: Option<DatabaseReport>,
     pub(crate) last_report_at: Option<Micros>,
     pub(crate) reported_log: ReportedLog,
@@ -150,6 +152,7 @@
             connections: Vec::new(),
             idle: Vec::new(),
             opening: 0,
+            pool: AccountPool::default(),
             report: None,
             last_report_at: None,
             reported_log: ReportedLog::default(),
@@ -359,6 +362,11 @@
         }
     }
 
+    /// Returns the name of the account, empty for none.
+    pub(crate) fn account_name(&self) -> &str {
+        self.account.as_deref().unwrap_or_default()
+    }
+
     /// Returns true if a session's values can be applied without a reset.
     pub(crate) fn can_adopt_without_reset(&self, values: &BTreeMap<Name, Name>) -> bool {
         self.values.keys().all(|name| values.contains_key(name))
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -1,5 +1,7 @@
 //! Sends requests: assigns connections and applies the session's state to them first.
 
+use std::cmp::Reverse;
+
 use model::Name;
 
 use crate::Gate;
@@ -29,6 +31,7 @@
             if database.idle.is_empty() {
                 break;
             }
+            let pools_accounts = self.pools_accounts(name);
             let Some(grant) = self.grant_next(name) else { break };
             let Some(database) = self.databases.get_mut(name) else { return };
             let id = grant.request;
@@ -37,7 +40,8 @@
                 continue;
             };
             if let Err((code, text)) = self.renew_identity(id) {
-                self.refuse(id, code, text);
+                self.abandon_slot(id);
+                self.refuse_unidentified_request(id, code, text);
                 continue;
             }
             let Some(request) = self.requests.get(&id) else { continue };
@@ -56,19 +60,29 @@
                 let connection = self.connections.get(&database.idle[*index]);
                 connection.is_some_and(|connection| connection.account == account)
             };
-            let is_peer = database.peer.is_some();
-            let candidates = (0..database.idle.len()).filter(|index| is_peer || serves(index));
+            let candidates =
+                (0..database.idle.len()).filter(|index| !pools_accounts || serves(index));
             let best = candidates.min_by_key(|index| {
                 let connection = self.connections.get(&database.idle[*index]);
-                match (connection, values) {
+                let cost = match (connection, values) {
                     (Some(connection), Some(values)) => connection.adoption_cost(values),
                     _ => usize::MAX,
-                }
+                };
+                // Among equals the most recently used one, so that surplus ones become the least
+                // recently used of all accounts.
+                let last_used = connection.filter(|_| pools_accounts).map(|state| state.last_used);
+                (cost, Reverse(last_used))
             });
             let Some(index) = best else {
                 // Operators have given the key to another account while the request was queued.
-                self.release_slot(id);
-                self.route_request(id);
+                self.abandon_slot(id);
+                if let Err(reason) = self.enqueue(id, name) {
+                    if let Some(request) = self.requests.get_mut(&id) {
+                        // Ends the request without another dispatch at this database.
+                        request.database = None;
+                    }
+                    self.refuse_queued(id, reason);
+                }
                 continue;
             };
             let connection = database.idle.swap_remove(index);
--- a/crates/gate/src/dump.rs
+++ b/crates/gate/src/dump.rs
@@ -66,6 +66,7 @@
             "node": self.settings.node,
             "data_centre": self.settings.data_centre,
             "configuration": self.table.version,
+            "accounts": self.table.accounts.as_ref().map(|directory| directory.len()),
             "store": { "revision": self.store_view.revision,
                 "age_ms": self.store_view.known_at.map(|_| self.store_view.age_ms(now)) },
             "sessions": self.sessions.len(),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -294,7 +294,12 @@
         for cluster in table.clusters.keys() {
             self.clusters.entry(cluster.clone()).or_default();
         }
+        if let Some(directory) = &table.accounts {
+            let accounts = u64::try_from(directory.len()).unwrap_or(u64::MAX);
+            self.log("accounts", fields!["version" => table.version, "accounts" => accounts]);
+        }
         self.table = table;
+        self.renew_waiting_identities();
         self.update_owners();
         self.update_ready();
     }
@@ -415,6 +420,10 @@
         self.out.push(GateAction::Count { counter, amount: 1 });
     }
 
+    fn observe(&mut self, histogram: &'static str, time: Micros) {
+        self.out.push(GateAction::Observe { histogram, micros: time.0 });
+    }
+
     fn log(&mut self, event: &'static str, fields: Vec<(&'static str, LogValue)>) {
         self.out.push(GateAction::Log(LogRecord { event, fields }));
     }
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -9,6 +9,7 @@
 use crate::action::{ClientReply, GateAction};
 use crate::backend::{AnswerEnd, BackendAnswer, TermPosition};
 use crate::event::ConnectionId;
+use crate::identity::INVALID_KEY_TEXT;
 use crate::request::{
     ActiveRequest, MAX_TRIES, OVERLOADED_TEXT, RequestId, RequestKind, RequestStage, UNPROVED_TEXT,
 };
@@ -150,6 +151,11 @@
                 }
                 self.retry_request(id, None, code, ErrorCode::Busy);
             }
+            // The account of a key is the same at all nodes with this configuration, and a node with
+            // an older one must not decide.
+            ErrorCode::NotAuthorized if self.is_peer(&database) => {
+                self.refuse(id, code, INVALID_KEY_TEXT);
+            }
             // The owner sees all requests of the cluster; another node would send to the same
             // databases.
             ErrorCode::Busy
@@ -192,7 +198,9 @@
             AnswerEnd::Failed { code, text } => {
                 let (code, text) = (*code, text.clone());
                 let first = matches!(request.kind, RequestKind::Begin { .. });
-                let not_run = code.guarantees_not_run() || self.lacks_route_at_peer(request, code);
+                let not_run = code.guarantees_not_run()
+                    || self.lacks_route_at_peer(request, code)
+                    || self.is_unidentified_at_peer(request, code);
                 if first && not_run && request.tries < MAX_TRIES {
                     self.restore_pending_transaction(id, connection);
                     self.request_declined(id, code);
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -9,6 +9,7 @@
 use model::{Micros, Name};
 
 use crate::Gate;
+use crate::account_pool::caller_name;
 use crate::backend::TermPosition;
 use crate::event::{ConnectionId, SessionId, SessionOrigin};
 use crate::route::{Freshness, RouteConfig};
@@ -361,30 +362,50 @@
     ) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(database) = self.databases.get_mut(&name) else { return };
+        let Some(database) = self.databases.get(&name) else { return };
         request.database = Some(name.clone());
         request.required_position = required_position;
         request.proof_time = proof_time;
         request.stage = RequestStage::Queued;
-        let slot_request = SlotRequest {
-            request: id,
-            rank: request.route.rank,
-            caller: match request.account() {
-                Some(account) => account.clone(),
-                None => Name::from(format!("s{}", request.session.0)),
-            },
-            deadline: request.deadline,
-            selector: request.route.name.clone(),
-            in_transaction: false,
-        };
         if database.is_overloaded(now, &request.route) {
             self.count("requests_shed");
             return self.refuse(id, ErrorCode::Busy, OVERLOADED_TEXT);
         }
-        if let Err(reason) = database.queue.enqueue(now, slot_request) {
+        if let Err(reason) = self.enqueue(id, &name) {
             return self.refuse_queued(id, reason);
         }
         self.dispatch_queued(&name);
+        self.count_connection_wait(id, &name);
+    }
+
+    /// Counts a request that waits for a connection of its account while a slot is free.
+    fn count_connection_wait(&mut self, id: RequestId, name: &Name) {
+        let waits = self.requests.get(&id).is_some_and(|request| {
+            request.stage == RequestStage::Queued && request.database.as_ref() == Some(name)
+        });
+        let free = self.databases.get(name).is_some_and(|database| database.queue.has_free_slot());
+        if waits && free && self.pools_accounts(name) {
+            self.count("account_link_waits");
+        }
+    }
+
+    /// Adds a request to the queue of a database, under the name of its account.
+    pub(crate) fn enqueue(&mut self, id: RequestId, name: &Name) -> Result<(), RefusalReason> {
+        let has_accounts = self.table.accounts.is_some();
+        let Some(request) = self.requests.get(&id) else { return Ok(()) };
+        let Some(database) = self.databases.get_mut(name) else { return Ok(()) };
+        if request.account().is_some() {
+            database.pool.mark_used();
+        }
+        let slot_request = SlotRequest {
+            request: id,
+            rank: request.route.rank,
+            caller: caller_name(request.account(), request.session.0, has_accounts),
+            deadline: request.deadline,
+            selector: request.route.name.clone(),
+            in_transaction: false,
+        };
+        database.queue.enqueue(self.now, slot_request)
     }
 
     pub(crate) fn refuse_queued(&mut self, id: RequestId, reason: RefusalReason) {
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use account::MAX_KEY_BYTES;
 use model::{FastMap, Micros, Name};
 
 use crate::action::{ClientReply, GateAction};
@@ -109,7 +110,8 @@
         self.count("sessions_opened");
         let state = Session {
             database,
-            key,
+            // No account can hold a longer key, and it is forwarded with each request.
+            key: if key.len() > MAX_KEY_BYTES { Name::default() } else { key },
             opened_at: self.now,
             values: BTreeMap::new(),
             prepared: FastMap::default(),
@@ -255,9 +257,9 @@
             self.fail_peer_transaction(id);
         }
         let Some(route) = self.current_route(id) else { return };
-        if let Err((code, text)) = self.identify(id, request.caller.as_ref(), &route) {
+        if let Err((code, text)) = self.identify(id, request.caller.as_ref()) {
             self.fail_peer_transaction(id);
-            return self.reply_error(id, code, text);
+            return self.refuse_unidentified(id, code, text);
         }
         let started_at = self.now;
         if let Some(session) = self.sessions.get_mut(&id) {
@@ -326,7 +328,7 @@
         let identified = match kind {
             // The connection of the transaction belongs to the account.
             RequestKind::Continue => Ok(None),
-            _ => self.identify(id, begin_caller.or(request.caller.as_ref()), &route),
+            _ => self.identify(id, begin_caller.or(request.caller.as_ref())),
         };
         let caller = match identified {
             Ok(caller) => caller,
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -53,12 +53,28 @@
     pub loses_answers: bool,
     /// Answers that it is busy instead of reporting, while it executes other commands.
     pub refuses_reports: bool,
-    slot_free: Micros,
+    /// When each slot becomes free.
+    pub slots: Vec<Micros>,
+    /// Time that opening a connection takes of a slot; `None` if it takes none.
+    pub handshake_time: Option<Micros>,
+    /// Connections that it accepts from all nodes together.
+    pub connection_limit: usize,
+    /// Refuses this account.
+    pub refused_account: Option<Name>,
     /// Statements in execution order, with the position of the log.
     pub ran: Vec<(Name, TermPosition)>,
     pub reports: usize,
 }
 
+impl FakeDatabase {
+    /// Occupies the slot that is free first, and returns when it is free again.
+    fn use_slot(&mut self, now: Micros, time: Micros) -> Micros {
+        let slot = self.slots.iter_mut().min().expect("there is a slot");
+        *slot = now.max(*slot) + time;
+        *slot
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Delivery {
     Gate(usize, GateEvent),
@@ -127,6 +143,14 @@
     /// Roles in the entries of databases that are cut off from the store.
     pub stale_roles: BTreeMap<Name, DatabaseRole>,
     connections: BTreeMap<(usize, ConnectionId), Name>,
+    /// Accounts of all connections that were opened, in order.
+    pub opened: Vec<((usize, ConnectionId), Option<Name>)>,
+    /// Accounts under which requests ran, by request id.
+    pub accounts: BTreeMap<Name, Option<Name>>,
+    /// Highest number of connections to one database.
+    pub peak_connections: usize,
+    pub refused_sessions: BTreeMap<SessionId, ErrorCode>,
+    pub counters: BTreeMap<&'static str, u64>,
     /// Commits that no replica has received yet.
     waiting_commits: Vec<Delivery>,
     documents: BTreeMap<String, StoredDocument>,
@@ -192,6 +216,22 @@
     }
 }
 
+/// Returns a client's request.
+pub fn client_request(
+    id: &str,
+    text: &str,
+    required_position: Option<TermPosition>,
+) -> ClientRequest {
+    let statement = match text.split(' ').next().unwrap_or_default() {
+        "BEGIN" => Statement::Begin { read_only: text.ends_with("READ") },
+        "COMMIT" => Statement::Commit,
+        "ROLLBACK" => Statement::Rollback,
+        "WRITE" => Statement::Write,
+        _ => Statement::Read,
+    };
+    ClientRequest { id: id.into(), text: text.into(), statement, required_position, caller: None }
+}
+
 impl Simulation {
     /// Starts nodes with one cluster of three databases, `a` (the primary), `b` and `c`, and runs
     /// until they are stable.
@@ -223,7 +263,10 @@
                 statement_time: STATEMENT_TIME,
                 loses_answers: false,
                 refuses_reports: false,
-                slot_free: Micros::ZERO,
+                slots: vec![Micros::ZERO],
+                handshake_time: None,
+                connection_limit: usize::MAX,
+                refused_account: None,
                 ran: Vec::new(),
                 reports: 0,
             };
@@ -257,6 +300,11 @@
             unlisted: BTreeSet::new(),
             stale_roles: BTreeMap::new(),
             connections: BTreeMap::new(),
+            opened: Vec::new(),
+            accounts: BTreeMap::new(),
+            peak_connections: 0,
+            refused_sessions: BTreeMap::new(),
+            counters: BTreeMap::new(),
             waiting_commits: Vec::new(),
             documents: BTreeMap::new(),
             revision: 1,
@@ -336,7 +384,7 @@
             cluster: CLUSTER.into(),
             address: address(1_000 + u16::from(name.as_bytes()[0])),
             data_centre: "east".into(),
-            slots: 2,
+            slots: u32::try_from(database.slots.len()).expect("it is small").max(2),
             leaving: database.leaving,
             claimed_role: Some(self.stale_roles.get(name).copied().unwrap_or(database.role)),
             started_at_ms: Some(database.started_at_ms),
@@ -437,18 +485,37 @@
 
     fn execute_action(&mut self, gate: usize, action: GateAction) {
         match action {
-            GateAction::OpenConnection { connection, database, .. } => {
+            GateAction::OpenConnection { connection, database, account, .. } => {
                 self.connections.insert((gate, connection), database.clone());
-                let Some(state) = self.databases.get(&database) else { return };
+                self.opened.push(((gate, connection), account.clone()));
+                let open = self.connections.values().filter(|other| **other == database).count();
+                let now = self.now;
+                let Some(state) = self.databases.get_mut(&database) else { return };
                 if self.cuts.contains(&(gate, database)) || state.unreachable {
                     return;
                 }
-                let event = if state.connections_refused {
-                    GateEvent::ConnectionRefused { connection, code: ErrorCode::TooManyConnections }
+                let refusal = if state.connections_refused || open > state.connection_limit {
+                    Some(ErrorCode::TooManyConnections)
+                } else if account.is_some() && account == state.refused_account {
+                    Some(ErrorCode::NotAuthorized)
                 } else {
-                    GateEvent::ConnectionOpened { connection, position: Some(state.received) }
+                    None
+                };
+                let event = match refusal {
+                    Some(code) => {
+                        self.connections.remove(&(gate, connection));
+                        GateEvent::ConnectionRefused { connection, code }
+                    }
+                    None => {
+                        self.peak_connections = self.peak_connections.max(open);
+                        GateEvent::ConnectionOpened { connection, position: Some(state.received) }
+                    }
+                };
+                let delay = match state.handshake_time {
+                    Some(time) => state.use_slot(now, time).saturating_sub(now) + NETWORK_DELAY,
+                    None => Micros::from_millis(14),
                 };
-                self.schedule(Micros::from_millis(14), Delivery::Gate(gate, event));
+                self.schedule(delay, Delivery::Gate(gate, event));
             }
             GateAction::CloseConnection { connection } => {
                 self.connections.remove(&(gate, connection));
@@ -552,10 +619,13 @@
                 self.stopped.insert(gate);
             }
             GateAction::Log(record) => self.logs.push((self.now, gate, record)),
-            GateAction::AcceptSession { .. }
-            | GateAction::RefuseSession { .. }
-            | GateAction::Count { .. }
-            | GateAction::Observe { .. } => {}
+            GateAction::RefuseSession { session, code, .. } => {
+                self.refused_sessions.insert(session, code);
+            }
+            GateAction::Count { counter, amount } => {
+                *self.counters.entry(counter).or_default() += amount;
+            }
+            GateAction::AcceptSession { .. } | GateAction::Observe { .. } => {}
         }
     }
 
@@ -656,6 +726,14 @@
                 if !self.connections.contains_key(&(gate, connection)) && !late {
                     return;
                 }
+                if let BackendCommand::Run { id, .. } = &command {
+                    let opened = self.opened.iter().rev();
+                    let (_, account) = opened
+                        .into_iter()
+                        .find(|(opened, _)| *opened == (gate, connection))
+                        .expect("it was opened");
+                    self.accounts.insert(id.clone(), account.clone());
+                }
                 let answer = self.execute(&database, &command);
                 if answer.is_none() {
                     let command = command.clone();
@@ -673,12 +751,8 @@
                     if statement && state.loses_answers {
                         return;
                     }
-                    // One slot: statements queue behind each other.
-                    let start = state.slot_free.max(now);
-                    let end = if statement { start + state.statement_time } else { now };
-                    if statement {
-                        state.slot_free = end;
-                    }
+                    let end =
+                        if statement { state.use_slot(now, state.statement_time) } else { now };
                     let answer = Box::new(answer);
                     let delivery = Delivery::Answer { gate, connection, database, answer };
                     self.schedule(end.saturating_sub(now) + NETWORK_DELAY, delivery);
@@ -884,16 +958,40 @@
     }
 
     pub fn open_as(&mut self, gate: usize, database: &str, origin: SessionOrigin) -> SessionId {
+        self.open_session(gate, database, "", origin)
+    }
+
+    /// Opens the session of a client that holds a key.
+    pub fn open_with_key(&mut self, gate: usize, database: &str, key: &str) -> SessionId {
+        self.open_session(gate, database, key, SessionOrigin::Client)
+    }
+
+    fn open_session(
+        &mut self,
+        gate: usize,
+        database: &str,
+        key: &str,
+        origin: SessionOrigin,
+    ) -> SessionId {
         self.next_session += 1;
         let session = SessionId(self.next_session);
-        let database = database.into();
-        self.event(
-            gate,
-            GateEvent::SessionOpened { session, database, key: Name::default(), origin },
-        );
+        let (database, key) = (database.into(), key.into());
+        self.event(gate, GateEvent::SessionOpened { session, database, key, origin });
         session
     }
 
+    /// Sends a request after a delay.
+    pub fn schedule_request(
+        &mut self,
+        delay: Micros,
+        gate: usize,
+        session: SessionId,
+        request: ClientRequest,
+    ) {
+        let event = GateEvent::RequestArrived { session, request };
+        self.schedule(delay, Delivery::Gate(gate, event));
+    }
+
     /// Sends a request; [`Simulation::answer`] returns its answer.
     pub fn send_request(&mut self, gate: usize, session: SessionId, id: &str, text: &str) {
         self.send_request_requiring(gate, session, id, text, None);
@@ -908,20 +1006,7 @@
         text: &str,
         required_position: Option<TermPosition>,
     ) {
-        let statement = match text.split(' ').next().unwrap_or_default() {
-            "BEGIN" => Statement::Begin { read_only: text.ends_with("READ") },
-            "COMMIT" => Statement::Commit,
-            "ROLLBACK" => Statement::Rollback,
-            "WRITE" => Statement::Write,
-            _ => Statement::Read,
-        };
-        let request = ClientRequest {
-            id: id.into(),
-            text: text.into(),
-            statement,
-            required_position,
-            caller: None,
-        };
+        let request = client_request(id, text, required_position);
         self.event(gate, GateEvent::RequestArrived { session, request });
     }
 
