Close connections of accounts with the least use

Cause: with the least recently used connection closed, the largest accounts lost connections to many small ones, and the two connections beyond the share were closed after 0.6 s and opened again. Change: the connection of the account with the least recent use is closed, divided by the square of its connections; up to the share no connection is closed early, beyond it one is opened only if no idle one can be spared. The bound in many_accounts_share_few_connections is 0.20 and 28 connections; it fails without the use and with the limit of 30. New test idle_connections_are_kept_within_the_share_and_returned_beyond_it fails if connections are kept beyond the share, and if they are closed within it.

--- a/crates/gate/src/account_pool.rs
+++ b/crates/gate/src/account_pool.rs
@@ -34,6 +34,16 @@
 /// Time for which no connection is opened for an account that the database refused.
 const REFUSED_ACCOUNT_BACKOFF: Micros = Micros::from_millis(500);
 
+/// Time constant with which the recorded use of an account decays: some hundreds of requests to one
+/// database, enough to tell accounts apart that send every other second.
+const USE_DECAY_TIME: Micros = Micros::from_secs(10);
+
+/// Use below which an account is forgotten: one request a minute ago.
+const MIN_USE: f64 = 0.0025;
+
+/// Accounts whose use is recorded; further ones count as unused.
+const MAX_RECORDED_ACCOUNTS: usize = 1_024;
+
 /// What a connection does, as far as the pool needs to know.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PooledState {
@@ -100,12 +110,28 @@
     replaced: Option<ConnectionId>,
 }
 
+/// Recent requests of an account, each counted less the older it is.
+#[derive(Clone, Copy, Debug)]
+struct AccountUse {
+    requests: f64,
+    at: Micros,
+}
+
+impl AccountUse {
+    fn value(&self, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.at).0 as f64 / USE_DECAY_TIME.0 as f64;
+        self.requests * (-age).exp()
+    }
+}
+
 /// State of the pool of one database that outlives a decision.
 #[derive(Debug, Default)]
 pub(crate) struct AccountPool {
     /// A request of an account has been queued here.
     in_use: bool,
     openings: u32,
+    /// Recent use of the accounts.
+    usage: FastMap<Name, AccountUse>,
     /// When the database last refused an account.
     refused: FastMap<Name, Micros>,
 }
@@ -115,6 +141,26 @@
         self.in_use = true;
     }
 
+    /// Records a request of an account, whose connections are kept the longer the more it sends.
+    pub(crate) fn record_use(&mut self, now: Micros, account: &str) {
+        let requests = self.use_of(now, account) + 1.0;
+        let recent = AccountUse { requests, at: now };
+        if let Some(known) = self.usage.get_mut(account) {
+            *known = recent;
+            return;
+        }
+        if self.usage.len() >= MAX_RECORDED_ACCOUNTS {
+            self.usage.retain(|_, recent| recent.value(now) >= MIN_USE);
+        }
+        if self.usage.len() < MAX_RECORDED_ACCOUNTS {
+            self.usage.insert(account.into(), recent);
+        }
+    }
+
+    fn use_of(&self, now: Micros, account: &str) -> f64 {
+        self.usage.get(account).map_or(0.0, |recent| recent.value(now))
+    }
+
     /// Records that the database refused a connection of an account.
     pub(crate) fn record_refusal(&mut self, now: Micros, account: Name) {
         self.refused.retain(|_, at| now < *at + REFUSED_ACCOUNT_BACKOFF);
@@ -126,19 +172,27 @@
     }
 }
 
+/// Connections to one database that this node may have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PoolLimits {
+    /// Up to here, connections are opened without closing others.
+    pub(crate) steady: usize,
+    /// Up to here, connections are opened while every idle one has a waiting request, or none is idle.
+    pub(crate) most: usize,
+}
+
 /// The connections to one database at one time.
 #[derive(Debug)]
 struct PoolView<'a> {
     now: Micros,
-    /// Connections that this node may have.
-    limit: usize,
+    limits: PoolLimits,
     connections: Vec<PooledConnection<'a>>,
     counts: FastMap<&'a str, AccountCounts>,
     openings: usize,
 }
 
 impl<'a> PoolView<'a> {
-    fn new(now: Micros, limit: usize, connections: Vec<PooledConnection<'a>>) -> Self {
+    fn new(now: Micros, limits: PoolLimits, connections: Vec<PooledConnection<'a>>) -> Self {
         let mut counts = FastMap::<&str, AccountCounts>::default();
         let mut openings = 0;
         for connection in &connections {
@@ -153,7 +207,7 @@
                 PooledState::Busy { .. } | PooledState::Held => {}
             }
         }
-        PoolView { now, limit, connections, counts, openings }
+        PoolView { now, limits, connections, counts, openings }
     }
 
     /// Chooses the next connection to open; `None` if none is needed, or none can be replaced.
@@ -177,14 +231,15 @@
         } else {
             needed.next()?
         };
-        let replaced = if self.connections.len() < self.limit {
+        let replaced = if self.connections.len() < self.limits.steady {
             None
         } else {
             let place = if oldest_turn { None } else { Some(place) };
-            Some(
-                self.surplus_connection(queue)
-                    .or_else(|| self.contended_connection(queue, place))?,
-            )
+            match self.surplus_connection(queue, pool) {
+                None if self.connections.len() < self.limits.most => None,
+                None => Some(self.contended_connection(queue, place)?),
+                surplus => surplus,
+            }
         };
         Some(PoolOpening { account: account_of_caller(caller.name), reason, replaced })
     }
@@ -208,8 +263,10 @@
         }
     }
 
-    /// Returns the least recently used idle connection for which no request waits.
-    fn surplus_connection(&self, queue: &SlotQueue) -> Option<ConnectionId> {
+    /// Returns the idle connection for which no request waits and whose account has the least use; among
+    /// equals the least recently used one. The more connections an account has, the more rarely it
+    /// needs the last one, so its use is divided by the square of their number.
+    fn surplus_connection(&self, queue: &SlotQueue, pool: &AccountPool) -> Option<ConnectionId> {
         let idle = self.connections.iter().filter_map(|connection| match connection.state {
             PooledState::Idle { last_used } => Some((last_used, connection)),
             _ => None,
@@ -218,7 +275,16 @@
             let counts = self.counts.get(connection.account).copied().unwrap_or_default();
             counts.idle > queue.waiting_of(connection.account)
         });
-        surplus.min_by_key(|(last_used, _)| *last_used).map(|(_, connection)| connection.id)
+        let least_used = surplus.min_by(|(last_used, connection), (other_last_used, other)| {
+            let use_of = |connection: &PooledConnection<'_>| {
+                let counts = self.counts.get(connection.account).copied().unwrap_or_default();
+                let connections = (counts.idle + counts.expected()).max(1);
+                pool.use_of(self.now, connection.account) / connections.pow(2) as f64
+            };
+            let order = use_of(connection).total_cmp(&use_of(other));
+            order.then(last_used.cmp(other_last_used))
+        });
+        least_used.map(|(_, connection)| connection.id)
     }
 
     /// Returns the idle connection whose account is served last, of those after a place in the
@@ -283,9 +349,8 @@
     }
 
     /// Opens connections for the accounts that need them, within a limit for all of them.
-    pub(crate) fn open_account_connections(&mut self, name: &Name, limit: u32) {
-        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-        while let Some((account, reason, replaced)) = self.next_opening(name, limit) {
+    pub(crate) fn open_account_connections(&mut self, name: &Name, limits: PoolLimits) {
+        while let Some((account, reason, replaced)) = self.next_opening(name, limits) {
             if let Some(replaced) = replaced {
                 self.count("account_links_replaced");
                 self.close_connection(replaced, "replaced by a connection of another account");
@@ -301,7 +366,7 @@
     fn next_opening(
         &self,
         name: &Name,
-        limit: usize,
+        limits: PoolLimits,
     ) -> Option<(Option<Name>, OpeningReason, Option<ConnectionId>)> {
         let database = self.databases.get(name)?;
         // Nothing waits if nothing can expire.
@@ -319,7 +384,7 @@
             };
             Some(PooledConnection { id: *id, account: connection.account_name(), state })
         });
-        let view = PoolView::new(self.now, limit, connections.collect());
+        let view = PoolView::new(self.now, limits, connections.collect());
         let opening = view.choose_opening(&database.queue, &database.pool)?;
         let account = Some(opening.account).filter(|account| !account.is_empty());
         Some((account.map(Name::from), opening.reason, opening.replaced))
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -2,10 +2,11 @@
 
 use model::{DatabaseRole, Micros, Name};
 
+use crate::account_pool::PoolLimits;
 use crate::action::GateAction;
 use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, TermPosition};
 use crate::cluster::LEAVING_GRACE;
-use crate::database::{BackendConnection, CommandPurpose, PendingCommand, steady_share};
+use crate::database::{BackendConnection, CommandPurpose, Database, PendingCommand, steady_share};
 use crate::event::ConnectionId;
 use crate::request::RequestId;
 use crate::statement::{ErrorCode, TransactionState};
@@ -86,14 +87,9 @@
         };
         let first = connections == 0 && self.keeps_connection_open(name);
         let wanted = if self.pools_accounts(name) {
-            // Beyond the limit, a connection replaces another one.
-            let allowed = if database.is_at_connection_limit(now) {
-                limit.min(connections.max(1))
-            } else {
-                limit
-            };
+            let limits = self.pool_limits(database);
             let waits_for_report = database.report_wanted && database.idle.is_empty();
-            self.open_account_connections(name, allowed);
+            self.open_account_connections(name, limits);
             u32::from(waits_for_report)
         } else {
             wanted
@@ -107,6 +103,20 @@
         self.open_connection(name, None);
     }
 
+    /// Returns how many connections this node may have to a database of a deployment with accounts.
+    fn pool_limits(&self, database: &Database) -> PoolLimits {
+        let share = self.steady_connections(&database.listed.cluster);
+        let size = |limit| usize::try_from(limit).unwrap_or(usize::MAX);
+        if database.is_at_connection_limit(self.now) {
+            // The database is full: a new connection replaces one of this node.
+            let limit = size(share).min(database.connections.len().max(1));
+            return PoolLimits { steady: limit, most: limit };
+        }
+        let starting = self.now < self.started + STARTUP_GRACE;
+        let most = if starting { share } else { database.connection_limit(self.now, share) };
+        PoolLimits { steady: size(share), most: size(most) }
+    }
+
     /// Opens a connection that serves an account, or none in particular.
     pub(crate) fn open_connection(&mut self, name: &Name, account: Option<Name>) {
         let now = self.now;
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -86,6 +86,9 @@
                 continue;
             };
             let connection = database.idle.swap_remove(index);
+            if pools_accounts {
+                database.pool.record_use(now, account.as_deref().unwrap_or_default());
+            }
             self.dispatch_request(id, connection);
         }
         self.open_connections(name);
--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -20,6 +20,10 @@
 
 /// Returns a configuration in which each account holds one key. `BOUNDED` is a public route.
 fn configuration(version: u64, keys: &[(&str, &str)]) -> GateEvent {
+    GateEvent::RoutesChanged(Box::new(accounts_table(version, keys)))
+}
+
+fn accounts_table(version: u64, keys: &[(&str, &str)]) -> RouteTable {
     let mut accounts = BTreeMap::<&str, Vec<Name>>::new();
     for (key, account) in keys {
         accounts.entry(account).or_default().push((*key).into());
@@ -34,7 +38,7 @@
     let route = table.routes.get_mut(BOUNDED).expect("the route exists");
     Arc::make_mut(route).public = true;
     (table.version, table.accounts) = (version, Some(Arc::new(directory)));
-    GateEvent::RoutesChanged(Box::new(table))
+    table
 }
 
 /// Starts nodes with accounts; opening a connection takes 12 ms of one of four slots.
@@ -149,8 +153,7 @@
     start(1, &keys)
 }
 
-/// The load of one cluster: 73 accounts by Zipf's law, 28 connections of its first owner and two more
-/// while the database has free ones, four slots. Guards against a handshake for each request, which
+/// The load of one cluster: 73 accounts by Zipf's law, 28 connections of its first owner, four slots. Guards against a handshake for each request, which
 /// would take as much of the slots as the statements.
 #[test]
 fn many_accounts_share_few_connections() {
@@ -164,8 +167,8 @@
     let opened = simulation.opened.len() - warm;
     assert_eq!(served, sent);
     assert!(longest < 150, "the longest took {longest} ms");
-    assert!(opened * 100 < sent * 22, "{opened} handshakes for {sent} requests");
-    assert!(simulation.peak_connections <= 30, "{} connections", simulation.peak_connections);
+    assert!(opened * 100 < sent * 20, "{opened} handshakes for {sent} requests");
+    assert!(simulation.peak_connections <= 28, "{} connections", simulation.peak_connections);
 }
 
 /// The largest account sends eight times its usual rate, more than the database executes. Guards
@@ -359,3 +362,25 @@
         assert_eq!(account.as_deref(), expected.as_deref(), "{id}");
     }
 }
+
+/// Guards against a handshake for each account that pauses, and against an owner that keeps the
+/// connections that its successor needs.
+#[test]
+fn idle_connections_are_kept_within_the_share_and_returned_beyond_it() {
+    let mut simulation = many_accounts(20);
+    for index in 0..20 {
+        send(&mut simulation, &format!("k{index}"), &format!("r{index}"), "READ 1");
+        simulation.run(millis(60));
+    }
+    simulation.run(Micros::from_secs(20));
+    assert!(simulation.connection_count("a") >= 20, "{}", simulation.connection_count("a"));
+    let mut table = accounts_table(3, &[]);
+    table.clusters.values_mut().for_each(|limits| limits.max_connections = 16);
+    simulation.event(0, GateEvent::RoutesChanged(Box::new(table.clone())));
+    simulation.run(millis(700));
+    assert_eq!(simulation.connection_count("a"), 8);
+    (table.version, table.clusters) = (4, Default::default());
+    simulation.event(0, GateEvent::RoutesChanged(Box::new(table)));
+    simulation.run(millis(700));
+    assert_eq!(simulation.connection_count("a"), 0);
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -411,6 +411,11 @@
         }
     }
 
+    /// Returns the number of connections to a database from all nodes.
+    pub fn connection_count(&self, name: &str) -> usize {
+        self.connections.values().filter(|database| database.as_str() == name).count()
+    }
+
     pub fn database(&mut self, name: &str) -> &mut FakeDatabase {
         self.databases.get_mut(name).expect("the database exists")
     }
