Test that an unknown key at an owner ends a request

Cause: the rule that NOAUTH of another node is final had no test on the side of the forwarding node. Change: a read and a transaction are forwarded with their caller and refused.

--- a/crates/gate/tests/forwarded_sessions.rs
+++ b/crates/gate/tests/forwarded_sessions.rs
@@ -13,7 +13,7 @@
     GateAction, GateEvent, NodeRole, PEER_PROTOCOL, SessionId, SessionOrigin, Statement,
     TransactionState,
 };
-use model::Name;
+use model::{Micros, Name};
 use support::single_gate::{NodeEntry, SingleGate};
 use support::{BOUNDED, LATEST, Simulation, route_table};
 
@@ -240,3 +240,42 @@
         assert!(matches!(sent(&mut gate)[..], [.., BackendCommand::Run { .. }]));
     }
 }
+
+/// An owner with a newer configuration does not know the key any more. Guards against a request that
+/// goes on to an owner with an older one, or ends as "busy", which clients retry.
+#[test]
+fn an_unknown_key_at_an_owner_ends_the_request() {
+    for begins in [false, true] {
+        let mut gate = forwarding_gate(PEER_PROTOCOL);
+        let mut table = route_table(46);
+        let account =
+            account::AccountConfig { name: "one".into(), keys: vec!["k1".into()], limit: None };
+        let directory = account::AccountDirectory::new(vec![account]).unwrap();
+        (table.version, table.accounts) = (2, Some(std::sync::Arc::new(directory)));
+        gate.event(GateEvent::RoutesChanged(Box::new(table)));
+        let (session, origin) = (SessionId(1), SessionOrigin::Client);
+        let (database, key) = (LATEST.into(), "k1".into());
+        gate.event(GateEvent::SessionOpened { session, database, key, origin });
+        if begins {
+            request(&mut gate, 1, "b", "BEGIN", Statement::Begin { read_only: false });
+        }
+        request(&mut gate, 1, "r", "READ 1", Statement::Read);
+        let (connection, owner) = gate.take_opened().remove(0);
+        gate.event(GateEvent::ConnectionOpened { connection, position: None });
+        let commands = sent(&mut gate);
+        let [BackendCommand::Run { caller: Some(caller), .. }, ..] = &commands[..] else {
+            panic!("{commands:?}")
+        };
+        assert_eq!((caller.version, caller.account.as_deref()), (2, Some("one")));
+        let end = AnswerEnd::Failed { code: ErrorCode::NotAuthorized, text: String::new() };
+        answer(&mut gate, connection, end);
+        let refused = gate.actions.iter().any(|action| {
+            let code = ErrorCode::NotAuthorized;
+            matches!(action, GateAction::Reply { reply: ClientReply::Failed { code: replied, .. }, .. } if *replied == code)
+        });
+        assert!(refused, "{:?}", gate.actions);
+        gate.run(Micros::from_millis(400));
+        // The owner may be probed, as it has not answered the statement after the BEGIN.
+        assert!(gate.take_opened().iter().all(|(_, opened)| *opened == owner));
+    }
+}
