Charge operations to the limits of their accounts

Cause: the gate served whatever an account sent, so the limits in the configuration had no effect. Nodes ask home nodes in sessions named *allotments, which only nodes may open. Nodes of a former protocol version are no homes. A refusal by an owner reaches the client with the owner's text. Without an account that has a limit, nothing changes.

--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -145,6 +145,11 @@
         self.limits.get(account).copied().flatten()
     }
 
+    /// Returns the accounts that have a limit.
+    pub fn limits(&self) -> impl Iterator<Item = (Name, RateLimit)> {
+        self.limits.iter().filter_map(|(account, limit)| Some((account.clone(), (*limit)?)))
+    }
+
     /// Returns the number of accounts.
     pub fn len(&self) -> usize {
         self.limits.len()
--- a/crates/allot/src/cache.rs
+++ b/crates/allot/src/cache.rs
@@ -136,7 +136,7 @@
 /// let mut cache = AllotmentCache::new(AllotmentPolicy::new(None));
 /// let limit = RateLimit { rate_per_s: 10.0, burst: 2.0 };
 /// let (account, home, now) = ("kiosks".into(), "n1".into(), Micros::from_millis(5));
-/// cache.update(1, vec![("kiosks".into(), limit, "n1".into())]);
+/// cache.update(1, true, vec![("kiosks".into(), limit, "n1".into())]);
 /// assert_eq!(cache.take(now, &account), TokenTake::Wait);
 /// let waiting = FastMap::from_iter([("kiosks".into(), 1)]);
 /// let request = cache.next_request(now, &home, &waiting, false).expect("an operation waits");
@@ -149,6 +149,8 @@
 pub struct AllotmentCache {
     policy: AllotmentPolicy,
     view: u64,
+    /// Homes are chosen among nodes that include this one, so they have to know its view.
+    is_member: bool,
     accounts: FastMap<Name, AccountCache>,
     links: FastMap<Name, HomeLink>,
 }
@@ -157,12 +159,18 @@
     /// Creates a cache without accounts.
     pub fn new(policy: AllotmentPolicy) -> Self {
         let (accounts, links) = (FastMap::default(), FastMap::default());
-        AllotmentCache { policy, view: 0, accounts, links }
+        AllotmentCache { policy, view: 0, is_member: false, accounts, links }
     }
 
     /// Sets the accounts with a limit and their home nodes. Returns how many homes have changed.
-    pub fn update(&mut self, view: u64, accounts: Vec<(Name, RateLimit, Name)>) -> u64 {
-        self.view = view;
+    /// `is_member` tells that homes are chosen among nodes that include this one.
+    pub fn update(
+        &mut self,
+        view: u64,
+        is_member: bool,
+        accounts: Vec<(Name, RateLimit, Name)>,
+    ) -> u64 {
+        (self.view, self.is_member) = (view, is_member);
         let mut former = std::mem::take(&mut self.accounts);
         let mut changes = 0;
         for (name, limit, home) in accounts {
@@ -261,6 +269,13 @@
         self.accounts.get(account).map_or(0, |cache| cache.carried_milli(now))
     }
 
+    /// Notes that this node has refused an account of which it is the home.
+    pub fn note_refusal(&mut self, now: Micros, account: &Name, retry_after: Micros) {
+        if let Some(cache) = self.accounts.get_mut(account) {
+            cache.refused_until = Some(now + retry_after);
+        }
+    }
+
     /// Returns the request to send to a home node now, if one is due. `waiting` counts the
     /// operations that wait for tokens; `is_lone` tells that this node lacks contact with the store.
     pub fn next_request(
@@ -269,6 +284,20 @@
         home: &Name,
         waiting: &FastMap<Name, u32>,
         is_lone: bool,
+    ) -> Option<AllotmentRequest> {
+        let request = self.planned_request(now, home, waiting, is_lone)?;
+        let link = self.links.entry(home.clone()).or_default();
+        link.last_sent = Some(now);
+        link.sent = Some((now, request.clone()));
+        Some(request)
+    }
+
+    pub(crate) fn planned_request(
+        &mut self,
+        now: Micros,
+        home: &Name,
+        waiting: &FastMap<Name, u32>,
+        is_lone: bool,
     ) -> Option<AllotmentRequest> {
         let link = self.links.entry(home.clone()).or_default();
         if !link.is_due(now, REQUEST_INTERVAL) {
@@ -277,8 +306,9 @@
         let introduces = link.introduced != Some(self.view);
         let keeps_alive = link.is_due(now, KEEP_ALIVE_INTERVAL);
         let asks_ahead = link.is_due(now, AHEAD_INTERVAL);
-        let mut is_needed = (is_lone && link.is_due(now, LONE_INTERVAL))
-            || (introduces && link.is_due(now, INTRODUCTION_INTERVAL));
+        let mut is_needed = self.is_member
+            && ((is_lone && link.is_due(now, LONE_INTERVAL))
+                || (introduces && link.is_due(now, INTRODUCTION_INTERVAL)));
         let mut demands = Vec::new();
         for (name, cache) in self.accounts.iter_mut().filter(|(_, cache)| cache.home == *home) {
             cache.expire(now);
@@ -298,13 +328,7 @@
                 demands.push(demand);
             }
         }
-        if !is_needed {
-            return None;
-        }
-        let request = AllotmentRequest { view: self.view, demands };
-        link.last_sent = Some(now);
-        link.sent = Some((now, request.clone()));
-        Some(request)
+        is_needed.then_some(AllotmentRequest { view: self.view, demands })
     }
 
     /// Handles the answer to a request that was sent at `sent`.
--- a/crates/allot/src/node.rs
+++ b/crates/allot/src/node.rs
@@ -35,6 +35,7 @@
 #[derive(Debug)]
 pub struct AllotmentNode {
     own: Name,
+    policy: AllotmentPolicy,
     ledger: AllotmentLedger,
     cache: AllotmentCache,
     /// The other nodes among which homes are chosen.
@@ -48,6 +49,7 @@
             ledger: AllotmentLedger::new(own.clone(), policy),
             cache: AllotmentCache::new(policy),
             own,
+            policy,
             others: Vec::new(),
         }
     }
@@ -69,7 +71,7 @@
         let homes: Vec<(Name, RateLimit, Name)> = homes.collect();
         let own = homes.iter().filter(|(_, _, home)| *home == self.own);
         let own: Vec<_> = own.map(|(account, limit, _)| (account.clone(), *limit)).collect();
-        let changes = self.cache.update(view, homes);
+        let changes = self.cache.update(view, nodes.contains_key(&self.own), homes);
         self.cache.retain_homes(|home| nodes.contains_key(home));
         self.ledger.update(now, view, self.others.iter().cloned(), own.clone());
         for (account, _) in own {
@@ -104,7 +106,10 @@
                 self.cache.note_own_reserve(now, account, reserve_milli);
                 TokenTake::Taken
             }
-            HomeTake::Refused { retry_after } => TokenTake::Refused { retry_after },
+            HomeTake::Refused { retry_after } => {
+                self.cache.note_refusal(now, account, retry_after);
+                TokenTake::Refused { retry_after }
+            }
             HomeTake::Unsettled | HomeTake::NotInOffice => {
                 match self.cache.take_reserve(now, account) {
                     true => TokenTake::TakenFromReserve,
@@ -114,7 +119,7 @@
         }
     }
 
-    /// Returns for how long an account of another home node is known to be above its limit.
+    /// Returns for how long an account is known to be above its limit.
     pub fn refused_for(&self, now: Micros, account: &Name) -> Option<Micros> {
         self.cache.refused_for(now, account)
     }
@@ -130,6 +135,22 @@
         self.ledger.answer(now, node, session, request)
     }
 
+    /// Returns the validity of a token.
+    pub fn token_ttl(&self) -> Micros {
+        self.policy.token_ttl()
+    }
+
+    /// Returns true if a request to a home node is due, see [`AllotmentNode::next_request`].
+    pub fn is_request_due(
+        &mut self,
+        now: Micros,
+        home: &Name,
+        waiting: &FastMap<Name, u32>,
+        is_lone: bool,
+    ) -> bool {
+        self.cache.planned_request(now, home, waiting, is_lone).is_some()
+    }
+
     /// See [`AllotmentCache::next_request`].
     pub fn next_request(
         &mut self,
--- a/crates/edge/src/codec.rs
+++ b/crates/edge/src/codec.rs
@@ -2,8 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 use gate::{
-    BackendCommand, ClientReply, ClientRequest, DatabaseReport, ErrorCode, TermPosition,
-    TransactionState,
+    AllotmentGrant, BackendCommand, ClientReply, ClientRequest, DatabaseReport, ErrorCode,
+    TermPosition, TransactionState,
 };
 use model::Name;
 
@@ -87,6 +87,12 @@
     /// Fails if the input cannot be the start of a message.
     fn read_backend(input: &mut BytesMut) -> Result<Option<BackendMessage>, CodecError>;
 
+    /// Writes the answer to another node's request for tokens.
+    fn write_allotments(grants: &[AllotmentGrant], output: &mut BytesMut);
+
+    /// Parses the rows of an answer to a request for tokens; `None` if one is malformed.
+    fn read_allotments(rows: &[Bytes]) -> Option<Vec<AllotmentGrant>>;
+
     /// Parses a report from the rows of an answer; `None` if they hold none.
     fn read_report(rows: &[Bytes]) -> Option<DatabaseReport>;
 }
--- a/crates/edge/src/driver.rs
+++ b/crates/edge/src/driver.rs
@@ -68,8 +68,8 @@
 struct BackendSocket {
     socket: BufferedSocket,
     opened: bool,
-    /// For each unanswered command, whether its answer is a report.
-    unanswered: std::collections::VecDeque<bool>,
+    /// What the answer of each unanswered command holds.
+    unanswered: std::collections::VecDeque<AnswerKind>,
     rows: Vec<Bytes>,
     answer_end: Option<AnswerEnd>,
 }
@@ -265,6 +265,14 @@
                     self.unblocked_clients.push(session.0);
                 }
             }
+            GateAction::ReplyAllotments { session, grants } => {
+                if let Some(client) = self.clients.get_mut(&session.0) {
+                    P::Codec::write_allotments(&grants, &mut client.socket.output);
+                    client.busy = false;
+                    self.dirty_clients.push(session.0);
+                    self.unblocked_clients.push(session.0);
+                }
+            }
             GateAction::CloseSession { session } => self.close_idle_client(session.0),
             GateAction::OpenConnection { connection, cluster, database, address, account } => {
                 let caller = account.unwrap_or_else(|| self.node.clone());
@@ -277,7 +285,7 @@
                 if let Some(backend) = self.backends.get_mut(&connection.0) {
                     for command in &commands {
                         P::Codec::write_command(command, &mut backend.socket.output);
-                        backend.unanswered.push_back(returns_report(command));
+                        backend.unanswered.push_back(answer_kind(command));
                     }
                     self.dirty_backends.push(connection.0);
                 }
@@ -579,14 +587,25 @@
                     self.advance_gate(cx, GateEvent::ConnectionOpened { connection, position });
                 }
                 BackendMessage::Ready { state, position } => {
-                    let (Some(end), Some(is_report)) =
+                    let (Some(end), Some(kind)) =
                         (backend.answer_end.take(), backend.unanswered.pop_front())
                     else {
                         log::warn!("\"event\":\"answer_unexpected\",\"link\":{id}");
                         return self.drop_backend(cx, id);
                     };
                     let rows = std::mem::take(&mut backend.rows);
-                    let report = if is_report { P::Codec::read_report(&rows) } else { None };
+                    if kind == AnswerKind::Allotments
+                        && matches!(end, AnswerEnd::Done(_))
+                        && let Some(grants) = P::Codec::read_allotments(&rows)
+                    {
+                        let event = GateEvent::AllotmentsAnswered { connection, grants };
+                        self.advance_gate(cx, event);
+                        continue;
+                    }
+                    let report = match kind {
+                        AnswerKind::Report => P::Codec::read_report(&rows),
+                        AnswerKind::Rows | AnswerKind::Allotments => None,
+                    };
                     let answer = Box::new(BackendAnswer { rows, end, state, position, report });
                     self.advance_gate(cx, GateEvent::ConnectionAnswered { connection, answer });
                 }
@@ -595,9 +614,20 @@
     }
 }
 
-fn returns_report(command: &BackendCommand) -> bool {
-    matches!(
-        command,
-        BackendCommand::Report | BackendCommand::Fence { .. } | BackendCommand::Demote { .. }
-    )
+/// What an answer holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerKind {
+    Rows,
+    Report,
+    Allotments,
+}
+
+fn answer_kind(command: &BackendCommand) -> AnswerKind {
+    match command {
+        BackendCommand::Report | BackendCommand::Fence { .. } | BackendCommand::Demote { .. } => {
+            AnswerKind::Report
+        }
+        BackendCommand::Allot(_) => AnswerKind::Allotments,
+        _ => AnswerKind::Rows,
+    }
 }
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use allot::AllotmentGrant;
 use bytes::Bytes;
 use model::Name;
 
@@ -44,6 +45,11 @@
         /// Position of the session's last commit, for other nodes.
         position: Option<TermPosition>,
     },
+    /// Answer another node's request for tokens.
+    ReplyAllotments {
+        session: SessionId,
+        grants: Vec<AllotmentGrant>,
+    },
     CloseSession {
         session: SessionId,
     },
--- a/crates/gate/src/backend.rs
+++ b/crates/gate/src/backend.rs
@@ -1,5 +1,6 @@
 //! Protocol between the core and a database: commands, answers and reports.
 
+use allot::AllotmentRequest;
 use bytes::Bytes;
 use model::{DatabaseRole, Micros, Name, Term};
 use serde::{Deserialize, Serialize};
@@ -55,6 +56,8 @@
         access: StatementAccess,
         shape: Name,
     },
+    /// Requests tokens from another node.
+    Allot(AllotmentRequest),
     /// Requests a report.
     Report,
     /// Stops a replica from receiving the log until a new primary is promoted; answered with a
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -3,6 +3,7 @@
 use model::{DatabaseRole, Micros, Name};
 
 use crate::action::GateAction;
+use crate::allotment::ALLOTMENT_TIMEOUT;
 use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, TermPosition};
 use crate::cluster::LEAVING_GRACE;
 use crate::database::{BackendConnection, CommandPurpose, PendingCommand, steady_share};
@@ -165,6 +166,7 @@
         }
         self.record_answer(&name);
         self.dispatch_queued(&name);
+        self.allotment_connection_opened(&name);
     }
 
     pub(crate) fn connection_refused(&mut self, connection: ConnectionId, code: ErrorCode) {
@@ -247,6 +249,7 @@
                         database.report_requested_at = None;
                     }
                 }
+                CommandPurpose::Allot => self.allotment_request_ended(&state.database),
                 CommandPurpose::Setup
                 | CommandPurpose::Rollback
                 | CommandPurpose::Unfence
@@ -349,6 +352,7 @@
             }
             CommandPurpose::Fence => self.fence_answered(connection, pending.sent, &answer),
             CommandPurpose::Demote => self.demote_answered(connection, &answer),
+            CommandPurpose::Allot => self.allotment_request_ended(&name),
             CommandPurpose::Rollback | CommandPurpose::Unfence | CommandPurpose::Control => {}
         }
         self.release_connection(connection);
@@ -429,6 +433,7 @@
                         ABANDONED_STATEMENT_TIMEOUT
                     }
                 }
+                CommandPurpose::Allot => ALLOTMENT_TIMEOUT,
                 CommandPurpose::Report
                 | CommandPurpose::Fence
                 | CommandPurpose::Setup
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -307,6 +307,8 @@
     /// Lifts a fence. The promotion lease is kept until the command is answered.
     Unfence,
     Demote,
+    /// Requests tokens from another node.
+    Allot,
     /// The answer needs no handling.
     Control,
 }
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -71,6 +71,10 @@
                 self.route_request(id);
                 continue;
             };
+            if !self.charge_operation(id) {
+                continue;
+            }
+            let Some(database) = self.databases.get_mut(name) else { return };
             let connection = database.idle.swap_remove(index);
             self.dispatch_request(id, connection);
         }
--- a/crates/gate/src/dump.rs
+++ b/crates/gate/src/dump.rs
@@ -16,6 +16,7 @@
     /// #     incarnation: 1,
     /// #     shutdown_grace: model::Micros::from_secs(6),
     /// #     configuration_bound: model::Micros::from_secs(3),
+    /// #     quota: None,
     /// # };
     /// let gate = gate::Gate::new(settings);
     /// assert_eq!(gate.dump()["node"], "n1");
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use allot::AllotmentGrant;
 use model::{DatabaseRole, Micros, Name, Rank};
 
 use crate::backend::{BackendAnswer, TermPosition};
@@ -139,6 +140,12 @@
         answer: Box<BackendAnswer>,
     },
 
+    /// A home node has answered a request for tokens.
+    AllotmentsAnswered {
+        connection: ConnectionId,
+        grants: Vec<AllotmentGrant>,
+    },
+
     // The platform.
     RoutesChanged(Box<RouteTable>),
     /// All databases that are currently listed.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `session`, `identity`: clients and their accounts
 //! - `request`, `dispatch`, `outcome`: the path of one request
 //! - `owners`, `peer`: forwarding
+//! - `allotment`: rate limits of accounts
 //! - `connection`, `database`, `account_pool`: connections
 //! - `cluster`, `leadership_proof`, `read_lease`: what is known about primaries
 //! - `registration`, `registry`, `node_count`: the nodes
@@ -21,6 +22,7 @@
 
 mod account_pool;
 mod action;
+mod allotment;
 mod backend;
 mod cluster;
 mod connection;
@@ -56,7 +58,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+pub use allot::{AllotmentDemand, AllotmentGrant, AllotmentRequest, QuotaBound};
+
 pub use action::{ClientReply, GateAction, LogRecord, LogValue};
+pub use allotment::ALLOTMENT_SESSION;
 pub use backend::{AnswerEnd, BackendAnswer, BackendCommand, DatabaseReport, TermPosition};
 pub use event::{
     ConnectionId, Document, GateEvent, ListedDatabase, NodeRole, PromoteResult, SessionId,
@@ -80,6 +85,7 @@
     CallerIdentity, ClientRequest, ErrorCode, Statement, StatementAccess, TransactionState,
 };
 
+use allotment::AllotmentState;
 use cluster::ClusterState;
 use database::{BackendConnection, Database};
 use drain::DrainState;
@@ -136,6 +142,7 @@
     /// time, so the choice is made when it is needed next.
     owners_outdated: bool,
     node_count: NodeCountState,
+    allotments: AllotmentState,
 }
 
 impl Gate {
@@ -154,6 +161,7 @@
     ///     incarnation: 1,
     ///     shutdown_grace: Micros::from_secs(6),
     ///     configuration_bound: Micros::from_secs(3),
+    ///     quota: None,
     /// });
     /// let mut actions = Vec::new();
     /// gate.handle(Micros::ZERO, GateEvent::Timer, &mut actions);
@@ -183,6 +191,7 @@
             owners: OwnerTable::default(),
             owners_outdated: false,
             node_count: NodeCountState::default(),
+            allotments: AllotmentState::default(),
             settings,
         }
     }
@@ -217,6 +226,9 @@
             GateEvent::ConnectionAnswered { connection, answer } => {
                 self.connection_answered(connection, *answer)
             }
+            GateEvent::AllotmentsAnswered { connection, grants } => {
+                self.allotments_answered(connection, &grants);
+            }
             GateEvent::RoutesChanged(table) => self.routes_changed(*table),
             GateEvent::DatabasesListed(list) => {
                 self.databases_listed(list);
@@ -272,6 +284,7 @@
 
     fn tick(&mut self) {
         self.refresh_owners();
+        self.maintain_allotments();
         self.reroute_from_unresponsive_databases();
         self.resume_and_expire_requests();
         self.maintain_connections();
@@ -296,6 +309,7 @@
         }
         self.table = table;
         self.update_owners();
+        self.refresh_allotments();
         self.update_ready();
     }
 
--- a/crates/gate/src/owners.rs
+++ b/crates/gate/src/owners.rs
@@ -96,6 +96,11 @@
         self.owners.get(cluster).map(Vec::as_slice)
     }
 
+    /// Returns true if a node is an owner of any cluster.
+    pub(crate) fn is_owner(&self, node: &Name) -> bool {
+        self.owners.is_empty() || self.owners.values().any(|owners| owners.contains(node))
+    }
+
     fn primary_centre(&self, cluster: &Name) -> Option<&Name> {
         self.input.primary_centres.get(cluster)
     }
@@ -229,6 +234,7 @@
 
     /// Chooses the owners again if the nodes or the clusters have changed.
     pub(crate) fn update_owners(&mut self) {
+        self.allotments.outdated = true;
         if self.registration.listed.is_none() || self.awaits_nodes() {
             return self.owners.leave_unowned(self.table.clusters.keys().cloned());
         }
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -6,6 +6,8 @@
 //! session's state on the connection, and answers with the position of commits. It never forwards
 //! such a request again, and refuses at once what it cannot serve.
 
+use std::net::SocketAddr;
+
 use model::{FastMap, FastSet, Micros, Name};
 
 use crate::Gate;
@@ -16,7 +18,7 @@
 
 /// Version of the protocol between nodes that this node accepts. From version 1 on, a node accepts
 /// a reset of a session, and runs no statement that follows a refused `BEGIN`. From version 2 on, it
-/// accepts the identity of the caller with a request.
+/// accepts the identity of the caller with a request, and requests for tokens.
 pub const PEER_PROTOCOL: u32 = 2;
 
 /// Time for which a node that refused requests of a cluster gets no more of them, where every node
@@ -166,27 +168,49 @@
             }
         }
         let (_, name, address, node, protocol) = best?;
-        if !self.databases.contains_key(&name) {
-            let listed = ListedDatabase {
-                id: name.clone(),
-                cluster: client_database.clone(),
-                address,
-                data_centre: Name::default(),
-                slots: PEER_SLOTS,
-                leaving: false,
-                claimed_role: None,
-                started_at_ms: None,
-            };
-            let mut entry = Database::new(listed);
-            entry.peer = Some(node.clone());
-            entry.peer_protocol = protocol;
-            entry.created = self.now;
-            self.databases.insert(name.clone(), entry);
-        }
+        let (node, client_database) = (node.clone(), client_database.clone());
+        self.create_peer_entry(&name, &node, client_database, address, protocol);
         self.count("requests_forwarded");
         Some(name)
     }
 
+    /// Returns the entry that stands for a registered node and one database.
+    pub(crate) fn peer_entry(&mut self, node: &Name, client_database: &Name) -> Option<Name> {
+        let record = self.registry.get(node)?;
+        let (address, protocol) = (record.peer_address?, record.peer_protocol);
+        let name = entry_name(node, client_database);
+        self.create_peer_entry(&name, node, client_database.clone(), address, protocol);
+        Some(name)
+    }
+
+    fn create_peer_entry(
+        &mut self,
+        name: &Name,
+        node: &Name,
+        client_database: Name,
+        address: SocketAddr,
+        protocol: u32,
+    ) {
+        if self.databases.contains_key(name) {
+            return;
+        }
+        let listed = ListedDatabase {
+            id: name.clone(),
+            cluster: client_database,
+            address,
+            data_centre: Name::default(),
+            slots: PEER_SLOTS,
+            leaving: false,
+            claimed_role: None,
+            started_at_ms: None,
+        };
+        let mut entry = Database::new(listed);
+        entry.peer = Some(node.clone());
+        entry.peer_protocol = protocol;
+        entry.created = self.now;
+        self.databases.insert(name.clone(), entry);
+    }
+
     /// Returns true if an entry stands for a node.
     pub(crate) fn is_peer(&self, entry: &Name) -> bool {
         self.databases.get(entry).is_some_and(|database| database.peer.is_some())
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -9,6 +9,7 @@
 use model::{Micros, Name};
 
 use crate::Gate;
+use crate::allotment::OperationCharge;
 use crate::backend::TermPosition;
 use crate::event::{ConnectionId, SessionId, SessionOrigin};
 use crate::route::{Freshness, RouteConfig};
@@ -66,6 +67,8 @@
     WaitingForProof,
     /// Waits until the given time before it is tried again.
     BackingOff(Micros),
+    /// Waits for a token of its account.
+    WaitingForAllotment { since: Micros },
     /// Waits for a connection.
     Queued,
     /// Sent; not answered yet.
@@ -97,6 +100,7 @@
     pub(crate) excluded: Vec<Name>,
     /// `None` if the deployment does not identify its clients, and inside a transaction.
     pub(crate) caller: Option<CallerIdentity>,
+    pub(crate) charge: OperationCharge,
 }
 
 impl ActiveRequest {
@@ -155,6 +159,7 @@
             tries: 0,
             excluded: Vec::new(),
             caller: None,
+            charge: OperationCharge::default(),
         };
         self.requests.insert(id, request);
         id
@@ -361,11 +366,18 @@
     ) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(database) = self.databases.get_mut(&name) else { return };
+        if !self.databases.contains_key(&name) {
+            return;
+        }
         request.database = Some(name.clone());
         request.required_position = required_position;
         request.proof_time = proof_time;
         request.stage = RequestStage::Queued;
+        if self.refuse_flood(id) {
+            return;
+        }
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(database) = self.databases.get_mut(&name) else { return };
         let slot_request = SlotRequest {
             request: id,
             rank: request.route.rank,
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -11,6 +11,7 @@
 use model::{FastMap, Micros, Name};
 
 use crate::action::{ClientReply, GateAction};
+use crate::allotment::ALLOTMENT_SESSION;
 use crate::backend::{BackendCommand, TermPosition};
 use crate::database::CommandPurpose;
 use crate::event::{ConnectionId, SessionId, SessionOrigin};
@@ -95,6 +96,8 @@
     ) {
         let refusal = if self.table.version == 0 {
             Some((ErrorCode::Busy, "no configuration yet"))
+        } else if &*database == ALLOTMENT_SESSION {
+            self.allotment_session_error(origin)
         } else if !self.table.routes.contains_key(&database) {
             Some(self.missing_route_error(origin))
         } else {
@@ -150,6 +153,9 @@
     }
 
     pub(crate) fn request_arrived(&mut self, id: SessionId, request: ClientRequest) {
+        if let Statement::Allot(demands) = &request.statement {
+            return self.answer_allotments(id, demands);
+        }
         let Some(session) = self.sessions.get(&id) else { return };
         if session.active_request.is_some() || self.refuse_while_draining(id, &request.statement) {
             return;
@@ -190,6 +196,8 @@
                 session.prepared.clear();
                 self.reply_done(id);
             }
+            // Handled above.
+            Statement::Allot(_) => {}
             Statement::Commit => self.commit(id, request),
             Statement::Read => self.start_request(id, request, StatementAccess::Read),
             Statement::Write => self.start_request(id, request, StatementAccess::Write),
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use allot::QuotaBound;
 use model::{Micros, Name};
 
 /// Settings of one gate.
@@ -21,4 +22,6 @@
     pub shutdown_grace: Micros,
     /// Time after which a stored configuration has to be in force.
     pub configuration_bound: Micros,
+    /// By how much accounts may exceed their limits; `None` if it is not known.
+    pub quota: Option<QuotaBound>,
 }
--- a/crates/gate/src/statement.rs
+++ b/crates/gate/src/statement.rs
@@ -1,5 +1,6 @@
 //! Requests of clients as typed statements.
 
+use allot::AllotmentRequest;
 use model::Name;
 
 use crate::backend::TermPosition;
@@ -21,6 +22,8 @@
     Rollback,
     /// Clears session values and prepared statements; only other nodes send it.
     Reset,
+    /// Requests tokens for accounts; only other nodes send it.
+    Allot(AllotmentRequest),
     Read,
     Write,
     Set {
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 #![allow(dead_code)] // Each test program uses a part of it.
 
+pub mod peer_links;
 pub mod single_gate;
 
 use std::cmp::Reverse;
@@ -66,6 +67,7 @@
     Answer { gate: usize, connection: ConnectionId, database: Name, answer: Box<BackendAnswer> },
     Promoted { database: Name },
     NextRequest { session: SessionId },
+    Link(peer_links::LinkDelivery),
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -137,6 +139,7 @@
     next_session: u64,
     /// Number of processes that were started again.
     incarnations: u64,
+    pub links: peer_links::PeerLinks,
 }
 
 fn address(port: u16) -> SocketAddr {
@@ -179,16 +182,17 @@
     table
 }
 
-fn node_settings(name: &Name, incarnation: u64) -> GateSettings {
+fn node_settings(name: &Name, incarnation: u64, is_linked: bool) -> GateSettings {
     GateSettings {
         node: name.clone(),
         data_centre: "east".into(),
         capacity: 250,
-        peer_address: None,
+        peer_address: is_linked.then(|| address(9_000)),
         relay_address: None,
         incarnation,
         shutdown_grace: Micros::from_secs(6),
         configuration_bound: Micros::from_secs(3),
+        quota: None,
     }
 }
 
@@ -204,8 +208,13 @@
     }
 
     pub fn empty(nodes: usize) -> Simulation {
+        Simulation::empty_with(nodes, false)
+    }
+
+    fn empty_with(nodes: usize, is_linked: bool) -> Simulation {
         let names: Vec<Name> = (0..nodes).map(|index| format!("n{index}").into()).collect();
-        let gates = names.iter().map(|name| Gate::new(node_settings(name, 1))).collect();
+        let settings = names.iter().map(|name| node_settings(name, 1, is_linked));
+        let gates = settings.map(Gate::new).collect();
         let mut databases = BTreeMap::new();
         for name in ["a", "b", "c"] {
             let role = if name == "a" { DatabaseRole::Primary } else { DatabaseRole::Replica };
@@ -265,6 +274,7 @@
             sequence: 0,
             next_session: 0,
             incarnations: 0,
+            links: peer_links::PeerLinks { enabled: is_linked, ..Default::default() },
         }
     }
 
@@ -281,7 +291,8 @@
         self.connections.retain(|(owner, _), _| *owner != gate);
         self.incarnations += 1;
         let incarnation = 1 + self.incarnations;
-        self.gates[gate] = Gate::new(node_settings(&self.names[gate], incarnation));
+        self.gates[gate] =
+            Gate::new(node_settings(&self.names[gate], incarnation, self.links.enabled));
         self.registered[gate] = (NodeRole::Standby, 0);
         let documents = self.documents.values().cloned().collect();
         self.read_store(gate, documents);
@@ -436,6 +447,7 @@
     }
 
     fn execute_action(&mut self, gate: usize, action: GateAction) {
+        let Some(action) = self.execute_link_action(gate, action) else { return };
         match action {
             GateAction::OpenConnection { connection, database, .. } => {
                 self.connections.insert((gate, connection), database.clone());
@@ -553,6 +565,7 @@
             }
             GateAction::Log(record) => self.logs.push((self.now, gate, record)),
             GateAction::AcceptSession { .. }
+            | GateAction::ReplyAllotments { .. }
             | GateAction::RefuseSession { .. }
             | GateAction::Count { .. }
             | GateAction::Observe { .. } => {}
@@ -645,6 +658,7 @@
                 }
             }
             Delivery::Promoted { database } => self.promoted(&database),
+            Delivery::Link(delivery) => self.deliver_link(delivery),
             Delivery::NextRequest { session } => self.send_next_request(session),
             Delivery::Command { gate, connection, database, command } => {
                 let state = &self.databases[&database];
@@ -884,13 +898,20 @@
     }
 
     pub fn open_as(&mut self, gate: usize, database: &str, origin: SessionOrigin) -> SessionId {
+        self.open_with_key(gate, database, "", origin)
+    }
+
+    pub fn open_with_key(
+        &mut self,
+        gate: usize,
+        database: &str,
+        key: &str,
+        origin: SessionOrigin,
+    ) -> SessionId {
         self.next_session += 1;
         let session = SessionId(self.next_session);
         let database = database.into();
-        self.event(
-            gate,
-            GateEvent::SessionOpened { session, database, key: Name::default(), origin },
-        );
+        self.event(gate, GateEvent::SessionOpened { session, database, key: key.into(), origin });
         session
     }
 
--- a/crates/gate/tests/support/single_gate.rs
+++ b/crates/gate/tests/support/single_gate.rs
@@ -75,6 +75,7 @@
             incarnation: 1,
             shutdown_grace: Micros::from_secs(6),
             configuration_bound: Micros::from_secs(3),
+            quota: None,
         });
         let mut single = SingleGate { gate, now: Micros::ZERO, actions: Vec::new() };
         single.event(GateEvent::RoutesChanged(Box::new(route_table(CONNECTIONS))));
