Ask the next node where a home node has no authority

Cause: nodes that cannot reach the store keep a home node that has lost its authority, and refused its accounts once their reserves had ended. Change: such a node asks the next nodes in the order of hashes, one of which the other nodes have chosen, and in between the former home node. After an event, the gate looks only at the home node concerned.

--- a/crates/allot/src/cache.rs
+++ b/crates/allot/src/cache.rs
@@ -257,11 +257,26 @@
         true
     }
 
-    /// Notes the reserve that this node has as its own home node.
-    pub fn note_own_reserve(&mut self, now: Micros, account: &Name, reserve_milli: u64) {
-        let Some(cache) = self.accounts.get_mut(account) else { return };
-        let home = cache.home.clone();
-        cache.note_reserve(now, home, now, reserve_milli);
+    /// Notes the reserve that this node has as the home node of an account.
+    pub fn note_own_reserve(&mut self, now: Micros, own: &Name, account: &Name, milli: u64) {
+        if let Some(cache) = self.accounts.get_mut(account) {
+            cache.note_reserve(now, own.clone(), now, milli);
+        }
+    }
+
+    /// Asks another node for an account from now on.
+    pub(crate) fn set_home(&mut self, account: &Name, home: Name) {
+        if let Some(cache) = self.accounts.get_mut(account) {
+            cache.home = home;
+            cache.is_denied = false;
+        }
+    }
+
+    /// Returns the accounts for which their home nodes have granted nothing because they have no
+    /// authority over them.
+    pub(crate) fn denied_accounts(&self) -> Vec<Name> {
+        let denied = self.accounts.iter().filter(|(_, cache)| cache.is_denied);
+        denied.map(|(account, _)| account.clone()).collect()
     }
 
     /// Returns the reserve that another home node has left for an account.
--- a/crates/allot/src/node.rs
+++ b/crates/allot/src/node.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use account::RateLimit;
-use member::owner_score;
+use member::{owner_score, rank_owners};
 use model::{FastMap, Micros, Name};
 
 use crate::{
@@ -40,6 +40,8 @@
     cache: AllotmentCache,
     /// The other nodes among which homes are chosen.
     others: Vec<Name>,
+    /// How many other nodes were asked in place of an account's home node without authority.
+    alternatives: FastMap<Name, usize>,
 }
 
 impl AllotmentNode {
@@ -51,6 +53,7 @@
             own,
             policy,
             others: Vec::new(),
+            alternatives: FastMap::default(),
         }
     }
 
@@ -63,6 +66,7 @@
         limits: Vec<(Name, RateLimit)>,
     ) -> u64 {
         let view = view_of(nodes);
+        self.alternatives.clear();
         self.others = nodes.keys().filter(|node| **node != self.own).cloned().collect();
         let homes = limits.into_iter().filter_map(|(account, limit)| {
             let home = nodes.keys().max_by_key(|node| owner_score(&account, node))?;
@@ -103,19 +107,23 @@
         }
         match self.ledger.take(now, account) {
             HomeTake::Taken { reserve_milli } => {
-                self.cache.note_own_reserve(now, account, reserve_milli);
+                self.cache.note_own_reserve(now, &self.own, account, reserve_milli);
                 TokenTake::Taken
             }
             HomeTake::Refused { retry_after } => {
                 self.cache.note_refusal(now, account, retry_after);
                 TokenTake::Refused { retry_after }
             }
-            HomeTake::Unsettled | HomeTake::NotInOffice => {
-                match self.cache.take_reserve(now, account) {
-                    true => TokenTake::TakenFromReserve,
-                    false => TokenTake::Wait,
+            HomeTake::NotInOffice => {
+                if self.cache.home_of(account) == Some(&self.own) {
+                    self.ask_alternative(account);
                 }
+                self.cache.take(now, account)
             }
+            HomeTake::Unsettled => match self.cache.take_reserve(now, account) {
+                true => TokenTake::TakenFromReserve,
+                false => TokenTake::Wait,
+            },
         }
     }
 
@@ -165,6 +173,28 @@
     /// See [`AllotmentCache::answered`].
     pub fn answered(&mut self, now: Micros, home: &Name, sent: Micros, grants: &[AllotmentGrant]) {
         self.cache.answered(now, home, sent, grants);
+        for account in self.cache.denied_accounts() {
+            self.ask_alternative(&account);
+        }
+    }
+
+    /// Chooses the node to ask in place of one without authority. Nodes that know more of the
+    /// registrations have chosen one of the next in the order of hashes. The home node by this
+    /// node's view is asked again between the others, because it may regain its authority.
+    fn ask_alternative(&mut self, account: &Name) {
+        let nodes = self.others.iter().chain([&self.own]).cloned();
+        let ranked = rank_owners(account, nodes);
+        let Some(first) = ranked.first() else { return };
+        let is_first = self.cache.home_of(account) == Some(first);
+        if !is_first && *first != self.own {
+            return self.cache.set_home(account, first.clone());
+        }
+        let others: Vec<&Name> = ranked[1..].iter().filter(|node| **node != self.own).collect();
+        let asked = self.alternatives.entry(account.clone()).or_default();
+        if let Some(next) = others.get(*asked % others.len().max(1)) {
+            self.cache.set_home(account, (*next).clone());
+        }
+        *asked += 1;
     }
 
     /// See [`AllotmentCache::request_lost`].
--- a/crates/allot/tests/limits.rs
+++ b/crates/allot/tests/limits.rs
@@ -554,6 +554,42 @@
     fleet.assert_rule("a", LARGE);
 }
 
+/// As before, with a steady account. Guards against nodes that refuse it because their home node has
+/// no authority, while another node grants tokens.
+#[test]
+fn nodes_that_cannot_reach_the_store_find_the_new_home_node() {
+    let mut fleet = Fleet::start(6, &[("a", LARGE)]);
+    fleet.run_with(Micros::from_secs(8), &[("a", 240.0, ALL)]);
+    let home = fleet.home(0, "a");
+    let side = [home, (home + 1) % 6];
+    let since = fleet.now;
+    for index in side {
+        fleet.members[index].has_contact = false;
+    }
+    fleet.run_with(millis(3_000), &[("a", 240.0, ALL)]);
+    let mut known = fleet.members[home].known.clone();
+    known.retain(|node, _| !side.iter().any(|index| name(*index) == *node));
+    for index in (0..6).filter(|index| !side.contains(index)) {
+        fleet.set_known(index, &known);
+        fleet.run_with(millis(100), &[("a", 240.0, ALL)]);
+    }
+    fleet.run_with(Micros::from_secs(25), &[("a", 240.0, ALL)]);
+    let (sent, lost) = (240 * 28, fleet.lost_since("a", since));
+    println!("{lost} of {sent} lost");
+    assert!(lost * 50 <= sent, "{lost} of {sent} lost");
+    let all = fleet.members[home].known.clone();
+    for index in ALL {
+        fleet.members[*index].has_contact = true;
+        fleet.set_known(*index, &all);
+    }
+    fleet.run_with(millis(500), &[("a", 240.0, ALL)]);
+    let since = fleet.now;
+    fleet.run_with(Micros::from_secs(20), &[("a", 240.0, ALL)]);
+    let lost = fleet.lost_since("a", since);
+    assert!(lost * 50 <= 240 * 20, "{lost} lost after all nodes reach the store again");
+    fleet.assert_rule("a", LARGE);
+}
+
 /// A node is suspended with tokens and resumed, once the home node and once another. Operations that
 /// arrived meanwhile are sent at once then.
 #[test]
--- a/crates/gate/src/allotment.rs
+++ b/crates/gate/src/allotment.rs
@@ -89,7 +89,7 @@
             }
             Some(TokenTake::Wait) | None => {
                 self.release_slot(id);
-                self.wait_for_allotment(id);
+                self.wait_for_allotment(id, &account);
                 false
             }
         }
@@ -172,14 +172,17 @@
         self.refuse(id, ErrorCode::Busy, &text);
     }
 
-    fn wait_for_allotment(&mut self, id: RequestId) {
+    fn wait_for_allotment(&mut self, id: RequestId, account: &Name) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.stage = RequestStage::WaitingForAllotment { since: now };
         request.database = None;
         self.allotments.waiting.push(id);
         self.count("allotment_waits");
-        self.send_allotment_requests();
+        let home = self.allotments.node.as_ref().and_then(|node| node.home_of(account).cloned());
+        if let Some(home) = home {
+            self.send_allotment_requests(&[home]);
+        }
     }
 
     /// Refuses a request whose home node did not answer in time.
@@ -225,7 +228,8 @@
             node.record_store_contact(now);
         }
         self.resume_allotment_waiters();
-        self.send_allotment_requests();
+        let others = self.allotments.node.as_ref().map(|node| node.others().to_vec());
+        self.send_allotment_requests(&others.unwrap_or_default());
         self.end_allotment_states();
     }
 
@@ -289,21 +293,22 @@
         nodes
     }
 
-    /// Sends the due requests to other home nodes, and opens the connections that they need.
-    pub(crate) fn send_allotment_requests(&mut self) {
+    /// Sends the due requests to home nodes, and opens the connections that they need.
+    fn send_allotment_requests(&mut self, homes: &[Name]) {
         let now = self.now;
         let is_lone = !self.has_store_contact();
-        let Some(node) = &self.allotments.node else { return };
-        let homes = node.others().to_vec();
         let waiting = self.waiting_by_account();
         for home in homes {
+            if *home == self.settings.node {
+                continue;
+            }
             let Some(node) = &mut self.allotments.node else { return };
-            if !node.is_request_due(now, &home, &waiting, is_lone) {
+            if !node.is_request_due(now, home, &waiting, is_lone) {
                 continue;
             }
-            let Some(connection) = self.idle_allotment_connection(&home) else { continue };
+            let Some(connection) = self.idle_allotment_connection(home) else { continue };
             let Some(node) = &mut self.allotments.node else { return };
-            let Some(request) = node.next_request(now, &home, &waiting, is_lone) else { continue };
+            let Some(request) = node.next_request(now, home, &waiting, is_lone) else { continue };
             self.count("allotment_requests");
             self.send(connection, vec![BackendCommand::Allot(request)], CommandPurpose::Allot);
         }
@@ -335,9 +340,11 @@
 
     /// Handles that a connection to another node was opened.
     pub(crate) fn allotment_connection_opened(&mut self, entry: &Name) {
-        let entry = self.databases.get(entry);
-        if entry.is_some_and(|entry| &*entry.listed.cluster == ALLOTMENT_SESSION) {
-            self.send_allotment_requests();
+        let Some(entry) = self.databases.get(entry) else { return };
+        if &*entry.listed.cluster == ALLOTMENT_SESSION
+            && let Some(home) = entry.peer.clone()
+        {
+            self.send_allotment_requests(&[home]);
         }
     }
 
@@ -350,8 +357,8 @@
         let Some(state) = self.connections.get(&connection) else { return };
         let sent = state.pending.front().map(|pending| pending.sent).unwrap_or(now);
         let home = self.databases.get(&state.database).and_then(|entry| entry.peer.clone());
-        if let (Some(home), Some(node)) = (home, &mut self.allotments.node) {
-            node.answered(now, &home, sent, grants);
+        if let (Some(home), Some(node)) = (&home, &mut self.allotments.node) {
+            node.answered(now, home, sent, grants);
         }
         let granted: u64 = grants.iter().map(|grant| u64::from(grant.granted)).sum();
         if granted > 0 {
@@ -366,7 +373,9 @@
         };
         self.connection_answered(connection, answer);
         self.resume_allotment_waiters();
-        self.send_allotment_requests();
+        if let Some(home) = home {
+            self.send_allotment_requests(&[home]);
+        }
     }
 
     /// Handles that a request on a connection will not be answered any more.
