--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -4,6 +4,7 @@
 
 use crate::account_pool::PoolLimits;
 use crate::action::GateAction;
+use crate::allotment::ALLOTMENT_TIMEOUT;
 use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, TermPosition};
 use crate::cluster::LEAVING_GRACE;
 use crate::database::{BackendConnection, CommandPurpose, Database, PendingCommand, steady_share};
@@ -193,6 +194,7 @@
         }
         self.record_answer(&name);
         self.dispatch_queued(&name);
+        self.allotment_connection_opened(&name);
     }
 
     /// Returns true if a leader opened a connection at a lower position than it had shown before the
@@ -298,6 +300,7 @@
                         database.report_requested_at = None;
                     }
                 }
+                CommandPurpose::Allot => self.allotment_request_ended(&state.database),
                 CommandPurpose::Setup
                 | CommandPurpose::Rollback
                 | CommandPurpose::Unfence
@@ -400,6 +403,7 @@
             }
             CommandPurpose::Fence => self.fence_answered(connection, pending.sent, &answer),
             CommandPurpose::Demote => self.demote_answered(connection, &answer),
+            CommandPurpose::Allot => self.allotment_request_ended(&name),
             CommandPurpose::Rollback | CommandPurpose::Unfence | CommandPurpose::Control => {}
         }
         self.release_connection(connection);
@@ -471,6 +475,7 @@
                         ABANDONED_STATEMENT_TIMEOUT
                     }
                 }
+                CommandPurpose::Allot => ALLOTMENT_TIMEOUT,
                 CommandPurpose::Report
                 | CommandPurpose::Fence
                 | CommandPurpose::Setup
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -86,6 +86,10 @@
                 }
                 continue;
             };
+            if !self.charge_operation(id) {
+                continue;
+            }
+            let Some(database) = self.databases.get_mut(name) else { return };
             let connection = database.idle.swap_remove(index);
             if pools_accounts {
                 database.pool.record_use(now, account.as_deref().unwrap_or_default());
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -10,6 +10,7 @@
 
 use crate::Gate;
 use crate::account_pool::caller_name;
+use crate::allotment::OperationCharge;
 use crate::backend::TermPosition;
 use crate::commit_proof::HeldCommit;
 use crate::event::{ConnectionId, SessionId, SessionOrigin};
@@ -68,6 +69,8 @@
     WaitingForProof,
     /// Waits until the given time before it is tried again.
     BackingOff(Micros),
+    /// Waits for a token of its account.
+    WaitingForAllotment { since: Micros },
     /// Waits for a connection.
     Queued,
     /// Sent; not answered yet.
@@ -101,6 +104,7 @@
     pub(crate) excluded: Vec<Name>,
     /// `None` if the deployment does not identify its clients, and inside a transaction.
     pub(crate) caller: Option<CallerIdentity>,
+    pub(crate) charge: OperationCharge,
 }
 
 impl ActiveRequest {
@@ -160,6 +164,7 @@
             held_commit: None,
             excluded: Vec::new(),
             caller: None,
+            charge: OperationCharge::default(),
         };
         self.requests.insert(id, request);
         id
@@ -369,11 +374,18 @@
     ) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(database) = self.databases.get(&name) else { return };
+        if !self.databases.contains_key(&name) {
+            return;
+        }
         request.database = Some(name.clone());
         request.required_position = required_position;
         request.proof_time = proof_time;
         request.stage = RequestStage::Queued;
+        if self.refuse_flood(id) {
+            return;
+        }
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(database) = self.databases.get(&name) else { return };
         if database.is_overloaded(now, &request.route) {
             self.count("requests_shed");
             return self.refuse(id, ErrorCode::Busy, OVERLOADED_TEXT);
