Limit what sessions keep

Cause: a session could keep 256 values and 256 prepared statements of up to 1 MiB each, for as long as it was open, and connections to databases kept those of closed sessions. Eight sessions took 345 MB.

Change: model::MemoryBudget and MemoryCharge count bytes and give them back on Drop.

--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -406,6 +406,7 @@
         let now = self.now;
         let mut unresponsive = Vec::new();
         let mut surplus: Vec<(Name, ConnectionId, Micros)> = Vec::new();
+        let mut large = Vec::new();
         for (id, connection) in &self.connections {
             if !connection.open {
                 if now >= connection.opened_at + OPEN_TIMEOUT {
@@ -417,6 +418,10 @@
                 if connection.transaction_session.is_none()
                     && now >= connection.last_used + SURPLUS_IDLE_TIMEOUT
                 {
+                    if connection.keeps_large_state() {
+                        large.push(*id);
+                        continue;
+                    }
                     surplus.push((connection.database.clone(), *id, connection.last_used));
                 }
                 continue;
@@ -445,6 +450,9 @@
             self.out.push(GateAction::CloseConnection { connection });
             self.connection_lost(connection);
         }
+        for connection in large {
+            self.close_connection(connection, "large session state");
+        }
         for (name, connection, last_used) in surplus {
             let Some(database) = self.databases.get(&name) else { continue };
             if database.peer.is_some() {
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -336,8 +336,18 @@
     values: BTreeMap<Name, Name>,
     prepared: FastMap<(StatementAccess, Name), Name>,
     prepared_count: u64,
+    /// Size of the values and prepared statements.
+    state_bytes: usize,
 }
 
+/// Size of the values and prepared statements above which an idle connection is closed, since it may be the last holder
+/// of them. Ordinary sessions keep some hundred bytes.
+const IDLE_STATE_BYTES: usize = 64 * 1024;
+
+/// Size of the values and prepared statements at which a connection is reset before its next use: twice what a session may
+/// keep by default.
+const RESET_STATE_BYTES: usize = 4 * 1024 * 1024;
+
 /// Number of prepared statements at which a connection is reset before its next use.
 const PREPARED_LIMIT: usize = 256;
 
@@ -356,6 +366,7 @@
             values: BTreeMap::new(),
             prepared: FastMap::default(),
             prepared_count: 0,
+            state_bytes: 0,
         }
     }
 
@@ -374,14 +385,17 @@
     /// Returns the commands that give the connection exactly the session's values.
     pub(crate) fn adopt_values(&mut self, values: &BTreeMap<Name, Name>) -> Vec<BackendCommand> {
         let mut commands = Vec::new();
-        if !self.can_adopt_without_reset(values) || self.prepared.len() >= PREPARED_LIMIT {
+        if !self.can_adopt_without_reset(values) || self.is_full() {
             self.values.clear();
             self.prepared.clear();
+            self.state_bytes = 0;
             commands.push(BackendCommand::Reset);
         }
         for (name, value) in values {
             if self.values.get(name) != Some(value) {
-                self.values.insert(name.clone(), value.clone());
+                let old = self.values.insert(name.clone(), value.clone());
+                self.state_bytes += name.len() + value.len();
+                self.state_bytes -= old.map_or(0, |old| name.len() + old.len());
                 commands.push(BackendCommand::Set { name: name.clone(), value: value.clone() });
             }
         }
@@ -401,17 +415,29 @@
         self.prepared_count += 1;
         let name = Name::from(format!("p{}", self.prepared_count));
         self.prepared.insert((access, shape.clone()), name.clone());
+        self.state_bytes += shape.len();
         commands.push(BackendCommand::Prepare { name: name.clone(), access, shape: shape.clone() });
         name
     }
 
     /// Returns true if the connection needs a reset before another session can use it.
     pub(crate) fn needs_reset(&self) -> bool {
-        !self.values.is_empty() || self.prepared.len() >= PREPARED_LIMIT
+        !self.values.is_empty() || self.is_full()
+    }
+
+    fn is_full(&self) -> bool {
+        self.prepared.len() >= PREPARED_LIMIT || self.state_bytes >= RESET_STATE_BYTES
+    }
+
+    /// Returns true if the connection keeps too much for one that nobody uses.
+    pub(crate) fn keeps_large_state(&self) -> bool {
+        self.state_bytes > IDLE_STATE_BYTES
     }
 
     /// Removes all prepared statements, because the database does not have them any more.
     pub(crate) fn clear_prepared(&mut self) {
+        let prepared: usize = self.prepared.keys().map(|(_, shape)| shape.len()).sum();
+        self.state_bytes = self.state_bytes.saturating_sub(prepared);
         self.prepared.clear();
     }
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -47,6 +47,7 @@
 mod request;
 mod route;
 mod session;
+mod session_memory;
 mod settings;
 mod statement;
 mod store_view;
@@ -75,6 +76,7 @@
 pub use read_lease::READ_LEASE_TTL;
 pub use registry::{LogEndRecord, NodeRecord};
 pub use route::{ClusterLimits, Freshness, RouteConfig, RouteTable};
+pub use session_memory::SessionMemory;
 pub use settings::GateSettings;
 pub use statement::{
     CallerIdentity, ClientRequest, ErrorCode, Statement, StatementAccess, TransactionState,
@@ -118,6 +120,7 @@
     table: RouteTable,
     store_view: StoreView,
     sessions: FastMap<SessionId, Session>,
+    session_memory: SessionMemory,
     requests: FastMap<RequestId, ActiveRequest>,
     backing_off: Vec<RequestId>,
     clusters: FastMap<Name, ClusterState>,
@@ -169,6 +172,7 @@
             table: RouteTable::default(),
             store_view: StoreView::default(),
             sessions: FastMap::default(),
+            session_memory: SessionMemory::default(),
             requests: FastMap::default(),
             backing_off: Vec::new(),
             clusters: FastMap::default(),
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use model::{FastMap, Micros, Name};
+use model::{FastMap, MemoryCharge, Micros, Name};
 
 use crate::action::{ClientReply, GateAction};
 use crate::backend::{BackendCommand, TermPosition};
@@ -69,6 +69,9 @@
     replied_at: Micros,
     /// A request arrived while the node closes its sessions.
     pub(crate) used_while_closing: bool,
+    /// What the session keeps: its key, values, prepared statements and the last `BEGIN`.
+    pub(crate) charge: MemoryCharge,
+    begin_bytes: usize,
 }
 
 impl Session {
@@ -93,6 +96,8 @@
         key: Name,
         origin: SessionOrigin,
     ) {
+        let mut charge = self.session_memory.budget.charge();
+        let kept = self.session_memory.replace(&mut charge, 0, key.len());
         let refusal = if self.table.version == 0 {
             Some((ErrorCode::Busy, "no configuration yet"))
         } else if !self.table.routes.contains_key(&database) {
@@ -106,6 +111,11 @@
             self.out.push(GateAction::RefuseSession { session, code, text: text.to_string() });
             return;
         }
+        if let Err((code, text)) = kept {
+            self.count("limit_session_memory");
+            self.out.push(GateAction::RefuseSession { session, code, text });
+            return;
+        }
         self.count("sessions_opened");
         let state = Session {
             database,
@@ -119,6 +129,8 @@
             origin,
             replied_at: self.now,
             used_while_closing: false,
+            charge,
+            begin_bytes: 0,
         };
         self.sessions.insert(session, state);
         self.out.push(GateAction::AcceptSession { session });
@@ -166,6 +178,11 @@
                 if session.values.len() >= SESSION_NAMES_LIMIT {
                     return self.reply_error(id, ErrorCode::TooBig, "too many session values");
                 }
+                let old = session.values.get(name).map_or(0, |value| name.len() + value.len());
+                let new = name.len() + value.len();
+                if let Err(error) = self.session_memory.replace(&mut session.charge, old, new) {
+                    return self.refuse_session_state(id, error);
+                }
                 session.values.insert(name.clone(), value.clone());
                 self.reply_done(id);
             }
@@ -173,11 +190,20 @@
                 if session.prepared.len() >= SESSION_NAMES_LIMIT {
                     return self.reply_error(id, ErrorCode::TooBig, "too many prepared statements");
                 }
+                let old = session.prepared.get(name).map_or(0, |old| name.len() + old.1.len());
+                let new = name.len() + shape.len();
+                if let Err(error) = self.session_memory.replace(&mut session.charge, old, new) {
+                    return self.refuse_session_state(id, error);
+                }
                 session.prepared.insert(name.clone(), (*access, shape.clone()));
                 self.reply_done(id);
             }
             Statement::Deallocate { name } => match session.prepared.remove(name) {
-                Some(_) => self.reply_done(id),
+                Some((_, shape)) => {
+                    let kept = session.charge.bytes().saturating_sub(name.len() + shape.len());
+                    session.charge.resize(kept);
+                    self.reply_done(id);
+                }
                 None => self.reply_error(id, ErrorCode::NoStatement, "no such prepared statement"),
             },
             Statement::Begin { read_only } => {
@@ -188,6 +214,7 @@
             Statement::Reset => {
                 session.values.clear();
                 session.prepared.clear();
+                session.charge.resize(session.key.len() + session.begin_bytes);
                 self.reply_done(id);
             }
             Statement::Commit => self.commit(id, request),
@@ -261,12 +288,26 @@
         }
         let started_at = self.now;
         if let Some(session) = self.sessions.get_mut(&id) {
+            let bytes = request.held_bytes();
+            let replaced =
+                self.session_memory.replace(&mut session.charge, session.begin_bytes, bytes);
+            if let Err(error) = replaced {
+                self.fail_peer_transaction(id);
+                return self.refuse_session_state(id, error);
+            }
+            session.begin_bytes = bytes;
             session.transaction =
                 Transaction::Pending { begin: request, read_only, started_at, route };
         }
         self.reply_done(id);
     }
 
+    /// Replies that the session may not keep what a statement brings.
+    fn refuse_session_state(&mut self, id: SessionId, (code, text): (ErrorCode, String)) {
+        self.count("limit_session_memory");
+        self.reply_error(id, code, &text);
+    }
+
     /// Marks the transaction of another node's session as failed. The node may have sent its first
     /// statement already, which must not run outside a transaction.
     fn fail_peer_transaction(&mut self, id: SessionId) {
--- a/crates/gate/src/statement.rs
+++ b/crates/gate/src/statement.rs
@@ -79,6 +79,26 @@
     pub caller: Option<CallerIdentity>,
 }
 
+impl ClientRequest {
+    /// Returns the size of the texts that the request holds, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        let copied = match &self.statement {
+            Statement::Set { name, value } => name.len() + value.len(),
+            Statement::Prepare { name, shape, .. } => name.len() + shape.len(),
+            Statement::Execute { name, arguments } => name.len() + arguments.len(),
+            Statement::Deallocate { name } => name.len(),
+            Statement::Begin { .. }
+            | Statement::Commit
+            | Statement::Rollback
+            | Statement::Reset
+            | Statement::Read
+            | Statement::Write => 0,
+        };
+        let caller = self.caller.as_ref().map_or(0, |caller| caller.key.len());
+        self.id.len() + self.text.len() + copied + caller
+    }
+}
+
 /// Transaction state that is sent to the client with each reply.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum TransactionState {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod label;
 mod map;
+mod memory;
 mod name;
 mod position;
 mod random;
@@ -20,6 +21,7 @@
 };
 pub use label::{LabelError, LabelSelector, LabelSet, MatchOperator, MatchRule};
 pub use map::{FastMap, FastSet};
+pub use memory::{MemoryBudget, MemoryCharge};
 pub use name::Name;
 pub use position::{LogPosition, RequiredPosition, Term};
 pub use random::SeededRandom;
