Add an HTTP server with limits

Cause: tiny_http reads a line of a head without a limit and keeps a thread and a descriptor for each connection. 150 connections that send 2 MiB of a head took 319 MB and 318 descriptors of a node.

Change: shell::HttpServer serves 32 connections with 8 KiB for a head, which httparse parses; a new connection replaces the one that has waited longest for its request. Both programs can use it.

--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -1,8 +1,10 @@
 //! Parts that both programs of this project share: the event loop, listening sockets, threads and the incarnation of
 //! a process.
 
+mod http;
 mod worker;
 
+pub use http::{HttpAnswer, HttpError, HttpRequest, HttpServer, MAX_HEAD_BYTES, parse_request};
 pub use worker::{spawn_call, spawn_restarting};
 
 use std::io;
@@ -74,12 +76,18 @@
 ///
 /// Fails if the address cannot be bound.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = bind_listener(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(TcpListener::from_std(listener))
+}
+
+/// Opens a listening socket that blocks.
+fn bind_listener(address: SocketAddr) -> io::Result<std::net::TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(ACCEPT_BACKLOG)?;
-    Ok(TcpListener::from_std(socket.into()))
+    Ok(socket.into())
 }
 
 /// Returns the incarnation of this process, a number larger than those of its earlier runs: the microseconds since
