Keep a node within its memory and descriptors when clients misbehave

Cause: the limits were per connection (1 MiB of input, 4 MiB of output), so their sum passed the memory of the VM; silent connections took all places; input in small pieces was examined from its start for each piece; answers above 4 MiB closed their client; and input that was left in the kernel while a request was in progress, or beyond 1 MiB of an answer, was not read before more arrived.

Change: crates/edge charges input, output, requests in progress and rows to one budget, 40% of limits.memory-mb. The decisions are in limits.rs, without sockets, tested in virtual time: stop to read at half, refuse connections at four fifths, close the connection with the most bytes and the least progress at the bound. Requests wait for output to be read. There are limits on time for the first message, the rest of a message and unread output, and other nodes have a limit on connections of their own. Readiness and metrics use shell::HttpServer.

Ordinary requests cost two more calls of the clock and some comparisons, and no allocation.

--- a/crates/edge/src/codec.rs
+++ b/crates/edge/src/codec.rs
@@ -45,6 +45,10 @@
 /// Translates between bytes and messages. Each read removes one complete message from the front of the input
 /// and returns `None` while there is none.
 pub trait WireCodec {
+    /// Returns whether a message may end within bytes that were just appended to the input. If not, the input before
+    /// them need not be examined again.
+    fn may_end_message(appended: &[u8]) -> bool;
+
     /// Reads a message from a client.
     ///
     /// # Errors
--- a/crates/edge/src/driver.rs
+++ b/crates/edge/src/driver.rs
@@ -3,25 +3,32 @@
 //! Sockets, threads and timers produce events. The driver passes each event to the gate and executes the
 //! returned actions in order. Output is buffered and written once, after all actions of an event.
 
-use std::net::SocketAddr;
+use std::collections::VecDeque;
+use std::io::Write;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use gate::{
     AnswerEnd, BackendAnswer, BackendCommand, ConnectionId, ErrorCode, Gate, GateAction, GateEvent,
     SessionId, SessionOrigin, TIMER_INTERVAL, TransactionState,
 };
-use model::{FastMap, Name};
+use model::{FastMap, MemoryCharge, Micros, Name};
 use relay::ChangeRelay;
 use signal_hook::iterator::Signals;
 use stakker::sync::{Channel, ChannelGuard};
 use stakker::{CX, after, fwd_to, stop};
 use stakker_mio::mio::Interest;
-use stakker_mio::mio::net::TcpListener;
+use stakker_mio::mio::net::{TcpListener, TcpStream};
 use stakker_mio::{MioPoll, MioSource, Ready};
 
 use crate::codec::{BackendMessage, ClientMessage, CodecError, WireCodec};
+use crate::limit_log::LimitLog;
+use crate::limits::{
+    AcceptDecision, ClientActivity, ClientGuard, FREE_INPUT_BYTES, LimitKind,
+    OUTPUT_HIGH_WATER_BYTES,
+};
 use crate::logging::{dropped_lines, event_line, render_record};
 use crate::metrics::{MetricSet, SharedStatus};
 use crate::socket::{BufferedSocket, ReadOutcome, connect};
@@ -31,11 +38,24 @@
 /// Input buffered for a client while its request is in progress.
 const CLIENT_READ_AHEAD_BYTES: usize = 64 * 1024;
 
+/// Size of a message above which it is examined although its end has not arrived.
+const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
+
 /// Input buffered for a connection: the 1 MiB limit of a message and room for its line end.
 const MAX_INPUT_BYTES: usize = 1024 * 1024 + 64;
 
-/// Unread output at which a client's connection is closed: twice the largest answer.
-const MAX_UNREAD_OUTPUT_BYTES: usize = 4 * 1024 * 1024;
+/// Messages of one client that are handled before those of others: enough for requests that are sent ahead, and less than
+/// the loop handles in 1 ms.
+const MESSAGES_PER_TURN: u32 = 64;
+
+/// Time after which clients with more messages get their next turn.
+const TURN_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Interval at which the limits on time are checked: a quarter of the shortest one.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time until connections are accepted again after an accept failed, as for lack of descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
 
 /// Maximum number of rows in one answer. The users' databases send no more; a connection that exceeds it is closed.
 const MAX_ANSWER_ROWS: usize = 4_096;
@@ -45,8 +65,18 @@
 /// A client's connection.
 struct ClientSocket {
     socket: BufferedSocket,
-    started: bool,
-    origin: SessionOrigin,
+    address: IpAddr,
+    activity: ClientActivity,
+    charge: MemoryCharge,
+    /// Size of the request in progress, which the gate keeps until it is answered.
+    request_bytes: usize,
+    /// The input holds the beginning of a message, without its end.
+    awaits_end: bool,
+    /// A paused connection that may read its message to the end.
+    reads_to_end: bool,
+    /// The driver's turn in which `turn_messages` were handled.
+    turn: u64,
+    turn_messages: u32,
     /// A request is in progress; the next one is not parsed until it ends.
     busy: bool,
     /// Close the connection once the output is written.
@@ -57,11 +87,52 @@
 impl ClientSocket {
     /// Reads the next message from the buffered input.
     fn read_message<C: WireCodec>(&mut self) -> Result<Option<ClientMessage>, CodecError> {
-        match self.origin {
+        match self.activity.origin {
             SessionOrigin::Client => C::read_client(&mut self.socket.input),
             SessionOrigin::Peer => C::read_peer(&mut self.socket.input),
         }
     }
+
+    /// Reads from the socket and notes what the limits on time depend on.
+    fn fill<C: WireCodec>(&mut self, limit: usize, now: Micros) -> ReadOutcome {
+        let before = self.socket.input.len();
+        let outcome = self.socket.fill(limit);
+        let appended = &self.socket.input[before..];
+        if !appended.is_empty() {
+            self.activity.last_transfer = now;
+            // A message that is too long has to be examined although it does not end.
+            let is_long = self.socket.input.len() >= MAX_MESSAGE_BYTES;
+            self.awaits_end &= !is_long && !C::may_end_message(appended);
+        }
+        outcome
+    }
+
+    /// Writes output and notes what the limits on time depend on.
+    fn flush(&mut self, now: Micros) -> std::io::Result<()> {
+        let written = self.socket.flush()?;
+        if self.socket.output.is_empty() {
+            self.activity.output_since = None;
+        } else if written > 0 || self.activity.output_since.is_none() {
+            self.activity.output_since = Some(now);
+        }
+        if written > 0 {
+            self.activity.last_transfer = now;
+        }
+        Ok(())
+    }
+
+    /// Charges the budget for what the connection holds.
+    fn update_charge(&mut self) {
+        let held = self.socket.compact() + self.request_bytes;
+        if held != self.activity.held {
+            self.activity.held = held;
+            self.charge.resize(held);
+        }
+    }
+
+    fn has_unread_output(&self) -> bool {
+        self.socket.output.len() > OUTPUT_HIGH_WATER_BYTES
+    }
 }
 
 /// A connection to a database.
@@ -69,9 +140,30 @@
     socket: BufferedSocket,
     opened: bool,
     /// For each unanswered command, whether its answer is a report.
-    unanswered: std::collections::VecDeque<bool>,
+    unanswered: VecDeque<bool>,
     rows: Vec<Bytes>,
+    row_bytes: usize,
+    /// The limit at which the rows of the present answer were dropped.
+    dropped_rows: Option<LimitKind>,
     answer_end: Option<AnswerEnd>,
+    charge: MemoryCharge,
+}
+
+impl BackendSocket {
+    /// Drops the rows of the present answer, and those that follow.
+    fn drop_rows(&mut self, limit: LimitKind) {
+        self.rows = Vec::new();
+        self.row_bytes = 0;
+        self.dropped_rows = Some(limit);
+        self.update_charge();
+    }
+
+    fn update_charge(&mut self) {
+        let held = self.socket.compact() + self.row_bytes;
+        if held != self.charge.bytes() {
+            self.charge.resize(held);
+        }
+    }
 }
 
 /// Drives the gate and owns all sockets.
@@ -85,7 +177,17 @@
     clients: FastMap<u64, ClientSocket>,
     backends: FastMap<u64, BackendSocket>,
     next_client: u64,
-    client_limit: usize,
+    guard: ClientGuard,
+    limit_log: LimitLog,
+    /// Connections that are not read for lack of memory, the longest waiting first.
+    paused_clients: VecDeque<u64>,
+    /// Number of connections that read a message to the end although memory is short.
+    completing_clients: usize,
+    /// Clients with more messages than a turn allows.
+    deferred_clients: Vec<u64>,
+    /// Number of the present turn.
+    turn: u64,
+    swept: Instant,
     store: StoreThreads<P::Store>,
     relay: Option<ChangeRelay>,
     _store_events: ChannelGuard,
@@ -148,8 +250,11 @@
                 return None;
             }
         };
+        let guard = ClientGuard::new(setup.limits);
+        let mut gate = Gate::new(setup.gate);
+        gate.limit_sessions(guard.session_memory());
         let mut driver = IoDriver {
-            gate: Gate::new(setup.gate),
+            gate,
             node,
             platform: setup.platform,
             poll,
@@ -158,7 +263,13 @@
             clients: FastMap::default(),
             backends: FastMap::default(),
             next_client: 0,
-            client_limit: setup.client_limit,
+            guard,
+            limit_log: LimitLog::default(),
+            paused_clients: VecDeque::new(),
+            completing_clients: 0,
+            deferred_clients: Vec::new(),
+            turn: 0,
+            swept: Instant::now(),
             store,
             relay,
             _store_events: store_guard,
@@ -185,10 +296,17 @@
                 ("relay_followers", relay.map_or(0, |relay| relay.follower_count() as u64)),
                 ("sessions", self.clients.len() as u64),
                 ("links", self.backends.len() as u64),
+                ("memory_held_bytes", self.guard.budget.held() as u64),
+                ("memory_limit_bytes", self.guard.budget.limit() as u64),
+                ("clients_waiting_for_memory", self.paused_clients.len() as u64),
                 ("log_lines_dropped", dropped_lines()),
             ];
             self.metrics.publish(&self.status, &gauges);
         }
+        if self.swept.elapsed() >= SWEEP_INTERVAL {
+            self.swept = Instant::now();
+            self.sweep_clients(cx);
+        }
         if self.status.dump_requested() {
             self.status.set_dump(self.gate.dump().to_string());
         }
@@ -216,15 +334,23 @@
 
     /// Passes an event to the gate, executes its actions and writes the output.
     fn handle_event(&mut self, cx: CX![], event: GateEvent) {
+        self.turn += 1;
         self.advance_gate(cx, event);
-        self.resume_clients(cx);
-        self.flush_output(cx);
+        self.settle(cx);
     }
 
-    /// Reads the next requests of clients whose requests were answered.
-    fn resume_clients(&mut self, cx: CX![]) {
-        while let Some(client) = self.unblocked_clients.pop() {
-            self.read_requests(cx, client);
+    /// Writes the output and reads the next requests of clients whose requests were answered, until neither leads to
+    /// more, and keeps the process within its memory.
+    fn settle(&mut self, cx: CX![]) {
+        loop {
+            while let Some(client) = self.unblocked_clients.pop() {
+                self.read_client(cx, client);
+            }
+            self.flush_output(cx);
+            self.resume_paused_client();
+            if self.unblocked_clients.is_empty() && !self.free_memory(cx) {
+                return;
+            }
         }
     }
 
@@ -244,6 +370,7 @@
                 if let Some(client) = self.clients.get_mut(&session.0) {
                     P::Codec::write_accept(&mut client.socket.output);
                     client.busy = false;
+                    client.request_bytes = 0;
                     self.dirty_clients.push(session.0);
                     self.unblocked_clients.push(session.0);
                 }
@@ -257,10 +384,12 @@
             }
             GateAction::Reply { session, reply, state, position } => {
                 if let Some(client) = self.clients.get_mut(&session.0) {
-                    let position = position.filter(|_| client.origin == SessionOrigin::Peer);
+                    let position =
+                        position.filter(|_| client.activity.origin == SessionOrigin::Peer);
                     P::Codec::write_reply(&reply, state, position, &mut client.socket.output);
                     client.state = state;
                     client.busy = false;
+                    client.request_bytes = 0;
                     self.dirty_clients.push(session.0);
                     self.unblocked_clients.push(session.0);
                 }
@@ -316,6 +445,8 @@
             let Some(backend) = self.backends.get_mut(&id) else { continue };
             if backend.socket.flush().is_err() {
                 self.drop_backend(cx, id);
+            } else {
+                backend.update_charge();
             }
         }
     }
@@ -337,78 +468,244 @@
                 (SessionOrigin::Peer, None) => return,
                 (SessionOrigin::Client, _) => &self.listener,
             };
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
+            let (stream, address) = match listener.accept() {
+                Ok(accepted) => accepted,
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => continue,
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
                 Err(error) => {
                     let fields = vec![("error", error.to_string().into())];
                     log::warn!("{}", event_line("accept_failed", fields));
+                    // The listener reports connections that wait already only once.
+                    after!(ACCEPT_BACKOFF, [cx], accept(origin));
                     return;
                 }
             };
-            if self.clients.len() >= self.client_limit {
-                self.metrics.add("clients_over_limit", 1);
-                continue;
-            }
-            self.next_client += 1;
-            let id = self.next_client;
-            // If this fails, answers are only delayed.
-            let _ = stream.set_nodelay(true);
-            let ready = fwd_to!([cx], client_ready(id) as (Ready));
-            match BufferedSocket::new(&self.poll, stream, ready) {
-                Ok(socket) => {
-                    let client = ClientSocket {
-                        socket,
-                        started: false,
-                        origin,
-                        busy: false,
-                        closing: false,
-                        state: TransactionState::Idle,
-                    };
-                    self.clients.insert(id, client);
-                    self.read_client(cx, id);
+            let address = address.ip();
+            let clients = self.clients.iter().map(|(id, client)| (*id, client.activity));
+            match self.guard.accept(clock::now(), origin, self.clients.len(), clients) {
+                AcceptDecision::Accept => {}
+                AcceptDecision::Replace(client) => {
+                    self.close_at_limit(cx, client, LimitKind::Replaced);
                 }
-                Err(error) => {
-                    let fields = vec![("error", error.to_string().into())];
-                    log::warn!("{}", event_line("client_lost", fields));
+                AcceptDecision::Refuse(kind) => {
+                    self.record_limit(kind, address);
+                    refuse_connection::<P::Codec>(stream, &kind.refusal(&self.guard.limits));
+                    continue;
                 }
             }
+            self.add_client(cx, stream, address, origin);
+        }
+    }
+
+    fn add_client(&mut self, cx: CX![], stream: TcpStream, address: IpAddr, origin: SessionOrigin) {
+        self.next_client += 1;
+        let id = self.next_client;
+        // If this fails, answers are only delayed.
+        let _ = stream.set_nodelay(true);
+        let ready = fwd_to!([cx], client_ready(id) as (Ready));
+        match BufferedSocket::new(&self.poll, stream, ready) {
+            Ok(socket) => {
+                let client = ClientSocket {
+                    socket,
+                    address,
+                    activity: ClientActivity::new(origin, clock::now()),
+                    charge: self.guard.budget.charge(),
+                    request_bytes: 0,
+                    awaits_end: false,
+                    reads_to_end: false,
+                    turn: 0,
+                    turn_messages: 0,
+                    busy: false,
+                    closing: false,
+                    state: TransactionState::Idle,
+                };
+                self.clients.insert(id, client);
+                self.read_client(cx, id);
+                self.settle(cx);
+            }
+            Err(error) => {
+                let fields = vec![("error", error.to_string().into())];
+                log::warn!("{}", event_line("client_lost", fields));
+            }
         }
     }
 
     fn client_ready(&mut self, cx: CX![], id: u64, _: Ready) {
-        self.read_client(cx, id);
+        self.turn += 1;
+        if let Some(client) = self.clients.get_mut(&id) {
+            // The client may have read output for which its next request waits.
+            self.dirty_clients.push(id);
+            if !client.has_unread_output() {
+                self.read_client(cx, id);
+            }
+        }
+        self.settle(cx);
     }
 
+    /// Reads from a client and handles its requests, until one is in progress or nothing more has arrived.
     fn read_client(&mut self, cx: CX![], id: u64) {
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        let limit = if client.busy { CLIENT_READ_AHEAD_BYTES } else { MAX_INPUT_BYTES };
-        let outcome = client.socket.fill(limit);
-        self.read_requests(cx, id);
-        self.resume_clients(cx);
-        if outcome == ReadOutcome::Closed {
-            self.close_client(cx, id);
-        } else {
-            self.dirty_clients.push(id);
+        let now = clock::now();
+        loop {
+            let has_memory = self.guard.may_read();
+            let Some(client) = self.clients.get_mut(&id) else { return };
+            if client.closing {
+                return;
+            }
+            let is_paused = client.activity.paused_since.is_some();
+            let may_read = client.reads_to_end || (has_memory && !is_paused);
+            let limit = match (client.busy, may_read) {
+                (true, true) => CLIENT_READ_AHEAD_BYTES,
+                (false, true) => MAX_INPUT_BYTES,
+                (_, false) => FREE_INPUT_BYTES,
+            };
+            let outcome = client.fill::<P::Codec>(limit, now);
+            self.read_requests(cx, id);
+            let Some(client) = self.clients.get_mut(&id) else { return };
+            client.activity.message_since = match client.awaits_end {
+                true => client.activity.message_since.or(Some(now)),
+                false => None,
+            };
+            client.update_charge();
+            if outcome == ReadOutcome::Closed {
+                return self.close_client(cx, id);
+            }
+            let has_messages = !client.awaits_end && !client.socket.input.is_empty();
+            if client.busy || client.closing || has_messages || !client.socket.has_pending_input() {
+                return;
+            }
+            if !may_read && client.socket.input.len() >= FREE_INPUT_BYTES {
+                return self.pause_client(id, now);
+            }
         }
-        self.flush_output(cx);
     }
 
     fn flush_client(&mut self, cx: CX![], id: u64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let lost =
-            client.socket.flush().is_err() || client.socket.output.len() > MAX_UNREAD_OUTPUT_BYTES;
-        let done = client.closing && client.socket.output.is_empty();
-        if lost || done {
-            self.close_client(cx, id);
+        let was_blocked = client.has_unread_output();
+        let lost = client.flush(clock::now()).is_err();
+        if lost || (client.closing && client.socket.output.is_empty()) {
+            return self.close_client(cx, id);
+        }
+        if was_blocked && !client.has_unread_output() {
+            self.unblocked_clients.push(id);
+        }
+        client.update_charge();
+    }
+
+    // Limits.
+
+    /// Stops to read from a client until memory is available.
+    fn pause_client(&mut self, id: u64, now: Micros) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.activity.paused_since.is_none() {
+            client.activity.paused_since = Some(now);
+            self.paused_clients.push_back(id);
+            self.metrics.add("clients_paused", 1);
+        }
+    }
+
+    /// Continues to read from a client that was paused, if memory is available. The next one is resumed once this one was
+    /// read, as it may take the memory.
+    fn resume_paused_client(&mut self) {
+        while let Some(id) = self.paused_clients.front().copied() {
+            let may_read = self.guard.may_read();
+            if !may_read && !self.guard.may_complete_message(self.completing_clients) {
+                return;
+            }
+            self.paused_clients.pop_front();
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            client.activity.paused_since = None;
+            if !may_read && !client.reads_to_end {
+                client.reads_to_end = true;
+                self.completing_clients += 1;
+            }
+            self.unblocked_clients.push(id);
+            return;
+        }
+    }
+
+    /// Closes connections that have passed a limit on time, or that others wait for.
+    fn sweep_clients(&mut self, cx: CX![]) {
+        let now = clock::now();
+        let limits = &self.guard.limits;
+        let overdue: Vec<(u64, LimitKind)> = self
+            .clients
+            .iter()
+            .filter_map(|(id, client)| Some((*id, client.activity.overdue(limits, now)?)))
+            .collect();
+        for (id, kind) in overdue {
+            self.close_at_limit(cx, id, kind);
+        }
+        while let Some(id) = self.choose_victim(now) {
+            self.close_at_limit(cx, id, LimitKind::Memory);
+        }
+        self.settle(cx);
+    }
+
+    /// Closes the connection that holds most and makes the least progress, or drops the largest answer, if the budget is
+    /// exceeded. Returns whether something was freed.
+    fn free_memory(&mut self, cx: CX![]) -> bool {
+        if !self.guard.is_exceeded() {
+            return false;
+        }
+        if let Some(id) = self.choose_victim(clock::now()) {
+            self.close_at_limit(cx, id, LimitKind::Memory);
+            return true;
         }
+        let largest = self.backends.values_mut().max_by_key(|backend| backend.row_bytes);
+        match largest.filter(|backend| backend.row_bytes > 0) {
+            Some(backend) => {
+                backend.drop_rows(LimitKind::Memory);
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn choose_victim(&self, now: Micros) -> Option<u64> {
+        let clients = self.clients.iter().map(|(id, client)| {
+            let session_bytes = self.gate.session_bytes(SessionId(*id));
+            (*id, ClientActivity { held: client.activity.held + session_bytes, ..client.activity })
+        });
+        self.guard.choose_victim(now, clients)
+    }
+
+    /// Closes a connection because of a limit, with an error if that cannot be taken for the answer to a request.
+    fn close_at_limit(&mut self, cx: CX![], id: u64, kind: LimitKind) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let address = client.address;
+        if !client.busy && client.socket.output.is_empty() {
+            let text = kind.refusal(&self.guard.limits);
+            P::Codec::write_refusal(ErrorCode::Busy, &text, &mut client.socket.output);
+            // The connection is closed in any case.
+            let _ = client.socket.flush();
+        }
+        self.close_client(cx, id);
+        self.record_limit(kind, address);
+    }
+
+    fn record_limit(&mut self, kind: LimitKind, address: IpAddr) {
+        self.metrics.add(kind.counter(), 1);
+        let limits = &self.guard.limits;
+        if let Some(line) = self.limit_log.record(clock::now(), kind, address, limits) {
+            log::warn!("{line}");
+        }
+    }
+
+    /// Continues with the messages of clients that have used up their turn.
+    fn continue_deferred_clients(&mut self, cx: CX![]) {
+        self.turn += 1;
+        let deferred = std::mem::take(&mut self.deferred_clients);
+        self.unblocked_clients.extend(deferred);
+        self.settle(cx);
     }
 
     fn close_client(&mut self, cx: CX![], id: u64) {
-        if let Some(client) = self.clients.remove(&id)
-            && client.started
-        {
+        let Some(client) = self.clients.remove(&id) else { return };
+        if client.reads_to_end {
+            self.completing_clients -= 1;
+        }
+        if client.activity.started {
             self.advance_gate(cx, GateEvent::SessionClosed { session: SessionId(id) });
         }
     }
@@ -436,12 +733,34 @@
     fn read_requests(&mut self, cx: CX![], id: u64) {
         loop {
             let Some(client) = self.clients.get_mut(&id) else { return };
-            if client.busy || client.closing {
+            if client.busy || client.closing || client.awaits_end || client.has_unread_output() {
                 return;
             }
+            if client.turn != self.turn {
+                (client.turn, client.turn_messages) = (self.turn, 0);
+            }
+            if client.turn_messages >= MESSAGES_PER_TURN {
+                if self.deferred_clients.is_empty() {
+                    after!(TURN_INTERVAL, [cx], continue_deferred_clients());
+                }
+                if !self.deferred_clients.contains(&id) {
+                    self.deferred_clients.push(id);
+                }
+                return;
+            }
+            client.turn_messages += 1;
             let message = match client.read_message::<P::Codec>() {
-                Ok(Some(message)) => message,
-                Ok(None) => return,
+                Ok(Some(message)) => {
+                    if std::mem::take(&mut client.reads_to_end) {
+                        self.completing_clients -= 1;
+                    }
+                    client.activity.message_since = None;
+                    message
+                }
+                Ok(None) => {
+                    client.awaits_end = !client.socket.input.is_empty();
+                    return;
+                }
                 Err(error) => {
                     let code = match error {
                         crate::CodecError::TooBig { .. } => ErrorCode::TooBig,
@@ -451,11 +770,11 @@
                 }
             };
             let session = SessionId(id);
-            match (message, client.started) {
+            match (message, client.activity.started) {
                 (ClientMessage::Startup { database, key }, false) => {
-                    client.started = true;
+                    client.activity.started = true;
                     client.busy = true;
-                    let origin = client.origin;
+                    let origin = client.activity.origin;
                     self.advance_gate(
                         cx,
                         GateEvent::SessionOpened { session, database, key, origin },
@@ -463,6 +782,7 @@
                 }
                 (ClientMessage::Request(request), true) => {
                     client.busy = true;
+                    client.request_bytes = request.held_bytes();
                     self.advance_gate(cx, GateEvent::RequestArrived { session, request });
                 }
                 (ClientMessage::Invalid { code, text }, true) => {
@@ -512,7 +832,10 @@
                     opened: false,
                     unanswered: Default::default(),
                     rows: Vec::new(),
+                    row_bytes: 0,
+                    dropped_rows: None,
                     answer_end: None,
+                    charge: self.guard.budget.charge(),
                 };
                 self.backends.insert(id, backend);
                 self.dirty_backends.push(id);
@@ -534,15 +857,22 @@
     }
 
     fn backend_ready(&mut self, cx: CX![], id: u64, _: Ready) {
-        let Some(backend) = self.backends.get_mut(&id) else { return };
-        let outcome = backend.socket.fill(MAX_INPUT_BYTES);
-        let flushed = backend.socket.flush();
-        self.read_answers(cx, id);
-        if outcome == ReadOutcome::Closed || flushed.is_err() {
-            self.drop_backend(cx, id);
+        self.turn += 1;
+        while let Some(backend) = self.backends.get_mut(&id) {
+            let outcome = backend.socket.fill(MAX_INPUT_BYTES);
+            let flushed = backend.socket.flush();
+            self.read_answers(cx, id);
+            if outcome == ReadOutcome::Closed || flushed.is_err() {
+                self.drop_backend(cx, id);
+            }
+            let Some(backend) = self.backends.get_mut(&id) else { break };
+            backend.update_charge();
+            self.settle(cx);
+            if !self.backends.get(&id).is_some_and(|backend| backend.socket.has_pending_input()) {
+                break;
+            }
         }
-        self.resume_clients(cx);
-        self.flush_output(cx);
+        self.settle(cx);
     }
 
     fn read_answers(&mut self, cx: CX![], id: u64) {
@@ -562,7 +892,13 @@
                     if backend.rows.len() >= MAX_ANSWER_ROWS || !backend.opened {
                         return self.drop_backend(cx, id);
                     }
-                    backend.rows.push(row);
+                    if backend.row_bytes + row.len() > self.guard.limits.answer_bytes {
+                        backend.drop_rows(LimitKind::AnswerSize);
+                    }
+                    if backend.dropped_rows.is_none() {
+                        backend.row_bytes += row.len();
+                        backend.rows.push(row);
+                    }
                 }
                 BackendMessage::Done(signature) => {
                     backend.answer_end = Some(AnswerEnd::Done(signature))
@@ -586,6 +922,15 @@
                         return self.drop_backend(cx, id);
                     };
                     let rows = std::mem::take(&mut backend.rows);
+                    backend.row_bytes = 0;
+                    let end = match backend.dropped_rows.take() {
+                        Some(kind) => {
+                            self.metrics.add(kind.counter(), 1);
+                            let text = kind.answer_refusal(&self.guard.limits);
+                            AnswerEnd::Failed { code: ErrorCode::TooBig, text }
+                        }
+                        None => end,
+                    };
                     let report = if is_report { P::Codec::read_report(&rows) } else { None };
                     let answer = Box::new(BackendAnswer { rows, end, state, position, report });
                     self.advance_gate(cx, GateEvent::ConnectionAnswered { connection, answer });
@@ -601,3 +946,11 @@
         BackendCommand::Report | BackendCommand::Fence { .. } | BackendCommand::Demote { .. }
     )
 }
+
+/// Tells the client why its connection is refused, if the socket takes that at once, and closes it.
+fn refuse_connection<C: WireCodec>(mut stream: TcpStream, text: &str) {
+    let mut output = BytesMut::new();
+    C::write_refusal(ErrorCode::Busy, text, &mut output);
+    // The connection is closed in any case.
+    let _ = stream.write(&output);
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,8 @@
 mod clock;
 mod codec;
 mod driver;
+mod limit_log;
+mod limits;
 mod logging;
 mod metrics;
 mod overlap;
@@ -27,6 +29,7 @@
 mod watch;
 
 pub use codec::{BackendMessage, ClientMessage, CodecError, WireCodec};
+pub use limits::ClientLimits;
 pub use logging::{event_line, start_logging};
 pub use store::{ConditionalWrite, StoreChange, StoreClient, StoreError, StoreItem};
 
@@ -58,8 +61,8 @@
     pub ready_path: &'static str,
     /// Address of the metrics page; `None` for no page.
     pub metrics_address: Option<SocketAddr>,
-    /// Maximum number of client connections; further ones are closed on accept.
-    pub client_limit: usize,
+    /// Limits on what clients and other nodes may take of the process.
+    pub limits: ClientLimits,
     pub platform: P,
 }
 
@@ -77,8 +80,8 @@
     Listen { address: SocketAddr, source: std::io::Error },
     #[error("failed to start: {0}")]
     Start(#[from] std::io::Error),
-    #[error("failed to serve readiness: {0:#}")]
-    Ready(anyhow::Error),
+    #[error("failed to serve readiness: {0}")]
+    Ready(std::io::Error),
     #[error("the event loop failed: {0}")]
     Loop(String),
 }
@@ -104,7 +107,7 @@
         && let Err(error) = metrics::serve_http(address, path, status.clone())
     {
         // Clients can be served without the metrics page.
-        let fields = vec![("error", format!("{error:#}").into())];
+        let fields = vec![("error", error.to_string().into())];
         log::warn!("{}", event_line("metrics_unavailable", fields));
     }
     log::info!("\"event\":\"started\",\"node\":\"{}\",\"clients\":\"{address}\"", setup.gate.node);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use tiny_http::{Response, Server};
+use shell::{HttpAnswer, HttpRequest, HttpServer};
 
 /// Largest value of a histogram: one minute, which is longer than any timeout.
 const MAX_HISTOGRAM_MICROS: u64 = 60_000_000;
@@ -120,29 +120,24 @@
     address: SocketAddr,
     ready_path: &'static str,
     status: Arc<SharedStatus>,
-) -> anyhow::Result<()> {
-    let server = Server::http(address)
-        .map_err(|error| anyhow::anyhow!("failed to listen on {address}: {error}"))?;
-    std::thread::spawn(move || {
-        for request in server.incoming_requests() {
-            let response = if request.url() == ready_path {
-                let ready = status.ready.load(Ordering::Acquire);
-                Response::from_string("").with_status_code(if ready { 200 } else { 503 })
-            } else if request.url() == "/dump" {
-                match status.request_dump() {
-                    Some(dump) => Response::from_string(dump),
-                    None => Response::from_string("the event loop did not write the dump in time")
-                        .with_status_code(503),
-                }
-            } else {
-                let metrics = status.metrics.lock().unwrap_or_else(PoisonError::into_inner);
-                Response::from_string(metrics.as_str())
-            };
-            if let Err(error) = request.respond(response) {
-                // The client closed the connection; no other request is affected.
-                log::debug!("\"event\":\"probe_lost\",\"error\":\"{:?}\"", error.kind());
-            }
-        }
-    });
+) -> std::io::Result<()> {
+    let mut server = HttpServer::bind(address)?;
+    server.start(move |request| answer(request, ready_path, &status));
+    server.detach();
     Ok(())
 }
+
+fn answer(request: &HttpRequest, ready_path: &str, status: &SharedStatus) -> HttpAnswer {
+    if request.url == ready_path {
+        let ready = status.ready.load(Ordering::Acquire);
+        HttpAnswer::text(if ready { 200 } else { 503 }, "")
+    } else if request.url == "/dump" {
+        match status.request_dump() {
+            Some(dump) => HttpAnswer::text(200, dump),
+            None => HttpAnswer::text(503, "the event loop did not write the dump in time"),
+        }
+    } else {
+        let metrics = status.metrics.lock().unwrap_or_else(PoisonError::into_inner);
+        HttpAnswer::text(200, metrics.as_str())
+    }
+}
