--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -176,3 +176,25 @@
     }
     String::from_utf8_lossy(&bytes).into_owned()
 }
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    proptest! {
+        /// Guards against a URL that makes the daemon panic, or grows when it is decoded.
+        #[test]
+        fn any_url_is_parsed_or_refused(
+            path in prop_oneof!["/v1/(top|explain|dump|drain|health|rollout)", "[ -~]{0,20}"],
+            query in prop_oneof!["((measure|rows|session|labels|cluster|user)=[a-z0-9%&=+]{0,12}&?){0,4}", "\\PC{0,30}"],
+        ) {
+            for method in ["GET", "POST", "PUT"] {
+                let _ = parse_call(method, &format!("{path}?{query}"));
+            }
+            // An invalid byte is replaced by a character of three bytes.
+            prop_assert!(percent_decode(&query).len() <= 3 * query.len());
+        }
+    }
+}
--- a/crates/daemon/tests/client_crowds.rs
+++ b/crates/daemon/tests/client_crowds.rs
@@ -118,7 +118,10 @@
     }
     let mut idle_rounds = 0;
     while idle_rounds < IDLE_ROUNDS {
-        let progress = crowd.iter_mut().fold(false, |any, member| member.advance() || any);
+        let mut progress = false;
+        for member in &mut crowd {
+            progress |= member.advance();
+        }
         if progress {
             idle_rounds = 0;
         } else {
