Read the clock once in a turn of the loop, and sockets only when data may be available

Change: a socket is read when a readiness event has arrived or the last read stopped at its limit; the limits use the time at the start of the turn.

--- a/crates/edge/src/driver.rs
+++ b/crates/edge/src/driver.rs
@@ -187,6 +187,8 @@
     deferred_clients: Vec<u64>,
     /// Number of the present turn.
     turn: u64,
+    /// Time at the start of the turn, for the limits.
+    now: Micros,
     swept: Instant,
     store: StoreThreads<P::Store>,
     relay: Option<ChangeRelay>,
@@ -269,6 +271,7 @@
             completing_clients: 0,
             deferred_clients: Vec::new(),
             turn: 0,
+            now: clock::now(),
             swept: Instant::now(),
             store,
             relay,
@@ -334,11 +337,16 @@
 
     /// Passes an event to the gate, executes its actions and writes the output.
     fn handle_event(&mut self, cx: CX![], event: GateEvent) {
-        self.turn += 1;
+        self.begin_turn();
         self.advance_gate(cx, event);
         self.settle(cx);
     }
 
+    fn begin_turn(&mut self) {
+        self.turn += 1;
+        self.now = clock::now();
+    }
+
     /// Writes the output and reads the next requests of clients whose requests were answered, until neither leads to
     /// more, and keeps the process within its memory.
     fn settle(&mut self, cx: CX![]) {
@@ -462,6 +470,7 @@
     }
 
     fn accept(&mut self, cx: CX![], origin: SessionOrigin) {
+        self.begin_turn();
         loop {
             let listener = match (origin, &self.peer_listener) {
                 (SessionOrigin::Peer, Some(listener)) => listener,
@@ -482,7 +491,7 @@
             };
             let address = address.ip();
             let clients = self.clients.iter().map(|(id, client)| (*id, client.activity));
-            match self.guard.accept(clock::now(), origin, self.clients.len(), clients) {
+            match self.guard.accept(self.now, origin, self.clients.len(), clients) {
                 AcceptDecision::Accept => {}
                 AcceptDecision::Replace(client) => {
                     self.close_at_limit(cx, client, LimitKind::Replaced);
@@ -508,7 +517,7 @@
                 let client = ClientSocket {
                     socket,
                     address,
-                    activity: ClientActivity::new(origin, clock::now()),
+                    activity: ClientActivity::new(origin, self.now),
                     charge: self.guard.budget.charge(),
                     request_bytes: 0,
                     awaits_end: false,
@@ -531,8 +540,9 @@
     }
 
     fn client_ready(&mut self, cx: CX![], id: u64, _: Ready) {
-        self.turn += 1;
+        self.begin_turn();
         if let Some(client) = self.clients.get_mut(&id) {
+            client.socket.expect_input();
             // The client may have read output for which its next request waits.
             self.dirty_clients.push(id);
             if !client.has_unread_output() {
@@ -544,7 +554,7 @@
 
     /// Reads from a client and handles its requests, until one is in progress or nothing more has arrived.
     fn read_client(&mut self, cx: CX![], id: u64) {
-        let now = clock::now();
+        let now = self.now;
         loop {
             let has_memory = self.guard.may_read();
             let Some(client) = self.clients.get_mut(&id) else { return };
@@ -558,7 +568,10 @@
                 (false, true) => MAX_INPUT_BYTES,
                 (_, false) => FREE_INPUT_BYTES,
             };
-            let outcome = client.fill::<P::Codec>(limit, now);
+            let outcome = match client.socket.has_pending_input() {
+                true => client.fill::<P::Codec>(limit, now),
+                false => ReadOutcome::Open,
+            };
             self.read_requests(cx, id);
             let Some(client) = self.clients.get_mut(&id) else { return };
             client.activity.message_since = match client.awaits_end {
@@ -582,7 +595,7 @@
     fn flush_client(&mut self, cx: CX![], id: u64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         let was_blocked = client.has_unread_output();
-        let lost = client.flush(clock::now()).is_err();
+        let lost = client.flush(self.now).is_err();
         if lost || (client.closing && client.socket.output.is_empty()) {
             return self.close_client(cx, id);
         }
@@ -626,7 +639,7 @@
 
     /// Closes connections that have passed a limit on time, or that others wait for.
     fn sweep_clients(&mut self, cx: CX![]) {
-        let now = clock::now();
+        let now = self.now;
         let limits = &self.guard.limits;
         let overdue: Vec<(u64, LimitKind)> = self
             .clients
@@ -648,7 +661,7 @@
         if !self.guard.is_exceeded() {
             return false;
         }
-        if let Some(id) = self.choose_victim(clock::now()) {
+        if let Some(id) = self.choose_victim(self.now) {
             self.close_at_limit(cx, id, LimitKind::Memory);
             return true;
         }
@@ -687,14 +700,14 @@
     fn record_limit(&mut self, kind: LimitKind, address: IpAddr) {
         self.metrics.add(kind.counter(), 1);
         let limits = &self.guard.limits;
-        if let Some(line) = self.limit_log.record(clock::now(), kind, address, limits) {
+        if let Some(line) = self.limit_log.record(self.now, kind, address, limits) {
             log::warn!("{line}");
         }
     }
 
     /// Continues with the messages of clients that have used up their turn.
     fn continue_deferred_clients(&mut self, cx: CX![]) {
-        self.turn += 1;
+        self.begin_turn();
         let deferred = std::mem::take(&mut self.deferred_clients);
         self.unblocked_clients.extend(deferred);
         self.settle(cx);
@@ -857,7 +870,7 @@
     }
 
     fn backend_ready(&mut self, cx: CX![], id: u64, _: Ready) {
-        self.turn += 1;
+        self.begin_turn();
         while let Some(backend) = self.backends.get_mut(&id) {
             let outcome = backend.socket.fill(MAX_INPUT_BYTES);
             let flushed = backend.socket.flush();
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -38,7 +38,7 @@
     /// Size of the allocations behind the buffers, which share them with what was split off.
     input_allocated: usize,
     output_allocated: usize,
-    /// The last read stopped at its limit, so no readiness event announces the rest.
+    /// Data may be available: the last read stopped at its limit, or a readiness event has arrived since.
     input_pending: bool,
 }
 
@@ -88,11 +88,16 @@
         outcome
     }
 
-    /// Returns whether the socket may hold data that no readiness event announces.
+    /// Returns whether data may be available, which no further readiness event announces.
     pub(crate) fn has_pending_input(&self) -> bool {
         self.input_pending
     }
 
+    /// Records that a readiness event may have announced data.
+    pub(crate) fn expect_input(&mut self) {
+        self.input_pending = true;
+    }
+
     /// Writes as much as the socket accepts; returns the number of bytes.
     ///
     /// # Errors
