--- a/crates/edge/src/driver.rs
+++ b/crates/edge/src/driver.rs
@@ -41,8 +41,9 @@
 /// Size of a message above which it is examined although its end has not arrived.
 const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
 
-/// Input buffered for a connection: the 1 MiB limit of a message and room for its line end.
-const MAX_INPUT_BYTES: usize = 1024 * 1024 + 64;
+/// Input buffered for a connection: the 1 MiB limit of a message, and room for its line end and for the caller and the
+/// position that another node adds, 25 KiB at most.
+const MAX_INPUT_BYTES: usize = (1024 + 32) * 1024;
 
 /// Messages of one client that are handled before those of others: enough for requests that are sent ahead, and less than
 /// the loop handles in 1 ms.
@@ -139,8 +140,8 @@
 struct BackendSocket {
     socket: BufferedSocket,
     opened: bool,
-    /// For each unanswered command, whether its answer is a report.
-    unanswered: VecDeque<bool>,
+    /// What the answer of each unanswered command holds.
+    unanswered: VecDeque<AnswerKind>,
     rows: Vec<Bytes>,
     row_bytes: usize,
     /// The limit at which the rows of the present answer were dropped.
@@ -402,6 +403,14 @@
                     self.unblocked_clients.push(session.0);
                 }
             }
+            GateAction::ReplyAllotments { session, grants } => {
+                if let Some(client) = self.clients.get_mut(&session.0) {
+                    P::Codec::write_allotments(&grants, &mut client.socket.output);
+                    client.busy = false;
+                    self.dirty_clients.push(session.0);
+                    self.unblocked_clients.push(session.0);
+                }
+            }
             GateAction::CloseSession { session } => self.close_idle_client(session.0),
             GateAction::OpenConnection { connection, cluster, database, address, account } => {
                 let caller = account.unwrap_or_else(|| self.node.clone());
@@ -414,7 +423,7 @@
                 if let Some(backend) = self.backends.get_mut(&connection.0) {
                     for command in &commands {
                         P::Codec::write_command(command, &mut backend.socket.output);
-                        backend.unanswered.push_back(returns_report(command));
+                        backend.unanswered.push_back(answer_kind(command));
                     }
                     self.dirty_backends.push(connection.0);
                 }
@@ -928,7 +937,7 @@
                     self.advance_gate(cx, GateEvent::ConnectionOpened { connection, position });
                 }
                 BackendMessage::Ready { state, position } => {
-                    let (Some(end), Some(is_report)) =
+                    let (Some(end), Some(kind)) =
                         (backend.answer_end.take(), backend.unanswered.pop_front())
                     else {
                         log::warn!("\"event\":\"answer_unexpected\",\"link\":{id}");
@@ -937,14 +946,25 @@
                     let rows = std::mem::take(&mut backend.rows);
                     backend.row_bytes = 0;
                     let end = match backend.dropped_rows.take() {
-                        Some(kind) => {
-                            self.metrics.add(kind.counter(), 1);
-                            let text = kind.answer_refusal(&self.guard.limits);
+                        Some(limit) => {
+                            self.metrics.add(limit.counter(), 1);
+                            let text = limit.answer_refusal(&self.guard.limits);
                             AnswerEnd::Failed { code: ErrorCode::TooBig, text }
                         }
                         None => end,
                     };
-                    let report = if is_report { P::Codec::read_report(&rows) } else { None };
+                    if kind == AnswerKind::Allotments
+                        && matches!(end, AnswerEnd::Done(_))
+                        && let Some(grants) = P::Codec::read_allotments(&rows)
+                    {
+                        let event = GateEvent::AllotmentsAnswered { connection, grants };
+                        self.advance_gate(cx, event);
+                        continue;
+                    }
+                    let report = match kind {
+                        AnswerKind::Report => P::Codec::read_report(&rows),
+                        AnswerKind::Rows | AnswerKind::Allotments => None,
+                    };
                     let answer = Box::new(BackendAnswer { rows, end, state, position, report });
                     self.advance_gate(cx, GateEvent::ConnectionAnswered { connection, answer });
                 }
@@ -953,11 +973,22 @@
     }
 }
 
-fn returns_report(command: &BackendCommand) -> bool {
-    matches!(
-        command,
-        BackendCommand::Report | BackendCommand::Fence { .. } | BackendCommand::Demote { .. }
-    )
+/// What an answer holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerKind {
+    Rows,
+    Report,
+    Allotments,
+}
+
+fn answer_kind(command: &BackendCommand) -> AnswerKind {
+    match command {
+        BackendCommand::Report | BackendCommand::Fence { .. } | BackendCommand::Demote { .. } => {
+            AnswerKind::Report
+        }
+        BackendCommand::Allot(_) => AnswerKind::Allotments,
+        _ => AnswerKind::Rows,
+    }
 }
 
 /// Tells the client why its connection is refused, if the socket takes that at once, and closes it.
--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -3,6 +3,7 @@
 use model::{DatabaseRole, FastMap, FastSet, Micros, Name, Term};
 
 use crate::backend::{BackendAnswer, BackendCommand};
+use crate::commit_proof::CommitProof;
 use crate::database::{CommandPurpose, Database};
 use crate::event::{ConnectionId, ListedDatabase};
 use crate::leadership_proof::LeadershipProof;
@@ -48,6 +49,7 @@
     /// The stored record of the databases that may hold commits.
     pub(crate) log_holders: LogHolders,
     pub(crate) proof: LeadershipProof,
+    pub(crate) commit_proof: CommitProof,
     /// Requests that wait for a leader.
     pub(crate) waiting_for_leader: Vec<RequestId>,
     /// Requests that wait for proof of the leader.
@@ -144,6 +146,7 @@
         let restarted = database.listed.started_at_ms != listed.started_at_ms;
         if restarted {
             database.report = None;
+            database.unfenced_at = None;
             database.last_report_at = None;
             database.applied = None;
         }
@@ -177,10 +180,35 @@
         }
         if restarted {
             self.forget_fence(&cluster, &name);
+            self.database_restarted(&cluster, &name, "entry");
         }
         self.open_connections(&name);
     }
 
+    /// Forgets a leader that has started again, and looks for another one. Databases start without
+    /// their log and lead no term then.
+    pub(crate) fn database_restarted(
+        &mut self,
+        cluster: &Name,
+        name: &Name,
+        shown_by: &'static str,
+    ) {
+        let now = self.now;
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        if !state.proof.observe_restart(name, now) {
+            return;
+        }
+        self.count("leaders_restarted");
+        self.log(
+            "leader_restarted",
+            fields!["cluster" => cluster, "database" => name, "shown_by" => shown_by],
+        );
+        if self.owns_connections(cluster) {
+            self.request_all_reports(cluster);
+        }
+        self.wake_waiting_for_proof(cluster);
+    }
+
     pub(crate) fn database_unlisted(&mut self, name: &Name) {
         let now = self.now;
         if let Some(database) = self.databases.get_mut(name)
@@ -201,7 +229,7 @@
         let removed = self.databases.remove(name);
         if let Some(state) = self.clusters.get_mut(&cluster) {
             state.members.retain(|member| member != name);
-            state.proof.forget_leader(name);
+            state.proof.remove_database(name);
         }
         self.reroute_if_unconnected(name);
         let Some(removed) = removed else { return };
@@ -294,10 +322,16 @@
         if !database.report_wanted || database.report_requested_at.is_some() {
             return;
         }
-        let Some(connection) = database.idle.pop() else {
+        // Only a connection that has been open for long shows that a replica was not started again.
+        let connections = &self.connections;
+        let oldest = (0..database.idle.len()).min_by_key(|index| {
+            connections.get(&database.idle[*index]).and_then(|connection| connection.established_at)
+        });
+        let Some(oldest) = oldest else {
             self.open_connections(name);
             return;
         };
+        let connection = database.idle.swap_remove(oldest);
         database.report_wanted = false;
         database.report_requested_at = Some(now);
         self.count("reports_asked");
@@ -356,6 +390,7 @@
             }
         }
         self.old_primary_reported(&cluster, &name, &report);
+        self.observe_witness(connection, requested_at, &report);
         self.wake_waiting_for_proof(&cluster);
         self.wake_waiting_for_leader(&cluster);
         if let Some(proof_time) =
@@ -419,6 +454,7 @@
         {
             self.request_proof(cluster, proof_time);
         }
+        self.prove_commits(cluster);
         self.probe_overdue(cluster);
         self.check_fences(cluster);
         self.wake_waiting_for_proof(cluster);
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -1,11 +1,13 @@
 //! Connections to databases and nodes: opening, answers, loss and release.
 
-use model::{DatabaseRole, Micros, Name};
+use model::{DatabaseRole, Micros, Name, Term};
 
+use crate::account_pool::PoolLimits;
 use crate::action::GateAction;
+use crate::allotment::ALLOTMENT_TIMEOUT;
 use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, TermPosition};
 use crate::cluster::LEAVING_GRACE;
-use crate::database::{BackendConnection, CommandPurpose, PendingCommand, steady_share};
+use crate::database::{BackendConnection, CommandPurpose, Database, PendingCommand, steady_share};
 use crate::event::ConnectionId;
 use crate::request::RequestId;
 use crate::statement::{ErrorCode, TransactionState};
@@ -40,6 +42,10 @@
 /// unused node is kept as long.
 const PEER_IDLE_TIMEOUT: Micros = Micros::from_millis(5_000);
 
+/// As [`SURPLUS_IDLE_TIMEOUT`], for connections of accounts within this node's share. Opening one
+/// again costs a slot, and nobody else may use the place.
+const ACCOUNT_IDLE_TIMEOUT: Micros = Micros::from_secs(30);
+
 /// Maximum number of connections to another node for one client database.
 const PEER_CONNECTIONS: u32 = 8;
 
@@ -80,25 +86,38 @@
                 if starting { share } else { database.connection_limit(now, share) }
             }
         };
-        let opening = database.opening;
-        if let Some(account) = self.unconnected_account(name) {
-            if opening >= 2 {
-                return;
-            }
-            if connections >= limit {
-                let Some(replaced) = self.replaceable_connection(name) else { return };
-                self.close_connection(replaced, "replaced by a connection of another account");
-            }
-            return self.open_connection(name, Some(account));
-        }
-        let Some(database) = self.databases.get(name) else { return };
         let first = connections == 0 && self.keeps_connection_open(name);
+        let wanted = if self.pools_accounts(name) {
+            let limits = self.pool_limits(database);
+            let waits_for_report = database.report_wanted && database.idle.is_empty();
+            self.open_account_connections(name, limits);
+            u32::from(waits_for_report)
+        } else {
+            wanted
+        };
+        let Some(database) = self.databases.get(name) else { return };
+        let connections = u32::try_from(database.connections.len()).unwrap_or(u32::MAX);
+        let first = first && connections == 0;
         if !first && (database.opening >= wanted || connections >= limit || database.opening >= 2) {
             return;
         }
         self.open_connection(name, None);
     }
 
+    /// Returns how many connections this node may have to a database of a deployment with accounts.
+    fn pool_limits(&self, database: &Database) -> PoolLimits {
+        let share = self.steady_connections(&database.listed.cluster);
+        let size = |limit| usize::try_from(limit).unwrap_or(usize::MAX);
+        if database.is_at_connection_limit(self.now) {
+            // The database is full: a new connection replaces one of this node.
+            let limit = size(share).min(database.connections.len().max(1));
+            return PoolLimits { steady: limit, most: limit };
+        }
+        let starting = self.now < self.started + STARTUP_GRACE;
+        let most = if starting { share } else { database.connection_limit(self.now, share) };
+        PoolLimits { steady: size(share), most: size(most) }
+    }
+
     /// Opens a connection that serves an account, or none in particular.
     pub(crate) fn open_connection(&mut self, name: &Name, account: Option<Name>) {
         let now = self.now;
@@ -108,10 +127,11 @@
         database.opening += 1;
         database.record_attempt(now);
         let (cluster, address) = (database.listed.cluster.clone(), database.listed.address);
-        self.connections.insert(
-            connection,
-            BackendConnection::new(name.clone(), cluster.clone(), account.clone(), now),
-        );
+        let mut state = BackendConnection::new(name.clone(), cluster.clone(), account.clone(), now);
+        state.leader_position = self.clusters.get(&cluster).and_then(|cluster| {
+            Some((cluster.proof.term(), cluster.proof.applied_position(name)?))
+        });
+        self.connections.insert(connection, state);
         self.out.push(GateAction::OpenConnection {
             connection,
             cluster,
@@ -147,8 +167,17 @@
             return;
         }
         state.open = true;
+        state.established_at = Some(now);
         state.last_used = now;
-        let name = state.database.clone();
+        let handshake_time = state.account.is_some().then(|| now.saturating_sub(state.opened_at));
+        let (name, cluster) = (state.database.clone(), state.cluster.clone());
+        let leader_position = state.leader_position;
+        if let Some(time) = handshake_time {
+            self.observe("account_link_open_time", time);
+        }
+        if self.has_position_gone_back(&cluster, leader_position, position) {
+            self.database_restarted(&cluster, &name, "position");
+        }
         let Some(database) = self.databases.get_mut(&name) else { return };
         database.opening -= 1;
         database.open_failures = 0;
@@ -165,19 +194,43 @@
         }
         self.record_answer(&name);
         self.dispatch_queued(&name);
+        self.allotment_connection_opened(&name);
+    }
+
+    /// Returns true if a leader opened a connection at a lower position than it had shown before the
+    /// connection was requested, in the same term: it has lost its log.
+    fn has_position_gone_back(
+        &self,
+        cluster: &Name,
+        shown: Option<(Term, TermPosition)>,
+        position: Option<TermPosition>,
+    ) -> bool {
+        let term = self.clusters.get(cluster).map(|state| state.proof.term());
+        match (shown, position) {
+            (Some((shown_term, shown)), Some(position)) => {
+                term == Some(shown_term) && position < shown
+            }
+            _ => false,
+        }
     }
 
     pub(crate) fn connection_refused(&mut self, connection: ConnectionId, code: ErrorCode) {
         let now = self.now;
         let Some(state) = self.connections.get(&connection) else { return };
-        let name = state.database.clone();
+        let (name, account) = (state.database.clone(), state.account.clone());
         self.log("link_refused", fields!["database" => &name, "code" => code.name()]);
         if code == ErrorCode::TooManyConnections {
             self.record_answer(&name);
         }
         self.remove_connection(connection);
         if let Some(database) = self.databases.get_mut(&name) {
-            database.open_retry_at = now + LIMIT_REFUSAL_BACKOFF;
+            match (code, account) {
+                // Says nothing about other accounts.
+                (ErrorCode::NotAuthorized, Some(account)) => {
+                    database.pool.record_refusal(now, account);
+                }
+                _ => database.open_retry_at = now + LIMIT_REFUSAL_BACKOFF,
+            }
             if code == ErrorCode::TooManyConnections {
                 database.limit_refused_at = Some(now);
             }
@@ -247,6 +300,7 @@
                         database.report_requested_at = None;
                     }
                 }
+                CommandPurpose::Allot => self.allotment_request_ended(&state.database),
                 CommandPurpose::Setup
                 | CommandPurpose::Rollback
                 | CommandPurpose::Unfence
@@ -320,7 +374,7 @@
             }
             self.apply_read_lease(&cluster);
             if let Some(state) = self.clusters.get_mut(&cluster) {
-                state.proof.observe_leader_position(&name, pending.sent, position);
+                state.proof.observe_applied_position(&name, pending.sent, position);
                 state.proof.observe_replica_position(&name, position);
             }
         }
@@ -349,6 +403,7 @@
             }
             CommandPurpose::Fence => self.fence_answered(connection, pending.sent, &answer),
             CommandPurpose::Demote => self.demote_answered(connection, &answer),
+            CommandPurpose::Allot => self.allotment_request_ended(&name),
             CommandPurpose::Rollback | CommandPurpose::Unfence | CommandPurpose::Control => {}
         }
         self.release_connection(connection);
@@ -385,20 +440,11 @@
         self.dispatch_queued(&name);
     }
 
-    /// Returns an open connection for a command that does not belong to a client.
+    /// Returns an open connection with nothing in flight, for a command that does not belong to a
+    /// client. Answers are assigned to commands by their order: on a connection with a statement
+    /// whose answer was lost, the answer to the command would be taken for that of the statement.
     pub(crate) fn control_connection(&mut self, name: &Name) -> Option<ConnectionId> {
-        let database = self.databases.get_mut(name)?;
-        if let Some(connection) = database.idle.pop() {
-            return Some(connection);
-        }
-        let connections = &self.connections;
-        database
-            .connections
-            .iter()
-            .filter_map(|id| connections.get(id).map(|connection| (id, connection)))
-            .filter(|(_, connection)| connection.open && connection.transaction_session.is_none())
-            .min_by_key(|(_, connection)| connection.pending.len())
-            .map(|(id, _)| *id)
+        self.databases.get_mut(name)?.idle.pop()
     }
 
     /// Closes connections that are unresponsive or unused, and dispatches requests that became due.
@@ -434,6 +480,7 @@
                         ABANDONED_STATEMENT_TIMEOUT
                     }
                 }
+                CommandPurpose::Allot => ALLOTMENT_TIMEOUT,
                 CommandPurpose::Report
                 | CommandPurpose::Fence
                 | CommandPurpose::Setup
@@ -453,6 +500,9 @@
         for connection in large {
             self.close_connection(connection, "large session state");
         }
+        if self.table.accounts.is_some() {
+            surplus.sort_by_key(|(_, _, last_used)| *last_used);
+        }
         for (name, connection, last_used) in surplus {
             let Some(database) = self.databases.get(&name) else { continue };
             if database.peer.is_some() {
@@ -462,6 +512,14 @@
                 continue;
             }
             let share = self.steady_connections(&database.listed.cluster);
+            if self.pools_accounts(&name) {
+                let owned = self.owns_connections(&database.listed.cluster);
+                let within_share = owned && database.connections.len() <= share as usize;
+                if !within_share || now >= last_used + ACCOUNT_IDLE_TIMEOUT {
+                    self.close_connection(connection, "unused");
+                }
+                continue;
+            }
             if share > 1 && now < last_used + LARGE_SHARE_IDLE_TIMEOUT {
                 continue;
             }
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use admit::{QueueConfig, SlotQueue};
-use model::{FastMap, Micros, Name, RankConfig, RankMap};
+use model::{FastMap, Micros, Name, RankConfig, RankMap, Term};
 
+use crate::account_pool::AccountPool;
 use crate::backend::{BackendCommand, DatabaseReport, TermPosition};
 use crate::event::{ConnectionId, ListedDatabase, SessionId};
 use crate::log_comparison::ReportedLog;
@@ -113,8 +114,12 @@
     pub(crate) connections: Vec<ConnectionId>,
     pub(crate) idle: Vec<ConnectionId>,
     pub(crate) opening: u32,
+    pub(crate) pool: AccountPool,
     pub(crate) report: Option<DatabaseReport>,
     pub(crate) last_report_at: Option<Micros>,
+    /// When the last report was requested, if it is of a replica of the current term without a fence
+    /// above it.
+    pub(crate) unfenced_at: Option<Micros>,
     pub(crate) reported_log: ReportedLog,
     pub(crate) applied: Option<TermPosition>,
     pub(crate) applied_at: Micros,
@@ -150,8 +155,10 @@
             connections: Vec::new(),
             idle: Vec::new(),
             opening: 0,
+            pool: AccountPool::default(),
             report: None,
             last_report_at: None,
+            unfenced_at: None,
             reported_log: ReportedLog::default(),
             applied: None,
             applied_at: Micros::ZERO,
@@ -307,6 +314,8 @@
     /// Lifts a fence. The promotion lease is kept until the command is answered.
     Unfence,
     Demote,
+    /// Requests tokens from another node.
+    Allot,
     /// The answer needs no handling.
     Control,
 }
@@ -326,7 +335,13 @@
     /// The account that the connection serves; a database learns it when the connection opens.
     pub(crate) account: Option<Name>,
     pub(crate) open: bool,
+    /// When the connection was requested.
     pub(crate) opened_at: Micros,
+    /// When it was open.
+    pub(crate) established_at: Option<Micros>,
+    /// Term and applied position that the database had shown as the leader when the connection was
+    /// requested.
+    pub(crate) leader_position: Option<(Term, TermPosition)>,
     pub(crate) pending: VecDeque<PendingCommand>,
     /// The session whose transaction is open here.
     pub(crate) transaction_session: Option<SessionId>,
@@ -359,6 +374,8 @@
             account,
             open: false,
             opened_at: now,
+            established_at: None,
+            leader_position: None,
             pending: VecDeque::new(),
             transaction_session: None,
             close_when_idle: false,
@@ -370,6 +387,11 @@
         }
     }
 
+    /// Returns the name of the account, empty for none.
+    pub(crate) fn account_name(&self) -> &str {
+        self.account.as_deref().unwrap_or_default()
+    }
+
     /// Returns true if a session's values can be applied without a reset.
     pub(crate) fn can_adopt_without_reset(&self, values: &BTreeMap<Name, Name>) -> bool {
         self.values.keys().all(|name| values.contains_key(name))
--- a/crates/gate/src/dump.rs
+++ b/crates/gate/src/dump.rs
@@ -16,6 +16,7 @@
     /// #     incarnation: 1,
     /// #     shutdown_grace: model::Micros::from_secs(6),
     /// #     configuration_bound: model::Micros::from_secs(3),
+    /// #     quota: None,
     /// # };
     /// let gate = gate::Gate::new(settings);
     /// assert_eq!(gate.dump()["node"], "n1");
@@ -66,6 +67,7 @@
             "node": self.settings.node,
             "data_centre": self.settings.data_centre,
             "configuration": self.table.version,
+            "accounts": self.table.accounts.as_ref().map(|directory| directory.len()),
             "store": { "revision": self.store_view.revision,
                 "age_ms": self.store_view.known_at.map(|_| self.store_view.age_ms(now)) },
             "sessions": self.sessions.len(),
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -9,7 +9,10 @@
 use model::{Micros, Name};
 
 use crate::Gate;
+use crate::account_pool::caller_name;
+use crate::allotment::OperationCharge;
 use crate::backend::TermPosition;
+use crate::commit_proof::HeldCommit;
 use crate::event::{ConnectionId, SessionId, SessionOrigin};
 use crate::route::{Freshness, RouteConfig};
 use crate::session::coverage_time;
@@ -66,6 +69,8 @@
     WaitingForProof,
     /// Waits until the given time before it is tried again.
     BackingOff(Micros),
+    /// Waits for a token of its account.
+    WaitingForAllotment { since: Micros },
     /// Waits for a connection.
     Queued,
     /// Sent; not answered yet.
@@ -94,9 +99,12 @@
     /// The statement itself was sent on `connection`, not only `BEGIN`.
     pub(crate) statement_sent: bool,
     pub(crate) tries: u32,
+    /// The answer to a commit that is not proved to be kept yet.
+    pub(crate) held_commit: Option<HeldCommit>,
     pub(crate) excluded: Vec<Name>,
     /// `None` if the deployment does not identify its clients, and inside a transaction.
     pub(crate) caller: Option<CallerIdentity>,
+    pub(crate) charge: OperationCharge,
 }
 
 impl ActiveRequest {
@@ -153,8 +161,10 @@
             sent: None,
             statement_sent: false,
             tries: 0,
+            held_commit: None,
             excluded: Vec::new(),
             caller: None,
+            charge: OperationCharge::default(),
         };
         self.requests.insert(id, request);
         id
@@ -207,11 +217,14 @@
             return self.refuse(id, self.refusal_code(id), text);
         }
         self.apply_read_lease(&route.cluster);
-        if proof_time.is_none_or(|proof_time| self.is_proved(&route.cluster, &leader, proof_time)) {
+        let can_commit = !writes || self.can_prove_commit(&route.cluster);
+        let proved =
+            proof_time.is_none_or(|proof_time| self.is_proved(&route.cluster, &leader, proof_time));
+        if can_commit && proved {
             return self.queue_at(id, leader, None, proof_time);
         }
         if self.read_lease_acquired().is_none()
-            && !self.can_request_proof(&route.cluster)
+            && !(can_commit && self.can_request_proof(&route.cluster))
             && let Some(peer) = self.choose_peer(id)
         {
             return self.queue_at(id, peer, self.required_position(id), None);
@@ -221,7 +234,7 @@
         }
         if let Some(request) = self.requests.get_mut(&id) {
             request.stage = RequestStage::WaitingForProof;
-            request.proof_time = proof_time;
+            request.proof_time = proof_time.or(Some(started_at));
             request.database = None;
         }
         if let Some(state) = self.clusters.get_mut(&route.cluster) {
@@ -361,30 +374,57 @@
     ) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(database) = self.databases.get_mut(&name) else { return };
+        if !self.databases.contains_key(&name) {
+            return;
+        }
         request.database = Some(name.clone());
         request.required_position = required_position;
         request.proof_time = proof_time;
         request.stage = RequestStage::Queued;
-        let slot_request = SlotRequest {
-            request: id,
-            rank: request.route.rank,
-            caller: match request.account() {
-                Some(account) => account.clone(),
-                None => Name::from(format!("s{}", request.session.0)),
-            },
-            deadline: request.deadline,
-            selector: request.route.name.clone(),
-            in_transaction: false,
-        };
+        if self.refuse_flood(id) {
+            return;
+        }
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(database) = self.databases.get(&name) else { return };
         if database.is_overloaded(now, &request.route) {
             self.count("requests_shed");
             return self.refuse(id, ErrorCode::Busy, OVERLOADED_TEXT);
         }
-        if let Err(reason) = database.queue.enqueue(now, slot_request) {
+        if let Err(reason) = self.enqueue(id, &name) {
             return self.refuse_queued(id, reason);
         }
         self.dispatch_queued(&name);
+        self.count_connection_wait(id, &name);
+    }
+
+    /// Counts a request that waits for a connection of its account while a slot is free.
+    fn count_connection_wait(&mut self, id: RequestId, name: &Name) {
+        let waits = self.requests.get(&id).is_some_and(|request| {
+            request.stage == RequestStage::Queued && request.database.as_ref() == Some(name)
+        });
+        let free = self.databases.get(name).is_some_and(|database| database.queue.has_free_slot());
+        if waits && free && self.pools_accounts(name) {
+            self.count("account_link_waits");
+        }
+    }
+
+    /// Adds a request to the queue of a database, under the name of its account.
+    pub(crate) fn enqueue(&mut self, id: RequestId, name: &Name) -> Result<(), RefusalReason> {
+        let has_accounts = self.table.accounts.is_some();
+        let Some(request) = self.requests.get(&id) else { return Ok(()) };
+        let Some(database) = self.databases.get_mut(name) else { return Ok(()) };
+        if request.account().is_some() {
+            database.pool.mark_used();
+        }
+        let slot_request = SlotRequest {
+            request: id,
+            rank: request.route.rank,
+            caller: caller_name(request.account(), request.session.0, has_accounts),
+            deadline: request.deadline,
+            selector: request.route.name.clone(),
+            in_transaction: false,
+        };
+        database.queue.enqueue(self.now, slot_request)
     }
 
     pub(crate) fn refuse_queued(&mut self, id: RequestId, reason: RefusalReason) {
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -8,9 +8,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use account::MAX_KEY_BYTES;
 use model::{FastMap, MemoryCharge, Micros, Name};
 
 use crate::action::{ClientReply, GateAction};
+use crate::allotment::ALLOTMENT_SESSION;
 use crate::backend::{BackendCommand, TermPosition};
 use crate::database::CommandPurpose;
 use crate::event::{ConnectionId, SessionId, SessionOrigin};
@@ -97,9 +99,13 @@
         origin: SessionOrigin,
     ) {
         let mut charge = self.session_memory.budget.charge();
-        let kept = self.session_memory.replace(&mut charge, 0, key.len());
+        // A longer key is not kept.
+        let key_bytes = if key.len() > MAX_KEY_BYTES { 0 } else { key.len() };
+        let kept = self.session_memory.replace(&mut charge, 0, key_bytes);
         let refusal = if self.table.version == 0 {
             Some((ErrorCode::Busy, "no configuration yet"))
+        } else if &*database == ALLOTMENT_SESSION {
+            self.allotment_session_error(origin)
         } else if !self.table.routes.contains_key(&database) {
             Some(self.missing_route_error(origin))
         } else {
@@ -119,7 +125,8 @@
         self.count("sessions_opened");
         let state = Session {
             database,
-            key,
+            // No account can hold a longer key, and it is forwarded with each request.
+            key: if key.len() > MAX_KEY_BYTES { Name::default() } else { key },
             opened_at: self.now,
             values: BTreeMap::new(),
             prepared: FastMap::default(),
@@ -162,6 +169,9 @@
     }
 
     pub(crate) fn request_arrived(&mut self, id: SessionId, request: ClientRequest) {
+        if let Statement::Allot(demands) = &request.statement {
+            return self.answer_allotments(id, demands);
+        }
         let Some(session) = self.sessions.get(&id) else { return };
         if session.active_request.is_some() || self.refuse_while_draining(id, &request.statement) {
             return;
@@ -217,6 +227,8 @@
                 session.charge.resize(session.key.len() + session.begin_bytes);
                 self.reply_done(id);
             }
+            // Handled above.
+            Statement::Allot(_) => {}
             Statement::Commit => self.commit(id, request),
             Statement::Read => self.start_request(id, request, StatementAccess::Read),
             Statement::Write => self.start_request(id, request, StatementAccess::Write),
@@ -282,9 +294,9 @@
             self.fail_peer_transaction(id);
         }
         let Some(route) = self.current_route(id) else { return };
-        if let Err((code, text)) = self.identify(id, request.caller.as_ref(), &route) {
+        if let Err((code, text)) = self.identify(id, request.caller.as_ref()) {
             self.fail_peer_transaction(id);
-            return self.reply_error(id, code, text);
+            return self.refuse_unidentified(id, code, text);
         }
         let started_at = self.now;
         if let Some(session) = self.sessions.get_mut(&id) {
@@ -367,7 +379,7 @@
         let identified = match kind {
             // The connection of the transaction belongs to the account.
             RequestKind::Continue => Ok(None),
-            _ => self.identify(id, begin_caller.or(request.caller.as_ref()), &route),
+            _ => self.identify(id, begin_caller.or(request.caller.as_ref())),
         };
         let caller = match identified {
             Ok(caller) => caller,
--- a/crates/gate/src/statement.rs
+++ b/crates/gate/src/statement.rs
@@ -1,5 +1,6 @@
 //! Requests of clients as typed statements.
 
+use allot::{AllotmentDemand, AllotmentRequest};
 use model::Name;
 
 use crate::backend::TermPosition;
@@ -21,6 +22,8 @@
     Rollback,
     /// Clears session values and prepared statements; only other nodes send it.
     Reset,
+    /// Requests tokens for accounts; only other nodes send it.
+    Allot(AllotmentRequest),
     Read,
     Write,
     Set {
@@ -87,6 +90,10 @@
             Statement::Prepare { name, shape, .. } => name.len() + shape.len(),
             Statement::Execute { name, arguments } => name.len() + arguments.len(),
             Statement::Deallocate { name } => name.len(),
+            Statement::Allot(request) => {
+                let sizes = request.demands.iter().map(|demand| demand.account.len());
+                sizes.sum::<usize>() + request.demands.len() * size_of::<AllotmentDemand>()
+            }
             Statement::Begin { .. }
             | Statement::Commit
             | Statement::Rollback
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 #![allow(dead_code)] // Each test program uses a part of it.
 
+pub mod peer_links;
 pub mod single_gate;
 
 use std::cmp::Reverse;
@@ -53,12 +54,28 @@
     pub loses_answers: bool,
     /// Answers that it is busy instead of reporting, while it executes other commands.
     pub refuses_reports: bool,
-    slot_free: Micros,
+    /// When each slot becomes free.
+    pub slots: Vec<Micros>,
+    /// Time that opening a connection takes of a slot; `None` if it takes none.
+    pub handshake_time: Option<Micros>,
+    /// Connections that it accepts from all nodes together.
+    pub connection_limit: usize,
+    /// Refuses this account.
+    pub refused_account: Option<Name>,
     /// Statements in execution order, with the position of the log.
     pub ran: Vec<(Name, TermPosition)>,
     pub reports: usize,
 }
 
+impl FakeDatabase {
+    /// Occupies the slot that is free first, and returns when it is free again.
+    fn use_slot(&mut self, now: Micros, time: Micros) -> Micros {
+        let slot = self.slots.iter_mut().min().expect("there is a slot");
+        *slot = now.max(*slot) + time;
+        *slot
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Delivery {
     Gate(usize, GateEvent),
@@ -66,6 +83,7 @@
     Answer { gate: usize, connection: ConnectionId, database: Name, answer: Box<BackendAnswer> },
     Promoted { database: Name },
     NextRequest { session: SessionId },
+    Link(peer_links::LinkDelivery),
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -127,6 +145,16 @@
     /// Roles in the entries of databases that are cut off from the store.
     pub stale_roles: BTreeMap<Name, DatabaseRole>,
     connections: BTreeMap<(usize, ConnectionId), Name>,
+    /// Connections to a former process of a database, which gets none of their commands.
+    broken: BTreeSet<(usize, ConnectionId)>,
+    /// Accounts of all connections that were opened, in order.
+    pub opened: Vec<((usize, ConnectionId), Option<Name>)>,
+    /// Accounts under which requests ran, by request id.
+    pub accounts: BTreeMap<Name, Option<Name>>,
+    /// Highest number of connections to one database.
+    pub peak_connections: usize,
+    pub refused_sessions: BTreeMap<SessionId, ErrorCode>,
+    pub counters: BTreeMap<&'static str, u64>,
     /// Commits that no replica has received yet.
     waiting_commits: Vec<Delivery>,
     documents: BTreeMap<String, StoredDocument>,
@@ -137,6 +165,7 @@
     next_session: u64,
     /// Number of processes that were started again.
     incarnations: u64,
+    pub links: peer_links::PeerLinks,
 }
 
 fn address(port: u16) -> SocketAddr {
@@ -179,19 +208,36 @@
     table
 }
 
-fn node_settings(name: &Name, incarnation: u64) -> GateSettings {
+fn node_settings(name: &Name, incarnation: u64, is_linked: bool) -> GateSettings {
     GateSettings {
         node: name.clone(),
         data_centre: "east".into(),
         capacity: 250,
-        peer_address: None,
+        peer_address: is_linked.then(|| address(9_000)),
         relay_address: None,
         incarnation,
         shutdown_grace: Micros::from_secs(6),
         configuration_bound: Micros::from_secs(3),
+        quota: None,
     }
 }
 
+/// Returns a client's request.
+pub fn client_request(
+    id: &str,
+    text: &str,
+    required_position: Option<TermPosition>,
+) -> ClientRequest {
+    let statement = match text.split(' ').next().unwrap_or_default() {
+        "BEGIN" => Statement::Begin { read_only: text.ends_with("READ") },
+        "COMMIT" => Statement::Commit,
+        "ROLLBACK" => Statement::Rollback,
+        "WRITE" => Statement::Write,
+        _ => Statement::Read,
+    };
+    ClientRequest { id: id.into(), text: text.into(), statement, required_position, caller: None }
+}
+
 impl Simulation {
     /// Starts nodes with one cluster of three databases, `a` (the primary), `b` and `c`, and runs
     /// until they are stable.
@@ -204,8 +250,13 @@
     }
 
     pub fn empty(nodes: usize) -> Simulation {
+        Simulation::empty_with(nodes, false)
+    }
+
+    fn empty_with(nodes: usize, is_linked: bool) -> Simulation {
         let names: Vec<Name> = (0..nodes).map(|index| format!("n{index}").into()).collect();
-        let gates = names.iter().map(|name| Gate::new(node_settings(name, 1))).collect();
+        let settings = names.iter().map(|name| node_settings(name, 1, is_linked));
+        let gates = settings.map(Gate::new).collect();
         let mut databases = BTreeMap::new();
         for name in ["a", "b", "c"] {
             let role = if name == "a" { DatabaseRole::Primary } else { DatabaseRole::Replica };
@@ -223,7 +274,10 @@
                 statement_time: STATEMENT_TIME,
                 loses_answers: false,
                 refuses_reports: false,
-                slot_free: Micros::ZERO,
+                slots: vec![Micros::ZERO],
+                handshake_time: None,
+                connection_limit: usize::MAX,
+                refused_account: None,
                 ran: Vec::new(),
                 reports: 0,
             };
@@ -257,6 +311,12 @@
             unlisted: BTreeSet::new(),
             stale_roles: BTreeMap::new(),
             connections: BTreeMap::new(),
+            broken: BTreeSet::new(),
+            opened: Vec::new(),
+            accounts: BTreeMap::new(),
+            peak_connections: 0,
+            refused_sessions: BTreeMap::new(),
+            counters: BTreeMap::new(),
             waiting_commits: Vec::new(),
             documents: BTreeMap::new(),
             revision: 1,
@@ -265,6 +325,7 @@
             sequence: 0,
             next_session: 0,
             incarnations: 0,
+            links: peer_links::PeerLinks { enabled: is_linked, ..Default::default() },
         }
     }
 
@@ -281,7 +342,8 @@
         self.connections.retain(|(owner, _), _| *owner != gate);
         self.incarnations += 1;
         let incarnation = 1 + self.incarnations;
-        self.gates[gate] = Gate::new(node_settings(&self.names[gate], incarnation));
+        self.gates[gate] =
+            Gate::new(node_settings(&self.names[gate], incarnation, self.links.enabled));
         self.registered[gate] = (NodeRole::Standby, 0);
         let documents = self.documents.values().cloned().collect();
         self.read_store(gate, documents);
@@ -336,7 +398,7 @@
             cluster: CLUSTER.into(),
             address: address(1_000 + u16::from(name.as_bytes()[0])),
             data_centre: "east".into(),
-            slots: 2,
+            slots: u32::try_from(database.slots.len()).expect("it is small").max(2),
             leaving: database.leaving,
             claimed_role: Some(self.stale_roles.get(name).copied().unwrap_or(database.role)),
             started_at_ms: Some(database.started_at_ms),
@@ -352,6 +414,33 @@
         self.publish_database(name);
     }
 
+    /// Starts a database again with an empty log; its connections are lost after a while.
+    pub fn start_database_anew(&mut self, name: &str, connections_lost_after: Micros) {
+        let database = self.database(name);
+        database.role = DatabaseRole::Replica;
+        database.term = Term(0);
+        database.received = TermPosition::default();
+        database.fence = Term(0);
+        database.started_at_ms += 1;
+        self.lose_connections(name, connections_lost_after);
+    }
+
+    /// Ends the connections to a database, as its process does when it ends. Nodes notice it after
+    /// a while.
+    pub fn lose_connections(&mut self, name: &str, noticed_after: Micros) {
+        let lost: Vec<(usize, ConnectionId)> = self
+            .connections
+            .iter()
+            .filter(|(_, database)| &***database == name)
+            .map(|(key, _)| *key)
+            .collect();
+        for (gate, connection) in lost {
+            self.broken.insert((gate, connection));
+            let event = GateEvent::ConnectionLost { connection };
+            self.schedule(noticed_after, Delivery::Gate(gate, event));
+        }
+    }
+
     /// Notifies every node that reaches the store of the database's current entry.
     pub fn publish_database(&mut self, name: &str) {
         let listed = self.listed_one(&name.into());
@@ -363,6 +452,11 @@
         }
     }
 
+    /// Returns the number of connections to a database from all nodes.
+    pub fn connection_count(&self, name: &str) -> usize {
+        self.connections.values().filter(|database| database.as_str() == name).count()
+    }
+
     pub fn database(&mut self, name: &str) -> &mut FakeDatabase {
         self.databases.get_mut(name).expect("the database exists")
     }
@@ -436,19 +530,39 @@
     }
 
     fn execute_action(&mut self, gate: usize, action: GateAction) {
+        let Some(action) = self.execute_link_action(gate, action) else { return };
         match action {
-            GateAction::OpenConnection { connection, database, .. } => {
+            GateAction::OpenConnection { connection, database, account, .. } => {
                 self.connections.insert((gate, connection), database.clone());
-                let Some(state) = self.databases.get(&database) else { return };
+                self.opened.push(((gate, connection), account.clone()));
+                let open = self.connections.values().filter(|other| **other == database).count();
+                let now = self.now;
+                let Some(state) = self.databases.get_mut(&database) else { return };
                 if self.cuts.contains(&(gate, database)) || state.unreachable {
                     return;
                 }
-                let event = if state.connections_refused {
-                    GateEvent::ConnectionRefused { connection, code: ErrorCode::TooManyConnections }
+                let refusal = if state.connections_refused || open > state.connection_limit {
+                    Some(ErrorCode::TooManyConnections)
+                } else if account.is_some() && account == state.refused_account {
+                    Some(ErrorCode::NotAuthorized)
                 } else {
-                    GateEvent::ConnectionOpened { connection, position: Some(state.received) }
+                    None
                 };
-                self.schedule(Micros::from_millis(14), Delivery::Gate(gate, event));
+                let event = match refusal {
+                    Some(code) => {
+                        self.connections.remove(&(gate, connection));
+                        GateEvent::ConnectionRefused { connection, code }
+                    }
+                    None => {
+                        self.peak_connections = self.peak_connections.max(open);
+                        GateEvent::ConnectionOpened { connection, position: Some(state.received) }
+                    }
+                };
+                let delay = match state.handshake_time {
+                    Some(time) => state.use_slot(now, time).saturating_sub(now) + NETWORK_DELAY,
+                    None => Micros::from_millis(14),
+                };
+                self.schedule(delay, Delivery::Gate(gate, event));
             }
             GateAction::CloseConnection { connection } => {
                 self.connections.remove(&(gate, connection));
@@ -552,9 +666,14 @@
                 self.stopped.insert(gate);
             }
             GateAction::Log(record) => self.logs.push((self.now, gate, record)),
+            GateAction::RefuseSession { session, code, .. } => {
+                self.refused_sessions.insert(session, code);
+            }
+            GateAction::Count { counter, amount } => {
+                *self.counters.entry(counter).or_default() += amount;
+            }
             GateAction::AcceptSession { .. }
-            | GateAction::RefuseSession { .. }
-            | GateAction::Count { .. }
+            | GateAction::ReplyAllotments { .. }
             | GateAction::Observe { .. } => {}
         }
     }
@@ -645,6 +764,7 @@
                 }
             }
             Delivery::Promoted { database } => self.promoted(&database),
+            Delivery::Link(delivery) => self.deliver_link(delivery),
             Delivery::NextRequest { session } => self.send_next_request(session),
             Delivery::Command { gate, connection, database, command } => {
                 let state = &self.databases[&database];
@@ -652,10 +772,21 @@
                 {
                     return;
                 }
+                if self.broken.contains(&(gate, connection)) {
+                    return;
+                }
                 let late = self.late_commands.contains_key(&(gate, database.clone()));
                 if !self.connections.contains_key(&(gate, connection)) && !late {
                     return;
                 }
+                if let BackendCommand::Run { id, .. } = &command {
+                    let opened = self.opened.iter().rev();
+                    let (_, account) = opened
+                        .into_iter()
+                        .find(|(opened, _)| *opened == (gate, connection))
+                        .expect("it was opened");
+                    self.accounts.insert(id.clone(), account.clone());
+                }
                 let answer = self.execute(&database, &command);
                 if answer.is_none() {
                     let command = command.clone();
@@ -673,12 +804,8 @@
                     if statement && state.loses_answers {
                         return;
                     }
-                    // One slot: statements queue behind each other.
-                    let start = state.slot_free.max(now);
-                    let end = if statement { start + state.statement_time } else { now };
-                    if statement {
-                        state.slot_free = end;
-                    }
+                    let end =
+                        if statement { state.use_slot(now, state.statement_time) } else { now };
                     let answer = Box::new(answer);
                     let delivery = Delivery::Answer { gate, connection, database, answer };
                     self.schedule(end.saturating_sub(now) + NETWORK_DELAY, delivery);
@@ -884,16 +1011,40 @@
     }
 
     pub fn open_as(&mut self, gate: usize, database: &str, origin: SessionOrigin) -> SessionId {
+        self.open_session(gate, database, "", origin)
+    }
+
+    /// Opens the session of a client that holds a key.
+    pub fn open_with_key(&mut self, gate: usize, database: &str, key: &str) -> SessionId {
+        self.open_session(gate, database, key, SessionOrigin::Client)
+    }
+
+    fn open_session(
+        &mut self,
+        gate: usize,
+        database: &str,
+        key: &str,
+        origin: SessionOrigin,
+    ) -> SessionId {
         self.next_session += 1;
         let session = SessionId(self.next_session);
-        let database = database.into();
-        self.event(
-            gate,
-            GateEvent::SessionOpened { session, database, key: Name::default(), origin },
-        );
+        let (database, key) = (database.into(), key.into());
+        self.event(gate, GateEvent::SessionOpened { session, database, key, origin });
         session
     }
 
+    /// Sends a request after a delay.
+    pub fn schedule_request(
+        &mut self,
+        delay: Micros,
+        gate: usize,
+        session: SessionId,
+        request: ClientRequest,
+    ) {
+        let event = GateEvent::RequestArrived { session, request };
+        self.schedule(delay, Delivery::Gate(gate, event));
+    }
+
     /// Sends a request; [`Simulation::answer`] returns its answer.
     pub fn send_request(&mut self, gate: usize, session: SessionId, id: &str, text: &str) {
         self.send_request_requiring(gate, session, id, text, None);
@@ -908,20 +1059,7 @@
         text: &str,
         required_position: Option<TermPosition>,
     ) {
-        let statement = match text.split(' ').next().unwrap_or_default() {
-            "BEGIN" => Statement::Begin { read_only: text.ends_with("READ") },
-            "COMMIT" => Statement::Commit,
-            "ROLLBACK" => Statement::Rollback,
-            "WRITE" => Statement::Write,
-            _ => Statement::Read,
-        };
-        let request = ClientRequest {
-            id: id.into(),
-            text: text.into(),
-            statement,
-            required_position,
-            caller: None,
-        };
+        let request = client_request(id, text, required_position);
         self.event(gate, GateEvent::RequestArrived { session, request });
     }
 
