--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -452,6 +452,7 @@
         let now = self.now;
         let mut unresponsive = Vec::new();
         let mut surplus: Vec<(Name, ConnectionId, Micros)> = Vec::new();
+        let mut large = Vec::new();
         for (id, connection) in &self.connections {
             if !connection.open {
                 if now >= connection.opened_at + OPEN_TIMEOUT {
@@ -463,6 +464,10 @@
                 if connection.transaction_session.is_none()
                     && now >= connection.last_used + SURPLUS_IDLE_TIMEOUT
                 {
+                    if connection.keeps_large_state() {
+                        large.push(*id);
+                        continue;
+                    }
                     surplus.push((connection.database.clone(), *id, connection.last_used));
                 }
                 continue;
@@ -492,6 +497,9 @@
             self.out.push(GateAction::CloseConnection { connection });
             self.connection_lost(connection);
         }
+        for connection in large {
+            self.close_connection(connection, "large session state");
+        }
         if self.table.accounts.is_some() {
             surplus.sort_by_key(|(_, _, last_used)| *last_used);
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -50,6 +50,7 @@
 mod request;
 mod route;
 mod session;
+mod session_memory;
 mod settings;
 mod statement;
 mod store_view;
@@ -81,6 +82,7 @@
 pub use read_lease::READ_LEASE_TTL;
 pub use registry::{LogEndRecord, NodeRecord};
 pub use route::{ClusterLimits, Freshness, RouteConfig, RouteTable};
+pub use session_memory::SessionMemory;
 pub use settings::GateSettings;
 pub use statement::{
     CallerIdentity, ClientRequest, ErrorCode, Statement, StatementAccess, TransactionState,
@@ -125,6 +127,7 @@
     table: RouteTable,
     store_view: StoreView,
     sessions: FastMap<SessionId, Session>,
+    session_memory: SessionMemory,
     requests: FastMap<RequestId, ActiveRequest>,
     backing_off: Vec<RequestId>,
     clusters: FastMap<Name, ClusterState>,
@@ -178,6 +181,7 @@
             table: RouteTable::default(),
             store_view: StoreView::default(),
             sessions: FastMap::default(),
+            session_memory: SessionMemory::default(),
             requests: FastMap::default(),
             backing_off: Vec::new(),
             clusters: FastMap::default(),
