Serve requests that can meet their latency objective first

A request whose expected wait passed the latency objective of its route was refused, although it could often be served within its time limit. Those that were admitted waited in one order, so after a stall or in a peak most were late because they waited behind others that were late already. The expected wait counted as much slot time of each caller as of the caller itself, so a flood of one account raised it for the others.

`SlotQueue::enqueue_with_target` sorts the requests of a rank into those in time and late ones. A request in time that cannot meet its objective any more becomes late. Late requests use what is left: they are served when no request in time waits, or when each of those has more slack than the time in which all of them start. They are admitted if the slot time that was left of late suffices before their deadline. The four callers with the most waiting requests count with what they can be ahead. `enqueue` is unchanged for the caller, apart from this.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -12,5 +12,5 @@
 pub use budget::RetryBudget;
 pub use pool::{ConnectionId, ConnectionPool, PoolAction, PoolConfig, PoolStats};
 pub use queue::{
-    QueueConfig, QueueStats, RefusalReason, RequestId, SlotGrant, SlotQueue, SlotRequest,
+    QueueConfig, QueueStats, RefusalReason, RequestId, SlotGrant, SlotQueue, SlotRequest, WaitClass,
 };
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -16,6 +16,12 @@
 //! statements above, so that one slow statement does not starve a caller that seldom sends. A caller
 //! that always has requests waiting is charged in full.
 //!
+//! A request can have a latency objective before its deadline, see [`SlotQueue::enqueue_with_target`].
+//! One that cannot meet it any more is *late*: it waits until no request of its rank that can meet its
+//! objective is left. So in an overload some requests are answered late or refused, instead of all
+//! being late. A late request is admitted only if the slot time that the others of its rank have left
+//! of late suffices before its deadline; otherwise it would wait in vain.
+//!
 //! A statement is charged its estimate when it is granted and the difference when it finishes, so that
 //! each of several grants in a row takes those before it into account.
 //!
@@ -59,6 +65,12 @@
 const DEBT_DECAY_TIME: Micros = Micros::from_secs(10);
 /// Time constant of the smoothed share of slot time that a rank uses.
 const SHARE_SMOOTHING_TIME: Micros = Micros::from_millis(500);
+/// Callers with the most waiting requests whose turns are computed exactly for an expected wait. In a
+/// flood, a few callers hold most of the backlog.
+const LARGEST_CALLERS: usize = 4;
+/// Lower limit of the share of the slots that is expected to be free for a rank or class; it bounds
+/// expected waits.
+const MIN_OPEN_SHARE: f64 = 0.01;
 
 /// Identifies one request at the owner of the database.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -147,38 +159,72 @@
     }
 }
 
-/// Sub-queue of a caller: open transactions apart from new requests, short apart from long statements.
+/// Whether a waiting request is expected to meet its latency objective.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitClass {
+    /// Belongs to an open transaction.
+    Transaction,
+    InTime,
+    Late,
+}
+
+/// Sub-queue of a caller, in the order of service: open transactions, requests in time, late requests;
+/// each with short apart from long statements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SubQueue {
     TransactionShort,
     TransactionLong,
     NewShort,
     NewLong,
+    LateShort,
+    LateLong,
 }
 
 impl SubQueue {
-    const ALL: [SubQueue; 4] = [
+    const COUNT: usize = 6;
+
+    const ALL: [SubQueue; SubQueue::COUNT] = [
         SubQueue::TransactionShort,
         SubQueue::TransactionLong,
         SubQueue::NewShort,
         SubQueue::NewLong,
+        SubQueue::LateShort,
+        SubQueue::LateLong,
     ];
 
-    fn of(in_transaction: bool, long: bool) -> SubQueue {
-        match (in_transaction, long) {
-            (true, false) => SubQueue::TransactionShort,
-            (true, true) => SubQueue::TransactionLong,
-            (false, false) => SubQueue::NewShort,
-            (false, true) => SubQueue::NewLong,
+    /// Those of requests outside transactions, the ones served last first.
+    const NEW: [SubQueue; 4] =
+        [SubQueue::LateLong, SubQueue::LateShort, SubQueue::NewLong, SubQueue::NewShort];
+
+    fn of(class: WaitClass, long: bool) -> SubQueue {
+        match (class, long) {
+            (WaitClass::Transaction, false) => SubQueue::TransactionShort,
+            (WaitClass::Transaction, true) => SubQueue::TransactionLong,
+            (WaitClass::InTime, false) => SubQueue::NewShort,
+            (WaitClass::InTime, true) => SubQueue::NewLong,
+            (WaitClass::Late, false) => SubQueue::LateShort,
+            (WaitClass::Late, true) => SubQueue::LateLong,
+        }
+    }
+
+    fn class(self) -> WaitClass {
+        match self {
+            SubQueue::TransactionShort | SubQueue::TransactionLong => WaitClass::Transaction,
+            SubQueue::NewShort | SubQueue::NewLong => WaitClass::InTime,
+            SubQueue::LateShort | SubQueue::LateLong => WaitClass::Late,
         }
     }
 
     fn is_long(self) -> bool {
-        matches!(self, SubQueue::TransactionLong | SubQueue::NewLong)
+        matches!(self, SubQueue::TransactionLong | SubQueue::NewLong | SubQueue::LateLong)
     }
 
     fn is_new(self) -> bool {
-        matches!(self, SubQueue::NewShort | SubQueue::NewLong)
+        self.class() != WaitClass::Transaction
+    }
+
+    fn is_late(self) -> bool {
+        self.class() == WaitClass::Late
     }
 }
 
@@ -195,6 +241,8 @@
     charged: u64,
     /// Last moment at which the request can start and meet its deadline.
     start_by: Micros,
+    /// As `start_by`, for its latency objective.
+    late_after: Micros,
 }
 
 /// A statement that holds a slot.
@@ -206,6 +254,7 @@
     started: Micros,
     charged: u64,
     long: bool,
+    late: bool,
 }
 
 /// One caller of one rank.
@@ -216,9 +265,10 @@
     used: u64,
     /// Order among callers with the same slot time.
     activated: u64,
-    sub_queues: [BTreeMap<u64, RequestId>; 4],
-    /// Sum of the charges of waiting requests.
+    sub_queues: [BTreeMap<u64, RequestId>; SubQueue::COUNT],
+    /// Sum of the charges of waiting requests, and of the late ones among them.
     backlog: u64,
+    late_backlog: u64,
     running: u32,
 }
 
@@ -233,8 +283,7 @@
     }
 
     fn new_request_count(&self) -> usize {
-        self.sub_queues[SubQueue::NewShort as usize].len()
-            + self.sub_queues[SubQueue::NewLong as usize].len()
+        SubQueue::NEW.iter().map(|sub_queue| self.sub_queues[*sub_queue as usize].len()).sum()
     }
 }
 
@@ -245,9 +294,11 @@
     free: Vec<usize>,
     index: FastMap<Name, usize>,
     /// Callers with requests in the sub-queue, by (slot time, activation, index).
-    order: [BTreeSet<(u64, u64, usize)>; 4],
+    order: [BTreeSet<(u64, u64, usize)>; SubQueue::COUNT],
     /// Callers without waiting requests, by (slot time, index).
     idle: BTreeSet<(u64, usize)>,
+    /// Requests in time by the last moment at which they can start and meet their objective.
+    late_turns: BTreeSet<(Micros, RequestId)>,
     /// Callers by number of waiting requests outside transactions.
     callers_by_count: BTreeSet<(usize, usize)>,
     /// Virtual time: highest slot time at which a caller was served; 0 again once the rank is empty.
@@ -256,9 +307,12 @@
     /// Waiting requests outside transactions; the limit applies to these.
     waiting_new: u32,
     waiting_callers: u32,
+    /// Sum of the charges of waiting requests, and of the late ones among them.
     backlog: u64,
+    late_backlog: u64,
 
     running: u32,
+    running_late: u32,
     /// Sum of the charges and of the start times of running statements.
     charged: u64,
     started: u64,
@@ -268,8 +322,9 @@
     mean: u64,
     /// Longest recent statement, in microseconds; decays with time.
     longest: f64,
-    /// Smoothed share of the slots in use, from 0 to 1.
+    /// Smoothed share of the slots in use, from 0 to 1, and of that by requests that were not late.
     share: f64,
+    share_in_time: f64,
     slot_time: u64,
     granted: u64,
     refused: u64,
@@ -291,6 +346,7 @@
             activated: 0,
             sub_queues: Default::default(),
             backlog: 0,
+            late_backlog: 0,
             running: 0,
         };
         let index = match self.free.pop() {
@@ -327,7 +383,9 @@
         let sub_queue = &mut state.sub_queues[waiting.sub_queue as usize];
         let first = sub_queue.is_empty();
         sub_queue.insert(waiting.sequence, request);
+        let late_charge = if waiting.sub_queue.is_late() { waiting.charged } else { 0 };
         state.backlog += waiting.charged;
+        state.late_backlog += late_charge;
         let key = state.order_key(waiting.caller);
         if idle {
             self.idle.remove(&idle_key);
@@ -343,6 +401,7 @@
         }
         self.waiting += 1;
         self.backlog += waiting.charged;
+        self.late_backlog += late_charge;
     }
 
     fn remove_request(&mut self, waiting: &WaitingRequest) {
@@ -353,7 +412,9 @@
         let sub_queue = &mut state.sub_queues[waiting.sub_queue as usize];
         sub_queue.remove(&waiting.sequence);
         let emptied = sub_queue.is_empty();
+        let late_charge = if waiting.sub_queue.is_late() { waiting.charged } else { 0 };
         state.backlog -= waiting.charged;
+        state.late_backlog -= late_charge;
         let idle = !state.is_waiting();
         if emptied {
             self.order[waiting.sub_queue as usize].remove(&key);
@@ -371,6 +432,7 @@
         }
         self.waiting -= 1;
         self.backlog -= waiting.charged;
+        self.late_backlog -= late_charge;
     }
 
     /// Changes the slot time of a caller and reorders it.
@@ -419,16 +481,55 @@
         }
     }
 
-    /// Returns the sub-queue and caller to serve next: transactions first, then the least slot time.
+    /// Returns the slot time that is served before a new request of a caller with `own` slot time
+    /// ahead of it, the request itself included. Callers take turns, so it waits for at most as much
+    /// slot time of each other caller. Only the largest callers are looked at one by one.
+    fn time_ahead(&self, caller: Option<usize>, class: WaitClass, own: u64) -> u64 {
+        let late = class == WaitClass::Late;
+        let time_of = |state: &CallerState| {
+            if late { state.backlog } else { state.backlog - state.late_backlog }
+        };
+        let (mut ahead, mut callers) = if late {
+            (self.backlog, self.waiting_callers as usize)
+        } else {
+            let in_time = SubQueue::ALL.iter().filter(|sub_queue| !sub_queue.is_late());
+            let callers: usize =
+                in_time.map(|sub_queue| self.order[*sub_queue as usize].len()).sum();
+            (self.backlog - self.late_backlog, callers.min(self.waiting_callers as usize))
+        };
+        for (_, index) in self.callers_by_count.iter().rev().take(LARGEST_CALLERS) {
+            let Some(state) = self.callers[*index].as_ref().filter(|_| Some(*index) != caller)
+            else {
+                continue;
+            };
+            ahead -= time_of(state).saturating_sub(own);
+        }
+        callers += 1;
+        ahead.min(own.saturating_mul(callers as u64))
+    }
+
+    /// Returns true if late requests can go first because no request in time becomes late by it: the
+    /// objective of each is further away than the time in which all of them start.
+    fn has_slack(&self, now: Micros, slots: u32) -> bool {
+        let in_time = self.backlog - self.late_backlog;
+        let drained = now + Micros(in_time / u64::from(slots.max(1)) + self.mean);
+        self.late_turns.first().is_none_or(|(late_after, _)| *late_after > drained)
+    }
+
+    /// Returns the sub-queue and caller to serve next: transactions first, late requests last unless
+    /// `late_first`, then the least slot time.
     fn next_to_serve(
         &self,
+        late_first: bool,
         long_allowed: bool,
         eligible: &impl Fn(&Name) -> bool,
     ) -> Option<(SubQueue, usize)> {
         let is_eligible = |index: usize| {
             self.callers[index].as_ref().is_some_and(|caller| eligible(&caller.name))
         };
-        SubQueue::ALL.chunks(2).find_map(|pair| {
+        let order = if late_first { [0, 2, 1] } else { [0, 1, 2] };
+        order.into_iter().find_map(|class| {
+            let pair = &SubQueue::ALL[2 * class..2 * class + 2];
             pair.iter()
                 .filter(|sub_queue| long_allowed || !sub_queue.is_long())
                 .filter_map(|sub_queue| {
@@ -533,25 +634,52 @@
     /// Refuses at once when the queue is full or the deadline cannot be met. A request of an open
     /// transaction is not refused for a full queue.
     pub fn enqueue(&mut self, now: Micros, slot_request: SlotRequest) -> Result<(), RefusalReason> {
+        self.enqueue_with_target(now, slot_request, Micros::MAX).map(|_| ())
+    }
+
+    /// As [`SlotQueue::enqueue`], for a request that should be answered by `target`, and otherwise by
+    /// its deadline. Returns the class in which it waits.
+    ///
+    /// # Errors
+    ///
+    /// As [`SlotQueue::enqueue`].
+    ///
+    /// ```
+    /// use admit::{QueueConfig, RequestId, SlotQueue, SlotRequest, WaitClass};
+    /// use model::{Micros, Rank, RankConfig, RankMap};
+    ///
+    /// let ranks = RankMap([RankConfig { floor_percent: 0, queue_limit: 8 }; 3]);
+    /// let mut queue = SlotQueue::new(QueueConfig { slots: 1, ranks });
+    /// let slot_request = |request| SlotRequest {
+    ///     request: RequestId(request),
+    ///     rank: Rank::Urgent,
+    ///     caller: "caller".into(),
+    ///     deadline: Micros::from_secs(9),
+    ///     selector: "sales".into(),
+    ///     in_transaction: false,
+    /// };
+    /// // Three statements of 5 ms each, the default estimate, wait for one slot.
+    /// let target = Micros::from_millis(20);
+    /// for request in 0..3 {
+    ///     let class = queue.enqueue_with_target(Micros(0), slot_request(request), target);
+    ///     assert_eq!(class, Ok(WaitClass::InTime));
+    /// }
+    /// let class = queue.enqueue_with_target(Micros(0), slot_request(3), target);
+    /// assert_eq!(class, Ok(WaitClass::Late));
+    /// ```
+    pub fn enqueue_with_target(
+        &mut self,
+        now: Micros,
+        slot_request: SlotRequest,
+        target: Micros,
+    ) -> Result<WaitClass, RefusalReason> {
         self.update_accounts(now);
+        self.demote_late(now);
         let rank = slot_request.rank;
         let estimate = self.estimate(&slot_request.selector);
         let service = estimate.with_margin();
         let left = slot_request.deadline.saturating_sub(now);
-        let queue = &self.ranks[rank];
-        let own = match queue.index.get(&slot_request.caller) {
-            Some(index) => queue.callers[*index].as_ref().map_or(0, |state| state.backlog),
-            None => 0,
-        };
-        // Callers take turns, so a caller waits for at most as much slot time of each other caller as
-        // of its own.
-        let turns = u64::from(queue.waiting_callers) + 1;
-        let ahead = queue.backlog.min(own.saturating_add(estimate.mean).saturating_mul(turns));
-        let wait = if slot_request.in_transaction {
-            Micros::ZERO
-        } else {
-            self.wait_behind(now, rank, ahead)
-        };
+        let (class, wait) = self.classify(now, &slot_request, target);
         let expected = wait + service;
         if expected + Micros(wait.0 / 3) > left {
             if service > left
@@ -573,20 +701,72 @@
         }
         self.sequence += 1;
         let long = rank != Rank::Urgent && Micros(estimate.mean) > LONG_STATEMENT_TIME;
+        // A request may always start within its own service time, also if the objective is shorter.
+        let latest = target.saturating_sub(Micros(estimate.mean)).max(now + Micros(estimate.mean));
         let waiting = WaitingRequest {
             rank,
             caller: self.ranks[rank].find_or_add_caller(&slot_request.caller),
             selector: slot_request.selector,
             sequence: self.sequence,
-            sub_queue: SubQueue::of(slot_request.in_transaction, long),
+            sub_queue: SubQueue::of(class, long),
             arrived: now,
             charged: estimate.mean,
             start_by: slot_request.deadline.saturating_sub(service),
+            late_after: if target == Micros::MAX { Micros::MAX } else { latest },
         };
-        self.ranks[rank].insert_request(slot_request.request, &waiting);
-        self.expiries.insert((waiting.start_by, slot_request.request));
-        self.waiting.insert(slot_request.request, waiting);
-        Ok(())
+        self.insert_waiting(slot_request.request, waiting);
+        Ok(class)
+    }
+
+    /// Returns the class of a new request and its expected wait.
+    fn classify(
+        &self,
+        now: Micros,
+        slot_request: &SlotRequest,
+        target: Micros,
+    ) -> (WaitClass, Micros) {
+        if slot_request.in_transaction {
+            return (WaitClass::Transaction, Micros::ZERO);
+        }
+        let rank = slot_request.rank;
+        let queue = &self.ranks[rank];
+        let caller = queue.index.get(&slot_request.caller).copied();
+        let state = caller.and_then(|index| queue.callers[index].as_ref());
+        let mean = self.estimate(&slot_request.selector).mean;
+        let own = state.map_or(0, |state| state.backlog - state.late_backlog) + mean;
+        let ahead = queue.time_ahead(caller, WaitClass::InTime, own);
+        let wait = self.wait_behind(now, rank, ahead, WaitClass::InTime);
+        let expected = wait + Micros(wait.0 / 3) + Micros(mean);
+        if expected <= target.saturating_sub(now) || wait.0 <= mean {
+            return (WaitClass::InTime, wait);
+        }
+        let own = state.map_or(0, |state| state.backlog) + mean;
+        let ahead = queue.time_ahead(caller, WaitClass::Late, own);
+        (WaitClass::Late, self.wait_behind(now, rank, ahead, WaitClass::Late))
+    }
+
+    fn insert_waiting(&mut self, request: RequestId, waiting: WaitingRequest) {
+        self.ranks[waiting.rank].insert_request(request, &waiting);
+        self.expiries.insert((waiting.start_by, request));
+        if waiting.sub_queue.class() == WaitClass::InTime && waiting.late_after < waiting.start_by {
+            self.ranks[waiting.rank].late_turns.insert((waiting.late_after, request));
+        }
+        self.waiting.insert(request, waiting);
+    }
+
+    /// Moves the requests that cannot meet their objective any more behind those that can.
+    fn demote_late(&mut self, now: Micros) {
+        for rank in Rank::ALL {
+            while let Some(&(late_after, request)) = self.ranks[rank].late_turns.first() {
+                if late_after >= now {
+                    break;
+                }
+                self.ranks[rank].late_turns.pop_first();
+                let Some(waiting) = self.remove_waiting(request) else { continue };
+                let sub_queue = SubQueue::of(WaitClass::Late, waiting.sub_queue.is_long());
+                self.insert_waiting(request, WaitingRequest { sub_queue, ..waiting });
+            }
+        }
     }
 
     /// Removes a request that still waits; returns whether it did.
@@ -613,6 +793,7 @@
         eligible: impl Fn(&Name) -> bool,
     ) -> Option<SlotGrant> {
         self.update_accounts(now);
+        self.demote_late(now);
         while self.running.len() < self.config.slots as usize {
             let (rank, sub_queue, caller) = self.choose_next(now, &eligible)?;
             let request = *self.ranks[rank].caller(caller).sub_queues[sub_queue as usize]
@@ -627,13 +808,8 @@
             let long = rank != Rank::Urgent && Micros(estimate.mean) > LONG_STATEMENT_TIME;
             if long && !sub_queue.is_long() && !self.is_long_allowed() {
                 // The estimate has grown since the request arrived. A request moves at most once.
-                let moved = WaitingRequest {
-                    sub_queue: SubQueue::of(!sub_queue.is_new(), true),
-                    ..waiting
-                };
-                self.ranks[rank].insert_request(request, &moved);
-                self.expiries.insert((moved.start_by, request));
-                self.waiting.insert(request, moved);
+                let sub_queue = SubQueue::of(sub_queue.class(), true);
+                self.insert_waiting(request, WaitingRequest { sub_queue, ..waiting });
                 continue;
             }
             let queue = &mut self.ranks[rank];
@@ -641,6 +817,7 @@
             queue.charge(caller, estimate.mean, 0);
             queue.caller(caller).running += 1;
             queue.running += 1;
+            queue.running_late += u32::from(sub_queue.is_late());
             queue.charged += estimate.mean;
             queue.started += now.0;
             queue.granted += 1;
@@ -653,6 +830,7 @@
                 started: now,
                 charged: estimate.mean,
                 long,
+                late: sub_queue.is_late(),
             };
             self.running.insert(request, running);
             return Some(SlotGrant { request, rank, waited: now.saturating_sub(waiting.arrived) });
@@ -707,6 +885,7 @@
         let time = now.saturating_sub(running.started).0;
         let queue = &mut self.ranks[running.rank];
         queue.running -= 1;
+        queue.running_late -= u32::from(running.late);
         queue.charged -= running.charged;
         queue.started -= running.started.0;
         queue.caller(running.caller).running -= 1;
@@ -745,7 +924,8 @@
         let queue = &self.ranks[rank];
         let mean = queue.backlog / u64::from(queue.waiting.max(1));
         let turns = u64::from(queue.waiting_callers) + 1;
-        self.wait_behind(now, rank, queue.backlog.min(mean.saturating_mul(turns)))
+        let ahead = queue.backlog.min(mean.saturating_mul(turns));
+        self.wait_behind(now, rank, ahead, WaitClass::InTime)
     }
 
     /// Returns the callers with waiting requests in the order in which they are served next, the
@@ -786,8 +966,8 @@
     }
 
     /// Returns the expected time until waiting requests of the rank that amount to `ahead` microseconds
-    /// have been granted.
-    fn wait_behind(&self, now: Micros, rank: Rank, ahead: u64) -> Micros {
+    /// have been granted, to a request of a class.
+    fn wait_behind(&self, now: Micros, rank: Rank, ahead: u64, class: WaitClass) -> Micros {
         let slots = f64::from(self.config.slots.max(1));
         let free = self.running.len() < self.config.slots as usize;
         let higher = || Rank::ALL.into_iter().filter(|other| *other < rank);
@@ -807,7 +987,13 @@
             .filter(|other| *other > rank && self.ranks[*other].waiting > 0)
             .map(|other| f64::from(self.config.ranks[other].floor_percent) / 100.0)
             .sum();
-        let open = (1.0 - used - reserved).max(minimum).max(0.01);
+        if class == WaitClass::Late {
+            // Requests in time that arrive later go first, too.
+            let in_time = self.ranks[rank].share_in_time;
+            let open = (1.0 - used - reserved - in_time).max(MIN_OPEN_SHARE);
+            return Micros((first + (urgent + ahead) as f64 / (slots * open)) as u64);
+        }
+        let open = (1.0 - used - reserved).max(minimum).max(MIN_OPEN_SHARE);
         let drained = urgent as f64 / slots + ahead as f64 / (slots * open);
         let wait =
             if minimum > 0.0 { drained.min(ahead as f64 / (slots * minimum)) } else { drained };
@@ -830,6 +1016,8 @@
             let used = u64::from(queue.running) * elapsed;
             queue.slot_time += used;
             queue.share += (f64::from(queue.running) / slots - queue.share) * weight;
+            let in_time = f64::from(queue.running - queue.running_late) / slots;
+            queue.share_in_time += (in_time - queue.share_in_time) * weight;
             queue.longest *= DEBT_DECAY_TIME.0 as f64 / (elapsed + DEBT_DECAY_TIME.0) as f64;
             let gain = i64::try_from(minimum_percent.saturating_mul(busy)).unwrap_or(i64::MAX);
             let running = u64::from(queue.running).saturating_mul(now.0);
@@ -856,7 +1044,9 @@
         order.sort_unstable();
         order.into_iter().find_map(|(_, rank)| {
             let long_allowed = rank == Rank::Urgent || self.is_long_allowed();
-            let (sub_queue, caller) = self.ranks[rank].next_to_serve(long_allowed, eligible)?;
+            let queue = &self.ranks[rank];
+            let late_first = queue.late_backlog > 0 && queue.has_slack(now, self.config.slots);
+            let (sub_queue, caller) = queue.next_to_serve(late_first, long_allowed, eligible)?;
             Some((rank, sub_queue, caller))
         })
     }
@@ -873,11 +1063,14 @@
         let victim = match queue.callers_by_count.last() {
             Some(&(count, index)) if count > own + 1 => {
                 let sub_queues = &queue.caller(index).sub_queues;
-                let newest = [SubQueue::NewShort, SubQueue::NewLong]
-                    .into_iter()
-                    .filter_map(|sub_queue| sub_queues[sub_queue as usize].last_key_value())
-                    .max();
-                newest.map(|(_, request)| *request)
+                // Late requests go first.
+                let classes = SubQueue::NEW.chunks(2).find_map(|class| {
+                    let newest = class
+                        .iter()
+                        .filter_map(|sub_queue| sub_queues[*sub_queue as usize].last_key_value());
+                    newest.max()
+                });
+                classes.map(|(_, request)| *request)
             }
             _ => None,
         };
@@ -898,7 +1091,9 @@
     fn remove_waiting(&mut self, request: RequestId) -> Option<WaitingRequest> {
         let waiting = self.waiting.remove(&request)?;
         self.expiries.remove(&(waiting.start_by, request));
-        self.ranks[waiting.rank].remove_request(&waiting);
+        let queue = &mut self.ranks[waiting.rank];
+        queue.late_turns.remove(&(waiting.late_after, request));
+        queue.remove_request(&waiting);
         Some(waiting)
     }
 }
--- a/crates/admit/tests/queue.rs
+++ b/crates/admit/tests/queue.rs
@@ -24,7 +24,7 @@
 
 #[derive(Clone, Debug)]
 enum QueueStep {
-    Enqueue { rank: usize, caller: usize, left: u64, in_transaction: bool },
+    Enqueue { rank: usize, caller: usize, left: u64, target: Option<u64>, in_transaction: bool },
     Cancel(usize),
     Grant,
     Finish(usize),
@@ -35,11 +35,16 @@
 
 fn step() -> impl Strategy<Value = QueueStep> {
     prop_oneof![
-        6 => (0usize..3, 0usize..5, 0u64..900_000, prop::bool::weighted(0.2)).prop_map(
-            |(rank, caller, left, in_transaction)| QueueStep::Enqueue {
-                rank, caller, left, in_transaction
-            }
-        ),
+        6 => (
+            0usize..3,
+            0usize..5,
+            0u64..900_000,
+            prop::option::of(0u64..300_000),
+            prop::bool::weighted(0.2),
+        )
+            .prop_map(|(rank, caller, left, target, in_transaction)| QueueStep::Enqueue {
+                rank, caller, left, target, in_transaction
+            }),
         1 => (0usize..64).prop_map(QueueStep::Cancel),
         4 => Just(QueueStep::Grant),
         3 => (0usize..8).prop_map(QueueStep::Finish),
@@ -70,11 +75,18 @@
         let (mut next, mut running) = (0, Vec::new());
         for step in steps {
             match step {
-                QueueStep::Enqueue { rank, caller, left, in_transaction } => {
+                QueueStep::Enqueue { rank, caller, left, target, in_transaction } => {
                     next += 1;
                     let rank = Rank::ALL[rank];
                     let slot_request = SlotRequest { in_transaction, ..slot_request(next, rank, caller, now + left) };
-                    let state = match queue.enqueue(Micros(now), slot_request) {
+                    let result = match target {
+                        Some(target) => {
+                            let target = Micros(now + target);
+                            queue.enqueue_with_target(Micros(now), slot_request, target).map(|_| ())
+                        }
+                        None => queue.enqueue(Micros(now), slot_request),
+                    };
+                    let state = match result {
                         Ok(()) => RequestState::Waiting,
                         Err(reason) => {
                             let full = matches!(reason, RefusalReason::QueueFull { .. });
