Refuse only requests that cannot meet their time limit

A node refused requests that would miss the latency objective, though a late answer counts on many routes and their time limits are two to six times the objectives. The hint "retry after 200 ms" was the same for a queue of 20 ms and one of 2 s, and a forwarding node replaced the text of the owner by its own.

The queue now gets the objective of the route and decides, see `SlotQueue::enqueue_with_target`. The hint is the part of the expected wait that is too long. Counters tell the causes of refusals apart.

`requests_shed` counts refusals for the time limit now.

--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -9,7 +9,6 @@
 use crate::event::{ConnectionId, ListedDatabase, SessionId};
 use crate::log_comparison::ReportedLog;
 use crate::request::RequestId;
-use crate::route::RouteConfig;
 use crate::statement::StatementAccess;
 
 /// Minimum shares of the ranks in percent of slot time, and their queue limits. The shares are
@@ -53,14 +52,6 @@
 /// As [`EXTRA_CONNECTIONS`], where the share itself is several connections.
 const LARGE_SHARE_EXTRA_CONNECTIONS: u32 = 2;
 
-/// Time since its last answer for which a database counts as making progress: several statements of
-/// the slowest kind.
-const PROGRESS_TIMEOUT: Micros = Micros::from_millis(150);
-
-/// One part in this many of an expected wait is added to it, because the durations of statements
-/// vary.
-const WAIT_MARGIN_DIVISOR: u64 = 3;
-
 /// Time in which an estimate without new answers halves, so that a database that was slow is tried
 /// again.
 const LATENCY_HALF_LIFE: Micros = Micros::from_millis(400);
@@ -264,20 +255,6 @@
             && self.applied.is_some_and(|applied| Some(applied) < position)
     }
 
-    /// Returns true if a further request of a route would wait too long for its latency objective
-    /// although the database makes progress. Without progress requests wait, because it is not
-    /// known when it resumes.
-    pub(crate) fn is_overloaded(&self, now: Micros, route: &RouteConfig) -> bool {
-        let makes_progress = self.last_command_answer.is_some_and(|at| now < at + PROGRESS_TIMEOUT);
-        if self.peer.is_some() || !makes_progress {
-            return false;
-        }
-        let wait = self.queue.expected_wait(now, route.rank);
-        let service = self.queue.service_time(&route.name);
-        wait + Micros(wait.0 / WAIT_MARGIN_DIVISOR) + service > route.target_latency
-            && wait > service
-    }
-
     /// Returns the time that a further request is expected to take.
     pub(crate) fn expected_time(&self, now: Micros) -> Micros {
         Micros(self.latency.value(now).0 * u64::from(self.load() + 1))
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -10,7 +10,7 @@
 use crate::backend::{AnswerEnd, BackendAnswer, TermPosition};
 use crate::event::ConnectionId;
 use crate::request::{
-    ActiveRequest, MAX_TRIES, OVERLOADED_TEXT, RequestId, RequestKind, RequestStage, UNPROVED_TEXT,
+    ActiveRequest, MAX_TRIES, RequestId, RequestKind, RequestStage, UNPROVED_TEXT,
 };
 use crate::session::{OpenTransaction, Transaction};
 use crate::statement::{ErrorCode, StatementAccess, TransactionState};
@@ -115,18 +115,18 @@
                     self.send_statement(id, connection, false);
                 }
             }
-            AnswerEnd::Failed { code, .. } => {
-                let code = *code;
+            AnswerEnd::Failed { code, text } => {
+                let (code, text) = (*code, text.clone());
                 if let Some(state) = self.connections.get_mut(&connection) {
                     state.transaction_session = None;
                 }
-                self.request_declined(id, code);
+                self.request_declined(id, code, &text);
             }
         }
     }
 
     /// Handles a database's answer that a request outside an open transaction did not run.
-    pub(crate) fn request_declined(&mut self, id: RequestId, code: ErrorCode) {
+    pub(crate) fn request_declined(&mut self, id: RequestId, code: ErrorCode, text: &str) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(database) = request.database.clone() else { return };
         let cluster = request.route.cluster.clone();
@@ -155,7 +155,7 @@
             ErrorCode::Busy
                 if self.is_peer(&database) && self.owners.owners_of(&cluster).is_some() =>
             {
-                self.refuse(id, code, OVERLOADED_TEXT);
+                self.refuse(id, code, text);
             }
             _ if self.is_peer(&database) => {
                 if code == ErrorCode::Misrouted {
@@ -195,11 +195,11 @@
                 let not_run = code.guarantees_not_run() || self.lacks_route_at_peer(request, code);
                 if first && not_run && request.tries < MAX_TRIES {
                     self.restore_pending_transaction(id, connection);
-                    self.request_declined(id, code);
+                    self.request_declined(id, code, &text);
                 } else if in_transaction {
                     self.fail_transaction(id, code, &text);
                 } else if not_run {
-                    self.request_declined(id, code);
+                    self.request_declined(id, code, &text);
                 } else if request.access == StatementAccess::Read && request.tries < MAX_TRIES - 1 {
                     let database = request.database.clone();
                     if let Some(request) = self.requests.get_mut(&id) {
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use admit::{RefusalReason, SlotRequest};
+use admit::{RefusalReason, SlotRequest, WaitClass};
 use model::{Micros, Name};
 
 use crate::Gate;
@@ -31,8 +31,10 @@
 /// [`HOLD_TIMEOUT`].
 pub(crate) const OWNER_RETRY_INTERVAL: Micros = Micros::from_millis(100);
 
-/// Error text for a request that would wait too long.
-pub(crate) const OVERLOADED_TEXT: &str = "not run, the database is overloaded, retry after 200 ms";
+/// Shortest and longest time after which a refused request should be sent again. A shorter one would
+/// meet the same queue; at the longest, any queue has been served or refused.
+const RETRY_HINT_MIN: Micros = Micros::from_millis(20);
+const RETRY_HINT_MAX: Micros = Micros::from_millis(1_000);
 
 /// Error text for a request that needs a proof of the leader which cannot be had.
 pub(crate) const UNPROVED_TEXT: &str =
@@ -377,25 +379,50 @@
             selector: request.route.name.clone(),
             in_transaction: false,
         };
-        if database.is_overloaded(now, &request.route) {
-            self.count("requests_shed");
-            return self.refuse(id, ErrorCode::Busy, OVERLOADED_TEXT);
-        }
-        if let Err(reason) = database.queue.enqueue(now, slot_request) {
-            return self.refuse_queued(id, reason);
+        // Another node knows the queue of its database, and this node only its connections to it.
+        let target = match database.peer {
+            Some(_) => Micros::MAX,
+            None => request.arrived + request.route.target_latency,
+        };
+        match database.queue.enqueue_with_target(now, slot_request, target) {
+            Ok(WaitClass::Late) => self.count("requests_queued_late"),
+            Ok(WaitClass::InTime | WaitClass::Transaction) => {}
+            Err(reason) => return self.refuse_queued(id, reason),
         }
         self.dispatch_queued(&name);
     }
 
     pub(crate) fn refuse_queued(&mut self, id: RequestId, reason: RefusalReason) {
-        let text = match reason {
-            RefusalReason::QueueFull { .. } => "not run, the queue is full, retry after 200 ms",
+        let (counter, cause) = match reason {
+            RefusalReason::QueueFull { .. } => ("refused_queue_full", "the queue is full"),
             RefusalReason::DeadlineUnreachable { .. } => {
-                "not run, the time limit cannot be met, retry after 200 ms"
+                ("requests_shed", "the time limit cannot be met")
+            }
+            RefusalReason::DeadlinePassed => {
+                ("refused_after_wait", "the time limit passed in the queue")
+            }
+        };
+        let hint = self.retry_hint(id, reason).as_millis();
+        self.count(counter);
+        self.refuse(id, ErrorCode::Busy, &format!("not run, {cause}, retry after {hint} ms"));
+    }
+
+    /// Returns the time after which a refused request would probably be admitted: when as much of the
+    /// queue has been served as is too much for it now.
+    fn retry_hint(&self, id: RequestId, reason: RefusalReason) -> Micros {
+        let Some(request) = self.requests.get(&id) else { return RETRY_HINT_MIN };
+        let hint = match reason {
+            RefusalReason::DeadlineUnreachable { expected } => {
+                expected.saturating_sub(request.deadline.saturating_sub(self.now))
+            }
+            RefusalReason::QueueFull { .. } | RefusalReason::DeadlinePassed => {
+                let database = request.database.as_ref().and_then(|name| self.databases.get(name));
+                let rank = request.route.rank;
+                database
+                    .map_or(RETRY_HINT_MIN, |database| database.queue.expected_wait(self.now, rank))
             }
-            RefusalReason::DeadlinePassed => "not run, the time limit passed in the queue",
         };
-        self.refuse(id, ErrorCode::Busy, text);
+        hint.clamp(RETRY_HINT_MIN, RETRY_HINT_MAX)
     }
 
     /// Holds a request until a leader is known.
