Choose databases for reads by slowness, load and failures

The expected time at a database was the smoothed time of its last answers. A primary that serves short statements looked faster than replicas with long ones, so reads that replicas could serve by proof went to it. A replica that failed requests at once looked fast and got most reads. Without reads for a while, a slow replica was taken for fast, and many reads went there until the first answer came.

Answers are now compared with the usual time of their route in the cluster (`responsiveness.rs`). Failures count apart: errors, lost connections and overdue answers; their weight fades over seconds, so load returns step by step. While half of the slots of the primary are in use, reads go there only if the replicas are ten times as costly, instead of 2.5 times. Counters tell how many reads replicas could and did serve, and why not.

`a_fence_that_is_set_after_its_failover_was_given_up_is_lifted` relied on a connection that the former choice of replicas happened to keep open: the report of the holder had been sent before the command delay of the test rose. The test now waits 40 ms for it.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -9,6 +9,7 @@
 use crate::log_comparison::FormerMember;
 use crate::log_holders::LogHolders;
 use crate::request::{RequestId, RequestStage};
+use crate::responsiveness::UsualTimes;
 use crate::{Gate, fields};
 
 /// Time within which a failover is expected to complete: detection, one round of fences and one
@@ -48,6 +49,7 @@
     /// The stored record of the databases that may hold commits.
     pub(crate) log_holders: LogHolders,
     pub(crate) proof: LeadershipProof,
+    pub(crate) usual_times: UsualTimes,
     /// Requests that wait for a leader.
     pub(crate) waiting_for_leader: Vec<RequestId>,
     /// Requests that wait for proof of the leader.
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -192,6 +192,7 @@
         let opening = !state.open;
         if let Some(database) = self.databases.get_mut(&name) {
             database.record_attempt(now);
+            database.responsiveness.observe_outcome(now, true);
             if opening {
                 let backoff = OPEN_BACKOFF_MIN.0 << database.open_failures.min(4);
                 database.open_failures += 1;
@@ -308,10 +309,8 @@
             database.overdue_since = None;
             database.last_command_answer = Some(now);
         }
-        if let CommandPurpose::Run(_) = pending.purpose
-            && let Some(database) = self.databases.get_mut(&name)
-        {
-            database.latency.observe(now, now.saturating_sub(pending.sent));
+        if let CommandPurpose::Run(request) = pending.purpose {
+            self.observe_answer(&name, request, now.saturating_sub(pending.sent), &answer.end);
         }
         if let Some(position) = answer.position {
             if let Some(database) = self.databases.get_mut(&name) {
@@ -354,6 +353,24 @@
         self.release_connection(connection);
     }
 
+    /// Adds the answer to a statement to what is known about the database.
+    fn observe_answer(&mut self, name: &Name, id: RequestId, time: Micros, end: &AnswerEnd) {
+        let now = self.now;
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(database) = self.databases.get_mut(name) else { return };
+        let Some(state) = self.clusters.get_mut(&request.route.cluster) else { return };
+        match end {
+            AnswerEnd::Done(_) => {
+                state.usual_times.observe(&request.route.name, time);
+                let usual = state.usual_times.get(&request.route.name);
+                database.responsiveness.observe_time(now, time, usual);
+                database.responsiveness.observe_outcome(now, false);
+            }
+            AnswerEnd::Failed { code, .. } if code.guarantees_not_run() => {}
+            AnswerEnd::Failed { .. } => database.responsiveness.observe_outcome(now, true),
+        }
+    }
+
     /// Handles an answer whose request was given up. A transaction that it left open is rolled
     /// back.
     fn abandoned_statement_answered(&mut self, connection: ConnectionId, answer: &BackendAnswer) {
--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -9,6 +9,7 @@
 use crate::event::{ConnectionId, ListedDatabase, SessionId};
 use crate::log_comparison::ReportedLog;
 use crate::request::RequestId;
+use crate::responsiveness::Responsiveness;
 use crate::statement::StatementAccess;
 
 /// Minimum shares of the ranks in percent of slot time, and their queue limits. The shares are
@@ -52,39 +53,6 @@
 /// As [`EXTRA_CONNECTIONS`], where the share itself is several connections.
 const LARGE_SHARE_EXTRA_CONNECTIONS: u32 = 2;
 
-/// Time in which an estimate without new answers halves, so that a database that was slow is tried
-/// again.
-const LATENCY_HALF_LIFE: Micros = Micros::from_millis(400);
-
-/// Minimum estimate; differences below it come from the network.
-const LATENCY_MIN: Micros = Micros::from_millis(2);
-
-/// Smoothed time from sending a statement to its answer, including the database's own queue.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct LatencyEstimate {
-    smoothed: Micros,
-    observed: Micros,
-}
-
-impl LatencyEstimate {
-    /// Adds a sample. The estimate rises faster than it falls, so that a growing queue takes effect
-    /// at once.
-    pub(crate) fn observe(&mut self, now: Micros, sample: Micros) {
-        let current = self.value(now);
-        self.smoothed = if sample > current {
-            Micros(current.0 + (sample.0 - current.0) / 4)
-        } else {
-            Micros(current.0 - (current.0 - sample.0) / 8)
-        };
-        self.observed = now;
-    }
-
-    pub(crate) fn value(&self, now: Micros) -> Micros {
-        let idle = now.saturating_sub(self.observed).0 / LATENCY_HALF_LIFE.0;
-        Micros(self.smoothed.0 >> idle.min(20)).max(LATENCY_MIN)
-    }
-}
-
 /// A database, with its listed properties and its state as this node sees it.
 #[derive(Debug)]
 pub(crate) struct Database {
@@ -120,7 +88,7 @@
     pub(crate) last_command_answer: Option<Micros>,
     /// When a statement was sent whose answer is overdue, with no answer to any command since.
     pub(crate) overdue_since: Option<Micros>,
-    pub(crate) latency: LatencyEstimate,
+    pub(crate) responsiveness: Responsiveness,
     pub(crate) open_retry_at: Micros,
     pub(crate) open_failures: u32,
     /// When the report in flight was requested.
@@ -152,7 +120,7 @@
             created: Micros::ZERO,
             last_command_answer: None,
             overdue_since: None,
-            latency: LatencyEstimate::default(),
+            responsiveness: Responsiveness::default(),
             open_retry_at: Micros::ZERO,
             open_failures: 0,
             report_requested_at: None,
@@ -220,6 +188,11 @@
         }
     }
 
+    /// Returns the requests that this node sends concurrently, outside transactions.
+    pub(crate) fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Returns true if the passing of time alone may allow a command or a new connection.
     pub(crate) fn needs_dispatch(&self) -> bool {
         let has_waiting = self.queue.stats().waiting.0.iter().any(|waiting| *waiting > 0);
@@ -255,9 +228,12 @@
             && self.applied.is_some_and(|applied| Some(applied) < position)
     }
 
-    /// Returns the time that a further request is expected to take.
-    pub(crate) fn expected_time(&self, now: Micros) -> Micros {
-        Micros(self.latency.value(now).0 * u64::from(self.load() + 1))
+    /// Returns the expected time of a further request compared with other databases, by slowness,
+    /// load and failures.
+    pub(crate) fn expected_cost(&self, now: Micros) -> u64 {
+        let (estimate, load) = (&self.responsiveness, self.load());
+        let weight = estimate.failure_weight_percent(now);
+        estimate.slowness(now, load) * u64::from(load + 1) * weight / 100
     }
 
     /// Records an attempt that needs an answer.
--- a/crates/gate/src/dump.rs
+++ b/crates/gate/src/dump.rs
@@ -57,7 +57,8 @@
                     "links": database.connections.len(),
                     "idle_links": database.idle.len(),
                     "load": database.load(),
-                    "latency_ms": database.latency.value(now).as_millis(),
+                    "slowness_percent": database.responsiveness.slowness(now, 1),
+                    "failures_per_mille": database.responsiveness.failure_share(now),
                     "applied": database.applied.map(|position| position.to_string()),
                 })
             })
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! - `session`, `identity`: clients and their accounts
 //! - `request`, `dispatch`, `outcome`: the path of one request
+//! - `responsiveness`: how well databases answer
 //! - `owners`, `peer`: forwarding
 //! - `connection`, `database`, `account_pool`: connections
 //! - `cluster`, `leadership_proof`, `read_lease`: what is known about primaries
@@ -45,6 +46,7 @@
 mod registration;
 mod registry;
 mod request;
+mod responsiveness;
 mod route;
 mod session;
 mod settings;
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -17,7 +17,7 @@
 use crate::{Gate, fields};
 
 /// A read is sent to another database, and a transaction is given up, after this many times the
-/// usual latency of its database, within the bounds below. An answer can be lost while the
+/// usual time of its route at its database, within the bounds below. An answer can be lost while the
 /// connection stays open.
 const READ_TIMEOUT_FACTOR: u64 = 6;
 const READ_TIMEOUT_MIN: Micros = Micros::from_millis(120);
@@ -540,8 +540,13 @@
         if let Some(peer) = database.filter(|database| database.peer.is_some()) {
             return if peer.is_responsive(self.now) { Micros::MAX } else { READ_TIMEOUT_MAX };
         }
-        let usual = database.map_or(Micros::ZERO, |database| database.latency.value(self.now));
-        Micros(usual.0 * READ_TIMEOUT_FACTOR).clamp(READ_TIMEOUT_MIN, READ_TIMEOUT_MAX)
+        let route = &request.route;
+        let usual =
+            self.clusters.get(&route.cluster).map(|state| state.usual_times.get(&route.name));
+        let slowness =
+            database.map_or(100, |database| database.responsiveness.slowness(self.now, 0));
+        let timeout = usual.unwrap_or_default().0 * slowness / 100 * READ_TIMEOUT_FACTOR;
+        Micros(timeout).clamp(READ_TIMEOUT_MIN, READ_TIMEOUT_MAX)
     }
 
     pub(crate) fn request_timed_out(&mut self, id: RequestId) {
@@ -588,9 +593,13 @@
             state.commit_overdue.get_or_insert(sent);
         }
         let now = self.now;
-        if let Some(database) = self.databases.get_mut(&name) {
+        let route = &request.route;
+        let usual =
+            self.clusters.get(&route.cluster).map(|state| state.usual_times.get(&route.name));
+        if let (Some(database), Some(usual)) = (self.databases.get_mut(&name), usual) {
             // The next reads prefer other databases.
-            database.latency.observe(now, now.saturating_sub(sent));
+            database.responsiveness.observe_time(now, now.saturating_sub(sent), usual);
+            database.responsiveness.observe_outcome(now, true);
         }
         if let Some(database) = self.databases.get_mut(&name)
             && database.last_command_answer.is_none_or(|answered| answered < sent)
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -10,6 +10,7 @@
 
 use crate::Gate;
 use crate::backend::TermPosition;
+use crate::database::Database;
 use crate::event::{ConnectionId, SessionId, SessionOrigin};
 use crate::route::{Freshness, RouteConfig};
 use crate::session::coverage_time;
@@ -41,9 +42,32 @@
     "not run, the primary could not be proved to lead, retry after 500 ms";
 
 /// Weight in percent of the expected time at a replica that is not preferred, and of that at the
-/// leader. The leader is kept free for requests that only it can serve.
+/// leader. The leader is kept free for requests that only it can serve, even more so while half of
+/// its slots are in use, since it also executes statements of transactions that never wait here.
 const REPLICA_TIME_WEIGHT_PERCENT: u64 = 150;
 const LEADER_TIME_WEIGHT_PERCENT: u64 = 250;
+const BUSY_LEADER_TIME_WEIGHT_PERCENT: u64 = 1_000;
+
+/// Why the leader serves a read that the freshness of its route allows on replicas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeaderReadReason {
+    /// No position is known that covers what the read must include.
+    NoPosition,
+    /// No usable replica holds that position.
+    NoReplica,
+    /// The replicas are much slower.
+    SlowReplicas,
+}
+
+impl LeaderReadReason {
+    fn counter(self) -> &'static str {
+        match self {
+            LeaderReadReason::NoPosition => "reads_at_primary_no_position",
+            LeaderReadReason::NoReplica => "reads_at_primary_no_replica",
+            LeaderReadReason::SlowReplicas => "reads_at_primary_slow_replicas",
+        }
+    }
+}
 
 /// Role of a request within its session.
 #[derive(Clone, Debug)]
@@ -182,13 +206,21 @@
             return self.refuse(id, self.refusal_code(id), "no database is known for the route");
         };
         let since = coverage_time(route.freshness, started_at);
-        if !needs_leader
-            && let Some(since) = since
-            && let Some(position) = cluster.proof.proved_position(since)
-        {
-            let required_position = Some(position).max(self.required_position(id));
-            if let Some(replica) = self.choose_replica(id, &route.cluster, required_position) {
-                return self.queue_at(id, replica, required_position, None);
+        if !needs_leader && let Some(since) = since {
+            let choice = match cluster.proof.proved_position(since) {
+                Some(position) => {
+                    let required_position = Some(position).max(self.required_position(id));
+                    self.choose_replica(id, &route.cluster, required_position)
+                        .map(|replica| (replica, required_position))
+                }
+                None => Err(LeaderReadReason::NoPosition),
+            };
+            match choice {
+                Ok((replica, required_position)) => {
+                    self.count("reads_at_replicas");
+                    return self.queue_at(id, replica, required_position, None);
+                }
+                Err(reason) => self.count(reason.counter()),
             }
         }
         let proof_time = if writes { None } else { Some(since.unwrap_or(started_at)) };
@@ -311,22 +343,24 @@
         let position = since.and_then(|since| proof?.proved_position(since));
         position.is_some_and(|position| {
             let position = Some(position).max(self.required_position(id));
-            self.choose_replica(id, cluster, position).is_some()
+            self.choose_replica(id, cluster, position).is_ok()
         })
     }
 
-    /// Chooses the least loaded replica that holds or probably holds the position.
+    /// Chooses the replica with the least expected cost among those that hold or probably hold the
+    /// position.
     fn choose_replica(
         &self,
         id: RequestId,
         cluster: &Name,
         required_position: Option<TermPosition>,
-    ) -> Option<Name> {
-        let request = self.requests.get(&id)?;
-        let state = self.clusters.get(cluster)?;
+    ) -> Result<Name, LeaderReadReason> {
+        let none = LeaderReadReason::NoReplica;
+        let request = self.requests.get(&id).ok_or(none)?;
+        let state = self.clusters.get(cluster).ok_or(none)?;
         let leader = state.proof.leader();
         let preferred = self.preferred_replica(state);
-        let mut best: Option<(u64, Name)> = None;
+        let mut best: Option<(u64, &Name)> = None;
         for name in &state.members {
             let Some(database) = self.databases.get(name) else { continue };
             if Some(name) == leader
@@ -339,19 +373,38 @@
                 continue;
             }
             let percent = if Some(name) == preferred { 100 } else { REPLICA_TIME_WEIGHT_PERCENT };
-            let key = (database.expected_time(self.now).0 * percent, name.clone());
-            if best.as_ref().is_none_or(|best| key < *best) {
+            let key = (database.expected_cost(self.now) * percent, name);
+            if best.is_none_or(|best| key < best) {
                 best = Some(key);
             }
         }
-        let (time, name) = best?;
+        let (cost, name) = best.ok_or(none)?;
         if let Some(leader) = self.usable_leader(cluster)
-            && let Some(database) = self.databases.get(&leader)
-            && time > database.expected_time(self.now).0 * LEADER_TIME_WEIGHT_PERCENT
+            && cost > self.leader_read_cost(&leader)
         {
-            return None;
+            return Err(LeaderReadReason::SlowReplicas);
         }
-        Some(name)
+        Ok(name.clone())
+    }
+
+    /// Returns the weighted cost of a read at the leader that a replica could serve.
+    fn leader_read_cost(&self, leader: &Name) -> u64 {
+        let Some(database) = self.databases.get(leader) else { return u64::MAX };
+        let busy = self.active_statements(database) >= database.slots().div_ceil(2);
+        let percent =
+            if busy { BUSY_LEADER_TIME_WEIGHT_PERCENT } else { LEADER_TIME_WEIGHT_PERCENT };
+        database.expected_cost(self.now) * percent
+    }
+
+    /// Returns the requests that wait for a database or run there. Transactions that rest between
+    /// their statements use no slot.
+    fn active_statements(&self, database: &Database) -> u32 {
+        let waiting: u32 = database.queue.stats().waiting.0.iter().sum();
+        let running = database.connections.iter().filter(|id| {
+            let state = self.connections.get(id);
+            state.is_some_and(|state| state.open && !state.pending.is_empty())
+        });
+        waiting + u32::try_from(running.count()).unwrap_or(u32::MAX)
     }
 
     pub(crate) fn queue_at(
--- a/crates/gate/tests/fence_lifts.rs
+++ b/crates/gate/tests/fence_lifts.rs
@@ -308,6 +308,8 @@
     scene.simulation.late_commands.extend((0..5).map(|gate| ((gate, "c".into()), millis(450))));
     scene.cut_primary("a");
     let first = scene.run_until_another_reaches("probing");
+    // The report is sent on a new connection if no read went to this replica before.
+    scene.run(millis(40));
     scene.simulation.late_commands.insert((first, "c".into()), millis(2_500));
     scene.run_until_another_reaches("fencing");
     scene.run(millis(260));
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -49,6 +49,12 @@
     pub connections_refused: bool,
     /// Time for one statement.
     pub statement_time: Micros,
+    /// Time for a statement whose text contains `long`, if it differs.
+    pub long_statement_time: Option<Micros>,
+    /// Share of reads that fail at once, in percent.
+    pub failing_percent: u64,
+    /// Reads that were received.
+    pub reads: u64,
     /// Runs statements but loses their answers.
     pub loses_answers: bool,
     /// Answers that it is busy instead of reporting, while it executes other commands.
@@ -221,6 +227,9 @@
                 started_at_ms: 1,
                 connections_refused: false,
                 statement_time: STATEMENT_TIME,
+                long_statement_time: None,
+                failing_percent: 0,
+                reads: 0,
                 loses_answers: false,
                 refuses_reports: false,
                 slot_free: Micros::ZERO,
@@ -675,8 +684,12 @@
                     }
                     // One slot: statements queue behind each other.
                     let start = state.slot_free.max(now);
-                    let end = if statement { start + state.statement_time } else { now };
-                    if statement {
+                    let long = matches!(&command, BackendCommand::Run { text, .. } if text.contains("long"));
+                    let long_time = state.long_statement_time.filter(|_| long);
+                    let time = long_time.unwrap_or(state.statement_time);
+                    let failed = matches!(answer.end, AnswerEnd::Failed { .. });
+                    let end = if statement && !failed { start + time } else { now };
+                    if statement && !failed {
                         state.slot_free = end;
                     }
                     let answer = Box::new(answer);
@@ -748,8 +761,15 @@
                         done(Vec::new())
                     }
                 } else {
-                    self.database(name).ran.push((id.clone(), state.received));
-                    done(vec![Bytes::from(state.received.to_string())])
+                    let database = self.database(name);
+                    database.reads += 1;
+                    // Spreads the failures evenly.
+                    if database.reads * 61 % 100 < database.failing_percent {
+                        failed(ErrorCode::Failed)
+                    } else {
+                        database.ran.push((id.clone(), state.received));
+                        done(vec![Bytes::from(state.received.to_string())])
+                    }
                 }
             }
             BackendCommand::Report if state.refuses_reports => failed(ErrorCode::Busy),
