--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! - `session`, `identity`: clients and their accounts
 //! - `request`, `dispatch`, `outcome`: the path of one request
+//! - `responsiveness`: how well databases answer
 //! - `owners`, `peer`: forwarding
 //! - `allotment`: rate limits of accounts
 //! - `connection`, `database`, `account_pool`: connections
@@ -48,6 +49,7 @@
 mod registration;
 mod registry;
 mod request;
+mod responsiveness;
 mod route;
 mod session;
 mod session_memory;
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -11,14 +11,14 @@
 use crate::event::ConnectionId;
 use crate::identity::INVALID_KEY_TEXT;
 use crate::request::{
-    ActiveRequest, MAX_TRIES, OVERLOADED_TEXT, RequestId, RequestKind, RequestStage, UNPROVED_TEXT,
+    ActiveRequest, MAX_TRIES, RequestId, RequestKind, RequestStage, UNPROVED_TEXT,
 };
 use crate::session::{OpenTransaction, Transaction};
 use crate::statement::{ErrorCode, StatementAccess, TransactionState};
 use crate::{Gate, fields};
 
 /// A read is sent to another database, and a transaction is given up, after this many times the
-/// usual latency of its database, within the bounds below. An answer can be lost while the
+/// usual time of its route at its database, within the bounds below. An answer can be lost while the
 /// connection stays open.
 const READ_TIMEOUT_FACTOR: u64 = 6;
 const READ_TIMEOUT_MIN: Micros = Micros::from_millis(120);
@@ -117,11 +117,10 @@
                 }
             }
             AnswerEnd::Failed { code, text } => {
-                let code = *code;
+                let (code, text) = (*code, text.clone());
                 if let Some(state) = self.connections.get_mut(&connection) {
                     state.transaction_session = None;
                 }
-                let text = text.clone();
                 self.request_declined(id, code, &text);
             }
         }
@@ -163,7 +162,7 @@
                 if self.is_peer(&database) && self.owners.owners_of(&cluster).is_some() =>
             {
                 // The owner tells when to retry.
-                self.refuse(id, code, if text.is_empty() { OVERLOADED_TEXT } else { text });
+                self.refuse(id, code, text);
             }
             _ if self.is_peer(&database) => {
                 if code == ErrorCode::Misrouted {
@@ -488,10 +487,73 @@
     }
 
     /// Removes a request whose client is gone.
+    ///
+    /// Another node learns of it by the end of the connection, and does not run what still waits there.
+    /// A database goes on executing a statement, so its slot stays in use until the answer, or until
+    /// the connection is lost.
     pub(crate) fn abandon_request(&mut self, id: RequestId) {
-        self.abandon_slot(id);
-        self.release_slot(id);
+        let Some(request) = self.requests.get(&id) else { return };
+        let at_peer = request.database.as_ref().is_some_and(|name| self.is_peer(name));
+        let sent = request.connection.filter(|_| request.stage == RequestStage::Sent);
+        let (connection, keeps_slot) = (sent.filter(|_| at_peer), sent.is_some() && !at_peer);
+        if !keeps_slot {
+            self.abandon_slot(id);
+            self.release_slot(id);
+        }
         self.requests.remove(&id);
+        self.count("requests_abandoned");
+        if let Some(connection) = connection {
+            self.close_connection(connection, "the client is gone");
+        }
+    }
+
+    /// Returns the slot of a request whose client was gone before its database answered. `answered` is
+    /// false if the connection was lost.
+    pub(crate) fn end_abandoned_statement(&mut self, name: &Name, id: RequestId, answered: bool) {
+        if self.requests.contains_key(&id) {
+            return;
+        }
+        let Some(database) = self.databases.get_mut(name) else { return };
+        if answered {
+            database.queue.finish(self.now, id);
+        } else {
+            database.queue.abandon(self.now, id);
+        }
+    }
+
+    /// Returns the slots of writes and commits whose answers are probably lost: they are overdue, and
+    /// the database has answered statements that were sent later. The requests still wait for their
+    /// answers until their time limits.
+    fn release_overdue_slots(&mut self) {
+        let now = self.now;
+        let overdue: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| {
+                let database = request.database.as_ref().and_then(|name| self.databases.get(name));
+                let Some((database, sent)) = database.zip(request.sent) else { return false };
+                request.stage == RequestStage::Sent
+                    && request.may_take_effect()
+                    && database.peer.is_none()
+                    && database.last_command_answer > Some(sent)
+                    && now >= sent + self.answer_timeout(request)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in overdue {
+            let Some(name) = self.requests.get(&id).and_then(|request| request.database.clone())
+            else {
+                continue;
+            };
+            let released = self
+                .databases
+                .get_mut(&name)
+                .is_some_and(|database| database.queue.abandon(now, id));
+            if released {
+                self.count("slots_of_lost_answers");
+                self.dispatch_queued(&name);
+            }
+        }
     }
 
     /// Handles the loss of a connection that a request was sent on. `statement_sent` tells whether
@@ -550,6 +612,7 @@
         for id in expired {
             self.request_timed_out(id);
         }
+        self.release_overdue_slots();
     }
 
     /// Returns how long a request waits for its database before it is given up.
@@ -561,8 +624,13 @@
         if let Some(peer) = database.filter(|database| database.peer.is_some()) {
             return if peer.is_responsive(self.now) { Micros::MAX } else { READ_TIMEOUT_MAX };
         }
-        let usual = database.map_or(Micros::ZERO, |database| database.latency.value(self.now));
-        Micros(usual.0 * READ_TIMEOUT_FACTOR).clamp(READ_TIMEOUT_MIN, READ_TIMEOUT_MAX)
+        let route = &request.route;
+        let usual =
+            self.clusters.get(&route.cluster).map(|state| state.usual_times.get(&route.name));
+        let slowness =
+            database.map_or(100, |database| database.responsiveness.slowness(self.now, 0));
+        let timeout = usual.unwrap_or_default().0 * slowness / 100 * READ_TIMEOUT_FACTOR;
+        Micros(timeout).clamp(READ_TIMEOUT_MIN, READ_TIMEOUT_MAX)
     }
 
     pub(crate) fn request_timed_out(&mut self, id: RequestId) {
@@ -612,9 +680,13 @@
             state.commit_overdue.get_or_insert(sent);
         }
         let now = self.now;
-        if let Some(database) = self.databases.get_mut(&name) {
+        let route = &request.route;
+        let usual =
+            self.clusters.get(&route.cluster).map(|state| state.usual_times.get(&route.name));
+        if let (Some(database), Some(usual)) = (self.databases.get_mut(&name), usual) {
             // The next reads prefer other databases.
-            database.latency.observe(now, now.saturating_sub(sent));
+            database.responsiveness.observe_time(now, now.saturating_sub(sent), usual);
+            database.responsiveness.observe_outcome(now, true);
         }
         if let Some(database) = self.databases.get_mut(&name)
             && database.last_command_answer.is_none_or(|answered| answered < sent)
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use admit::{RefusalReason, SlotRequest};
+use admit::{RefusalReason, SlotRequest, WaitClass};
 use model::{Micros, Name};
 
 use crate::Gate;
@@ -13,6 +13,7 @@
 use crate::allotment::OperationCharge;
 use crate::backend::TermPosition;
 use crate::commit_proof::HeldCommit;
+use crate::database::Database;
 use crate::event::{ConnectionId, SessionId, SessionOrigin};
 use crate::route::{Freshness, RouteConfig};
 use crate::session::coverage_time;
@@ -23,8 +24,13 @@
 /// Maximum number of times that one request is sent.
 pub(crate) const MAX_TRIES: u32 = 4;
 
-/// Part of a request's time limit reserved for the way back to the client.
-const REPLY_MARGIN: Micros = Micros::from_millis(20);
+/// Part of a request's time limit reserved for the ways from and to the client, or the node that
+/// forwards it: time limits are checked every 20 ms, and the ways of the larger deployments take up to
+/// 14 ms. An owner thus answers before the forwarding node gives up.
+const REPLY_MARGIN: Micros = Micros::from_millis(40);
+
+/// The margin is at most one part in this many of a time limit.
+const REPLY_MARGIN_DIVISOR: u64 = 8;
 
 /// Time that a request waits for a leader or for proof of one. Another node may be able to serve
 /// it, and the client's retries must fit into its own time limit.
@@ -34,17 +40,42 @@
 /// [`HOLD_TIMEOUT`].
 pub(crate) const OWNER_RETRY_INTERVAL: Micros = Micros::from_millis(100);
 
-/// Error text for a request that would wait too long.
-pub(crate) const OVERLOADED_TEXT: &str = "not run, the database is overloaded, retry after 200 ms";
+/// Shortest and longest time after which a refused request should be sent again. A shorter one would
+/// meet the same queue; at the longest, any queue has been served or refused.
+const RETRY_HINT_MIN: Micros = Micros::from_millis(20);
+const RETRY_HINT_MAX: Micros = Micros::from_millis(1_000);
 
 /// Error text for a request that needs a proof of the leader which cannot be had.
 pub(crate) const UNPROVED_TEXT: &str =
     "not run, the primary could not be proved to lead, retry after 500 ms";
 
 /// Weight in percent of the expected time at a replica that is not preferred, and of that at the
-/// leader. The leader is kept free for requests that only it can serve.
+/// leader. The leader is kept free for requests that only it can serve, even more so while half of
+/// its slots are in use, since it also executes statements of transactions that never wait here.
 const REPLICA_TIME_WEIGHT_PERCENT: u64 = 150;
 const LEADER_TIME_WEIGHT_PERCENT: u64 = 250;
+const BUSY_LEADER_TIME_WEIGHT_PERCENT: u64 = 1_000;
+
+/// Why the leader serves a read that the freshness of its route allows on replicas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeaderReadReason {
+    /// No position is known that covers what the read must include.
+    NoPosition,
+    /// No usable replica holds that position.
+    NoReplica,
+    /// The replicas are much slower.
+    SlowReplicas,
+}
+
+impl LeaderReadReason {
+    fn counter(self) -> &'static str {
+        match self {
+            LeaderReadReason::NoPosition => "reads_at_primary_no_position",
+            LeaderReadReason::NoReplica => "reads_at_primary_no_replica",
+            LeaderReadReason::SlowReplicas => "reads_at_primary_slow_replicas",
+        }
+    }
+}
 
 /// Role of a request within its session.
 #[derive(Clone, Debug)]
@@ -151,7 +182,7 @@
             kind,
             arrived: self.now,
             started_at,
-            deadline: self.now + route.timeout.saturating_sub(REPLY_MARGIN),
+            deadline: self.now + self.serving_time(session, &route),
             route,
             stage: RequestStage::Queued,
             database: None,
@@ -170,6 +201,17 @@
         id
     }
 
+    /// Returns the time after its arrival in which a request must be answered.
+    fn serving_time(&self, session: SessionId, route: &RouteConfig) -> Micros {
+        let origin = self.sessions.get(&session).map(|session| session.origin);
+        let ways = match origin {
+            Some(SessionOrigin::Peer) => 2,
+            Some(SessionOrigin::Client) | None => 1,
+        };
+        let margin = REPLY_MARGIN.min(Micros(route.timeout.0 / REPLY_MARGIN_DIVISOR));
+        route.timeout.saturating_sub(Micros(margin.0 * ways))
+    }
+
     /// Chooses a database for a request and queues it there.
     pub(crate) fn route_request(&mut self, id: RequestId) {
         self.refresh_owners();
@@ -190,13 +232,21 @@
             return self.refuse(id, self.refusal_code(id), "no database is known for the route");
         };
         let since = coverage_time(route.freshness, started_at);
-        if !needs_leader
-            && let Some(since) = since
-            && let Some(position) = cluster.proof.proved_position(since)
-        {
-            let required_position = Some(position).max(self.required_position(id));
-            if let Some(replica) = self.choose_replica(id, &route.cluster, required_position) {
-                return self.queue_at(id, replica, required_position, None);
+        if !needs_leader && let Some(since) = since {
+            let choice = match cluster.proof.proved_position(since) {
+                Some(position) => {
+                    let required_position = Some(position).max(self.required_position(id));
+                    self.choose_replica(id, &route.cluster, required_position)
+                        .map(|replica| (replica, required_position))
+                }
+                None => Err(LeaderReadReason::NoPosition),
+            };
+            match choice {
+                Ok((replica, required_position)) => {
+                    self.count("reads_at_replicas");
+                    return self.queue_at(id, replica, required_position, None);
+                }
+                Err(reason) => self.count(reason.counter()),
             }
         }
         let proof_time = if writes { None } else { Some(since.unwrap_or(started_at)) };
@@ -322,22 +372,24 @@
         let position = since.and_then(|since| proof?.proved_position(since));
         position.is_some_and(|position| {
             let position = Some(position).max(self.required_position(id));
-            self.choose_replica(id, cluster, position).is_some()
+            self.choose_replica(id, cluster, position).is_ok()
         })
     }
 
-    /// Chooses the least loaded replica that holds or probably holds the position.
+    /// Chooses the replica with the least expected cost among those that hold or probably hold the
+    /// position.
     fn choose_replica(
         &self,
         id: RequestId,
         cluster: &Name,
         required_position: Option<TermPosition>,
-    ) -> Option<Name> {
-        let request = self.requests.get(&id)?;
-        let state = self.clusters.get(cluster)?;
+    ) -> Result<Name, LeaderReadReason> {
+        let none = LeaderReadReason::NoReplica;
+        let request = self.requests.get(&id).ok_or(none)?;
+        let state = self.clusters.get(cluster).ok_or(none)?;
         let leader = state.proof.leader();
         let preferred = self.preferred_replica(state);
-        let mut best: Option<(u64, Name)> = None;
+        let mut best: Option<(u64, &Name)> = None;
         for name in &state.members {
             let Some(database) = self.databases.get(name) else { continue };
             if Some(name) == leader
@@ -350,19 +402,38 @@
                 continue;
             }
             let percent = if Some(name) == preferred { 100 } else { REPLICA_TIME_WEIGHT_PERCENT };
-            let key = (database.expected_time(self.now).0 * percent, name.clone());
-            if best.as_ref().is_none_or(|best| key < *best) {
+            let key = (database.expected_cost(self.now) * percent, name);
+            if best.is_none_or(|best| key < best) {
                 best = Some(key);
             }
         }
-        let (time, name) = best?;
-        if let Some(leader) = self.usable_leader(cluster)
-            && let Some(database) = self.databases.get(&leader)
-            && time > database.expected_time(self.now).0 * LEADER_TIME_WEIGHT_PERCENT
-        {
-            return None;
+        let (cost, name) = best.ok_or(none)?;
+        match self.usable_leader(cluster) {
+            Some(leader) if self.is_cheaper_at_leader(&leader, cost) => {
+                Err(LeaderReadReason::SlowReplicas)
+            }
+            _ => Ok(name.clone()),
         }
-        Some(name)
+    }
+
+    /// Returns true if the leader should serve a read that costs `cost` at a replica.
+    fn is_cheaper_at_leader(&self, leader: &Name, cost: u64) -> bool {
+        let Some(database) = self.databases.get(leader) else { return false };
+        let cost_at_leader = database.expected_cost(self.now);
+        let is_busy = || self.active_statements(database) >= database.slots().div_ceil(2);
+        cost > cost_at_leader * LEADER_TIME_WEIGHT_PERCENT
+            && (cost > cost_at_leader * BUSY_LEADER_TIME_WEIGHT_PERCENT || !is_busy())
+    }
+
+    /// Returns the requests that wait for a database or run there. Transactions that rest between
+    /// their statements use no slot.
+    fn active_statements(&self, database: &Database) -> u32 {
+        let waiting: u32 = database.queue.stats().waiting.0.iter().sum();
+        let running = database.connections.iter().filter(|id| {
+            let state = self.connections.get(id);
+            state.is_some_and(|state| state.open && !state.pending.is_empty())
+        });
+        waiting + u32::try_from(running.count()).unwrap_or(u32::MAX)
     }
 
     pub(crate) fn queue_at(
@@ -372,7 +443,6 @@
         required_position: Option<TermPosition>,
         proof_time: Option<Micros>,
     ) {
-        let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
         if !self.databases.contains_key(&name) {
             return;
@@ -384,14 +454,10 @@
         if self.refuse_flood(id) {
             return;
         }
-        let Some(request) = self.requests.get(&id) else { return };
-        let Some(database) = self.databases.get(&name) else { return };
-        if database.is_overloaded(now, &request.route) {
-            self.count("requests_shed");
-            return self.refuse(id, ErrorCode::Busy, OVERLOADED_TEXT);
-        }
-        if let Err(reason) = self.enqueue(id, &name) {
-            return self.refuse_queued(id, reason);
+        match self.enqueue(id, &name) {
+            Ok(WaitClass::Late) => self.count("requests_queued_late"),
+            Ok(WaitClass::InTime | WaitClass::Transaction) => {}
+            Err(reason) => return self.refuse_queued(id, reason),
         }
         self.dispatch_queued(&name);
         self.count_connection_wait(id, &name);
@@ -409,10 +475,14 @@
     }
 
     /// Adds a request to the queue of a database, under the name of its account.
-    pub(crate) fn enqueue(&mut self, id: RequestId, name: &Name) -> Result<(), RefusalReason> {
+    pub(crate) fn enqueue(
+        &mut self,
+        id: RequestId,
+        name: &Name,
+    ) -> Result<WaitClass, RefusalReason> {
         let has_accounts = self.table.accounts.is_some();
-        let Some(request) = self.requests.get(&id) else { return Ok(()) };
-        let Some(database) = self.databases.get_mut(name) else { return Ok(()) };
+        let Some(request) = self.requests.get(&id) else { return Ok(WaitClass::InTime) };
+        let Some(database) = self.databases.get_mut(name) else { return Ok(WaitClass::InTime) };
         if request.account().is_some() {
             database.pool.mark_used();
         }
@@ -424,18 +494,45 @@
             selector: request.route.name.clone(),
             in_transaction: false,
         };
-        database.queue.enqueue(self.now, slot_request)
+        // Another node knows the queue of its database, and this node only its connections to it.
+        let target = match database.peer {
+            Some(_) => Micros::MAX,
+            None => request.arrived + request.route.target_latency,
+        };
+        database.queue.enqueue_with_target(self.now, slot_request, target)
     }
 
     pub(crate) fn refuse_queued(&mut self, id: RequestId, reason: RefusalReason) {
-        let text = match reason {
-            RefusalReason::QueueFull { .. } => "not run, the queue is full, retry after 200 ms",
+        let (counter, cause) = match reason {
+            RefusalReason::QueueFull { .. } => ("refused_queue_full", "the queue is full"),
             RefusalReason::DeadlineUnreachable { .. } => {
-                "not run, the time limit cannot be met, retry after 200 ms"
+                ("requests_shed", "the time limit cannot be met")
+            }
+            RefusalReason::DeadlinePassed => {
+                ("refused_after_wait", "the time limit passed in the queue")
+            }
+        };
+        let hint = self.retry_hint(id, reason).as_millis();
+        self.count(counter);
+        self.refuse(id, ErrorCode::Busy, &format!("not run, {cause}, retry after {hint} ms"));
+    }
+
+    /// Returns the time after which a refused request would probably be admitted: when as much of the
+    /// queue has been served as is too much for it now.
+    fn retry_hint(&self, id: RequestId, reason: RefusalReason) -> Micros {
+        let Some(request) = self.requests.get(&id) else { return RETRY_HINT_MIN };
+        let hint = match reason {
+            RefusalReason::DeadlineUnreachable { expected } => {
+                expected.saturating_sub(request.deadline.saturating_sub(self.now))
+            }
+            RefusalReason::QueueFull { .. } | RefusalReason::DeadlinePassed => {
+                let database = request.database.as_ref().and_then(|name| self.databases.get(name));
+                let rank = request.route.rank;
+                database
+                    .map_or(RETRY_HINT_MIN, |database| database.queue.expected_wait(self.now, rank))
             }
-            RefusalReason::DeadlinePassed => "not run, the time limit passed in the queue",
         };
-        self.refuse(id, ErrorCode::Busy, text);
+        hint.clamp(RETRY_HINT_MIN, RETRY_HINT_MAX)
     }
 
     /// Holds a request until a leader is known.
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -50,6 +50,16 @@
     pub connections_refused: bool,
     /// Time for one statement.
     pub statement_time: Micros,
+    /// Time for a statement whose text contains `long`, if it differs.
+    pub long_statement_time: Option<Micros>,
+    /// Share of reads that fail at once, in percent.
+    pub failing_percent: u64,
+    /// Share of statements that are executed without an answer, in percent.
+    pub losing_percent: u64,
+    /// Statements that were executed.
+    pub statements: u64,
+    /// Reads that were received.
+    pub reads: u64,
     /// Runs statements but loses their answers.
     pub loses_answers: bool,
     /// Answers that it is busy instead of reporting, while it executes other commands.
@@ -272,6 +282,11 @@
                 started_at_ms: 1,
                 connections_refused: false,
                 statement_time: STATEMENT_TIME,
+                long_statement_time: None,
+                failing_percent: 0,
+                losing_percent: 0,
+                statements: 0,
+                reads: 0,
                 loses_answers: false,
                 refuses_reports: false,
                 slots: vec![Micros::ZERO],
@@ -804,8 +819,15 @@
                     if statement && state.loses_answers {
                         return;
                     }
-                    let end =
-                        if statement { state.use_slot(now, state.statement_time) } else { now };
+                    let long = matches!(&command, BackendCommand::Run { text, .. } if text.contains("long"));
+                    let long_time = state.long_statement_time.filter(|_| long);
+                    let time = long_time.unwrap_or(state.statement_time);
+                    let failed = matches!(answer.end, AnswerEnd::Failed { .. });
+                    let end = if statement && !failed { state.use_slot(now, time) } else { now };
+                    state.statements += u64::from(statement);
+                    if statement && state.statements * 61 % 100 < state.losing_percent {
+                        return;
+                    }
                     let answer = Box::new(answer);
                     let delivery = Delivery::Answer { gate, connection, database, answer };
                     self.schedule(end.saturating_sub(now) + NETWORK_DELAY, delivery);
@@ -875,8 +897,15 @@
                         done(Vec::new())
                     }
                 } else {
-                    self.database(name).ran.push((id.clone(), state.received));
-                    done(vec![Bytes::from(state.received.to_string())])
+                    let database = self.database(name);
+                    database.reads += 1;
+                    // Spreads the failures evenly.
+                    if database.reads * 61 % 100 < database.failing_percent {
+                        failed(ErrorCode::Failed)
+                    } else {
+                        database.ran.push((id.clone(), state.received));
+                        done(vec![Bytes::from(state.received.to_string())])
+                    }
                 }
             }
             BackendCommand::Report if state.refuses_reports => failed(ErrorCode::Busy),
