Resolve the key again before the first statement of a transaction

A database learns of a transaction by BEGIN, and the first statement follows its answer. A configuration that arrived in between was ignored, so the statement ran under an account that no longer held the key.

The key is now resolved again before that statement if the version has changed. A removed key ends the transaction with NOAUTH; a key of another account begins it again on a connection of that account.

--- a/crates/gate/src/identity.rs
+++ b/crates/gate/src/identity.rs
@@ -7,7 +7,7 @@
 use model::Name;
 
 use crate::Gate;
-use crate::event::{SessionId, SessionOrigin};
+use crate::event::{ConnectionId, SessionId, SessionOrigin};
 use crate::request::{ActiveRequest, RequestId, RequestKind, RequestStage};
 use crate::session::Transaction;
 use crate::statement::{CallerIdentity, ErrorCode};
@@ -103,6 +103,23 @@
         }
     }
 
+    /// Sends the first statement of a transaction whose `BEGIN` was answered. If its key belongs to
+    /// another account since `BEGIN` was sent, the transaction begins again on a connection of that
+    /// account.
+    pub(crate) fn send_first_statement(&mut self, id: RequestId, connection: ConnectionId) {
+        match self.renew_identity(id) {
+            Ok(false) => self.send_statement(id, connection, false),
+            Ok(true) => {
+                self.restore_pending_transaction(id, connection);
+                self.retry_request(id, None, ErrorCode::NotAuthorized, ErrorCode::Busy);
+            }
+            Err((code, text)) => {
+                self.count("requests_unidentified");
+                self.fail_transaction(id, code, text);
+            }
+        }
+    }
+
     /// Returns true if another node refused a request because no account holds its key. It has run
     /// nothing of the request then.
     pub(crate) fn is_unidentified_at_peer(&self, request: &ActiveRequest, code: ErrorCode) -> bool {
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -113,7 +113,7 @@
                 let statement_sent = request.statement_sent;
                 self.release_slot(id);
                 if !statement_sent {
-                    self.send_statement(id, connection, false);
+                    self.send_first_statement(id, connection);
                 }
             }
             AnswerEnd::Failed { code, .. } => {
--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -384,3 +384,28 @@
     simulation.run(millis(700));
     assert_eq!(simulation.connection_count("a"), 0);
 }
+
+/// `BEGIN` is on its way when the configuration changes. Guards against a first statement that runs
+/// under an account that does not hold the key any more.
+#[test]
+fn a_key_that_changes_while_a_transaction_begins_is_resolved_again() {
+    for (keys, outcome, account) in
+        [(&[][..], "not_authorized", None), (&[("k1", "two")][..], "served", Some("two"))]
+    {
+        let mut simulation = start(1, &[("k1", "one")]);
+        send(&mut simulation, "k1", "warm", "READ 1");
+        simulation.run(millis(100));
+        let transaction = send(&mut simulation, "k1", "b", "BEGIN");
+        simulation.send_request(0, transaction, "t", "WRITE 1 x");
+        configure(&mut simulation, 3, keys);
+        simulation.run(millis(200));
+        assert_eq!(simulation.outcome(transaction), outcome);
+        let ran_under = simulation.accounts.get("t").map(|account| account.as_deref());
+        assert_eq!(ran_under, account.map(Some));
+        // The connection of the transaction that did not begin is free again.
+        let next = simulation.open_with_key(0, BOUNDED, "k1");
+        simulation.send_request(0, next, "n", "READ 1");
+        simulation.run(millis(200));
+        assert_eq!(simulation.outcome(next), "served");
+    }
+}
