Resolve the key of a request again before it is sent again

A request that was sent and did not run was queued under the account that held its key before the configuration changed. If no connection of that account could be opened any more, it waited until its time limit.

The key is resolved when the request is sent again, so it is refused or waits under the account that holds its key now.

--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -60,6 +60,10 @@
         code: ErrorCode,
     ) {
         self.release_slot(id);
+        if let Err((code, text)) = self.renew_identity(id) {
+            self.count("requests_unidentified");
+            return self.refuse(id, code, text);
+        }
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
         let retry_at = now + backoff.unwrap_or(Micros::ZERO);
--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -409,3 +409,23 @@
         assert_eq!(simulation.outcome(next), "served");
     }
 }
+
+/// The account of a request that is sent again is gone, and the database refuses connections of
+/// it. Guards against a request that waits for such a connection instead of following its key.
+#[test]
+fn a_request_that_is_sent_again_follows_its_key() {
+    for (keys, outcome) in [(&[][..], "not_authorized"), (&[("k1", "two")][..], "served")] {
+        let mut simulation = start(1, &[("k1", "one")]);
+        send(&mut simulation, "k1", "warm", "READ 1");
+        simulation.run(millis(100));
+        let read = send(&mut simulation, "k1", "r", "READ 1");
+        simulation.database("a").refused_account = Some("one".into());
+        configure(&mut simulation, 3, keys);
+        follow_store(&mut simulation);
+        simulation.lose_connections("a", millis(2));
+        simulation.run(millis(400));
+        assert_eq!(simulation.outcome(read), outcome);
+        let ran_under = simulation.accounts.get("r").cloned().flatten();
+        assert_ne!(ran_under.as_deref(), Some("one"));
+    }
+}
