Dispatch the requests of a database without nesting

A request that was refused while its database was dispatched dispatched the database again, which refused the next one. With 750 requests queued at a primary that was replaced by an unreachable one, 256 KiB of stack did not suffice.

A dispatch that is requested during another one of the same database now follows it. Two tests run with 256 KiB of stack: the case above, and 500 waiting requests whose key is removed; the latter did not nest before either.

--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -140,6 +140,17 @@
     /// When the report in flight was requested.
     pub(crate) report_requested_at: Option<Micros>,
     pub(crate) report_wanted: bool,
+    pub(crate) dispatch_state: DispatchState,
+}
+
+/// Whether queued requests are being sent to a database at the moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum DispatchState {
+    #[default]
+    Inactive,
+    Active,
+    /// Another dispatch was requested in the meantime.
+    Requested,
 }
 
 impl Database {
@@ -173,6 +184,7 @@
             open_failures: 0,
             report_requested_at: None,
             report_wanted: false,
+            dispatch_state: DispatchState::default(),
         }
     }
 
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -6,7 +6,7 @@
 
 use crate::Gate;
 use crate::backend::BackendCommand;
-use crate::database::{CommandPurpose, Database};
+use crate::database::{CommandPurpose, Database, DispatchState};
 use crate::event::{ConnectionId, SessionId};
 use crate::request::{RequestId, RequestKind, RequestStage};
 use crate::session::Transaction;
@@ -14,7 +14,32 @@
 
 impl Gate {
     /// Assigns idle connections of a database to queued requests and opens connections as needed.
+    ///
+    /// A request that ends or is routed again in the course of this asks for another dispatch, which
+    /// follows here. Within itself, the depth of the stack would grow with the queue.
     pub(crate) fn dispatch_queued(&mut self, name: &Name) {
+        let Some(database) = self.databases.get_mut(name) else { return };
+        match database.dispatch_state {
+            DispatchState::Inactive => database.dispatch_state = DispatchState::Active,
+            DispatchState::Active | DispatchState::Requested => {
+                database.dispatch_state = DispatchState::Requested;
+                return;
+            }
+        }
+        loop {
+            self.dispatch_once(name);
+            let Some(database) = self.databases.get_mut(name) else { return };
+            match database.dispatch_state {
+                DispatchState::Requested => database.dispatch_state = DispatchState::Active,
+                DispatchState::Active | DispatchState::Inactive => {
+                    database.dispatch_state = DispatchState::Inactive;
+                    return;
+                }
+            }
+        }
+    }
+
+    fn dispatch_once(&mut self, name: &Name) {
         let now = self.now;
         let Some(database) = self.databases.get(name) else { return };
         let nodes = match database.peer {
--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -429,3 +429,29 @@
         assert_ne!(ran_under.as_deref(), Some("one"));
     }
 }
+
+/// Stack for a test that must not nest once for each request.
+const SMALL_STACK_BYTES: usize = 256 * 1024;
+
+/// Guards against a stack that grows with the number of requests of a removed key.
+#[test]
+fn removing_the_key_of_many_waiting_requests_needs_little_stack() {
+    let refuse_all = || {
+        let mut simulation = start(1, &[("k1", "one")]);
+        simulation.database("a").handshake_time = Some(millis(300));
+        let sessions: Vec<_> = (0..500)
+            .map(|turn| {
+                let session = simulation.open_with_key(0, [LATEST, SESSION][turn % 2], "k1");
+                simulation.send_request(0, session, &format!("r{turn}"), "WRITE 1 x");
+                session
+            })
+            .collect();
+        simulation.run(millis(40));
+        configure(&mut simulation, 3, &[]);
+        follow_store(&mut simulation);
+        sessions.iter().filter(|id| simulation.outcome(**id) == "not_authorized").count()
+    };
+    let thread = std::thread::Builder::new().stack_size(SMALL_STACK_BYTES).spawn(refuse_all);
+    let refused = thread.expect("a thread is started").join().expect("the stack suffices");
+    assert_eq!(refused, 500);
+}
--- a/crates/gate/tests/overload.rs
+++ b/crates/gate/tests/overload.rs
@@ -3,9 +3,11 @@
 
 mod support;
 
-use gate::{ErrorCode, SessionId};
-use model::Micros;
-use support::{BOUNDED, LATEST, SESSION, Simulation};
+use std::sync::Arc;
+
+use gate::{DatabaseRole, ErrorCode, Freshness, GateEvent, SessionId};
+use model::{Micros, Term};
+use support::{BOUNDED, LATEST, SESSION, Simulation, route_table};
 
 fn millis(time: u64) -> Micros {
     Micros::from_millis(time)
@@ -227,3 +229,50 @@
     assert!(texts.iter().any(|text| text.contains("the queue")), "{texts:?}");
     assert!(!texts.iter().any(|text| text.contains("no primary")), "{texts:?}");
 }
+
+/// Many requests wait at a primary that is replaced by one to which no connection can be opened.
+/// Each refusal dispatched the next request within itself, so the stack grew with the queue.
+#[test]
+fn refusing_many_queued_requests_needs_little_stack() {
+    let refused = std::thread::Builder::new()
+        .stack_size(SMALL_STACK_BYTES)
+        .spawn(refuse_at_replaced_primary)
+        .expect("a thread is started")
+        .join()
+        .expect("the stack suffices");
+    assert!(refused > 700, "{refused} requests were refused");
+}
+
+/// Stack of the thread above: enough for a few levels of dispatch in a debug build.
+const SMALL_STACK_BYTES: usize = 256 * 1024;
+
+fn refuse_at_replaced_primary() -> usize {
+    let mut simulation = Simulation::start(1);
+    let mut table = route_table(16);
+    table.version = 2;
+    for route in table.routes.values_mut() {
+        let route = Arc::make_mut(route);
+        route.freshness = Freshness::Latest;
+        (route.timeout, route.target_latency) = (millis(9_000), millis(9_000));
+    }
+    simulation.event(0, GateEvent::RoutesChanged(Box::new(table)));
+    warm_up(&mut simulation);
+    simulation.database("a").statement_time = millis(200);
+    let mut sessions = Vec::new();
+    for route in [LATEST, BOUNDED, SESSION] {
+        for turn in 0..250 {
+            let session = simulation.open(0, route);
+            simulation.send_request(0, session, &format!("{route}{turn}"), "READ 1");
+            sessions.push(session);
+        }
+    }
+    simulation.run(millis(20));
+    let promoted = simulation.database("b");
+    (promoted.role, promoted.term) = (DatabaseRole::Primary, Term(2));
+    simulation.publish_database("b");
+    simulation.run(millis(40));
+    simulation.database("b").connection_limit = 0;
+    simulation.lose_connections("b", millis(1));
+    simulation.run(millis(600));
+    sessions.iter().filter(|session| simulation.outcome(**session) == "busy").count()
+}
