Let requests wait for a newer configuration that was already used

An owner that took the account of a forwarded request from a node with a newer configuration then served other requests by its own older one, so a request could run under an account that no longer held its key.

The node remembers the newest version that another node has used. Requests that an older version identified wait for it, 300 ms at most, and are refused as not run. After config-apply-ms the node serves by its own version again, so a version that does not arrive cannot stop it for longer.

--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -70,6 +70,11 @@
                 self.refuse_unidentified_request(id, code, text);
                 continue;
             }
+            if self.is_outdated(id) {
+                self.abandon_slot(id);
+                self.wait_for_version(id);
+                continue;
+            }
             let Some(request) = self.requests.get(&id) else { continue };
             let account = request.account().cloned();
             let (session, cluster, proof_time) =
--- a/crates/gate/src/identity.rs
+++ b/crates/gate/src/identity.rs
@@ -104,12 +104,11 @@
     }
 
     /// Sends the first statement of a transaction whose `BEGIN` was answered. If its key belongs to
-    /// another account since `BEGIN` was sent, the transaction begins again on a connection of that
-    /// account.
+    /// another account since `BEGIN` was sent, or may do so, the transaction begins again.
     pub(crate) fn send_first_statement(&mut self, id: RequestId, connection: ConnectionId) {
         match self.renew_identity(id) {
-            Ok(false) => self.send_statement(id, connection, false),
-            Ok(true) => {
+            Ok(false) if !self.is_outdated(id) => self.send_statement(id, connection, false),
+            Ok(_) => {
                 self.restore_pending_transaction(id, connection);
                 self.retry_request(id, None, ErrorCode::NotAuthorized, ErrorCode::Busy);
             }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! Modules:
 //!
-//! - `session`, `identity`: clients and their accounts
+//! - `session`, `identity`, `newer_version`: clients and their accounts
 //! - `request`, `dispatch`, `outcome`: the path of one request
 //! - `owners`, `peer`: forwarding
 //! - `connection`, `database`, `account_pool`: connections
@@ -36,6 +36,7 @@
 mod leadership_proof;
 mod log_comparison;
 mod log_holders;
+mod newer_version;
 mod node_count;
 mod outcome;
 mod owners;
@@ -85,6 +86,7 @@
 use database::{BackendConnection, Database};
 use drain::DrainState;
 use failover::FailoverState;
+use newer_version::NewerVersion;
 use node_count::NodeCountState;
 use peer::PeerState;
 use read_lease::ReadLeaseState;
@@ -117,6 +119,7 @@
     out: Vec<GateAction>,
     last_id: u64,
     table: RouteTable,
+    newer_version: NewerVersion,
     store_view: StoreView,
     sessions: FastMap<SessionId, Session>,
     requests: FastMap<RequestId, ActiveRequest>,
@@ -168,6 +171,7 @@
             out: Vec::new(),
             last_id: 0,
             table: RouteTable::default(),
+            newer_version: NewerVersion::default(),
             store_view: StoreView::default(),
             sessions: FastMap::default(),
             requests: FastMap::default(),
@@ -299,6 +303,7 @@
             let accounts = u64::try_from(directory.len()).unwrap_or(u64::MAX);
             self.log("accounts", fields!["version" => table.version, "accounts" => accounts]);
         }
+        self.newer_version.observe_own(table.version);
         self.table = table;
         self.renew_waiting_identities();
         self.update_owners();
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -27,7 +27,7 @@
 
 /// Time that a request waits for a leader or for proof of one. Another node may be able to serve
 /// it, and the client's retries must fit into its own time limit.
-const HOLD_TIMEOUT: Micros = Micros::from_millis(300);
+pub(crate) const HOLD_TIMEOUT: Micros = Micros::from_millis(300);
 
 /// Time before the owners of a cluster are asked again after none could serve a request: a third of
 /// [`HOLD_TIMEOUT`].
@@ -172,6 +172,9 @@
         if matches!(request.kind, RequestKind::Continue) {
             return self.continue_transaction(id);
         }
+        if self.is_outdated(id) {
+            return self.wait_for_version(id);
+        }
         let (route, started_at, needs_leader) =
             (request.route.clone(), request.started_at, request.needs_leader());
         let writes = matches!(request.kind, RequestKind::Write);
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -152,6 +152,9 @@
     }
 
     pub(crate) fn request_arrived(&mut self, id: SessionId, request: ClientRequest) {
+        if let Some(caller) = &request.caller {
+            self.observe_version(caller.version);
+        }
         let Some(session) = self.sessions.get(&id) else { return };
         if session.active_request.is_some() || self.refuse_while_draining(id, &request.statement) {
             return;
--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -455,3 +455,48 @@
     let refused = thread.expect("a thread is started").join().expect("the stack suffices");
     assert_eq!(refused, 500);
 }
+
+/// An owner has served a request of another node by a newer version than its own. Guards against
+/// requests that it then serves by the older one, under an account that may not hold the key.
+#[test]
+fn requests_wait_for_a_newer_version_that_was_used() {
+    let mut simulation = start(1, &[("k1", "one"), ("k2", "two")]);
+    send(&mut simulation, "k2", "warm", "READ 1");
+    simulation.run(millis(100));
+    let transaction = send(&mut simulation, "k2", "b", "BEGIN");
+    simulation.send_request(0, transaction, "t", "WRITE 1 x");
+    let newer = forward(&mut simulation, 3, "new", "newer");
+    let own = send(&mut simulation, "k1", "own", "READ 1");
+    let older = forward(&mut simulation, 2, "one", "older");
+    simulation.run(millis(200));
+    assert_eq!(simulation.outcome(newer), "served");
+    for id in ["own", "older", "t"] {
+        assert!(!simulation.accounts.contains_key(id), "{id}");
+    }
+    configure(&mut simulation, 3, &[("k1", "new"), ("k2", "other")]);
+    simulation.run(millis(300));
+    for (session, id, account) in
+        [(own, "own", "new"), (older, "older", "new"), (transaction, "t", "other")]
+    {
+        assert_eq!(simulation.outcome(session), "served", "{id}");
+        assert_eq!(simulation.accounts[id].as_deref(), Some(account), "{id}");
+    }
+}
+
+/// A node names a version that never arrives, again and again. Guards against an owner that refuses
+/// all other requests from then on.
+#[test]
+fn a_version_that_does_not_arrive_is_awaited_for_a_limited_time() {
+    let mut simulation = start(1, &[("k1", "one")]);
+    forward(&mut simulation, u64::MAX - 1, "new", "newer");
+    let own = send(&mut simulation, "k1", "own", "READ 1");
+    let older = forward(&mut simulation, 2, "one", "older");
+    simulation.run(millis(400));
+    assert_eq!((simulation.outcome(own), simulation.outcome(older)), ("busy", "misrouted"));
+    simulation.run(millis(2_600));
+    forward(&mut simulation, u64::MAX, "new", "newest");
+    let own = send(&mut simulation, "k1", "later", "READ 1");
+    simulation.run(millis(200));
+    assert_eq!(simulation.outcome(own), "served");
+    assert_eq!(simulation.accounts["later"].as_deref(), Some("one"));
+}
