Hide keys of clients in debug output

GateEvent::SessionOpened, Session and ClientMessage::Startup derived Debug and held the key as a plain name, so a log line or a dump built from them would have contained a credential.

Keys are of the type ApiKey now, whose Debug output hides them.

--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -18,6 +18,43 @@
 /// Length to which a name that is not valid is shortened in an error.
 const MAX_REPORTED_BYTES: usize = 64;
 
+/// The key of a client. It is a credential, so `Debug` hides it.
+///
+/// ```
+/// use account::ApiKey;
+///
+/// let key = ApiKey::from("k1");
+/// assert_eq!(key.as_str(), "k1");
+/// assert_eq!(format!("{key:?}"), "ApiKey(..)");
+/// ```
+#[derive(Clone, Default, PartialEq, Eq)]
+pub struct ApiKey(Name);
+
+impl ApiKey {
+    /// Returns the text of the key, which must not reach logs or state dumps.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for ApiKey {
+    fn from(key: &str) -> Self {
+        ApiKey(key.into())
+    }
+}
+
+impl From<Name> for ApiKey {
+    fn from(key: Name) -> Self {
+        ApiKey(key)
+    }
+}
+
+impl fmt::Debug for ApiKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("ApiKey(..)")
+    }
+}
+
 /// The limit of an account over all nodes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RateLimit {
--- a/crates/edge/src/codec.rs
+++ b/crates/edge/src/codec.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use gate::{
-    BackendCommand, ClientReply, ClientRequest, DatabaseReport, ErrorCode, TermPosition,
+    ApiKey, BackendCommand, ClientReply, ClientRequest, DatabaseReport, ErrorCode, TermPosition,
     TransactionState,
 };
 use model::Name;
@@ -13,7 +13,7 @@
     Startup {
         database: Name,
         /// The client's key, empty if it sent none.
-        key: Name,
+        key: ApiKey,
     },
     Request(ClientRequest),
     /// A complete message that is not a valid request; the session continues.
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use account::ApiKey;
 use model::{DatabaseRole, Micros, Name, Rank};
 
 use crate::backend::{BackendAnswer, TermPosition};
@@ -109,7 +110,7 @@
         session: SessionId,
         database: Name,
         /// The client's key; empty for other nodes.
-        key: Name,
+        key: ApiKey,
         origin: SessionOrigin,
     },
     /// The next request; the I/O driver passes one at a time.
--- a/crates/gate/src/identity.rs
+++ b/crates/gate/src/identity.rs
@@ -4,6 +4,7 @@
 //! operators remove stops open sessions, too. A forwarded request carries the key and the version by
 //! which the other node resolved it. The newer version of the two decides.
 
+use account::ApiKey;
 use model::Name;
 
 use crate::Gate;
@@ -27,7 +28,7 @@
     pub(crate) fn key_error(
         &self,
         database: &Name,
-        key: &Name,
+        key: &ApiKey,
         origin: SessionOrigin,
     ) -> Option<(ErrorCode, &'static str)> {
         match origin {
@@ -128,7 +129,7 @@
 
     fn identify_client(
         &self,
-        key: &Name,
+        key: &ApiKey,
         database: &Name,
     ) -> Result<Option<CallerIdentity>, (ErrorCode, &'static str)> {
         let result = self.identify_key(key, database);
@@ -143,11 +144,11 @@
     /// Resolves a key by the version in force, also for a transaction that began by an older one.
     fn identify_key(
         &self,
-        key: &Name,
+        key: &ApiKey,
         database: &Name,
     ) -> Result<Option<CallerIdentity>, (ErrorCode, &'static str)> {
         let Some(directory) = &self.table.accounts else { return Ok(None) };
-        let account = directory.account_of(key);
+        let account = directory.account_of(key.as_str());
         let is_public = self.table.routes.get(database).is_some_and(|route| route.public);
         if account.is_none() && !is_public {
             return Err(INVALID_KEY);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -58,6 +58,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+pub use account::ApiKey;
 pub use action::{ClientReply, GateAction, LogRecord, LogValue};
 pub use backend::{AnswerEnd, BackendAnswer, BackendCommand, DatabaseReport, TermPosition};
 pub use event::{
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use account::MAX_KEY_BYTES;
+use account::{ApiKey, MAX_KEY_BYTES};
 use model::{FastMap, Micros, Name};
 
 use crate::action::{ClientReply, GateAction};
@@ -57,7 +57,7 @@
 #[derive(Debug)]
 pub(crate) struct Session {
     pub(crate) database: Name,
-    pub(crate) key: Name,
+    pub(crate) key: ApiKey,
     opened_at: Micros,
     pub(crate) values: BTreeMap<Name, Name>,
     pub(crate) prepared: FastMap<Name, (StatementAccess, Name)>,
@@ -91,7 +91,7 @@
         &mut self,
         session: SessionId,
         database: Name,
-        key: Name,
+        key: ApiKey,
         origin: SessionOrigin,
     ) {
         let refusal = if self.table.version == 0 {
@@ -111,7 +111,7 @@
         let state = Session {
             database,
             // No account can hold a longer key, and it is forwarded with each request.
-            key: if key.len() > MAX_KEY_BYTES { Name::default() } else { key },
+            key: if key.as_str().len() > MAX_KEY_BYTES { ApiKey::default() } else { key },
             opened_at: self.now,
             values: BTreeMap::new(),
             prepared: FastMap::default(),
--- a/crates/gate/src/statement.rs
+++ b/crates/gate/src/statement.rs
@@ -1,5 +1,6 @@
 //! Requests of clients as typed statements.
 
+use account::ApiKey;
 use model::Name;
 
 use crate::backend::TermPosition;
@@ -43,25 +44,14 @@
 }
 
 /// Who sent a request, as the node that accepted the client knows it.
-#[derive(Clone, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallerIdentity {
     /// Version of the configuration by which `account` was found.
     pub version: u64,
     /// `None` for a client of a public route whose key no account holds.
     pub account: Option<Name>,
     /// The client's key; never sent to a database.
-    pub key: Name,
-}
-
-// The key is a credential, so it must not reach logs.
-impl std::fmt::Debug for CallerIdentity {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter
-            .debug_struct("CallerIdentity")
-            .field("version", &self.version)
-            .field("account", &self.account)
-            .finish_non_exhaustive()
-    }
+    pub key: ApiKey,
 }
 
 /// A client's request.
--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -500,3 +500,19 @@
     assert_eq!(simulation.outcome(own), "served");
     assert_eq!(simulation.accounts["later"].as_deref(), Some("one"));
 }
+
+/// Guards against a key, which is a credential, in the `Debug` output of events and of a gate.
+#[test]
+fn debug_output_contains_no_key() {
+    let mut simulation = start(1, &[("secret", "one")]);
+    let opened = GateEvent::SessionOpened {
+        session: SessionId(1),
+        database: LATEST.into(),
+        key: "secret".into(),
+        origin: SessionOrigin::Client,
+    };
+    assert!(!format!("{opened:?}").contains("secret"));
+    send(&mut simulation, "secret", "r", "READ 1");
+    let state = format!("{:?}", simulation.gates[0]);
+    assert!(state.contains("Session {") && !state.contains("secret"));
+}
--- a/crates/gate/tests/forwarded_sessions.rs
+++ b/crates/gate/tests/forwarded_sessions.rs
@@ -132,7 +132,7 @@
     gate.event(GateEvent::SessionOpened {
         session: SessionId(1),
         database: LATEST.into(),
-        key: Name::default(),
+        key: gate::ApiKey::default(),
         origin: SessionOrigin::Client,
     });
     request(gate, 1, "b", "BEGIN", Statement::Begin { read_only: false });
--- a/crates/gate/tests/store_view.rs
+++ b/crates/gate/tests/store_view.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use gate::{ErrorCode, GateAction, GateEvent, LogValue, SessionId, SessionOrigin};
-use model::{Micros, Name};
+use model::Micros;
 use support::single_gate::SingleGate;
 
 /// Returns a field of the last record of an event.
@@ -27,7 +27,7 @@
     gate.event(GateEvent::SessionOpened {
         session: SessionId(1),
         database,
-        key: Name::default(),
+        key: gate::ApiKey::default(),
         origin,
     });
     gate
--- a/crates/gate/tests/support/single_gate.rs
+++ b/crates/gate/tests/support/single_gate.rs
@@ -99,7 +99,7 @@
     pub fn read(&mut self, number: u64, route: &str) {
         let session = SessionId(number);
         let (database, origin) = (route.into(), SessionOrigin::Client);
-        self.event(GateEvent::SessionOpened { session, database, key: Name::default(), origin });
+        self.event(GateEvent::SessionOpened { session, database, key: ApiKey::default(), origin });
         let (id, text) = (Name::from(format!("r{number}")), Name::from("READ 1"));
         let request = ClientRequest {
             id,
