Test that accounts are served when their connections are lost

All connections of a database are lost while some accounts have one, some wait for one and some have none yet. No test covered this; it passes as it is.

--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -357,10 +357,7 @@
     assert_eq!(simulation.promotions.len(), 1);
     let (sent, served, _) = load.outcome(&simulation, 0..40);
     assert_eq!(served, sent);
-    for (id, account) in &simulation.accounts {
-        let expected = id.split_once('-').map(|(account, _)| format!("t{account}"));
-        assert_eq!(account.as_deref(), expected.as_deref(), "{id}");
-    }
+    assert_own_accounts(&simulation);
 }
 
 /// Guards against a handshake for each account that pauses, and against an owner that keeps the
@@ -516,3 +513,32 @@
     let state = format!("{:?}", simulation.gates[0]);
     assert!(state.contains("Session {") && !state.contains("secret"));
 }
+
+/// Checks that each request ran under the account that its id names.
+fn assert_own_accounts(simulation: &Simulation) {
+    for (id, account) in &simulation.accounts {
+        let expected = id.split_once('-').map(|(account, _)| format!("t{account}"));
+        assert_eq!(account.as_deref(), expected.as_deref(), "{id}");
+    }
+}
+
+/// Guards against requests that are forgotten, or run under another account, when the connections
+/// that their accounts wait for are lost.
+#[test]
+fn accounts_wait_for_another_connection_when_one_is_lost() {
+    let mut simulation = many_accounts(10);
+    let mut sessions = Vec::new();
+    for turn in 0..3 {
+        for index in 0..10 {
+            let id = format!("{index}-{turn}");
+            sessions.push(send(&mut simulation, &format!("k{index}"), &id, "READ 1"));
+        }
+    }
+    // Some connections are open by now, some are being opened, and some accounts have none.
+    simulation.run(millis(40));
+    simulation.lose_connections("a", millis(1));
+    simulation.run(millis(700));
+    let served = sessions.iter().filter(|session| simulation.outcome(**session) == "served");
+    assert_eq!(served.count(), sessions.len());
+    assert_own_accounts(&simulation);
+}
