Report to failovers although transactions hold all connections

A failover asks the replicas for reports first. Where transactions held all connections to a replica that requests may use, the report was never sent, and the failover was given up after 500 ms and tried again 1.5 s later.

During a failover a report opens one connection more, as fences and demotions do.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -328,7 +328,12 @@
             connections.get(&database.idle[*index]).and_then(|connection| connection.established_at)
         });
         let Some(oldest) = oldest else {
+            let cluster = database.listed.cluster.clone();
             self.open_connections(name);
+            if self.failovers.running.contains_key(&cluster) {
+                // Transactions may hold all connections that requests may use.
+                self.open_control_connection(name);
+            }
             return;
         };
         let connection = database.idle.swap_remove(oldest);
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -204,7 +204,7 @@
 
     /// Opens a connection to a database for a command that does not belong to a client, beyond the
     /// limit for requests, because the answers to all of those may be lost.
-    fn open_control_connection(&mut self, name: &Name) {
+    pub(crate) fn open_control_connection(&mut self, name: &Name) {
         let now = self.now;
         let Some(database) = self.databases.get(name) else { return };
         let share = self.steady_connections(&database.listed.cluster);
--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -542,3 +542,41 @@
     assert_eq!(served.count(), sessions.len());
     assert_own_accounts(&simulation);
 }
+
+/// Transactions of accounts hold the connections to the replicas when the primary fails. Guards
+/// against a failover whose reports and fences wait for them, or whose commands change the account
+/// under which a request runs.
+#[test]
+fn a_failover_does_not_wait_for_transactions_of_accounts() {
+    let mut simulation = many_accounts(40);
+    let mut load = AccountLoad::new(40);
+    load.send(&mut simulation, 100.0, 1.0, Micros::from_secs(1));
+    let transactions: Vec<_> = (0..80)
+        .map(|index| {
+            let account = index % 40;
+            let session = simulation.open_with_key(0, BOUNDED, &format!("k{account}"));
+            simulation.send_request(0, session, &format!("{account}-b{index}"), "BEGIN READ");
+            simulation.send_request(0, session, &format!("{account}-r{index}"), "READ 1");
+            simulation.run(millis(20));
+            session
+        })
+        .collect();
+    let (at_b, at_c) = (simulation.connection_count("b"), simulation.connection_count("c"));
+    assert!(at_b.max(at_c) >= 28, "the connections to a replica are in use: {at_b}, {at_c}");
+    simulation.fail_database("a");
+    let failed_at = simulation.now;
+    load.send(&mut simulation, 50.0, 1.0, Micros::from_secs(2));
+    assert_eq!(simulation.promotions.len(), 1);
+    let time = simulation.promotions[0].0.saturating_sub(failed_at).as_millis();
+    assert!(time < 2_000, "the promotion was called after {time} ms");
+    for (index, session) in transactions.iter().enumerate() {
+        let id = format!("{}-c{index}", index % 40);
+        simulation.send_request(0, *session, &id, "COMMIT");
+    }
+    simulation.run(Micros::from_secs(8));
+    load.sent.clear();
+    load.send(&mut simulation, 50.0, 1.0, Micros::from_secs(2));
+    let (sent, served, _) = load.outcome(&simulation, 0..40);
+    assert_eq!(served, sent);
+    assert_own_accounts(&simulation);
+}
