--- a/crates/gate/src/allotment.rs
+++ b/crates/gate/src/allotment.rs
@@ -406,7 +406,7 @@
             return self.reply_error(id, ErrorCode::Malformed, "not a session of a node");
         }
         // The start-up message of a node names the node and then the entry that stands for this one.
-        let node = session.key.split(' ').next().map(Name::from).unwrap_or_default();
+        let node = session.key.as_str().split(' ').next().map(Name::from).unwrap_or_default();
         let ledger = self.allotments.node.as_mut();
         let grants = ledger.map(|ledger| ledger.answer(now, &node, id.0, request));
         let grants = grants.unwrap_or_default();
--- a/crates/gate/src/identity.rs
+++ b/crates/gate/src/identity.rs
@@ -4,10 +4,11 @@
 //! operators remove stops open sessions, too. A forwarded request carries the key and the version by
 //! which the other node resolved it. The newer version of the two decides.
 
+use account::ApiKey;
 use model::Name;
 
 use crate::Gate;
-use crate::event::{SessionId, SessionOrigin};
+use crate::event::{ConnectionId, SessionId, SessionOrigin};
 use crate::request::{ActiveRequest, RequestId, RequestKind, RequestStage};
 use crate::session::Transaction;
 use crate::statement::{CallerIdentity, ErrorCode};
@@ -27,7 +28,7 @@
     pub(crate) fn key_error(
         &self,
         database: &Name,
-        key: &Name,
+        key: &ApiKey,
         origin: SessionOrigin,
     ) -> Option<(ErrorCode, &'static str)> {
         match origin {
@@ -103,6 +104,22 @@
         }
     }
 
+    /// Sends the first statement of a transaction whose `BEGIN` was answered. If its key belongs to
+    /// another account since `BEGIN` was sent, or may do so, the transaction begins again.
+    pub(crate) fn send_first_statement(&mut self, id: RequestId, connection: ConnectionId) {
+        match self.renew_identity(id) {
+            Ok(false) if !self.is_outdated(id) => self.send_statement(id, connection, false),
+            Ok(_) => {
+                self.restore_pending_transaction(id, connection);
+                self.retry_request(id, None, ErrorCode::NotAuthorized, ErrorCode::Busy);
+            }
+            Err((code, text)) => {
+                self.count("requests_unidentified");
+                self.fail_transaction(id, code, text);
+            }
+        }
+    }
+
     /// Returns true if another node refused a request because no account holds its key. It has run
     /// nothing of the request then.
     pub(crate) fn is_unidentified_at_peer(&self, request: &ActiveRequest, code: ErrorCode) -> bool {
@@ -112,7 +129,7 @@
 
     fn identify_client(
         &self,
-        key: &Name,
+        key: &ApiKey,
         database: &Name,
     ) -> Result<Option<CallerIdentity>, (ErrorCode, &'static str)> {
         let result = self.identify_key(key, database);
@@ -127,11 +144,11 @@
     /// Resolves a key by the version in force, also for a transaction that began by an older one.
     fn identify_key(
         &self,
-        key: &Name,
+        key: &ApiKey,
         database: &Name,
     ) -> Result<Option<CallerIdentity>, (ErrorCode, &'static str)> {
         let Some(directory) = &self.table.accounts else { return Ok(None) };
-        let account = directory.account_of(key);
+        let account = directory.account_of(key.as_str());
         let is_public = self.table.routes.get(database).is_some_and(|route| route.public);
         if account.is_none() && !is_public {
             return Err(INVALID_KEY);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! Modules:
 //!
-//! - `session`, `identity`: clients and their accounts
+//! - `session`, `identity`, `newer_version`: clients and their accounts
 //! - `request`, `dispatch`, `outcome`: the path of one request
 //! - `responsiveness`: how well databases answer
 //! - `owners`, `peer`: forwarding
@@ -39,6 +39,7 @@
 mod leadership_proof;
 mod log_comparison;
 mod log_holders;
+mod newer_version;
 mod node_count;
 mod outcome;
 mod owners;
@@ -62,6 +63,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+pub use account::ApiKey;
 pub use allot::{AllotmentDemand, AllotmentGrant, AllotmentRequest, QuotaBound};
 
 pub use action::{ClientReply, GateAction, LogRecord, LogValue};
@@ -95,6 +97,7 @@
 use database::{BackendConnection, Database};
 use drain::DrainState;
 use failover::FailoverState;
+use newer_version::NewerVersion;
 use node_count::NodeCountState;
 use peer::PeerState;
 use read_lease::ReadLeaseState;
@@ -127,6 +130,7 @@
     out: Vec<GateAction>,
     last_id: u64,
     table: RouteTable,
+    newer_version: NewerVersion,
     store_view: StoreView,
     sessions: FastMap<SessionId, Session>,
     session_memory: SessionMemory,
@@ -181,6 +185,7 @@
             out: Vec::new(),
             last_id: 0,
             table: RouteTable::default(),
+            newer_version: NewerVersion::default(),
             store_view: StoreView::default(),
             sessions: FastMap::default(),
             session_memory: SessionMemory::default(),
@@ -318,6 +323,7 @@
             let accounts = u64::try_from(directory.len()).unwrap_or(u64::MAX);
             self.log("accounts", fields!["version" => table.version, "accounts" => accounts]);
         }
+        self.newer_version.observe_own(table.version);
         self.table = table;
         self.renew_waiting_identities();
         self.update_owners();
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -60,6 +60,10 @@
         code: ErrorCode,
     ) {
         self.release_slot(id);
+        if let Err((code, text)) = self.renew_identity(id) {
+            self.count("requests_unidentified");
+            return self.refuse(id, code, text);
+        }
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
         let retry_at = now + backoff.unwrap_or(Micros::ZERO);
@@ -113,7 +117,7 @@
                 let statement_sent = request.statement_sent;
                 self.release_slot(id);
                 if !statement_sent {
-                    self.send_statement(id, connection, false);
+                    self.send_first_statement(id, connection);
                 }
             }
             AnswerEnd::Failed { code, text } => {
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use account::MAX_KEY_BYTES;
+use account::{ApiKey, MAX_KEY_BYTES};
 use model::{FastMap, MemoryCharge, Micros, Name};
 
 use crate::action::{ClientReply, GateAction};
@@ -58,7 +58,7 @@
 #[derive(Debug)]
 pub(crate) struct Session {
     pub(crate) database: Name,
-    pub(crate) key: Name,
+    pub(crate) key: ApiKey,
     opened_at: Micros,
     pub(crate) values: BTreeMap<Name, Name>,
     pub(crate) prepared: FastMap<Name, (StatementAccess, Name)>,
@@ -95,12 +95,12 @@
         &mut self,
         session: SessionId,
         database: Name,
-        key: Name,
+        key: ApiKey,
         origin: SessionOrigin,
     ) {
         let mut charge = self.session_memory.budget.charge();
         // A longer key is not kept.
-        let key_bytes = if key.len() > MAX_KEY_BYTES { 0 } else { key.len() };
+        let key_bytes = if key.as_str().len() > MAX_KEY_BYTES { 0 } else { key.as_str().len() };
         let kept = self.session_memory.replace(&mut charge, 0, key_bytes);
         let refusal = if self.table.version == 0 {
             Some((ErrorCode::Busy, "no configuration yet"))
@@ -126,7 +126,7 @@
         let state = Session {
             database,
             // No account can hold a longer key, and it is forwarded with each request.
-            key: if key.len() > MAX_KEY_BYTES { Name::default() } else { key },
+            key: if key.as_str().len() > MAX_KEY_BYTES { ApiKey::default() } else { key },
             opened_at: self.now,
             values: BTreeMap::new(),
             prepared: FastMap::default(),
@@ -172,6 +172,9 @@
         if let Statement::Allot(demands) = &request.statement {
             return self.answer_allotments(id, demands);
         }
+        if let Some(caller) = &request.caller {
+            self.observe_version(caller.version);
+        }
         let Some(session) = self.sessions.get(&id) else { return };
         if session.active_request.is_some() || self.refuse_while_draining(id, &request.statement) {
             return;
@@ -224,7 +227,7 @@
             Statement::Reset => {
                 session.values.clear();
                 session.prepared.clear();
-                session.charge.resize(session.key.len() + session.begin_bytes);
+                session.charge.resize(session.key.as_str().len() + session.begin_bytes);
                 self.reply_done(id);
             }
             // Handled above.
--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -357,10 +357,7 @@
     assert_eq!(simulation.promotions.len(), 1);
     let (sent, served, _) = load.outcome(&simulation, 0..40);
     assert_eq!(served, sent);
-    for (id, account) in &simulation.accounts {
-        let expected = id.split_once('-').map(|(account, _)| format!("t{account}"));
-        assert_eq!(account.as_deref(), expected.as_deref(), "{id}");
-    }
+    assert_own_accounts(&simulation);
 }
 
 /// Guards against a handshake for each account that pauses, and against an owner that keeps the
@@ -384,3 +381,202 @@
     simulation.run(millis(700));
     assert_eq!(simulation.connection_count("a"), 0);
 }
+
+/// `BEGIN` is on its way when the configuration changes. Guards against a first statement that runs
+/// under an account that does not hold the key any more.
+#[test]
+fn a_key_that_changes_while_a_transaction_begins_is_resolved_again() {
+    for (keys, outcome, account) in
+        [(&[][..], "not_authorized", None), (&[("k1", "two")][..], "served", Some("two"))]
+    {
+        let mut simulation = start(1, &[("k1", "one")]);
+        send(&mut simulation, "k1", "warm", "READ 1");
+        simulation.run(millis(100));
+        let transaction = send(&mut simulation, "k1", "b", "BEGIN");
+        simulation.send_request(0, transaction, "t", "WRITE 1 x");
+        configure(&mut simulation, 3, keys);
+        simulation.run(millis(200));
+        assert_eq!(simulation.outcome(transaction), outcome);
+        let ran_under = simulation.accounts.get("t").map(|account| account.as_deref());
+        assert_eq!(ran_under, account.map(Some));
+        // The connection of the transaction that did not begin is free again.
+        let next = simulation.open_with_key(0, BOUNDED, "k1");
+        simulation.send_request(0, next, "n", "READ 1");
+        simulation.run(millis(200));
+        assert_eq!(simulation.outcome(next), "served");
+    }
+}
+
+/// The account of a request that is sent again is gone, and the database refuses connections of
+/// it. Guards against a request that waits for such a connection instead of following its key.
+#[test]
+fn a_request_that_is_sent_again_follows_its_key() {
+    for (keys, outcome) in [(&[][..], "not_authorized"), (&[("k1", "two")][..], "served")] {
+        let mut simulation = start(1, &[("k1", "one")]);
+        send(&mut simulation, "k1", "warm", "READ 1");
+        simulation.run(millis(100));
+        let read = send(&mut simulation, "k1", "r", "READ 1");
+        simulation.database("a").refused_account = Some("one".into());
+        configure(&mut simulation, 3, keys);
+        follow_store(&mut simulation);
+        simulation.lose_connections("a", millis(2));
+        simulation.run(millis(400));
+        assert_eq!(simulation.outcome(read), outcome);
+        let ran_under = simulation.accounts.get("r").cloned().flatten();
+        assert_ne!(ran_under.as_deref(), Some("one"));
+    }
+}
+
+/// Stack for a test that must not nest once for each request.
+const SMALL_STACK_BYTES: usize = 256 * 1024;
+
+/// Guards against a stack that grows with the number of requests of a removed key.
+#[test]
+fn removing_the_key_of_many_waiting_requests_needs_little_stack() {
+    let refuse_all = || {
+        let mut simulation = start(1, &[("k1", "one")]);
+        simulation.database("a").handshake_time = Some(millis(300));
+        let sessions: Vec<_> = (0..500)
+            .map(|turn| {
+                let session = simulation.open_with_key(0, [LATEST, SESSION][turn % 2], "k1");
+                simulation.send_request(0, session, &format!("r{turn}"), "WRITE 1 x");
+                session
+            })
+            .collect();
+        simulation.run(millis(40));
+        configure(&mut simulation, 3, &[]);
+        follow_store(&mut simulation);
+        sessions.iter().filter(|id| simulation.outcome(**id) == "not_authorized").count()
+    };
+    let thread = std::thread::Builder::new().stack_size(SMALL_STACK_BYTES).spawn(refuse_all);
+    let refused = thread.expect("a thread is started").join().expect("the stack suffices");
+    assert_eq!(refused, 500);
+}
+
+/// An owner has served a request of another node by a newer version than its own. Guards against
+/// requests that it then serves by the older one, under an account that may not hold the key.
+#[test]
+fn requests_wait_for_a_newer_version_that_was_used() {
+    let mut simulation = start(1, &[("k1", "one"), ("k2", "two")]);
+    send(&mut simulation, "k2", "warm", "READ 1");
+    simulation.run(millis(100));
+    let transaction = send(&mut simulation, "k2", "b", "BEGIN");
+    simulation.send_request(0, transaction, "t", "WRITE 1 x");
+    let newer = forward(&mut simulation, 3, "new", "newer");
+    let own = send(&mut simulation, "k1", "own", "READ 1");
+    let older = forward(&mut simulation, 2, "one", "older");
+    simulation.run(millis(200));
+    assert_eq!(simulation.outcome(newer), "served");
+    for id in ["own", "older", "t"] {
+        assert!(!simulation.accounts.contains_key(id), "{id}");
+    }
+    configure(&mut simulation, 3, &[("k1", "new"), ("k2", "other")]);
+    simulation.run(millis(300));
+    for (session, id, account) in
+        [(own, "own", "new"), (older, "older", "new"), (transaction, "t", "other")]
+    {
+        assert_eq!(simulation.outcome(session), "served", "{id}");
+        assert_eq!(simulation.accounts[id].as_deref(), Some(account), "{id}");
+    }
+}
+
+/// A node names a version that never arrives, again and again. Guards against an owner that refuses
+/// all other requests from then on.
+#[test]
+fn a_version_that_does_not_arrive_is_awaited_for_a_limited_time() {
+    let mut simulation = start(1, &[("k1", "one")]);
+    forward(&mut simulation, u64::MAX - 1, "new", "newer");
+    let own = send(&mut simulation, "k1", "own", "READ 1");
+    let older = forward(&mut simulation, 2, "one", "older");
+    simulation.run(millis(400));
+    assert_eq!((simulation.outcome(own), simulation.outcome(older)), ("busy", "misrouted"));
+    simulation.run(millis(2_600));
+    forward(&mut simulation, u64::MAX, "new", "newest");
+    let own = send(&mut simulation, "k1", "later", "READ 1");
+    simulation.run(millis(200));
+    assert_eq!(simulation.outcome(own), "served");
+    assert_eq!(simulation.accounts["later"].as_deref(), Some("one"));
+}
+
+/// Guards against a key, which is a credential, in the `Debug` output of events and of a gate.
+#[test]
+fn debug_output_contains_no_key() {
+    let mut simulation = start(1, &[("secret", "one")]);
+    let opened = GateEvent::SessionOpened {
+        session: SessionId(1),
+        database: LATEST.into(),
+        key: "secret".into(),
+        origin: SessionOrigin::Client,
+    };
+    assert!(!format!("{opened:?}").contains("secret"));
+    send(&mut simulation, "secret", "r", "READ 1");
+    let state = format!("{:?}", simulation.gates[0]);
+    assert!(state.contains("Session {") && !state.contains("secret"));
+}
+
+/// Checks that each request ran under the account that its id names.
+fn assert_own_accounts(simulation: &Simulation) {
+    for (id, account) in &simulation.accounts {
+        let expected = id.split_once('-').map(|(account, _)| format!("t{account}"));
+        assert_eq!(account.as_deref(), expected.as_deref(), "{id}");
+    }
+}
+
+/// Guards against requests that are forgotten, or run under another account, when the connections
+/// that their accounts wait for are lost.
+#[test]
+fn accounts_wait_for_another_connection_when_one_is_lost() {
+    let mut simulation = many_accounts(10);
+    let mut sessions = Vec::new();
+    for turn in 0..3 {
+        for index in 0..10 {
+            let id = format!("{index}-{turn}");
+            sessions.push(send(&mut simulation, &format!("k{index}"), &id, "READ 1"));
+        }
+    }
+    // Some connections are open by now, some are being opened, and some accounts have none.
+    simulation.run(millis(40));
+    simulation.lose_connections("a", millis(1));
+    simulation.run(millis(700));
+    let served = sessions.iter().filter(|session| simulation.outcome(**session) == "served");
+    assert_eq!(served.count(), sessions.len());
+    assert_own_accounts(&simulation);
+}
+
+/// Transactions of accounts hold the connections to the replicas when the primary fails. Guards
+/// against a failover whose reports and fences wait for them, or whose commands change the account
+/// under which a request runs.
+#[test]
+fn a_failover_does_not_wait_for_transactions_of_accounts() {
+    let mut simulation = many_accounts(40);
+    let mut load = AccountLoad::new(40);
+    load.send(&mut simulation, 100.0, 1.0, Micros::from_secs(1));
+    let transactions: Vec<_> = (0..80)
+        .map(|index| {
+            let account = index % 40;
+            let session = simulation.open_with_key(0, BOUNDED, &format!("k{account}"));
+            simulation.send_request(0, session, &format!("{account}-b{index}"), "BEGIN READ");
+            simulation.send_request(0, session, &format!("{account}-r{index}"), "READ 1");
+            simulation.run(millis(20));
+            session
+        })
+        .collect();
+    let (at_b, at_c) = (simulation.connection_count("b"), simulation.connection_count("c"));
+    assert!(at_b.max(at_c) >= 28, "the connections to a replica are in use: {at_b}, {at_c}");
+    simulation.fail_database("a");
+    let failed_at = simulation.now;
+    load.send(&mut simulation, 50.0, 1.0, Micros::from_secs(2));
+    assert_eq!(simulation.promotions.len(), 1);
+    let time = simulation.promotions[0].0.saturating_sub(failed_at).as_millis();
+    assert!(time < 2_000, "the promotion was called after {time} ms");
+    for (index, session) in transactions.iter().enumerate() {
+        let id = format!("{}-c{index}", index % 40);
+        simulation.send_request(0, *session, &id, "COMMIT");
+    }
+    simulation.run(Micros::from_secs(8));
+    load.sent.clear();
+    load.send(&mut simulation, 50.0, 1.0, Micros::from_secs(2));
+    let (sent, served, _) = load.outcome(&simulation, 0..40);
+    assert_eq!(served, sent);
+    assert_own_accounts(&simulation);
+}
--- a/crates/gate/tests/support/peer_links.rs
+++ b/crates/gate/tests/support/peer_links.rs
@@ -140,7 +140,10 @@
             LinkDelivery::Open { database, .. } => {
                 let key = Name::from(format!("{} {}/{database}", self.names[from], self.names[to]));
                 let origin = SessionOrigin::Peer;
-                self.event(to, GateEvent::SessionOpened { session, database, key, origin });
+                self.event(
+                    to,
+                    GateEvent::SessionOpened { session, database, key: key.into(), origin },
+                );
             }
             LinkDelivery::Request { request, .. } => {
                 if let Some(link) = self.links.links.get_mut(&session) {
