Count a database that reports a lower term and a shorter log as lost

`ReportedLog::observe` marked a log as lost only if the report had the same term as before. A database that starts again with an empty log reports term 0, so its report was ignored and the database counted as compared. With one more database missing, a failover then took the logs for complete and promoted a log without acknowledged commits.

Any shorter log without a higher term now counts as lost. A late report of a former term has the same effect until the next report, which can only delay a failover.

`a_replica_that_lost_its_log_and_its_term_is_not_compared` in crates/gate/tests/log_coverage.rs fails without the change: `c` is promoted without ten commits that only `a` and the restarted `b` had received.

--- a/crates/gate/src/log_comparison.rs
+++ b/crates/gate/src/log_comparison.rs
@@ -53,16 +53,17 @@
 pub(crate) struct ReportedLog {
     term: Term,
     longest: TermPosition,
-    /// Its last report told a shorter log of the same term.
+    /// Its last report told a shorter log without a higher term.
     pub(crate) lost: bool,
 }
 
 impl ReportedLog {
-    /// Processes a report. A promotion may roll a log back, but raises the term.
+    /// Processes a report. A promotion may roll a log back, but raises the term. A database that has
+    /// started again without its log may report a lower term than before, or none.
     pub(crate) fn observe(&mut self, report: &DatabaseReport) {
         if report.term > self.term || report.received >= self.longest {
             *self = ReportedLog { term: report.term, longest: report.received, lost: false };
-        } else if report.term == self.term {
+        } else {
             self.lost = true;
         }
     }
--- a/crates/gate/tests/log_coverage.rs
+++ b/crates/gate/tests/log_coverage.rs
@@ -148,3 +148,33 @@
         assert!(simulation.now < failed + millis(4_000), "no promotion");
     }
 }
+
+/// Guards against the loss of commits that only the primary and a replica held which has started
+/// again without its log: such a replica reports no term, and counted as compared.
+#[test]
+fn a_replica_that_lost_its_log_and_its_term_is_not_compared() {
+    let mut simulation = Simulation::start(4);
+    // Every node knows the log up to here; what follows is known only to a node that dies.
+    simulation.run_with_reads(&READS, millis(3_500));
+    simulation.database("c").replication_stopped = true;
+    for gate in 0..3 {
+        simulation.cut(gate, "a");
+        simulation.cut(gate, "b");
+    }
+    let end = simulation.write(3, 10);
+    simulation.stopped.insert(3);
+    simulation.renewing.remove(&3);
+    simulation.remove_registration(3);
+    simulation.database("a").unreachable = true;
+    simulation.start_database_anew("b", millis(1));
+    simulation.cuts.clear();
+    simulation.run_with_reads(&READS, millis(8_000));
+    assert_eq!(simulation.promoted_databases(), [] as [&str; 0], "commits up to {end} are lost");
+    simulation.restore_database("a");
+    simulation.database("c").replication_stopped = false;
+    simulation.run_with_reads(&READS, millis(4_000));
+    let session = simulation.open(0, LATEST);
+    simulation.send_request(0, session, "again", "READ 1");
+    simulation.run(millis(50));
+    assert_eq!(simulation.outcome(session), "served");
+}
