Order revisions and fencing tokens across eras of the store

A store that comes back from an older copy assigns revisions again. Tokens of the promotion lease follow the revision, so two holders could get the same one; the copy may say that the lease is idle while its holder acts; and an acknowledgement or a list could be taken for one of the present store.

Revisions now contain the era in their upper bits, and the record of the promotion lease contains the era in which it was written. A new era, which begins with a list, makes a node give up the promotion lease, its read lease and its registration. Nothing is claimed before the wait for a silent holder. An announcement that the copy lacks goes on until the record is written again. Lists and changes of another era are ignored. The simulated store learns eras.

A store without eras has era 0: tokens and records are as before.

--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -324,13 +324,16 @@
 }
 
 fn read_state<S: StoreClient>(client: &S) -> Result<StoreState, StoreError> {
-    let (items, _) = client.list()?;
-    Ok(sort_items(items).0)
+    let (items, revision) = client.list()?;
+    Ok(sort_items(items, revision).0)
 }
 
 /// Sorts listed items by kind; returns the configuration separately.
-pub(crate) fn sort_items(items: Vec<StoreItem>) -> (StoreState, Option<Box<RouteTable>>) {
-    let mut state = StoreState { databases: Vec::new(), documents: Vec::new() };
+pub(crate) fn sort_items(
+    items: Vec<StoreItem>,
+    revision: u64,
+) -> (StoreState, Option<Box<RouteTable>>) {
+    let mut state = StoreState { revision, databases: Vec::new(), documents: Vec::new() };
     let mut routes = None;
     for item in items {
         match item {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -303,7 +303,7 @@
 }
 
 fn report_items(items: Vec<StoreItem>, revision: u64, events: &Channel<GateEvent>) {
-    let (StoreState { databases, documents }, routes) = sort_items(items);
+    let (StoreState { databases, documents, .. }, routes) = sort_items(items, revision);
     if let Some(table) = routes {
         events.send(GateEvent::RoutesChanged(table));
     }
--- a/crates/gate/src/dump.rs
+++ b/crates/gate/src/dump.rs
@@ -66,7 +66,7 @@
             "node": self.settings.node,
             "data_centre": self.settings.data_centre,
             "configuration": self.table.version,
-            "store": { "revision": self.store_view.revision,
+            "store": { "revision": self.store_view.revision, "era": self.store_era,
                 "age_ms": self.store_view.known_at.map(|_| self.store_view.age_ms(now)) },
             "sessions": self.sessions.len(),
             "requests": self.requests.len(),
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -97,6 +97,8 @@
 /// State of the store at one time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreState {
+    /// Revision of the store when it was read.
+    pub revision: u64,
     pub databases: Vec<ListedDatabase>,
     pub documents: Vec<StoredDocument>,
 }
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -249,8 +249,8 @@
     pub(crate) fn maintain_promotion_lease(&mut self) {
         let now = self.now;
         let (_, record) = self.promotion_lease.record();
-        let abandoned =
-            !record.announced_clusters.is_empty() && !self.promotion_lease.is_held_elsewhere(now);
+        let abandoned = !self.promotion_lease.is_held_elsewhere(now)
+            && (!record.announced_clusters.is_empty() || record.era != self.store_era);
         let unfence_pending = self.connections.values().any(|connection| {
             connection.pending.iter().any(|pending| pending.purpose == CommandPurpose::Unfence)
         });
@@ -260,8 +260,8 @@
                 && self.promotion_lease.fencing_token(now).is_none()
                 && self.has_stable_store_contact()
             {
-                // The announcement of a failed holder is cleared by claiming the lease and
-                // releasing it.
+                // The announcement of a failed holder is cleared, and a record of a former era is
+                // replaced, by claiming the lease and releasing it.
                 self.promotion_lease.claim(now, Vec::new())
             } else {
                 self.promotion_lease.release(now)
@@ -490,7 +490,9 @@
     /// Processes the state of the store; `None` means that the store did not answer.
     pub(crate) fn store_state_read(&mut self, state: Option<StoreState>) {
         let clusters: Vec<Name> = self.failovers.running.keys().cloned().collect();
-        let Some(StoreState { databases, documents }) = state else {
+        // A restored store may lack registrations of nodes that have read leases of the former era.
+        let present = state.filter(|state| self.is_in_present_era(state.revision));
+        let Some(StoreState { databases, documents, .. }) = present else {
             for failover in self.failovers.running.values_mut() {
                 if failover.stage.reads_lists() {
                     failover.in_flight = false;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,7 +13,7 @@
 //! - `connection`, `database`, `account_pool`: connections
 //! - `cluster`, `leadership_proof`, `read_lease`: what is known about primaries
 //! - `registration`, `registry`, `node_count`: the nodes
-//! - `store_view`: how current the lists of all these are
+//! - `store_view`, `store_era`: how current the lists of all these are, and restored stores
 //! - `suspicion`, `failover`, `fencing`, `log_comparison`, `log_holders`,
 //!   `promotion_lease`: the replacement of
 //!   primaries
@@ -50,6 +50,7 @@
 mod session;
 mod settings;
 mod statement;
+mod store_era;
 mod store_view;
 mod suspicion;
 
@@ -80,6 +81,7 @@
 pub use statement::{
     CallerIdentity, ClientRequest, ErrorCode, Statement, StatementAccess, TransactionState,
 };
+pub use store_era::{assigned_revision, era_of_revision, revision_in_era};
 
 use cluster::ClusterState;
 use database::{BackendConnection, Database};
@@ -118,6 +120,8 @@
     last_id: u64,
     table: RouteTable,
     store_view: StoreView,
+    /// Era of the store, zero if it states none.
+    store_era: u64,
     sessions: FastMap<SessionId, Session>,
     requests: FastMap<RequestId, ActiveRequest>,
     backing_off: Vec<RequestId>,
@@ -169,6 +173,7 @@
             last_id: 0,
             table: RouteTable::default(),
             store_view: StoreView::default(),
+            store_era: 0,
             sessions: FastMap::default(),
             requests: FastMap::default(),
             backing_off: Vec::new(),
@@ -231,7 +236,9 @@
             GateEvent::DocumentsListed { documents, revision } => {
                 self.documents_listed(documents, revision);
             }
+            GateEvent::DocumentChanged(stored) if !self.is_in_present_era(stored.revision) => {}
             GateEvent::DocumentChanged(stored) => self.document_changed(stored),
+            GateEvent::DocumentRemoved { revision, .. } if !self.is_in_present_era(revision) => {}
             GateEvent::DocumentRemoved { document, revision } => match document {
                 Document::PromotionLease => self.promotion_lease_removed(revision),
                 Document::NodeCount => {}
@@ -301,6 +308,13 @@
     }
 
     fn documents_listed(&mut self, documents: Vec<StoredDocument>, revision: u64) {
+        let era = era_of_revision(revision);
+        if era < self.store_era {
+            return;
+        }
+        if era > self.store_era {
+            self.begin_store_era(era);
+        }
         let nodes: FastSet<(NodeRole, Name)> = documents
             .iter()
             .filter_map(|stored| match &stored.document {
--- a/crates/gate/src/promotion_lease.rs
+++ b/crates/gate/src/promotion_lease.rs
@@ -10,12 +10,18 @@
 //! A fencing token is one more than the revision of the record that its holder replaced. So tokens
 //! grow also after another writer has overwritten the document. Where there is none, an idle record
 //! is written first; a late write of such a record does no harm.
+//!
+//! Revisions grow from era to era ([`crate::revision_in_era`]), so tokens do, too. In a new era the
+//! stored record is a copy: it may be marked idle although a holder acts. It counts as idle only if it
+//! was written in this era, and every node waits from its first list of the era.
 
 use std::collections::BTreeMap;
 
 use model::{Micros, Name};
 use serde::{Deserialize, Serialize};
 
+use crate::store_era::is_first_era;
+
 /// Time that a holder may act after it sent its last successful write: two round trips to the
 /// platform in its slow phases, and the promotion call itself.
 pub const PROMOTION_LEASE_TTL: Micros = Micros::from_millis(1_500);
@@ -52,6 +58,9 @@
     /// failover of the same cluster is another announcement.
     #[serde(default, rename = "changes")]
     pub failover_numbers: BTreeMap<String, u64>,
+    /// Era of the store in which the record was written.
+    #[serde(default, skip_serializing_if = "is_first_era")]
+    pub era: u64,
 }
 
 /// This node's view of the promotion lease.
@@ -60,6 +69,8 @@
     node: Name,
     /// Distinguishes this process from earlier ones of the same name.
     incarnation: u64,
+    /// Era of the store.
+    era: u64,
     record: PromotionLeaseRecord,
     /// Revision of the record, zero if there is none.
     revision: u64,
@@ -96,6 +107,7 @@
         PromotionLease {
             node,
             incarnation,
+            era: 0,
             record: PromotionLeaseRecord::default(),
             revision: 0,
             seen_revision: 0,
@@ -107,6 +119,16 @@
         }
     }
 
+    /// Gives the lease up because the store was restored from an older copy. The record has to be read
+    /// again before the lease is claimed.
+    pub fn begin_era(&mut self, era: u64) {
+        self.era = era;
+        self.revision = 0;
+        self.changed = None;
+        self.pending = None;
+        self.held = None;
+    }
+
     /// Processes the stored record. Returns false if it is unreadable; its holder is unknown then
     /// and may be acting.
     pub fn observe(&mut self, now: Micros, revision: u64, bytes: &[u8]) -> bool {
@@ -182,12 +204,17 @@
         self.announces(now, cluster) && self.record.failover_numbers.get(cluster) == Some(&number)
     }
 
+    /// Returns true if the record is marked idle by a holder of this era.
+    fn is_idle(&self) -> bool {
+        self.record.idle && self.record.era == self.era
+    }
+
     /// Returns true if another node holds the lease and may be acting.
     pub fn is_held_elsewhere(&self, now: Micros) -> bool {
         let waited = self.changed.is_some_and(|changed| now >= changed + LEASE_ACQUIRE_WAIT);
         // This node's own write may be seen in the store before it is answered.
         let own = self.pending.as_ref().is_some_and(|pending| pending.record == self.record);
-        self.held.is_none() && !self.record.idle && !waited && !own
+        self.held.is_none() && !self.is_idle() && !waited && !own
     }
 
     /// Returns the write that claims or renews the lease, or prepares a claim, if one is allowed
@@ -231,6 +258,7 @@
             idle,
             announced_clusters,
             failover_numbers,
+            era: self.era,
         };
         // Cannot fail: the record contains only strings, numbers and booleans.
         let bytes = serde_json::to_vec(&record).ok()?;
--- a/crates/gate/src/read_lease.rs
+++ b/crates/gate/src/read_lease.rs
@@ -181,6 +181,12 @@
     pub(crate) fn announcement_seen(&mut self) {
         let now = self.now;
         let (revision, record) = self.promotion_lease.record();
+        let announced = &self.read_lease.announced;
+        let adds_none = record.announced_clusters.iter().all(|name| announced.contains(name));
+        if record.era != self.store_era && adds_none {
+            // A restored record does not show that a failover has ended.
+            return;
+        }
         // The next holder waits for acknowledgements of its own announcement, although the clusters
         // may be the same.
         let token = record.fencing_token;
@@ -192,7 +198,11 @@
         {
             return;
         }
-        let announced_clusters = record.announced_clusters.clone();
+        let mut announced_clusters = record.announced_clusters.clone();
+        if record.era != self.store_era {
+            let lost = announced.iter().filter(|name| !record.announced_clusters.contains(name));
+            announced_clusters.extend(lost.cloned());
+        }
         let numbers = record.failover_numbers.clone();
         let mut suspended = Vec::new();
         for name in &announced_clusters {
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -99,7 +99,7 @@
     }
 
     /// Gives the read lease up; the registration is published again at the next timer event.
-    fn forget_registration(&mut self) {
+    pub(crate) fn forget_registration(&mut self) {
         self.registration.role_changes += 1;
         self.registration.stored_revision = None;
         self.registration.record = None;
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Records that owners may have left without a trace in the store.
+    pub(crate) fn record_unseen_departure(&mut self, now: Micros) {
+        self.last_departure = Some(now);
+    }
+
     /// Returns when an owner last left.
     pub fn last_departure(&self) -> Option<Micros> {
         self.last_departure
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -132,7 +132,12 @@
     /// Commits that no replica has received yet.
     waiting_commits: Vec<Delivery>,
     documents: BTreeMap<String, StoredDocument>,
+    /// Revision of the store in its era.
     pub revision: u64,
+    /// An older copy of the store.
+    copy: Option<(BTreeMap<String, StoredDocument>, u64)>,
+    /// Era in which each node's registration was last stored.
+    registered_eras: Vec<u64>,
     queue: BinaryHeap<Reverse<ScheduledDelivery>>,
     deliveries: BTreeMap<u64, Delivery>,
     sequence: u64,
@@ -263,6 +268,8 @@
             waiting_commits: Vec::new(),
             documents: BTreeMap::new(),
             revision: 1,
+            copy: None,
+            registered_eras: vec![0; nodes],
             queue: BinaryHeap::new(),
             deliveries: BTreeMap::new(),
             sequence: 0,
@@ -309,6 +316,49 @@
         }
     }
 
+    /// Returns the era of the store.
+    pub fn era(&self) -> u64 {
+        era_of_revision(self.revision)
+    }
+
+    /// Copies the documents of the store, for [`Simulation::begin_era`].
+    pub fn copy_store(&mut self) {
+        self.copy = Some((self.documents.clone(), assigned_revision(self.revision)));
+    }
+
+    /// Removes the documents of a kind from the copy, as if they had been written after it.
+    pub fn remove_from_copy(&mut self, removes: impl Fn(&Document) -> bool) {
+        let (documents, _) = self.copy.as_mut().expect("there is a copy");
+        documents.retain(|_, stored| !removes(&stored.document));
+    }
+
+    /// Restores the store from the last copy, which begins a new era. Nodes that are cut off from
+    /// the store do not notice it; the leases that the others hold have ended.
+    pub fn begin_era(&mut self) {
+        let (documents, revision) = self.copy.clone().expect("there is a copy");
+        let in_era = |revision| revision_in_era(self.era() + 1, revision).expect("it is in range");
+        let restored = documents.into_iter().map(|(key, mut stored)| {
+            stored.revision = in_era(assigned_revision(stored.revision));
+            stored.lease = in_era(assigned_revision(stored.lease));
+            (key, stored)
+        });
+        let documents = restored.collect();
+        let revision = in_era(revision);
+        (self.documents, self.revision) = (documents, revision);
+        for gate in 0..self.gates.len() {
+            if !self.store_cut.contains(&gate) && !self.documents_cut.contains(&gate) {
+                let lost = GateEvent::RegistrationLeaseLost;
+                self.schedule(NETWORK_DELAY, Delivery::Gate(gate, lost));
+                self.restore_store(gate);
+            }
+        }
+    }
+
+    /// Returns a document's stored bytes.
+    pub fn stored(&self, document: &Document) -> Option<&StoredDocument> {
+        self.documents.get(&document_key(document))
+    }
+
     /// Sends every node the contents of the store.
     pub fn announce_store_state(&mut self) {
         for gate in 0..self.gates.len() {
@@ -430,6 +480,7 @@
                 if self.stopped.contains(&gate) || self.suspended.contains_key(&gate) {
                     continue;
                 }
+                let renews = renews && self.registered_eras[gate] == self.era();
                 if renews && self.renewing.contains(&gate) && !self.store_cut.contains(&gate) {
                     let sent = self.now;
                     let event = match self.registered[gate] {
@@ -514,18 +565,22 @@
                     return;
                 }
                 let current = self.documents.get("duty").map_or(0, |stored| stored.revision);
-                let result = if current == expected {
+                let former = expected != 0 && era_of_revision(expected) != self.era();
+                // The store compares the revisions that it assigned. The answer shows the new era.
+                let result = if assigned_revision(current) == assigned_revision(expected) {
                     let revision = self.store(Document::PromotionLease, bytes);
                     WriteResult::Written { revision }
                 } else {
                     WriteResult::Conflict
                 };
+                let result = if former { WriteResult::Failed } else { result };
                 let event = GateEvent::PromotionLeaseWritten { attempt, result };
                 self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
             }
             GateAction::PublishRegistration { role, role_changes, bytes } => {
                 if !self.store_cut.contains(&gate) {
                     self.registered[gate] = (role, role_changes);
+                    self.registered_eras[gate] = self.era();
                     let name = self.names[gate].clone();
                     let revision = self.store(Document::Node(role, name.clone()), bytes);
                     let former = match role {
@@ -546,7 +601,8 @@
                 let document = Document::LogHolders(cluster);
                 let current = self.documents.get(&document_key(&document));
                 if !self.store_cut.contains(&gate)
-                    && current.map_or(0, |stored| stored.revision) == expected
+                    && current.map_or(0, |stored| assigned_revision(stored.revision))
+                        == assigned_revision(expected)
                 {
                     self.store(document, bytes);
                 }
@@ -554,17 +610,20 @@
             GateAction::ReadStoreState => {
                 if !self.store_cut.contains(&gate) {
                     let documents = self.documents.values().cloned().collect();
-                    let state = Some(StoreState { databases: self.listed(), documents });
+                    let (databases, revision) = (self.listed(), self.revision);
+                    let state = Some(StoreState { revision, databases, documents });
                     let event = GateEvent::StoreStateRead { state };
                     self.schedule(self.store_read_time, Delivery::Gate(gate, event));
                 }
             }
-            GateAction::EndLease { node, .. } => {
-                if let Some(index) = self.names.iter().position(|name| *name == node) {
+            GateAction::EndLease { node, lease } => {
+                let ended = era_of_revision(lease) == self.era();
+                let index = self.names.iter().position(|name| *name == node);
+                if let Some(index) = index.filter(|_| ended) {
                     self.renewing.remove(&index);
                     self.remove_document(Document::Node(NodeRole::Owner, node.clone()));
                 }
-                let event = GateEvent::EndLeaseAnswered { node, ended: true };
+                let event = GateEvent::EndLeaseAnswered { node, ended };
                 self.schedule(Micros::from_millis(5), Delivery::Gate(gate, event));
             }
             GateAction::Promote { cluster, .. } if self.promotions_refused => {
@@ -622,7 +681,12 @@
 
     /// Stores an owner's registration that acknowledges nothing, under a new lease.
     pub fn register_again(&mut self, gate: usize) {
-        let record = serde_json::to_vec(&NodeRecord::default()).expect("it is serialized");
+        self.store_registration(gate, &NodeRecord::default());
+    }
+
+    /// Stores an owner's registration under a new lease.
+    pub fn store_registration(&mut self, gate: usize, record: &NodeRecord) {
+        let record = serde_json::to_vec(record).expect("it is serialized");
         self.store(Document::Node(NodeRole::Owner, self.names[gate].clone()), record);
     }
 
