Read the era of the store from its answers

The header `Store-Era` was ignored, so a restored store looked like the one before: nodes went on with leases that it did not know, with conditions on revisions that it assigned again, and with watches from revisions that it did not have.

The store client now gives every revision its era, and refuses an answer of another era than the call's; only a list may begin an era. The watch lists the store again, the registration thread forgets its leases and revisions, and a follower leaves a relay whose changes are of another era. A store without the header behaves as before.

Relays have no test of their own yet.

--- a/crates/edge/src/overlap.rs
+++ b/crates/edge/src/overlap.rs
@@ -50,6 +50,7 @@
             Ok(batch) if batch.next > self.after => "changes",
             Ok(_) => "no changes",
             Err(StoreError::HistoryGone) => "history gone",
+            Err(StoreError::EraChanged) => "era changed",
             Err(_) => "failed",
         }
     }
--- a/crates/edge/src/registration.rs
+++ b/crates/edge/src/registration.rs
@@ -75,6 +75,8 @@
     latest: Option<RegistrationUpdate>,
     unpublished: bool,
     renew_at: Instant,
+    /// Era of the store in which the leases were opened and the revisions were assigned.
+    era: u64,
 }
 
 impl<S: StoreClient> RegistrationKeeper<S> {
@@ -99,6 +101,7 @@
             latest: None,
             unpublished: false,
             renew_at: Instant::now(),
+            era: 0,
         }
     }
 
@@ -138,6 +141,7 @@
 
     /// Writes the registration if it has changed or is not stored yet, or renews its lease otherwise.
     fn update_store(&mut self) {
+        self.forget_former_era();
         let Some(update) = &self.latest else { return };
         let (role, role_changes) = (update.role, update.role_changes);
         let (sent, sent_at) = (Instant::now(), clock::now());
@@ -229,6 +233,21 @@
         Ok(())
     }
 
+    /// Forgets the leases and revisions of a former era. The store may know a lease without the registration
+    /// that was written under it, or may have assigned its number again.
+    fn forget_former_era(&mut self) {
+        let era = self.client.era();
+        if std::mem::replace(&mut self.era, era) == era {
+            return;
+        }
+        self.revisions.clear();
+        self.former = None;
+        if self.held.take().is_some() {
+            log::info!("{}", event_line("registration_era", vec![("era", era.into())]));
+            self.events.send(GateEvent::RegistrationLeaseLost);
+        }
+    }
+
     /// Forgets a lease that has ended, and with it the registration.
     fn lease_ended(&mut self, role: NodeRole) {
         self.held = None;
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -65,6 +65,10 @@
     /// The store no longer keeps the revision from which a watch should continue.
     #[error("the store no longer keeps the history from the requested revision")]
     HistoryGone,
+    /// The store was restored from an older copy since what the call depends on was read. A write may
+    /// have taken effect.
+    #[error("the era of the store has changed")]
+    EraChanged,
     #[error("the lease has ended")]
     LeaseEnded,
     #[error("failed to decode the store's answer: {0}")]
@@ -72,7 +76,13 @@
 }
 
 /// Blocking calls to the store, each with a time limit.
+///
+/// All revisions contain the era of the store, see [`gate::revision_in_era`]. An answer of another era than the call's
+/// counts as [`StoreError::EraChanged`]; only a list may begin an era.
 pub trait StoreClient: Clone + Send + 'static {
+    /// Returns the highest era that an answer has stated, zero if the store states none.
+    fn era(&self) -> u64;
+
     /// Lists all items, and returns the store's revision, from which to watch them.
     ///
     /// # Errors
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -11,7 +11,7 @@
 
 use gate::{
     Document, GateEvent, NodeRecord, NodeRole, SMALL_DEPLOYMENT_MAX_NODES, StoreState,
-    StoredDocument,
+    StoredDocument, era_of_revision,
 };
 use model::{FastMap, Micros, Name};
 use relay::{ChangeBatch, ChangeRelay, FollowOutcome, RelayCandidate, RelayFollower};
@@ -131,7 +131,10 @@
                         relay.stop();
                     }
                     // Unlike a watch, a list fails quickly while the store is still silent.
-                    after = None;
+                    let listed = after.take().is_some();
+                    if error == StoreError::EraChanged && listed {
+                        continue;
+                    }
                     if error == StoreError::HistoryGone {
                         log::info!("\"event\":\"history_gone\"");
                         continue;
@@ -163,6 +166,7 @@
         });
         let fields = vec![
             ("revision", revision.into()),
+            ("era", era_of_revision(revision).into()),
             ("items", u64::try_from(items.len()).unwrap_or(u64::MAX).into()),
             ("version", version.unwrap_or_default().into()),
         ];
@@ -178,6 +182,10 @@
 
     /// Waits for changes and reports them; returns the next revision.
     fn wait_for_changes(&mut self, after: u64) -> Result<u64, StoreError> {
+        // Another thread may have had an answer of a new era.
+        if self.client.era() != era_of_revision(after) {
+            return Err(StoreError::EraChanged);
+        }
         if self.forwards_only() {
             if let Some(relay) = &self.relay {
                 relay.stop();
@@ -202,6 +210,9 @@
         let candidates: Vec<RelayCandidate> = self.nodes.values().flatten().cloned().collect();
         let (next, contact_age) = match self.follower.next(after, &candidates) {
             FollowOutcome::Changes { batch, contact_age } => {
+                if era_of_revision(batch.next) != era_of_revision(after) {
+                    return Err(StoreError::EraChanged);
+                }
                 self.report_batch(&batch, after)?;
                 (batch.next.max(after), contact_age)
             }
