Write the record of log holders again in a new era of the store

After the store was restored from an older copy, its record of log holders may name too few databases. A failover relied on it and could promote a log without acknowledged commits.

The record now names the era in which it was written, and counts only in that era. It is written again with the listed databases, those of the copy, and all that registered nodes knew when the era began. An owner that knew a record then writes it if each former owner has told what it knew, or if a listed replica is shown to hold every commit acknowledged before. An owner that has started in the new era needs the latter and leaves time to the others. Until then a failover needs the nodes' own knowledge of the log, or waits. In era 0 nothing changes, and records and registrations have the same fields as before.

Three new tests in crates/gate/tests/store_eras.rs. With a copy that is trusted, `an_old_record_of_log_holders_does_not_show_that_a_log_is_complete` fails (`c` is promoted without ten commits); with a record of the listed databases only, `the_record_of_log_holders_is_written_again_with_all_that_nodes_know` and `a_node_that_knows_less_does_not_write_a_record_with_too_few_databases` do; the latter also if a node that has started again does not wait.

--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -553,7 +553,7 @@
                     failover.announced,
                 ));
             failover.replicas = replicas;
-            failover.holders = recorded_holders(&documents, &cluster);
+            failover.holders = recorded_holders(&documents, &cluster, self.store_era);
             if failover.only_lifts_fences {
                 self.lift_fences(&cluster);
                 continue;
--- a/crates/gate/src/log_holders.rs
+++ b/crates/gate/src/log_holders.rs
@@ -7,15 +7,24 @@
 //! store, and a node that starts later never sees it. So the owners of a cluster keep a record of
 //! its databases. They take a database out when it has left or been replaced, and another replica
 //! holds every commit that was acknowledged before it was removed.
+//!
+//! In a new era of the store the record is a copy, which may name too few databases. It counts only if
+//! it was written in this era. It is written again with the listed databases, those of the copy, and all
+//! that nodes knew of when the era began, by an owner that knew a record then. One of two things must
+//! show that this names every database that may hold a commit: a listed replica holds every commit
+//! acknowledged before the record was found missing, or each process that was an owner when the era
+//! began has told what it knew. An owner that has started in this era leaves time to the others.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use model::{DatabaseRole, FastSet, Micros, Name};
 use serde::{Deserialize, Serialize};
 
 use crate::action::GateAction;
+use crate::cluster::ClusterState;
 use crate::event::{Document, NodeRole, StoredDocument};
 use crate::log_comparison::FormerMember;
+use crate::store_era::is_first_era;
 use crate::{Gate, fields};
 
 /// Interval between writes of the record: longer than a slow answer of the store.
@@ -33,6 +42,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogHoldersRecord {
     pub holders: BTreeSet<String>,
+    /// Era of the store in which the record was written.
+    #[serde(default, skip_serializing_if = "is_first_era")]
+    pub era: u64,
 }
 
 /// What this node knows of the stored record.
@@ -42,6 +54,11 @@
     revision: u64,
     /// The recorded databases; `None` without a readable record.
     pub(crate) names: Option<BTreeSet<Name>>,
+    /// Databases that earlier eras, or the copy, show to be holders, until a record of this era names
+    /// them or they are superseded.
+    former_names: BTreeSet<Name>,
+    /// This process knew a record when the era began, and has seen none of this era.
+    knew_record: bool,
     /// Since when there has been no readable record.
     missing_since: Option<Micros>,
     /// A listed replica was shown to hold every commit acknowledged before, so a record can be made
@@ -52,10 +69,30 @@
 }
 
 impl LogHolders {
-    /// Replaces the known record.
-    pub(crate) fn observe(&mut self, revision: u64, record: Option<LogHoldersRecord>) {
+    /// Keeps what is known of the record for the next era, in which it has to be written again.
+    pub(crate) fn begin_era(&mut self) {
+        if let Some(names) = self.names.take() {
+            self.former_names.extend(names);
+            self.knew_record = true;
+        }
+        self.revision = 0;
+        self.missing_since = None;
+        self.list_covers_commits = false;
+        self.written_at = None;
+    }
+
+    /// Replaces the known record. One of another era shows only further holders.
+    pub(crate) fn observe(&mut self, revision: u64, record: Option<LogHoldersRecord>, era: u64) {
         self.revision = revision;
-        self.names = record.map(names_of);
+        self.names = None;
+        match record {
+            Some(record) if record.era == era => {
+                self.names = Some(names_of(record));
+                self.knew_record = false;
+            }
+            Some(record) => self.former_names.extend(names_of(record)),
+            None => {}
+        }
         if self.names.is_some() {
             self.missing_since = None;
             self.list_covers_commits = false;
@@ -89,10 +126,25 @@
 pub(crate) fn recorded_holders(
     documents: &[StoredDocument],
     cluster: &Name,
+    era: u64,
 ) -> Option<BTreeSet<Name>> {
     let mut stored = documents.iter();
     let stored = stored.find(|stored| recorded_cluster(&stored.document) == Some(cluster))?;
-    serde_json::from_slice(&stored.bytes).ok().map(names_of)
+    let record: Option<LogHoldersRecord> = serde_json::from_slice(&stored.bytes).ok();
+    record.filter(|record| record.era == era).map(names_of)
+}
+
+impl ClusterState {
+    /// Forgets the holders of earlier eras that are superseded or that the record of this era names.
+    fn forget_known_former_names(&mut self) {
+        let former = &self.former_members;
+        let holders = &mut self.log_holders;
+        let recorded = holders.names.as_ref();
+        holders.former_names.retain(|name| {
+            let superseded = former.get(name).is_some_and(|former| former.superseded);
+            !superseded && !recorded.is_some_and(|recorded| recorded.contains(name))
+        });
+    }
 }
 
 impl Gate {
@@ -103,7 +155,8 @@
         revision: u64,
         record: Option<LogHoldersRecord>,
     ) {
-        self.clusters.entry(cluster).or_default().log_holders.observe(revision, record);
+        let era = self.store_era;
+        self.clusters.entry(cluster).or_default().log_holders.observe(revision, record, era);
     }
 
     /// Forgets the records that are not among the listed documents.
@@ -112,7 +165,7 @@
         let listed: FastSet<&Name> = documents.filter_map(recorded_cluster).collect();
         for (cluster, state) in &mut self.clusters {
             if !listed.contains(cluster) {
-                state.log_holders.observe(0, None);
+                state.log_holders.observe(0, None, self.store_era);
             }
         }
     }
@@ -123,7 +176,10 @@
     pub(crate) fn maintain_log_holders(&mut self, cluster: &Name) {
         let now = self.now;
         let Some(state) = self.clusters.get(cluster) else { return };
-        if state.former_members.is_empty() && state.log_holders.names_all_of(&state.members) {
+        if state.former_members.is_empty()
+            && state.log_holders.former_names.is_empty()
+            && state.log_holders.names_all_of(&state.members)
+        {
             return;
         }
         let writes = self.registration.role == NodeRole::Owner
@@ -137,17 +193,27 @@
         let first = self.owner_position(cluster) == 0;
         self.remember_former_members(cluster);
         self.find_superseded_members(cluster, first);
+        let may_write_again = self.may_write_again(cluster, now);
+        let told: BTreeSet<Name> =
+            self.registry.told_former_holders(cluster, self.store_era).collect();
+        let first_era = self.store_era == 0;
         let Some(state) = self.clusters.get_mut(cluster) else { return };
+        state.forget_known_former_names();
         let members = state.members.iter();
         let former = &state.former_members;
+        let former_names = state.log_holders.former_names.iter();
         let names: BTreeSet<Name> = match &state.log_holders.names {
             Some(stored) => {
                 let awaited = stored.iter().filter(|name| {
                     state.members.contains(*name)
                         || former.get(*name).is_none_or(|former| !former.superseded)
                 });
-                awaited.chain(members.filter(|_| first)).cloned().collect()
+                awaited.chain(members.filter(|_| first)).chain(former_names).cloned().collect()
+            }
+            None if !first_era && may_write_again => {
+                members.chain(former_names).chain(&told).cloned().collect()
             }
+            None if !first_era => return,
             None if state.log_holders.list_covers_commits => members.cloned().collect(),
             None => return,
         };
@@ -163,22 +229,50 @@
         let listed: Vec<&str> = holders.iter().map(String::as_str).collect();
         let record = fields!["cluster" => cluster, "databases" => listed.join(",")];
         self.log("log_holders", record);
-        if let Some(bytes) = self.write_record("log holders", &LogHoldersRecord { holders }) {
+        let record = LogHoldersRecord { holders, era: self.store_era };
+        if let Some(bytes) = self.write_record("log holders", &record) {
             let cluster = cluster.clone();
             self.out.push(GateAction::WriteLogHolders { cluster, expected, bytes });
         }
     }
 
+    /// Returns true if this node may write the record of a cluster again in a new era.
+    fn may_write_again(&self, cluster: &Name, now: Micros) -> bool {
+        let Some(state) = self.clusters.get(cluster) else { return false };
+        let holders = &state.log_holders;
+        let waited = holders.missing_since.is_some_and(|at| now >= at + OTHER_OWNER_DELAY);
+        let told = holders.knew_record && self.registry.have_former_owners_told(self.store_era);
+        told || holders.list_covers_commits && (holders.knew_record || waited)
+    }
+
+    /// Returns the log holders that this node knew before the present era, by cluster, while it knows
+    /// no record of this era.
+    pub(crate) fn former_log_holders(&self) -> BTreeMap<String, BTreeSet<String>> {
+        let known = self.clusters.iter().filter(|(_, state)| {
+            state.log_holders.knew_record && state.log_holders.names.is_none()
+        });
+        known
+            .map(|(cluster, state)| {
+                let names = state.log_holders.former_names.iter();
+                (cluster.to_string(), names.map(ToString::to_string).collect())
+            })
+            .collect()
+    }
+
     /// Remembers the recorded databases that this node has never seen listed, and forgets the
     /// superseded ones that are no longer recorded.
     fn remember_former_members(&mut self, cluster: &Name) {
         let now = self.now;
         let Some(state) = self.clusters.get_mut(cluster) else { return };
-        let Some(stored) = &state.log_holders.names else { return };
-        state.former_members.retain(|name, former| !former.superseded || stored.contains(name));
-        for name in stored.iter().filter(|name| !state.members.contains(*name)) {
-            let former = FormerMember::unknown(now, stored.len());
-            state.former_members.entry(name.clone()).or_insert(former);
+        let holders = &state.log_holders;
+        let known: BTreeSet<&Name> =
+            holders.names.iter().flatten().chain(&holders.former_names).collect();
+        if holders.names.is_some() {
+            state.former_members.retain(|name, former| !former.superseded || known.contains(name));
+        }
+        for name in known.iter().filter(|name| !state.members.contains(**name)) {
+            let former = FormerMember::unknown(now, known.len());
+            state.former_members.entry((*name).clone()).or_insert(former);
         }
     }
 
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -147,6 +147,8 @@
 
     fn node_record(&self, suspected_clusters: BTreeSet<String>) -> NodeRecord {
         NodeRecord {
+            era: self.store_era,
+            former_log_holders: self.former_log_holders(),
             incarnation: self.settings.incarnation,
             suspected_clusters,
             acknowledged: match self.registration.role {
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -14,6 +14,7 @@
 
 use crate::backend::TermPosition;
 use crate::event::NodeRole;
+use crate::store_era::is_first_era;
 
 /// Time for which the record of a node that left is kept: longer than its owners are kept after its
 /// registration expired.
@@ -70,6 +71,13 @@
     /// Processor share of the node's VM, in thousandths of a core.
     #[serde(default)]
     pub capacity: u32,
+    /// Era of the store in which the registration was written.
+    #[serde(default, skip_serializing_if = "is_first_era")]
+    pub era: u64,
+    /// Databases that may hold commits of a cluster, as the node knew them when this era began; only
+    /// while it knows no record of this era.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub former_log_holders: BTreeMap<String, BTreeSet<String>>,
     /// Version of the protocol between nodes that it accepts, see [`crate::PEER_PROTOCOL`].
     #[serde(default)]
     pub peer_protocol: u32,
@@ -90,6 +98,8 @@
     /// Last records of nodes that left, and when they left. Such a node may still run, because a
     /// lease can end early.
     former_nodes: FastMap<Name, (Micros, NodeRecord)>,
+    /// Processes that were registered as owners when an era of the store began, by node.
+    former_owners: FastMap<Name, u64>,
 }
 
 impl NodeRegistry {
@@ -102,6 +112,7 @@
             last_departure: None,
             unaccounted: FastSet::default(),
             former_nodes: FastMap::default(),
+            former_owners: FastMap::default(),
         }
     }
 
@@ -162,6 +173,35 @@
         }
     }
 
+    /// Remembers the other owners at the beginning of an era, before its first list. Those of earlier
+    /// eras stay, as they may not have told what they knew.
+    pub(crate) fn record_former_owners(&mut self) {
+        let others = self.owners.iter().filter(|(name, _)| **name != self.own);
+        let others = others.map(|(name, record)| (name.clone(), record.incarnation));
+        self.former_owners.extend(others);
+    }
+
+    /// Returns true if each process that was an owner when the era began has registered in it, and
+    /// thereby told the log holders that it knew.
+    pub(crate) fn have_former_owners_told(&self, era: u64) -> bool {
+        self.former_owners.iter().all(|(name, incarnation)| {
+            let mut records = self.owners.get(name).into_iter().chain(self.standbys.get(name));
+            records.any(|record| record.era == era && record.incarnation == *incarnation)
+        })
+    }
+
+    /// Returns the log holders of a cluster that the nodes knew before the era.
+    pub(crate) fn told_former_holders(
+        &self,
+        cluster: &Name,
+        era: u64,
+    ) -> impl Iterator<Item = Name> {
+        let records = self.owners.values().chain(self.standbys.values());
+        let records = records.filter(move |record| record.era == era);
+        let told = records.filter_map(|record| record.former_log_holders.get(cluster.as_str()));
+        told.flatten().map(|name| Name::from(name.as_str()))
+    }
+
     /// Records that owners may have left without a trace in the store.
     pub(crate) fn record_unseen_departure(&mut self, now: Micros) {
         self.last_departure = Some(now);
--- a/crates/gate/src/store_era.rs
+++ b/crates/gate/src/store_era.rs
@@ -75,7 +75,11 @@
         self.promotion_lease.begin_era(era);
         // Owners may have registered and left without a trace in the copy.
         self.registry.record_unseen_departure(self.now);
+        for state in self.clusters.values_mut() {
+            state.log_holders.begin_era();
+        }
         if self.registration.listed.is_some() {
+            self.registry.record_former_owners();
             self.forget_registration();
         }
     }
--- a/crates/gate/tests/store_eras.rs
+++ b/crates/gate/tests/store_eras.rs
@@ -8,7 +8,7 @@
     PromotionLeaseRecord, assigned_revision, era_of_revision, revision_in_era,
 };
 use model::Micros;
-use support::{BOUNDED, LATEST, Simulation, route_table};
+use support::{BOUNDED, LATEST, Simulation, names_of, route_table};
 
 /// What each node reads under load.
 const READS: [&str; 2] = [LATEST, BOUNDED];
@@ -226,6 +226,7 @@
         assert_eq!(announced(&simulation, gate), Some(true), "node {gate}");
     }
     wait_for_promotion(&mut simulation, 1);
+    assert_eq!(simulation.log_holders().map(|record| record.era), Some(1));
     simulation.run_with_reads(&READS, millis(6_000));
     for gate in 0..4 {
         assert_eq!(announced(&simulation, gate), Some(false), "node {gate}");
@@ -335,3 +336,85 @@
     simulation.event(1, GateEvent::RoutesChanged(Box::new(newer)));
     assert_eq!(simulation.gates[1].dump()["configuration"], 7);
 }
+
+/// Starts a deployment in which only `a` and `b` hold the last commits. The copy of its store has a
+/// record of log holders from before `b` was one. Returns the end of the log.
+fn start_with_older_holders() -> (Simulation, gate::TermPosition) {
+    let mut simulation = Simulation::start(4);
+    simulation.run_with_reads(&READS, millis(3_000));
+    assert_eq!(
+        simulation.log_holders().map(|record| record.holders),
+        Some(names_of(&["a", "b", "c"]))
+    );
+    simulation.copy_store();
+    simulation.replace_log_holders_in_copy(&["a", "c"]);
+    simulation.database("c").replication_stopped = true;
+    let end = simulation.write(3, 10);
+    (simulation, end)
+}
+
+/// Guards against the loss of commits by an old record that names too few databases: `b` holds them and
+/// is down, and no running node knew it before the new era.
+#[test]
+fn an_old_record_of_log_holders_does_not_show_that_a_log_is_complete() {
+    let (mut simulation, end) = start_with_older_holders();
+    simulation.fail_database("b");
+    simulation.fail_database("a");
+    simulation.begin_era();
+    for gate in 0..4 {
+        simulation.start_again(gate);
+    }
+    simulation.run_with_reads(&READS, millis(15_000));
+    assert_eq!(simulation.promoted_databases(), [] as [&str; 0], "commits up to {end} are lost");
+    simulation.restore_database("a");
+    simulation.restore_database("b");
+    simulation.database("c").replication_stopped = false;
+    simulation.run_with_reads(&READS, RESUME_TIME);
+    let record = simulation.log_holders().expect("the record is written again");
+    assert_eq!((record.era, record.holders), (1, names_of(&["a", "b", "c"])));
+}
+
+/// Guards against a record that is written again with the databases that are listed, although nodes
+/// know of another one, which may hold the only copy of later commits.
+#[test]
+fn the_record_of_log_holders_is_written_again_with_all_that_nodes_know() {
+    let (mut simulation, _) = start_with_older_holders();
+    simulation.database("c").replication_stopped = false;
+    simulation.write(3, 1);
+    simulation.unlist("b");
+    simulation.run_with_reads(&READS, millis(4_500));
+    simulation.begin_era();
+    while simulation.log_holders().is_none_or(|record| record.era == 0) {
+        simulation.run_with_reads(&READS, millis(20));
+    }
+    let record = simulation.log_holders().expect("the record is written again");
+    assert_eq!((record.era, record.holders), (1, names_of(&["a", "b", "c"])));
+}
+
+/// Guards against a node that knows less and is the first to write: three nodes have started again,
+/// and the other one, which knew the record, reaches the store two seconds after them.
+#[test]
+fn a_node_that_knows_less_does_not_write_a_record_with_too_few_databases() {
+    for knowing in 0..4 {
+        let (mut simulation, _) = start_with_older_holders();
+        simulation.database("c").replication_stopped = false;
+        simulation.write(3, 1);
+        simulation.unlist("b");
+        simulation.run_with_reads(&READS, millis(4_500));
+        simulation.store_cut.insert(knowing);
+        simulation.begin_era();
+        for gate in (0..4).filter(|gate| *gate != knowing) {
+            simulation.start_again(gate);
+        }
+        simulation.run_with_reads(&READS, millis(2_000));
+        simulation.restore_store(knowing);
+        let resumed = simulation.now + RESUME_TIME;
+        while simulation.now < resumed {
+            simulation.run_with_reads(&READS, millis(20));
+            if let Some(record) = simulation.log_holders().filter(|record| record.era == 1) {
+                assert_eq!(record.holders, names_of(&["a", "b", "c"]), "node {knowing} knew it");
+            }
+        }
+        assert_eq!(simulation.log_holders().map(|record| record.era), Some(1));
+    }
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -160,6 +160,10 @@
     }
 }
 
+pub fn names_of(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(|name| (*name).to_string()).collect()
+}
+
 pub fn route_table(max_connections: u32) -> RouteTable {
     let mut table = RouteTable { version: 1, ..RouteTable::default() };
     let limits = ClusterLimits { name: CLUSTER.into(), max_connections, sync_replicas: 1 };
@@ -326,6 +330,21 @@
         self.copy = Some((self.documents.clone(), assigned_revision(self.revision)));
     }
 
+    /// Replaces the record of log holders in the copy by an older one.
+    pub fn replace_log_holders_in_copy(&mut self, holders: &[&str]) {
+        let record = LogHoldersRecord { holders: names_of(holders), ..LogHoldersRecord::default() };
+        let (documents, _) = self.copy.as_mut().expect("there is a copy");
+        let key = document_key(&Document::LogHolders(CLUSTER.into()));
+        let stored = documents.get_mut(&key).expect("the copy has a record");
+        stored.bytes = serde_json::to_vec(&record).expect("it is serialized");
+    }
+
+    /// Returns the stored record of log holders.
+    pub fn log_holders(&self) -> Option<LogHoldersRecord> {
+        let stored = self.stored(&Document::LogHolders(CLUSTER.into()))?;
+        serde_json::from_slice(&stored.bytes).ok()
+    }
+
     /// Removes the documents of a kind from the copy, as if they had been written after it.
     pub fn remove_from_copy(&mut self, removes: impl Fn(&Document) -> bool) {
         let (documents, _) = self.copy.as_mut().expect("there is a copy");
