--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -65,6 +65,10 @@
     /// The store no longer keeps the revision from which a watch should continue.
     #[error("the store no longer keeps the history from the requested revision")]
     HistoryGone,
+    /// The store was restored from an older copy since what the call depends on was read. A write may
+    /// have taken effect.
+    #[error("the era of the store has changed")]
+    EraChanged,
     #[error("the lease has ended")]
     LeaseEnded,
     #[error("failed to decode the store's answer: {0}")]
@@ -72,7 +76,13 @@
 }
 
 /// Blocking calls to the store, each with a time limit.
+///
+/// All revisions contain the era of the store, see [`gate::revision_in_era`]. An answer of another era than the call's
+/// counts as [`StoreError::EraChanged`]; only a list may begin an era.
 pub trait StoreClient: Clone + Send + 'static {
+    /// Returns the highest era that an answer has stated, zero if the store states none.
+    fn era(&self) -> u64;
+
     /// Lists all items, and returns the store's revision, from which to watch them.
     ///
     /// # Errors
@@ -324,13 +334,16 @@
 }
 
 fn read_state<S: StoreClient>(client: &S) -> Result<StoreState, StoreError> {
-    let (items, _) = client.list()?;
-    Ok(sort_items(items).0)
+    let (items, revision) = client.list()?;
+    Ok(sort_items(items, revision).0)
 }
 
 /// Sorts listed items by kind; returns the configuration separately.
-pub(crate) fn sort_items(items: Vec<StoreItem>) -> (StoreState, Option<Box<RouteTable>>) {
-    let mut state = StoreState { databases: Vec::new(), documents: Vec::new() };
+pub(crate) fn sort_items(
+    items: Vec<StoreItem>,
+    revision: u64,
+) -> (StoreState, Option<Box<RouteTable>>) {
+    let mut state = StoreState { revision, databases: Vec::new(), documents: Vec::new() };
     let mut routes = None;
     for item in items {
         match item {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -15,7 +15,7 @@
 //! - `connection`, `database`, `account_pool`: connections
 //! - `cluster`, `leadership_proof`, `read_lease`: what is known about primaries
 //! - `registration`, `registry`, `node_count`: the nodes
-//! - `store_view`: how current the lists of all these are
+//! - `store_view`, `store_era`: how current the lists of all these are, and restored stores
 //! - `suspicion`, `failover`, `fencing`, `log_comparison`, `log_holders`,
 //!   `promotion_lease`: the replacement of
 //!   primaries
@@ -56,6 +56,7 @@
 mod session_memory;
 mod settings;
 mod statement;
+mod store_era;
 mod store_view;
 mod suspicion;
 
@@ -91,6 +92,7 @@
 pub use statement::{
     CallerIdentity, ClientRequest, ErrorCode, Statement, StatementAccess, TransactionState,
 };
+pub use store_era::{assigned_revision, era_of_revision, revision_in_era};
 
 use allotment::AllotmentState;
 use cluster::ClusterState;
@@ -132,6 +134,8 @@
     table: RouteTable,
     newer_version: NewerVersion,
     store_view: StoreView,
+    /// Era of the store, zero if it states none.
+    store_era: u64,
     sessions: FastMap<SessionId, Session>,
     session_memory: SessionMemory,
     requests: FastMap<RequestId, ActiveRequest>,
@@ -187,6 +191,7 @@
             table: RouteTable::default(),
             newer_version: NewerVersion::default(),
             store_view: StoreView::default(),
+            store_era: 0,
             sessions: FastMap::default(),
             session_memory: SessionMemory::default(),
             requests: FastMap::default(),
@@ -254,7 +259,9 @@
             GateEvent::DocumentsListed { documents, revision } => {
                 self.documents_listed(documents, revision);
             }
+            GateEvent::DocumentChanged(stored) if !self.is_in_present_era(stored.revision) => {}
             GateEvent::DocumentChanged(stored) => self.document_changed(stored),
+            GateEvent::DocumentRemoved { revision, .. } if !self.is_in_present_era(revision) => {}
             GateEvent::DocumentRemoved { document, revision } => match document {
                 Document::PromotionLease => self.promotion_lease_removed(revision),
                 Document::NodeCount => {}
@@ -332,6 +339,13 @@
     }
 
     fn documents_listed(&mut self, documents: Vec<StoredDocument>, revision: u64) {
+        let era = era_of_revision(revision);
+        if era < self.store_era {
+            return;
+        }
+        if era > self.store_era {
+            self.begin_store_era(era);
+        }
         let nodes: FastSet<(NodeRole, Name)> = documents
             .iter()
             .filter_map(|stored| match &stored.document {
