--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -9,6 +9,7 @@
 use crate::action::{ClientReply, GateAction};
 use crate::backend::{AnswerEnd, BackendAnswer, TermPosition};
 use crate::event::ConnectionId;
+use crate::identity::INVALID_KEY_TEXT;
 use crate::request::{
     ActiveRequest, MAX_TRIES, OVERLOADED_TEXT, RequestId, RequestKind, RequestStage, UNPROVED_TEXT,
 };
@@ -151,6 +152,11 @@
                 }
                 self.retry_request(id, None, code, ErrorCode::Busy);
             }
+            // The account of a key is the same at all nodes with this configuration, and a node with
+            // an older one must not decide.
+            ErrorCode::NotAuthorized if self.is_peer(&database) => {
+                self.refuse(id, code, INVALID_KEY_TEXT);
+            }
             // The owner sees all requests of the cluster; another node would send to the same
             // databases.
             ErrorCode::Busy
@@ -194,7 +200,9 @@
             AnswerEnd::Failed { code, text } => {
                 let (code, text) = (*code, text.clone());
                 let first = matches!(request.kind, RequestKind::Begin { .. });
-                let not_run = code.guarantees_not_run() || self.lacks_route_at_peer(request, code);
+                let not_run = code.guarantees_not_run()
+                    || self.lacks_route_at_peer(request, code)
+                    || self.is_unidentified_at_peer(request, code);
                 if first && not_run && request.tries < MAX_TRIES {
                     self.restore_pending_transaction(id, connection);
                     self.request_declined(id, code, &text);
@@ -228,11 +236,9 @@
     }
 
     pub(crate) fn statement_succeeded(&mut self, id: RequestId, answer: BackendAnswer) {
-        let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (cluster, database) = (request.route.cluster.clone(), request.database.clone());
         let Some(database) = database else { return };
-        let (session_id, sent) = (request.session, request.sent.unwrap_or(now));
         let wrote = match (&request.kind, self.sessions.get_mut(&request.session)) {
             (RequestKind::Write, _) => true,
             (RequestKind::Begin { .. } | RequestKind::Continue, Some(session)) => {
@@ -246,31 +252,44 @@
             }
             _ => false,
         };
-        if wrote && !self.is_commit_kept(&cluster, &database) {
+        if !wrote {
+            return self.reply_success(id, answer);
+        }
+        if !self.is_commit_kept(&cluster, &database) {
             return self.withhold_commit(id, &database);
         }
-        if wrote {
-            if let Some(state) = self.clusters.get_mut(&cluster) {
-                state.commit_overdue = None;
-            }
-            if let (Some(session), Some(position)) =
-                (self.sessions.get_mut(&session_id), answer.position)
-            {
-                let last_commit = session.commit_positions.entry(cluster.clone()).or_default();
-                *last_commit = position.max(*last_commit);
-            }
-            if self.has_synchronous_replicas(&cluster)
-                && let Some(state) = self.clusters.get_mut(&cluster)
-            {
-                state.proof.observe_commit(&database, sent, answer.position);
-            }
+        if !self.is_peer(&database) && !self.needs_no_commit_proof(&cluster) {
+            return self.hold_commit(id, answer);
+        }
+        self.commit_succeeded(id, answer);
+    }
+
+    /// Replies to a commit that is kept.
+    pub(crate) fn commit_succeeded(&mut self, id: RequestId, answer: BackendAnswer) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let (cluster, database) = (request.route.cluster.clone(), request.database.clone());
+        let Some(database) = database else { return };
+        let (session_id, sent) = (request.session, request.sent.unwrap_or(self.now));
+        if let Some(state) = self.clusters.get_mut(&cluster) {
+            state.commit_overdue = None;
+        }
+        if let (Some(session), Some(position)) =
+            (self.sessions.get_mut(&session_id), answer.position)
+        {
+            let last_commit = session.commit_positions.entry(cluster.clone()).or_default();
+            *last_commit = position.max(*last_commit);
+        }
+        if self.has_synchronous_replicas(&cluster)
+            && let Some(state) = self.clusters.get_mut(&cluster)
+        {
+            state.proof.observe_commit(&database, sent, answer.position);
         }
         self.reply_success(id, answer);
     }
 
     /// Replies to a commit that the primary acknowledged after its replacement was announced. The
     /// new primary may lack it.
-    fn withhold_commit(&mut self, id: RequestId, database: &Name) {
+    pub(crate) fn withhold_commit(&mut self, id: RequestId, database: &Name) {
         let Some(request) = self.requests.get(&id) else { return };
         let single = matches!(request.kind, RequestKind::Write);
         let (name, cluster) = (request.client_request.id.clone(), request.route.cluster.clone());
@@ -551,7 +570,9 @@
         let deadline_passed = self.now >= request.deadline;
         if request.stage == RequestStage::Sent {
             let connection = request.connection;
-            self.record_overdue(id);
+            if request.held_commit.is_none() {
+                self.record_overdue(id);
+            }
             self.abandon_slot(id);
             self.sent_request_timed_out(id, deadline_passed);
             // The answer may come late or never; the next request must not wait for it.
--- a/crates/gate/tests/rate_limits.rs
+++ b/crates/gate/tests/rate_limits.rs
@@ -45,7 +45,7 @@
 /// Sends a statement in a new session of an account.
 fn send(simulation: &mut Simulation, gate: usize, account: &str, route: &str) -> SessionId {
     let key = format!("key-{account}");
-    let session = simulation.open_with_key(gate, route, &key, SessionOrigin::Client);
+    let session = simulation.open_with_key(gate, route, &key);
     let id = format!("{account}-{}", session.0);
     simulation.send_request(gate, session, &id, "READ 1");
     session
@@ -114,7 +114,7 @@
     let mut simulation = Simulation::start_linked(1);
     configure(&mut simulation, 2, &[("a", limit(0.5, 1.0))]);
     simulation.run(millis(3_000));
-    let session = simulation.open_with_key(0, LATEST, "key-a", SessionOrigin::Client);
+    let session = simulation.open_with_key(0, LATEST, "key-a");
     for (id, statement) in [("b", "BEGIN"), ("r", "READ 1"), ("w", "WRITE 1 x"), ("c", "COMMIT")] {
         simulation.send_request(0, session, id, statement);
         simulation.run(millis(100));
@@ -237,7 +237,7 @@
         }
         for gate in 0..3 {
             let key = if accounts.is_some() { "key-a" } else { "" };
-            let session = simulation.open_with_key(gate, LATEST, key, SessionOrigin::Client);
+            let session = simulation.open_with_key(gate, LATEST, key);
             simulation.send_request(gate, session, "r", "READ 1");
             simulation.run(millis(2_000));
             assert_eq!(simulation.outcome(session), "served");
--- a/crates/gate/tests/support/peer_links.rs
+++ b/crates/gate/tests/support/peer_links.rs
@@ -87,8 +87,11 @@
                 let event = GateEvent::ConnectionOpened { connection, position: None };
                 self.answer_link(session, event);
             }
-            GateAction::RefuseSession { session, code, .. } => {
-                let connection = self.links.links.get(&session)?.connection;
+            GateAction::RefuseSession { session, code, text } => {
+                let Some(link) = self.links.links.get(&session) else {
+                    return Some(GateAction::RefuseSession { session, code, text });
+                };
+                let connection = link.connection;
                 self.answer_link(session, GateEvent::ConnectionRefused { connection, code });
             }
             GateAction::ReplyAllotments { session, grants } => {
