Tell new home nodes of nodes that left before they started

Cause: a home node that started again did not know of a node that had left before. It refilled the bucket at the whole rate while that node, cut off, used a reserve of up to 90% of the limit for 10 s. Change: a request for tokens carries for how long nodes that the sender saw leave may still use reserves; a new home node refills at the reduced rate until the last of these times. After the start of all nodes together nobody saw a node leave, so nothing is delayed there.

--- a/crates/allot/src/cache.rs
+++ b/crates/allot/src/cache.rs
@@ -151,6 +151,8 @@
     view: u64,
     /// Homes are chosen among nodes that include this one, so they have to know its view.
     is_member: bool,
+    /// Until then, nodes that left may use reserves.
+    departed_until: Micros,
     accounts: FastMap<Name, AccountCache>,
     links: FastMap<Name, HomeLink>,
 }
@@ -159,7 +161,8 @@
     /// Creates a cache without accounts.
     pub fn new(policy: AllotmentPolicy) -> Self {
         let (accounts, links) = (FastMap::default(), FastMap::default());
-        AllotmentCache { policy, view: 0, is_member: false, accounts, links }
+        let departed_until = Micros::ZERO;
+        AllotmentCache { policy, view: 0, is_member: false, departed_until, accounts, links }
     }
 
     /// Sets the accounts with a limit and their home nodes. Returns how many homes have changed.
@@ -191,6 +194,11 @@
         changes
     }
 
+    /// Sets the time until which nodes that left may use reserves.
+    pub(crate) fn set_departed_until(&mut self, until: Micros) {
+        self.departed_until = until;
+    }
+
     /// Returns the home node of an account.
     pub fn home_of(&self, account: &Name) -> Option<&Name> {
         self.accounts.get(account).map(|account| &account.home)
@@ -343,7 +351,8 @@
                 demands.push(demand);
             }
         }
-        is_needed.then_some(AllotmentRequest { view: self.view, demands })
+        let departed_ms = self.departed_until.saturating_sub(now).as_millis();
+        is_needed.then_some(AllotmentRequest { view: self.view, departed_ms, demands })
     }
 
     /// Handles the answer to a request that was sent at `sent`.
--- a/crates/allot/src/ledger.rs
+++ b/crates/allot/src/ledger.rs
@@ -45,6 +45,8 @@
     /// From this time on the node may use its reserves.
     quiet_from: Micros,
     view: u64,
+    /// Until then, nodes that it saw leave may use reserves.
+    departed_until: Micros,
 }
 
 /// A node's part of an account.
@@ -281,6 +283,12 @@
         self.members = members;
     }
 
+    /// Returns the time until which nodes that left the view may use reserves.
+    pub(crate) fn departed_until(&self) -> Micros {
+        let last = self.departed.values().max();
+        last.map_or(Micros::ZERO, |left| left.saturating_add(UNKNOWN_TTL))
+    }
+
     /// Records that this node has contact with the store, which shows that no other node has taken
     /// its place.
     pub fn record_store_contact(&mut self, now: Micros) {
@@ -351,7 +359,7 @@
         request: &AllotmentRequest,
     ) -> Vec<AllotmentGrant> {
         self.settle_all(now);
-        self.record_request(now, node, session, request.view);
+        self.record_request(now, node, session, request);
         for demand in &request.demands {
             if let Some(ledger) = self.accounts.get_mut(&demand.account) {
                 carry(ledger, node, demand.carried_milli);
@@ -370,7 +378,14 @@
         grants
     }
 
-    fn record_request(&mut self, now: Micros, node: &Name, session: u64, view: u64) {
+    fn record_request(
+        &mut self,
+        now: Micros,
+        node: &Name,
+        session: u64,
+        request: &AllotmentRequest,
+    ) {
+        let view = request.view;
         let former = self.nodes.get(node).copied();
         let continues = former.is_some_and(|contact| contact.session == session);
         let quiet_from = match former {
@@ -389,7 +404,8 @@
             self.view_settled = now;
             introduces = true;
         }
-        let contact = NodeContact { session, last_request: now, quiet_from, view };
+        let departed_until = now + Micros::from_millis(request.departed_ms).min(UNKNOWN_TTL);
+        let contact = NodeContact { session, last_request: now, quiet_from, view, departed_until };
         self.nodes.insert(node.clone(), contact);
         if introduces {
             // An account may not be new any more.
@@ -399,12 +415,13 @@
 
     /// Returns true if every node that may hold a reserve of an account has told it.
     fn knows_all_reserves(&self, now: Micros, office_since: Micros) -> bool {
+        // The members also know of nodes that left before this process started.
         let has_told = |node: &Name| {
             let contact = self.nodes.get(node);
-            contact.is_some_and(|contact| contact.view == self.view)
+            contact
+                .is_some_and(|contact| contact.view == self.view && now >= contact.departed_until)
         };
-        let departed = self.departed.values().any(|left| now < left.saturating_add(UNKNOWN_TTL));
-        (self.members.iter().all(has_told) && !departed)
+        (self.members.iter().all(has_told) && now >= self.departed_until())
             || now >= office_since.max(self.view_settled) + UNKNOWN_TTL
     }
 
--- a/crates/allot/src/lib.rs
+++ b/crates/allot/src/lib.rs
@@ -135,6 +135,9 @@
 pub struct AllotmentRequest {
     /// Identifies the set of nodes among which the node chooses homes.
     pub view: u64,
+    /// How long a node that the requesting one saw leave may still use its reserve, or 0. A home node
+    /// that started later does not know of it.
+    pub departed_ms: u64,
     pub demands: Vec<AllotmentDemand>,
 }
 
--- a/crates/allot/src/node.rs
+++ b/crates/allot/src/node.rs
@@ -78,6 +78,7 @@
         let changes = self.cache.update(view, nodes.contains_key(&self.own), homes);
         self.cache.retain_homes(|home| nodes.contains_key(home));
         self.ledger.update(now, view, self.others.iter().cloned(), own.clone());
+        self.cache.set_departed_until(self.ledger.departed_until());
         for (account, _) in own {
             let carried = self.cache.carried_milli(now, &account);
             self.ledger.carry_own(now, &account, carried);
--- a/crates/allot/tests/limits.rs
+++ b/crates/allot/tests/limits.rs
@@ -789,3 +789,30 @@
     println!("{each} requests a second for each node");
     assert!(each <= 400, "{each} requests a second for each node");
 }
+
+/// A node is cut off with a reserve and leaves the registrations, and then the home node restarts.
+/// Guards against a new process that does not know which nodes left before it started.
+#[test]
+fn a_restarted_home_node_allows_for_nodes_that_left_before() {
+    let mut fleet = Fleet::start(6, &[("a", LARGE)]);
+    let home = fleet.home(0, "a");
+    let lone = (home + 1) % 6;
+    fleet.run_with(Micros::from_secs(8), &[("a", 2_000.0, &[lone])]);
+    let others: Vec<usize> = (0..6).filter(|index| *index != lone).collect();
+    for other in &others {
+        fleet.cut(lone, *other);
+    }
+    fleet.members[lone].has_contact = false;
+    let loads: [(&str, f64, &[usize]); 2] = [("a", 2_000.0, &[lone]), ("a", 2_000.0, &others)];
+    fleet.run_with(millis(3_000), &loads);
+    let mut known = fleet.members[home].known.clone();
+    known.remove(&name(lone));
+    known.insert(name(home), 2);
+    let limits = fleet.members[home].limits.clone();
+    fleet.members[home] = Fleet::member(home, known.clone(), limits);
+    for other in &others {
+        fleet.set_known(*other, &known);
+    }
+    fleet.run_with(Micros::from_secs(15), &loads);
+    fleet.assert_rule("a", LARGE);
+}
