Remember nodes that left until their reserves have expired

Cause: a change of the view dropped departures after 10 s, although a former home node leaves reserves for up to 2.5 s after it left, and these are valid for 10 s. Change: departures are kept for both times together. Result: the new test failed before (0 instead of 13.5 s) and passes.

--- a/crates/allot/src/ledger.rs
+++ b/crates/allot/src/ledger.rs
@@ -277,7 +277,7 @@
             self.departed.insert(node.clone(), now);
         }
         self.departed
-            .retain(|node, left| !members.contains(node) && now < left.saturating_add(RESERVE_TTL));
+            .retain(|node, left| !members.contains(node) && now < left.saturating_add(UNKNOWN_TTL));
         self.view = view;
         self.view_settled = now;
         self.members = members;
@@ -454,3 +454,27 @@
     // The node has used about this rate; without it, its next reserve would begin at zero.
     share.rate = share.rate.max(carried);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a former home node that is forgotten too early: it left reserves until 2.5 s
+    /// after its departure, and they are valid for 10 s.
+    #[test]
+    fn a_changed_view_keeps_departures_while_reserves_may_be_in_use() {
+        let update = |ledger: &mut AllotmentLedger, seconds, view, names: &[&str]| {
+            let members = names.iter().map(|name| Name::from(*name));
+            ledger.update(Micros::from_secs(seconds), view, members, Vec::new());
+        };
+        let mut ledger = AllotmentLedger::new("n1".into(), AllotmentPolicy::new(None));
+        update(&mut ledger, 0, 1, &["n2", "n3"]);
+        update(&mut ledger, 1, 2, &["n2"]);
+        update(&mut ledger, 12, 3, &["n2", "n4"]);
+        assert_eq!(ledger.departed_until(), Micros::from_secs(1) + UNKNOWN_TTL);
+        update(&mut ledger, 14, 4, &["n2"]);
+        assert_eq!(ledger.departed_until(), Micros::from_secs(14) + UNKNOWN_TTL);
+        update(&mut ledger, 15, 5, &["n2", "n4"]);
+        assert_eq!(ledger.departed_until(), Micros::ZERO);
+    }
+}
