Leave waits for tokens out of the service times of a queue

Cause: a request that left the queue of a database to wait for a token, or was refused there, returned its slot as if it had been served in no time. The estimates of service times fell, and requests were queued that cannot meet their time limit. Change: such a slot is returned without an observation.

--- a/crates/gate/src/allotment.rs
+++ b/crates/gate/src/allotment.rs
@@ -77,18 +77,19 @@
             return true;
         };
         let take = self.allotments.node.as_mut().map(|node| node.take(now, &account));
+        // A slot that is returned before the operation was sent tells nothing about service times.
         match take {
             Some(TokenTake::Taken | TokenTake::TakenFromReserve) => {
                 self.record_charge(id, take, OperationCharge::Charged);
                 true
             }
             Some(TokenTake::Refused { retry_after }) => {
-                self.release_slot(id);
+                self.abandon_slot(id);
                 self.refuse_above_limit(id, &account, limit, retry_after);
                 false
             }
             Some(TokenTake::Wait) | None => {
-                self.release_slot(id);
+                self.abandon_slot(id);
                 self.wait_for_allotment(id, &account);
                 false
             }
--- a/crates/gate/tests/rate_limits.rs
+++ b/crates/gate/tests/rate_limits.rs
@@ -176,6 +176,36 @@
     }
 }
 
+/// Load: steady requests that wait for tokens of other nodes, and then more requests than the
+/// database serves in time. Guards against service times of zero for requests that left the queue to wait for a
+/// token: estimates would be too low, and requests be queued that cannot meet their objective.
+#[test]
+fn waits_for_tokens_do_not_count_as_service() {
+    let refused = [limit(10.0, 1.0), None].map(|limit| {
+        let mut simulation = Simulation::start_linked(3);
+        let names: Vec<String> = (0..6).map(|index| format!("a{index}")).collect();
+        let mut accounts: Vec<_> = names.iter().map(|name| (name.as_str(), limit)).collect();
+        accounts.push(("free", None));
+        configure(&mut simulation, 2, &accounts);
+        for name in ["a", "b", "c"] {
+            simulation.database(name).statement_time = millis(30);
+        }
+        simulation.run(millis(3_000));
+        for _ in 0..20 {
+            for name in &names {
+                send(&mut simulation, 0, name, LATEST);
+                simulation.run(millis(50));
+            }
+        }
+        for _ in 0..60 {
+            send(&mut simulation, 0, "free", LATEST);
+        }
+        simulation.run(millis(50));
+        simulation.counters.get("requests_failed").copied().unwrap_or_default()
+    });
+    assert!(refused[1] > 0 && refused[0] == refused[1], "{refused:?}");
+}
+
 /// Load: steady requests of an account whose home node is cut off, and of another one. Guards
 /// against requests that wait for a home node beyond 300 ms, and against waits of other accounts.
 #[test]
