Leave tokens with the node while requests wait in a queue

Cause: a request that had waited for a token took it to the end of the queue of a database. If it waited there for longer than 250 ms, the token expired, and the request took another one, while other requests of the account found none. The token was also used up to 250 ms after its expiry. Change: the request is queued again without the token, and the request of the account that is sent first uses it. Only a token of the node's own ledger or reserve stays with its request.

--- a/crates/allot/src/node.rs
+++ b/crates/allot/src/node.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// See [`AllotmentCache::held`]; a home node holds no tokens of its own accounts.
+    pub fn held(&mut self, now: Micros, account: &Name) -> u32 {
+        self.cache.held(now, account)
+    }
+
     /// Returns for how long an account is known to be above its limit.
     pub fn refused_for(&self, now: Micros, account: &Name) -> Option<Micros> {
         self.cache.refused_for(now, account)
--- a/crates/gate/src/allotment.rs
+++ b/crates/gate/src/allotment.rs
@@ -45,7 +45,8 @@
 pub(crate) enum OperationCharge {
     #[default]
     Uncharged,
-    /// A token was taken after a wait; it expires if the operation is not sent until then.
+    /// A token of this node's own ledger or reserve was taken after a wait; it expires if the
+    /// operation is not sent until then.
     Held { until: Micros },
     /// The operation was sent.
     Charged,
@@ -196,6 +197,8 @@
     /// be none in time.
     fn resume_allotment_waiters(&mut self) {
         let now = self.now;
+        // Requests of each account that were queued again and may take a token when they are sent.
+        let mut queued = FastMap::<Name, u32>::default();
         for id in std::mem::take(&mut self.allotments.waiting) {
             let Some(request) = self.requests.get(&id) else { continue };
             let RequestStage::WaitingForAllotment { since } = request.stage else { continue };
@@ -204,6 +207,14 @@
                 continue;
             };
             let Some(node) = &mut self.allotments.node else { continue };
+            // The token stays with the node, so that another request of the account can use it if
+            // this one waits in a queue until the token has expired.
+            let unclaimed = queued.entry(account.clone()).or_default();
+            if node.held(now, &account) > *unclaimed {
+                self.route_request(id);
+                *unclaimed += u32::from(self.is_queued_uncharged(id));
+                continue;
+            }
             let until = now + node.token_ttl();
             let take = node.take(now, &account);
             match take {
@@ -220,6 +231,13 @@
         }
     }
 
+    /// Returns true if a request waits in a queue and has not been charged.
+    fn is_queued_uncharged(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|request| {
+            request.stage == RequestStage::Queued && request.charge == OperationCharge::Uncharged
+        })
+    }
+
     /// Updates homes, requests tokens and resumes requests. Called at each timer event.
     pub(crate) fn maintain_allotments(&mut self) {
         self.refresh_allotments();
--- a/crates/gate/tests/rate_limits.rs
+++ b/crates/gate/tests/rate_limits.rs
@@ -206,6 +206,31 @@
     assert!(refused[1] > 0 && refused[0] == refused[1], "{refused:?}");
 }
 
+/// Load: four accounts with slightly more than the databases serve, at a node that is not the home of
+/// all, so that requests wait in the queue for longer than tokens are valid. Guards against a token
+/// that stays with a request at the end of the queue and expires there while others need one.
+#[test]
+fn waits_in_the_queue_use_up_few_tokens() {
+    let mut simulation = Simulation::start_linked(2);
+    let names: Vec<String> = (0..4).map(|index| format!("a{index}")).collect();
+    let accounts: Vec<_> = names.iter().map(|name| (name.as_str(), limit(60.0, 1.0))).collect();
+    configure(&mut simulation, 2, &accounts);
+    for name in ["a", "b", "c"] {
+        simulation.database(name).statement_time = millis(100);
+    }
+    simulation.run(millis(3_000));
+    for _ in 0..200 {
+        for name in &names {
+            send(&mut simulation, 0, name, LATEST);
+        }
+        simulation.run(millis(20));
+    }
+    simulation.run(millis(1_000));
+    let count = |counter| simulation.counters.get(counter).copied().unwrap_or_default();
+    let (charged, served) = (count("allotments_charged"), count("requests_served"));
+    assert!(served > 30 && charged * 2 <= served * 3, "{charged} charged, {served} served");
+}
+
 /// Load: steady requests of an account whose home node is cut off, and of another one. Guards
 /// against requests that wait for a home node beyond 300 ms, and against waits of other accounts.
 #[test]
