Let an account send one operation at a new home node

Cause: buckets began empty, so that after the start of all nodes an account of one operation a second was refused for up to a second, also if it had sent nothing. Change: a bucket begins with one operation, at most once in 10 s for each account and process, out of the stated slack.

--- a/crates/allot/src/ledger.rs
+++ b/crates/allot/src/ledger.rs
@@ -21,6 +21,9 @@
 /// [`AUTHORITY_TTL`] after it was last shown to be one, and leaves reserves then.
 const UNKNOWN_TTL: Micros = Micros(AUTHORITY_TTL.0 + RESERVE_TTL.0);
 
+/// Minimum time between two buckets of an account at one node that do not begin empty: two windows.
+const FIRST_ALLOWANCE_INTERVAL: Micros = Micros::from_secs(10);
+
 /// Outcome of an operation at the home node itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HomeTake {
@@ -102,10 +105,10 @@
 }
 
 impl AccountLedger {
-    fn new(now: Micros, limit: RateLimit) -> Self {
+    fn new(now: Micros, limit: RateLimit, level: f64) -> Self {
         AccountLedger {
             limit,
-            level: 0.0,
+            level,
             settled: now,
             office_since: now,
             is_new: true,
@@ -228,6 +231,8 @@
     store_contact: Option<Micros>,
     nodes: FastMap<Name, NodeContact>,
     accounts: FastMap<Name, AccountLedger>,
+    /// When the buckets of accounts last began with a first allowance at this node.
+    first_allowances: FastMap<Name, Micros>,
 }
 
 impl AllotmentLedger {
@@ -243,6 +248,7 @@
             store_contact: None,
             nodes: FastMap::default(),
             accounts: FastMap::default(),
+            first_allowances: FastMap::default(),
         }
     }
 
@@ -259,11 +265,15 @@
         if view != self.view {
             self.change_view(now, view, members);
         }
+        self.first_allowances.retain(|_, at| now < *at + FIRST_ALLOWANCE_INTERVAL);
         let mut former = std::mem::take(&mut self.accounts);
         for (name, limit) in accounts {
             let capacity = self.policy.capacity(limit);
-            let mut account =
-                former.remove(&name).unwrap_or_else(|| AccountLedger::new(now, limit));
+            let mut account = former.remove(&name).unwrap_or_else(|| {
+                let is_first = self.first_allowances.insert(name.clone(), now).is_none();
+                let level = if is_first { self.policy.first_level } else { 0.0 };
+                AccountLedger::new(now, limit, level)
+            });
             account.limit = limit;
             account.level = account.level.min(capacity);
             self.accounts.insert(name, account);
--- a/crates/allot/src/lib.rs
+++ b/crates/allot/src/lib.rs
@@ -91,13 +91,18 @@
 pub struct AllotmentPolicy {
     token_ttl: Micros,
     extra_burst: f64,
+    first_level: f64,
 }
 
 impl AllotmentPolicy {
     /// Derives the properties. Without a known bound, limits have no extra burst.
     pub fn new(bound: Option<QuotaBound>) -> Self {
         let Some(QuotaBound { window, overage_permille, slack }) = bound else {
-            return AllotmentPolicy { token_ttl: MAX_TOKEN_TTL, extra_burst: 0.0 };
+            return AllotmentPolicy {
+                token_ttl: MAX_TOKEN_TTL,
+                extra_burst: 0.0,
+                first_level: 0.0,
+            };
         };
         let half_overage = Micros(window.0.saturating_mul(u64::from(overage_permille)) / 2_000);
         AllotmentPolicy {
@@ -105,6 +110,9 @@
             // Replaces tokens that expire unused at other nodes. The rest of the slack is for
             // changes of the home node.
             extra_burst: f64::from(slack) / 4.0,
+            // One operation at a slack of 20, so that 15 home nodes that start in one window stay
+            // within what the extra burst leaves of it.
+            first_level: (f64::from(slack) / 20.0).min(1.0).floor(),
         }
     }
 
--- a/crates/allot/tests/limits.rs
+++ b/crates/allot/tests/limits.rs
@@ -765,10 +765,7 @@
         let lost = fleet.lost_since(name, since);
         let exact = fleet.refused_by_exact_bucket(name, limit(index), since);
         // The buckets of the fleet are a fraction of a token behind, as homes start a little later.
-        assert!(
-            index == 3 || lost <= exact + 1,
-            "{name} lost {lost}, an exact bucket refuses {exact}"
-        );
+        assert!(index == 3 || lost <= exact, "{name} lost {lost}, an exact bucket refuses {exact}");
     }
     (fleet.requests - before) / nodes as u64 / 10
 }
@@ -816,3 +813,79 @@
     fleet.run_with(Micros::from_secs(15), &loads);
     fleet.assert_rule("a", LARGE);
 }
+
+/// Restarts all nodes one after the other while an account sends steadily to the running ones, and
+/// returns how many operations were sent, and how many were lost that one exact bucket would allow.
+fn lost_in_a_rolling_restart(rate: f64, limit: RateLimit) -> (usize, usize) {
+    let mut fleet = Fleet::start(6, &[("a", limit)]);
+    fleet.run_with(Micros::from_secs(8), &[("a", rate, ALL)]);
+    let since = fleet.now;
+    for index in ALL {
+        let others: Vec<usize> = ALL.iter().copied().filter(|other| other != index).collect();
+        let mut known = fleet.members[others[0]].known.clone();
+        known.remove(&name(*index));
+        fleet.kill(*index);
+        for other in &others {
+            fleet.set_known(*other, &known);
+        }
+        fleet.run_with(millis(600), &[("a", rate, &others)]);
+        fleet.restart(*index);
+        fleet.run_with(millis(600), &[("a", rate, ALL)]);
+    }
+    fleet.run_with(Micros::from_secs(15), &[("a", rate, ALL)]);
+    fleet.assert_rule("a", limit);
+    let sent = fleet.sent.iter().filter(|(at, _)| *at >= since).count();
+    let unavoidable = fleet.refused_by_exact_bucket("a", limit, since);
+    (sent, fleet.lost_since("a", since).saturating_sub(unavoidable))
+}
+
+/// Guards against new home nodes that refuse accounts within their limits while nodes restart in
+/// turn.
+#[test]
+fn a_rolling_restart_costs_a_steady_account_little() {
+    for limit in [LARGE, RateLimit { rate_per_s: 10.0, burst: 10.0 }] {
+        for (share, max_percent) in [(0.6, 2), (0.95, 5)] {
+            let (sent, lost) = lost_in_a_rolling_restart(limit.rate_per_s * share, limit);
+            println!("{lost} of {sent} lost at {share} of {}", limit.rate_per_s);
+            assert!(lost * 100 <= sent * max_percent, "{lost} of {sent} lost at {share}");
+        }
+    }
+}
+
+/// All nodes start together, and accounts of one operation a second send their first operation
+/// soon. Guards against refusals of accounts that have sent nothing yet.
+#[test]
+fn small_accounts_are_served_after_a_common_start() {
+    let names: Vec<String> = (0..20).map(|index| format!("a{index}")).collect();
+    let limits: Vec<_> = names.iter().map(|name| (name.as_str(), SMALL)).collect();
+    let mut fleet = Fleet::start(6, &limits);
+    fleet.run(millis(100));
+    for (index, name) in names.iter().enumerate() {
+        fleet.send(index % 6, name);
+    }
+    fleet.run(millis(1_000));
+    assert_eq!((fleet.ran.len(), fleet.refused.len(), fleet.expired.len()), (20, 0, 0));
+}
+
+/// The home node of a small account crashes and starts again every 700 ms under a flood, and then the
+/// account is removed and added again every 120 ms. Guards against first allowances that add up until
+/// the rule is broken.
+#[test]
+fn frequent_starts_allow_a_small_account_no_more() {
+    let mut fleet = Fleet::start(6, &[("c", SMALL)]);
+    fleet.run_with(Micros::from_secs(5), &[("c", 50.0, ALL)]);
+    for _ in 0..20 {
+        fleet.restart(fleet.home(0, "c"));
+        fleet.run_with(millis(700), &[("c", 50.0, ALL)]);
+    }
+    fleet.assert_rule("c", SMALL);
+    for _ in 0..40 {
+        for limit in [None, Some(SMALL)] {
+            for index in ALL {
+                fleet.set_limit(*index, "c", limit);
+            }
+            fleet.run_with(millis(60), &[("c", 200.0, ALL)]);
+        }
+    }
+    fleet.assert_rule("c", SMALL);
+}
