--- a/crates/allot/src/ledger.rs
+++ b/crates/allot/src/ledger.rs
@@ -21,6 +21,9 @@
 /// [`AUTHORITY_TTL`] after it was last shown to be one, and leaves reserves then.
 const UNKNOWN_TTL: Micros = Micros(AUTHORITY_TTL.0 + RESERVE_TTL.0);
 
+/// Minimum time between two buckets of an account at one node that do not begin empty: two windows.
+const FIRST_ALLOWANCE_INTERVAL: Micros = Micros::from_secs(10);
+
 /// Outcome of an operation at the home node itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HomeTake {
@@ -45,6 +48,8 @@
     /// From this time on the node may use its reserves.
     quiet_from: Micros,
     view: u64,
+    /// Until then, nodes that it saw leave may use reserves.
+    departed_until: Micros,
 }
 
 /// A node's part of an account.
@@ -100,10 +105,10 @@
 }
 
 impl AccountLedger {
-    fn new(now: Micros, limit: RateLimit) -> Self {
+    fn new(now: Micros, limit: RateLimit, level: f64) -> Self {
         AccountLedger {
             limit,
-            level: 0.0,
+            level,
             settled: now,
             office_since: now,
             is_new: true,
@@ -226,6 +231,8 @@
     store_contact: Option<Micros>,
     nodes: FastMap<Name, NodeContact>,
     accounts: FastMap<Name, AccountLedger>,
+    /// When the buckets of accounts last began with a first allowance at this node.
+    first_allowances: FastMap<Name, Micros>,
 }
 
 impl AllotmentLedger {
@@ -241,6 +248,7 @@
             store_contact: None,
             nodes: FastMap::default(),
             accounts: FastMap::default(),
+            first_allowances: FastMap::default(),
         }
     }
 
@@ -257,11 +265,15 @@
         if view != self.view {
             self.change_view(now, view, members);
         }
+        self.first_allowances.retain(|_, at| now < *at + FIRST_ALLOWANCE_INTERVAL);
         let mut former = std::mem::take(&mut self.accounts);
         for (name, limit) in accounts {
             let capacity = self.policy.capacity(limit);
-            let mut account =
-                former.remove(&name).unwrap_or_else(|| AccountLedger::new(now, limit));
+            let mut account = former.remove(&name).unwrap_or_else(|| {
+                let is_first = self.first_allowances.insert(name.clone(), now).is_none();
+                let level = if is_first { self.policy.first_level } else { 0.0 };
+                AccountLedger::new(now, limit, level)
+            });
             account.limit = limit;
             account.level = account.level.min(capacity);
             self.accounts.insert(name, account);
@@ -275,12 +287,18 @@
             self.departed.insert(node.clone(), now);
         }
         self.departed
-            .retain(|node, left| !members.contains(node) && now < left.saturating_add(RESERVE_TTL));
+            .retain(|node, left| !members.contains(node) && now < left.saturating_add(UNKNOWN_TTL));
         self.view = view;
         self.view_settled = now;
         self.members = members;
     }
 
+    /// Returns the time until which nodes that left the view may use reserves.
+    pub(crate) fn departed_until(&self) -> Micros {
+        let last = self.departed.values().max();
+        last.map_or(Micros::ZERO, |left| left.saturating_add(UNKNOWN_TTL))
+    }
+
     /// Records that this node has contact with the store, which shows that no other node has taken
     /// its place.
     pub fn record_store_contact(&mut self, now: Micros) {
@@ -351,7 +369,7 @@
         request: &AllotmentRequest,
     ) -> Vec<AllotmentGrant> {
         self.settle_all(now);
-        self.record_request(now, node, session, request.view);
+        self.record_request(now, node, session, request);
         for demand in &request.demands {
             if let Some(ledger) = self.accounts.get_mut(&demand.account) {
                 carry(ledger, node, demand.carried_milli);
@@ -370,7 +388,14 @@
         grants
     }
 
-    fn record_request(&mut self, now: Micros, node: &Name, session: u64, view: u64) {
+    fn record_request(
+        &mut self,
+        now: Micros,
+        node: &Name,
+        session: u64,
+        request: &AllotmentRequest,
+    ) {
+        let view = request.view;
         let former = self.nodes.get(node).copied();
         let continues = former.is_some_and(|contact| contact.session == session);
         let quiet_from = match former {
@@ -389,7 +414,8 @@
             self.view_settled = now;
             introduces = true;
         }
-        let contact = NodeContact { session, last_request: now, quiet_from, view };
+        let departed_until = now + Micros::from_millis(request.departed_ms).min(UNKNOWN_TTL);
+        let contact = NodeContact { session, last_request: now, quiet_from, view, departed_until };
         self.nodes.insert(node.clone(), contact);
         if introduces {
             // An account may not be new any more.
@@ -399,12 +425,13 @@
 
     /// Returns true if every node that may hold a reserve of an account has told it.
     fn knows_all_reserves(&self, now: Micros, office_since: Micros) -> bool {
+        // The members also know of nodes that left before this process started.
         let has_told = |node: &Name| {
             let contact = self.nodes.get(node);
-            contact.is_some_and(|contact| contact.view == self.view)
+            contact
+                .is_some_and(|contact| contact.view == self.view && now >= contact.departed_until)
         };
-        let departed = self.departed.values().any(|left| now < left.saturating_add(UNKNOWN_TTL));
-        (self.members.iter().all(has_told) && !departed)
+        (self.members.iter().all(has_told) && now >= self.departed_until())
             || now >= office_since.max(self.view_settled) + UNKNOWN_TTL
     }
 
@@ -437,3 +464,27 @@
     // The node has used about this rate; without it, its next reserve would begin at zero.
     share.rate = share.rate.max(carried);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a former home node that is forgotten too early: it left reserves until 2.5 s
+    /// after its departure, and they are valid for 10 s.
+    #[test]
+    fn a_changed_view_keeps_departures_while_reserves_may_be_in_use() {
+        let update = |ledger: &mut AllotmentLedger, seconds, view, names: &[&str]| {
+            let members = names.iter().map(|name| Name::from(*name));
+            ledger.update(Micros::from_secs(seconds), view, members, Vec::new());
+        };
+        let mut ledger = AllotmentLedger::new("n1".into(), AllotmentPolicy::new(None));
+        update(&mut ledger, 0, 1, &["n2", "n3"]);
+        update(&mut ledger, 1, 2, &["n2"]);
+        update(&mut ledger, 12, 3, &["n2", "n4"]);
+        assert_eq!(ledger.departed_until(), Micros::from_secs(1) + UNKNOWN_TTL);
+        update(&mut ledger, 14, 4, &["n2"]);
+        assert_eq!(ledger.departed_until(), Micros::from_secs(14) + UNKNOWN_TTL);
+        update(&mut ledger, 15, 5, &["n2", "n4"]);
+        assert_eq!(ledger.departed_until(), Micros::ZERO);
+    }
+}
--- a/crates/allot/tests/limits.rs
+++ b/crates/allot/tests/limits.rs
@@ -708,16 +708,19 @@
     fleet.assert_rule_since("a", lowered, active + BOUND.window);
 }
 
-/// An account is removed and added again under load: its former state allows no more.
+/// An account is removed and added again several times in one window under load. Guards against an
+/// account that begins with its whole burst each time.
 #[test]
 fn a_removed_account_leaves_nothing() {
     let mut fleet = Fleet::start(6, &[("a", LARGE), ("b", LARGE)]);
     fleet.run_with(Micros::from_secs(8), &[("a", 2_000.0, ALL)]);
-    for limit in [None, Some(LARGE)] {
-        for index in ALL {
-            fleet.set_limit(*index, "a", limit);
+    for _ in 0..8 {
+        for limit in [None, Some(LARGE)] {
+            for index in ALL {
+                fleet.set_limit(*index, "a", limit);
+            }
+            fleet.run_with(millis(100), &[("a", 2_000.0, ALL)]);
         }
-        fleet.run_with(millis(500), &[("a", 2_000.0, ALL)]);
     }
     fleet.run_with(Micros::from_secs(8), &[("a", 2_000.0, ALL)]);
     fleet.assert_rule("a", LARGE);
@@ -734,9 +737,10 @@
     assert_eq!(fleet.lost_since("a", since), 0);
 }
 
-/// Returns the requests a second of each node, with 73 accounts of Zipf weight 1.2 and one flood.
+/// Returns the requests a second of each node, with 73 accounts of Zipf weight 1.2 at 62% of their
+/// limits and, if wanted, one flood.
 /// Checks the rule, and that the other accounts lose nothing that one exact bucket would allow.
-fn requests_with_many_accounts(nodes: usize) -> u64 {
+fn requests_with_many_accounts(nodes: usize, has_flood: bool) -> u64 {
     let names: Vec<String> = (0..73).map(|index| format!("account-{index}")).collect();
     let total: f64 = (1..=73).map(|rank| f64::from(rank).powf(-1.2)).sum();
     let rate = |index: usize| 1_000.0 * (index as f64 + 1.0).powf(-1.2) / total;
@@ -749,7 +753,7 @@
     let limits: Vec<_> = indexed().map(|(index, name)| (name.as_str(), limit(index))).collect();
     let loads: Vec<(&str, f64, &[usize])> = indexed()
         .map(|(index, name)| {
-            let flood = if index == 3 { 7.0 } else { 1.0 };
+            let flood = if has_flood && index == 3 { 7.0 } else { 1.0 };
             (name.as_str(), rate(index) * flood, targets.as_slice())
         })
         .collect();
@@ -761,9 +765,8 @@
         fleet.assert_rule(name, limit(index));
         let lost = fleet.lost_since(name, since);
         let exact = fleet.refused_by_exact_bucket(name, limit(index), since);
-        // The buckets of the fleet are a fraction of a token behind, as homes start a little later.
         assert!(
-            index == 3 || lost <= exact + 1,
+            (has_flood && index == 3) || lost <= exact,
             "{name} lost {lost}, an exact bucket refuses {exact}"
         );
     }
@@ -773,7 +776,15 @@
 /// Bounds the messages between the six owners of deployment A.
 #[test]
 fn messages_of_six_owners_are_bounded() {
-    let each = requests_with_many_accounts(6);
+    let each = requests_with_many_accounts(6, true);
+    println!("{each} requests a second for each node");
+    assert!(each <= 150, "{each} requests a second for each node");
+}
+
+/// Bounds the messages between the six owners of deployment A while no account is above its limit.
+#[test]
+fn messages_of_six_owners_are_bounded_without_a_flood() {
+    let each = requests_with_many_accounts(6, false);
     println!("{each} requests a second for each node");
     assert!(each <= 150, "{each} requests a second for each node");
 }
@@ -782,7 +793,136 @@
 /// centres, and nodes that are too weak for more than one cluster. The other nodes send none.
 #[test]
 fn messages_of_660_nodes_are_bounded() {
-    let each = requests_with_many_accounts(32);
+    let each = requests_with_many_accounts(32, true);
     println!("{each} requests a second for each node");
     assert!(each <= 400, "{each} requests a second for each node");
 }
+
+/// A node is cut off with a reserve and leaves the registrations, and then the home node restarts.
+/// Guards against a new process that does not know which nodes left before it started.
+#[test]
+fn a_restarted_home_node_allows_for_nodes_that_left_before() {
+    let mut fleet = Fleet::start(6, &[("a", LARGE)]);
+    let home = fleet.home(0, "a");
+    let lone = (home + 1) % 6;
+    fleet.run_with(Micros::from_secs(8), &[("a", 2_000.0, &[lone])]);
+    let others: Vec<usize> = (0..6).filter(|index| *index != lone).collect();
+    for other in &others {
+        fleet.cut(lone, *other);
+    }
+    fleet.members[lone].has_contact = false;
+    let loads: [(&str, f64, &[usize]); 2] = [("a", 2_000.0, &[lone]), ("a", 2_000.0, &others)];
+    fleet.run_with(millis(3_000), &loads);
+    let mut known = fleet.members[home].known.clone();
+    known.remove(&name(lone));
+    known.insert(name(home), 2);
+    let limits = fleet.members[home].limits.clone();
+    fleet.members[home] = Fleet::member(home, known.clone(), limits);
+    for other in &others {
+        fleet.set_known(*other, &known);
+    }
+    fleet.run_with(Micros::from_secs(15), &loads);
+    fleet.assert_rule("a", LARGE);
+}
+
+/// Restarts all nodes one after the other while an account sends steadily to the running ones, and
+/// returns how many operations were sent, and how many were lost that one exact bucket would allow.
+fn lost_in_a_rolling_restart(rate: f64, limit: RateLimit) -> (usize, usize) {
+    let mut fleet = Fleet::start(6, &[("a", limit)]);
+    fleet.run_with(Micros::from_secs(8), &[("a", rate, ALL)]);
+    let since = fleet.now;
+    for index in ALL {
+        let others: Vec<usize> = ALL.iter().copied().filter(|other| other != index).collect();
+        let mut known = fleet.members[others[0]].known.clone();
+        known.remove(&name(*index));
+        fleet.kill(*index);
+        for other in &others {
+            fleet.set_known(*other, &known);
+        }
+        fleet.run_with(millis(600), &[("a", rate, &others)]);
+        fleet.restart(*index);
+        fleet.run_with(millis(600), &[("a", rate, ALL)]);
+    }
+    fleet.run_with(Micros::from_secs(15), &[("a", rate, ALL)]);
+    fleet.assert_rule("a", limit);
+    let sent = fleet.sent.iter().filter(|(at, _)| *at >= since).count();
+    let unavoidable = fleet.refused_by_exact_bucket("a", limit, since);
+    (sent, fleet.lost_since("a", since).saturating_sub(unavoidable))
+}
+
+/// Guards against new home nodes that refuse accounts within their limits while nodes restart in
+/// turn.
+#[test]
+fn a_rolling_restart_costs_a_steady_account_little() {
+    for limit in [LARGE, RateLimit { rate_per_s: 10.0, burst: 10.0 }] {
+        for (share, max_percent) in [(0.6, 2), (0.95, 5)] {
+            let (sent, lost) = lost_in_a_rolling_restart(limit.rate_per_s * share, limit);
+            println!("{lost} of {sent} lost at {share} of {}", limit.rate_per_s);
+            assert!(lost * 100 <= sent * max_percent, "{lost} of {sent} lost at {share}");
+        }
+    }
+}
+
+/// All nodes start together, and accounts of one operation a second send their first operation
+/// soon. Guards against refusals of accounts that have sent nothing yet.
+#[test]
+fn small_accounts_are_served_after_a_common_start() {
+    let names: Vec<String> = (0..20).map(|index| format!("a{index}")).collect();
+    let limits: Vec<_> = names.iter().map(|name| (name.as_str(), SMALL)).collect();
+    let mut fleet = Fleet::start(6, &limits);
+    fleet.run(millis(100));
+    for (index, name) in names.iter().enumerate() {
+        fleet.send(index % 6, name);
+    }
+    fleet.run(millis(1_000));
+    assert_eq!((fleet.ran.len(), fleet.refused.len(), fleet.expired.len()), (20, 0, 0));
+}
+
+/// The home node of a small account crashes and starts again every 700 ms under a flood, and then the
+/// account is removed and added again every 120 ms. Guards against first allowances that add up until
+/// the rule is broken.
+#[test]
+fn frequent_starts_allow_a_small_account_no_more() {
+    let mut fleet = Fleet::start(6, &[("c", SMALL)]);
+    fleet.run_with(Micros::from_secs(5), &[("c", 50.0, ALL)]);
+    for _ in 0..20 {
+        fleet.restart(fleet.home(0, "c"));
+        fleet.run_with(millis(700), &[("c", 50.0, ALL)]);
+    }
+    fleet.assert_rule("c", SMALL);
+    for _ in 0..40 {
+        for limit in [None, Some(SMALL)] {
+            for index in ALL {
+                fleet.set_limit(*index, "c", limit);
+            }
+            fleet.run_with(millis(60), &[("c", 200.0, ALL)]);
+        }
+    }
+    fleet.assert_rule("c", SMALL);
+}
+
+/// Home nodes learn of a new account later than the nodes that ask them, and then of its removal
+/// later. Guards against lasting refusals once all nodes know the same configuration.
+#[test]
+fn a_home_node_with_an_older_configuration_serves_once_it_follows() {
+    let mut fleet = Fleet::start(6, &[("b", LARGE)]);
+    fleet.run_with(Micros::from_secs(2), &[("b", 100.0, ALL)]);
+    fleet.set_limit(0, "a", Some(LARGE));
+    let home = fleet.home(0, "a");
+    let late = if home == 0 { 1 } else { home };
+    for index in (1..6).filter(|index| *index != late) {
+        fleet.set_limit(index, "a", Some(LARGE));
+    }
+    let askers: Vec<usize> = (0..6).filter(|index| *index != late).collect();
+    let loads: [(&str, f64, &[usize]); 2] = [("a", 100.0, &askers), ("b", 100.0, ALL)];
+    let since = fleet.now;
+    fleet.run_with(millis(3_000), &loads);
+    println!("{} of 300 lost while the home node is behind", fleet.lost_since("a", since));
+    assert_eq!(fleet.lost_since("b", since), 0);
+    fleet.set_limit(late, "a", Some(LARGE));
+    fleet.run_with(millis(1_000), &loads);
+    let since = fleet.now;
+    fleet.run_with(millis(5_000), &loads);
+    assert_eq!(fleet.lost_since("a", since), 0);
+    fleet.assert_rule("a", LARGE);
+}
