Leave out only the reserves that a new home node cannot know

Change: no reserve is above the equal part of the nodes, so a new home node leaves out just one part for each node that has not asked it and for each that left without shutting down. A node that shuts down uses no reserve.

--- a/crates/allot/src/cache.rs
+++ b/crates/allot/src/cache.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     AHEAD_INTERVAL, AllotmentDemand, AllotmentGrant, AllotmentPolicy, AllotmentRequest,
-    INTRODUCTION_INTERVAL, KEEP_ALIVE_INTERVAL, LONE_INTERVAL, RECENT_USE, REQUEST_INTERVAL,
-    RESERVE_DELAY, RESERVE_TTL, seconds,
+    DepartedReserves, INTRODUCTION_INTERVAL, KEEP_ALIVE_INTERVAL, LONE_INTERVAL, RECENT_USE,
+    REQUEST_INTERVAL, RESERVE_DELAY, RESERVE_TTL, seconds,
 };
 
 /// Outcome of an operation that needs a token.
@@ -151,8 +151,9 @@
     view: u64,
     /// Homes are chosen among nodes that include this one, so they have to know its view.
     is_member: bool,
-    /// Until then, nodes that left may use reserves.
+    /// Until then, nodes that left may use reserves, which are this part of a limit.
     departed_until: Micros,
+    departed_share: f64,
     accounts: FastMap<Name, AccountCache>,
     links: FastMap<Name, HomeLink>,
 }
@@ -161,8 +162,15 @@
     /// Creates a cache without accounts.
     pub fn new(policy: AllotmentPolicy) -> Self {
         let (accounts, links) = (FastMap::default(), FastMap::default());
-        let departed_until = Micros::ZERO;
-        AllotmentCache { policy, view: 0, is_member: false, departed_until, accounts, links }
+        AllotmentCache {
+            policy,
+            view: 0,
+            is_member: false,
+            departed_until: Micros::ZERO,
+            departed_share: 0.0,
+            accounts,
+            links,
+        }
     }
 
     /// Sets the accounts with a limit and their home nodes. Returns how many homes have changed.
@@ -194,9 +202,11 @@
         changes
     }
 
-    /// Sets the time until which nodes that left may use reserves.
-    pub(crate) fn set_departed_until(&mut self, until: Micros) {
+    /// Sets the time until which nodes that left may use reserves, and the part of a limit that
+    /// these are.
+    pub(crate) fn set_departed_reserves(&mut self, until: Micros, share: f64) {
         self.departed_until = until;
+        self.departed_share = share;
     }
 
     /// Returns the home node of an account.
@@ -244,6 +254,10 @@
 
     /// Takes an operation from the reserve if the home node has not answered for long enough.
     pub fn take_reserve(&mut self, now: Micros, account: &Name) -> bool {
+        // Home nodes take a member that shuts down for one that uses no reserves.
+        if !self.is_member {
+            return false;
+        }
         let Some(cache) = self.accounts.get_mut(account) else { return false };
         if !cache.reserve.is_valid(now) {
             return false;
@@ -351,8 +365,10 @@
                 demands.push(demand);
             }
         }
-        let departed_ms = self.departed_until.saturating_sub(now).as_millis();
-        is_needed.then_some(AllotmentRequest { view: self.view, departed_ms, demands })
+        let for_ms = self.departed_until.saturating_sub(now).as_millis();
+        let permille = if for_ms > 0 { (self.departed_share * 1e3).ceil() as u32 } else { 0 };
+        let departed = DepartedReserves { for_ms, permille };
+        is_needed.then_some(AllotmentRequest { view: self.view, departed, demands })
     }
 
     /// Handles the answer to a request that was sent at `sent`.
--- a/crates/allot/src/ledger.rs
+++ b/crates/allot/src/ledger.rs
@@ -1,5 +1,7 @@
 //! The home node's part: token buckets, and what other nodes may hold of them.
 
+use std::collections::BTreeSet;
+
 use account::RateLimit;
 use model::{FastMap, Micros, Name};
 
@@ -48,8 +50,23 @@
     /// From this time on the node may use its reserves.
     quiet_from: Micros,
     view: u64,
-    /// Until then, nodes that it saw leave may use reserves.
+    /// Until then, nodes that it saw leave may use reserves, which are this part of a limit.
     departed_until: Micros,
+    departed_share: f64,
+}
+
+/// A node that left the view without shutting down. It may still run and use its reserve.
+#[derive(Clone, Copy, Debug)]
+struct DepartedNode {
+    left: Micros,
+    /// Largest part of a limit that its reserve can be.
+    share: f64,
+}
+
+impl DepartedNode {
+    fn is_relevant(&self, now: Micros) -> bool {
+        now < self.left.saturating_add(UNKNOWN_TTL)
+    }
 }
 
 /// A node's part of an account.
@@ -62,8 +79,6 @@
     held: f64,
     /// Reserve in the last answer, which the node may not have received.
     told: f64,
-    /// Reserve of another home node that the node has brought along.
-    carried: f64,
     /// Last request for tokens.
     demanded: Option<Micros>,
 }
@@ -95,10 +110,8 @@
     level: f64,
     settled: Micros,
     office_since: Micros,
-    /// Other nodes may hold reserves that are not known here.
-    is_new: bool,
-    /// Sum of the reserves that nodes have brought along.
-    carried: f64,
+    /// Part of the limit that other nodes may hold as reserves which are not known here.
+    unknown_share: f64,
     /// When too few tokens were last granted.
     exhausted: Option<Micros>,
     shares: FastMap<Name, NodeShare>,
@@ -111,34 +124,37 @@
             level,
             settled: now,
             office_since: now,
-            is_new: true,
-            carried: 0.0,
+            unknown_share: RESERVE_SHARE,
             exhausted: None,
             shares: FastMap::default(),
         }
     }
 
+    /// Returns true if other nodes may hold reserves that are not known here.
+    fn is_new(&self) -> bool {
+        self.unknown_share > 0.0
+    }
+
     fn max_reserves(&self) -> f64 {
-        let limit = RESERVE_SHARE * self.limit.rate_per_s;
-        if self.is_new { self.carried.min(limit) } else { limit }
+        (RESERVE_SHARE - self.unknown_share).max(0.0) * self.limit.rate_per_s
     }
 
-    /// Returns the rate at which the bucket fills while no node uses its reserve.
-    fn base_rate(&self) -> f64 {
-        let unreserved = (1.0 - RESERVE_SHARE) * self.limit.rate_per_s;
-        if self.is_new { unreserved + self.max_reserves() } else { self.limit.rate_per_s }
+    /// Returns the rate at which the bucket fills while no known node uses its reserve.
+    fn base_rate(&self, extra_rate: f64) -> f64 {
+        (1.0 - self.unknown_share) * self.limit.rate_per_s + extra_rate
     }
 
     /// Fills the bucket up to now. Reserves that nodes may have used are left out.
-    fn settle(&mut self, now: Micros, nodes: &FastMap<Name, NodeContact>, capacity: f64) {
-        let mut added = self.base_rate() * seconds(now.saturating_sub(self.settled));
+    fn settle(&mut self, now: Micros, nodes: &FastMap<Name, NodeContact>, policy: AllotmentPolicy) {
+        let mut added =
+            self.base_rate(policy.extra_rate) * seconds(now.saturating_sub(self.settled));
         for (node, share) in &self.shares {
             let Some(contact) = nodes.get(node) else { continue };
             let from = contact.quiet_from.max(self.settled);
             let until = (contact.last_request + RESERVE_TTL).min(now);
             added -= share.reserve() * seconds(until.saturating_sub(from));
         }
-        self.level = (self.level + added.max(0.0)).min(capacity);
+        self.level = (self.level + added.max(0.0)).min(policy.capacity(self.limit));
         self.settled = now;
     }
 
@@ -150,6 +166,7 @@
         node: &Name,
         demand: &AllotmentDemand,
         capacity: f64,
+        max_share: f64,
     ) -> AllotmentGrant {
         let waiting = f64::from(demand.waiting).min((self.level + 1e-9).floor());
         self.level -= waiting;
@@ -172,8 +189,8 @@
         AllotmentGrant {
             account: demand.account.clone(),
             granted,
-            retry_after_ms: if refused && !self.is_new { self.retry_after_ms() } else { 0 },
-            reserve_milli: self.tell_reserve(now, node, granted),
+            retry_after_ms: if refused && !self.is_new() { self.retry_after_ms() } else { 0 },
+            reserve_milli: self.tell_reserve(now, node, granted, max_share),
         }
     }
 
@@ -183,8 +200,9 @@
     }
 
     /// Returns the reserve that a node gets: its average rate, or an equal part while the account is
-    /// at its limit, as far as the reserves of all nodes stay within the limit.
-    fn tell_reserve(&mut self, now: Micros, node: &Name, granted: u32) -> u64 {
+    /// at its limit, as far as the reserves of all nodes stay within the limit. No reserve is above
+    /// the equal part of all nodes, so that a home node which does not know it can leave it out.
+    fn tell_reserve(&mut self, now: Micros, node: &Name, granted: u32, max_share: f64) -> u64 {
         let others = self.shares.iter().filter(|(other, _)| *other != node);
         let others: f64 = others.map(|(_, share)| share.reserve()).sum();
         let available = (self.max_reserves() - others).max(0.0);
@@ -194,7 +212,8 @@
         let share = self.shares.entry(node.clone()).or_default();
         share.record(now, granted);
         let wanted = if is_exhausted && share.is_active(now) { equal_part } else { share.rate };
-        let milli = (wanted.min(available) * 1e3) as u64;
+        let most = available.min(max_share * self.limit.rate_per_s);
+        let milli = (wanted.min(most) * 1e3) as u64;
         let milli = if milli < MIN_RESERVE_MILLI { 0 } else { milli };
         share.told = milli as f64 / 1e3;
         milli
@@ -210,7 +229,7 @@
 ///
 /// let mut ledger = AllotmentLedger::new("n1".into(), AllotmentPolicy::new(None));
 /// let limit = RateLimit { rate_per_s: 10.0, burst: 2.0 };
-/// ledger.update(Micros::ZERO, 1, ["n1".into()], vec![("kiosks".into(), limit)]);
+/// ledger.update(Micros::ZERO, 1, ["n1".into()], &Default::default(), vec![("kiosks".into(), limit)]);
 /// let now = Micros::from_millis(100);
 /// ledger.record_store_contact(now);
 /// assert!(matches!(ledger.take(now, &"kiosks".into()), HomeTake::Taken { .. }));
@@ -224,8 +243,8 @@
     view: u64,
     /// The other nodes of the view.
     members: Vec<Name>,
-    /// Nodes that left the view, and when.
-    departed: FastMap<Name, Micros>,
+    /// Nodes that left the view without shutting down and have not joined it again.
+    departed: FastMap<Name, DepartedNode>,
     /// When a node last made this view known, or left.
     view_settled: Micros,
     store_contact: Option<Micros>,
@@ -253,17 +272,19 @@
     }
 
     /// Sets the nodes among which homes are chosen, and the accounts whose home this node is.
-    /// Accounts that stay keep their buckets; a changed limit applies at once.
+    /// `leaving` are nodes that shut down, which use no reserves. Accounts that stay keep their
+    /// buckets; a changed limit applies at once.
     pub fn update(
         &mut self,
         now: Micros,
         view: u64,
         members: impl IntoIterator<Item = Name>,
+        leaving: &BTreeSet<Name>,
         accounts: Vec<(Name, RateLimit)>,
     ) {
         self.settle_all(now);
         if view != self.view {
-            self.change_view(now, view, members);
+            self.change_view(now, view, members, leaving);
         }
         self.first_allowances.retain(|_, at| now < *at + FIRST_ALLOWANCE_INTERVAL);
         let mut former = std::mem::take(&mut self.accounts);
@@ -281,22 +302,37 @@
         self.settle_all(now);
     }
 
-    fn change_view(&mut self, now: Micros, view: u64, members: impl IntoIterator<Item = Name>) {
+    fn change_view(
+        &mut self,
+        now: Micros,
+        view: u64,
+        members: impl IntoIterator<Item = Name>,
+        leaving: &BTreeSet<Name>,
+    ) {
         let members: Vec<Name> = members.into_iter().filter(|node| *node != self.own).collect();
+        let departed = DepartedNode { left: now, share: self.max_share() };
         for node in self.members.iter().filter(|node| !members.contains(node)) {
-            self.departed.insert(node.clone(), now);
+            self.departed.insert(node.clone(), departed);
         }
-        self.departed
-            .retain(|node, left| !members.contains(node) && now < left.saturating_add(UNKNOWN_TTL));
+        self.departed.retain(|node, departed| {
+            !members.contains(node) && !leaving.contains(node) && departed.is_relevant(now)
+        });
         self.view = view;
         self.view_settled = now;
         self.members = members;
     }
 
-    /// Returns the time until which nodes that left the view may use reserves.
-    pub(crate) fn departed_until(&self) -> Micros {
-        let last = self.departed.values().max();
-        last.map_or(Micros::ZERO, |left| left.saturating_add(UNKNOWN_TTL))
+    /// Returns the time until which nodes that left the view may use reserves, and which part of a
+    /// limit these are at most.
+    pub(crate) fn departed_reserves(&self) -> (Micros, f64) {
+        let last = self.departed.values().map(|departed| departed.left).max();
+        let until = last.map_or(Micros::ZERO, |left| left.saturating_add(UNKNOWN_TTL));
+        (until, self.departed.values().map(|departed| departed.share).sum())
+    }
+
+    /// Returns the largest part of a limit that a node's reserve may be.
+    fn max_share(&self) -> f64 {
+        RESERVE_SHARE / (self.members.len() + 1) as f64
     }
 
     /// Records that this node has contact with the store, which shows that no other node has taken
@@ -332,12 +368,12 @@
             return HomeTake::NotInOffice;
         }
         self.settle_account(now, account);
-        let own = self.own.clone();
+        let (own, max_share) = (self.own.clone(), self.max_share());
         let Some(ledger) = self.accounts.get_mut(account) else { return HomeTake::NotInOffice };
         let demand =
             AllotmentDemand { account: account.clone(), waiting: 1, ahead: 0, carried_milli: 0 };
         let capacity = self.policy.capacity(ledger.limit);
-        let grant = ledger.grant(now, &own, &demand, capacity);
+        let grant = ledger.grant(now, &own, &demand, capacity, max_share);
         if let Some(share) = ledger.shares.get_mut(&own) {
             share.held = share.told;
         }
@@ -379,11 +415,12 @@
             return Vec::new();
         }
         let mut grants = Vec::new();
+        let max_share = self.max_share();
         for demand in &request.demands {
             self.settle_account(now, &demand.account);
             let Some(ledger) = self.accounts.get_mut(&demand.account) else { continue };
             let capacity = self.policy.capacity(ledger.limit);
-            grants.push(ledger.grant(now, node, demand, capacity));
+            grants.push(ledger.grant(now, node, demand, capacity, max_share));
         }
         grants
     }
@@ -414,8 +451,15 @@
             self.view_settled = now;
             introduces = true;
         }
-        let departed_until = now + Micros::from_millis(request.departed_ms).min(UNKNOWN_TTL);
-        let contact = NodeContact { session, last_request: now, quiet_from, view, departed_until };
+        let departed = request.departed;
+        let contact = NodeContact {
+            session,
+            last_request: now,
+            quiet_from,
+            view,
+            departed_until: now + Micros::from_millis(departed.for_ms).min(UNKNOWN_TTL),
+            departed_share: f64::from(departed.permille) / 1e3,
+        };
         self.nodes.insert(node.clone(), contact);
         if introduces {
             // An account may not be new any more.
@@ -423,16 +467,22 @@
         }
     }
 
-    /// Returns true if every node that may hold a reserve of an account has told it.
-    fn knows_all_reserves(&self, now: Micros, office_since: Micros) -> bool {
+    /// Returns the part of a limit that nodes may hold as reserves which they have not told this
+    /// node: those that have not asked under this view, and those that left.
+    fn unknown_share(&self, now: Micros, office_since: Micros) -> f64 {
+        if now >= office_since.max(self.view_settled) + UNKNOWN_TTL {
+            return 0.0;
+        }
+        let has_told =
+            |node: &Name| self.nodes.get(node).is_some_and(|contact| contact.view == self.view);
+        let untold = self.members.iter().filter(|node| !has_told(node)).count();
+        let departed = self.departed.values().filter(|departed| departed.is_relevant(now));
+        let own: f64 = departed.map(|departed| departed.share).sum();
         // The members also know of nodes that left before this process started.
-        let has_told = |node: &Name| {
-            let contact = self.nodes.get(node);
-            contact
-                .is_some_and(|contact| contact.view == self.view && now >= contact.departed_until)
-        };
-        (self.members.iter().all(has_told) && now >= self.departed_until())
-            || now >= office_since.max(self.view_settled) + UNKNOWN_TTL
+        let told = self.members.iter().filter_map(|node| self.nodes.get(node));
+        let told = told.filter(|contact| contact.view == self.view && now < contact.departed_until);
+        let departed = told.map(|contact| contact.departed_share).fold(own, f64::max);
+        (self.max_share() * untold as f64 + departed).min(RESERVE_SHARE)
     }
 
     fn settle_all(&mut self, now: Micros) {
@@ -444,10 +494,11 @@
 
     fn settle_account(&mut self, now: Micros, account: &Name) {
         let Some(ledger) = self.accounts.get(account) else { return };
-        let is_new = ledger.is_new && !self.knows_all_reserves(now, ledger.office_since);
+        let unknown_share =
+            if ledger.is_new() { self.unknown_share(now, ledger.office_since) } else { 0.0 };
         let Some(ledger) = self.accounts.get_mut(account) else { return };
-        ledger.settle(now, &self.nodes, self.policy.capacity(ledger.limit));
-        ledger.is_new = is_new;
+        ledger.settle(now, &self.nodes, self.policy);
+        ledger.unknown_share = unknown_share;
     }
 }
 
@@ -458,8 +509,6 @@
     }
     let carried = carried_milli as f64 / 1e3;
     let share = ledger.shares.entry(node.clone()).or_default();
-    ledger.carried += (carried - share.carried).max(0.0);
-    share.carried = share.carried.max(carried);
     share.held = share.held.max(carried);
     // The node has used about this rate; without it, its next reserve would begin at zero.
     share.rate = share.rate.max(carried);
@@ -475,16 +524,17 @@
     fn a_changed_view_keeps_departures_while_reserves_may_be_in_use() {
         let update = |ledger: &mut AllotmentLedger, seconds, view, names: &[&str]| {
             let members = names.iter().map(|name| Name::from(*name));
-            ledger.update(Micros::from_secs(seconds), view, members, Vec::new());
+            let leaving = BTreeSet::new();
+            ledger.update(Micros::from_secs(seconds), view, members, &leaving, Vec::new());
         };
         let mut ledger = AllotmentLedger::new("n1".into(), AllotmentPolicy::new(None));
         update(&mut ledger, 0, 1, &["n2", "n3"]);
         update(&mut ledger, 1, 2, &["n2"]);
         update(&mut ledger, 12, 3, &["n2", "n4"]);
-        assert_eq!(ledger.departed_until(), Micros::from_secs(1) + UNKNOWN_TTL);
+        assert_eq!(ledger.departed_reserves().0, Micros::from_secs(1) + UNKNOWN_TTL);
         update(&mut ledger, 14, 4, &["n2"]);
-        assert_eq!(ledger.departed_until(), Micros::from_secs(14) + UNKNOWN_TTL);
+        assert_eq!(ledger.departed_reserves().0, Micros::from_secs(14) + UNKNOWN_TTL);
         update(&mut ledger, 15, 5, &["n2", "n4"]);
-        assert_eq!(ledger.departed_until(), Micros::ZERO);
+        assert_eq!(ledger.departed_reserves().0, Micros::ZERO);
     }
 }
--- a/crates/allot/src/lib.rs
+++ b/crates/allot/src/lib.rs
@@ -92,6 +92,8 @@
     token_ttl: Micros,
     extra_burst: f64,
     first_level: f64,
+    /// Operations a second that are added to each limit.
+    extra_rate: f64,
 }
 
 impl AllotmentPolicy {
@@ -102,17 +104,19 @@
                 token_ttl: MAX_TOKEN_TTL,
                 extra_burst: 0.0,
                 first_level: 0.0,
+                extra_rate: 0.0,
             };
         };
         let half_overage = Micros(window.0.saturating_mul(u64::from(overage_permille)) / 2_000);
         AllotmentPolicy {
             token_ttl: half_overage.clamp(REQUEST_INTERVAL, MAX_TOKEN_TTL),
-            // Replaces tokens that expire unused at other nodes. The rest of the slack is for
-            // changes of the home node.
+            // These replace tokens that expire unused at other nodes. The other half of the slack is
+            // for changes of the home node.
             extra_burst: f64::from(slack) / 4.0,
             // One operation at a slack of 20, so that 15 home nodes that start in one window stay
             // within what the extra burst leaves of it.
             first_level: (f64::from(slack) / 20.0).min(1.0).floor(),
+            extra_rate: f64::from(slack) / 4.0 / seconds(window).max(1.0),
         }
     }
 
@@ -126,6 +130,16 @@
     }
 }
 
+/// Reserves of nodes that the requesting one saw leave. A home node that started later does not know
+/// of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DepartedReserves {
+    /// How long they may still be used, in milliseconds.
+    pub for_ms: u64,
+    /// Largest part of a limit that they are together.
+    pub permille: u32,
+}
+
 /// What a node needs for one account.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AllotmentDemand {
@@ -143,9 +157,7 @@
 pub struct AllotmentRequest {
     /// Identifies the set of nodes among which the node chooses homes.
     pub view: u64,
-    /// How long a node that the requesting one saw leave may still use its reserve, or 0. A home node
-    /// that started later does not know of it.
-    pub departed_ms: u64,
+    pub departed: DepartedReserves,
     pub demands: Vec<AllotmentDemand>,
 }
 
--- a/crates/allot/src/node.rs
+++ b/crates/allot/src/node.rs
@@ -1,6 +1,6 @@
 //! Both parts of one node, and the choice of home nodes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use account::RateLimit;
 use member::{owner_score, rank_owners};
@@ -17,7 +17,7 @@
 /// The ledger and the cache of one node.
 ///
 /// ```
-/// use std::collections::BTreeMap;
+/// use std::collections::{BTreeMap, BTreeSet};
 ///
 /// use account::RateLimit;
 /// use allot::{AllotmentNode, AllotmentPolicy, TokenTake};
@@ -25,7 +25,8 @@
 ///
 /// let mut node = AllotmentNode::new("n1".into(), AllotmentPolicy::new(None));
 /// let limit = RateLimit { rate_per_s: 1.0, burst: 1.0 };
-/// node.update(Micros::ZERO, &BTreeMap::from([("n1".into(), 1)]), vec![("kiosks".into(), limit)]);
+/// let nodes = BTreeMap::from([("n1".into(), 1)]);
+/// node.update(Micros::ZERO, &nodes, &BTreeSet::new(), vec![("kiosks".into(), limit)]);
 /// let now = Micros::from_secs(1);
 /// node.record_store_contact(now);
 /// assert_eq!(node.take(now, &"kiosks".into()), TokenTake::Taken);
@@ -58,11 +59,12 @@
     }
 
     /// Sets the nodes among which homes are chosen, with the incarnations of their processes, and
-    /// the accounts that have a limit. Returns how many accounts have another home than before.
+    /// the accounts that have a limit. `leaving` are nodes that shut down. Returns how many accounts have another home than before.
     pub fn update(
         &mut self,
         now: Micros,
         nodes: &BTreeMap<Name, u64>,
+        leaving: &BTreeSet<Name>,
         limits: Vec<(Name, RateLimit)>,
     ) -> u64 {
         let view = view_of(nodes);
@@ -77,8 +79,9 @@
         let own: Vec<_> = own.map(|(account, limit, _)| (account.clone(), *limit)).collect();
         let changes = self.cache.update(view, nodes.contains_key(&self.own), homes);
         self.cache.retain_homes(|home| nodes.contains_key(home));
-        self.ledger.update(now, view, self.others.iter().cloned(), own.clone());
-        self.cache.set_departed_until(self.ledger.departed_until());
+        self.ledger.update(now, view, self.others.iter().cloned(), leaving, own.clone());
+        let (until, share) = self.ledger.departed_reserves();
+        self.cache.set_departed_reserves(until, share);
         for (account, _) in own {
             let carried = self.cache.carried_milli(now, &account);
             self.ledger.carry_own(now, &account, carried);
--- a/crates/allot/tests/limits.rs
+++ b/crates/allot/tests/limits.rs
@@ -116,7 +116,7 @@
 
     fn update(&mut self, index: usize) {
         let member = &mut self.members[index];
-        member.node.update(self.now, &member.known, member.limits.clone());
+        member.node.update(self.now, &member.known, &BTreeSet::new(), member.limits.clone());
     }
 
     /// Lets a member know of a change of the registrations.
--- a/crates/gate/src/allotment.rs
+++ b/crates/gate/src/allotment.rs
@@ -4,7 +4,7 @@
 //! first send. A request that a database did not run is sent again without another charge.
 //! Without an account that has a limit, this module does nothing. See docs/design/rate-limits.md.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use account::RateLimit;
 use allot::{AllotmentGrant, AllotmentNode, AllotmentPolicy, AllotmentRequest, TokenTake};
@@ -272,12 +272,14 @@
         if self.registration.listed.is_some() && !self.awaits_nodes() {
             self.allotments.nodes = self.allotting_nodes();
         }
+        let leaving = self.registry.others().filter(|(_, record)| record.leaving);
+        let leaving: BTreeSet<Name> = leaving.map(|(node, _)| node.clone()).collect();
         let nodes = &self.allotments.nodes;
         let settings = &self.settings;
         let node = self.allotments.node.get_or_insert_with(|| {
             AllotmentNode::new(settings.node.clone(), AllotmentPolicy::new(settings.quota))
         });
-        let changed = node.update(self.now, nodes, limits);
+        let changed = node.update(self.now, nodes, &leaving, limits);
         if changed > 0 {
             self.out
                 .push(GateAction::Count { counter: "allotment_homes_changed", amount: changed });
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -65,7 +65,7 @@
 use serde::de::DeserializeOwned;
 
 pub use account::ApiKey;
-pub use allot::{AllotmentDemand, AllotmentGrant, AllotmentRequest, QuotaBound};
+pub use allot::{AllotmentDemand, AllotmentGrant, AllotmentRequest, DepartedReserves, QuotaBound};
 
 pub use action::{ClientReply, GateAction, LogRecord, LogValue};
 pub use allotment::ALLOTMENT_SESSION;
