Serve writes and limited accounts soon after a start

Cause: since commits of nodes without a read lease need a witness, a node that has just started refused writes for about a second: no connection had been open since a time without a failover. Six tests of platform/tests/process.rs failed. And a node whose new home node of an account had not heard from it yet had no reserve, though the home node left out a part of the limit for it. Change: the write of a registration whose revision the node has followed shows that no failover was announced when it was sent. A member may use the part that is left out for it until the home node has heard from it.

--- a/crates/allot/src/cache.rs
+++ b/crates/allot/src/cache.rs
@@ -154,6 +154,10 @@
     /// Until then, nodes that left may use reserves, which are this part of a limit.
     departed_until: Micros,
     departed_share: f64,
+    /// Since when the view has been known, and which part of a limit each of its nodes may use while a
+    /// home node has not heard from it.
+    view_since: Micros,
+    unheard_share: f64,
     accounts: FastMap<Name, AccountCache>,
     links: FastMap<Name, HomeLink>,
 }
@@ -168,6 +172,8 @@
             is_member: false,
             departed_until: Micros::ZERO,
             departed_share: 0.0,
+            view_since: Micros::ZERO,
+            unheard_share: 0.0,
             accounts,
             links,
         }
@@ -202,6 +208,13 @@
         changes
     }
 
+    /// Sets since when the view has been known, and which part of a limit a home node that has not
+    /// heard from this node leaves out for it.
+    pub(crate) fn set_view(&mut self, since: Micros, unheard_share: f64) {
+        self.view_since = since;
+        self.unheard_share = unheard_share;
+    }
+
     /// Sets the time until which nodes that left may use reserves, and the part of a limit that
     /// these are.
     pub(crate) fn set_departed_reserves(&mut self, until: Micros, share: f64) {
@@ -259,6 +272,13 @@
             return false;
         }
         let Some(cache) = self.accounts.get_mut(account) else { return false };
+        let link = self.links.get(&cache.home);
+        let is_heard = link.is_some_and(|link| link.introduced == Some(self.view));
+        if !is_heard && !cache.reserve.is_valid(now) {
+            let milli = (self.unheard_share * cache.limit.rate_per_s * 1e3) as u64;
+            let home = cache.home.clone();
+            cache.note_reserve(self.view_since, home, self.view_since, milli);
+        }
         if !cache.reserve.is_valid(now) {
             return false;
         }
--- a/crates/allot/src/ledger.rs
+++ b/crates/allot/src/ledger.rs
@@ -245,6 +245,7 @@
     members: Vec<Name>,
     /// Nodes that left the view without shutting down and have not joined it again.
     departed: FastMap<Name, DepartedNode>,
+    view_since: Micros,
     /// When a node last made this view known, or left.
     view_settled: Micros,
     store_contact: Option<Micros>,
@@ -263,6 +264,7 @@
             view: 0,
             members: Vec::new(),
             departed: FastMap::default(),
+            view_since: Micros::ZERO,
             view_settled: Micros::ZERO,
             store_contact: None,
             nodes: FastMap::default(),
@@ -318,6 +320,7 @@
             !members.contains(node) && !leaving.contains(node) && departed.is_relevant(now)
         });
         self.view = view;
+        self.view_since = now;
         self.view_settled = now;
         self.members = members;
     }
@@ -330,8 +333,13 @@
         (until, self.departed.values().map(|departed| departed.share).sum())
     }
 
+    /// Returns since when the view has been known.
+    pub(crate) fn view_since(&self) -> Micros {
+        self.view_since
+    }
+
     /// Returns the largest part of a limit that a node's reserve may be.
-    fn max_share(&self) -> f64 {
+    pub(crate) fn max_share(&self) -> f64 {
         RESERVE_SHARE / (self.members.len() + 1) as f64
     }
 
--- a/crates/allot/src/node.rs
+++ b/crates/allot/src/node.rs
@@ -82,6 +82,7 @@
         self.ledger.update(now, view, self.others.iter().cloned(), leaving, own.clone());
         let (until, share) = self.ledger.departed_reserves();
         self.cache.set_departed_reserves(until, share);
+        self.cache.set_view(self.ledger.view_since(), self.ledger.max_share());
         for (account, _) in own {
             let carried = self.cache.carried_milli(now, &account);
             self.ledger.carry_own(now, &account, carried);
--- a/crates/edge/src/registration.rs
+++ b/crates/edge/src/registration.rs
@@ -199,6 +199,7 @@
         let (role, role_changes, lease) = (update.role, update.role_changes, held.lease);
         for _ in 0..MAX_WRITE_TRIES {
             let expected = self.revisions.get(&role).copied().unwrap_or_default();
+            let sent_at = clock::now();
             let write =
                 self.client.write_registration(role, &self.node, &update.bytes, lease, expected)?;
             match write {
@@ -215,7 +216,12 @@
                         ("revision", revision.into()),
                     ];
                     log::info!("{}", event_line("registration_written", fields));
-                    self.events.send(GateEvent::RegistrationStored { role_changes, revision });
+                    let sent = sent_at;
+                    self.events.send(GateEvent::RegistrationStored {
+                        role_changes,
+                        revision,
+                        sent,
+                    });
                     return Ok(());
                 }
                 ConditionalWrite::Conflict { current } => {
--- a/crates/gate/src/commit_proof.rs
+++ b/crates/gate/src/commit_proof.rs
@@ -9,7 +9,8 @@
 //! reported for a request sent after the answer that it has no fence above the term. The witness
 //! must not have started again since a time at which no failover was pending, so its connection
 //! must have been open then. This holds while the read lease is valid and no failover is announced,
-//! and at the request of each witness's report. A failover that compared the logs in between would
+//! at the write of a registration up to which this node has followed the store, so that a node serves
+//! writes soon after its start, and at the request of each witness's report. A failover that compared the logs in between would
 //! have fenced the witness, and the fence would still be there. All other replicas to which there is
 //! a connection are asked as well, and none of them may have a fence.
 
@@ -37,7 +38,7 @@
 pub(crate) struct CommitProof {
     /// Latest time at which no failover was pending, as the read lease proved.
     proved_by_lease: Option<Micros>,
-    /// As `proved_by_lease`, but by the read lease or a witness.
+    /// As `proved_by_lease`, but by the read lease, a registration or a witness.
     proved_at: Option<Micros>,
     /// Commits whose answers are held back.
     held: Vec<RequestId>,
@@ -50,6 +51,11 @@
         self.proved_at = self.proved_at.max(Some(now));
     }
 
+    /// Records that no failover was announced when this node sent the write of its registration.
+    pub(crate) fn extend_by_registration(&mut self, sent: Micros) {
+        self.proved_at = self.proved_at.max(Some(sent));
+    }
+
     /// Returns true if a replica that has been connected since `established_at` is a witness.
     fn accepts_witness(&self, established_at: Option<Micros>) -> bool {
         established_at.is_some() && established_at <= self.proved_at
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -201,6 +201,8 @@
     RegistrationStored {
         role_changes: u64,
         revision: u64,
+        /// When the write was sent.
+        sent: Micros,
     },
     PromoteAnswered {
         cluster: Name,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -284,8 +284,8 @@
             }
             GateEvent::StoreContactRenewed { sent } => self.store_contact_renewed(sent),
             GateEvent::RegistrationLeaseLost => self.read_lease_lost(),
-            GateEvent::RegistrationStored { role_changes, revision } => {
-                self.registration_stored(role_changes, revision);
+            GateEvent::RegistrationStored { role_changes, revision, sent } => {
+                self.registration_stored(role_changes, revision, sent);
             }
             GateEvent::PromoteAnswered { cluster, result } => {
                 self.promote_answered(&cluster, result);
@@ -295,6 +295,7 @@
             }
             GateEvent::StoreFollowed { revision, known_at } => {
                 self.store_view = StoreView { revision, known_at: Some(known_at) };
+                self.observe_stored_registration();
             }
             GateEvent::DrainRequested => self.drain(),
             GateEvent::Timer => self.tick(),
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -38,6 +38,8 @@
     pub(crate) role_changes: u64,
     /// Revision at which the registration was last stored.
     stored_revision: Option<u64>,
+    /// Revision and time of sending of a write whose revision this node has not followed yet.
+    unobserved_write: Option<(u64, Micros)>,
     /// Since when this node has owned connections.
     owning_since: Option<Micros>,
     /// When the list of nodes was first read, and whether it contained others.
@@ -80,10 +82,29 @@
         }
     }
 
-    pub(crate) fn registration_stored(&mut self, role_changes: u64, revision: u64) {
+    pub(crate) fn registration_stored(&mut self, role_changes: u64, revision: u64, sent: Micros) {
         if role_changes == self.registration.role_changes {
             self.registration.stored_revision = Some(revision);
         }
+        self.registration.unobserved_write = Some((revision, sent));
+        self.observe_stored_registration();
+    }
+
+    /// Extends the proof of commits once all changes up to the stored registration are known: a failover
+    /// that was announced before the write was sent would be known, too.
+    pub(crate) fn observe_stored_registration(&mut self) {
+        let followed = self.store_view.revision;
+        let write = self.registration.unobserved_write.take_if(|write| write.0 <= followed);
+        let Some((_, sent)) = write else { return };
+        let clusters: Vec<Name> = self.clusters.keys().cloned().collect();
+        for cluster in clusters {
+            if self.is_announced(&cluster) {
+                continue;
+            }
+            if let Some(state) = self.clusters.get_mut(&cluster) {
+                state.commit_proof.extend_by_registration(sent);
+            }
+        }
     }
 
     /// Handles that a node's registration in a role was removed or replaced by another writer. If it
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -706,7 +706,8 @@
                         NodeRole::Standby => NodeRole::Owner,
                     };
                     self.remove_document(Document::Node(former, name));
-                    let event = GateEvent::RegistrationStored { role_changes, revision };
+                    let sent = self.now;
+                    let event = GateEvent::RegistrationStored { role_changes, revision, sent };
                     self.schedule(NETWORK_DELAY, Delivery::Gate(gate, event));
                 }
             }
