Choose home nodes of accounts among the strong owners

Change: homes are chosen among the owners that have half the capacity of the strongest one at least.

--- a/crates/gate/src/allotment.rs
+++ b/crates/gate/src/allotment.rs
@@ -299,19 +299,23 @@
     }
 
     /// Returns the nodes among which homes are chosen, with the incarnations of their processes: the
-    /// owners, or all nodes of a small deployment.
+    /// strong owners, or all nodes of a small deployment. Weak nodes own connections for a short time
+    /// only, while strong ones restart. As homes they would change the homes of all accounts, and a
+    /// connection to each home costs them a large part of their processor share.
     fn allotting_nodes(&self) -> BTreeMap<Name, u64> {
         let own = &self.settings.node;
         let is_candidate = |node: &Name| self.owners.is_owner(node);
         let others = self.registry.others().filter(|(node, record)| {
             is_candidate(node) && !record.leaving && record.peer_protocol >= ALLOTMENT_PROTOCOL
         });
-        let mut nodes: BTreeMap<Name, u64> =
-            others.map(|(node, record)| (node.clone(), record.incarnation)).collect();
+        let mut nodes: Vec<(&Name, u32, u64)> =
+            others.map(|(node, record)| (node, record.capacity, record.incarnation)).collect();
         if is_candidate(own) && self.drain.since.is_none() {
-            nodes.insert(own.clone(), self.settings.incarnation);
+            nodes.push((own, self.settings.capacity, self.settings.incarnation));
         }
-        nodes
+        let strongest = nodes.iter().map(|(_, capacity, _)| *capacity).max().unwrap_or_default();
+        let strong = nodes.iter().filter(|(_, capacity, _)| *capacity >= strongest / 2);
+        strong.map(|(node, _, incarnation)| ((*node).clone(), *incarnation)).collect()
     }
 
     /// Sends the due requests to home nodes, and opens the connections that they need.
