--- a/crates/allot/src/ledger.rs
+++ b/crates/allot/src/ledger.rs
@@ -38,7 +38,7 @@
     /// A new home node does not know yet what other nodes may use.
     Unsettled,
     /// This node has no authority over the account.
-    NotInOffice,
+    NoAuthority,
 }
 
 /// What is known about a node that requests tokens.
@@ -109,7 +109,7 @@
     limit: RateLimit,
     level: f64,
     settled: Micros,
-    office_since: Micros,
+    home_since: Micros,
     /// Part of the limit that other nodes may hold as reserves which are not known here.
     unknown_share: f64,
     /// When too few tokens were last granted.
@@ -123,7 +123,7 @@
             limit,
             level,
             settled: now,
-            office_since: now,
+            home_since: now,
             unknown_share: RESERVE_SHARE,
             exhausted: None,
             shares: FastMap::default(),
@@ -373,11 +373,11 @@
     /// Takes a token for an operation of this node.
     pub fn take(&mut self, now: Micros, account: &Name) -> HomeTake {
         if !self.has_authority(now) {
-            return HomeTake::NotInOffice;
+            return HomeTake::NoAuthority;
         }
         self.settle_account(now, account);
         let (own, max_share) = (self.own.clone(), self.max_share());
-        let Some(ledger) = self.accounts.get_mut(account) else { return HomeTake::NotInOffice };
+        let Some(ledger) = self.accounts.get_mut(account) else { return HomeTake::NoAuthority };
         let demand =
             AllotmentDemand { account: account.clone(), waiting: 1, ahead: 0, carried_milli: 0 };
         let capacity = self.policy.capacity(ledger.limit);
@@ -477,8 +477,8 @@
 
     /// Returns the part of a limit that nodes may hold as reserves which they have not told this
     /// node: those that have not asked under this view, and those that left.
-    fn unknown_share(&self, now: Micros, office_since: Micros) -> f64 {
-        if now >= office_since.max(self.view_settled) + UNKNOWN_TTL {
+    fn unknown_share(&self, now: Micros, home_since: Micros) -> f64 {
+        if now >= home_since.max(self.view_settled) + UNKNOWN_TTL {
             return 0.0;
         }
         let has_told =
@@ -503,7 +503,7 @@
     fn settle_account(&mut self, now: Micros, account: &Name) {
         let Some(ledger) = self.accounts.get(account) else { return };
         let unknown_share =
-            if ledger.is_new() { self.unknown_share(now, ledger.office_since) } else { 0.0 };
+            if ledger.is_new() { self.unknown_share(now, ledger.home_since) } else { 0.0 };
         let Some(ledger) = self.accounts.get_mut(account) else { return };
         ledger.settle(now, &self.nodes, self.policy);
         ledger.unknown_share = unknown_share;
--- a/crates/allot/src/node.rs
+++ b/crates/allot/src/node.rs
@@ -119,7 +119,7 @@
                 self.cache.note_refusal(now, account, retry_after);
                 TokenTake::Refused { retry_after }
             }
-            HomeTake::NotInOffice => {
+            HomeTake::NoAuthority => {
                 if self.cache.home_of(account) == Some(&self.own) {
                     self.ask_alternative(account);
                 }
