--- a/crates/allot/src/lib.rs
+++ b/crates/allot/src/lib.rs
@@ -5,8 +5,8 @@
 //! node holds the tokens until they are used or expire, and asks for more.
 //!
 //! No token outlives [`AllotmentPolicy::token_ttl`], counted from the time at which the node sent its
-//! request, so no two clocks are compared. [`AllotmentNode`] holds both parts. A home node that is lost leaves its nodes a *reserve*, a
-//! rate that each of them may use on its own for [`RESERVE_TTL`]. The reserves of an account never
+//! request, so no two clocks are compared. [`AllotmentNode`] holds both parts. A home node that is
+//! lost leaves its nodes a *reserve*, a rate that each of them may use on its own for [`RESERVE_TTL`]. The reserves of an account never
 //! add up to more than its limit, and a home node withholds the reserve of each node that may be
 //! using it. docs/design/rate-limits.md gives the reasons.
 
@@ -113,8 +113,8 @@
             // These replace tokens that expire unused at other nodes. The other half of the slack is
             // for changes of the home node.
             extra_burst: f64::from(slack) / 4.0,
-            // One operation at a slack of 20, so that 15 home nodes that start in one window stay
-            // within what the extra burst leaves of it.
+            // One operation at a slack of 20, so that 10 home nodes that start in one window stay
+            // within what the extra burst and the extra rate leave of it.
             first_level: (f64::from(slack) / 20.0).min(1.0).floor(),
             extra_rate: f64::from(slack) / 4.0 / seconds(window).max(1.0),
         }
