Return withheld reserves on the same connection only

Change: a request on another connection returns nothing that was withheld. Result: a new unit test gives 60 and 60 tokens without the change, 60 and 40 with it.

--- a/crates/allot/src/ledger.rs
+++ b/crates/allot/src/ledger.rs
@@ -555,12 +555,16 @@
             Some(contact) => contact.quiet_from,
             None => now,
         };
-        if continues {
-            for account in &shared {
-                let ledger = self.accounts.get_mut(account);
-                if let Some(share) = ledger.and_then(|ledger| ledger.shares.get_mut(node)) {
-                    share.held = share.told;
-                }
+        for account in &shared {
+            let ledger = self.accounts.get_mut(account);
+            let Some(share) = ledger.and_then(|ledger| ledger.shares.get_mut(node)) else {
+                continue;
+            };
+            if continues {
+                share.held = share.told;
+            } else {
+                // A new process does not know what the former one used.
+                share.withheld = 0.0;
             }
         }
         if view == self.view && former.is_none_or(|contact| contact.view != view) {
@@ -651,4 +655,38 @@
         update(&mut ledger, 15, 5, &["n2", "n4"]);
         assert_eq!(ledger.departed_reserves().0, Micros::ZERO);
     }
+
+    /// A node is silent for 600 ms and asks again, on the same connection or on another. Guards against
+    /// a process that returns the reserve which its predecessor has used.
+    #[test]
+    fn only_the_same_connection_returns_a_withheld_reserve() {
+        let granted = [1, 2].map(|last_session| {
+            let mut ledger = AllotmentLedger::new("n1".into(), AllotmentPolicy::new(None));
+            let limit = RateLimit { rate_per_s: 100.0, burst: 500.0 };
+            let accounts = vec![("kiosks".into(), limit)];
+            ledger.update(Micros::ZERO, 1, ["n2".into()], &BTreeSet::new(), accounts);
+            let mut ask = |at_ms, session, waiting| {
+                let demand = AllotmentDemand {
+                    account: "kiosks".into(),
+                    waiting,
+                    ahead: 0,
+                    unused: 0,
+                    from_reserve: 0,
+                    carried_milli: 0,
+                };
+                let departed = Default::default();
+                let request = AllotmentRequest { view: 1, departed, demands: vec![demand] };
+                let now = Micros::from_millis(at_ms);
+                ledger.record_store_contact(now);
+                ledger.answer(now, &"n2".into(), session, &request)[0].granted
+            };
+            for turn in 0..100 {
+                ask(turn * 100, 1, 1_000);
+            }
+            ask(10_500, last_session, 1_000)
+        });
+        // 45/s are withheld from 250 ms after the last but one request: 20 of 60.
+        assert!((59..=60).contains(&granted[0]), "{granted:?}");
+        assert!((39..=40).contains(&granted[1]), "{granted:?}");
+    }
 }
