--- a/crates/allot/src/ledger.rs
+++ b/crates/allot/src/ledger.rs
@@ -1,13 +1,14 @@
 //! The home node's part: token buckets, and what other nodes may hold of them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 use account::RateLimit;
-use model::{FastMap, Micros, Name};
+use model::{FastMap, FastSet, Micros, Name};
 
 use crate::{
     AUTHORITY_TTL, AllotmentDemand, AllotmentGrant, AllotmentPolicy, AllotmentRequest,
-    MIN_RESERVE_MILLI, RATE_AVERAGE, RESERVE_DELAY, RESERVE_SHARE, RESERVE_TTL, seconds,
+    MIN_RESERVE_MILLI, RATE_AVERAGE, RESERVE_DELAY, RESERVE_SHARE, RESERVE_TTL, RETURN_TTL,
+    seconds,
 };
 
 /// Shortest and longest time after which a refused account may try again.
@@ -26,6 +27,9 @@
 /// Minimum time between two buckets of an account at one node that do not begin empty: two windows.
 const FIRST_ALLOWANCE_INTERVAL: Micros = Micros::from_secs(10);
 
+/// Stands for the session of grants to the home node itself, which returns none.
+const OWN_SESSION: u64 = 0;
+
 /// Outcome of an operation at the home node itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HomeTake {
@@ -79,6 +83,8 @@
     held: f64,
     /// Reserve in the last answer, which the node may not have received.
     told: f64,
+    /// Part of its reserve that was left out of the refill since its last request.
+    withheld: f64,
     /// Last request for tokens.
     demanded: Option<Micros>,
 }
@@ -103,6 +109,15 @@
     }
 }
 
+/// Tokens granted within [`RETURN_TTL`] and not returned.
+#[derive(Debug)]
+struct RecentGrant {
+    at: Micros,
+    node: Name,
+    session: u64,
+    count: u32,
+}
+
 /// The bucket of one account.
 #[derive(Debug)]
 struct AccountLedger {
@@ -115,6 +130,11 @@
     /// When too few tokens were last granted.
     exhausted: Option<Micros>,
     shares: FastMap<Name, NodeShare>,
+    recent: VecDeque<RecentGrant>,
+    /// Highest levels since a time, and in the period before it. Tokens that were taken back count
+    /// from the time of their grant.
+    peaks: [f64; 2],
+    peaks_since: Micros,
 }
 
 impl AccountLedger {
@@ -127,6 +147,9 @@
             unknown_share: RESERVE_SHARE,
             exhausted: None,
             shares: FastMap::default(),
+            recent: VecDeque::new(),
+            peaks: [level; 2],
+            peaks_since: now,
         }
     }
 
@@ -148,14 +171,57 @@
     fn settle(&mut self, now: Micros, nodes: &FastMap<Name, NodeContact>, policy: AllotmentPolicy) {
         let mut added =
             self.base_rate(policy.extra_rate) * seconds(now.saturating_sub(self.settled));
-        for (node, share) in &self.shares {
+        for (node, share) in &mut self.shares {
             let Some(contact) = nodes.get(node) else { continue };
             let from = contact.quiet_from.max(self.settled);
             let until = (contact.last_request + RESERVE_TTL).min(now);
-            added -= share.reserve() * seconds(until.saturating_sub(from));
+            let withheld = share.reserve() * seconds(until.saturating_sub(from));
+            share.withheld += withheld;
+            added -= withheld;
         }
         self.level = (self.level + added.max(0.0)).min(policy.capacity(self.limit));
         self.settled = now;
+        if now >= self.peaks_since + RETURN_TTL {
+            self.peaks = [self.level, self.peaks[0]];
+            self.peaks_since = now;
+        }
+        self.peaks[0] = self.peaks[0].max(self.level);
+    }
+
+    /// Returns the highest level within [`RETURN_TTL`] and up to as much before.
+    fn peak(&self) -> f64 {
+        self.peaks[0].max(self.peaks[1])
+    }
+
+    /// Takes back unused tokens and the unused part of the reserve that was withheld for a node. The
+    /// level becomes what it would be if they had never left the bucket: as far as the bucket would
+    /// have been full since then, they are lost.
+    fn take_back(
+        &mut self,
+        now: Micros,
+        node: &Name,
+        session: u64,
+        demand: &AllotmentDemand,
+        capacity: f64,
+    ) {
+        while self.recent.front().is_some_and(|grant| now >= grant.at + RETURN_TTL) {
+            self.recent.pop_front();
+        }
+        let mut left = demand.unused;
+        let granted = self.recent.iter_mut();
+        for grant in granted.filter(|grant| grant.session == session && grant.node == *node) {
+            let returned = grant.count.min(left);
+            grant.count -= returned;
+            left -= returned;
+        }
+        let reserve = self.shares.get_mut(node).map_or(0.0, |share| {
+            let withheld = std::mem::take(&mut share.withheld) - f64::from(demand.from_reserve);
+            withheld.clamp(0.0, share.reserve() * seconds(RETURN_TTL))
+        });
+        let room = (capacity - self.peak()).max(0.0);
+        let returned = (f64::from(demand.unused - left) + reserve).min(room);
+        self.level += returned;
+        self.peaks = self.peaks.map(|peak| peak + returned);
     }
 
     /// Takes tokens for a node: for waiting operations as many as there are, and in advance only
@@ -164,10 +230,12 @@
         &mut self,
         now: Micros,
         node: &Name,
+        session: u64,
         demand: &AllotmentDemand,
         capacity: f64,
         max_share: f64,
     ) -> AllotmentGrant {
+        self.take_back(now, node, session, demand, capacity);
         let waiting = f64::from(demand.waiting).min((self.level + 1e-9).floor());
         self.level -= waiting;
         let ahead = f64::from(demand.ahead);
@@ -179,6 +247,14 @@
         let ahead = if is_spare { ahead } else { 0.0 };
         self.level -= ahead;
         let granted = (waiting + ahead) as u32;
+        if granted > 0 {
+            self.recent.push_back(RecentGrant {
+                at: now,
+                node: node.clone(),
+                session,
+                count: granted,
+            });
+        }
         let refused = waiting < f64::from(demand.waiting);
         if refused {
             self.exhausted = Some(now);
@@ -251,6 +327,8 @@
     store_contact: Option<Micros>,
     nodes: FastMap<Name, NodeContact>,
     accounts: FastMap<Name, AccountLedger>,
+    /// Accounts in which other nodes have a share.
+    shared: FastMap<Name, FastSet<Name>>,
     /// When the buckets of accounts last began with a first allowance at this node.
     first_allowances: FastMap<Name, Micros>,
 }
@@ -269,6 +347,7 @@
             store_contact: None,
             nodes: FastMap::default(),
             accounts: FastMap::default(),
+            shared: FastMap::default(),
             first_allowances: FastMap::default(),
         }
     }
@@ -301,6 +380,9 @@
             account.level = account.level.min(capacity);
             self.accounts.insert(name, account);
         }
+        for shared in self.shared.values_mut() {
+            shared.retain(|account| self.accounts.contains_key(account));
+        }
         self.settle_all(now);
     }
 
@@ -370,6 +452,13 @@
         self.accounts.contains_key(account)
     }
 
+    /// Returns true if [`AllotmentLedger::take`] takes a token for an operation now.
+    pub fn is_available(&mut self, now: Micros, account: &Name) -> bool {
+        self.settle_account(now, account);
+        let ledger = self.accounts.get(account);
+        self.has_authority(now) && ledger.is_some_and(|ledger| ledger.level + 1e-9 >= 1.0)
+    }
+
     /// Takes a token for an operation of this node.
     pub fn take(&mut self, now: Micros, account: &Name) -> HomeTake {
         if !self.has_authority(now) {
@@ -378,10 +467,16 @@
         self.settle_account(now, account);
         let (own, max_share) = (self.own.clone(), self.max_share());
         let Some(ledger) = self.accounts.get_mut(account) else { return HomeTake::NoAuthority };
-        let demand =
-            AllotmentDemand { account: account.clone(), waiting: 1, ahead: 0, carried_milli: 0 };
+        let demand = AllotmentDemand {
+            account: account.clone(),
+            waiting: 1,
+            ahead: 0,
+            unused: 0,
+            from_reserve: 0,
+            carried_milli: 0,
+        };
         let capacity = self.policy.capacity(ledger.limit);
-        let grant = ledger.grant(now, &own, &demand, capacity, max_share);
+        let grant = ledger.grant(now, &own, OWN_SESSION, &demand, capacity, max_share);
         if let Some(share) = ledger.shares.get_mut(&own) {
             share.held = share.told;
         }
@@ -412,11 +507,12 @@
         session: u64,
         request: &AllotmentRequest,
     ) -> Vec<AllotmentGrant> {
-        self.settle_all(now);
         self.record_request(now, node, session, request);
+        let shared = self.shared.entry(node.clone()).or_default();
         for demand in &request.demands {
             if let Some(ledger) = self.accounts.get_mut(&demand.account) {
                 carry(ledger, node, demand.carried_milli);
+                shared.insert(demand.account.clone());
             }
         }
         if !self.has_authority(now) {
@@ -428,7 +524,7 @@
             self.settle_account(now, &demand.account);
             let Some(ledger) = self.accounts.get_mut(&demand.account) else { continue };
             let capacity = self.policy.capacity(ledger.limit);
-            grants.push(ledger.grant(now, node, demand, capacity, max_share));
+            grants.push(ledger.grant(now, node, session, demand, capacity, max_share));
         }
         grants
     }
@@ -440,8 +536,18 @@
         session: u64,
         request: &AllotmentRequest,
     ) {
-        let view = request.view;
+        let (view, departed) = (request.view, request.departed);
+        let departed_share = f64::from(departed.permille) / 1e3;
         let former = self.nodes.get(node).copied();
+        // What new accounts leave out of the refill for unknown reserves may change.
+        let is_news = former
+            .is_none_or(|contact| contact.view != view || contact.departed_share != departed_share);
+        let shared: Vec<Name> = self.shared.get(node).into_iter().flatten().cloned().collect();
+        if is_news {
+            self.settle_all(now);
+        } else {
+            shared.iter().for_each(|account| self.settle_account(now, account));
+        }
         let continues = former.is_some_and(|contact| contact.session == session);
         let quiet_from = match former {
             // The node has received the answers up to its last request.
@@ -449,27 +555,31 @@
             Some(contact) => contact.quiet_from,
             None => now,
         };
-        if continues {
-            for share in self.accounts.values_mut().filter_map(|a| a.shares.get_mut(node)) {
+        for account in &shared {
+            let ledger = self.accounts.get_mut(account);
+            let Some(share) = ledger.and_then(|ledger| ledger.shares.get_mut(node)) else {
+                continue;
+            };
+            if continues {
                 share.held = share.told;
+            } else {
+                // A new process does not know what the former one used.
+                share.withheld = 0.0;
             }
         }
-        let mut introduces = false;
         if view == self.view && former.is_none_or(|contact| contact.view != view) {
             self.view_settled = now;
-            introduces = true;
         }
-        let departed = request.departed;
         let contact = NodeContact {
             session,
             last_request: now,
             quiet_from,
             view,
             departed_until: now + Micros::from_millis(departed.for_ms).min(UNKNOWN_TTL),
-            departed_share: f64::from(departed.permille) / 1e3,
+            departed_share,
         };
         self.nodes.insert(node.clone(), contact);
-        if introduces {
+        if is_news {
             // An account may not be new any more.
             self.settle_all(now);
         }
@@ -545,4 +655,38 @@
         update(&mut ledger, 15, 5, &["n2", "n4"]);
         assert_eq!(ledger.departed_reserves().0, Micros::ZERO);
     }
+
+    /// A node is silent for 600 ms and asks again, on the same connection or on another. Guards against
+    /// a process that returns the reserve which its predecessor has used.
+    #[test]
+    fn only_the_same_connection_returns_a_withheld_reserve() {
+        let granted = [1, 2].map(|last_session| {
+            let mut ledger = AllotmentLedger::new("n1".into(), AllotmentPolicy::new(None));
+            let limit = RateLimit { rate_per_s: 100.0, burst: 500.0 };
+            let accounts = vec![("kiosks".into(), limit)];
+            ledger.update(Micros::ZERO, 1, ["n2".into()], &BTreeSet::new(), accounts);
+            let mut ask = |at_ms, session, waiting| {
+                let demand = AllotmentDemand {
+                    account: "kiosks".into(),
+                    waiting,
+                    ahead: 0,
+                    unused: 0,
+                    from_reserve: 0,
+                    carried_milli: 0,
+                };
+                let departed = Default::default();
+                let request = AllotmentRequest { view: 1, departed, demands: vec![demand] };
+                let now = Micros::from_millis(at_ms);
+                ledger.record_store_contact(now);
+                ledger.answer(now, &"n2".into(), session, &request)[0].granted
+            };
+            for turn in 0..100 {
+                ask(turn * 100, 1, 1_000);
+            }
+            ask(10_500, last_session, 1_000)
+        });
+        // 45/s are withheld from 250 ms after the last but one request: 20 of 60.
+        assert!((59..=60).contains(&granted[0]), "{granted:?}");
+        assert!((39..=40).contains(&granted[1]), "{granted:?}");
+    }
 }
