Open only connections that a waiting request can use, and close those of later owners sooner

Cause: after a power loss the owner of a cluster without accounts opened a connection for each waiting request up to its share, although the queue grants requests only as far as slots are free. Each connection takes 12 ms of a slot. Owners beside the first one kept connections of accounts for 30 s; databases hold them beside those of the first one for up to 3 s after a power loss. Change: a waiting request counts for another connection only while a slot is free. Owners beside the first one close unused connections of accounts after 3 s. The test of the idle time failed before with 9 connections after 4 s.

--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -35,7 +35,8 @@
 const SURPLUS_IDLE_TIMEOUT: Micros = Micros::from_millis(600);
 
 /// As [`SURPLUS_IDLE_TIMEOUT`], where each node may keep several connections, so that one more
-/// takes little from the others.
+/// takes little from the others. Also for connections of accounts at owners other than the first one,
+/// whose share is beside that of the first one: after a power loss they would be missing.
 const LARGE_SHARE_IDLE_TIMEOUT: Micros = Micros::from_millis(3_000);
 
 /// As [`SURPLUS_IDLE_TIMEOUT`], for connections to other nodes, which accept many. The entry of an
@@ -76,7 +77,9 @@
             return;
         }
         let waiting: u32 = database.queue.stats().waiting.0.iter().sum();
-        let wanted = waiting + u32::from(database.report_wanted);
+        // Without a free slot, the requests would not use another connection.
+        let serves = database.queue.has_free_slot();
+        let wanted = if serves { waiting } else { 0 } + u32::from(database.report_wanted);
         let connections = u32::try_from(database.connections.len()).unwrap_or(u32::MAX);
         let limit = match database.peer {
             Some(_) => PEER_CONNECTIONS,
@@ -535,7 +538,12 @@
             if self.pools_accounts(&name) {
                 let owned = self.owns_connections(&database.listed.cluster);
                 let within_share = owned && database.connections.len() <= share as usize;
-                if !within_share || now >= last_used + ACCOUNT_IDLE_TIMEOUT {
+                let owners = self.owners.owners_of(&database.listed.cluster);
+                let is_first =
+                    owners.is_none_or(|names| names.first() == Some(&self.settings.node));
+                let timeout =
+                    if is_first { ACCOUNT_IDLE_TIMEOUT } else { LARGE_SHARE_IDLE_TIMEOUT };
+                if !within_share || now >= last_used + timeout {
                     self.close_connection(connection, "unused");
                 }
                 continue;
--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -171,6 +171,35 @@
     assert!(simulation.peak_connections <= 28, "{} connections", simulation.peak_connections);
 }
 
+/// Guards against an owner beside the first one that keeps connections of accounts which it served while
+/// the first one was away: after a power loss, databases hold them beside those of the first one.
+#[test]
+fn an_owner_beside_the_first_one_soon_closes_unused_connections() {
+    let mut simulation = many_accounts(9);
+    for index in 0..20 {
+        let name = format!("x{index}").into();
+        let data_centre = ["west", "north"][index % 2].into();
+        let record = NodeRecord { data_centre, capacity: 250, ..NodeRecord::default() };
+        let bytes = serde_json::to_vec(&record).expect("it is serialized");
+        let document = Document::Node(NodeRole::Owner, name);
+        let stored = StoredDocument { document, revision: simulation.revision, lease: 1, bytes };
+        simulation.event(0, GateEvent::DocumentChanged(stored));
+    }
+    for mut listed in simulation.listed() {
+        listed.data_centre = "west".into();
+        simulation.event(0, GateEvent::DatabaseChanged(listed));
+    }
+    simulation.run(millis(700));
+    for account in 0..9 {
+        send(&mut simulation, &format!("k{account}"), &format!("r{account}"), "READ 1");
+    }
+    simulation.run(millis(1_000));
+    assert_eq!(simulation.databases["a"].ran.len(), 9);
+    assert!(simulation.connection_count("a") >= 8, "they are kept for a while");
+    simulation.run(millis(3_000));
+    assert!(simulation.connection_count("a") <= 2, "{}", simulation.connection_count("a"));
+}
+
 /// The largest account sends eight times its usual rate, more than the database executes. Guards
 /// against small accounts that wait for a connection behind it.
 #[test]
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -70,6 +70,8 @@
     pub handshake_time: Option<Micros>,
     /// Connections that it accepts from all nodes together.
     pub connection_limit: usize,
+    /// Connections of processes that lost power, which it still holds.
+    pub held_connections: usize,
     /// Refuses this account.
     pub refused_account: Option<Name>,
     /// Statements in execution order, with the position of the log.
@@ -301,6 +303,7 @@
                 slots: vec![Micros::ZERO],
                 handshake_time: None,
                 connection_limit: usize::MAX,
+                held_connections: 0,
                 refused_account: None,
                 ran: Vec::new(),
                 reports: 0,
@@ -626,7 +629,9 @@
                 if self.cuts.contains(&(gate, database)) || state.unreachable {
                     return;
                 }
-                let refusal = if state.connections_refused || open > state.connection_limit {
+                let refusal = if state.connections_refused
+                    || open + state.held_connections > state.connection_limit
+                {
                     Some(ErrorCode::TooManyConnections)
                 } else if account.is_some() && account == state.refused_account {
                     Some(ErrorCode::NotAuthorized)
