Leave transactions that wait for their clients out of the load of a replica

Cause: the load of a database counted the connections of resting transactions. Reads left a replica with free slots for the primary, and its slowness was never forgotten while a client rested there. Change: the choice among replicas leaves them out. At the primary they still count, as before.

--- a/crates/gate/src/database.rs
+++ b/crates/gate/src/database.rs
@@ -249,8 +249,8 @@
 
     /// Returns the expected time of a further request compared with other databases, by slowness,
     /// load and failures.
-    pub(crate) fn expected_cost(&self, now: Micros) -> u64 {
-        let (estimate, load) = (&self.responsiveness, self.load());
+    pub(crate) fn expected_cost(&self, now: Micros, load: u32) -> u64 {
+        let estimate = &self.responsiveness;
         let weight = estimate.failure_weight_percent(now);
         estimate.slowness(now, load) * u64::from(load + 1) * weight / 100
     }
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -405,7 +405,8 @@
                 continue;
             }
             let percent = if Some(name) == preferred { 100 } else { REPLICA_TIME_WEIGHT_PERCENT };
-            let key = (database.expected_cost(self.now) * percent, name);
+            let load = database.load().saturating_sub(self.resting_transactions(database));
+            let key = (database.expected_cost(self.now, load) * percent, name);
             if best.is_none_or(|best| key < best) {
                 best = Some(key);
             }
@@ -422,12 +423,24 @@
     /// Returns true if the leader should serve a read that costs `cost` at a replica.
     fn is_cheaper_at_leader(&self, leader: &Name, cost: u64) -> bool {
         let Some(database) = self.databases.get(leader) else { return false };
-        let cost_at_leader = database.expected_cost(self.now);
+        // Transactions that rest at the leader go on with statements that never wait here.
+        let cost_at_leader = database.expected_cost(self.now, database.load());
         let is_busy = || self.active_statements(database) >= database.slots().div_ceil(2);
         cost > cost_at_leader * LEADER_TIME_WEIGHT_PERCENT
             && (cost > cost_at_leader * BUSY_LEADER_TIME_WEIGHT_PERCENT || !is_busy())
     }
 
+    /// Returns the number of transactions at a database that wait for their client.
+    fn resting_transactions(&self, database: &Database) -> u32 {
+        let resting = database.connections.iter().filter(|id| {
+            let state = self.connections.get(id);
+            state.is_some_and(|state| {
+                state.transaction_session.is_some() && state.pending.is_empty()
+            })
+        });
+        u32::try_from(resting.count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the requests that wait for a database or run there. Transactions that rest between
     /// their statements use no slot.
     fn active_statements(&self, database: &Database) -> u32 {
--- a/crates/gate/tests/uneven_databases.rs
+++ b/crates/gate/tests/uneven_databases.rs
@@ -148,3 +148,26 @@
     assert_eq!(served, 100);
     assert!(in_time >= 97, "{in_time}% within 100 ms");
 }
+
+/// Clients rest inside transactions at a replica whose slots are free. Guards against a choice that takes
+/// them for load, and sends the reads to the other databases.
+#[test]
+fn resting_transactions_do_not_turn_reads_away() {
+    let mut simulation = start();
+    simulation.database("c").unreachable = true;
+    simulation.run(millis(500));
+    for index in 0..4 {
+        let session = simulation.open(0, BOUNDED);
+        simulation.send_request(0, session, &format!("b{index}"), "BEGIN READ");
+        simulation.send_request(0, session, &format!("t{index}"), "READ 1");
+        simulation.run(millis(60));
+        assert!(simulation.ran_at("b", &format!("t{index}")));
+    }
+    simulation.database("c").unreachable = false;
+    simulation.run(millis(400));
+    reset_reads(&mut simulation);
+    run_load(&mut simulation, millis(1_600), 8, "READ 1", |_, _| {});
+    println!("reads by database {:?}", reads(&simulation));
+    let [_, held, other] = reads(&simulation);
+    assert!(held * 2 >= other, "{:?}", reads(&simulation));
+}
