Do not refuse a read as "not run" after it was sent

Cause: a read whose connection or answer was lost, or that failed, is sent again. If it was refused then, the text said that it had not run. Change: the request remembers that an earlier try may have run; the refusal keeps its code and leaves these words out. Result: a test in overload.rs fails before ("not run, no connection to the primary is free") and passes after.

--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -27,6 +27,9 @@
 /// Backoff before a request is sent again that a full database refused: about one statement.
 const BUSY_BACKOFF: Micros = Micros::from_millis(15);
 
+/// Beginning of the texts of refusals that say that no database has executed the request.
+const NOT_RUN: &str = "not run, ";
+
 impl Gate {
     /// Releases the slot of a request that its database has executed, or its place in the queue.
     pub(crate) fn release_slot(&mut self, id: RequestId) {
@@ -219,6 +222,7 @@
                     let database = request.database.clone();
                     if let Some(request) = self.requests.get_mut(&id) {
                         request.excluded.extend(database);
+                        request.may_have_run = true;
                     }
                     self.retry_request(id, None, code, code);
                 } else {
@@ -330,6 +334,8 @@
 
     /// Replies to a request that failed or was given up, outside an open transaction.
     pub(crate) fn refuse(&mut self, id: RequestId, code: ErrorCode, text: &str) {
+        let may_have_run = self.requests.get(&id).is_some_and(|request| request.may_have_run);
+        let text = text.strip_prefix(NOT_RUN).filter(|_| may_have_run).unwrap_or(text);
         let reply = ClientReply::Failed { code, text: text.to_string() };
         if let Some(request) = self.requests.get(&id)
             && matches!(request.kind, RequestKind::Begin { .. } | RequestKind::Continue)
@@ -582,6 +588,7 @@
         {
             return self.fail_transaction(id, ErrorCode::Aborted, "the connection was lost");
         }
+        request.may_have_run |= statement_sent;
         request.excluded.extend(request.database.clone());
         self.retry_request(id, None, ErrorCode::Unknown, ErrorCode::Busy);
     }
@@ -710,6 +717,7 @@
         let unknown = "the time limit passed, the outcome is not known";
         match request.kind {
             RequestKind::Read if !deadline_passed => {
+                request.may_have_run = true;
                 request.excluded.extend(request.database.clone());
                 self.retry_request(id, None, ErrorCode::Timeout, ErrorCode::Timeout);
             }
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -129,6 +129,8 @@
     pub(crate) sent: Option<Micros>,
     /// The statement itself was sent on `connection`, not only `BEGIN`.
     pub(crate) statement_sent: bool,
+    /// A database may have executed an earlier try, such as a read whose answer was lost.
+    pub(crate) may_have_run: bool,
     pub(crate) tries: u32,
     /// The answer to a commit that is not proved to be kept yet.
     pub(crate) held_commit: Option<HeldCommit>,
@@ -191,6 +193,7 @@
             proof_time: None,
             sent: None,
             statement_sent: false,
+            may_have_run: false,
             tries: 0,
             held_commit: None,
             excluded: Vec::new(),
--- a/crates/gate/tests/overload.rs
+++ b/crates/gate/tests/overload.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use gate::{
-    DatabaseRole, ErrorCode, Freshness, GateAction, GateEvent, NodeRole, SessionId, SessionOrigin,
+    ClientReply, DatabaseRole, ErrorCode, Freshness, GateAction, GateEvent, NodeRole, SessionId,
+    SessionOrigin,
 };
 use model::{Micros, Term};
 use support::single_gate::{NodeEntry, SingleGate};
@@ -275,6 +276,24 @@
     assert!(count <= 6, "{count} of 60 waited in vain");
 }
 
+/// Connections are lost while a read runs. Guards against a refusal that says that it has not run.
+#[test]
+fn a_read_that_was_sent_is_not_refused_as_not_run() {
+    let mut simulation = Simulation::start(1);
+    warm_up(&mut simulation);
+    simulation.database("a").statement_time = millis(60);
+    let session = simulation.open(0, LATEST);
+    simulation.send_request(0, session, "r", "READ 1");
+    simulation.run(millis(20));
+    assert!(simulation.ran_at("a", "r"));
+    simulation.lose_connections("a", millis(1));
+    simulation.database("a").connections_refused = true;
+    simulation.run(millis(1_000));
+    let answer = simulation.answer(session).expect("it is answered");
+    let ClientReply::Failed { text, .. } = &answer.reply else { panic!("it is refused") };
+    assert!(!text.starts_with("not run"), "{text}");
+}
+
 /// A flood of requests that cannot all meet their time limit. The refusals tell when to come back, by
 /// the length of the queue.
 #[test]
