--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -27,8 +27,11 @@
 /// Backoff before a request is sent again that a full database refused: about one statement.
 const BUSY_BACKOFF: Micros = Micros::from_millis(15);
 
+/// Beginning of the texts of refusals that say that no database has executed the request.
+const NOT_RUN: &str = "not run, ";
+
 impl Gate {
-    /// Releases the slot that a request holds at its database.
+    /// Releases the slot of a request that its database has executed, or its place in the queue.
     pub(crate) fn release_slot(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         if let Some(database) =
@@ -39,12 +42,14 @@
         }
     }
 
-    /// Releases the slot of a request whose answer is overdue or lost.
+    /// Releases the slot of a request that its database has not executed or whose answer is overdue or
+    /// lost, or its place in the queue. The time since it was granted tells nothing about statements.
     pub(crate) fn abandon_slot(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         if let Some(database) =
             request.database.as_ref().and_then(|name| self.databases.get_mut(name))
         {
+            database.queue.cancel(id);
             database.queue.abandon(self.now, id);
         }
     }
@@ -59,7 +64,7 @@
         cause: ErrorCode,
         code: ErrorCode,
     ) {
-        self.release_slot(id);
+        self.abandon_slot(id);
         if let Err((code, text)) = self.renew_identity(id) {
             self.count("requests_unidentified");
             return self.refuse(id, code, text);
@@ -217,6 +222,7 @@
                     let database = request.database.clone();
                     if let Some(request) = self.requests.get_mut(&id) {
                         request.excluded.extend(database);
+                        request.may_have_run = true;
                     }
                     self.retry_request(id, None, code, code);
                 } else {
@@ -328,6 +334,8 @@
 
     /// Replies to a request that failed or was given up, outside an open transaction.
     pub(crate) fn refuse(&mut self, id: RequestId, code: ErrorCode, text: &str) {
+        let may_have_run = self.requests.get(&id).is_some_and(|request| request.may_have_run);
+        let text = text.strip_prefix(NOT_RUN).filter(|_| may_have_run).unwrap_or(text);
         let reply = ClientReply::Failed { code, text: text.to_string() };
         if let Some(request) = self.requests.get(&id)
             && matches!(request.kind, RequestKind::Begin { .. } | RequestKind::Continue)
@@ -362,7 +370,10 @@
         committed: bool,
         position: Option<TermPosition>,
     ) {
-        self.release_slot(id);
+        match reply {
+            ClientReply::Done { .. } => self.release_slot(id),
+            ClientReply::Failed { .. } => self.abandon_slot(id),
+        }
         let Some(request) = self.requests.remove(&id) else { return };
         let now = self.now;
         let took = now.saturating_sub(request.arrived);
@@ -502,7 +513,6 @@
         let (connection, keeps_slot) = (sent.filter(|_| at_peer), sent.is_some() && !at_peer);
         if !keeps_slot {
             self.abandon_slot(id);
-            self.release_slot(id);
         }
         self.requests.remove(&id);
         self.count("requests_abandoned");
@@ -578,6 +588,7 @@
         {
             return self.fail_transaction(id, ErrorCode::Aborted, "the connection was lost");
         }
+        request.may_have_run |= statement_sent;
         request.excluded.extend(request.database.clone());
         self.retry_request(id, None, ErrorCode::Unknown, ErrorCode::Busy);
     }
@@ -706,6 +717,7 @@
         let unknown = "the time limit passed, the outcome is not known";
         match request.kind {
             RequestKind::Read if !deadline_passed => {
+                request.may_have_run = true;
                 request.excluded.extend(request.database.clone());
                 self.retry_request(id, None, ErrorCode::Timeout, ErrorCode::Timeout);
             }
