Bound what peers and prepared statements make cicadawickd hold

Cause: the port for peers accepted connections without limit, read a message of 8 MiB on each, kept the requests of all calls and went on reading from a peer that did not read its answers. The tables of prepared statements were bounded for each session only, and a session could add any number of labels.

Change: PeerSpace limits the connections, the large messages that are read at a time and the calls in progress; PeerInput reads the next message of a peer only if there is space and the peer reads its answers.

--- a/crates/bench/src/wire.rs
+++ b/crates/bench/src/wire.rs
@@ -11,7 +11,7 @@
 use anyhow::{Context, bail};
 use fake::fakedb::{DatabaseGroup, GroupOptions};
 use member::{Heartbeat, MemberInfo, MemberState};
-use rpc::{CallIds, PeerClients, PeerRequest, RpcStream, TaskPool, serve_peer};
+use rpc::{CallIds, PeerClients, PeerRequest, PeerSpace, RpcStream, TaskPool, serve_peer};
 use stakker::{Fwd, Stakker};
 use stakker_mio::MioPoll;
 use stakker_mio::mio::{Events, Poll};
@@ -155,7 +155,7 @@
                     }
                 });
                 let stream = RpcStream::new(&poll, stream)?;
-                serve_peer(&pool, stream, requests, CallIds::default());
+                serve_peer(&pool, stream, requests, CallIds::default(), &PeerSpace::new(0));
             }
             if result.borrow().is_some() && trailing_until.is_none() {
                 trailing_until = Some(Instant::now() + TRAILING_TIME);
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -22,7 +22,9 @@
 use node::{
     AnswerTarget, CallId, ExchangeId, LaneId, LogLevel, Node, NodeAction, NodeEvent, SessionId,
 };
-use rpc::{AnswerPart, CallGuard, CallIds, LaneHandle, PeerCallError, PeerClients, TaskPool};
+use rpc::{
+    AnswerPart, CallGuard, CallIds, LaneHandle, PeerCallError, PeerClients, PeerSpace, TaskPool,
+};
 use stakker::sync::ChannelGuard;
 use stakker::{Actor, ActorOwn, CX, Core, Fwd, actor, after, call, fwd_to, ret_nop};
 use stakker_mio::mio::Interest;
@@ -37,6 +39,7 @@
 use crate::request_space::{RequestSpace, SharedSpace};
 use crate::session::ClientSession;
 use crate::socket::{ScratchBuffer, new_scratch};
+use crate::statement_space::StatementSpace;
 
 /// Timeout of a heartbeat. A node sends one a second.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -134,8 +137,10 @@
     _admin: AdminServer,
     scratch: ScratchBuffer,
     request_space: SharedSpace,
+    statement_space: Rc<StatementSpace>,
     pool: TaskPool,
     peer_clients: PeerClients,
+    peer_space: PeerSpace,
     call_ids: CallIds,
     /// Index of the configured peer to probe next.
     next_peer: usize,
@@ -198,6 +203,8 @@
             settings.caller_limit as usize,
             settings.request_limit_bytes as usize,
         );
+        let statement_space = StatementSpace::new(settings.caller_limit as usize);
+        let peer_space = PeerSpace::new(settings.caller_limit as usize);
         Some(IoDriver {
             node: Node::new(settings.clone(), incarnation, seed),
             platform_threads: PlatformThreads::new(settings.platform_address),
@@ -210,7 +217,9 @@
             _admin_channel: guard,
             scratch: new_scratch(),
             request_space: Rc::new(RefCell::new(request_space)),
+            statement_space,
             peer_clients: PeerClients::new(pool.clone()),
+            peer_space,
             pool,
             call_ids: CallIds::default(),
             next_peer: 0,
@@ -282,9 +291,16 @@
         self.peer_clients.close_idle(cx);
         self.probe_configured_peers(cx);
         self.close_stalled_sessions(cx);
+        let swept = self.peer_space.sweep();
+        self.counters.add("peers.stalled", swept.stalled);
+        self.counters.add("peers.waited", swept.waited);
+        self.counters.gauge("peer_space_bytes", self.peer_space.used_bytes() as u64);
+        self.counters.gauge("peers", self.peer_space.connection_count() as u64);
         let (reserved, waiting) = self.request_space.borrow().load();
         self.counters.gauge("request_space_bytes", reserved as u64);
         self.counters.gauge("request_space_waiting", waiting as u64);
+        let statement_bytes = self.statement_space.used_bytes() as u64;
+        self.counters.gauge("statement_bytes", statement_bytes);
         self.counters.gauge("sessions", self.sessions.len() as u64);
         self.counters.gauge("backend_connections", self.backends.len() as u64);
         self.counters.flush();
--- a/crates/daemon/src/driver/clients.rs
+++ b/crates/daemon/src/driver/clients.rs
@@ -70,6 +70,7 @@
             over_limit: !has_place,
             scratch: self.scratch.clone(),
             space: self.request_space.clone(),
+            statement_space: self.statement_space.clone(),
             started: self.started,
         };
         let driver = cx.this().clone();
--- a/crates/daemon/src/driver/peers.rs
+++ b/crates/daemon/src/driver/peers.rs
@@ -31,7 +31,10 @@
                     match RpcStream::new(&poll, stream) {
                         Ok(stream) => {
                             let requests = fwd_to!([cx], peer_request() as (PeerRequest));
-                            rpc::serve_peer(&self.pool, stream, requests, self.call_ids.clone());
+                            let (ids, space) = (self.call_ids.clone(), &self.peer_space);
+                            if !rpc::serve_peer(&self.pool, stream, requests, ids, space) {
+                                self.counters.add("peers.refused", 1);
+                            }
                         }
                         Err(error) => {
                             log::warn!(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,6 +30,7 @@
 mod request_space;
 mod session;
 mod socket;
+mod statement_space;
 
 use admin::AdminServer;
 use counters::CounterSet;
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -4,6 +4,7 @@
 //! one is in progress, the socket is read only up to a bounded buffer. Answers arrive in chunks, each
 //! with a permit that returns its bytes to the source's relay window when the chunk is written.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,7 @@
 use crate::driver::IoDriver;
 use crate::request_space::{FREE_INPUT_BYTES, SharedSpace};
 use crate::socket::{BufferedSocket, ReadOutcome, ScratchBuffer};
+use crate::statement_space::{StatementShare, StatementSpace};
 
 /// Maximum bytes of pipelined requests that are read while a request is in progress.
 const READ_AHEAD_BYTES: usize = 16 * 1024;
@@ -52,6 +54,7 @@
     pub(crate) over_limit: bool,
     pub(crate) scratch: ScratchBuffer,
     pub(crate) space: SharedSpace,
+    pub(crate) statement_space: Rc<StatementSpace>,
     /// The start of the clock by which reservations are made.
     pub(crate) started: Instant,
 }
@@ -94,6 +97,7 @@
     skip_to_sync: bool,
     request_failed: bool,
     statements: StatementTable,
+    statement_share: StatementShare,
     scanner: AnswerScanner,
     flush_scheduled: bool,
     /// When the last answer was completed.
@@ -122,6 +126,7 @@
             over_limit,
             scratch,
             space,
+            statement_space,
             started,
         } = setup;
         let poll: MioPoll = cx.anymap_get();
@@ -153,6 +158,7 @@
             skip_to_sync: false,
             request_failed: false,
             statements: StatementTable::default(),
+            statement_share: StatementShare::new(statement_space),
             scanner: AnswerScanner::default(),
             flush_scheduled: false,
             answered_at: None,
@@ -483,6 +489,14 @@
     fn extended_request(&mut self, cx: CX![], flush: bool) -> bool {
         let messages = std::mem::take(&mut self.messages);
         self.message_bytes = 0;
+        let parsed = messages.iter().filter(|message| message.kind == kind::PARSE);
+        let parsed: usize = parsed.map(|message| message.bytes.len()).sum();
+        if parsed > 0 && !self.statement_share.resize(self.statements.bytes() + parsed) {
+            let message =
+                "the prepared statements of all sessions exceed their space (caller_limit)";
+            self.send_fatal(cx, "53200", message);
+            return false;
+        }
         match self.statements.rewrite(&messages) {
             Ok(request) => {
                 let text = Arc::from(request.text);
@@ -645,6 +659,7 @@
             pg::put_ready(&mut output, self.transaction);
         }
         self.push(cx, output.freeze(), ChunkPermit::untracked());
+        self.statement_share.resize(self.statements.bytes());
         self.state = SessionState::Idle;
         self.answered_at = Some(cx.now());
         self.process(cx);
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -18,6 +18,9 @@
 /// Number of past requests that `explain` shows for a session.
 const HISTORY_LENGTH: usize = 8;
 
+/// Maximum number of labels that a session adds, each of at most 126 bytes: twice as many as a state dump shows.
+const MAX_SESSION_LABELS: usize = 64;
+
 /// PostgreSQL start-up parameters that client libraries send. A pool can accept them because they are
 /// fixed for all connections or do not change the effect of a statement.
 const ACCEPTED_PARAMETERS: &[&str] = &[
@@ -301,8 +304,12 @@
                 }
             },
             "cicadawick.labels" => {
-                session.session_labels =
+                let labels =
                     LabelSet::parse(value).map_err(|reason| invalid(reason.to_string()))?;
+                if labels.0.len() > MAX_SESSION_LABELS {
+                    return Err(invalid(format!("expected at most {MAX_SESSION_LABELS} labels")));
+                }
+                session.session_labels = labels;
             }
             "cicadawick.max_age" if value.is_empty() => session.max_age = None,
             "cicadawick.max_age" => {
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -16,10 +16,12 @@
 mod codec;
 mod compress;
 mod dial;
+mod input;
 mod permit;
 mod pool;
 mod server;
 mod size;
+mod space;
 mod stream;
 
 pub use client::{CallGuard, ForwardReply, LaneHandle, PeerCallError, PeerClients};
@@ -28,6 +30,7 @@
 pub use pool::TaskPool;
 pub use server::{AnswerPart, CallIds, PeerRequest, serve_peer};
 pub use size::{document_bytes, heartbeat_bytes, members_bytes};
+pub use space::{PeerSpace, SpaceSweep};
 pub use stream::RpcStream;
 
 /// Maximum size of one chunk of an answer.
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -11,23 +11,28 @@
 use capnp_rpc::{RpcSystem, twoparty};
 use failover::LeaderView;
 use futures::channel::{mpsc, oneshot};
-use futures::io::{BufReader, BufWriter};
+use futures::io::BufWriter;
 use futures::stream::{FuturesUnordered, StreamExt};
 use member::{Heartbeat, MemberInfo};
-use model::{FastMap, Name};
-use node::{CallId, LaneId, OwnerReply, RoutedRequest};
+use model::{FastMap, Micros, Name};
+use node::{CallId, DeclineReason, LaneId, OwnerReply, RoutedRequest};
 use schema::peer_capnp::{answer_sink, lane, peer};
 use stakker::Fwd;
 
 use crate::codec;
 use crate::compress::compress;
+use crate::input::PeerInput;
 use crate::permit::ChunkPermit;
 use crate::pool::TaskPool;
+use crate::space::PeerSpace;
 use crate::stream::RpcStream;
 
 /// Maximum size of a message from a peer, in words of 8 bytes. It leaves room for a request of 1 MB and
 /// a document of 1 MB with the other fields of their messages.
-const MESSAGE_LIMIT_WORDS: usize = 1 << 20;
+pub(crate) const MESSAGE_LIMIT_WORDS: usize = 1 << 20;
+
+/// What a call in progress holds apart from its request.
+const CALL_BYTES: usize = 8 * 1024;
 
 /// Reader options that bound how much a message from a peer can make this node allocate.
 pub(crate) fn reader_options() -> ReaderOptions {
@@ -113,12 +118,23 @@
     },
 }
 
-/// Serves the calls of one peer until its connection ends.
-pub fn serve_peer(pool: &TaskPool, stream: RpcStream, requests: Fwd<PeerRequest>, ids: CallIds) {
-    let server = PeerServer { requests, ids, calls: Rc::default() };
+/// Serves the calls of one peer until its connection ends. Returns `false` and closes the connection if there are too
+/// many others.
+pub fn serve_peer(
+    pool: &TaskPool,
+    stream: RpcStream,
+    requests: Fwd<PeerRequest>,
+    ids: CallIds,
+    space: &PeerSpace,
+) -> bool {
+    let Some(connection) = space.admit(stream.clone()) else {
+        stream.close();
+        return false;
+    };
+    let server = PeerServer { requests, ids, calls: Rc::default(), space: space.clone() };
     let client: peer::Client = capnp_rpc::new_client(server);
     let network = twoparty::VatNetwork::new(
-        BufReader::new(stream.clone()),
+        PeerInput::new(stream.clone(), space.clone(), connection),
         BufWriter::new(stream),
         Side::Server,
         reader_options(),
@@ -129,18 +145,27 @@
     pool.spawn(async move {
         let _ = system.await;
     });
+    true
 }
 
 fn stopping_error<T>(_: T) -> Error {
     Error::overloaded("the node is stopping".to_owned())
 }
 
+/// The reply to a call for which there is no space: it was not run.
+fn declined_for_space(space: &PeerSpace) -> OwnerReply {
+    let limit = u32::try_from(space.used_bytes() / CALL_BYTES).unwrap_or(u32::MAX);
+    let reason = DeclineReason::QueueFull { limit };
+    OwnerReply::Declined { reason, age: None, wait: Micros(0) }
+}
+
 #[derive(Clone)]
 struct PeerServer {
     requests: Fwd<PeerRequest>,
     ids: CallIds,
     /// Calls in progress, by the peer's call number.
     calls: Rc<RefCell<FastMap<u64, CallId>>>,
+    space: PeerSpace,
 }
 
 /// Counts a call as unfinished until it is dropped.
@@ -190,6 +215,13 @@
         request: RoutedRequest,
         sink: answer_sink::Client,
     ) -> Result<(OwnerReply, Option<LaneId>), Error> {
+        let bytes = CALL_BYTES + 2 * (request.request.text.len() + request.request.frames.len());
+        let _reservation = match self.space.reserve(bytes) {
+            Some(reservation) => reservation,
+            // The number of open transactions has a limit of its own.
+            None if lane.is_some() => self.space.reserve_always(bytes),
+            None => return Ok((declined_for_space(&self.space), None)),
+        };
         let _unfinished = UnfinishedCall::new(self.clone());
         let call = CallId(self.ids.next());
         let (answers, mut parts) = mpsc::unbounded();
--- a/crates/rpc/src/stream.rs
+++ b/crates/rpc/src/stream.rs
@@ -74,6 +74,16 @@
         self.state.borrow().has_written
     }
 
+    /// Returns whether a write waits because the other side does not read.
+    pub(crate) fn is_output_blocked(&self) -> bool {
+        self.state.borrow().write_waker.is_some()
+    }
+
+    /// Wakes the reading task when the socket becomes ready or is closed.
+    pub(crate) fn wake_when_ready(&self, waker: &Waker) {
+        self.state.borrow_mut().read_waker = Some(waker.clone());
+    }
+
     /// Returns whether the stream was closed on this side.
     pub fn is_closed(&self) -> bool {
         self.state.borrow().source.is_none()
--- a/crates/rpc/tests/peers.rs
+++ b/crates/rpc/tests/peers.rs
@@ -15,7 +15,7 @@
 };
 use rpc::{
     AnswerPart, CallIds, ChunkPermit, ForwardReply, PeerCallError, PeerClients, PeerRequest,
-    RpcStream, TaskPool, serve_peer,
+    PeerSpace, RpcStream, TaskPool, serve_peer,
 };
 use stakker::{Fwd, Stakker};
 use stakker_mio::MioPoll;
@@ -53,7 +53,8 @@
         let stream = RpcStream::new(&self.poll, TcpStream::from_std(stream)).unwrap();
         let requests = self.requests.clone();
         let forward = Fwd::new(move |request| requests.borrow_mut().push(request));
-        serve_peer(&self.pool, stream.clone(), forward, CallIds::default());
+        let space = PeerSpace::new(0);
+        assert!(serve_peer(&self.pool, stream.clone(), forward, CallIds::default(), &space));
         stream
     }
 
