Share the set-up of tests with crowds and of failover tests

Cause: two test programs had the same crowd, and the tests of failovers the same set-up and waits.

Change: fake::crowd holds the crowd and what a process uses; the simulation of the gate's tests starts with reads, lets a registration expire and runs until a condition holds.

--- a/crates/daemon/tests/client_crowds.rs
+++ b/crates/daemon/tests/client_crowds.rs
@@ -6,16 +6,16 @@
 
 mod common;
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::thread;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use capnp::message::{Builder, HeapAllocator};
 use capnp::traits::HasTypeId;
 use capnp_rpc::rpc_capnp::message;
 use common::{LocalFleet, ProxyProcess, wait_until};
+use fake::crowd::{self, CrowdMember, PIECE_BYTES, run_alone, send_in_pieces};
 use schema::peer_capnp::peer;
 
 /// Most clients at once, by the settings of the test.
@@ -38,17 +38,6 @@
 const PEER_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
 const CROWD_SIZE: usize = 150;
-const PIECE_BYTES: usize = 16 * 1024;
-
-/// Rounds without progress, at 10 ms each, after which a crowd stops to send: the process does not read on.
-const IDLE_ROUNDS: usize = 100;
-
-/// The tests measure memory, so they run one at a time.
-fn run_alone() -> MutexGuard<'static, ()> {
-    static RUNNING: Mutex<()> = Mutex::new(());
-    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn start() -> (MutexGuard<'static, ()>, LocalFleet) {
     let alone = run_alone();
     let limits = serde_json::json!({
@@ -85,69 +74,14 @@
         && answer.contains("\"ready\"")
 }
 
-/// A connection of a crowd that sends without waiting.
-struct CrowdMember {
-    stream: TcpStream,
-    output: Arc<[u8]>,
-    sent: usize,
-    closed: bool,
-    reads: bool,
-}
-
-impl CrowdMember {
-    /// Sends a piece and reads what has arrived; returns whether anything was transferred.
-    fn advance(&mut self) -> bool {
-        let mut progress = false;
-        let mut chunk = [0; 16 * 1024];
-        while self.reads && !self.closed {
-            match self.stream.read(&mut chunk) {
-                Ok(0) => self.closed = true,
-                Ok(_) => progress = true,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-                Err(_) => self.closed = true,
-            }
-        }
-        let end = self.output.len().min(self.sent + PIECE_BYTES);
-        while !self.closed && self.sent < end {
-            match self.stream.write(&self.output[self.sent..end]) {
-                Ok(count) => {
-                    self.sent += count;
-                    progress = true;
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-                Err(_) => self.closed = true,
-            }
-        }
-        progress
-    }
-}
-
 /// Connects a crowd that sends in pieces and reads, until all have sent everything or none can send on.
 fn gather(address: SocketAddr, size: usize, output: &[u8]) -> Vec<CrowdMember> {
     gather_with(address, size, output, true)
 }
 
 fn gather_with(address: SocketAddr, size: usize, output: &[u8], reads: bool) -> Vec<CrowdMember> {
-    let output: Arc<[u8]> = output.into();
-    let mut crowd = Vec::new();
-    for _ in 0..size {
-        let stream = TcpStream::connect(address).unwrap();
-        stream.set_nonblocking(true).unwrap();
-        crowd.push(CrowdMember { stream, output: output.clone(), sent: 0, closed: false, reads });
-    }
-    let mut idle_rounds = 0;
-    while idle_rounds < IDLE_ROUNDS {
-        let mut progress = false;
-        for member in &mut crowd {
-            progress |= member.advance();
-        }
-        if progress {
-            idle_rounds = 0;
-        } else {
-            idle_rounds += 1;
-            thread::sleep(Duration::from_millis(10));
-        }
-    }
+    let mut crowd = crowd::gather(address, size, output, reads).unwrap();
+    send_in_pieces(&mut crowd, PIECE_BYTES);
     crowd
 }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -11,6 +11,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
+use fake::crowd::{descriptor_count, process_memory};
 use fake::fakedb::{DatabaseGroup, GroupOptions};
 use fake::fakeplatform::FakePlatform;
 use postgres::{Client, NoTls, SimpleQueryMessage};
@@ -77,21 +78,15 @@
     }
 
     pub fn resident_bytes(&self) -> u64 {
-        self.memory("VmRSS:")
+        process_memory(self.child.id(), "VmRSS:").unwrap()
     }
 
     pub fn peak_resident_bytes(&self) -> u64 {
-        self.memory("VmHWM:")
-    }
-
-    fn memory(&self, field: &str) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find(|line| line.starts_with(field)).unwrap();
-        line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
+        process_memory(self.child.id(), "VmHWM:").unwrap()
     }
 
     pub fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+        descriptor_count(self.child.id()).unwrap()
     }
 
     pub fn is_running(&mut self) -> bool {
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -9,6 +9,7 @@
 //! dropped. The binaries of the same names run them as separate processes. All use a thread per
 //! connection, which keeps the code short and is enough for tens of connections.
 
+pub mod crowd;
 pub mod fakedb;
 pub mod fakeplatform;
 pub mod faultproxy;
--- a/crates/gate/tests/commit_proof.rs
+++ b/crates/gate/tests/commit_proof.rs
@@ -4,11 +4,7 @@
 
 use gate::ErrorCode;
 use model::Micros;
-use support::{LATEST, Simulation};
-
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
+use support::{LATEST, Simulation, millis};
 
 fn reports_of_replicas(simulation: &Simulation) -> usize {
     simulation.databases["b"].reports + simulation.databases["c"].reports
@@ -17,8 +13,7 @@
 /// Guards against the price of the proof at nodes that do not need it.
 #[test]
 fn commits_with_a_read_lease_need_no_report() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     let before = reports_of_replicas(&simulation);
     simulation.write(0, 50);
     assert_eq!(reports_of_replicas(&simulation), before);
@@ -29,8 +24,7 @@
 /// awaited share the next one.
 #[test]
 fn commits_without_a_read_lease_share_reports() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.store_cut.insert(3);
     simulation.run_with_reads(&[LATEST], millis(1_000));
     simulation.database("a").statement_time = Micros(100);
@@ -55,22 +49,17 @@
 /// it were lost when it started again.
 #[test]
 fn a_replica_that_started_again_is_no_witness() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.write(0, 3);
-    simulation.store_cut.insert(3);
-    simulation.run(millis(1_000));
-    simulation.remove_registration(3);
+    simulation.expire_registration(3);
     for gate in 0..3 {
         simulation.cut(gate, "a");
         simulation.open_steady(gate, LATEST);
     }
     simulation.promotion_delay = millis(1_000);
-    let limit = simulation.now + millis(10_000);
-    while simulation.promotions.is_empty() {
-        simulation.run(millis(20));
-        assert!(simulation.now < limit, "no promotion is called");
-    }
+    simulation.run_until(millis(10_000), "no promotion is called", |simulation| {
+        !simulation.promotions.is_empty()
+    });
     let chosen = simulation.promotions[0].1.clone();
     simulation.cut(3, &chosen);
     simulation.lose_connections(&chosen, millis(1));
@@ -100,8 +89,7 @@
 /// would be unknown, while a refused one can be repeated elsewhere.
 #[test]
 fn a_write_without_a_witness_is_refused_as_not_run() {
-    let mut simulation = Simulation::start(1);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(1);
     simulation.store_cut.insert(0);
     simulation.run(millis(1_000));
     for name in ["b", "c"] {
@@ -121,8 +109,7 @@
 /// Guards against transactions that never end at a node without a read lease.
 #[test]
 fn a_transaction_commits_without_a_read_lease() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.store_cut.insert(3);
     simulation.run_with_reads(&[LATEST], millis(1_000));
     let session = simulation.open(3, LATEST);
--- a/crates/gate/tests/failover_changes.rs
+++ b/crates/gate/tests/failover_changes.rs
@@ -4,11 +4,7 @@
 
 use gate::{GateEvent, TermPosition};
 use model::Micros;
-use support::{LATEST, Simulation};
-
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
+use support::{LATEST, Simulation, millis};
 
 /// Ends a node's process; its lease expires.
 fn kill_node(simulation: &mut Simulation, gate: usize) {
@@ -28,8 +24,7 @@
 /// expired while it was cut off from the store only, and it has left the record of log holders.
 #[test]
 fn a_removed_replica_that_still_receives_commits_stays_a_holder() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.unlist("b");
     for _ in 0..12 {
         simulation.run_with_reads(&[LATEST], millis(500));
@@ -50,11 +45,8 @@
 /// is cut off from the store, and reaches the primary.
 #[test]
 fn commits_of_an_owner_that_is_cut_off_from_the_store_are_not_lost() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
-    simulation.store_cut.insert(3);
-    simulation.run(millis(1_000));
-    simulation.remove_registration(3);
+    let mut simulation = Simulation::start_with_reads(4);
+    simulation.expire_registration(3);
     simulation.run(millis(1_000));
     for gate in 0..3 {
         simulation.write(gate, 1);
@@ -71,25 +63,18 @@
 /// log starts again while the old primary is being demoted, and the rest is not compared again.
 #[test]
 fn the_logs_are_compared_again_after_a_replica_restarts_during_the_demotion() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.database("c").replication_stopped = true;
     let end = simulation.write(0, 10);
     simulation.database("a").leaving = true;
     simulation.publish_database("a");
-    let acting = |simulation: &Simulation, stage: &str| {
-        let mut stages = simulation.logs.iter().filter(|log| log.2.event == "takeover_stage");
-        let stage = format!("{stage:?}");
-        let found = stages.find(|(_, _, record)| format!("{:?}", record.fields).contains(&stage));
-        found.map(|(_, gate, _)| *gate)
-    };
     let limit = simulation.now + millis(5_000);
-    while acting(&simulation, "confirming").is_none() {
+    while node_in_stage(&simulation, "confirming").is_none() {
         simulation.run(millis(10));
         assert!(simulation.now < limit, "no failover");
     }
     simulation.database("a").hung = true;
-    while acting(&simulation, "demoting").is_none() {
+    while node_in_stage(&simulation, "demoting").is_none() {
         simulation.run(millis(10));
         assert!(simulation.now < limit, "no demotion");
     }
@@ -102,8 +87,7 @@
 /// starts again before its registration expires, so no other node sees it leave.
 #[test]
 fn commits_acknowledged_before_a_node_started_again_are_not_lost() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     for gate in 0..4 {
         simulation.write(gate, 1);
     }
@@ -121,8 +105,7 @@
 #[test]
 fn a_record_of_log_holders_that_cannot_be_read_proves_nothing() {
     for bytes in [None, Some(b"{\"holders\":7}".to_vec())] {
-        let mut simulation = Simulation::start(4);
-        simulation.run_with_reads(&[LATEST], millis(1_000));
+        let mut simulation = Simulation::start_with_reads(4);
         simulation.database("c").replication_stopped = true;
         let end = simulation.write(0, 5);
         simulation.fail_database("b");
@@ -173,13 +156,24 @@
     end
 }
 
+/// Runs until a promotion, which must lose none of the writes that a steady session got acknowledged before.
+fn assert_none_lost_by_promotion(simulation: &mut Simulation, session: gate::SessionId) {
+    let mut end = TermPosition::default();
+    let limit = simulation.now + millis(3_000);
+    while simulation.promoted_logs.is_empty() {
+        end = acknowledged_end(simulation, session);
+        simulation.run(millis(20));
+        assert!(simulation.now < limit, "no promotion");
+    }
+    assert_none_lost(simulation, end);
+}
+
 /// Guards against a failover that never ends although both remaining databases hold the whole log:
 /// a replica that has left as planned, and whose log is gone with it, stays in the record of log
 /// holders, and a node that had acknowledged commits has died.
 #[test]
 fn a_replaced_replica_leaves_the_record_of_log_holders() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.database("b").leaving = true;
     simulation.publish_database("b");
     simulation.run_with_reads(&[LATEST], millis(1_000));
@@ -209,8 +203,7 @@
 /// the promotion lease while it is suspended, claims it again and goes on with its old fences.
 #[test]
 fn a_failover_is_given_up_once_its_node_has_lost_the_promotion_lease() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.write(0, 3);
     simulation.database("a").unreachable = true;
     simulation.open_steady(1, LATEST);
@@ -249,8 +242,7 @@
 /// which the old primary acknowledges then.
 #[test]
 fn fences_are_lifted_only_by_the_holder_of_the_promotion_lease() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.write(0, 3);
     // The nodes keep connections to `c`, the replica in their data centre.
     for mut listed in simulation.listed() {
@@ -262,9 +254,7 @@
         }
     }
     simulation.run_with_reads(&[LATEST], millis(500));
-    simulation.store_cut.insert(3);
-    simulation.run(millis(1_000));
-    simulation.remove_registration(3);
+    simulation.expire_registration(3);
     let session = simulation.open_steady(3, LATEST);
     for gate in 0..3 {
         simulation.cut(gate, "a");
@@ -276,22 +266,14 @@
     let holder = run_until_stage(&mut simulation, "confirming");
     assert_ne!(suspended, holder);
     simulation.resume_with_deliveries(suspended);
-    let mut end = TermPosition::default();
-    let limit = simulation.now + millis(3_000);
-    while simulation.promoted_logs.is_empty() {
-        end = acknowledged_end(&simulation, session);
-        simulation.run(millis(20));
-        assert!(simulation.now < limit, "no promotion");
-    }
-    assert_none_lost(&simulation, end);
+    assert_none_lost_by_promotion(&mut simulation, session);
 }
 
 /// Guards against a known end of the log that no database can ever reach: a position of the old
 /// primary that the new one lacks counts after the promotion, too.
 #[test]
 fn commits_that_a_promotion_rolled_back_are_not_waited_for() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.write(0, 3);
     // Commits that no replica has received, so that none of them was acknowledged.
     let start = simulation.databases["b"].received;
@@ -353,8 +335,7 @@
 /// go on reporting commits of the new primary, and told the end of the log before them.
 #[test]
 fn a_second_failover_waits_for_acknowledgements_of_its_own() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     for gate in 0..4 {
         simulation.write(gate, 1);
     }
@@ -368,11 +349,9 @@
     // The node that acts passes on no commits.
     let sessions: Vec<_> =
         [0, 2, 3].into_iter().map(|gate| simulation.open_steady(gate, LATEST)).collect();
-    let limit = simulation.now + millis(12_000);
-    while simulation.promoted_logs.is_empty() {
-        simulation.run(millis(20));
-        assert!(simulation.now < limit, "no promotion");
-    }
+    simulation.run_until(millis(12_000), "no promotion", |simulation| {
+        !simulation.promoted_logs.is_empty()
+    });
     assert_eq!(simulation.promoted_logs[0].1, "b".into());
     for replica in ["a", "c"] {
         join_as_replica(&mut simulation, replica, "b");
@@ -395,8 +374,7 @@
 /// nodes acknowledge it, but regard it as carried out and go on reporting commits.
 #[test]
 fn a_new_holder_replaces_the_primary_that_the_former_holder_promoted() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     for gate in 0..4 {
         simulation.write(gate, 1);
     }
@@ -406,11 +384,9 @@
     }
     let holder = run_until_stage(&mut simulation, "opening");
     kill_node(&mut simulation, holder);
-    let limit = simulation.now + millis(2_000);
-    while simulation.promoted_logs.is_empty() {
-        simulation.run(millis(20));
-        assert!(simulation.now < limit, "no promotion");
-    }
+    simulation.run_until(millis(2_000), "no promotion", |simulation| {
+        !simulation.promoted_logs.is_empty()
+    });
     assert_eq!(simulation.promoted_logs.remove(0).1, "b".into());
     // `a` is back, but cut off from the store; only one node reaches the new primary.
     simulation.database("a").unreachable = false;
@@ -436,8 +412,7 @@
 /// moment before.
 #[test]
 fn a_database_that_has_just_joined_is_a_log_holder() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     let joined = simulation.databases["c"].clone();
     simulation.databases.insert("d".into(), joined);
     simulation.publish_database("d");
@@ -513,8 +488,7 @@
 /// shut down, that the primary held nothing beyond the remaining replica's log.
 #[test]
 fn proved_positions_of_the_primary_count_as_knowledge_of_the_log() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.event(3, GateEvent::DrainRequested);
     let limit = simulation.now + millis(8_000);
     while !simulation.stopped.contains(&3) {
@@ -534,8 +508,7 @@
 /// a compared holder of the commits that it has lost.
 #[test]
 fn a_replica_that_lost_its_log_is_not_a_compared_holder() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.database("c").replication_stopped = true;
     let end = simulation.write(0, 5);
     simulation.database("a").unreachable = true;
@@ -551,12 +524,9 @@
 /// announcement, reaches the old primary.
 #[test]
 fn a_replica_that_restarts_before_the_promotion_takes_effect_lets_no_commit_be_lost() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     simulation.write(0, 3);
-    simulation.store_cut.insert(3);
-    simulation.run(millis(1_000));
-    simulation.remove_registration(3);
+    simulation.expire_registration(3);
     let session = simulation.open_steady(3, LATEST);
     for gate in 0..3 {
         simulation.cut(gate, "a");
@@ -566,12 +536,5 @@
     let chosen = simulation.promotions[0].1.clone();
     let other = if chosen == "b".into() { "c" } else { "b" };
     simulation.restart_replica(other);
-    let mut end = TermPosition::default();
-    let limit = simulation.now + millis(3_000);
-    while simulation.promoted_logs.is_empty() {
-        end = acknowledged_end(&simulation, session);
-        simulation.run(millis(20));
-        assert!(simulation.now < limit, "no promotion");
-    }
-    assert_none_lost(&simulation, end);
+    assert_none_lost_by_promotion(&mut simulation, session);
 }
--- a/crates/gate/tests/failover_commands.rs
+++ b/crates/gate/tests/failover_commands.rs
@@ -3,12 +3,7 @@
 mod support;
 
 use gate::ClientReply;
-use model::Micros;
-use support::{BOUNDED, LATEST, Simulation};
-
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
+use support::{BOUNDED, LATEST, Simulation, millis};
 
 /// Marks the primary as leaving, and the answers to all statements as lost.
 fn leave_with_lost_answers(simulation: &mut Simulation) {
@@ -24,8 +19,7 @@
 /// ones carry writes; the failover goes on without the demotion.
 #[test]
 fn an_answer_to_a_demotion_is_not_assigned_to_a_write() {
-    let mut simulation = Simulation::start(4);
-    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let mut simulation = Simulation::start_with_reads(4);
     leave_with_lost_answers(&mut simulation);
     simulation.database("a").connections_refused = true;
     let sessions: Vec<_> = (0..40)
--- a/crates/gate/tests/failover_witnesses.rs
+++ b/crates/gate/tests/failover_witnesses.rs
@@ -5,15 +5,11 @@
 
 use gate::{DatabaseReport, DatabaseRole, LeadershipProof, TermPosition};
 use model::{Micros, Name, Term};
-use support::{BOUNDED, LATEST, Simulation};
+use support::{BOUNDED, LATEST, Simulation, millis};
 
 /// What each node reads under load.
 const READS: [&str; 2] = [LATEST, BOUNDED];
 
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
-
 fn position(term: u64, position: u64) -> TermPosition {
     TermPosition { term: Term(term), position }
 }
--- a/crates/gate/tests/fence_lifts.rs
+++ b/crates/gate/tests/fence_lifts.rs
@@ -10,11 +10,7 @@
     TermPosition,
 };
 use model::{Micros, Name, Term};
-use support::{BOUNDED, LATEST, Simulation};
-
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
+use support::{BOUNDED, LATEST, Simulation, millis};
 
 /// The node that writes. It reaches the primary throughout.
 const WRITER: usize = 4;
--- a/crates/gate/tests/forwarding.rs
+++ b/crates/gate/tests/forwarding.rs
@@ -7,13 +7,9 @@
 use gate::{
     DatabaseRole, GateAction, GateEvent, ListedDatabase, NodeRole, SessionOrigin, TermPosition,
 };
-use model::{Micros, Name, Term};
+use model::{Name, Term};
 use support::single_gate::{NodeEntry, SingleGate, listed};
-use support::{BOUNDED, LATEST, SESSION, Simulation};
-
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
+use support::{BOUNDED, LATEST, SESSION, Simulation, millis};
 
 /// The session at the forwarding node has written, so its transaction must not read at a replica
 /// that lacks the write.
--- a/crates/gate/tests/large_deployment.rs
+++ b/crates/gate/tests/large_deployment.rs
@@ -8,16 +8,12 @@
 use std::collections::BTreeSet;
 
 use gate::*;
-use model::{Micros, Name};
-use support::LATEST;
+use model::Name;
 use support::single_gate::{NodeEntry, SingleGate, listed, stored};
+use support::{LATEST, millis};
 
 const NODES: u16 = 30;
 
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
-
 fn entry(index: u16) -> NodeEntry {
     NodeEntry::new(NodeRole::Standby, index, &format!("dc{}", index % 3), 500)
 }
--- a/crates/gate/tests/leadership.rs
+++ b/crates/gate/tests/leadership.rs
@@ -4,11 +4,7 @@
 
 use gate::{DatabaseRole, ErrorCode, SessionId, TermPosition};
 use model::{Micros, Term};
-use support::{BOUNDED, LATEST, SESSION, Simulation};
-
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
+use support::{BOUNDED, LATEST, SESSION, Simulation, millis};
 
 /// Sends reads of current data and bounded reads on every node every 20 ms, as a steady load.
 fn run_with_load(simulation: &mut Simulation, time: Micros) {
--- a/crates/gate/tests/log_coverage.rs
+++ b/crates/gate/tests/log_coverage.rs
@@ -3,16 +3,11 @@
 mod support;
 
 use gate::{ErrorCode, TermPosition};
-use model::Micros;
-use support::{BOUNDED, LATEST, Simulation};
+use support::{BOUNDED, LATEST, Simulation, millis};
 
 /// What each node reads under load.
 const READS: [&str; 2] = [LATEST, BOUNDED];
 
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
-
 /// Starts nodes with one cluster in which only the primary `a` and the replica `b` receive commits,
 /// with some writes by node `writer`. Returns the end of the acknowledged log.
 fn start_with_one_current_replica(nodes: usize, writer: usize) -> (Simulation, TermPosition) {
--- a/crates/gate/tests/readiness.rs
+++ b/crates/gate/tests/readiness.rs
@@ -14,11 +14,7 @@
 };
 use model::{FastMap, Micros, Name, Term};
 use support::single_gate::{NodeEntry, SingleGate, listed};
-use support::{LATEST, Simulation};
-
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
+use support::{LATEST, Simulation, millis};
 
 /// Time in which the balancer needs to hear that a cut-off node is not ready, so that its clients
 /// are moved within half of the shortest cut that the users play (5 s): two probes, and the close of
--- a/crates/gate/tests/restarted_databases.rs
+++ b/crates/gate/tests/restarted_databases.rs
@@ -3,12 +3,7 @@
 mod support;
 
 use gate::{ClientReply, TermPosition};
-use model::Micros;
-use support::{LATEST, Simulation};
-
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
+use support::{LATEST, Simulation, millis};
 
 /// Runs reads of current data for 500 ms after the primary has started again, and asserts that none
 /// of them was answered from its empty log.
--- a/crates/gate/tests/shutdown.rs
+++ b/crates/gate/tests/shutdown.rs
@@ -7,11 +7,7 @@
 
 use gate::{ErrorCode, GateEvent, SessionOrigin};
 use model::Micros;
-use support::{LATEST, Simulation, route_table};
-
-fn millis(time: u64) -> Micros {
-    Micros::from_millis(time)
-}
+use support::{LATEST, Simulation, millis, route_table};
 
 /// Gives all routes a time limit.
 fn set_time_limit(simulation: &mut Simulation, limit: Micros) {
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -29,6 +29,10 @@
 
 pub const CLUSTER: &str = "billing";
 
+pub fn millis(time: u64) -> Micros {
+    Micros::from_millis(time)
+}
+
 /// Client databases, by the freshness that their route requires.
 pub const LATEST: &str = "sales";
 pub const BOUNDED: &str = "balances";
@@ -268,6 +272,29 @@
         simulation
     }
 
+    /// Starts nodes, and runs with reads at each of them for a second.
+    pub fn start_with_reads(nodes: usize) -> Simulation {
+        let mut simulation = Simulation::start(nodes);
+        simulation.run_with_reads(&[LATEST], millis(1_000));
+        simulation
+    }
+
+    /// Cuts a node off from the store until its registration has expired.
+    pub fn expire_registration(&mut self, gate: usize) {
+        self.store_cut.insert(gate);
+        self.run(millis(1_000));
+        self.remove_registration(gate);
+    }
+
+    /// Runs until a condition holds, which it must within a time.
+    pub fn run_until(&mut self, time: Micros, what: &str, holds: impl Fn(&Simulation) -> bool) {
+        let limit = self.now + time;
+        while !holds(self) {
+            self.run(millis(20));
+            assert!(self.now < limit, "not in time: {what}");
+        }
+    }
+
     pub fn empty(nodes: usize) -> Simulation {
         Simulation::empty_with(nodes, false)
     }
