Refuse leases of a former era of the store

Leases were passed to the store as bare numbers, and the era was read when the call was made. If another thread had noticed a new era just before, the renewal of a lease of the former era counted as one of the read lease, and a failover could end the lease of another node, because a restored store assigns the numbers again. Leases now carry the era in which they were opened or listed, and calls with a former one are not sent.

--- a/crates/edge/src/driver.rs
+++ b/crates/edge/src/driver.rs
@@ -32,7 +32,7 @@
 use crate::logging::{dropped_lines, event_line, render_record};
 use crate::metrics::{MetricSet, SharedStatus};
 use crate::socket::{BufferedSocket, ReadOutcome, connect};
-use crate::store::StoreThreads;
+use crate::store::{StoreLease, StoreThreads};
 use crate::{EdgeSetup, ProcessSignal, clock};
 
 /// Input buffered for a client while its request is in progress.
@@ -439,7 +439,9 @@
                 self.store.write_log_holders(cluster, expected, bytes);
             }
             GateAction::ReadStoreState => self.store.read_state(),
-            GateAction::EndLease { node, lease } => self.store.end_lease(node, lease),
+            GateAction::EndLease { node, lease, era } => {
+                self.store.end_lease(node, StoreLease { number: lease, era });
+            }
             GateAction::Promote { cluster, database, holder, fencing_token } => {
                 self.store.promote(cluster, database, holder, fencing_token);
             }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,7 +31,7 @@
 pub use codec::{BackendMessage, ClientMessage, CodecError, WireCodec};
 pub use limits::ClientLimits;
 pub use logging::{event_line, start_logging};
-pub use store::{ConditionalWrite, StoreChange, StoreClient, StoreError, StoreItem};
+pub use store::{ConditionalWrite, StoreChange, StoreClient, StoreError, StoreItem, StoreLease};
 
 use driver::IoDriver;
 use metrics::SharedStatus;
--- a/crates/edge/src/registration.rs
+++ b/crates/edge/src/registration.rs
@@ -12,7 +12,7 @@
 
 use crate::clock;
 use crate::logging::event_line;
-use crate::store::{ConditionalWrite, StoreClient, StoreError, log_failure};
+use crate::store::{ConditionalWrite, StoreClient, StoreError, StoreLease, log_failure};
 use crate::watch::StandbyStatus;
 
 /// Time to live of an owner's registration.
@@ -49,7 +49,7 @@
 /// A lease for this node's registration in a role.
 struct RegistrationLease {
     role: NodeRole,
-    lease: u64,
+    lease: StoreLease,
     /// The registration is in the store under this lease. While a write of it has not been answered, it may not be.
     stored: bool,
 }
@@ -212,7 +212,7 @@
                     }
                     let fields = vec![
                         ("owner", (role == NodeRole::Owner).into()),
-                        ("lease", lease.into()),
+                        ("lease", lease.number.into()),
                         ("revision", revision.into()),
                     ];
                     log::info!("{}", event_line("registration_written", fields));
@@ -228,7 +228,7 @@
                     self.revisions.insert(role, current);
                     let fields = vec![
                         ("owner", (role == NodeRole::Owner).into()),
-                        ("lease", lease.into()),
+                        ("lease", lease.number.into()),
                         ("expected", expected.into()),
                         ("current", current.into()),
                     ];
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -75,6 +75,14 @@
     Unreadable(String),
 }
 
+/// A lease of the store. A restored store may have assigned its number to another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreLease {
+    pub number: u64,
+    /// Era in which it was opened or listed.
+    pub era: u64,
+}
+
 /// Blocking calls to the store, each with a time limit.
 ///
 /// All revisions contain the era of the store, see [`gate::revision_in_era`]. An answer of another era than the call's
@@ -133,13 +141,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store does not answer in time or refuses, or if the lease has ended.
+    /// Fails if the store does not answer in time or refuses, or if the lease has ended or is of a former era.
     fn write_registration(
         &self,
         role: NodeRole,
         node: &Name,
         bytes: &[u8],
-        lease: u64,
+        lease: StoreLease,
         expected: u64,
     ) -> Result<ConditionalWrite, StoreError>;
 
@@ -148,21 +156,21 @@
     /// # Errors
     ///
     /// Fails if the store does not answer in time or refuses.
-    fn open_lease(&self, ttl: Duration) -> Result<u64, StoreError>;
+    fn open_lease(&self, ttl: Duration) -> Result<StoreLease, StoreError>;
 
     /// Renews a lease.
     ///
     /// # Errors
     ///
-    /// Fails if the store does not answer in time or refuses, or if the lease has ended.
-    fn renew_lease(&self, lease: u64) -> Result<(), StoreError>;
+    /// Fails if the store does not answer in time or refuses, or if the lease has ended or is of a former era.
+    fn renew_lease(&self, lease: StoreLease) -> Result<(), StoreError>;
 
     /// Ends a lease, which removes the registration written under it.
     ///
     /// # Errors
     ///
-    /// Fails if the store does not answer in time or refuses.
-    fn end_lease(&self, lease: u64) -> Result<(), StoreError>;
+    /// Fails if the store does not answer in time or refuses, or if the lease is of a former era.
+    fn end_lease(&self, lease: StoreLease) -> Result<(), StoreError>;
 
     /// Asks the platform to promote a database, as the given holder of the promotion lease. The request must
     /// not reach the platform after this has returned.
@@ -310,7 +318,7 @@
         });
     }
 
-    pub(crate) fn end_lease(&self, node: Name, lease: u64) {
+    pub(crate) fn end_lease(&self, node: Name, lease: StoreLease) {
         let answered = move |ended| GateEvent::EndLeaseAnswered { node, ended };
         self.call("end_lease", answered.clone()(false), move |client| {
             answered(match client.end_lease(lease) {
--- a/crates/gate/src/action.rs
+++ b/crates/gate/src/action.rs
@@ -104,6 +104,8 @@
     EndLease {
         node: Name,
         lease: u64,
+        /// Era of the store in which the lease was listed.
+        era: u64,
     },
     Promote {
         cluster: Name,
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -579,6 +579,7 @@
         let now = self.now;
         let Some(failover) = self.failovers.running.get_mut(cluster) else { return };
         let (announced, registry) = (failover.announced, &self.registry);
+        let era = self.store_era;
         let missing = failover.unacknowledged.len();
         failover.unacknowledged.retain(|node, revocation| {
             revocation.is_ended() || !registry.has_acknowledged(node, announced)
@@ -593,7 +594,7 @@
                 && requested_at.is_none_or(|at| now >= at + STEP_RETRY_INTERVAL)
             {
                 *requested_at = Some(now);
-                ends.push(GateAction::EndLease { node: node.clone(), lease: *lease });
+                ends.push(GateAction::EndLease { node: node.clone(), lease: *lease, era });
             }
         }
         let all_ended = failover.unacknowledged.values().all(|revocation| revocation.is_ended());
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -735,7 +735,7 @@
                     self.schedule(self.store_read_time, Delivery::Gate(gate, event));
                 }
             }
-            GateAction::EndLease { node, lease } => {
+            GateAction::EndLease { node, lease, .. } => {
                 let ended = era_of_revision(lease) == self.era();
                 let index = self.names.iter().position(|name| *name == node);
                 if let Some(index) = index.filter(|_| ended) {
