Do not take a record of log holders for complete that no informed owner wrote

A database that was recorded after the copy and is cut off from the store was missing, and a failover counted the record as complete. Such an owner now writes a partial record, which keeps the names but shows no log to be complete; an owner that knew the record replaces it. Failovers go on by the ends of the log that all owners tell. Without a record in the copy, the deployment counts as a new one, as before.

The record is also written again with the databases that nodes had seen listed, which the first owner may not have recorded before the era began.

Fails before, passes now: a_record_by_owners_that_started_in_this_era_does_not_show_that_a_log_is_complete (10 acknowledged commits lost), the_record_of_log_holders_is_written_again_with_databases_that_were_not_recorded.

--- a/crates/gate/src/log_holders.rs
+++ b/crates/gate/src/log_holders.rs
@@ -13,7 +13,10 @@
 //! that nodes knew of when the era began, by an owner that knew a record then. One of two things must
 //! show that this names every database that may hold a commit: a listed replica holds every commit
 //! acknowledged before the record was found missing, or each process that was an owner when the era
-//! began has told what it knew. An owner that has started in this era leaves time to the others.
+//! began has told what it knew. An owner that has started in this era leaves time to the others, and
+//! writes a *partial* record: it keeps the names, but shows no log to be complete. Nothing that such an
+//! owner can ask shows that no further database exists, because that may be cut off from everybody
+//! until it has answered, and receive commits afterwards.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -45,6 +48,18 @@
     /// Era of the store in which the record was written.
     #[serde(default, skip_serializing_if = "is_first_era")]
     pub era: u64,
+    /// It may name too few databases: no node was left that knew all of them when the era began.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub partial: bool,
+}
+
+/// What a record shows that is written again in a new era.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordProof {
+    /// It names all databases that may hold a commit.
+    Complete,
+    /// It may name too few.
+    Partial,
 }
 
 /// What this node knows of the stored record.
@@ -54,10 +69,12 @@
     revision: u64,
     /// The recorded databases; `None` without a readable record.
     pub(crate) names: Option<BTreeSet<Name>>,
+    /// The record may name too few databases.
+    partial: bool,
     /// Databases that earlier eras, or the copy, show to be holders, until a record of this era names
     /// them or they are superseded.
     former_names: BTreeSet<Name>,
-    /// This process knew a record when the era began, and has seen none of this era.
+    /// This process knew a complete record when the era began, and has seen none of this era.
     knew_record: bool,
     /// Since when there has been no readable record.
     missing_since: Option<Micros>,
@@ -69,11 +86,13 @@
 }
 
 impl LogHolders {
-    /// Keeps what is known of the record for the next era, in which it has to be written again.
-    pub(crate) fn begin_era(&mut self) {
+    /// Keeps what is known of the record for the next era, in which it has to be written again, and
+    /// the databases that this node knew, which may not have been recorded yet.
+    pub(crate) fn begin_era(&mut self, known: impl Iterator<Item = Name>) {
+        self.former_names.extend(known);
         if let Some(names) = self.names.take() {
             self.former_names.extend(names);
-            self.knew_record = true;
+            self.knew_record |= !self.partial;
         }
         self.revision = 0;
         self.missing_since = None;
@@ -87,18 +106,24 @@
         self.names = None;
         match record {
             Some(record) if record.era == era => {
+                self.partial = record.partial;
+                self.knew_record &= record.partial;
                 self.names = Some(names_of(record));
-                self.knew_record = false;
             }
             Some(record) => self.former_names.extend(names_of(record)),
             None => {}
         }
-        if self.names.is_some() {
+        if self.is_complete() {
             self.missing_since = None;
             self.list_covers_commits = false;
         }
     }
 
+    /// Returns true if there is a record that shows which databases may hold commits.
+    fn is_complete(&self) -> bool {
+        self.names.is_some() && !self.partial
+    }
+
     /// Returns true if the record names these databases and no other one.
     fn names_all_of(&self, members: &[Name]) -> bool {
         let names = self.names.as_ref();
@@ -122,7 +147,7 @@
 }
 
 /// Returns the databases that the record of a cluster in the store names; `None` without a readable
-/// record, which the gate logs when it is notified of it.
+/// and complete record, which the gate logs when it is notified of it.
 pub(crate) fn recorded_holders(
     documents: &[StoredDocument],
     cluster: &Name,
@@ -131,7 +156,7 @@
     let mut stored = documents.iter();
     let stored = stored.find(|stored| recorded_cluster(&stored.document) == Some(cluster))?;
     let record: Option<LogHoldersRecord> = serde_json::from_slice(&stored.bytes).ok();
-    record.filter(|record| record.era == era).map(names_of)
+    record.filter(|record| record.era == era && !record.partial).map(names_of)
 }
 
 impl ClusterState {
@@ -178,6 +203,7 @@
         let Some(state) = self.clusters.get(cluster) else { return };
         if state.former_members.is_empty()
             && state.log_holders.former_names.is_empty()
+            && !state.log_holders.knew_record
             && state.log_holders.names_all_of(&state.members)
         {
             return;
@@ -193,10 +219,11 @@
         let first = self.owner_position(cluster) == 0;
         self.remember_former_members(cluster);
         self.find_superseded_members(cluster, first);
-        let may_write_again = self.may_write_again(cluster, now);
+        let written_again = self.written_again(cluster, now);
         let told: BTreeSet<Name> =
             self.registry.told_former_holders(cluster, self.store_era).collect();
         let first_era = self.store_era == 0;
+        let mut partial = false;
         let Some(state) = self.clusters.get_mut(cluster) else { return };
         state.forget_known_former_names();
         let members = state.members.iter();
@@ -204,13 +231,17 @@
         let former_names = state.log_holders.former_names.iter();
         let names: BTreeSet<Name> = match &state.log_holders.names {
             Some(stored) => {
+                partial = state.log_holders.partial && written_again != Some(RecordProof::Complete);
                 let awaited = stored.iter().filter(|name| {
                     state.members.contains(*name)
                         || former.get(*name).is_none_or(|former| !former.superseded)
                 });
-                awaited.chain(members.filter(|_| first)).chain(former_names).cloned().collect()
+                let told = told.iter().filter(|_| state.log_holders.partial && !partial);
+                let listed = members.filter(|_| first);
+                awaited.chain(listed).chain(former_names).chain(told).cloned().collect()
             }
-            None if !first_era && may_write_again => {
+            None if !first_era && written_again.is_some() => {
+                partial = written_again == Some(RecordProof::Partial);
                 members.chain(former_names).chain(&told).cloned().collect()
             }
             None if !first_era => return,
@@ -218,7 +249,7 @@
             None => return,
         };
         let written_at = state.log_holders.written_at;
-        if Some(&names) == state.log_holders.names.as_ref()
+        if Some(&names) == state.log_holders.names.as_ref() && partial == state.log_holders.partial
             || written_at.is_some_and(|at| now < at + WRITE_INTERVAL)
         {
             return;
@@ -227,30 +258,42 @@
         let expected = state.log_holders.revision;
         let holders: BTreeSet<String> = names.iter().map(ToString::to_string).collect();
         let listed: Vec<&str> = holders.iter().map(String::as_str).collect();
-        let record = fields!["cluster" => cluster, "databases" => listed.join(",")];
+        let record = fields![
+            "cluster" => cluster,
+            "databases" => listed.join(","),
+            "partial" => partial
+        ];
         self.log("log_holders", record);
-        let record = LogHoldersRecord { holders, era: self.store_era };
+        let record = LogHoldersRecord { holders, era: self.store_era, partial };
         if let Some(bytes) = self.write_record("log holders", &record) {
             let cluster = cluster.clone();
             self.out.push(GateAction::WriteLogHolders { cluster, expected, bytes });
         }
     }
 
-    /// Returns true if this node may write the record of a cluster again in a new era.
-    fn may_write_again(&self, cluster: &Name, now: Micros) -> bool {
-        let Some(state) = self.clusters.get(cluster) else { return false };
-        let holders = &state.log_holders;
+    /// Returns what a record shows that this node writes again in a new era; `None` if it may not write
+    /// one. Without a record in the copy, the deployment is taken for a new one, whose databases are
+    /// listed.
+    fn written_again(&self, cluster: &Name, now: Micros) -> Option<RecordProof> {
+        let holders = &self.clusters.get(cluster)?.log_holders;
         let waited = holders.missing_since.is_some_and(|at| now >= at + OTHER_OWNER_DELAY);
         let told = holders.knew_record && self.registry.have_former_owners_told(self.store_era);
-        told || holders.list_covers_commits && (holders.knew_record || waited)
+        match (told, holders.list_covers_commits) {
+            (true, _) => Some(RecordProof::Complete),
+            (false, true) if holders.knew_record => Some(RecordProof::Complete),
+            (false, true) if waited && holders.revision == 0 => Some(RecordProof::Complete),
+            (false, true) if waited => Some(RecordProof::Partial),
+            (false, _) => None,
+        }
     }
 
     /// Returns the log holders that this node knew before the present era, by cluster, while it knows
     /// no record of this era.
     pub(crate) fn former_log_holders(&self) -> BTreeMap<String, BTreeSet<String>> {
-        let known = self.clusters.iter().filter(|(_, state)| {
-            state.log_holders.knew_record && state.log_holders.names.is_none()
-        });
+        let known = self
+            .clusters
+            .iter()
+            .filter(|(_, state)| state.log_holders.knew_record && !state.log_holders.is_complete());
         known
             .map(|(cluster, state)| {
                 let names = state.log_holders.former_names.iter();
@@ -305,7 +348,7 @@
             waits |= !former.superseded && now >= former.removed_at + delay;
         }
         let holders = &mut state.log_holders;
-        if holders.names.is_none() {
+        if !holders.is_complete() && (holders.names.is_none() || holders.knew_record) {
             let since = *holders.missing_since.get_or_insert(now);
             let end = state.proof.proved_position(since);
             holders.list_covers_commits |= end.is_some_and(|end| held >= end);
--- a/crates/gate/src/store_era.rs
+++ b/crates/gate/src/store_era.rs
@@ -76,7 +76,9 @@
         // Owners may have registered and left without a trace in the copy.
         self.registry.record_unseen_departure(self.now);
         for state in self.clusters.values_mut() {
-            state.log_holders.begin_era();
+            let former = state.former_members.iter().filter(|(_, former)| !former.superseded);
+            let known = state.members.iter().chain(former.map(|(name, _)| name));
+            state.log_holders.begin_era(known.cloned());
         }
         if self.registration.listed.is_some() {
             self.registry.record_former_owners();
--- a/crates/gate/tests/store_eras.rs
+++ b/crates/gate/tests/store_eras.rs
@@ -374,6 +374,87 @@
     assert_eq!((record.era, record.holders), (1, names_of(&["a", "b", "c"])));
 }
 
+/// Guards against a record that shows a log to be complete although nobody was left who knew all
+/// databases: every owner has started in this era, and the copy's record lacks `b`, which is cut off from
+/// the store, receives commits and is the only replica with the last ones. Their owner is lost, too.
+#[test]
+fn a_record_by_owners_that_started_in_this_era_does_not_show_that_a_log_is_complete() {
+    let (mut simulation, _) = start_with_older_holders();
+    simulation.database("c").replication_stopped = false;
+    simulation.write(3, 1);
+    simulation.unlist("b");
+    simulation.begin_era();
+    for gate in 0..4 {
+        simulation.start_again(gate);
+    }
+    simulation.run_with_reads(&READS, RESUME_TIME);
+    assert_eq!(simulation.log_holders().map(|record| record.era), Some(1), "it is written again");
+    simulation.database("c").replication_stopped = true;
+    let end = simulation.write(3, 10);
+    simulation.stopped.insert(3);
+    simulation.renewing.remove(&3);
+    simulation.remove_registration(3);
+    simulation.database("a").unreachable = true;
+    simulation.run_with_reads(&READS, millis(15_000));
+    assert_eq!(simulation.promoted_databases(), [] as [&str; 0], "commits up to {end} are lost");
+    simulation.restore_database("a");
+    simulation.run_with_reads(&READS, RESUME_TIME);
+    simulation.write(0, 1);
+}
+
+/// A failover needs no complete record if all owners are there, which tell the end of the log.
+#[test]
+fn owners_that_started_in_this_era_replace_a_lost_primary() {
+    let (mut simulation, _) = start_with_older_holders();
+    simulation.database("c").replication_stopped = false;
+    simulation.write(3, 1);
+    simulation.begin_era();
+    for gate in 0..4 {
+        simulation.start_again(gate);
+    }
+    simulation.run_with_reads(&READS, RESUME_TIME);
+    simulation.database("a").unreachable = true;
+    wait_for_promotion(&mut simulation, 1);
+}
+
+/// Guards against a record that lacks a database which the nodes had seen listed, but which the first
+/// owner had not recorded yet when the era began. The record is written late, because an owner is lost and
+/// the replicas refuse reports.
+#[test]
+fn the_record_of_log_holders_is_written_again_with_databases_that_were_not_recorded() {
+    let mut unrecorded = 0;
+    for unaware in 0..4 {
+        let mut simulation = Simulation::start(4);
+        simulation.run_with_reads(&READS, millis(3_000));
+        simulation.copy_store();
+        simulation.list_cut.insert(unaware);
+        let added = simulation.databases["c"].clone();
+        simulation.databases.insert("d".into(), added);
+        simulation.publish_database("d");
+        simulation.run_with_reads(&READS, millis(100));
+        unrecorded += simulation.log_holders().map_or(0, |record| 4 - record.holders.len());
+        simulation.unlisted.insert("d".into());
+        let lost = (unaware + 1) % 4;
+        simulation.stopped.insert(lost);
+        simulation.begin_era();
+        for refuses in [true, false] {
+            for name in ["b", "c"] {
+                simulation.database(name).refuses_reports = refuses;
+            }
+            for _ in 0..12 {
+                simulation.run_with_reads(&READS, millis(500));
+                let session = simulation.open(unaware, LATEST);
+                let id = format!("w{}", simulation.now.0);
+                simulation.send_request(unaware, session, &id, "WRITE 1 x");
+            }
+        }
+        let record = simulation.log_holders().expect("the record is written again");
+        let expected = names_of(&["a", "b", "c", "d"]);
+        assert_eq!((record.era, record.holders), (1, expected), "node {unaware}");
+    }
+    assert_eq!(unrecorded, 1, "one of the nodes is the first owner");
+}
+
 /// Guards against a record that is written again with the databases that are listed, although nodes
 /// know of another one, which may hold the only copy of later commits.
 #[test]
