Wait for owners that only other nodes know of, or that a copy shows as standbys

An owner that has left without a trace may go on, cut off from the store, and acknowledge commits with a replica that the others do not reach, so what the nodes know shows no log to be complete. Two failovers did not see it: one by a node that had started since the owner left, and one after a new era whose copy had an older registration of the owner as a standby, which counted as its return. Nodes now tell with the end of the log that they know of such an owner, and a registration of a former era does not end the wait.

Fails before, passes now: a_registration_of_a_former_era_does_not_account_for_an_owner, one_node_that_knows_of_a_missing_owner_keeps_the_others_from_relying_on_what_they_know (3 commits lost in each).

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -404,7 +404,7 @@
                 if record.incarnation != self.settings.incarnation {
                     self.own_registration_missing(role, &name, stored.revision);
                 }
-                self.registry.set(self.now, role, name, record);
+                self.registry.set(self.now, role, name, record, self.store_era);
             }
         }
     }
--- a/crates/gate/src/log_comparison.rs
+++ b/crates/gate/src/log_comparison.rs
@@ -204,16 +204,17 @@
 
     /// Returns true if the known end of the log covers every acknowledged commit: each owner that
     /// may have acknowledged some has told its end, or its process had ended before a commit was sent
-    /// or a position was proved by an owner which told its end.
+    /// or a position was proved by an owner which told its end. An owner that has left and may go on is
+    /// known to some nodes only, as others may have started since.
     fn knows_all_commits(&self, cluster: &Name, longest: TermPosition) -> bool {
         let Some(failover) = self.failovers.running.get(cluster) else { return false };
         let left = self.registry.last_departure().is_some_and(|at| at >= failover.started);
-        if left || self.registry.has_unaccounted_owners() || !failover.unacknowledged.is_empty() {
+        if left || !failover.unacknowledged.is_empty() {
             return false;
         }
         let mut ends: Vec<_> = self.registry.told_log_ends(cluster, failover.announced).collect();
         ends.push(self.own_log_end(cluster));
-        ends.iter().all(Option::is_some)
+        ends.iter().all(|end| end.is_some_and(|end| !end.owner_missing))
             && ends.iter().flatten().any(|end| end.is_covered_by(longest))
     }
 
@@ -223,7 +224,8 @@
         let proof = &self.clusters.get(cluster)?.proof;
         let current = proof.log_end_known_at() > Some(last_departure);
         let proved = proof.newest_proved_position(last_departure);
-        Some(LogEndRecord { end: proof.required_log_end(), current, proved })
+        let owner_missing = self.registry.has_unaccounted_owners();
+        Some(LogEndRecord { end: proof.required_log_end(), current, proved, owner_missing })
     }
 
     /// Returns the end of the log that a new primary must hold so that no acknowledged commit is
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -31,6 +31,10 @@
     /// commits, and perhaps more than were acknowledged.
     #[serde(default)]
     pub proved: Option<TermPosition>,
+    /// The node knows of an owner that has left and may still acknowledge commits, cut off from the
+    /// store.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub owner_missing: bool,
 }
 
 impl LogEndRecord {
@@ -116,12 +120,14 @@
         }
     }
 
-    /// Adds or replaces a registration.
-    pub fn set(&mut self, now: Micros, role: NodeRole, node: Name, record: NodeRecord) {
+    /// Adds or replaces a registration. One that a restored store has from a former era does not
+    /// account for an owner that has left since.
+    pub fn set(&mut self, now: Micros, role: NodeRole, node: Name, record: NodeRecord, era: u64) {
         let owner = self.owners.get(&node);
         let replaced = owner.is_some_and(|known| known.incarnation != record.incarnation);
         // The former process of a node that registers again has ended.
-        if self.unaccounted.remove(&node) || replaced {
+        let returned = record.era == era && self.unaccounted.remove(&node);
+        if returned || replaced {
             self.last_departure = Some(now);
         }
         self.former_nodes.remove(&node);
--- a/crates/gate/tests/store_eras.rs
+++ b/crates/gate/tests/store_eras.rs
@@ -337,6 +337,57 @@
     assert_eq!(simulation.gates[1].dump()["configuration"], 7);
 }
 
+/// Lets node 0 go on while it is cut off from the store, whose copy does not show that it is an owner, and
+/// lets it commit what only `a` and `b` receive, which the other nodes no longer reach.
+fn commit_at_unknown_owner(simulation: &mut Simulation) {
+    for gate in 1..4 {
+        simulation.write(gate, 1);
+        simulation.cut(gate, "b");
+    }
+    simulation.database("c").replication_stopped = true;
+    simulation.write(0, 3);
+    for gate in 1..4 {
+        simulation.cut(gate, "a");
+    }
+    simulation.unlist("b");
+    simulation.run_with_reads(&READS, millis(12_000));
+    assert_eq!(simulation.promoted_databases(), [] as [&str; 0], "commits of node 0 are lost");
+}
+
+/// Guards against the loss of commits of an owner that is cut off from the store. The copy has its
+/// registration as a standby, which it was before.
+#[test]
+fn a_registration_of_a_former_era_does_not_account_for_an_owner() {
+    let mut simulation = Simulation::start(4);
+    simulation.run_with_reads(&READS, millis(3_000));
+    simulation.copy_store();
+    simulation.make_standby_in_copy(0);
+    simulation.store_cut.insert(0);
+    simulation.begin_era();
+    simulation.run_with_reads(&READS, millis(8_000));
+    commit_at_unknown_owner(&mut simulation);
+}
+
+/// Guards against the same if the copy has no registration and most other nodes have started again since:
+/// only the one that knew of the owner can tell.
+#[test]
+fn one_node_that_knows_of_a_missing_owner_keeps_the_others_from_relying_on_what_they_know() {
+    for knowing in 1..4 {
+        let mut simulation = Simulation::start(4);
+        simulation.run_with_reads(&READS, millis(3_000));
+        simulation.copy_store();
+        simulation.remove_from_copy(|document| matches!(document, Document::Node(..)));
+        simulation.store_cut.insert(0);
+        simulation.begin_era();
+        simulation.run_with_reads(&READS, millis(500));
+        for gate in (1..4).filter(|gate| *gate != knowing) {
+            simulation.start_again(gate);
+        }
+        simulation.run_with_reads(&READS, millis(8_000));
+        commit_at_unknown_owner(&mut simulation);
+    }
+}
+
 /// Starts a deployment in which only `a` and `b` hold the last commits. The copy of its store has a
 /// record of log holders from before `b` was one. Returns the end of the log.
 fn start_with_older_holders() -> (Simulation, gate::TermPosition) {
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -425,6 +425,16 @@
         documents.retain(|_, stored| !removes(&stored.document));
     }
 
+    /// Replaces an owner's registration in the copy by one as a standby.
+    pub fn make_standby_in_copy(&mut self, gate: usize) {
+        let name = self.names[gate].clone();
+        let owner = document_key(&Document::Node(NodeRole::Owner, name.clone()));
+        let (documents, _) = self.copy.as_mut().expect("there is a copy");
+        let mut stored = documents.remove(&owner).expect("the copy has a registration");
+        stored.document = Document::Node(NodeRole::Standby, name);
+        documents.insert(document_key(&stored.document), stored);
+    }
+
     /// Restores the store from the last copy, which begins a new era. Nodes that are cut off from
     /// the store do not notice it; the leases that the others hold have ended.
     pub fn begin_era(&mut self) {
