Prove commits and reads by replicas until failovers of former eras are over

The copy may lack the announcement of a failover whose promotion is still to take effect. A node that was cut off when it was announced registered in the new era, took its registration and its read lease for proof that no failover was pending, and acknowledged commits that the promoted log lacked, if a replica had started again since the comparison. Neither counts now until the record of the promotion lease has been written in the new era, which follows the wait for a silent holder. Until then each read of current data and each commit needs a report.

Fails before, passes now: a_registration_shows_no_end_of_failovers_that_the_copy_lacks.

--- a/crates/gate/src/commit_proof.rs
+++ b/crates/gate/src/commit_proof.rs
@@ -65,7 +65,8 @@
 impl Gate {
     /// Returns true if the read lease shows that a commit is kept, or none is needed.
     pub(crate) fn needs_no_commit_proof(&self, cluster: &Name) -> bool {
-        self.read_lease_acquired().is_some() || !self.has_synchronous_replicas(cluster)
+        let leased = self.read_lease_acquired().is_some() && self.are_former_failovers_over();
+        leased || !self.has_synchronous_replicas(cluster)
     }
 
     /// Returns true if a commit that is sent now can probably be proved to be kept.
--- a/crates/gate/src/read_lease.rs
+++ b/crates/gate/src/read_lease.rs
@@ -162,7 +162,7 @@
     /// Extends the proof of the cluster's leader by the read lease.
     pub(crate) fn apply_read_lease(&mut self, cluster: &Name) {
         let now = self.now;
-        if self.is_announced(cluster) {
+        if self.is_announced(cluster) || !self.are_former_failovers_over() {
             return;
         }
         if let Some(acquired) = self.read_lease_acquired()
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -96,6 +96,9 @@
         let followed = self.store_view.revision;
         let write = self.registration.unobserved_write.take_if(|write| write.0 <= followed);
         let Some((_, sent)) = write else { return };
+        if !self.are_former_failovers_over() {
+            return;
+        }
         let clusters: Vec<Name> = self.clusters.keys().cloned().collect();
         for cluster in clusters {
             if self.is_announced(&cluster) {
--- a/crates/gate/src/store_era.rs
+++ b/crates/gate/src/store_era.rs
@@ -67,6 +67,13 @@
         era_of_revision(revision) == self.store_era
     }
 
+    /// Returns true if a node has written the record of the promotion lease in this era, after the wait
+    /// for a silent holder. Until then a failover of a former era may be pending whose announcement the
+    /// copy lacks, and neither a read lease nor a registration shows that none is.
+    pub(crate) fn are_former_failovers_over(&self) -> bool {
+        self.promotion_lease.record().1.era == self.store_era
+    }
+
     /// Begins a new era. This node gives up the promotion lease and its read lease, and registers again.
     pub(crate) fn begin_store_era(&mut self, era: u64) {
         let former = std::mem::replace(&mut self.store_era, era);
--- a/crates/gate/tests/store_eras.rs
+++ b/crates/gate/tests/store_eras.rs
@@ -233,6 +233,55 @@
     }
 }
 
+/// Guards against the loss of commits of a node that was cut off and has not seen the announcement, which
+/// the copy lacks: it registers in the new era while the promotion is still to take effect, and a replica
+/// that has started again since the logs were compared receives commits of the old primary.
+#[test]
+fn a_registration_shows_no_end_of_failovers_that_the_copy_lacks() {
+    let mut simulation = Simulation::start(4);
+    simulation.run_with_reads(&READS, millis(3_000));
+    simulation.store_cut.insert(0);
+    simulation.remove_registration(0);
+    simulation.run_with_reads(&READS, millis(1_000));
+    simulation.copy_store();
+    simulation.promotion_delay = millis(1_000);
+    for gate in 1..4 {
+        simulation.cut(gate, "a");
+    }
+    let failed = simulation.now;
+    while simulation.promotions.is_empty() {
+        simulation.run_with_reads(&READS, millis(20));
+        assert!(simulation.now < failed + RESUME_TIME, "no promotion");
+    }
+    let other = if simulation.promoted_databases() == ["b"] { "c" } else { "b" };
+    simulation.restart_replica(other);
+    simulation.lose_connections(other, millis(1));
+    simulation.begin_era();
+    simulation.restore_store(0);
+    let mut sessions = Vec::new();
+    while simulation.promoted_logs.is_empty() {
+        let session = simulation.open(0, LATEST);
+        let id = format!("w{}", simulation.now.0);
+        simulation.send_request(0, session, &id, "WRITE 1 x");
+        sessions.push((session, id));
+        simulation.run(millis(20));
+    }
+    let start = simulation.promoted_logs[0].2;
+    for (session, id) in sessions {
+        let ran = &simulation.databases["a"].ran;
+        let lost = ran.iter().any(|(ran, end)| **ran == *id && *end > start);
+        assert!(!lost || simulation.outcome(session) != "served", "commit {id} is lost");
+    }
+    simulation.cuts.clear();
+    simulation.run_with_reads(&READS, RESUME_TIME);
+    for gate in 0..4 {
+        let session = simulation.open(gate, LATEST);
+        simulation.send_request(gate, session, &format!("served-{gate}"), "WRITE 1 x");
+        simulation.run(millis(50));
+        assert_eq!(simulation.outcome(session), "served", "node {gate}");
+    }
+}
+
 /// Guards against acknowledgements that count for another announcement: the one of the new era has a
 /// lower assigned revision than the one that was acknowledged in the former era.
 #[test]
