--- a/crates/gate/tests/store_eras.rs
+++ b/crates/gate/tests/store_eras.rs
@@ -233,6 +233,55 @@
     }
 }
 
+/// Guards against the loss of commits of a node that was cut off and has not seen the announcement, which
+/// the copy lacks: it registers in the new era while the promotion is still to take effect, and a replica
+/// that has started again since the logs were compared receives commits of the old primary.
+#[test]
+fn a_registration_shows_no_end_of_failovers_that_the_copy_lacks() {
+    let mut simulation = Simulation::start(4);
+    simulation.run_with_reads(&READS, millis(3_000));
+    simulation.store_cut.insert(0);
+    simulation.remove_registration(0);
+    simulation.run_with_reads(&READS, millis(1_000));
+    simulation.copy_store();
+    simulation.promotion_delay = millis(1_000);
+    for gate in 1..4 {
+        simulation.cut(gate, "a");
+    }
+    let failed = simulation.now;
+    while simulation.promotions.is_empty() {
+        simulation.run_with_reads(&READS, millis(20));
+        assert!(simulation.now < failed + RESUME_TIME, "no promotion");
+    }
+    let other = if simulation.promoted_databases() == ["b"] { "c" } else { "b" };
+    simulation.restart_replica(other);
+    simulation.lose_connections(other, millis(1));
+    simulation.begin_era();
+    simulation.restore_store(0);
+    let mut sessions = Vec::new();
+    while simulation.promoted_logs.is_empty() {
+        let session = simulation.open(0, LATEST);
+        let id = format!("w{}", simulation.now.0);
+        simulation.send_request(0, session, &id, "WRITE 1 x");
+        sessions.push((session, id));
+        simulation.run(millis(20));
+    }
+    let start = simulation.promoted_logs[0].2;
+    for (session, id) in sessions {
+        let ran = &simulation.databases["a"].ran;
+        let lost = ran.iter().any(|(ran, end)| **ran == *id && *end > start);
+        assert!(!lost || simulation.outcome(session) != "served", "commit {id} is lost");
+    }
+    simulation.cuts.clear();
+    simulation.run_with_reads(&READS, RESUME_TIME);
+    for gate in 0..4 {
+        let session = simulation.open(gate, LATEST);
+        simulation.send_request(gate, session, &format!("served-{gate}"), "WRITE 1 x");
+        simulation.run(millis(50));
+        assert_eq!(simulation.outcome(session), "served", "node {gate}");
+    }
+}
+
 /// Guards against acknowledgements that count for another announcement: the one of the new era has a
 /// lower assigned revision than the one that was acknowledged in the former era.
 #[test]
@@ -337,6 +386,57 @@
     assert_eq!(simulation.gates[1].dump()["configuration"], 7);
 }
 
+/// Lets node 0 go on while it is cut off from the store, whose copy does not show that it is an owner, and
+/// lets it commit what only `a` and `b` receive, which the other nodes no longer reach.
+fn commit_at_unknown_owner(simulation: &mut Simulation) {
+    for gate in 1..4 {
+        simulation.write(gate, 1);
+        simulation.cut(gate, "b");
+    }
+    simulation.database("c").replication_stopped = true;
+    simulation.write(0, 3);
+    for gate in 1..4 {
+        simulation.cut(gate, "a");
+    }
+    simulation.unlist("b");
+    simulation.run_with_reads(&READS, millis(12_000));
+    assert_eq!(simulation.promoted_databases(), [] as [&str; 0], "commits of node 0 are lost");
+}
+
+/// Guards against the loss of commits of an owner that is cut off from the store. The copy has its
+/// registration as a standby, which it was before.
+#[test]
+fn a_registration_of_a_former_era_does_not_account_for_an_owner() {
+    let mut simulation = Simulation::start(4);
+    simulation.run_with_reads(&READS, millis(3_000));
+    simulation.copy_store();
+    simulation.make_standby_in_copy(0);
+    simulation.store_cut.insert(0);
+    simulation.begin_era();
+    simulation.run_with_reads(&READS, millis(8_000));
+    commit_at_unknown_owner(&mut simulation);
+}
+
+/// Guards against the same if the copy has no registration and most other nodes have started again since:
+/// only the one that knew of the owner can tell.
+#[test]
+fn one_node_that_knows_of_a_missing_owner_keeps_the_others_from_relying_on_what_they_know() {
+    for knowing in 1..4 {
+        let mut simulation = Simulation::start(4);
+        simulation.run_with_reads(&READS, millis(3_000));
+        simulation.copy_store();
+        simulation.remove_from_copy(|document| matches!(document, Document::Node(..)));
+        simulation.store_cut.insert(0);
+        simulation.begin_era();
+        simulation.run_with_reads(&READS, millis(500));
+        for gate in (1..4).filter(|gate| *gate != knowing) {
+            simulation.start_again(gate);
+        }
+        simulation.run_with_reads(&READS, millis(8_000));
+        commit_at_unknown_owner(&mut simulation);
+    }
+}
+
 /// Starts a deployment in which only `a` and `b` hold the last commits. The copy of its store has a
 /// record of log holders from before `b` was one. Returns the end of the log.
 fn start_with_older_holders() -> (Simulation, gate::TermPosition) {
@@ -374,6 +474,87 @@
     assert_eq!((record.era, record.holders), (1, names_of(&["a", "b", "c"])));
 }
 
+/// Guards against a record that shows a log to be complete although nobody was left who knew all
+/// databases: every owner has started in this era, and the copy's record lacks `b`, which is cut off from
+/// the store, receives commits and is the only replica with the last ones. Their owner is lost, too.
+#[test]
+fn a_record_by_owners_that_started_in_this_era_does_not_show_that_a_log_is_complete() {
+    let (mut simulation, _) = start_with_older_holders();
+    simulation.database("c").replication_stopped = false;
+    simulation.write(3, 1);
+    simulation.unlist("b");
+    simulation.begin_era();
+    for gate in 0..4 {
+        simulation.start_again(gate);
+    }
+    simulation.run_with_reads(&READS, RESUME_TIME);
+    assert_eq!(simulation.log_holders().map(|record| record.era), Some(1), "it is written again");
+    simulation.database("c").replication_stopped = true;
+    let end = simulation.write(3, 10);
+    simulation.stopped.insert(3);
+    simulation.renewing.remove(&3);
+    simulation.remove_registration(3);
+    simulation.database("a").unreachable = true;
+    simulation.run_with_reads(&READS, millis(15_000));
+    assert_eq!(simulation.promoted_databases(), [] as [&str; 0], "commits up to {end} are lost");
+    simulation.restore_database("a");
+    simulation.run_with_reads(&READS, RESUME_TIME);
+    simulation.write(0, 1);
+}
+
+/// A failover needs no complete record if all owners are there, which tell the end of the log.
+#[test]
+fn owners_that_started_in_this_era_replace_a_lost_primary() {
+    let (mut simulation, _) = start_with_older_holders();
+    simulation.database("c").replication_stopped = false;
+    simulation.write(3, 1);
+    simulation.begin_era();
+    for gate in 0..4 {
+        simulation.start_again(gate);
+    }
+    simulation.run_with_reads(&READS, RESUME_TIME);
+    simulation.database("a").unreachable = true;
+    wait_for_promotion(&mut simulation, 1);
+}
+
+/// Guards against a record that lacks a database which the nodes had seen listed, but which the first
+/// owner had not recorded yet when the era began. The record is written late, because an owner is lost and
+/// the replicas refuse reports.
+#[test]
+fn the_record_of_log_holders_is_written_again_with_databases_that_were_not_recorded() {
+    let mut unrecorded = 0;
+    for unaware in 0..4 {
+        let mut simulation = Simulation::start(4);
+        simulation.run_with_reads(&READS, millis(3_000));
+        simulation.copy_store();
+        simulation.list_cut.insert(unaware);
+        let added = simulation.databases["c"].clone();
+        simulation.databases.insert("d".into(), added);
+        simulation.publish_database("d");
+        simulation.run_with_reads(&READS, millis(100));
+        unrecorded += simulation.log_holders().map_or(0, |record| 4 - record.holders.len());
+        simulation.unlisted.insert("d".into());
+        let lost = (unaware + 1) % 4;
+        simulation.stopped.insert(lost);
+        simulation.begin_era();
+        for refuses in [true, false] {
+            for name in ["b", "c"] {
+                simulation.database(name).refuses_reports = refuses;
+            }
+            for _ in 0..12 {
+                simulation.run_with_reads(&READS, millis(500));
+                let session = simulation.open(unaware, LATEST);
+                let id = format!("w{}", simulation.now.0);
+                simulation.send_request(unaware, session, &id, "WRITE 1 x");
+            }
+        }
+        let record = simulation.log_holders().expect("the record is written again");
+        let expected = names_of(&["a", "b", "c", "d"]);
+        assert_eq!((record.era, record.holders), (1, expected), "node {unaware}");
+    }
+    assert_eq!(unrecorded, 1, "one of the nodes is the first owner");
+}
+
 /// Guards against a record that is written again with the databases that are listed, although nodes
 /// know of another one, which may hold the only copy of later commits.
 #[test]
