Start the time of a CLI run in tests after the CLI has been built

Cause: run_cli built the operators' CLI within the measured time, and the build waits for cargo's lock. data_centre_without_the_platform_gets_changes_from_peers failed twice beside a cargo build (configuration.rs:369) and passed alone.

Change: the program is built before the time starts. The bound is unchanged.

Result: the 9 tests of configuration.rs pass, with no build beside them.

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -398,8 +398,10 @@
 
 /// Runs the operators' CLI against a platform.
 pub fn run_cli(platform: SocketAddr, arguments: &[&str]) -> CliRun {
+    // The first use builds the program, which may wait for another build.
+    let binary = cli_binary();
     let started = Instant::now();
-    let output = Command::new(cli_binary())
+    let output = Command::new(binary)
         .args(["--platform", &platform.to_string()])
         .args(arguments)
         .stdin(Stdio::null())
