--- a/crates/allot/tests/limits.rs
+++ b/crates/allot/tests/limits.rs
@@ -679,6 +679,29 @@
     }
 }
 
+/// The home node stands still up to just below the time after which nodes give up a request, and runs
+/// in between, so that nodes use reserves while a request that tells their use is under way. Guards
+/// against reserves that are taken back although they are used.
+#[test]
+fn reserves_that_are_used_during_a_request_are_not_taken_back() {
+    for seed in 0..12 {
+        let mut fleet = Fleet::start(6, &[("a", LARGE)]);
+        fleet.random = SeededRandom::new(seed);
+        fleet.run_with(Micros::from_secs(8), &[("a", 2_000.0, ALL)]);
+        let home = fleet.home(0, "a");
+        for _ in 0..40 {
+            fleet.members[home].is_frozen = true;
+            let pause = millis(200 + fleet.random.below(95));
+            fleet.run_with(pause, &[("a", 2_000.0, ALL)]);
+            fleet.members[home].is_frozen = false;
+            let turn = millis(20 + fleet.random.below(200));
+            fleet.run_with(turn, &[("a", 2_000.0, ALL)]);
+        }
+        assert!(fleet.from_reserve > 0, "reserves are used");
+        fleet.assert_rule("a", LARGE);
+    }
+}
+
 /// Registrations change so often that nodes disagree on the home most of the time.
 #[test]
 fn changing_registrations_allow_no_more() {
