Simplify what a reading of the whole change found

Cause: a request for tokens was built twice, and looked at the accounts of all home nodes for each of them; whether a node is an owner was searched in all clusters for each node; the charge of an operation had become an enum of two values; the minimum time between first operations of an account was two windows of the known deployments; a refusal for want of space named the bytes in use as the limit; 'lone' nodes and 'resting' transactions are not the usual terms. Result: a_first_operation_is_allowed_once_in_two_windows fails with the constant interval and passes now; the tests of allot, admit, gate, rpc and account pass. Behaviour with a window of 5 s is unchanged.

--- a/crates/allot/src/cache.rs
+++ b/crates/allot/src/cache.rs
@@ -3,11 +3,11 @@
 use std::collections::VecDeque;
 
 use account::RateLimit;
-use model::{FastMap, Micros, Name};
+use model::{FastMap, FastSet, Micros, Name};
 
 use crate::{
     AHEAD_INTERVAL, AllotmentDemand, AllotmentGrant, AllotmentPolicy, AllotmentRequest,
-    DepartedReserves, INTRODUCTION_INTERVAL, KEEP_ALIVE_INTERVAL, LONE_INTERVAL, RECENT_USE,
+    DepartedReserves, INTRODUCTION_INTERVAL, KEEP_ALIVE_INTERVAL, NO_STORE_INTERVAL, RECENT_USE,
     REQUEST_INTERVAL, RESERVE_DELAY, RESERVE_TTL, seconds,
 };
 
@@ -153,6 +153,7 @@
 /// assert_eq!(cache.take(now, &account), TokenTake::Wait);
 /// let waiting = FastMap::from_iter([("kiosks".into(), 1)]);
 /// let request = cache.next_request(now, &home, &waiting, false).expect("an operation waits");
+/// cache.request_sent(now, &home, &request);
 /// assert_eq!(request.demands[0].waiting, 1);
 /// let grant = AllotmentGrant { account: "kiosks".into(), granted: 1, retry_after_ms: 0, reserve_milli: 0 };
 /// cache.answered(now, &home, now, &[grant]);
@@ -172,13 +173,14 @@
     view_since: Micros,
     unheard_share: f64,
     accounts: FastMap<Name, AccountCache>,
+    /// Accounts by home node, so that a request to one looks at no others.
+    accounts_by_home: FastMap<Name, FastSet<Name>>,
     links: FastMap<Name, HomeLink>,
 }
 
 impl AllotmentCache {
     /// Creates a cache without accounts.
     pub fn new(policy: AllotmentPolicy) -> Self {
-        let (accounts, links) = (FastMap::default(), FastMap::default());
         AllotmentCache {
             policy,
             view: 0,
@@ -187,8 +189,9 @@
             departed_share: 0.0,
             view_since: Micros::ZERO,
             unheard_share: 0.0,
-            accounts,
-            links,
+            accounts: FastMap::default(),
+            accounts_by_home: FastMap::default(),
+            links: FastMap::default(),
         }
     }
 
@@ -202,6 +205,7 @@
     ) -> u64 {
         (self.view, self.is_member) = (view, is_member);
         let mut former = std::mem::take(&mut self.accounts);
+        self.accounts_by_home.clear();
         let mut changes = 0;
         for (name, limit, home) in accounts {
             let mut account =
@@ -215,6 +219,8 @@
                 account.refused_until = None;
             }
             account.limit = limit;
+            let accounts = self.accounts_by_home.entry(account.home.clone()).or_default();
+            accounts.insert(name.clone());
             self.accounts.insert(name, account);
         }
         changes
@@ -336,9 +342,12 @@
 
     /// Asks another node for an account from now on.
     pub(crate) fn set_home(&mut self, account: &Name, home: Name) {
-        if let Some(cache) = self.accounts.get_mut(account) {
-            cache.set_home(home);
+        let Some(cache) = self.accounts.get_mut(account) else { return };
+        if let Some(accounts) = self.accounts_by_home.get_mut(&cache.home) {
+            accounts.remove(account);
         }
+        self.accounts_by_home.entry(home.clone()).or_default().insert(account.clone());
+        cache.set_home(home);
     }
 
     /// Returns the accounts for which their home nodes have granted nothing because they have no
@@ -369,16 +378,8 @@
         }
     }
 
-    /// Returns the request to send to a home node now, if one is due. `waiting` counts the
-    /// operations that wait for tokens; `is_lone` tells that this node lacks contact with the store.
-    pub fn next_request(
-        &mut self,
-        now: Micros,
-        home: &Name,
-        waiting: &FastMap<Name, u32>,
-        is_lone: bool,
-    ) -> Option<AllotmentRequest> {
-        let request = self.planned_request(now, home, waiting, is_lone)?;
+    /// Records that a request is sent to a home node now.
+    pub fn request_sent(&mut self, now: Micros, home: &Name, request: &AllotmentRequest) {
         let link = self.links.entry(home.clone()).or_default();
         link.last_sent = Some(now);
         link.sent = Some((now, request.clone()));
@@ -389,7 +390,6 @@
                 (cache.reserve.used, cache.reserve.level) = (0, 0.0);
             }
         }
-        Some(request)
     }
 
     /// Returns true if a request to a home node may be sent now.
@@ -397,12 +397,15 @@
         self.links.get(home).is_none_or(|link| link.is_due(now, REQUEST_INTERVAL))
     }
 
-    pub(crate) fn planned_request(
+    /// Returns the request to send to a home node now, if one is due. `waiting` counts the
+    /// operations that wait for tokens; `lacks_store` tells that this node has no contact with the
+    /// store.
+    pub fn next_request(
         &mut self,
         now: Micros,
         home: &Name,
         waiting: &FastMap<Name, u32>,
-        is_lone: bool,
+        lacks_store: bool,
     ) -> Option<AllotmentRequest> {
         let link = self.links.entry(home.clone()).or_default();
         if !link.is_due(now, REQUEST_INTERVAL) {
@@ -412,10 +415,11 @@
         let keeps_alive = link.is_due(now, KEEP_ALIVE_INTERVAL);
         let asks_ahead = link.is_due(now, AHEAD_INTERVAL);
         let mut is_needed = self.is_member
-            && ((is_lone && link.is_due(now, LONE_INTERVAL))
+            && ((lacks_store && link.is_due(now, NO_STORE_INTERVAL))
                 || (introduces && link.is_due(now, INTRODUCTION_INTERVAL)));
         let mut demands = Vec::new();
-        for (name, cache) in self.accounts.iter_mut().filter(|(_, cache)| cache.home == *home) {
+        for name in self.accounts_by_home.get(home).into_iter().flatten() {
+            let Some(cache) = self.accounts.get_mut(name) else { continue };
             cache.expire(now);
             let carried_milli = cache.carried_milli(now);
             let count = waiting.get(name).copied().unwrap_or_default();
@@ -494,7 +498,8 @@
             }
         }
         // The home node takes back tokens only on the connection on which it granted them.
-        for cache in self.accounts.values_mut().filter(|cache| cache.home == *home) {
+        for name in self.accounts_by_home.get(home).into_iter().flatten() {
+            let Some(cache) = self.accounts.get_mut(name) else { continue };
             cache.lots.iter_mut().for_each(|lot| lot.is_returnable = false);
             cache.unused = 0;
         }
--- a/crates/allot/src/ledger.rs
+++ b/crates/allot/src/ledger.rs
@@ -24,9 +24,6 @@
 /// [`AUTHORITY_TTL`] after it was last shown to be one, and leaves reserves then.
 const UNKNOWN_TTL: Micros = Micros(AUTHORITY_TTL.0 + RESERVE_TTL.0);
 
-/// Minimum time between two buckets of an account at one node that do not begin empty: two windows.
-const FIRST_ALLOWANCE_INTERVAL: Micros = Micros::from_secs(10);
-
 /// Stands for the session of grants to the home node itself, which returns none.
 const OWN_SESSION: u64 = 0;
 
@@ -367,7 +364,8 @@
         if view != self.view {
             self.change_view(now, view, members, leaving);
         }
-        self.first_allowances.retain(|_, at| now < *at + FIRST_ALLOWANCE_INTERVAL);
+        let interval = self.policy.first_allowance_interval;
+        self.first_allowances.retain(|_, at| now < at.saturating_add(interval));
         let mut former = std::mem::take(&mut self.accounts);
         for (name, limit) in accounts {
             let capacity = self.policy.capacity(limit);
@@ -467,14 +465,7 @@
         self.settle_account(now, account);
         let (own, max_share) = (self.own.clone(), self.max_share());
         let Some(ledger) = self.accounts.get_mut(account) else { return HomeTake::NoAuthority };
-        let demand = AllotmentDemand {
-            account: account.clone(),
-            waiting: 1,
-            ahead: 0,
-            unused: 0,
-            from_reserve: 0,
-            carried_milli: 0,
-        };
+        let demand = AllotmentDemand { account: account.clone(), waiting: 1, ..Default::default() };
         let capacity = self.policy.capacity(ledger.limit);
         let grant = ledger.grant(now, &own, OWN_SESSION, &demand, capacity, max_share);
         if let Some(share) = ledger.shares.get_mut(&own) {
@@ -635,6 +626,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::QuotaBound;
 
     /// Guards against a former home node that is forgotten too early: it left reserves until 2.5 s
     /// after its departure, and they are valid for 10 s.
@@ -656,6 +648,27 @@
         assert_eq!(ledger.departed_reserves().0, Micros::ZERO);
     }
 
+    /// Guards against a first operation that is allowed too often where the window is longer than in
+    /// the known deployments: an account comes back to its home node after 15 s.
+    #[test]
+    fn a_first_operation_is_allowed_once_in_two_windows() {
+        let taken = [5, 60].map(|window| {
+            let window = Micros::from_secs(window);
+            let bound = QuotaBound { window, overage_permille: 100, slack: 20 };
+            let mut ledger = AllotmentLedger::new("n1".into(), AllotmentPolicy::new(Some(bound)));
+            let limit = RateLimit { rate_per_s: 1e-3, burst: 1.0 };
+            let accounts = vec![("kiosks".into(), limit)];
+            [0, 5, 15].map(|seconds| {
+                let now = Micros::from_secs(seconds);
+                ledger.update(now, 1, [], &BTreeSet::new(), Vec::new());
+                ledger.update(now, 1, [], &BTreeSet::new(), accounts.clone());
+                ledger.record_store_contact(now);
+                matches!(ledger.take(now, &"kiosks".into()), HomeTake::Taken { .. })
+            })
+        });
+        assert_eq!(taken, [[true, false, true], [true, false, false]]);
+    }
+
     /// A node is silent for 600 ms and asks again, on the same connection or on another. Guards against
     /// a process that returns the reserve which its predecessor has used.
     #[test]
@@ -666,14 +679,8 @@
             let accounts = vec![("kiosks".into(), limit)];
             ledger.update(Micros::ZERO, 1, ["n2".into()], &BTreeSet::new(), accounts);
             let mut ask = |at_ms, session, waiting| {
-                let demand = AllotmentDemand {
-                    account: "kiosks".into(),
-                    waiting,
-                    ahead: 0,
-                    unused: 0,
-                    from_reserve: 0,
-                    carried_milli: 0,
-                };
+                let demand =
+                    AllotmentDemand { account: "kiosks".into(), waiting, ..Default::default() };
                 let departed = Default::default();
                 let request = AllotmentRequest { view: 1, departed, demands: vec![demand] };
                 let now = Micros::from_millis(at_ms);
--- a/crates/allot/src/lib.rs
+++ b/crates/allot/src/lib.rs
@@ -6,9 +6,10 @@
 //!
 //! No token outlives [`AllotmentPolicy::token_ttl`], counted from the time at which the node sent its
 //! request, so no two clocks are compared. [`AllotmentNode`] holds both parts. A home node that is
-//! lost leaves its nodes a *reserve*, a rate that each of them may use on its own for [`RESERVE_TTL`]. The reserves of an account never
-//! add up to more than its limit, and a home node withholds the reserve of each node that may be
-//! using it. docs/design/rate-limits.md gives the reasons.
+//! lost leaves its nodes a *reserve*, a rate that each of them may use on its own for
+//! [`RESERVE_TTL`]. The reserves of an account never add up to more than its limit, and a home node
+//! withholds the reserve of each node that may be using it. docs/design/rate-limits.md gives the
+//! reasons.
 
 mod cache;
 mod ledger;
@@ -44,7 +45,7 @@
 
 /// Interval of requests of a node that lacks contact with the store, so that its home nodes know how
 /// many nodes they serve. It is well below [`AUTHORITY_TTL`].
-const LONE_INTERVAL: Micros = Micros::from_millis(500);
+const NO_STORE_INTERVAL: Micros = Micros::from_millis(500);
 
 /// Interval of attempts to make a view known to a home node that has not answered.
 const INTRODUCTION_INTERVAL: Micros = Micros::from_millis(100);
@@ -101,6 +102,9 @@
     token_ttl: Micros,
     extra_burst: f64,
     first_level: f64,
+    /// Minimum time between two buckets of an account at one node that do not begin empty: two
+    /// windows.
+    first_allowance_interval: Micros,
     /// Operations a second that are added to each limit.
     extra_rate: f64,
 }
@@ -113,6 +117,7 @@
                 token_ttl: MAX_TOKEN_TTL,
                 extra_burst: 0.0,
                 first_level: 0.0,
+                first_allowance_interval: Micros::ZERO,
                 extra_rate: 0.0,
             };
         };
@@ -125,6 +130,7 @@
             // One operation at a slack of 20, so that 10 home nodes that start in one window stay
             // within what the extra burst and the extra rate leave of it.
             first_level: (f64::from(slack) / 20.0).min(1.0).floor(),
+            first_allowance_interval: Micros(window.0.saturating_mul(2)),
             extra_rate: f64::from(slack) / 4.0 / seconds(window).max(1.0),
         }
     }
@@ -150,7 +156,7 @@
 }
 
 /// What a node needs for one account.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AllotmentDemand {
     pub account: Name,
     /// Operations that wait for a token.
--- a/crates/allot/src/node.rs
+++ b/crates/allot/src/node.rs
@@ -36,7 +36,6 @@
 #[derive(Debug)]
 pub struct AllotmentNode {
     own: Name,
-    policy: AllotmentPolicy,
     ledger: AllotmentLedger,
     cache: AllotmentCache,
     /// The other nodes among which homes are chosen.
@@ -52,14 +51,14 @@
             ledger: AllotmentLedger::new(own.clone(), policy),
             cache: AllotmentCache::new(policy),
             own,
-            policy,
             others: Vec::new(),
             alternatives: FastMap::default(),
         }
     }
 
     /// Sets the nodes among which homes are chosen, with the incarnations of their processes, and
-    /// the accounts that have a limit. `leaving` are nodes that shut down. Returns how many accounts have another home than before.
+    /// the accounts that have a limit. `leaving` are nodes that shut down. Returns how many accounts
+    /// have another home than before.
     pub fn update(
         &mut self,
         now: Micros,
@@ -166,22 +165,6 @@
         self.ledger.answer(now, node, session, request)
     }
 
-    /// Returns the validity of a token.
-    pub fn token_ttl(&self) -> Micros {
-        self.policy.token_ttl()
-    }
-
-    /// Returns true if a request to a home node is due, see [`AllotmentNode::next_request`].
-    pub fn is_request_due(
-        &mut self,
-        now: Micros,
-        home: &Name,
-        waiting: &FastMap<Name, u32>,
-        is_lone: bool,
-    ) -> bool {
-        self.cache.planned_request(now, home, waiting, is_lone).is_some()
-    }
-
     /// See [`AllotmentCache::may_request`].
     pub fn may_request(&self, now: Micros, home: &Name) -> bool {
         self.cache.may_request(now, home)
@@ -193,9 +176,14 @@
         now: Micros,
         home: &Name,
         waiting: &FastMap<Name, u32>,
-        is_lone: bool,
+        lacks_store: bool,
     ) -> Option<AllotmentRequest> {
-        self.cache.next_request(now, home, waiting, is_lone)
+        self.cache.next_request(now, home, waiting, lacks_store)
+    }
+
+    /// See [`AllotmentCache::request_sent`].
+    pub fn request_sent(&mut self, now: Micros, home: &Name, request: &AllotmentRequest) {
+        self.cache.request_sent(now, home, request);
     }
 
     /// See [`AllotmentCache::answered`].
--- a/crates/allot/tests/limits.rs
+++ b/crates/allot/tests/limits.rs
@@ -265,10 +265,11 @@
         for home in self.members[index].node.others().to_vec() {
             let to: usize = home[1..].parse().unwrap();
             let member = &mut self.members[index];
-            let is_lone = !member.has_contact;
-            let Some(request) = member.node.next_request(now, &home, &waiting, is_lone) else {
+            let lacks_store = !member.has_contact;
+            let Some(request) = member.node.next_request(now, &home, &waiting, lacks_store) else {
                 continue;
             };
+            member.node.request_sent(now, &home, &request);
             let (session, sent) = member.links.entry(to).or_insert_with(|| {
                 self.sessions += 1;
                 (self.sessions, None)
@@ -625,6 +626,7 @@
         let waiting = FastMap::from_iter([("a".into(), 2)]);
         let node = &mut fleet.members[index].node;
         let request = node.next_request(sent, &name(home), &waiting, false).unwrap();
+        node.request_sent(sent, &name(home), &request);
         let grants = fleet.members[home].node.answer(sent, &name(index), 1, &request);
         assert_eq!(grants[0].granted, 2);
         let node = &mut fleet.members[index].node;
--- a/crates/gate/src/allotment.rs
+++ b/crates/gate/src/allotment.rs
@@ -40,15 +40,6 @@
 const UNCHECKED_TEXT: &str =
     "not run, the limit of the account could not be checked, retry after 300 ms";
 
-/// Whether an operation has been charged to its account.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum OperationCharge {
-    #[default]
-    Uncharged,
-    /// The operation was sent.
-    Charged,
-}
-
 /// Tokens of this node, and the requests that wait for some.
 #[derive(Debug, Default)]
 pub(crate) struct AllotmentState {
@@ -96,12 +87,10 @@
     fn charged_account(&self, id: RequestId) -> Option<(Name, RateLimit)> {
         self.allotments.node.as_ref()?;
         let request = self.requests.get(&id)?;
-        let is_charged = match request.charge {
-            OperationCharge::Uncharged => false,
-            OperationCharge::Charged => true,
-        };
         // The node that sends to the database charges forwarded requests.
-        if is_charged || request.database.as_ref().is_some_and(|database| self.is_peer(database)) {
+        if request.is_charged
+            || request.database.as_ref().is_some_and(|database| self.is_peer(database))
+        {
             return None;
         }
         let account = request.account()?.clone();
@@ -111,7 +100,7 @@
 
     fn record_charge(&mut self, id: RequestId, take: Option<TokenTake>) {
         if let Some(request) = self.requests.get_mut(&id) {
-            request.charge = OperationCharge::Charged;
+            request.is_charged = true;
         }
         self.count("allotments_charged");
         if take == Some(TokenTake::TakenFromReserve) {
@@ -225,9 +214,9 @@
 
     /// Returns true if a request waits in a queue and has not been charged.
     fn is_queued_uncharged(&self, id: RequestId) -> bool {
-        self.requests.get(&id).is_some_and(|request| {
-            request.stage == RequestStage::Queued && request.charge == OperationCharge::Uncharged
-        })
+        self.requests
+            .get(&id)
+            .is_some_and(|request| request.stage == RequestStage::Queued && !request.is_charged)
     }
 
     /// Updates homes, requests tokens and resumes requests. Called at each timer event.
@@ -297,7 +286,8 @@
     /// connection to each home costs them a large part of their processor share.
     fn allotting_nodes(&self) -> BTreeMap<Name, u64> {
         let own = &self.settings.node;
-        let is_candidate = |node: &Name| self.owners.is_owner(node);
+        let owning = self.owners.owning_nodes();
+        let is_candidate = |node: &Name| owning.as_ref().is_none_or(|owning| owning.contains(node));
         let others = self.registry.others().filter(|(node, record)| {
             is_candidate(node) && !record.leaving && record.peer_protocol >= ALLOTMENT_PROTOCOL
         });
@@ -314,7 +304,7 @@
     /// Sends the due requests to home nodes, and opens the connections that they need.
     fn send_allotment_requests(&mut self, homes: &[Name]) {
         let now = self.now;
-        let is_lone = !self.has_store_contact();
+        let lacks_store = !self.has_store_contact();
         for home in homes {
             let node = self.allotments.node.as_ref();
             if *home == self.settings.node || !node.is_some_and(|node| node.may_request(now, home))
@@ -323,12 +313,12 @@
             }
             let waiting = self.waiting_by_account(home);
             let Some(node) = &mut self.allotments.node else { return };
-            if !node.is_request_due(now, home, &waiting, is_lone) {
+            let Some(request) = node.next_request(now, home, &waiting, lacks_store) else {
                 continue;
-            }
+            };
             let Some(connection) = self.idle_allotment_connection(home) else { continue };
             let Some(node) = &mut self.allotments.node else { return };
-            let Some(request) = node.next_request(now, home, &waiting, is_lone) else { continue };
+            node.request_sent(now, home, &request);
             self.count("allotment_requests");
             self.send(connection, vec![BackendCommand::Allot(request)], CommandPurpose::Allot);
         }
--- a/crates/gate/src/commit_proof.rs
+++ b/crates/gate/src/commit_proof.rs
@@ -10,9 +10,9 @@
 //! must not have started again since a time at which no failover was pending, so its connection
 //! must have been open then. This holds while the read lease is valid and no failover is announced,
 //! at the write of a registration up to which this node has followed the store, so that a node serves
-//! writes soon after its start, and at the request of each witness's report. A failover that compared the logs in between would
-//! have fenced the witness, and the fence would still be there. All other replicas to which there is
-//! a connection are asked as well, and none of them may have a fence.
+//! writes soon after its start, and at the request of each witness's report. A failover that compared
+//! the logs in between would have fenced the witness, and the fence would still be there. All other
+//! replicas to which there is a connection are asked as well, and none of them may have a fence.
 
 use model::{DatabaseRole, Micros, Name, Term};
 
--- a/crates/gate/src/owners.rs
+++ b/crates/gate/src/owners.rs
@@ -14,7 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use member::owner_score;
-use model::{DatabaseRole, FastMap, Name};
+use model::{DatabaseRole, FastMap, FastSet, Name};
 
 use crate::{Gate, fields};
 
@@ -96,9 +96,9 @@
         self.owners.get(cluster).map(Vec::as_slice)
     }
 
-    /// Returns true if a node is an owner of any cluster.
-    pub(crate) fn is_owner(&self, node: &Name) -> bool {
-        self.owners.is_empty() || self.owners.values().any(|owners| owners.contains(node))
+    /// Returns the nodes that own any cluster; `None` if all nodes own all clusters.
+    pub(crate) fn owning_nodes(&self) -> Option<FastSet<&Name>> {
+        (!self.owners.is_empty()).then(|| self.owners.values().flatten().collect())
     }
 
     fn primary_centre(&self, cluster: &Name) -> Option<&Name> {
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -10,7 +10,6 @@
 
 use crate::Gate;
 use crate::account_pool::caller_name;
-use crate::allotment::OperationCharge;
 use crate::backend::TermPosition;
 use crate::commit_proof::HeldCommit;
 use crate::database::Database;
@@ -137,7 +136,8 @@
     pub(crate) excluded: Vec<Name>,
     /// `None` if the deployment does not identify its clients, and inside a transaction.
     pub(crate) caller: Option<CallerIdentity>,
-    pub(crate) charge: OperationCharge,
+    /// The operation was charged to its account, because it was sent.
+    pub(crate) is_charged: bool,
 }
 
 impl ActiveRequest {
@@ -198,7 +198,7 @@
             held_commit: None,
             excluded: Vec::new(),
             caller: None,
-            charge: OperationCharge::default(),
+            is_charged: false,
         };
         self.requests.insert(id, request);
         id
@@ -408,7 +408,7 @@
                 continue;
             }
             let percent = if Some(name) == preferred { 100 } else { REPLICA_TIME_WEIGHT_PERCENT };
-            let load = database.load().saturating_sub(self.resting_transactions(database));
+            let load = database.load().saturating_sub(self.idle_transactions(database));
             let key = (database.expected_cost(self.now, load) * percent, name);
             if best.is_none_or(|best| key < best) {
                 best = Some(key);
@@ -426,7 +426,7 @@
     /// Returns true if the leader should serve a read that costs `cost` at a replica.
     fn is_cheaper_at_leader(&self, leader: &Name, cost: u64) -> bool {
         let Some(database) = self.databases.get(leader) else { return false };
-        // Transactions that rest at the leader go on with statements that never wait here.
+        // Idle transactions at the leader go on with statements that never wait here.
         let cost_at_leader = database.expected_cost(self.now, database.load());
         let is_busy = || self.active_statements(database) >= database.slots().div_ceil(2);
         cost > cost_at_leader * LEADER_TIME_WEIGHT_PERCENT
@@ -434,18 +434,17 @@
     }
 
     /// Returns the number of transactions at a database that wait for their client.
-    fn resting_transactions(&self, database: &Database) -> u32 {
-        let resting = database.connections.iter().filter(|id| {
+    fn idle_transactions(&self, database: &Database) -> u32 {
+        let idle = database.connections.iter().filter(|id| {
             let state = self.connections.get(id);
             state.is_some_and(|state| {
                 state.transaction_session.is_some() && state.pending.is_empty()
             })
         });
-        u32::try_from(resting.count()).unwrap_or(u32::MAX)
+        u32::try_from(idle.count()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the requests that wait for a database or run there. Transactions that rest between
-    /// their statements use no slot.
+    /// Returns the requests that wait for a database or run there. Idle transactions use no slot.
     fn active_statements(&self, database: &Database) -> u32 {
         let waiting: u32 = database.queue.stats().waiting.0.iter().sum();
         let running = database.connections.iter().filter(|id| {
--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -347,7 +347,7 @@
     assert!(simulation.peak_connections <= 4);
 }
 
-/// Guards against transactions of resting clients that keep all connections from an account without
+/// Guards against idle transactions that keep all connections from an account without
 /// one for longer than they last.
 #[test]
 fn an_account_waits_only_while_all_connections_are_in_transactions() {
--- a/crates/gate/tests/uneven_databases.rs
+++ b/crates/gate/tests/uneven_databases.rs
@@ -152,7 +152,7 @@
 /// Clients rest inside transactions at a replica whose slots are free. Guards against a choice that takes
 /// them for load, and sends the reads to the other databases.
 #[test]
-fn resting_transactions_do_not_turn_reads_away() {
+fn idle_transactions_do_not_turn_reads_away() {
     let mut simulation = start();
     simulation.database("c").unreachable = true;
     simulation.run(millis(500));
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -154,7 +154,7 @@
 
 /// The reply to a call for which there is no space: it was not run.
 fn declined_for_space(space: &PeerSpace) -> OwnerReply {
-    let limit = u32::try_from(space.used_bytes() / CALL_BYTES).unwrap_or(u32::MAX);
+    let limit = u32::try_from(space.limit_bytes() / CALL_BYTES).unwrap_or(u32::MAX);
     let reason = DeclineReason::QueueFull { limit };
     OwnerReply::Declined { reason, age: None, wait: Micros(0) }
 }
--- a/crates/rpc/src/space.rs
+++ b/crates/rpc/src/space.rs
@@ -100,6 +100,11 @@
         self.state.used.get()
     }
 
+    /// Returns the space for all connections in bytes.
+    pub(crate) fn limit_bytes(&self) -> usize {
+        self.state.limit
+    }
+
     /// Returns the number of open connections.
     pub fn connection_count(&self) -> usize {
         self.open_connections().len()
