Forget a leader once a commit of a newer term is known

Cause: a read that accepts older data may run at a primary that was proved to lead within the accepted age, and the position of the session's own commit was compared only at replicas and other nodes. A primary holds the commits of its term and of earlier ones. A node that is cut off from the store still knew the former primary as the leader, at term 1, while another node had made the session's commit at its successor, at 2.146 in the traced run; the read ran at the former primary, at 1.124.

Change: a commit of a newer term, in the answer of another node or as the position that a forwarded request requires, shows that the known leader was replaced. The node forgets it and looks for the new one. So the leader that a node knows is never of an earlier term than such a position. Single reads, read-only and other transactions, and forwarded requests choose the leader in one place and are covered alike.

Ruled out: a replica that serves without the position, a position that was not recorded, and a proof older than the route accepts (1,977 ms of 2,500 ms). The existing log told them apart.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use model::{DatabaseRole, FastMap, FastSet, Micros, Name, Term};
 
-use crate::backend::{BackendAnswer, BackendCommand};
+use crate::backend::{BackendAnswer, BackendCommand, TermPosition};
 use crate::commit_proof::CommitProof;
 use crate::database::{CommandPurpose, Database};
 use crate::event::{ConnectionId, ListedDatabase};
@@ -411,6 +411,30 @@
         }
     }
 
+    /// Processes the position of a commit that another node reported or requires. If its term is newer,
+    /// the leader that this node knows was replaced and lacks the commit.
+    pub(crate) fn observe_commit_term(&mut self, cluster: &Name, position: TermPosition) {
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        let former = state.proof.leader().cloned();
+        if !state.proof.observe_term(position.term) {
+            return;
+        }
+        state.commit_overdue = None;
+        self.count("newer_terms_by_commit");
+        self.log(
+            "newer_term_seen",
+            fields![
+                "cluster" => cluster,
+                "term" => position.term.0,
+                "position" => position.to_string(),
+                "former_leader" => former.unwrap_or_default().to_string()
+            ],
+        );
+        if self.owns_connections(cluster) {
+            self.request_all_reports(cluster);
+        }
+    }
+
     /// Routes the requests whose leader is proved now, or is no longer known.
     pub(crate) fn wake_waiting_for_proof(&mut self, cluster: &Name) {
         self.apply_read_lease(cluster);
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -228,6 +228,10 @@
         let (route, started_at, needs_leader) =
             (request.route.clone(), request.started_at, request.needs_leader());
         let writes = matches!(request.kind, RequestKind::Write);
+        if let Some(position) = self.required_position(id) {
+            // The leader holds the commits of its own and of earlier terms.
+            self.observe_commit_term(&route.cluster, position);
+        }
         if let Some(peer) = self.choose_owner(id) {
             return self.queue_at(id, peer, self.required_position(id), None);
         }
