Delay the next proof after a report of a former term

While no leader was known, each report of a former primary, which counts as a possible witness then, led to the next request for one at once: one for each round trip, each taking a slot of the database.

Change: a report of a former term proves nothing, so the next request waits PROOF_RETRY_INTERVAL, as after a fenced replica's.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -376,11 +376,13 @@
         let Some(state) = self.clusters.get_mut(&cluster) else { return };
         let changed = state.proof.observe_report(&name, requested_at, &report);
         let proves = state.proof.confirmed_at() >= Some(requested_at);
+        // A former primary goes on reporting while its successor is not known here.
+        let is_former = report.term < state.proof.term();
         if state.proof.confirmed_at() >= state.needed_proof_time {
             state.needed_proof_time = None;
             state.proof_missing_since = None;
             state.proof_failed_at = None;
-        } else if report.role == DatabaseRole::Replica && (is_paced || !proves) {
+        } else if is_former || report.role == DatabaseRole::Replica && (is_paced || !proves) {
             state.proof_failed_at = Some(self.now);
         }
         if changed {
--- a/crates/gate/tests/session_reads.rs
+++ b/crates/gate/tests/session_reads.rs
@@ -88,3 +88,16 @@
     assert!(!simulation.ran_at("a", "r0"));
     assert_eq!(simulation.outcome(session), "misrouted");
 }
+
+/// Guards against a report of the former primary for each round trip while its successor is not known: a
+/// report takes a slot, and none of a former term proves anything.
+#[test]
+fn a_former_primary_is_not_asked_for_proof_in_a_loop() {
+    let mut simulation = replace_primary_unnoticed();
+    write_at_new_primary(&mut simulation);
+    let before = simulation.databases["a"].reports;
+    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let reports = simulation.databases["a"].reports - before;
+    // One for each interval of 100 ms between proofs, and two searches for the new primary.
+    assert!(reports <= 12, "{reports} reports in a second");
+}
