Hold the read lease only once its registration is followed

Cause: a node with a read lease takes an announcement that it has not seen for one that does not exist. That holds for a node that failovers wait for. This one registered after the last list of the failover, at revision 49, while it had followed the store up to revision 36 only, as its watch was silent; the failover had been announced at revision 43. A replica that had started again without its fence confirmed the old primary.

Change: the read lease is valid only once the node has followed the store up to the revision at which its registration was first stored under the lease. Either the last list of a failover has that registration, and the failover waits for it; or the announcement has a lower revision, and the node has seen it. Until then commits need a witness and reads a report, as without a read lease. A registration after the end of a lease, its removal, a change of role or a new era of the store waits in the same way, and reads of current data are covered by the same condition.

The log line "permit" names both revisions, which told the cause apart from a witness that counts wrongly and a failover that does not wait.

--- a/crates/gate/src/read_lease.rs
+++ b/crates/gate/src/read_lease.rs
@@ -5,6 +5,10 @@
 //! promotes, it waits for the acknowledgement of each registered owner, or ends that node's lease
 //! and waits [`READ_LEASE_TTL`].
 //!
+//! Nobody waits for a node that registers after the last list of a failover. Its read lease is
+//! therefore not valid before the node has followed the store up to its own registration, and with it
+//! up to the announcement of any such failover.
+//!
 //! A node that has seen an announcement sends no more writes to the primary that is to be replaced,
 //! and after [`COMMIT_GRACE`] reports none of its commits as successful. The fences alone do not
 //! prevent such commits: a replica that starts again has lost its fence. Then the node acknowledges
@@ -50,8 +54,13 @@
 /// State of this node's read lease and of the announcements it has seen.
 #[derive(Debug, Default)]
 pub(crate) struct ReadLeaseState {
+    /// When the first renewal was sent.
     acquired: Option<Micros>,
     until: Micros,
+    /// Revision at which the registration was first stored under the lease.
+    registered: Option<u64>,
+    /// All changes of the store up to `registered` are known.
+    is_registration_followed: bool,
     /// Since when the read lease has been valid without a gap.
     continuous_since: Micros,
     /// Revision of the newest announcement that this node has acted on.
@@ -75,14 +84,45 @@
         if state.role != NodeRole::Owner || state.role_changes != role_changes {
             return;
         }
-        if self.read_lease.acquired.is_none() {
-            self.read_lease.acquired = Some(sent);
-            self.log("permit", fields!["held" => true]);
-        }
+        let is_first = self.read_lease.acquired.is_none();
+        self.read_lease.acquired.get_or_insert(sent);
         if self.read_lease.until < self.now {
             self.read_lease.continuous_since = self.now;
         }
         self.read_lease.until = self.read_lease.until.max(sent + READ_LEASE_TTL);
+        if is_first && self.read_lease.is_registration_followed {
+            self.log_read_lease();
+        } else if !self.read_lease.is_registration_followed {
+            self.count("read_lease_renewals_unfollowed");
+        }
+    }
+
+    /// Records that the registration was stored under a lease.
+    pub(crate) fn read_lease_registered(&mut self, revision: u64) {
+        self.read_lease.registered.get_or_insert(revision);
+    }
+
+    /// Makes the read lease valid once all changes up to the registration are known.
+    pub(crate) fn follow_read_lease_registration(&mut self) {
+        let (state, followed) = (&mut self.read_lease, self.store_view.revision);
+        if state.is_registration_followed
+            || state.registered.is_none_or(|registered| registered > followed)
+        {
+            return;
+        }
+        state.is_registration_followed = true;
+        if state.acquired.is_some() {
+            self.log_read_lease();
+        }
+    }
+
+    fn log_read_lease(&mut self) {
+        let record = fields![
+            "held" => true,
+            "registered" => self.read_lease.registered.unwrap_or_default(),
+            "followed" => self.store_view.revision
+        ];
+        self.log("permit", record);
     }
 
     /// Returns true if entries of databases that expired while the store was unavailable are listed
@@ -102,6 +142,8 @@
         self.read_lease = ReadLeaseState {
             acquired: None,
             until: Micros::ZERO,
+            registered: None,
+            is_registration_followed: false,
             continuous_since: Micros::ZERO,
             ..std::mem::take(&mut self.read_lease)
         };
@@ -115,14 +157,13 @@
     /// Returns true if the store answered this node recently.
     pub(crate) fn has_store_contact(&self) -> bool {
         let contact = self.read_lease.last_contact;
-        self.read_lease_acquired().is_some()
-            || contact.is_some_and(|at| self.now < at + STORE_CONTACT_TIMEOUT)
+        self.is_lease_renewed() || contact.is_some_and(|at| self.now < at + STORE_CONTACT_TIMEOUT)
     }
 
     /// Returns true if a call to the store that was answered was sent so recently that this node
     /// was not cut off before the data centres that it does not reach.
     pub(crate) fn has_recent_store_contact(&self) -> bool {
-        let lease = self.read_lease_acquired().map(|_| self.read_lease.until);
+        let lease = self.is_lease_renewed().then_some(self.read_lease.until);
         let renewal = lease.map(|until| until.saturating_sub(READ_LEASE_TTL));
         let contact = self.read_lease.last_contact.max(renewal);
         contact.is_some_and(|at| self.now < at + RECENT_CONTACT_AGE)
@@ -130,7 +171,13 @@
 
     /// Returns since when the read lease is held, if it is valid now.
     pub(crate) fn read_lease_acquired(&self) -> Option<Micros> {
-        self.read_lease.acquired.filter(|_| self.now < self.read_lease.until)
+        let state = &self.read_lease;
+        state.acquired.filter(|_| self.is_lease_renewed() && state.is_registration_followed)
+    }
+
+    /// Returns true if the lease of the registration was renewed in time.
+    fn is_lease_renewed(&self) -> bool {
+        self.read_lease.acquired.is_some() && self.now < self.read_lease.until
     }
 
     /// Returns true if a failover of the cluster is announced.
--- a/crates/gate/src/registration.rs
+++ b/crates/gate/src/registration.rs
@@ -85,14 +85,17 @@
     pub(crate) fn registration_stored(&mut self, role_changes: u64, revision: u64, sent: Micros) {
         if role_changes == self.registration.role_changes {
             self.registration.stored_revision = Some(revision);
+            self.read_lease_registered(revision);
         }
         self.registration.unobserved_write = Some((revision, sent));
         self.observe_stored_registration();
     }
 
-    /// Extends the proof of commits once all changes up to the stored registration are known: a failover
-    /// that was announced before the write was sent would be known, too.
+    /// Extends the proof of commits, and makes the read lease valid, once all changes up to the stored
+    /// registration are known: a failover that was announced before the write was sent would be known,
+    /// too.
     pub(crate) fn observe_stored_registration(&mut self) {
+        self.follow_read_lease_registration();
         let followed = self.store_view.revision;
         let write = self.registration.unobserved_write.take_if(|write| write.0 <= followed);
         let Some((_, sent)) = write else { return };
--- a/crates/gate/tests/readiness.rs
+++ b/crates/gate/tests/readiness.rs
@@ -75,6 +75,12 @@
                 }
                 GateAction::Send { connection, commands } => self.answer(connection, &commands),
                 GateAction::SetReady(ready) => self.ready = ready,
+                GateAction::PublishRegistration { role_changes, .. } => {
+                    let (revision, sent) = (2, self.gate.now);
+                    let stored = GateEvent::RegistrationStored { role_changes, revision, sent };
+                    self.gate.event(stored);
+                    self.gate.event(GateEvent::StoreFollowed { revision, known_at: sent });
+                }
                 _ => {}
             }
         }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -634,7 +634,22 @@
         }
     }
 
+    /// Passes a node an event. What it learns from the store tells it also how far it follows the store.
     pub fn event(&mut self, gate: usize, event: GateEvent) {
+        let revision = match &event {
+            GateEvent::DocumentsListed { revision, .. }
+            | GateEvent::DocumentRemoved { revision, .. } => Some(*revision),
+            GateEvent::DocumentChanged(stored) => Some(stored.revision),
+            _ => None,
+        };
+        self.pass_event(gate, event);
+        if let Some(revision) = revision {
+            let known_at = self.now;
+            self.pass_event(gate, GateEvent::StoreFollowed { revision, known_at });
+        }
+    }
+
+    fn pass_event(&mut self, gate: usize, event: GateEvent) {
         if let Some(waiting) = self.suspended.get_mut(&gate) {
             let from_own_process = matches!(
                 event,
