Prove the leader anew for reads of a commit of a newer term

A position does not name its cluster. While a configuration moves a route to another cluster, two nodes mean different ones by it, and a forwarded request or its answer brought a position of the one to the other. A higher term then ended the leadership there for good: reports of the real term were ignored until the process started again.

Change: a position changes nothing that the node knows. If its term is newer, the leader must be proved for the time at which the request, or its transaction, began, as on routes that need the latest data. The commit was acknowledged before that, so a leader with such a proof holds it. The delay after a report of a former term is back in place of the exclusion of former primaries, which could leave the only database that answers unasked for 1.5 s after it was demoted.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use model::{DatabaseRole, FastMap, FastSet, Micros, Name, Term};
 
-use crate::backend::{BackendAnswer, BackendCommand, TermPosition};
+use crate::backend::{BackendAnswer, BackendCommand};
 use crate::commit_proof::CommitProof;
 use crate::database::{CommandPurpose, Database};
 use crate::event::{ConnectionId, ListedDatabase};
@@ -267,20 +267,13 @@
         if state.proof_failed_at.is_some_and(|at| self.now < at + PROOF_RETRY_INTERVAL) {
             return;
         }
-        let (leader, term) = (state.proof.leader().cloned(), state.proof.term());
+        let leader = state.proof.leader().cloned();
         let members = state.members.clone();
         let own = &self.settings.data_centre;
         let mut best: Option<(bool, bool, u32, Name)> = None;
         for name in members {
             let Some(database) = self.databases.get(&name) else { continue };
-            // A former primary that is not demoted yet proves nothing, however often it reports.
-            let is_former_primary = database
-                .report
-                .is_some_and(|report| report.role == DatabaseRole::Primary && report.term < term);
-            if Some(&name) == leader.as_ref()
-                || database.unlisted_since.is_some()
-                || is_former_primary
-            {
+            if Some(&name) == leader.as_ref() || database.unlisted_since.is_some() {
                 continue;
             }
             if database.report_requested_at >= Some(proof_time) && database.is_responsive(self.now)
@@ -383,11 +376,13 @@
         let Some(state) = self.clusters.get_mut(&cluster) else { return };
         let changed = state.proof.observe_report(&name, requested_at, &report);
         let proves = state.proof.confirmed_at() >= Some(requested_at);
+        // A former primary goes on reporting while its successor is not known here.
+        let is_former = report.term < state.proof.term();
         if state.proof.confirmed_at() >= state.needed_proof_time {
             state.needed_proof_time = None;
             state.proof_missing_since = None;
             state.proof_failed_at = None;
-        } else if report.role == DatabaseRole::Replica && (is_paced || !proves) {
+        } else if is_former || report.role == DatabaseRole::Replica && (is_paced || !proves) {
             state.proof_failed_at = Some(self.now);
         }
         if changed {
@@ -418,30 +413,6 @@
         }
     }
 
-    /// Processes the position of a commit that another node reported or requires. If its term is newer,
-    /// the leader that this node knows was replaced and lacks the commit.
-    pub(crate) fn observe_commit_term(&mut self, cluster: &Name, position: TermPosition) {
-        let Some(state) = self.clusters.get_mut(cluster) else { return };
-        let former = state.proof.leader().cloned();
-        if !state.proof.observe_term(position.term) {
-            return;
-        }
-        state.commit_overdue = None;
-        self.count("newer_terms_by_commit");
-        self.log(
-            "newer_term_seen",
-            fields![
-                "cluster" => cluster,
-                "term" => position.term.0,
-                "position" => position.to_string(),
-                "former_leader" => former.unwrap_or_default().to_string()
-            ],
-        );
-        if self.owns_connections(cluster) {
-            self.request_all_reports(cluster);
-        }
-    }
-
     /// Routes the requests whose leader is proved now, or is no longer known.
     pub(crate) fn wake_waiting_for_proof(&mut self, cluster: &Name) {
         self.apply_read_lease(cluster);
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -287,7 +287,6 @@
         {
             let last_commit = session.commit_positions.entry(cluster.clone()).or_default();
             *last_commit = position.max(*last_commit);
-            self.observe_commit_term(&cluster, position);
         }
         if self.has_synchronous_replicas(&cluster)
             && let Some(state) = self.clusters.get_mut(&cluster)
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -229,10 +229,6 @@
             (request.route.clone(), request.started_at, request.needs_leader());
         let writes = matches!(request.kind, RequestKind::Write);
         let required_position = self.required_position(id);
-        if let Some(position) = required_position {
-            // A leader holds the commits of its own and of earlier terms only.
-            self.observe_commit_term(&route.cluster, position);
-        }
         if let Some(peer) = self.choose_owner(id) {
             return self.queue_at(id, peer, required_position, None);
         }
@@ -242,6 +238,8 @@
         let Some(cluster) = self.clusters.get(&route.cluster) else {
             return self.refuse(id, self.refusal_code(id), "no database is known for the route");
         };
+        let leader_may_lack =
+            required_position.is_some_and(|position| cluster.proof.may_lack(position));
         let since = coverage_time(route.freshness, started_at);
         if !needs_leader && let Some(since) = since {
             let choice = match cluster.proof.proved_position(since) {
@@ -260,7 +258,15 @@
                 Err(reason) => self.count(reason.counter()),
             }
         }
-        let proof_time = if writes { None } else { Some(since.unwrap_or(started_at)) };
+        let proof_time = if writes {
+            None
+        } else if leader_may_lack {
+            // The proof within the accepted age may be older than the commit.
+            self.count("reads_of_newer_terms");
+            Some(started_at)
+        } else {
+            Some(since.unwrap_or(started_at))
+        };
         let Some(leader) = self.usable_leader(&route.cluster) else {
             if !self.is_announced(&route.cluster)
                 && let Some(peer) = self.choose_peer(id)
