Close ports of the fake servers for processes that inherit them

Cause: a listener is closed by dropping it, but a process that another thread starts at that moment inherits the listener until it has loaded its program, and the port goes on to accept connections. `PortReservation` avoids the same for ports of processes that tests start.

Evidence: the new test starts processes in four threads while it stops and restarts a link and a database.

The listener is now shut down before it is dropped, which closes the port for all holders of the socket. The same in the fake database, which was stopped in the same way.

--- a/crates/fake/src/fakedb/mod.rs
+++ b/crates/fake/src/fakedb/mod.rs
@@ -36,6 +36,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::http::ControlServer;
+use crate::port;
 use store::{DatabaseState, LogChange, LogEntry};
 
 /// Error of a statement.
@@ -199,7 +200,7 @@
 impl ListenerThread {
     fn stop(self) {
         self.stop.store(true, Ordering::SeqCst);
-        // Wakes the blocking accept; the thread then drops its listener.
+        // Wakes the blocking accept; the thread then closes its listener.
         drop(std::net::TcpStream::connect(self.address));
         drop(self.thread.join());
     }
@@ -468,12 +469,13 @@
         let thread = std::thread::Builder::new().name(self.names[index].clone()).spawn(move || {
             for stream in listener.incoming() {
                 if flag.load(Ordering::SeqCst) {
-                    return;
+                    break;
                 }
                 let Ok(stream) = stream else { continue };
                 let (core, database) = (core.clone(), core.databases[index].clone());
                 std::thread::spawn(move || server::serve(&core, index, &database, stream));
             }
+            port::close(listener);
         });
         let thread = thread.context("failed to start a listener thread")?;
         let mut listeners = self.listeners.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/fake/src/faultproxy.rs
+++ b/crates/fake/src/faultproxy.rs
@@ -20,6 +20,7 @@
 use socket2::SockRef;
 
 use crate::http::{ControlRequest, ControlServer};
+use crate::port;
 
 const CHUNK_BYTES: usize = 16 * 1024;
 
@@ -176,13 +177,14 @@
         let thread = std::thread::spawn(move || {
             for stream in listener.incoming() {
                 if flag.load(Ordering::SeqCst) {
-                    return;
+                    break;
                 }
                 if let Ok(stream) = stream {
                     let link = link.clone();
                     std::thread::spawn(move || link.relay(stream));
                 }
             }
+            port::close(listener);
         });
         let mut accept_thread = self.accept_thread.lock().unwrap_or_else(PoisonError::into_inner);
         *accept_thread = Some(AcceptThread { stop, thread });
@@ -194,7 +196,7 @@
         match (refusing, accept_thread.take()) {
             (true, Some(accept_thread)) => {
                 accept_thread.stop.store(true, Ordering::SeqCst);
-                // Wakes the blocking accept; the thread then drops its listener.
+                // Wakes the blocking accept; the thread then closes its listener.
                 drop(TcpStream::connect(self.address));
                 drop(accept_thread.thread.join());
             }
--- a/crates/fake/src/port.rs
+++ b/crates/fake/src/port.rs
@@ -1,8 +1,8 @@
-//! Reserved ports for processes that tests start.
+//! Reserved ports for processes that tests start, and ports that are closed.
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr, TcpListener};
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// Attempts to find two consecutive free ports. Linux takes odd ports for listeners and even ones for outgoing
 /// connections, so the successor is free only if no recent connection had it. 64 attempts failed once beside tests
@@ -67,3 +67,9 @@
         address.as_socket().ok_or_else(|| std::io::Error::other("not an IP address"))
     }
 }
+
+/// Closes a listener's port. Dropping it is not enough: a process that another thread starts at that moment inherits
+/// the listener, and the port accepts connections until that process has loaded its program.
+pub(crate) fn close(listener: TcpListener) {
+    drop(SockRef::from(&listener).shutdown(Shutdown::Both));
+}
--- a/crates/fake/tests/platform_relay_load.rs
+++ b/crates/fake/tests/platform_relay_load.rs
@@ -6,6 +6,9 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use base64::Engine;
@@ -312,6 +315,42 @@
     stream.read_exact(&mut buffer[..1]).unwrap();
 }
 
+/// Guards against listeners of stopped servers that a process, started at that moment, keeps open: it inherits them
+/// until its program is loaded.
+#[test]
+fn stopped_servers_refuse_connections_while_processes_start() {
+    let group = DatabaseGroup::start(GroupOptions::new("db", 1)).unwrap();
+    let database = group.addresses()[0];
+    let proxy = FaultProxy::start(&[("db".into(), database)], 0).unwrap();
+    let link = proxy.address("db").unwrap();
+    let stop = Arc::new(AtomicBool::new(false));
+    let starters: Vec<_> = (0..4)
+        .map(|_| {
+            let stop = stop.clone();
+            std::thread::spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    let binary = env!("CARGO_BIN_EXE_faultproxy");
+                    drop(Command::new(binary).arg("--help").output().unwrap());
+                }
+            })
+        })
+        .collect();
+    let mut accepted = [0; 2];
+    for _ in 0..500 {
+        proxy.set_refusing("db", true).unwrap();
+        accepted[0] += usize::from(TcpStream::connect(link).is_ok());
+        proxy.set_refusing("db", false).unwrap();
+        group.kill("db-1").unwrap();
+        accepted[1] += usize::from(TcpStream::connect(database).is_ok());
+        group.restart("db-1").unwrap();
+    }
+    stop.store(true, Ordering::Relaxed);
+    for starter in starters {
+        starter.join().unwrap();
+    }
+    assert_eq!(accepted, [0, 0]);
+}
+
 /// Guards against checks that fail on a correct server, and against a lost answer that is not counted
 /// as an unknown outcome.
 #[test]
@@ -428,7 +467,6 @@
 #[test]
 fn binaries() {
     use std::io::{BufRead, BufReader};
-    use std::process::{Command, Stdio};
     let mut child = Command::new(env!("CARGO_BIN_EXE_fakedb"))
         .args(["--name", "billing-db", "--databases", "1"])
         .stdout(Stdio::piped())
