Count a restarted database's log only once it is replaced

Cause: a failover that has compared all databases but one (`sync-replicas`) takes every acknowledged commit for seen. The restarted replica was compared with its empty log. A lost log was noticed only by a report that is shorter than an earlier one, and the nodes that carried the failover out had never had a report of that replica; the new start in its entry was not used in the comparison.

Evidence: `takeover_chosen` names "i-svc1-1 1.0 fence 2" among the compared logs, and only the old primary as left out. `database_restarted` now logs the restart.

The start of each database whose log counts is kept, in memory and in the record of log holders. A database with another start in its entry counts as missing until a replica is shown to hold every commit acknowledged before the restart was seen, the proof that takes a replaced database out of the record. The record serves nodes that start after the restart.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -9,6 +9,7 @@
 use crate::leadership_proof::LeadershipProof;
 use crate::log_comparison::FormerMember;
 use crate::log_holders::LogHolders;
+use crate::log_starts::LogStarts;
 use crate::request::{RequestId, RequestStage};
 use crate::responsiveness::UsualTimes;
 use crate::{Gate, fields};
@@ -50,6 +51,8 @@
     pub(crate) former_members: FastMap<Name, FormerMember>,
     /// The stored record of the databases that may hold commits.
     pub(crate) log_holders: LogHolders,
+    /// Databases that have started again without their logs.
+    pub(crate) log_starts: LogStarts,
     pub(crate) proof: LeadershipProof,
     pub(crate) commit_proof: CommitProof,
     pub(crate) usual_times: UsualTimes,
@@ -127,6 +130,8 @@
         let cluster = listed.cluster.clone();
         let state = self.clusters.entry(cluster.clone()).or_default();
         let former = state.former_members.remove(&name);
+        let start = listed.started_at_ms;
+        let lost_log = start.is_some_and(|start| state.log_starts.observe_entry(&name, start, now));
         if !state.members.contains(&name) {
             state.members.push(name.clone());
             state.members.sort();
@@ -175,6 +180,15 @@
             ];
             self.log("database_listed", record);
         }
+        if lost_log {
+            self.count("databases_restarted");
+            let record = fields![
+                "database" => &name,
+                "cluster" => &cluster,
+                "start_ms" => start.unwrap_or_default()
+            ];
+            self.log("database_restarted", record);
+        }
         let claims_primary =
             self.databases[&name].listed.claimed_role == Some(DatabaseRole::Primary);
         let owns = self.owns_connections(&cluster);
@@ -374,6 +388,7 @@
         // Where several nodes send to the databases, their reports together would take many slots.
         let is_paced = self.sharing_node_count(&cluster) > 1;
         let Some(state) = self.clusters.get_mut(&cluster) else { return };
+        state.log_starts.observe_report(&name, requested_at, report.received);
         let changed = state.proof.observe_report(&name, requested_at, &report);
         let proves = state.proof.confirmed_at() >= Some(requested_at);
         // A former primary goes on reporting while its successor is not known here.
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -41,7 +41,6 @@
 use crate::backend::DatabaseReport;
 use crate::database::CommandPurpose;
 use crate::event::{Document, NodeRole, PromoteResult, StoreState, StoredDocument};
-use crate::log_holders::recorded_holders;
 use crate::read_lease::{COMMIT_GRACE, READ_LEASE_TTL};
 use crate::registry::NodeRecord;
 use crate::{Gate, fields};
@@ -553,7 +552,9 @@
                     failover.announced,
                 ));
             failover.replicas = replicas;
-            failover.holders = recorded_holders(&documents, &cluster, self.store_era);
+            let holders = self.recorded_holders(&documents, &cluster);
+            let Some(failover) = self.failovers.running.get_mut(&cluster) else { continue };
+            failover.holders = holders;
             if failover.only_lifts_fences {
                 self.lift_fences(&cluster);
                 continue;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -16,7 +16,7 @@
 //! - `cluster`, `leadership_proof`, `read_lease`: what is known about primaries
 //! - `registration`, `registry`, `node_count`: the nodes
 //! - `store_view`, `store_era`: how current the lists of all these are, and restored stores
-//! - `suspicion`, `failover`, `fencing`, `log_comparison`, `log_holders`,
+//! - `suspicion`, `failover`, `fencing`, `log_comparison`, `log_holders`, `log_starts`,
 //!   `promotion_lease`: the replacement of
 //!   primaries
 //! - `ready`, `drain`: what the load balancer sees
@@ -39,6 +39,7 @@
 mod leadership_proof;
 mod log_comparison;
 mod log_holders;
+mod log_starts;
 mod newer_version;
 mod node_count;
 mod outcome;
--- a/crates/gate/src/log_comparison.rs
+++ b/crates/gate/src/log_comparison.rs
@@ -193,6 +193,7 @@
             !failover.fenced.contains_key(*name)
                 || !failover.replicas.contains(*name)
                 || self.databases.get(*name).is_some_and(|database| database.reported_log.lost)
+                || state.log_starts.is_restarted(name)
         });
         // Without the record, any number of other databases may be missing.
         let few_missing = recorded.is_some() && missing.len() <= limits.sync_replicas as usize;
--- a/crates/gate/src/log_holders.rs
+++ b/crates/gate/src/log_holders.rs
@@ -6,7 +6,8 @@
 //! show which ones are missing: an entry expires while its database is down or cut off from the
 //! store, and a node that starts later never sees it. So the owners of a cluster keep a record of
 //! its databases. They take a database out when it has left or been replaced, and another replica
-//! holds every commit that was acknowledged before it was removed.
+//! holds every commit that was acknowledged before it was removed. A database that starts again without
+//! its log is handled in the same way by the recorded starts (`log_starts`).
 //!
 //! In a new era of the store the record is a copy, which may name too few databases. It counts only if
 //! it was written in this era. It is written again with the listed databases, those of the copy, and all
@@ -51,6 +52,9 @@
     /// It may name too few databases: no node was left that knew all of them when the era began.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub partial: bool,
+    /// Start of each database whose log counts, in Unix milliseconds, as far as it is known.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub starts: BTreeMap<String, u64>,
 }
 
 /// What a record shows that is written again in a new era.
@@ -146,17 +150,12 @@
     }
 }
 
-/// Returns the databases that the record of a cluster in the store names; `None` without a readable
-/// and complete record, which the gate logs when it is notified of it.
-pub(crate) fn recorded_holders(
-    documents: &[StoredDocument],
-    cluster: &Name,
-    era: u64,
-) -> Option<BTreeSet<Name>> {
+/// Returns the record of a cluster in the store; `None` without a readable one, which the gate logs
+/// when it is notified of it.
+fn stored_record(documents: &[StoredDocument], cluster: &Name) -> Option<LogHoldersRecord> {
     let mut stored = documents.iter();
     let stored = stored.find(|stored| recorded_cluster(&stored.document) == Some(cluster))?;
-    let record: Option<LogHoldersRecord> = serde_json::from_slice(&stored.bytes).ok();
-    record.filter(|record| record.era == era && !record.partial).map(names_of)
+    serde_json::from_slice(&stored.bytes).ok()
 }
 
 impl ClusterState {
@@ -173,6 +172,18 @@
 }
 
 impl Gate {
+    /// Processes the record of a cluster among the documents that a failover has read. Returns the
+    /// databases that it names; `None` without a readable and complete record.
+    pub(crate) fn recorded_holders(
+        &mut self,
+        documents: &[StoredDocument],
+        cluster: &Name,
+    ) -> Option<BTreeSet<Name>> {
+        let record = stored_record(documents, cluster)?;
+        self.clusters.get_mut(cluster)?.log_starts.observe_record(&record.starts, self.now);
+        (record.era == self.store_era && !record.partial).then(|| names_of(record))
+    }
+
     /// Processes the stored record of a cluster.
     pub(crate) fn log_holders_read(
         &mut self,
@@ -180,8 +191,14 @@
         revision: u64,
         record: Option<LogHoldersRecord>,
     ) {
-        let era = self.store_era;
-        self.clusters.entry(cluster).or_default().log_holders.observe(revision, record, era);
+        let (era, now) = (self.store_era, self.now);
+        let state = self.clusters.entry(cluster).or_default();
+        if let Some(record) = &record {
+            state.log_starts.observe_record(&record.starts, now);
+        }
+        let (members, former) = (&state.members, &state.former_members);
+        state.log_starts.retain(|name| members.contains(name) || former.contains_key(name));
+        state.log_holders.observe(revision, record, era);
     }
 
     /// Forgets the records that are not among the listed documents.
@@ -205,6 +222,7 @@
             && state.log_holders.former_names.is_empty()
             && !state.log_holders.knew_record
             && state.log_holders.names_all_of(&state.members)
+            && state.log_starts.are_recorded(&state.members)
         {
             return;
         }
@@ -249,7 +267,10 @@
             None => return,
         };
         let written_at = state.log_holders.written_at;
-        if Some(&names) == state.log_holders.names.as_ref() && partial == state.log_holders.partial
+        let starts = state.log_starts.counted(&names);
+        if Some(&names) == state.log_holders.names.as_ref()
+            && partial == state.log_holders.partial
+            && starts == state.log_starts.recorded()
             || written_at.is_some_and(|at| now < at + WRITE_INTERVAL)
         {
             return;
@@ -258,13 +279,16 @@
         let expected = state.log_holders.revision;
         let holders: BTreeSet<String> = names.iter().map(ToString::to_string).collect();
         let listed: Vec<&str> = holders.iter().map(String::as_str).collect();
+        let counted: Vec<String> =
+            starts.iter().map(|(name, start)| format!("{name} {start}")).collect();
         let record = fields![
             "cluster" => cluster,
             "databases" => listed.join(","),
+            "starts" => counted.join(","),
             "partial" => partial
         ];
         self.log("log_holders", record);
-        let record = LogHoldersRecord { holders, era: self.store_era, partial };
+        let record = LogHoldersRecord { holders, era: self.store_era, partial, starts };
         if let Some(bytes) = self.write_record("log holders", &record) {
             let cluster = cluster.clone();
             self.out.push(GateAction::WriteLogHolders { cluster, expected, bytes });
@@ -330,7 +354,8 @@
         let held = replicas.filter_map(|name| {
             let database = self.databases.get(name)?;
             let report = database.report.filter(|_| database.is_usable(now))?;
-            (report.role == DatabaseRole::Replica).then_some(report.received)
+            let held = state.log_starts.held_log(name, report.received);
+            held.filter(|_| report.role == DatabaseRole::Replica)
         });
         let held = held.max().unwrap_or_default();
         let delay = if first { Micros::ZERO } else { OTHER_OWNER_DELAY };
@@ -347,6 +372,7 @@
             former.superseded = end.is_some_and(|end| held >= end);
             waits |= !former.superseded && now >= former.removed_at + delay;
         }
+        waits |= state.log_starts.count_restarted(&state.proof, held, now, delay);
         let holders = &mut state.log_holders;
         if !holders.is_complete() && (holders.names.is_none() || holders.knew_record) {
             let since = *holders.missing_since.get_or_insert(now);
--- a/crates/gate/tests/restarted_databases.rs
+++ b/crates/gate/tests/restarted_databases.rs
@@ -69,3 +69,76 @@
     assert_eq!(simulation.outcome(session), "served");
     assert!(simulation.ran_at("a", "again"));
 }
+
+/// Starts four nodes with one cluster in which only the primary `a` and the replica `b` hold the commits. The node that
+/// has passed them on, and has reached `b`, ends. Then `b` starts again without its log, and `a` becomes silent.
+fn start_with_commits_at_the_primary_only() -> Simulation {
+    let mut simulation = Simulation::empty(4);
+    for gate in 0..3 {
+        simulation.cut(gate, "b");
+    }
+    simulation.announce_store_state();
+    simulation.run(millis(6_500));
+    simulation.database("c").replication_stopped = true;
+    let end = simulation.write(3, 10);
+    assert!(simulation.databases["c"].received < end);
+    simulation.stopped.insert(3);
+    simulation.renewing.remove(&3);
+    simulation.remove_registration(3);
+    simulation.database("a").unreachable = true;
+    simulation.start_database_anew("b", millis(1));
+    simulation.publish_database("b");
+    simulation.cuts.clear();
+    simulation
+}
+
+/// Guards against the loss of commits that only the primary and a replica held which has started again: the remaining
+/// nodes have never seen its log, so its empty one counted as compared.
+#[test]
+fn a_restarted_replica_whose_log_no_node_has_seen_is_not_compared() {
+    let mut simulation = start_with_commits_at_the_primary_only();
+    simulation.run_with_reads(&[LATEST], millis(8_000));
+    assert_eq!(simulation.promoted_databases(), [] as [&str; 0]);
+    simulation.restore_database("a");
+    simulation.database("c").replication_stopped = false;
+    simulation.run_with_reads(&[LATEST], millis(4_000));
+    let session = simulation.open(0, LATEST);
+    simulation.send_request(0, session, "again", "READ 1");
+    simulation.run(millis(50));
+    assert_eq!(simulation.outcome(session), "served");
+}
+
+/// As above, at nodes that start after the replica has.
+#[test]
+fn a_replica_that_restarted_before_all_nodes_is_not_compared() {
+    let mut simulation = start_with_commits_at_the_primary_only();
+    for gate in 0..3 {
+        simulation.start_again(gate);
+    }
+    simulation.unlist("a");
+    simulation.run_with_reads(&[LATEST], millis(15_000));
+    assert_eq!(simulation.promoted_databases(), [] as [&str; 0]);
+}
+
+/// Guards against a restarted replica that is never compared again although it has received the log, and against a
+/// record that keeps its former start.
+#[test]
+fn a_restarted_replica_is_compared_once_it_has_received_the_log() {
+    let mut simulation = Simulation::start_with_reads(4);
+    simulation.database("c").replication_stopped = true;
+    let end = simulation.write(0, 5);
+    simulation.start_database_anew("b", millis(1));
+    simulation.publish_database("b");
+    simulation.run_with_reads(&[LATEST], millis(1_000));
+    let recorded =
+        |simulation: &Simulation| simulation.log_holders().map(|record| record.starts["b"]);
+    assert_eq!(recorded(&simulation), Some(1), "the log of its former start is not replaced yet");
+    simulation.database("b").term = simulation.databases["a"].term;
+    simulation.write(0, 1);
+    simulation.run_with_reads(&[LATEST], millis(5_000));
+    assert!(simulation.databases["b"].received > end);
+    assert_eq!(recorded(&simulation), Some(2));
+    simulation.fail_database("a");
+    simulation.run_with_reads(&[LATEST], millis(6_000));
+    assert_eq!(simulation.promoted_databases(), ["b"]);
+}
