--- a/review/world3.py
+++ b/review/world3.py
@@ -79,11 +79,15 @@
                 self.serve()
 
             def serve(self):
+                if self.server.cut:
+                    return self.hang()
                 size = int(self.headers.get("Content-Length") or 0)
                 body = json.loads(self.rfile.read(size) or b"{}")
                 url = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
                 status, answer = store.answer(url.path, query, body, self.headers)
+                if self.server.cut:
+                    return self.hang()
                 data = json.dumps(answer).encode()
                 try:
                     self.send_response(status)
@@ -94,19 +98,31 @@
                 except OSError:
                     pass
 
+            def hang(self):
+                """Sends nothing for as long as the caller is cut off, and then closes."""
+                self.close_connection = True
+                while self.server.cut:
+                    time.sleep(0.05)
+
             def log_message(self, *args):
                 pass
 
         class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
             daemon_threads = True
             request_queue_size = 256
+            cut = False
 
             def handle_error(self, request, address):
                 pass
 
-        self.server = Server(("127.0.0.1", 0), Handler)
-        self.address = "127.0.0.1:%d" % self.server.server_address[1]
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.make_server = lambda: Server(("127.0.0.1", 0), Handler)
+        self.server, self.address = self.listen()
+
+    def listen(self):
+        """Opens another address, so that one machine can be cut off (`server.cut`)."""
+        server = self.make_server()
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return server, "127.0.0.1:%d" % server.server_address[1]
 
     def put(self, key, value, lease=0):
         """Writes an item; returns its revision."""
@@ -221,6 +237,7 @@
         self.sequence = 0
         self.max_connections = max_connections
         self.connections = 0
+        self.sockets = set()
         self.silent_for = lambda caller: False
         self.on_run = lambda database, session, query, verb, values: None
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
@@ -243,6 +260,16 @@
     def position(self):
         return f"{self.log[-1][0] if self.log else 1}.{len(self.log)}"
 
+    def exit(self):
+        """Ends the database and all its connections."""
+        self.record.write(f"{self.id} exits")
+        self.dark = True
+        for connection in list(self.sockets):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def _accept(self):
         while True:
             connection, _ = self.listener.accept()
@@ -256,6 +283,7 @@
 
     def _serve(self, connection):
         counted = False
+        self.sockets.add(connection)
         try:
             stream = connection.makefile("rb")
             words = stream.readline().decode().rstrip("\r\n").split(" ")
@@ -291,6 +319,7 @@
         except OSError:
             pass
         finally:
+            self.sockets.discard(connection)
             connection.close()
             if counted:
                 with self.service.lock:
@@ -408,7 +437,7 @@
                 return done
             if verb == "PREPARE":
                 name, access, shape = rest.split(" ", 2)
-                session.prepared[name] = (access, shape)
+                session.prepared[name] = (access, shape[:64])
                 return done
             if verb == "DEALLOC":
                 session.prepared.pop(rest, None)
@@ -513,6 +542,8 @@
     def __init__(self, world, name, memory_mb=260):
         self.world, self.name, self.memory_mb = world, name, memory_mb
         front, ready, peer, relay = free_ports(4)
+        # The way of this machine to the platform.
+        self.store, store_address = world.store.listen()
         self.front, self.ready, self.peer = front, ready, peer
         self.file = os.path.join(world.folder, f"{name}.toml")
         with open(self.file, "w") as file:
@@ -542,12 +573,12 @@
 grace-s = 6
 config-apply-ms = 3000
 [platform]
-address = "{world.store.address}"
+address = "{store_address}"
 form = "kv"
 writes-per-s = 400
 reads-per-s = 2000
 [cloud]
-address = "{world.store.address}"
+address = "{store_address}"
 duties = ["failover"]
 duty-per-s = 50.0
 ''')
