--- a/review/world3.py
+++ b/review/world3.py
@@ -239,6 +239,8 @@
         self.max_connections = max_connections
         self.connections = 0
         self.sockets = set()
+        # Seconds that a client's statement takes.
+        self.work = 0.0
         self.silent_for = lambda caller: False
         self.on_run = lambda database, session, query, verb, values: None
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
@@ -314,6 +316,8 @@
                 if text == "TERMINATE":
                     return
                 _, query, text = text.split(" ", 2)
+                if query != "-" and self.work:
+                    time.sleep(self.work)
                 answer = self.service.answer(self, session, query, text)
                 state = session.state
                 connection.sendall(f"{answer}READY {state} {self.position()}\r\n".encode())
