--- a/review/world3.py
+++ b/review/world3.py
@@ -691,7 +691,11 @@
     world = World(os.path.dirname(os.path.abspath(script)))
 
     def stop(*_):
-        world.close()
+        for process in world.processes:
+            # Without waiting, as another thread may do so.
+            if process.returncode is None:
+                os.kill(process.pid, signal.SIGKILL)
+        shutil.rmtree(world.folder, ignore_errors=True)
         os._exit(2)
 
     signal.signal(signal.SIGTERM, stop)
