Log each unreadable database entry once for each change of it

Cause: an entry that names no database was logged by the adapter with each write of it, and no metric counted it; the log did not tell apart an entry that is ignored from one that is gone. As before, a database that the entry named counts as unlisted.

--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -11,7 +11,7 @@
 
 use gate::{
     Document, GateEvent, ListedDatabase, NodeRole, PromoteResult, RouteTable, StoreState,
-    StoredDocument, WriteResult,
+    StoredDocument, UnreadableEntry, WriteResult,
 };
 use model::Name;
 use relay::{ChangeBatch, ChangeRelay};
@@ -30,8 +30,7 @@
     Routes(Box<RouteTable>),
     Database(ListedDatabase),
     Document(StoredDocument),
-    /// The entry of this database cannot be parsed, so the database is not used.
-    UnreadableDatabase(Name),
+    UnreadableDatabase(UnreadableEntry),
     /// An item of any other kind.
     Unknown,
 }
@@ -351,14 +350,20 @@
     items: Vec<StoreItem>,
     revision: u64,
 ) -> (StoreState, Option<Box<RouteTable>>) {
-    let mut state = StoreState { revision, databases: Vec::new(), documents: Vec::new() };
+    let mut state = StoreState {
+        revision,
+        databases: Vec::new(),
+        unreadable_entries: Vec::new(),
+        documents: Vec::new(),
+    };
     let mut routes = None;
     for item in items {
         match item {
             StoreItem::Routes(table) => routes = Some(table),
             StoreItem::Database(database) => state.databases.push(database),
             StoreItem::Document(document) => state.documents.push(document),
-            StoreItem::UnreadableDatabase(_) | StoreItem::Unknown => {}
+            StoreItem::UnreadableDatabase(entry) => state.unreadable_entries.push(entry),
+            StoreItem::Unknown => {}
         }
     }
     (state, routes)
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -314,13 +314,17 @@
 }
 
 fn report_items(items: Vec<StoreItem>, revision: u64, events: &Channel<GateEvent>) {
-    let (StoreState { databases, documents, .. }, routes) = sort_items(items, revision);
+    let (state, routes) = sort_items(items, revision);
+    let StoreState { databases, unreadable_entries, documents, .. } = state;
     if let Some(table) = routes {
         events.send(GateEvent::RoutesChanged(table));
     }
     // Must precede the databases: the registered nodes decide to which databases this node connects.
     events.send(GateEvent::DocumentsListed { documents, revision });
     events.send(GateEvent::DatabasesListed(databases));
+    for entry in unreadable_entries {
+        events.send(GateEvent::DatabaseUnreadable(entry));
+    }
 }
 
 fn report_change(change: StoreChange, events: &Channel<GateEvent>) {
@@ -328,9 +332,10 @@
         StoreChange::Set(StoreItem::Routes(table)) => GateEvent::RoutesChanged(table),
         StoreChange::Set(StoreItem::Database(database)) => GateEvent::DatabaseChanged(database),
         StoreChange::Set(StoreItem::Document(document)) => GateEvent::DocumentChanged(document),
-        StoreChange::Set(StoreItem::UnreadableDatabase(id)) | StoreChange::DatabaseRemoved(id) => {
-            GateEvent::DatabaseUnlisted { id }
+        StoreChange::Set(StoreItem::UnreadableDatabase(entry)) => {
+            GateEvent::DatabaseUnreadable(entry)
         }
+        StoreChange::DatabaseRemoved(id) => GateEvent::DatabaseUnlisted { id },
         StoreChange::Set(StoreItem::Unknown) => return,
         StoreChange::DocumentRemoved { document, revision } => {
             GateEvent::DocumentRemoved { document, revision }
--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -128,6 +128,7 @@
         let now = self.now;
         let name = listed.id.clone();
         let cluster = listed.cluster.clone();
+        self.unreadable_entries.forget(&name);
         let state = self.clusters.entry(cluster.clone()).or_default();
         let former = state.former_members.remove(&name);
         let start = listed.started_at_ms;
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -96,12 +96,21 @@
     Failed,
 }
 
+/// An entry in the list of databases that names none, as by another writer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableEntry {
+    pub id: Name,
+    /// What is wrong with it, such as the field that is missing.
+    pub reason: Name,
+}
+
 /// State of the store at one time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreState {
     /// Revision of the store when it was read.
     pub revision: u64,
     pub databases: Vec<ListedDatabase>,
+    pub unreadable_entries: Vec<UnreadableEntry>,
     pub documents: Vec<StoredDocument>,
 }
 
@@ -154,7 +163,9 @@
     /// All databases that are currently listed.
     DatabasesListed(Vec<ListedDatabase>),
     DatabaseChanged(ListedDatabase),
-    /// The entry is gone or unusable.
+    /// The entry was written, and names no database.
+    DatabaseUnreadable(UnreadableEntry),
+    /// The entry is gone.
     DatabaseUnlisted {
         id: Name,
     },
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -60,6 +60,7 @@
 mod store_era;
 mod store_view;
 mod suspicion;
+mod unreadable_entries;
 
 use model::{FastMap, FastSet, Micros, Name};
 use serde::Serialize;
@@ -73,7 +74,7 @@
 pub use backend::{AnswerEnd, BackendAnswer, BackendCommand, DatabaseReport, TermPosition};
 pub use event::{
     ConnectionId, Document, GateEvent, ListedDatabase, NodeRole, PromoteResult, SessionId,
-    SessionOrigin, StoreState, StoredDocument, WriteResult, rank_of_priority,
+    SessionOrigin, StoreState, StoredDocument, UnreadableEntry, WriteResult, rank_of_priority,
 };
 pub use leadership_proof::{LeadershipProof, LogEvidence};
 pub use log_holders::LogHoldersRecord;
@@ -110,6 +111,7 @@
 use request::{ActiveRequest, RequestId};
 use session::Session;
 use store_view::StoreView;
+use unreadable_entries::UnreadableEntries;
 
 /// Builds the fields of a log record.
 macro_rules! fields {
@@ -143,6 +145,7 @@
     backing_off: Vec<RequestId>,
     clusters: FastMap<Name, ClusterState>,
     databases: FastMap<Name, Database>,
+    unreadable_entries: UnreadableEntries,
     connections: FastMap<ConnectionId, BackendConnection>,
     registry: NodeRegistry,
     promotion_lease: PromotionLease,
@@ -199,6 +202,7 @@
             backing_off: Vec::new(),
             clusters: FastMap::default(),
             databases: FastMap::default(),
+            unreadable_entries: UnreadableEntries::default(),
             connections: FastMap::default(),
             registration: RegistrationState::default(),
             failovers: FailoverState::default(),
@@ -256,7 +260,11 @@
                 self.database_listed(listed);
                 self.owners_outdated = true;
             }
-            GateEvent::DatabaseUnlisted { id } => self.database_unlisted(&id),
+            GateEvent::DatabaseUnreadable(entry) => self.database_unreadable(entry),
+            GateEvent::DatabaseUnlisted { id } => {
+                self.unreadable_entries.forget(&id);
+                self.database_unlisted(&id);
+            }
             GateEvent::DocumentsListed { documents, revision } => {
                 self.documents_listed(documents, revision);
             }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -787,7 +787,12 @@
                 if !self.store_cut.contains(&gate) {
                     let documents = self.documents.values().cloned().collect();
                     let (databases, revision) = (self.listed(), self.revision);
-                    let state = Some(StoreState { revision, databases, documents });
+                    let state = Some(StoreState {
+                        revision,
+                        databases,
+                        unreadable_entries: Vec::new(),
+                        documents,
+                    });
                     let event = GateEvent::StoreStateRead { state };
                     self.schedule(self.store_read_time, Delivery::Gate(gate, event));
                 }
