Send a leaving primary no requests after the platform's bound

Cause: `usable_leader` set no limit to the use of a leaving primary. Only connections were limited, by a constant that fits the deployments with 7 s, not those with 10 s.

--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -6,7 +6,6 @@
 use crate::action::GateAction;
 use crate::allotment::ALLOTMENT_TIMEOUT;
 use crate::backend::{AnswerEnd, BackendAnswer, BackendCommand, TermPosition};
-use crate::cluster::LEAVING_GRACE;
 use crate::database::{BackendConnection, CommandPurpose, Database, PendingCommand, steady_share};
 use crate::event::ConnectionId;
 use crate::request::RequestId;
@@ -71,8 +70,7 @@
     pub(crate) fn open_connections(&mut self, name: &Name) {
         let now = self.now;
         let Some(database) = self.databases.get(name) else { return };
-        let closed = database.unlisted_since.is_some()
-            || database.leaving_since.is_some_and(|since| now >= since + LEAVING_GRACE);
+        let closed = database.unlisted_since.is_some() || self.is_past_leaving(database);
         if now < database.open_retry_at || closed {
             return;
         }
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -79,8 +79,12 @@
             let account = request.account().cloned();
             let (session, cluster, proof_time) =
                 (request.session, request.route.cluster.clone(), request.proof_time);
-            if proof_time.is_some_and(|proof_time| !self.is_proved(&cluster, name, proof_time)) {
-                // The leader was replaced while the request was queued.
+            let past_leaving =
+                self.databases.get(name).is_some_and(|database| self.is_past_leaving(database));
+            if past_leaving
+                || proof_time.is_some_and(|proof_time| !self.is_proved(&cluster, name, proof_time))
+            {
+                // The leader was replaced, or may get no more requests, while the request was queued.
                 self.abandon_slot(id);
                 self.route_request(id);
                 continue;
--- a/crates/gate/src/dump.rs
+++ b/crates/gate/src/dump.rs
@@ -16,6 +16,7 @@
     /// #     incarnation: 1,
     /// #     shutdown_grace: model::Micros::from_secs(6),
     /// #     configuration_bound: model::Micros::from_secs(3),
+    /// #     leaving_bound: model::Micros::from_secs(7),
     /// #     quota: None,
     /// # };
     /// let gate = gate::Gate::new(settings);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -179,6 +179,7 @@
     ///     incarnation: 1,
     ///     shutdown_grace: Micros::from_secs(6),
     ///     configuration_bound: Micros::from_secs(3),
+    ///     leaving_bound: Micros::from_secs(7),
     ///     quota: None,
     /// });
     /// let mut actions = Vec::new();
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -374,7 +374,8 @@
         }
         let leader = state.proof.leader()?;
         let database = self.databases.get(leader)?;
-        database.is_responsive(self.now).then(|| leader.clone())
+        let serves = database.is_responsive(self.now) && !self.is_past_leaving(database);
+        serves.then(|| leader.clone())
     }
 
     /// Returns true if another database than `name` can serve a read now.
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -22,6 +22,8 @@
     pub shutdown_grace: Micros,
     /// Time after which a stored configuration has to be in force.
     pub configuration_bound: Micros,
+    /// Time after its announcement in which a leaving database may get requests.
+    pub leaving_bound: Micros,
     /// By how much accounts may exceed their limits; `None` if it is not known.
     pub quota: Option<QuotaBound>,
 }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -243,6 +243,7 @@
         incarnation,
         shutdown_grace: Micros::from_secs(6),
         configuration_bound: Micros::from_secs(3),
+        leaving_bound: Micros::from_secs(7),
         quota: None,
     }
 }
--- a/crates/gate/tests/support/single_gate.rs
+++ b/crates/gate/tests/support/single_gate.rs
@@ -75,6 +75,7 @@
             incarnation: 1,
             shutdown_grace: Micros::from_secs(6),
             configuration_bound: Micros::from_secs(3),
+            leaving_bound: Micros::from_secs(7),
             quota: None,
         });
         let mut single = SingleGate { gate, now: Micros::ZERO, actions: Vec::new() };
