Replace a leaving primary although a replica does not answer

Cause: a failover is given up unless every listed replica reports within 500 ms. That is needed while the primary is out of reach, as the silent replica may let it commit. It is not needed where the primary itself answers and can be demoted. Change: if the database that led last answers, as a leaving primary or as a replica that is compared, silent replicas are left out (`takeover_leaves_out`, counter `replicas_left_out`). Then the promotion requires the answer to the demotion, and that the known end of the log covers every commit; a node that may still acknowledge some, or whose end is not told, prevents it as before. A replica that is left out goes on reporting the former term without a fence, so after an announced failover nodes trust no replica's report of that term before the former primary reports again that it leads. Tests, in crates/gate/tests/leaving_primary.rs: the replacement failed before (no promotion) with an unreachable and with a hung replica. Commits that only the silent replica has are not lost, and the primary stays until it answers.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -293,6 +293,12 @@
         }
         let leader = state.proof.leader().cloned();
         let members = state.members.clone();
+        if state.proof.needs_leader_report()
+            && let Some(leader) = &leader
+            && self.databases.get(leader).is_some_and(|state| state.report_requested_at.is_none())
+        {
+            self.request_report(leader);
+        }
         let own = &self.settings.data_centre;
         let mut best: Option<(bool, bool, u32, Name)> = None;
         for name in members {
--- a/crates/gate/src/failover.rs
+++ b/crates/gate/src/failover.rs
@@ -29,6 +29,13 @@
 //! The failover waits until its entry is gone. If that takes too long, the failover is aborted and
 //! its fences are lifted.
 //!
+//! Such a replica is *left out* if the database that led last answers: as a primary that leaves, or as
+//! a replica. It can be demoted then, and without a primary nobody commits, fenced or not. A commit that
+//! only the two had would be known to the node that has reported it as successful, so the promotion
+//! needs the known end of the log. The replica that was left out goes on reporting the former term
+//! without a fence. Nodes that have seen the announcement therefore trust no report of a replica after
+//! it until the former primary itself has reported that it still leads.
+//!
 //! Only the holder of the promotion lease lifts fences, because a lift names no term: it would end
 //! the fence of the next holder as well. A failover whose lease is not renewed is aborted while the
 //! lease is valid. Fences that are left behind are lifted by the next holder, or as stale ones.
@@ -144,6 +151,8 @@
     pub(crate) stage: FailoverStage,
     /// Distinguishes the failovers of this node.
     pub(crate) number: u64,
+    /// Replicas that did not answer at its start, so that they are neither fenced nor compared.
+    pub(crate) left_out: BTreeSet<Name>,
     /// The database that is replaced, if any; it is not compared. It led the former term when it
     /// reported last.
     pub(crate) old_primary: Option<Name>,
@@ -363,7 +372,7 @@
             }
             FailoverStage::Demoting => {
                 if now >= last_step + DEMOTE_TIMEOUT {
-                    self.choose_new_primary(cluster);
+                    self.demotion_overdue(cluster);
                 } else {
                     self.request_demotion(cluster);
                 }
@@ -551,6 +560,7 @@
                     &self.settings.node,
                     failover.announced,
                 ));
+            replicas.retain(|name| !failover.left_out.contains(name));
             failover.replicas = replicas;
             let holders = self.recorded_holders(&documents, &cluster);
             let Some(failover) = self.failovers.running.get_mut(&cluster) else { continue };
--- a/crates/gate/src/fencing.rs
+++ b/crates/gate/src/fencing.rs
@@ -1,5 +1,7 @@
 //! Fences of a failover, and the comparison of the fenced logs.
 
+use std::collections::BTreeSet;
+
 use model::{DatabaseRole, Micros, Name};
 
 use crate::backend::{BackendAnswer, BackendCommand, TermPosition};
@@ -34,12 +36,33 @@
         let Some(failover) = self.failovers.running.get(cluster) else { return };
         let old = failover.old_primary.as_ref().and_then(|old| self.databases.get(old));
         if !old.is_some_and(|old| old.is_responsive(self.now)) {
+            if self.must_demote(cluster) {
+                return self.abort_failover(cluster, "a replica and the primary do not answer");
+            }
             return self.choose_new_primary(cluster);
         }
         self.set_stage(cluster, FailoverStage::Demoting);
         self.request_demotion(cluster);
     }
 
+    /// Returns true if the failover may not promote before the old primary has confirmed its demotion: a
+    /// replica that is not fenced could let it commit.
+    fn must_demote(&self, cluster: &Name) -> bool {
+        self.failovers
+            .running
+            .get(cluster)
+            .is_some_and(|failover| !failover.left_out.is_empty() && failover.old_primary.is_some())
+    }
+
+    /// Goes on without the answer to the demotion, or asks again if it is needed.
+    pub(crate) fn demotion_overdue(&mut self, cluster: &Name) {
+        if self.must_demote(cluster) {
+            self.set_stage(cluster, FailoverStage::Demoting);
+            return self.request_demotion(cluster);
+        }
+        self.choose_new_primary(cluster);
+    }
+
     /// Sends the demotion of a running failover, or opens a connection for it.
     pub(crate) fn request_demotion(&mut self, cluster: &Name) {
         let Some(failover) = self.failovers.running.get(cluster) else { return };
@@ -120,34 +143,73 @@
             failover.stage == FailoverStage::Demoting
                 && failover.old_primary.as_ref() == Some(&name)
         });
-        if waits {
+        let demoted = answer.report.is_some_and(|report| report.role == DatabaseRole::Replica);
+        if waits && (demoted || !self.must_demote(&cluster)) {
             self.choose_new_primary(&cluster);
         }
     }
 
-    /// Waits until every replica has reported since the failover started.
+    /// Waits until every replica has reported since the failover started, or can be left out.
     pub(crate) fn probe_replicas(&mut self, cluster: &Name) {
         let now = self.now;
         let Some(failover) = self.failovers.running.get(cluster) else { return };
         let (replicas, started, last_step) =
             (failover.replicas.clone(), failover.started, failover.last_step);
-        let mut missing = 0;
+        let mut missing = BTreeSet::new();
         for name in &replicas {
             let Some(database) = self.databases.get(name) else { continue };
             if database.last_report_at.is_some_and(|at| at >= started) {
                 continue;
             }
-            missing += 1;
+            missing.insert(name.clone());
             if database.report_requested_at.is_none() {
                 self.request_report(name);
             }
         }
-        if missing == 0 {
-            self.set_stage(cluster, FailoverStage::Fencing);
-            self.step_failover(cluster);
-        } else if now >= last_step + PROBE_TIMEOUT {
-            self.abort_failover(cluster, "a replica does not answer");
+        if !missing.is_empty() {
+            if now < last_step + PROBE_TIMEOUT {
+                return;
+            }
+            if !self.can_leave_out(cluster, &missing) {
+                return self.abort_failover(cluster, "a replica does not answer");
+            }
+            let names: Vec<&str> = missing.iter().map(Name::as_str).collect();
+            let record = fields!["cluster" => cluster, "databases" => names.join(",")];
+            self.count("replicas_left_out");
+            self.log("takeover_leaves_out", record);
+            if let Some(failover) = self.failovers.running.get_mut(cluster) {
+                failover.replicas.retain(|name| !missing.contains(name));
+                failover.left_out = missing;
+            }
         }
+        self.set_stage(cluster, FailoverStage::Fencing);
+        self.step_failover(cluster);
+    }
+
+    /// Returns true if a failover can do without replicas that do not answer: another one can be promoted,
+    /// and the database that led last has answered since the start, as a primary that leaves or as a
+    /// replica that is compared.
+    fn can_leave_out(&self, cluster: &Name, missing: &BTreeSet<Name>) -> bool {
+        let (Some(failover), Some(state)) =
+            (self.failovers.running.get(cluster), self.clusters.get(cluster))
+        else {
+            return false;
+        };
+        let answers = |name: &Name| {
+            self.databases.get(name).is_some_and(|database| {
+                database.last_report_at.is_some_and(|at| at >= failover.started)
+            })
+        };
+        let led_last = match &failover.old_primary {
+            Some(old) => Some(old)
+                .filter(|old| self.databases.get(*old).is_some_and(|old| old.listed.leaving)),
+            None => state.proof.ended_leader().filter(|name| failover.replicas.contains(name)),
+        };
+        let successor = failover.replicas.iter().any(|name| {
+            let listed = self.databases.get(name).map(|database| &database.listed);
+            !missing.contains(name) && listed.is_some_and(|listed| !listed.leaving)
+        });
+        successor && led_last.is_some_and(answers) && self.has_synchronous_replicas(cluster)
     }
 
     /// Lifts fences that another node has left behind.
--- a/crates/gate/src/leadership_proof.rs
+++ b/crates/gate/src/leadership_proof.rs
@@ -91,6 +91,10 @@
     last_leader: Option<Name>,
     /// `last_leader` has become a replica, so `term` has ended.
     term_ended: bool,
+    /// Set while reports of replicas prove nothing: the primary of `term` may have been demoted by a
+    /// failover that did not fence all of them. Ended by a report of the primary requested at this time
+    /// or later.
+    leader_report_needed: Option<Micros>,
     /// Latest time at which no failover beyond `term` had begun.
     confirmed: Option<Micros>,
     /// As `confirmed`, but only by reports and commits, not by a read lease.
@@ -134,6 +138,21 @@
         self.leader.as_ref()
     }
 
+    /// Returns the primary of the highest term that has become a replica, so that the term has ended.
+    pub(crate) fn ended_leader(&self) -> Option<&Name> {
+        self.last_leader.as_ref().filter(|_| self.term_ended)
+    }
+
+    /// Lets reports of replicas prove nothing until the primary has reported that it led at `at` or later.
+    pub fn require_leader_report(&mut self, at: Micros) {
+        self.leader_report_needed = Some(at);
+    }
+
+    /// Returns true if reports of replicas prove nothing until the primary reports.
+    pub fn needs_leader_report(&self) -> bool {
+        self.leader_report_needed.is_some()
+    }
+
     /// Returns since when at least one replica has had a fence above the term.
     pub fn fenced_since(&self) -> Option<Micros> {
         self.fenced.values().min().copied()
@@ -164,6 +183,7 @@
             self.leader = None;
             self.last_leader = None;
             self.term_ended = false;
+            self.leader_report_needed = None;
             self.confirmed = None;
             self.directly_confirmed = None;
             self.fenced.clear();
@@ -182,6 +202,7 @@
                 self.leader = Some(database.clone());
                 self.last_leader = Some(database.clone());
                 self.term_ended = false;
+                self.leader_report_needed.take_if(|at| requested_at >= *at);
                 self.observe_leader_position(database, requested_at, report.received);
             }
             DatabaseRole::Replica => {
@@ -194,7 +215,9 @@
                     self.fenced.entry(database.clone()).or_insert(requested_at);
                 } else {
                     self.fenced.remove(database);
-                    self.confirm_directly(requested_at);
+                    if self.leader_report_needed.is_none() {
+                        self.confirm_directly(requested_at);
+                    }
                 }
             }
         }
@@ -327,6 +350,7 @@
             self.log_end_known_at = self.log_end_known_at.max(Some(sent));
         }
         if self.leader.as_ref() == Some(database) {
+            self.leader_report_needed.take_if(|at| sent >= *at);
             self.confirm_directly(sent);
         }
     }
--- a/crates/gate/src/read_lease.rs
+++ b/crates/gate/src/read_lease.rs
@@ -274,6 +274,7 @@
                 state.last_failover_end = now;
                 state.announced_at = None;
                 if state.announced_term.is_some_and(|term| state.proof.term() <= term) {
+                    state.proof.require_leader_report(now);
                     without_promotion.push(Name::from(name.as_str()));
                 }
             }
--- a/crates/gate/src/suspicion.rs
+++ b/crates/gate/src/suspicion.rs
@@ -229,6 +229,7 @@
             ClusterFailover {
                 stage: FailoverStage::Claiming,
                 number,
+                left_out: BTreeSet::new(),
                 old_primary: old,
                 old_primary_asked: None,
                 term,
--- a/crates/gate/tests/leaving_primary.rs
+++ b/crates/gate/tests/leaving_primary.rs
@@ -1,14 +1,113 @@
-//! Leaving primaries, in virtual time.
+//! Leaving primaries, and their replacement while a replica does not answer, in virtual time.
 
 mod support;
 
-use support::{LATEST, Simulation, millis};
+use gate::{DatabaseRole, TermPosition};
+use model::Term;
+use support::{FakeDatabase, LATEST, Simulation, millis};
 
 fn leave(simulation: &mut Simulation, name: &str) {
     simulation.database(name).leaving = true;
     simulation.publish_database(name);
 }
 
+fn assert_none_lost(simulation: &Simulation, end: TermPosition) {
+    for (at, name, start) in &simulation.promoted_logs {
+        assert!(*start >= end, "{name} leads from {at:?} with {start}, acknowledged up to {end}");
+    }
+}
+
+/// Guards against a leaving primary that is kept because one of its replicas is lost, although another
+/// one holds the whole log.
+#[test]
+fn a_leaving_primary_is_replaced_although_a_replica_does_not_answer() {
+    for hung in [false, true] {
+        let mut simulation = Simulation::start_with_reads(4);
+        let end = simulation.write(0, 5);
+        simulation.database("b").unreachable = !hung;
+        simulation.database("b").hung = hung;
+        leave(&mut simulation, "a");
+        simulation.run_with_reads(&[LATEST], millis(3_000));
+        assert_eq!(simulation.promoted_databases(), ["c"], "hung: {hung}");
+        assert_none_lost(&simulation, end);
+        let session = simulation.open(0, LATEST);
+        simulation.send_request(0, session, "w", "WRITE 1 x");
+        simulation.run(millis(100));
+        assert_eq!(simulation.outcome(session), "served");
+    }
+}
+
+/// Guards against the loss of commits that are at the leaving primary and at a replica that does not
+/// answer.
+#[test]
+fn commits_that_only_the_replica_left_out_received_are_not_lost() {
+    let mut simulation = Simulation::start_with_reads(4);
+    simulation.database("c").replication_stopped = true;
+    let end = simulation.write(0, 5);
+    simulation.database("b").hung = true;
+    leave(&mut simulation, "a");
+    simulation.run_with_reads(&[LATEST], millis(4_000));
+    assert_none_lost(&simulation, end);
+    assert_eq!(simulation.promoted_databases(), Vec::<&str>::new(), "c lacks commits");
+    assert_eq!(simulation.databases["a"].role, DatabaseRole::Primary, "it can commit until then");
+    simulation.database("b").hung = false;
+    simulation.run_with_reads(&[LATEST], millis(5_000));
+    assert_eq!(simulation.promoted_databases(), ["b"]);
+    assert_none_lost(&simulation, end);
+}
+
+/// Guards against a promotion on the word of a node that has seen other nodes leave: one of them may
+/// still acknowledge commits that only the primary and the silent replica have.
+#[test]
+fn no_replica_is_left_out_while_an_owner_is_missing() {
+    let mut simulation = Simulation::start_with_reads(4);
+    simulation.expire_registration(3);
+    simulation.run(millis(1_000));
+    simulation.database("c").replication_stopped = true;
+    let end = simulation.write(3, 5);
+    simulation.database("b").hung = true;
+    leave(&mut simulation, "a");
+    simulation.run_with_reads(&[LATEST], millis(4_000));
+    assert_none_lost(&simulation, end);
+}
+
+/// Guards against reads at a demoted primary: a replica that was left out reports the former term
+/// without a fence to a node that reaches neither of the others.
+#[test]
+fn the_report_of_a_replica_left_out_does_not_prove_a_demoted_primary() {
+    let mut simulation = Simulation::start_with_reads(4);
+    for gate in 0..3 {
+        simulation.cut(gate, "b");
+    }
+    leave(&mut simulation, "a");
+    simulation
+        .run_until(millis(3_000), "promotion", |simulation| !simulation.promoted_logs.is_empty());
+    // `b` does not reach the new primary, and node 3 reaches only `b` and the former primary, which is too
+    // busy to report while it executes statements.
+    simulation.cut(3, "c");
+    simulation.cut(3, "d");
+    simulation.database("b").term = Term(1);
+    simulation.database("a").refuses_reports = true;
+    simulation.database("a").replication_stopped = true;
+    let follower =
+        FakeDatabase { role: DatabaseRole::Replica, ..simulation.databases["c"].clone() };
+    simulation.databases.insert("d".into(), follower);
+    simulation.run(millis(15));
+    let session = simulation.open(0, LATEST);
+    simulation.send_request(0, session, "w", "WRITE 1 x");
+    simulation.run(millis(20));
+    assert_eq!(simulation.outcome(session), "served");
+    let end = simulation.databases["c"].received;
+    for round in 0..100 {
+        let session = simulation.open(3, LATEST);
+        simulation.send_request(3, session, &format!("r{round}"), "READ 1");
+        simulation.run(millis(20));
+    }
+    for (id, at) in simulation.databases.values().flat_map(|database| &database.ran) {
+        assert!(!id.starts_with('r') || *at >= end, "{id} ran on a log up to {at}, of {end}");
+    }
+}
+
 /// Guards against requests at a leaving primary beyond the time that the platform allows, while nothing
 /// can replace it.
 #[test]
