Roll back open transactions whose key is taken from their account

Seen: a client whose key was taken away goes on in its transaction. Cause: only the first statement of a transaction resolved the key of its session. The `request` lines of the late statements have the new version and the outcome "served", so the node knew it. Change: an open transaction keeps the caller of its first statement. As a node gets a version, it rolls back the transactions whose key is not that of their connection's account any more. The next statement, or the one on its way, gets `ABORTED`; a COMMIT that has been sent gets its own answer. Of two nodes that take part, the one with the newer version ends the transaction. New: counter `transactions_unauthorized`, log lines `transaction_unauthorized` and `rollback_reported`. Why it works: the resolution happens before any later statement of the session is read, and the version only grows.

--- a/crates/gate/src/identity.rs
+++ b/crates/gate/src/identity.rs
@@ -3,20 +3,29 @@
 //! The key of a session is resolved for each operation, by the version in force, so that a key that
 //! operators remove stops open sessions, too. A forwarded request carries the key and the version by
 //! which the other node resolved it. The newer version of the two decides.
+//!
+//! A transaction runs on a connection of the account that held the key at its first statement. When a
+//! configuration takes the key from that account, each node that takes part rolls the transaction
+//! back as soon as it has the version, at rest or with a statement on its way. A commit that has been
+//! sent is not recalled: its answer is awaited and passed on.
 
 use account::ApiKey;
 use model::Name;
 
-use crate::Gate;
 use crate::event::{ConnectionId, SessionId, SessionOrigin};
 use crate::request::{ActiveRequest, RequestId, RequestKind, RequestStage};
-use crate::session::Transaction;
+use crate::session::{OpenTransaction, RollbackNotice, Transaction};
 use crate::statement::{CallerIdentity, ErrorCode};
+use crate::{Gate, fields};
 
 pub(crate) const INVALID_KEY_TEXT: &str = "not run, no account holds this key";
 
 const INVALID_KEY: (ErrorCode, &str) = (ErrorCode::NotAuthorized, INVALID_KEY_TEXT);
 
+const KEY_REMOVED_TEXT: &str = "rolled back, no account holds this key any more";
+
+const KEY_MOVED_TEXT: &str = "rolled back, another account holds this key now, retry at once";
+
 const UNKNOWN_KEY: (ErrorCode, &str) =
     (ErrorCode::Busy, "not run, this node may not know the newest keys, retry at once");
 
@@ -95,6 +104,75 @@
         }
     }
 
+    /// Rolls back the open transactions whose key was taken from their account.
+    pub(crate) fn end_unauthorized_transactions(&mut self) {
+        let open = self.sessions.iter().filter(|(_, session)| {
+            matches!(&session.transaction, Transaction::Open(open)
+                if self.revocation_text(&session.key, session.origin, open).is_some())
+        });
+        let open: Vec<SessionId> = open.map(|(id, _)| *id).collect();
+        for id in open {
+            self.end_unauthorized_transaction(id);
+        }
+    }
+
+    /// Rolls back the open transaction of a session if its key was taken from its account.
+    pub(crate) fn end_unauthorized_transaction(&mut self, id: SessionId) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let Transaction::Open(open) = &session.transaction else { return };
+        let Some(text) = self.revocation_text(&session.key, session.origin, open) else { return };
+        let (connection, version) = (open.connection, self.table.version);
+        let active = session.active_request;
+        let request = active.and_then(|active| self.requests.get(&active));
+        let commits = request.is_some_and(ActiveRequest::is_commit);
+        let statement = request.map(|request| request.client_request.id.clone());
+        let record = fields![
+            "session" => id.0,
+            "database" => &open.route.database,
+            "version" => version,
+            "statement" => &statement.unwrap_or_default(),
+            "commits" => commits,
+            "reason" => text
+        ];
+        self.log("transaction_unauthorized", record);
+        if commits {
+            return;
+        }
+        self.count("transactions_unauthorized");
+        if let Some(active) = active {
+            return self.fail_transaction(active, ErrorCode::Aborted, text);
+        }
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.transaction = Transaction::RolledBack(RollbackNotice { text, version });
+        }
+        self.release_transaction(connection, id);
+    }
+
+    /// Returns why a transaction may not go on by the version in force: its key is not that of the account
+    /// that its connection serves. Without an account, a route that is no longer public counts from the next
+    /// transaction on.
+    fn revocation_text(
+        &self,
+        key: &ApiKey,
+        origin: SessionOrigin,
+        open: &OpenTransaction,
+    ) -> Option<&'static str> {
+        let directory = self.table.accounts.as_ref()?;
+        let (key, account) = match (&open.caller, origin) {
+            (Some(caller), _) if caller.version >= self.table.version => return None,
+            (Some(caller), _) => (&caller.key, caller.account.as_ref()),
+            (None, SessionOrigin::Client) => (key, None),
+            // The node that forwards knows the key.
+            (None, SessionOrigin::Peer) => return None,
+        };
+        match (account, directory.account_of(key.as_str())) {
+            (former, present) if former == present.as_ref() && open.caller.is_some() => None,
+            (_, Some(_)) => Some(KEY_MOVED_TEXT),
+            (None, None) if open.route.public => None,
+            (_, None) => Some(KEY_REMOVED_TEXT),
+        }
+    }
+
     /// Queues a waiting request under its new account.
     fn queue_again(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -343,6 +343,7 @@
         }
         self.newer_version.observe_own(table.version);
         self.table = table;
+        self.end_unauthorized_transactions();
         self.renew_waiting_identities();
         self.update_owners();
         self.refresh_allotments();
--- a/crates/gate/src/outcome.rs
+++ b/crates/gate/src/outcome.rs
@@ -113,15 +113,20 @@
                 let open = OpenTransaction {
                     connection,
                     route: request.route.clone(),
+                    caller: request.caller.clone(),
                     wrote: false,
                     idle_since: self.now,
                 };
-                if let Some(session) = self.sessions.get_mut(&request.session) {
+                let session_id = request.session;
+                if let Some(session) = self.sessions.get_mut(&session_id) {
                     session.transaction = Transaction::Open(open);
                 }
                 let statement_sent = request.statement_sent;
                 self.release_slot(id);
-                if !statement_sent {
+                if statement_sent {
+                    // The configuration may have changed since both were sent.
+                    self.end_unauthorized_transaction(session_id);
+                } else {
                     self.send_first_statement(id, connection);
                 }
             }
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -18,7 +18,9 @@
 use crate::event::{ConnectionId, SessionId, SessionOrigin};
 use crate::request::{RequestId, RequestKind};
 use crate::route::{Freshness, RouteConfig};
-use crate::statement::{ClientRequest, ErrorCode, Statement, StatementAccess, TransactionState};
+use crate::statement::{
+    CallerIdentity, ClientRequest, ErrorCode, Statement, StatementAccess, TransactionState,
+};
 use crate::{Gate, fields};
 
 /// Maximum number of prepared statements, and of values, of one session; more are refused.
@@ -41,14 +43,26 @@
         route: Arc<RouteConfig>,
     },
     Open(OpenTransaction),
+    /// Rolled back between two statements; the next one is told so.
+    RolledBack(RollbackNotice),
     Failed,
 }
 
+/// Why a transaction was rolled back between two statements.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RollbackNotice {
+    pub(crate) text: &'static str,
+    /// Version of the configuration that ended the transaction.
+    pub(crate) version: u64,
+}
+
 /// A transaction that is open at a database.
 #[derive(Clone, Debug)]
 pub(crate) struct OpenTransaction {
     pub(crate) connection: ConnectionId,
     pub(crate) route: Arc<RouteConfig>,
+    /// The caller of its first statement, whose account the connection serves.
+    pub(crate) caller: Option<CallerIdentity>,
     pub(crate) wrote: bool,
     /// When the last statement ended.
     pub(crate) idle_since: Micros,
@@ -81,7 +95,7 @@
         match self.transaction {
             Transaction::None => TransactionState::Idle,
             Transaction::Pending { .. } | Transaction::Open(_) => TransactionState::Open,
-            Transaction::Failed => TransactionState::Failed,
+            Transaction::RolledBack(_) | Transaction::Failed => TransactionState::Failed,
         }
     }
 
@@ -181,6 +195,11 @@
         }
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let state = session.state();
+        if let Transaction::RolledBack(notice) = session.transaction
+            && !matches!(request.statement, Statement::Rollback)
+        {
+            return self.report_rollback(id, &request, notice);
+        }
         if state == TransactionState::Failed
             && !matches!(request.statement, Statement::Commit | Statement::Rollback)
         {
@@ -337,7 +356,10 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         match std::mem::replace(&mut session.transaction, Transaction::None) {
             Transaction::Open(open) => self.release_transaction(open.connection, id),
-            Transaction::None | Transaction::Pending { .. } | Transaction::Failed => {}
+            Transaction::None
+            | Transaction::Pending { .. }
+            | Transaction::RolledBack(_)
+            | Transaction::Failed => {}
         }
         self.reply_done(id);
     }
@@ -348,7 +370,7 @@
             Transaction::None => {
                 self.reply_error(id, ErrorCode::Malformed, "no transaction is open");
             }
-            Transaction::Failed => {
+            Transaction::RolledBack(_) | Transaction::Failed => {
                 session.transaction = Transaction::None;
                 self.reply_error(id, ErrorCode::Aborted, "the transaction was rolled back");
             }
@@ -366,7 +388,7 @@
             Transaction::Pending { begin, read_only, started_at, route } => {
                 (RequestKind::Begin { begin, read_only }, route, started_at)
             }
-            Transaction::None | Transaction::Failed => {
+            Transaction::None | Transaction::RolledBack(_) | Transaction::Failed => {
                 let Some(route) = self.current_route(id) else { return };
                 let kind = match access {
                     StatementAccess::Read => RequestKind::Read,
@@ -450,6 +472,23 @@
         self.release_transaction(connection, id);
     }
 
+    /// Tells a client that its transaction was rolled back before this statement.
+    fn report_rollback(&mut self, id: SessionId, request: &ClientRequest, notice: RollbackNotice) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.transaction = match request.statement {
+            Statement::Commit => Transaction::None,
+            _ => Transaction::Failed,
+        };
+        let record = fields![
+            "request" => &request.id,
+            "session" => id.0,
+            "version" => notice.version,
+            "reason" => notice.text
+        ];
+        self.log("rollback_reported", record);
+        self.reply_error(id, ErrorCode::Aborted, notice.text);
+    }
+
     /// Closes the sessions that have neither a request nor a transaction, were opened before a time
     /// and got their last reply by another.
     pub(crate) fn close_idle_sessions(&mut self, opened_before: Micros, replied_by: Micros) {
--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -262,10 +262,10 @@
     }
 }
 
-/// Guards against a key that keeps working in an open session, or for a request that waits, after
-/// operators have removed it.
+/// Guards against a key that keeps working in an open session, in a transaction, or for a request that
+/// waits, after operators have removed it.
 #[test]
-fn a_removed_key_stops_open_sessions_but_not_begun_transactions() {
+fn a_removed_key_stops_open_sessions_and_begun_transactions() {
     let mut simulation = start(1, &[("k1", "one"), ("k2", "two")]);
     let open = send(&mut simulation, "k1", "r1", "READ 1");
     let transaction = send(&mut simulation, "k1", "b1", "BEGIN");
@@ -283,7 +283,8 @@
     assert_eq!(simulation.outcome(open), "not_authorized");
     simulation.send_request(0, transaction, "t2", "COMMIT");
     simulation.run(millis(400));
-    assert_eq!(simulation.outcome(transaction), "served");
+    assert_eq!(simulation.outcome(transaction), "aborted");
+    assert!(!simulation.ran_at("a", "t2"));
     let refused = simulation.open_with_key(0, LATEST, "k1");
     assert_eq!(simulation.refused_sessions.get(&refused), Some(&ErrorCode::NotAuthorized));
     assert!(!simulation.accounts.contains_key("r2") && !simulation.accounts.contains_key("r3"));
