--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -293,12 +293,6 @@
         }
         let leader = state.proof.leader().cloned();
         let members = state.members.clone();
-        if state.proof.needs_leader_report()
-            && let Some(leader) = &leader
-            && self.databases.get(leader).is_some_and(|state| state.report_requested_at.is_none())
-        {
-            self.request_report(leader);
-        }
         let own = &self.settings.data_centre;
         let mut best: Option<(bool, bool, u32, Name)> = None;
         for name in members {
@@ -325,6 +319,15 @@
         }
     }
 
+    /// Requests a report of the leader while those of replicas prove nothing without it.
+    fn request_needed_leader_report(&mut self, cluster: &Name) {
+        let Some(state) = self.clusters.get(cluster) else { return };
+        let leader = state.proof.leader().filter(|_| state.proof.needs_leader_report()).cloned();
+        if let Some(leader) = leader {
+            self.request_report(&leader);
+        }
+    }
+
     /// Returns true if requests have waited for a proof for too long, as on a node that is cut off
     /// together with a former primary.
     pub(crate) fn lacks_proof(&self, cluster: &Name) -> bool {
@@ -496,6 +499,7 @@
         if let Some(proof_time) =
             self.clusters.get(cluster).and_then(|state| state.needed_proof_time)
         {
+            self.request_needed_leader_report(cluster);
             self.request_proof(cluster, proof_time);
         }
         self.prove_commits(cluster);
