Bound the reports that a busy primary is asked for by all nodes together

Cause: after a failover without a known promotion each owner needs a report of the primary, and asked one that refused every 20 ms: 62 reports a second from each node, so the more nodes, the more slots of a primary that is too busy already. Change: an owner asks again after 25 ms for each owner of the cluster, 100 ms at least. Test: a_primary_that_is_too_busy_to_report_is_asked_at_a_limited_rate failed before, with 247 reports of two nodes in 2 s, and passes with 2, 4 and 8 nodes.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -24,6 +24,10 @@
 /// requests that arrived in the meantime.
 const PROOF_RETRY_INTERVAL: Micros = Micros::from_millis(100);
 
+/// Interval of the reports that all nodes together request from a leader that does not give the one that
+/// they need. Each takes a slot, also if it is refused.
+const NEEDED_REPORT_INTERVAL: Micros = Micros::from_millis(25);
+
 /// Time without a proof that requests need after which this node cannot serve them: the longest
 /// queue of a database, and the report itself.
 const PROOF_TIMEOUT: Micros = Micros::from_millis(500);
@@ -69,6 +73,8 @@
     /// Since when requests have needed a proof that there is not yet.
     proof_missing_since: Option<Micros>,
     next_search: Micros,
+    /// When the leader was last asked for the report that proofs need.
+    needed_report_asked: Option<Micros>,
     /// Term at which a failover was announced.
     pub(crate) announced_term: Option<Term>,
     /// When this node saw the announcement of the failover that is announced now.
@@ -319,11 +325,19 @@
         }
     }
 
-    /// Requests a report of the leader while those of replicas prove nothing without it.
+    /// Requests a report of the leader while those of replicas prove nothing without it. The more owners
+    /// the cluster has, the more rarely each of them asks again.
     fn request_needed_leader_report(&mut self, cluster: &Name) {
-        let Some(state) = self.clusters.get(cluster) else { return };
+        let now = self.now;
+        let share = Micros(NEEDED_REPORT_INTERVAL.0 * u64::from(self.owner_count(cluster)));
+        let interval = share.max(PROOF_RETRY_INTERVAL);
+        let Some(state) = self.clusters.get_mut(cluster) else { return };
+        if state.needed_report_asked.is_some_and(|at| now < at + interval) {
+            return;
+        }
         let leader = state.proof.leader().filter(|_| state.proof.needs_leader_report()).cloned();
         if let Some(leader) = leader {
+            state.needed_report_asked = Some(now);
             self.request_report(&leader);
         }
     }
--- a/crates/gate/tests/leaving_primary.rs
+++ b/crates/gate/tests/leaving_primary.rs
@@ -108,6 +108,34 @@
     }
 }
 
+/// Guards against nodes that all ask a busy primary for its report with each of its refusals, after a
+/// failover that may have demoted it.
+#[test]
+fn a_primary_that_is_too_busy_to_report_is_asked_at_a_limited_rate() {
+    for nodes in [2, 4, 8] {
+        let mut simulation = Simulation::start_with_reads(nodes);
+        simulation.database("c").replication_stopped = true;
+        simulation.write(0, 5);
+        simulation.database("b").hung = true;
+        leave(&mut simulation, "a");
+        simulation.run_until(millis(3_000), "end of the failover", |simulation| {
+            simulation.logged("takeover_given_up") > 0
+        });
+        simulation.database("a").refuses_reports = true;
+        simulation.database("a").leaving = false;
+        simulation.publish_database("a");
+        simulation.database("b").hung = false;
+        let asked = simulation.counters["reports_asked"];
+        simulation.run_with_reads(&[LATEST], millis(2_000));
+        let asked = simulation.counters["reports_asked"] - asked;
+        // In 2 s each node asks a replica every 100 ms and all three databases twice; all nodes together
+        // ask the primary every 25 ms, and each of them not more often than every 100 ms.
+        let nodes = nodes as u64;
+        let bound = nodes * (20 + 6) + (nodes * 20).min(80 + nodes);
+        assert!(asked <= bound, "{nodes} nodes asked {asked} times, not {bound}");
+    }
+}
+
 /// Guards against requests at a leaving primary beyond the time that the platform allows, while nothing
 /// can replace it.
 #[test]
