Share the accounts and the check for lost commits between the tests of the gate

Cause: tests/revoked_keys.rs and tests/leaving_primary.rs had copies of what tests/accounts.rs and tests/failover_changes.rs had. Change: `accounts_table` and `assert_none_lost` are in tests/support.

--- a/crates/gate/tests/accounts.rs
+++ b/crates/gate/tests/accounts.rs
@@ -6,10 +6,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use account::{AccountConfig, AccountDirectory};
 use gate::*;
 use model::{Micros, Name, SeededRandom};
-use support::{BOUNDED, LATEST, SESSION, Simulation, client_request, route_table};
+use support::{BOUNDED, LATEST, SESSION, Simulation, client_request};
 
 /// Connections that a database accepts, as in the deployment with accounts.
 const CONNECTIONS: u32 = 56;
@@ -24,20 +23,9 @@
 }
 
 fn accounts_table(version: u64, keys: &[(&str, &str)]) -> RouteTable {
-    let mut accounts = BTreeMap::<&str, Vec<Name>>::new();
-    for (key, account) in keys {
-        accounts.entry(account).or_default().push((*key).into());
-    }
-    let accounts = accounts.into_iter().map(|(name, keys)| AccountConfig {
-        name: name.into(),
-        keys,
-        limit: None,
-    });
-    let directory = AccountDirectory::new(accounts.collect()).expect("the accounts are valid");
-    let mut table = route_table(CONNECTIONS);
+    let mut table = support::accounts_table(version, CONNECTIONS, keys);
     let route = table.routes.get_mut(BOUNDED).expect("the route exists");
     Arc::make_mut(route).public = true;
-    (table.version, table.accounts) = (version, Some(Arc::new(directory)));
     table
 }
 
--- a/crates/gate/tests/failover_changes.rs
+++ b/crates/gate/tests/failover_changes.rs
@@ -13,13 +13,6 @@
     simulation.remove_registration(gate);
 }
 
-/// Asserts that every promoted database began with the acknowledged log up to `end`.
-fn assert_none_lost(simulation: &Simulation, end: TermPosition) {
-    for (at, name, start) in &simulation.promoted_logs {
-        assert!(*start >= end, "{name} leads from {at:?} with {start}, acknowledged up to {end}");
-    }
-}
-
 /// Guards against the loss of commits that a replica received after it was removed: its entry
 /// expired while it was cut off from the store only, and it has left the record of log holders.
 #[test]
@@ -38,7 +31,7 @@
     kill_node(&mut simulation, 0);
     simulation.database("a").unreachable = true;
     simulation.run_with_reads(&[LATEST], millis(12_000));
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against the loss of commits that an owner acknowledged after its registration expired: it
@@ -56,7 +49,7 @@
     simulation.fail_database("b");
     simulation.database("a").unreachable = true;
     simulation.run_with_reads(&[LATEST], millis(12_000));
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against a promotion of a shorter log than the compared one: the replica with the longest
@@ -80,7 +73,7 @@
     }
     simulation.restart_replica("b");
     simulation.run(millis(2_000));
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against the loss of commits that only the former process of a node knew of: the node
@@ -97,7 +90,7 @@
     simulation.database("a").unreachable = true;
     simulation.start_again_in_place(0);
     simulation.run_with_reads(&[LATEST], millis(12_000));
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against a record of log holders that is gone or cannot be read: it counts as one that
@@ -115,7 +108,7 @@
             simulation.start_again(gate);
         }
         simulation.run_with_reads(&[LATEST], millis(12_000));
-        assert_none_lost(&simulation, end);
+        simulation.assert_none_lost(end);
     }
 }
 
@@ -165,7 +158,7 @@
         simulation.run(millis(20));
         assert!(simulation.now < limit, "no promotion");
     }
-    assert_none_lost(simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against a failover that never ends although both remaining databases hold the whole log:
@@ -234,7 +227,7 @@
     simulation.promoted_logs.clear();
     simulation.resume_with_deliveries(suspended);
     simulation.run_with_reads(&[LATEST], millis(4_000));
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against fences that are lifted by a node which no longer holds the promotion lease, after
@@ -367,7 +360,7 @@
         }
     }
     simulation.promoted_logs.remove(0);
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against a failover whose announcement is the same as that of a holder which has died: the
@@ -405,7 +398,7 @@
             end = acknowledged_end(&simulation, session);
         }
     }
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against a database that is not in the record of log holders yet, because it has joined a
@@ -425,7 +418,7 @@
         simulation.start_again(gate);
     }
     simulation.run_with_reads(&[LATEST], millis(12_000));
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Starts a large deployment in which one node joins late. Returns it before that node joins.
@@ -481,7 +474,7 @@
     let writes = simulation.open_steady(joining, LATEST);
     simulation.run(millis(15_000));
     simulation.closed.insert(writes);
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against a failover that waits for databases although reads have shown, after a node had
@@ -516,7 +509,7 @@
     simulation.database("b").received = TermPosition::default();
     simulation.restart_replica("b");
     simulation.run_with_reads(&[LATEST], millis(6_000));
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against commits that the old primary acknowledges after the comparison: a replica starts
--- a/crates/gate/tests/leaving_primary.rs
+++ b/crates/gate/tests/leaving_primary.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use gate::{DatabaseRole, TermPosition};
+use gate::DatabaseRole;
 use model::Term;
 use support::{FakeDatabase, LATEST, Simulation, millis};
 
@@ -11,12 +11,6 @@
     simulation.publish_database(name);
 }
 
-fn assert_none_lost(simulation: &Simulation, end: TermPosition) {
-    for (at, name, start) in &simulation.promoted_logs {
-        assert!(*start >= end, "{name} leads from {at:?} with {start}, acknowledged up to {end}");
-    }
-}
-
 /// Guards against a leaving primary that is kept because one of its replicas is lost, although another
 /// one holds the whole log.
 #[test]
@@ -29,7 +23,7 @@
         leave(&mut simulation, "a");
         simulation.run_with_reads(&[LATEST], millis(3_000));
         assert_eq!(simulation.promoted_databases(), ["c"], "hung: {hung}");
-        assert_none_lost(&simulation, end);
+        simulation.assert_none_lost(end);
         let session = simulation.open(0, LATEST);
         simulation.send_request(0, session, "w", "WRITE 1 x");
         simulation.run(millis(100));
@@ -47,13 +41,13 @@
     simulation.database("b").hung = true;
     leave(&mut simulation, "a");
     simulation.run_with_reads(&[LATEST], millis(4_000));
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
     assert_eq!(simulation.promoted_databases(), Vec::<&str>::new(), "c lacks commits");
     assert_eq!(simulation.databases["a"].role, DatabaseRole::Primary, "it can commit until then");
     simulation.database("b").hung = false;
     simulation.run_with_reads(&[LATEST], millis(5_000));
     assert_eq!(simulation.promoted_databases(), ["b"]);
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against a promotion on the word of a node that has seen other nodes leave: one of them may
@@ -68,7 +62,7 @@
     simulation.database("b").hung = true;
     leave(&mut simulation, "a");
     simulation.run_with_reads(&[LATEST], millis(4_000));
-    assert_none_lost(&simulation, end);
+    simulation.assert_none_lost(end);
 }
 
 /// Guards against reads at a demoted primary: a replica that was left out reports the former term
--- a/crates/gate/tests/revoked_keys.rs
+++ b/crates/gate/tests/revoked_keys.rs
@@ -2,37 +2,19 @@
 
 mod support;
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
-
-use account::{AccountConfig, AccountDirectory};
 use gate::*;
-use model::Name;
-use support::{LATEST, Simulation, client_request, millis, route_table};
+use support::{LATEST, Simulation, accounts_table, client_request, millis};
 
-/// Connections of a node that is the only one, of the 56 that the database accepts.
-const CONNECTION_SHARE: usize = 30;
+/// Connections that a database accepts, as in the deployment with accounts.
+const CONNECTIONS: u32 = 56;
 
-/// Returns a configuration in which each account holds one key.
-fn configuration(version: u64, keys: &[(&str, &str)]) -> GateEvent {
-    let mut accounts = BTreeMap::<&str, Vec<Name>>::new();
-    for (key, account) in keys {
-        accounts.entry(account).or_default().push((*key).into());
-    }
-    let accounts = accounts.into_iter().map(|(name, keys)| AccountConfig {
-        name: name.into(),
-        keys,
-        limit: None,
-    });
-    let directory = AccountDirectory::new(accounts.collect()).expect("the accounts are valid");
-    let mut table = route_table(56);
-    (table.version, table.accounts) = (version, Some(Arc::new(directory)));
-    GateEvent::RoutesChanged(Box::new(table))
-}
+/// Those of a node that is the only one.
+const CONNECTION_SHARE: usize = 30;
 
 fn configure(simulation: &mut Simulation, version: u64, keys: &[(&str, &str)]) {
     for gate in 0..simulation.gates.len() {
-        simulation.event(gate, configuration(version, keys));
+        let table = accounts_table(version, CONNECTIONS, keys);
+        simulation.event(gate, GateEvent::RoutesChanged(Box::new(table)));
     }
     let (revision, known_at) = (simulation.revision, simulation.now);
     simulation.event(0, GateEvent::StoreFollowed { revision, known_at });
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use account::{AccountConfig, AccountDirectory};
 use bytes::Bytes;
 use gate::*;
 use model::{Micros, Name, Rank, Term};
@@ -233,6 +234,23 @@
     table
 }
 
+/// Returns routes and accounts, each of which holds the keys that are listed with it.
+pub fn accounts_table(version: u64, max_connections: u32, keys: &[(&str, &str)]) -> RouteTable {
+    let mut accounts = BTreeMap::<&str, Vec<Name>>::new();
+    for (key, account) in keys {
+        accounts.entry(account).or_default().push((*key).into());
+    }
+    let accounts = accounts.into_iter().map(|(name, keys)| AccountConfig {
+        name: name.into(),
+        keys,
+        limit: None,
+    });
+    let directory = AccountDirectory::new(accounts.collect()).expect("the accounts are valid");
+    let mut table = route_table(max_connections);
+    (table.version, table.accounts) = (version, Some(Arc::new(directory)));
+    table
+}
+
 fn node_settings(name: &Name, incarnation: u64, is_linked: bool) -> GateSettings {
     GateSettings {
         node: name.clone(),
@@ -1176,6 +1194,16 @@
         self.list(name);
     }
 
+    /// Asserts that every promoted database began with the acknowledged log up to `end`.
+    pub fn assert_none_lost(&self, end: TermPosition) {
+        for (at, name, start) in &self.promoted_logs {
+            assert!(
+                *start >= end,
+                "{name} leads from {at:?} with {start}, acknowledged up to {end}"
+            );
+        }
+    }
+
     /// Returns the promoted databases.
     pub fn promoted_databases(&self) -> Vec<&str> {
         self.promotions.iter().map(|(_, name, _)| name.as_str()).collect()
