--- a/crates/gate/tests/forwarded_sessions.rs
+++ b/crates/gate/tests/forwarded_sessions.rs
@@ -15,7 +15,7 @@
 };
 use model::{Micros, Name};
 use support::single_gate::{NodeEntry, SingleGate};
-use support::{BOUNDED, LATEST, Simulation, route_table};
+use support::{BOUNDED, LATEST, Simulation, accounts_table, route_table};
 
 /// Starts a node that owns no connections, among owners that speak a version of the protocol
 /// between nodes.
@@ -217,6 +217,24 @@
     assert_eq!(sent(&mut gate), [BackendCommand::Rollback]);
 }
 
+/// Guards against a transaction that goes on because the configuration took its key away while `BEGIN`
+/// and the first statement were both on their way to the owner.
+#[test]
+fn a_transaction_that_was_sent_before_its_key_was_taken_away_is_rolled_back() {
+    let mut gate = forwarding_gate(PEER_PROTOCOL);
+    let connection = begin(&mut gate);
+    let table = accounts_table(2, 16, &[("k1", "one")]);
+    gate.event(GateEvent::RoutesChanged(Box::new(table)));
+    gate.actions.clear();
+    answer(&mut gate, connection, done());
+    let replies = gate.actions.iter().filter_map(|action| match action {
+        GateAction::Reply { reply: ClientReply::Failed { code, .. }, .. } => Some(*code),
+        _ => None,
+    });
+    assert_eq!(replies.collect::<Vec<_>>(), [ErrorCode::Aborted]);
+    assert!(gate.actions.contains(&GateAction::CloseConnection { connection }));
+}
+
 /// Guards against a client that is told that its database has no route, because another node has an older or newer
 /// configuration than the node that the client reached.
 #[test]
