Take the margin before the bound of leaving databases from that bound

Cause: a margin of 1.5 s fits bounds of 7 and 10 s; with a short `drain-ms` a leaving primary would get no request at all, also while its successor is still being promoted. Change: the margin is a quarter of the bound, 1.5 s at most. With the bounds of the known deployments nothing changes.

--- a/crates/gate/src/cluster.rs
+++ b/crates/gate/src/cluster.rs
@@ -44,11 +44,6 @@
 /// after an entry is removed.
 pub(crate) const UNLISTED_GRACE: Micros = Micros::from_millis(4_000);
 
-/// Part of the time in which a leaving database may get requests that is left unused: the list of a node
-/// that follows a relay may be late by a slow answer of the store (240 ms), and what was sent may wait for
-/// a lost packet.
-const LEAVING_MARGIN: Micros = Micros::from_millis(1_500);
-
 /// What a node knows about one cluster.
 #[derive(Debug, Default)]
 pub(crate) struct ClusterState {
@@ -94,7 +89,7 @@
     /// Returns true if a database has been leaving for so long that it gets no more requests but those of
     /// open transactions.
     pub(crate) fn is_past_leaving(&self, database: &Database) -> bool {
-        let limit = self.settings.leaving_bound.saturating_sub(LEAVING_MARGIN);
+        let limit = self.settings.leaving_limit();
         database.leaving_since.is_some_and(|since| self.now >= since + limit)
     }
 
